Carry one request and one job the whole way, thinly

Cause: there was nothing to build on. Conclusion: the path holds over real sockets; the tail is that of one process doing everything, no policy yet.

--- /dev/null
+++ b/src/commands/settings-command.ts
@@ -0,0 +1,18 @@
+/**
+`chervilworks settings`: prints the settings with their defaults.
+*/
+import {Command} from 'clipanion';
+import {printSettings} from '../core/settings.ts';
+
+/** Prints all settings as commented INI. */
+export class SettingsCommand extends Command {
+	static override readonly paths = [['settings']];
+	static override readonly usage = Command.Usage({
+		description: 'Print all settings with defaults, ranges and meanings.',
+		examples: [['Start a settings file', 'chervilworks settings > entry.ini']],
+	});
+
+	async execute(): Promise<void> {
+		this.context.stdout.write(printSettings());
+	}
+}
--- /dev/null
+++ b/src/commands/standin-commands.ts
@@ -0,0 +1,97 @@
+/**
+`chervilworks standin log|upstream|worker`: small stand-ins for the platform, for trying out and tests.
+*/
+import {Command, Option} from 'clipanion';
+import {MemoryLog} from '../standin/memory-log.ts';
+import {createLogServer} from '../standin/log-server.ts';
+import {createUpstreamHost, createWorkerHost, type StandinHost} from '../standin/hosts.ts';
+import {createLogger, enableLogs, Part} from '../utils/logger.ts';
+import {createRandom} from '../utils/seeded-random.ts';
+import {createSystemClock} from '../utils/system-clock.ts';
+import {withExitCode} from './exit-codes.ts';
+import {runUntilSignal} from './run-until-signal.ts';
+
+const log = createLogger(Part.Standin);
+
+/** Serves the stand-in log. */
+export class StandinLogCommand extends Command {
+	static override readonly paths = [['standin', 'log']];
+	static override readonly usage = Command.Usage({
+		description: 'Run a stand-in for the platform log.',
+		examples: [['Run on the default port', 'chervilworks standin log --address 127.0.0.1:7090']],
+	});
+
+	readonly address = Option.String('--address', '127.0.0.1:7090', {description: 'Where to listen.'});
+
+	async execute(): Promise<number> {
+		return withExitCode(this.context, async () => {
+			enableLogs();
+			const clock = createSystemClock();
+			const server = createLogServer(new MemoryLog(clock, createRandom()), clock);
+			await runUntilSignal(async () => {
+				log('Log on %s.', await server.listen(this.address));
+			}, async () => server.close());
+		});
+	}
+}
+
+abstract class HostCommand extends Command {
+	readonly address = Option.String('--address', '127.0.0.1:0', {description: 'Where to listen.'});
+	readonly entries = Option.String('--entries', '127.0.0.1:7081', {description: 'Control addresses of entries, separated by commas.'});
+	readonly id = Option.String('--id', {description: 'Name of the host.', required: true});
+	readonly failureDomain = Option.String('--failure-domain', 'local-1', {description: 'Failure domain of the host.'});
+
+	async execute(): Promise<number> {
+		return withExitCode(this.context, async () => {
+			enableLogs();
+			const host = this.createHost();
+			await runUntilSignal(async () => {
+				log('%s on %s.', this.id, await host.start());
+			}, async () => host.stop());
+		});
+	}
+
+	abstract createHost(): StandinHost;
+
+	protected getHostOptions() {
+		return {
+			id: this.id,
+			address: this.address,
+			entryAddresses: this.entries.split(','),
+			region: 'local',
+			failureDomain: this.failureDomain,
+			clock: createSystemClock(),
+			random: createRandom(),
+		};
+	}
+}
+
+/** Runs a stand-in upstream. */
+export class StandinUpstreamCommand extends HostCommand {
+	static override readonly paths = [['standin', 'upstream']];
+	static override readonly usage = Command.Usage({
+		description: 'Run a stand-in upstream.',
+		examples: [['Announce to a local entry', 'chervilworks standin upstream --id desk-1 --service lading-desk']],
+	});
+
+	readonly service = Option.String('--service', {description: 'Service it belongs to.', required: true});
+
+	createHost(): StandinHost {
+		return createUpstreamHost({...this.getHostOptions(), service: this.service, getServiceMs: path => path.includes('long') ? 200 : 5});
+	}
+}
+
+/** Runs a stand-in worker. */
+export class StandinWorkerCommand extends HostCommand {
+	static override readonly paths = [['standin', 'worker']];
+	static override readonly usage = Command.Usage({
+		description: 'Run a stand-in worker.',
+		examples: [['Announce to a local entry', 'chervilworks standin worker --id worker-1']],
+	});
+
+	readonly rack = Option.String('--rack', 'rack-1', {description: 'Rack of the worker.'});
+
+	createHost(): StandinHost {
+		return createWorkerHost({...this.getHostOptions(), rack: this.rack});
+	}
+}
--- /dev/null
+++ b/src/core/config-fold.ts
@@ -0,0 +1,246 @@
+/**
+Folds the configuration stream. Every reader of the same records comes to the same sections and verdicts.
+*/
+import {createHash} from 'node:crypto';
+import {z} from 'zod';
+import {
+	ConfigRecordType, ConfigVerdict, type ConfigPublish, type ConfigResult, type ConfigSection, type ConfigSnapshot, type SectionValues,
+} from '../types/config.ts';
+import {type LogRecord} from '../types/platform.ts';
+import {findSectionMistakes} from './config-text.ts';
+import {createError, ErrorCode} from './errors.ts';
+
+const valuesSchema = z.record(z.string(), z.string());
+const resultSchema = z.object({
+	id: z.string(),
+	author: z.string(),
+	offset: z.number().int(),
+	verdict: z.enum(ConfigVerdict),
+	sections: z.array(z.string()),
+	reason: z.string().optional(),
+	winnerId: z.string().optional(),
+	winnerAuthor: z.string().optional(),
+});
+const recordSchema = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal(ConfigRecordType.Publish),
+		id: z.string().min(1).max(128),
+		author: z.string().max(128),
+		publishedAt: z.string().max(64),
+		sections: z.record(z.string(), z.object({baseOffset: z.number().int(), values: valuesSchema.optional()})),
+	}),
+	z.object({
+		type: z.literal(ConfigRecordType.Snapshot),
+		id: z.string().min(1).max(128),
+		upToOffset: z.number().int(),
+		sections: z.array(z.object({name: z.string(), offset: z.number().int(), values: valuesSchema.optional()})),
+		results: z.array(resultSchema),
+	}),
+]);
+
+/** Verdicts kept: enough to tell every publisher of the last minutes what became of its change. */
+const maxResults = 2000;
+
+/** State of a fold: what is in force after all records up to and with `offset`. */
+export class ConfigFold {
+	#offset = -1;
+	// False from a gap on, until a snapshot covers the records that were lost.
+	#isComplete = true;
+	#gapEnd = 0;
+	readonly #sections = new Map<string, ConfigSection>();
+	readonly #results = new Map<string, ConfigResult>();
+	// Records read while incomplete: a snapshot may cover the gap but not these.
+	readonly #pending: LogRecord[] = [];
+
+	/** Offset of the last record folded. */
+	get offset(): number {
+		return this.#offset;
+	}
+
+	/** Whether every record up to `offset` is accounted for. */
+	get isComplete(): boolean {
+		return this.#isComplete;
+	}
+
+	/** Sections, with deleted ones. */
+	get sections(): ReadonlyMap<string, ConfigSection> {
+		return this.#sections;
+	}
+
+	/** Verdicts of the last records, oldest first. */
+	getResults(): ConfigResult[] {
+		return [...this.#results.values()];
+	}
+
+	/** Verdict on a change by its id. */
+	getResult(id: string): ConfigResult | undefined {
+		return this.#results.get(id);
+	}
+
+	/** Takes the next record. Throws `bad-input` for one that is malformed; it then counts as read. */
+	apply(record: LogRecord): void {
+		if (record.offset <= this.#offset) {
+			return;
+		}
+
+		if (this.#isComplete) {
+			this.#offset = record.offset;
+			this.#fold(record);
+			return;
+		}
+
+		this.#pending.push(record);
+		const parsed = parseRecord(record);
+		if (parsed.type === ConfigRecordType.Snapshot) {
+			this.restore(parsed);
+		}
+	}
+
+	/** Notes that the records before `oldestOffset` are gone from the log. */
+	noteGap(oldestOffset: number): void {
+		if (oldestOffset > this.#offset + 1) {
+			this.#isComplete = false;
+			this.#gapEnd = oldestOffset;
+		}
+	}
+
+	/**
+	Takes over a snapshot, from the log or from a peer, when it is ahead of what is folded and leaves no gap.
+	A snapshot by a writer that was paused covers less than what was read since: those records are folded over it,
+	and a fold that is complete never goes back to one.
+	*/
+	restore(snapshot: ConfigSnapshot): boolean {
+		const isUsable = snapshot.upToOffset > this.#offset && (this.#isComplete || snapshot.upToOffset >= this.#gapEnd - 1);
+		if (!isUsable) {
+			return false;
+		}
+
+		this.#sections.clear();
+		for (const section of snapshot.sections) {
+			this.#sections.set(section.name, section);
+		}
+
+		this.#results.clear();
+		for (const result of snapshot.results) {
+			this.#results.set(result.id, result);
+		}
+
+		this.#offset = snapshot.upToOffset;
+		this.#isComplete = true;
+		for (const record of this.#pending.splice(0)) {
+			if (record.offset > this.#offset) {
+				this.#offset = record.offset;
+				this.#foldLeniently(record);
+			}
+		}
+
+		return true;
+	}
+
+	/** Creates a snapshot of the fold. */
+	createSnapshot(id: string): ConfigSnapshot {
+		return {
+			type: ConfigRecordType.Snapshot,
+			id,
+			upToOffset: this.#offset,
+			sections: [...this.#sections.values()],
+			results: this.getResults(),
+		};
+	}
+
+	/** Digest of the sections: equal at two readers exactly when the same is in force. */
+	getDigest(): string {
+		const hash = createHash('sha256');
+		for (const name of [...this.#sections.keys()].toSorted(compareText)) {
+			const section = this.#sections.get(name)!;
+			hash.update(JSON.stringify([name, section.offset, Object.entries(section.values ?? {}).toSorted(([a], [b]) => compareText(a, b)), section.values === undefined]));
+		}
+
+		return hash.digest('hex').slice(0, 32);
+	}
+
+	#foldLeniently(record: LogRecord): void {
+		try {
+			this.#fold(record);
+		} catch {
+			// Already reported when it was first read.
+		}
+	}
+
+	#fold(record: LogRecord): void {
+		const parsed = parseRecord(record);
+		// A complete fold has nothing to learn from a snapshot.
+		if (parsed.type === ConfigRecordType.Publish && !this.#results.has(parsed.id)) {
+			this.#judge(parsed, record.offset);
+		}
+	}
+
+	#judge(publish: ConfigPublish, offset: number): void {
+		const result: ConfigResult = {
+			id: publish.id, author: publish.author, offset, verdict: ConfigVerdict.Accepted, sections: Object.keys(publish.sections),
+		};
+		const stale = result.sections.find(name => (this.#sections.get(name)?.offset ?? -1) !== publish.sections[name]!.baseOffset);
+		if (stale === undefined) {
+			const mistakes = findSectionMistakes(this.#getChanged(publish));
+			if (mistakes.length > 0) {
+				result.verdict = ConfigVerdict.Invalid;
+				result.reason = mistakes.join('; ');
+			}
+		} else {
+			this.#explainConflict(result, stale, publish.sections[stale]!.baseOffset);
+		}
+
+		if (result.verdict === ConfigVerdict.Accepted) {
+			for (const [name, {values}] of Object.entries(publish.sections)) {
+				this.#sections.set(name, {name, offset, values});
+			}
+		}
+
+		this.#results.set(publish.id, result);
+		if (this.#results.size > maxResults) {
+			this.#results.delete(this.#results.keys().next().value!);
+		}
+	}
+
+	#explainConflict(result: ConfigResult, name: string, baseOffset: number): void {
+		const current = this.#sections.get(name)?.offset ?? -1;
+		const winner = this.getResults().find(({offset}) => offset === current);
+		result.verdict = ConfigVerdict.Conflict;
+		result.reason = `[${name}] was changed at offset ${current}; this change is based on ${baseOffset}`;
+		result.winnerId = winner?.id;
+		result.winnerAuthor = winner?.author;
+	}
+
+	#getChanged(publish: ConfigPublish): Map<string, SectionValues> {
+		const changed = new Map<string, SectionValues>();
+		for (const [name, {values}] of this.#sections) {
+			if (values) {
+				changed.set(name, values);
+			}
+		}
+
+		for (const [name, {values}] of Object.entries(publish.sections)) {
+			if (values) {
+				changed.set(name, values);
+			} else {
+				changed.delete(name);
+			}
+		}
+
+		return changed;
+	}
+}
+
+/** Compares by code unit: the same order on every machine, whatever its locale. */
+const compareText = (a: string, b: string): number => a < b ? -1 : (a > b ? 1 : 0);
+
+const parseRecord = (record: LogRecord): ConfigPublish | ConfigSnapshot => {
+	const parsed = recordSchema.safeParse(record.value);
+	if (!parsed.success) {
+		throw createError(ErrorCode.BadInput, {
+			step: 'read config record', peer: `offset ${record.offset}`, detail: z.prettifyError(parsed.error),
+		});
+	}
+
+	return parsed.data;
+};
--- /dev/null
+++ b/src/core/config-text.ts
@@ -0,0 +1,171 @@
+/**
+The operators' text: INI with a section for each service (`[service NAME]`) and each team (`[team NAME]`).
+*/
+import {parse, stringify} from 'ini';
+import {type ConfigSection, type SectionValues} from '../types/config.ts';
+import {getNearest} from '../utils/nearest.ts';
+
+/** Kinds of sections. */
+export enum SectionKind {
+	Service = 'service',
+	Team = 'team',
+}
+
+type KeySpec = {
+	allowed: string;
+	isValid(value: string): boolean;
+};
+
+const wholeNumber = (min: number, max: number): KeySpec => ({
+	allowed: `a whole number from ${min} to ${max}`,
+	isValid: value => /^\d+$/.test(value) && Number(value) >= min && Number(value) <= max,
+});
+const names: KeySpec = {
+	allowed: 'names separated by commas',
+	isValid: value => splitList(value).every(item => namePattern.test(item)),
+};
+const oneName: KeySpec = {allowed: 'one name', isValid: value => namePattern.test(value)};
+const oneOf = (...choices: string[]): KeySpec => ({
+	allowed: choices.join(' or '), isValid: value => choices.includes(value),
+});
+const weights: KeySpec = {
+	allowed: 'pairs name:weight separated by commas',
+	isValid: value => splitList(value).every(item => /^[\w-]+:\d+(?:\.\d+)?$/.test(item)),
+};
+
+const namePattern = /^[\w-]{1,64}$/;
+const maxSections = 10_000;
+const maxDeadlineMs = 3_600_000;
+const maxAmount = 10_000_000;
+
+const keysByKind: Record<SectionKind, Record<string, KeySpec>> = {
+	[SectionKind.Service]: {
+		region: oneName,
+		dependsOn: names,
+		requestClass: oneOf('check', 'long'),
+		checkDeadlineMs: wholeNumber(1, maxDeadlineMs),
+		longDeadlineMs: wholeNumber(1, maxDeadlineMs),
+		failureDomainWeights: weights,
+	},
+	[SectionKind.Team]: {
+		processors: wholeNumber(0, maxAmount),
+		memoryMb: wholeNumber(0, maxAmount * 1000),
+		accelerators: wholeNumber(0, maxAmount),
+		weight: wholeNumber(1, 1000),
+	},
+};
+
+/** Splits a list written with commas. */
+export const splitList = (value: string | undefined): string[] =>
+	(value ?? '').split(',').map(item => item.trim()).filter(Boolean);
+
+/** Parses the operators' text into sections. The mistakes name section and key. */
+export const parseConfigText = (content: string): {sections: Map<string, SectionValues>; mistakes: string[]} => {
+	const sections = new Map<string, SectionValues>();
+	const mistakes: string[] = [];
+	for (const [name, values] of Object.entries(parse(content))) {
+		if (typeof values !== 'object' || values === null) {
+			mistakes.push(`${name}: every key stands in a section`);
+			continue;
+		}
+
+		const plain: SectionValues = {};
+		for (const [key, value] of Object.entries(values as Record<string, unknown>)) {
+			plain[key] = String(value);
+		}
+
+		sections.set(name, plain);
+	}
+
+	mistakes.push(...findSectionMistakes(sections));
+	return {sections, mistakes};
+};
+
+/** Prints sections as the operators' text. */
+export const printConfigText = (sections: Iterable<ConfigSection>): string => {
+	const document: Record<string, SectionValues> = {};
+	for (const {name, values} of sections) {
+		if (values) {
+			document[name] = values;
+		}
+	}
+
+	return stringify(document, {whitespace: true});
+};
+
+/** Splits a section's name into kind and name proper, or undefined when it has no known kind. */
+export const parseSectionName = (section: string): {kind: SectionKind; name: string} | undefined => {
+	const [kind, name, ...rest] = section.split(' ');
+	const isKnown = Object.values(SectionKind).includes(kind as SectionKind);
+	return isKnown && name !== undefined && rest.length === 0 && namePattern.test(name)
+		? {kind: kind as SectionKind, name}
+		: undefined;
+};
+
+/** Finds all mistakes in a whole set of sections. */
+export const findSectionMistakes = (sections: ReadonlyMap<string, SectionValues>): string[] => {
+	const mistakes: string[] = [];
+	if (sections.size > maxSections) {
+		mistakes.push(`at most ${maxSections} sections are allowed`);
+	}
+
+	for (const [section, values] of sections) {
+		const parsed = parseSectionName(section);
+		if (!parsed) {
+			mistakes.push(`[${section}]: a section is named "service NAME" or "team NAME"`);
+			continue;
+		}
+
+		mistakes.push(...findKeyMistakes(section, parsed.kind, values));
+	}
+
+	mistakes.push(...findDependencyMistakes(sections));
+	return mistakes;
+};
+
+const findKeyMistakes = (section: string, kind: SectionKind, values: SectionValues): string[] => {
+	const mistakes: string[] = [];
+	const specs = keysByKind[kind];
+	for (const [key, value] of Object.entries(values)) {
+		if (!Object.hasOwn(specs, key)) {
+			const nearest = getNearest(key, Object.keys(specs));
+			mistakes.push(`[${section}] ${key}: no such key${nearest === undefined ? '' : `; did you mean ${nearest}?`}`);
+		} else if (!specs[key]!.isValid(value)) {
+			mistakes.push(`[${section}] ${key} = ${value}: ${specs[key]!.allowed}`);
+		}
+	}
+
+	return mistakes;
+};
+
+const findDependencyMistakes = (sections: ReadonlyMap<string, SectionValues>): string[] => {
+	const mistakes: string[] = [];
+	const done = new Set<string>();
+	const visit = (section: string, path: string[]) => {
+		if (path.includes(section)) {
+			mistakes.push(`[${section}] dependsOn: services depend on each other in a circle`);
+			return;
+		}
+
+		if (done.has(section)) {
+			return;
+		}
+
+		for (const dependency of splitList(sections.get(section)?.dependsOn)) {
+			const next = `${SectionKind.Service} ${dependency}`;
+			if (sections.has(next)) {
+				visit(next, [...path, section]);
+			} else {
+				mistakes.push(`[${section}] dependsOn = ${dependency}: no such service`);
+			}
+		}
+
+		done.add(section);
+	};
+
+	for (const section of sections.keys()) {
+		visit(section, []);
+	}
+
+	return mistakes;
+};
--- /dev/null
+++ b/src/standin/demo.ts
@@ -0,0 +1,275 @@
+/**
+The whole path in one process: entries, log, workers and upstreams of both users' shapes, over loopback.
+*/
+import {build as createHistogram} from 'hdr-histogram-js';
+import {Agent, request} from 'undici';
+import {getChanges, publishChanges} from '../core/config-publisher.ts';
+import {ConfigFold} from '../core/config-fold.ts';
+import {parseConfigText} from '../core/config-text.ts';
+import {type RunningKernel} from '../core/kernel.ts';
+import {createSettings} from '../core/settings.ts';
+import {createEntry} from '../plugins/entry.ts';
+import {type Clock} from '../types/clock.ts';
+import {ConfigVerdict} from '../types/config.ts';
+import {JobState, TaskClass, type JobStatus} from '../types/jobs.ts';
+import {type Random} from '../types/random.ts';
+import {Header, RequestClass} from '../types/requests.ts';
+import {ServiceName} from '../types/services.ts';
+import {callJson} from '../utils/http-client.ts';
+import {createRequestId} from '../utils/request-id.ts';
+import {createRandom} from '../utils/seeded-random.ts';
+import {createSystemClock} from '../utils/system-clock.ts';
+import {createUpstreamHost, createWorkerHost, type StandinHost} from './hosts.ts';
+import {createLogServer} from './log-server.ts';
+import {MemoryLog} from './memory-log.ts';
+import {type StandinUpstream} from './upstream-server.ts';
+
+/** How much to send. */
+export type DemoOptions = {
+	requestCount: number;
+	jobCount: number;
+};
+
+/** What the demonstration found. */
+export type DemoReport = {
+	isHeld: boolean;
+	lines: string[];
+};
+
+type User = {
+	service: string;
+	team: string;
+	region: string;
+	failureDomains: string[];
+};
+
+type Tally = {
+	answered: number;
+	refused: Map<string, number>;
+	mixedUp: number;
+	latencies: Record<RequestClass, ReturnType<typeof createHistogram>>;
+};
+
+type World = {
+	clock: Clock;
+	random: Random;
+	entries: RunningKernel[];
+	hosts: StandinHost[];
+	upstreams: StandinUpstream[];
+	stop(): Promise<void>;
+};
+
+const users: User[] = [
+	{
+		service: 'lading-desk', team: 'clydeside', region: 'scot-central', failureDomains: ['leith-hall', 'govan-hall', 'grange-hall'],
+	},
+	{
+		service: 'tariff-relief', team: 'authority', region: 'bagmati', failureDomains: ['hall-ktm', 'hall-ltp', 'hall-bkt', 'hall-hetauda'],
+	},
+];
+const hostsPerUser = 11;
+const hostsPerRack = 3;
+const entryCount = 1;
+const concurrency = 16;
+const checkMs = 5;
+const longMs = 60;
+const waitMs = 15_000;
+const anyAddress = '127.0.0.1:0';
+
+/** Runs the demonstration; the report says whether every promise held in what was sent. */
+export const runDemo = async (options: DemoOptions): Promise<DemoReport> => {
+	const world = await createWorld();
+	try {
+		await publishConfig(world);
+		const tallies = await Promise.all(users.map(async user => sendRequests(world, user, options.requestCount)));
+		const jobs = await runJobs(world, options.jobCount);
+		return createReport(world, tallies, jobs);
+	} finally {
+		await world.stop();
+	}
+};
+
+const createWorld = async (): Promise<World> => {
+	const clock = createSystemClock();
+	const random = createRandom();
+	const logServer = createLogServer(new MemoryLog(clock, random), clock);
+	const logAddress = await logServer.listen(anyAddress);
+	const entries = Array.from({length: entryCount}, (_, index) => createEntry({
+		clock,
+		random,
+		settings: createSettings({
+			process: {id: `entry-${index + 1}`, stopBoundMs: 5000},
+			entry: {callerAddress: anyAddress, controlAddress: anyAddress, peerAddress: anyAddress},
+			log: {url: `http://${logAddress}`},
+			membership: {announceEveryMs: 300},
+		}),
+	}));
+	await Promise.all(entries.map(async entry => entry.start()));
+	const entryAddresses = entries.map(entry => entry.get(ServiceName.Control).getAddress());
+	const upstreamHosts = users.flatMap(user => createUpstreams(user, entryAddresses, clock, random));
+	const workerHosts = users.flatMap(user => createWorkers(user, entryAddresses, clock, random));
+	const hosts: StandinHost[] = [...upstreamHosts, ...workerHosts];
+	await Promise.all(hosts.map(async host => host.start()));
+	return {
+		clock,
+		random,
+		entries,
+		hosts,
+		upstreams: upstreamHosts.map(({upstream}) => upstream),
+		async stop() {
+			await Promise.all(hosts.map(async host => host.stop()));
+			await Promise.all(entries.map(async entry => entry.stop()));
+			await logServer.close();
+		},
+	};
+};
+
+const createUpstreams = (user: User, entryAddresses: string[], clock: Clock, random: Random) =>
+	Array.from({length: hostsPerUser}, (_, index) => createUpstreamHost({
+		id: `${user.service}-${index + 1}`,
+		service: user.service,
+		address: anyAddress,
+		entryAddresses,
+		region: user.region,
+		failureDomain: getDomain(user, index),
+		clock,
+		random,
+		getServiceMs: path => path.includes('/long/') ? longMs : checkMs,
+	}));
+
+const createWorkers = (user: User, entryAddresses: string[], clock: Clock, random: Random) =>
+	Array.from({length: hostsPerUser}, (_, index) => createWorkerHost({
+		id: `${user.team}-worker-${index + 1}`,
+		address: anyAddress,
+		entryAddresses,
+		region: user.region,
+		failureDomain: getDomain(user, index),
+		rack: `${user.team}-rack-${Math.floor(index / hostsPerRack) + 1}`,
+		clock,
+		random,
+	}));
+
+const getDomain = ({failureDomains}: User, index: number): string => failureDomains[index % failureDomains.length]!;
+
+const publishConfig = async ({clock, random, entries}: World): Promise<void> => {
+	const content = users.map(({service, region}) => `[service ${service}]\nregion = ${region}\n`).join('\n');
+	const {sections} = parseConfigText(content);
+	const result = await publishChanges(getChanges(new ConfigFold(), sections), {
+		log: entries[0]!.get(ServiceName.Log), clock, random, author: 'demo', timeoutMs: waitMs,
+	});
+	if (result.verdict !== ConfigVerdict.Accepted) {
+		throw new Error(result.reason);
+	}
+
+	await waitUntil(clock, () => entries.every(entry =>
+		entry.get(ServiceName.Config).getOffset() >= result.offset
+		&& users.every(({service}) => entry.get(ServiceName.Upstreams).getRoutable(service).length === hostsPerUser)));
+};
+
+const sendRequests = async (world: World, user: User, count: number): Promise<Tally> => {
+	const tally: Tally = {
+		answered: 0, mixedUp: 0, refused: new Map(), latencies: {[RequestClass.Check]: createHistogram(), [RequestClass.Long]: createHistogram()},
+	};
+	const agent = new Agent({connections: concurrency});
+	let next = 0;
+	const sendInTurn = async () => {
+		while (next < count) {
+			const index = next++;
+			await sendOne(world, user, index, tally, agent);
+		}
+	};
+
+	await Promise.all(Array.from({length: concurrency}, sendInTurn));
+	await agent.close();
+	return tally;
+};
+
+const sendOne = async (world: World, user: User, index: number, tally: Tally, agent: Agent): Promise<void> => {
+	const {clock, random, entries} = world;
+	const requestClass = index % 5 === 0 ? RequestClass.Long : RequestClass.Check;
+	const entry = entries[index % entries.length]!;
+	const path = `/${user.service}/${requestClass}/${index}`;
+	const startMs = clock.monotonicMs();
+	const answer = await request(`http://${entry.get(ServiceName.Callers).getAddress()}${path}`, {
+		method: requestClass === RequestClass.Long ? 'POST' : 'GET',
+		headers: {
+			[Header.RequestClass]: requestClass,
+			[Header.CallerId]: user.team,
+			...(requestClass === RequestClass.Long && {[Header.RequestId]: createRequestId(clock, random)}),
+		},
+		body: requestClass === RequestClass.Long ? `document ${index}` : undefined,
+		dispatcher: agent,
+	});
+	const text = await answer.body.text();
+	if (answer.statusCode !== 200) {
+		const reason = String(answer.headers[Header.RefusalReason] ?? answer.statusCode);
+		tally.refused.set(reason, (tally.refused.get(reason) ?? 0) + 1);
+		return;
+	}
+
+	tally.answered++;
+	tally.latencies[requestClass].recordValue(Math.round((clock.monotonicMs() - startMs) * 1000));
+	if ((JSON.parse(text) as {path: string}).path !== path) {
+		tally.mixedUp++;
+	}
+};
+
+const runJobs = async ({clock, entries}: World, count: number): Promise<JobStatus[]> => {
+	const url = `http://${entries[0]!.get(ServiceName.Control).getAddress()}/v1/jobs`;
+	const ids = users.flatMap(({team}) => Array.from({length: count}, (_, index) => ({team, jobId: `${team}-job-${index}`})));
+	await Promise.all(ids.map(async ({team, jobId}) => callJson({
+		method: 'POST',
+		url,
+		timeoutMs: waitMs,
+		step: 'submit job',
+		body: {
+			jobId,
+			team,
+			kind: 'rebuild-records',
+			taskClass: TaskClass.Batch,
+			priority: 100,
+			taskCount: 3,
+			isGang: false,
+			isIdempotent: true,
+			resources: {processors: 2, memoryMb: 1024, accelerators: 0},
+			declaredRunTimeMs: 200,
+			input: {runTimeMs: 200},
+		},
+	})));
+	const jobs = entries[0]!.get(ServiceName.Jobs);
+	await waitUntil(clock, () => ids.every(({jobId}) => jobs.getStatus(jobId)?.state === JobState.Succeeded));
+	return ids.map(({jobId}) => jobs.getStatus(jobId)!);
+};
+
+const waitUntil = async (clock: Clock, isDone: () => boolean): Promise<void> => {
+	const endMs = clock.monotonicMs() + waitMs;
+	while (!isDone() && clock.monotonicMs() < endMs) {
+		await clock.sleep(20);
+	}
+};
+
+const createReport = ({upstreams}: World, tallies: Tally[], jobs: JobStatus[]): DemoReport => {
+	const twice = upstreams.flatMap(upstream => [...upstream.getRuns()]).filter(([, runs]) => runs > 1).length;
+	const succeeded = jobs.filter(({state}) => state === JobState.Succeeded).length;
+	const mixedUp = tallies.reduce((sum, tally) => sum + tally.mixedUp, 0);
+	const answered = tallies.reduce((sum, tally) => sum + tally.answered, 0);
+	const lines = tallies.flatMap((tally, index) => describeTally(users[index]!, tally));
+	const isHeld = twice === 0 && mixedUp === 0 && succeeded === jobs.length && answered > 0;
+	lines.push(
+		`jobs: ${succeeded} of ${jobs.length} succeeded`,
+		`run twice: ${twice}; answers mixed up: ${mixedUp}`,
+		isHeld ? 'Every promise held in what was sent.' : 'A promise was broken.',
+	);
+	return {isHeld, lines};
+};
+
+const describeTally = ({service}: User, {answered, refused, latencies}: Tally): string[] => {
+	const refusals = [...refused].map(([reason, count]) => `${reason} ${count}`).join(', ') || 'none';
+	return [
+		`${service}: ${answered} answered; refused: ${refusals}`,
+		...Object.entries(latencies).map(([name, histogram]) => {
+			const [p50, p99] = [50, 99].map(percentile => (histogram.getValueAtPercentile(percentile) / 1000).toFixed(1));
+			return `  ${name}: p50 ${p50} ms, p99 ${p99} ms, ${histogram.totalCount} answers`;
+		}),
+	];
+};
--- /dev/null
+++ b/src/standin/hosts.ts
@@ -0,0 +1,101 @@
+/**
+Stand-in hosts: an upstream or a worker, served and announced.
+*/
+import {type Clock} from '../types/clock.ts';
+import {type Resources} from '../types/platform.ts';
+import {type Random} from '../types/random.ts';
+import {type Announcer, startAnnouncer} from '../utils/announcer.ts';
+import {MemoryWorker} from './memory-worker.ts';
+import {createStandinUpstream, type StandinUpstream} from './upstream-server.ts';
+import {createWorkerServer} from './worker-server.ts';
+
+/** A host that can be started and stopped. */
+export type StandinHost = {
+	/** Resolves to the address bound. */
+	start(): Promise<string>;
+	stop(): Promise<void>;
+};
+
+/** What all stand-in hosts need. */
+export type HostOptions = {
+	id: string;
+	address: string;
+	entryAddresses: string[];
+	region: string;
+	failureDomain: string;
+	clock: Clock;
+	random: Random;
+};
+
+/** Shape of an upstream of both users. */
+export const upstreamShape = {slots: 8, connections: 64};
+/** Shape of a worker of both users. */
+export const workerShape: Resources = {processors: 16, memoryMb: 61_440, accelerators: 0};
+
+const defaultRunTimeMs = 50;
+
+/** Creates a stand-in upstream that announces itself. */
+export const createUpstreamHost = (options: HostOptions & {service: string; getServiceMs(path: string): number}): StandinHost & {upstream: StandinUpstream} => {
+	const {id, clock, random, entryAddresses, region, failureDomain, service} = options;
+	const upstream = createStandinUpstream({clock, slots: upstreamShape.slots, getServiceMs: options.getServiceMs});
+	let announcer: Announcer | undefined;
+	return {
+		upstream,
+		async start() {
+			const address = await upstream.listen(options.address);
+			announcer = startAnnouncer({
+				clock,
+				random,
+				entryAddresses,
+				path: 'upstreams',
+				body: {
+					upstreamId: id, service, incarnation: clock.now().getTime(), address, region, failureDomain, ...upstreamShape, isGuarded: false,
+				},
+			});
+			return address;
+		},
+		async stop() {
+			await announcer?.drain();
+			announcer?.stop();
+			await upstream.close();
+		},
+	};
+};
+
+/** Creates a stand-in worker that announces itself. */
+export const createWorkerHost = (options: HostOptions & {rack: string}): StandinHost & {worker: MemoryWorker} => {
+	const {id, clock, random, entryAddresses, region, failureDomain, rack} = options;
+	const incarnation = clock.now().getTime();
+	const worker = new MemoryWorker({
+		workerId: id, incarnation, capacity: workerShape, clock, getBehaviour: getDeclaredBehaviour,
+	});
+	const server = createWorkerServer(worker, clock);
+	let announcer: Announcer | undefined;
+	return {
+		worker,
+		async start() {
+			const address = await server.listen(options.address);
+			announcer = startAnnouncer({
+				clock,
+				random,
+				entryAddresses,
+				path: 'workers',
+				body: {
+					workerId: id, incarnation, address, region, failureDomain, rack, capacity: workerShape,
+				},
+			});
+			return address;
+		},
+		async stop() {
+			await announcer?.drain();
+			announcer?.stop();
+			await server.close();
+		},
+	};
+};
+
+/** A task runs as long as its input says, and gives its input back. */
+const getDeclaredBehaviour = ({input}: {input?: unknown}) => {
+	const {runTimeMs = defaultRunTimeMs, isFailing = false} = (input ?? {}) as {runTimeMs?: number; isFailing?: boolean};
+	return {runTimeMs, isFailing, result: input};
+};
--- /dev/null
+++ b/src/types/metrics.ts
@@ -0,0 +1,32 @@
+/**
+Counters and gauges. Refusals and retries add their reason as a tag.
+*/
+
+/** Names of all metrics; documented in docs/OPERATIONS.md. */
+export enum Metric {
+	Requests = 'requests',
+	Answers = 'answers',
+	Refusals = 'refusals',
+	Retries = 'retries',
+	RequestMs = 'request_ms',
+	UpstreamsAlive = 'upstreams_alive',
+	WorkersAlive = 'workers_alive',
+	ConfigOffset = 'config_offset',
+	ConfigRejected = 'config_rejected',
+	LogErrors = 'log_errors',
+	LogAppends = 'log_appends',
+	BadRecords = 'bad_records',
+	JobsAccepted = 'jobs_accepted',
+	TasksStarted = 'tasks_started',
+	TasksEnded = 'tasks_ended',
+	TaskRefusals = 'task_refusals',
+}
+
+/** Counts events and sets levels. */
+export type Metrics = {
+	count(metric: Metric, reason?: string, amount?: number): void;
+	gauge(metric: Metric, value: number): void;
+	timing(metric: Metric, valueMs: number, tag?: string): void;
+	/** Counts so far, keyed `metric` or `metric.reason`. */
+	getCounts(): Record<string, number>;
+};
--- /dev/null
+++ b/src/types/requests.ts
@@ -0,0 +1,66 @@
+/**
+Requests of callers, and the answers that are the program's own.
+*/
+
+/** Classes of requests: quick checks go before long requests, which keep a reserved share. */
+export enum RequestClass {
+	Check = 'check',
+	Long = 'long',
+}
+
+/** What is known of a request that got no whole answer from an upstream. */
+export enum Outcome {
+	/** No byte of the request can have reached an upstream. */
+	NotRun = 'not-run',
+	/** The request may have run. */
+	Unknown = 'unknown',
+}
+
+/** Why a request was refused or given up. One counter each. */
+export enum RefusalReason {
+	UnknownService = 'unknown-service',
+	NoUpstream = 'no-upstream',
+	WrongSide = 'wrong-side',
+	QueueFull = 'queue-full',
+	CallerShare = 'caller-share',
+	DeadlineUnmeetable = 'deadline-unmeetable',
+	DeadlinePassed = 'deadline-passed',
+	ShuttingDown = 'shutting-down',
+	BadRequest = 'bad-request',
+	BodyTooLarge = 'body-too-large',
+	SlowCaller = 'slow-caller',
+	MissingRequestId = 'missing-request-id',
+	BadRequestId = 'bad-request-id',
+	RequestIdExpired = 'request-id-expired',
+	RequestIdInUse = 'request-id-in-use',
+	ClaimUnavailable = 'claim-unavailable',
+	UpstreamFailed = 'upstream-failed',
+	UpstreamTimeout = 'upstream-timeout',
+	AnswerTruncated = 'answer-truncated',
+	CallerGone = 'caller-gone',
+}
+
+/** Why a request was tried again. One counter each. */
+export enum RetryReason {
+	ConnectFailed = 'connect-failed',
+	GuardRefused = 'guard-refused',
+	IdempotentFailed = 'idempotent-failed',
+	IdempotentTimeout = 'idempotent-timeout',
+	Hedge = 'hedge',
+}
+
+/** Headers of the callers' contract. */
+export enum Header {
+	/** Id of a non-idempotent request: a UUID of version 7, made by the caller, kept over its own retries. */
+	RequestId = 'request-id',
+	RequestClass = 'request-class',
+	/** Milliseconds from arrival within which the answer is of use. */
+	DeadlineMs = 'request-deadline-ms',
+	CallerId = 'caller-id',
+	/** On answers of the program itself: `not-run` or `unknown`. */
+	Outcome = 'request-outcome',
+	RefusalReason = 'refusal-reason',
+	RetryAfter = 'retry-after',
+	/** On every answer: entry that served it. */
+	Entry = 'served-by-entry',
+}
--- /dev/null
+++ b/src/utils/http-server.ts
@@ -0,0 +1,197 @@
+/**
+A small HTTP server for JSON between the program, the platform and operators, with bounds on size and time.
+*/
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {
+	createError, ErrorCode, getErrorCode, getMessage,
+} from '../core/errors.ts';
+import {type Clock} from '../types/clock.ts';
+import {parseAddress} from './address.ts';
+
+/** A request to a JSON route. */
+export type JsonRequest = {
+	/** Values of the `:name` parts of the route. */
+	params: Record<string, string>;
+	query: URLSearchParams;
+	body: unknown;
+	signal: AbortSignal;
+};
+
+/** Answer of a JSON route; without a status, 200. */
+export type JsonReply = {
+	status?: number;
+	body: unknown;
+};
+
+/** Handles one JSON request. */
+export type JsonHandler = (request: JsonRequest) => Promise<JsonReply> | JsonReply;
+
+/** A server of JSON routes. */
+export type JsonServer = {
+	route(method: string, path: string, handler: JsonHandler): void;
+	/** Binds; resolves to the address bound. */
+	listen(address: string): Promise<string>;
+	/** Finishes requests in progress and closes. */
+	close(): Promise<void>;
+};
+
+/** Bounds on what a client may send. */
+export type BodyBounds = {
+	maxBytes: number;
+	timeoutMs: number;
+};
+
+type Route = {
+	method: string;
+	parts: string[];
+	handler: JsonHandler;
+};
+
+const defaultBounds: BodyBounds = {maxBytes: 4_194_304, timeoutMs: 10_000};
+const statusByCode: Partial<Record<ErrorCode, number>> = {
+	[ErrorCode.BadInput]: 400,
+	[ErrorCode.NotFound]: 404,
+	[ErrorCode.BodyTooSlow]: 408,
+	[ErrorCode.Conflict]: 409,
+	[ErrorCode.BodyTooLarge]: 413,
+	[ErrorCode.Refused]: 409,
+	[ErrorCode.LogUnavailable]: 503,
+	[ErrorCode.PeerUnavailable]: 503,
+};
+
+/** Creates a server of JSON routes. */
+export const createJsonServer = (clock: Clock, bounds = defaultBounds): JsonServer => {
+	const routes: Route[] = [];
+	const server = createServer(async (request, response) => {
+		await answer(request, response);
+	});
+
+	const answer = async (request: IncomingMessage, response: ServerResponse) => {
+		const aborter = new AbortController();
+		response.once('close', () => {
+			aborter.abort();
+		});
+		try {
+			const url = new URL(request.url ?? '/', 'http://localhost');
+			const {route, params} = findRoute(routes, request.method ?? 'GET', url.pathname);
+			const body = await readJson(request, clock, bounds);
+			const reply = await route.handler({
+				params, query: url.searchParams, body, signal: aborter.signal,
+			});
+			send(response, reply.status ?? 200, reply.body);
+		} catch (error) {
+			const code = getErrorCode(error);
+			send(response, (code && statusByCode[code]) ?? 500, {error: getMessage(error), code});
+		}
+	};
+
+	return {
+		route(method, path, handler) {
+			routes.push({method, parts: path.split('/'), handler});
+		},
+		listen: async address => listen(server, address),
+		close: async () => close(server),
+	};
+};
+
+/** Binds the server to `host:port`; resolves to the address bound. */
+export const listen = async (server: Server, address: string): Promise<string> => {
+	const {host, port} = parseAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	return `${host}:${(server.address() as AddressInfo).port}`;
+};
+
+/** Stops accepting, closes idle connections and resolves when requests in progress are done. */
+export const close = async (server: Server): Promise<void> => {
+	if (!server.listening) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeIdleConnections();
+	});
+};
+
+/** Reads a body within bounds of size and time. */
+export const readBody = async (request: IncomingMessage, clock: Clock, bounds: BodyBounds): Promise<Buffer> => {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	// A client that sends a byte at a time would hold memory and a socket for ever.
+	const timer = clock.setTimer(() => {
+		request.destroy(createError(ErrorCode.BodyTooSlow, {step: 'read body', detail: `${bounds.timeoutMs} ms`}));
+	}, bounds.timeoutMs);
+	try {
+		for await (const chunk of request) {
+			size += (chunk as Buffer).length;
+			if (size > bounds.maxBytes) {
+				throw createError(ErrorCode.BodyTooLarge, {step: 'read body', detail: `at most ${bounds.maxBytes} bytes`});
+			}
+
+			chunks.push(chunk as Buffer);
+		}
+	} finally {
+		timer.cancel();
+	}
+
+	return Buffer.concat(chunks);
+};
+
+const readJson = async (request: IncomingMessage, clock: Clock, bounds: BodyBounds): Promise<unknown> => {
+	const body = await readBody(request, clock, bounds);
+	if (body.length === 0) {
+		return undefined;
+	}
+
+	try {
+		return JSON.parse(body.toString('utf8')) as unknown;
+	} catch (error) {
+		throw createError(ErrorCode.BadInput, {step: 'read body', detail: 'not JSON', cause: error});
+	}
+};
+
+const findRoute = (routes: Route[], method: string, path: string) => {
+	const parts = path.split('/');
+	for (const route of routes) {
+		const params = route.method === method ? match(route.parts, parts) : undefined;
+		if (params) {
+			return {route, params};
+		}
+	}
+
+	throw createError(ErrorCode.NotFound, {step: 'find route', detail: `${method} ${path}`});
+};
+
+const match = (pattern: string[], parts: string[]): Record<string, string> | undefined => {
+	if (pattern.length !== parts.length) {
+		return undefined;
+	}
+
+	const params: Record<string, string> = {};
+	for (const [index, part] of pattern.entries()) {
+		if (part.startsWith(':')) {
+			params[part.slice(1)] = decodeURIComponent(parts[index]!);
+		} else if (part !== parts[index]) {
+			return undefined;
+		}
+	}
+
+	return params;
+};
+
+const send = (response: ServerResponse, status: number, body: unknown): void => {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(JSON.stringify(body ?? {}));
+};
--- /dev/null
+++ b/src/utils/manual-clock.ts
@@ -0,0 +1,138 @@
+/**
+A clock that stands still until it is advanced: for tests and seeded measurements.
+*/
+import {type Clock, type Timer} from '../types/clock.ts';
+import {sleepOn} from './system-clock.ts';
+
+type Pending = {
+	dueMs: number;
+	order: number;
+	callback: () => void;
+};
+
+const isBefore = (a: Pending, b: Pending): boolean => a.dueMs < b.dueMs || (a.dueMs === b.dueMs && a.order < b.order);
+
+/** Lets every promise that can settle do so before the next timer fires. */
+const settle = async (): Promise<void> => {
+	await new Promise<void>(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+/** A clock moved by hand. Timers fire in order of due time, then of creation. */
+export class ManualClock implements Clock {
+	#nowMs: number;
+	#order = 0;
+	readonly #startMs: number;
+	// A binary heap keyed by due time keeps long measurements linear in their events.
+	readonly #heap: Pending[] = [];
+	readonly #cancelled = new Set<Pending>();
+
+	constructor(startMs = 1_800_000_000_000) {
+		this.#startMs = startMs;
+		this.#nowMs = startMs;
+	}
+
+	monotonicMs(): number {
+		return this.#nowMs - this.#startMs;
+	}
+
+	now(): Date {
+		return new Date(this.#nowMs);
+	}
+
+	setTimer(callback: () => void, delayMs: number): Timer {
+		const pending = {dueMs: this.#nowMs + Math.max(0, delayMs), order: this.#order++, callback};
+		this.#push(pending);
+		return {
+			cancel: () => {
+				this.#cancelled.add(pending);
+			},
+		};
+	}
+
+	async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+		await sleepOn((callback, ms) => this.setTimer(callback, ms), delayMs, signal);
+	}
+
+	/** Advances by the duration, letting promises settle between timers. */
+	async advance(durationMs: number): Promise<void> {
+		const endMs = this.#nowMs + durationMs;
+		await settle();
+		for (let next = this.#takeDue(endMs); next; next = this.#takeDue(endMs)) {
+			this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+			next.callback();
+			await settle();
+		}
+
+		this.#nowMs = endMs;
+	}
+
+	/** Advances by the duration with no settling: for purely synchronous callbacks, many times faster. */
+	advanceSync(durationMs: number): void {
+		const endMs = this.#nowMs + durationMs;
+		for (let next = this.#takeDue(endMs); next; next = this.#takeDue(endMs)) {
+			this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+			next.callback();
+		}
+
+		this.#nowMs = endMs;
+	}
+
+	#takeDue(endMs: number): Pending | undefined {
+		while (this.#heap.length > 0 && this.#heap[0]!.dueMs <= endMs) {
+			const next = this.#pop();
+			if (!this.#cancelled.delete(next)) {
+				return next;
+			}
+		}
+
+		return undefined;
+	}
+
+	#push(pending: Pending): void {
+		const heap = this.#heap;
+		heap.push(pending);
+		let index = heap.length - 1;
+		while (index > 0) {
+			const parent = (index - 1) >> 1;
+			if (isBefore(heap[parent]!, heap[index]!)) {
+				return;
+			}
+
+			[heap[parent], heap[index]] = [heap[index]!, heap[parent]!];
+			index = parent;
+		}
+	}
+
+	#pop(): Pending {
+		const heap = this.#heap;
+		const top = heap[0]!;
+		const last = heap.pop()!;
+		if (heap.length === 0) {
+			return top;
+		}
+
+		heap[0] = last;
+		let index = 0;
+		for (;;) {
+			const left = (2 * index) + 1;
+			const right = left + 1;
+			let first = index;
+			if (left < heap.length && isBefore(heap[left]!, heap[first]!)) {
+				first = left;
+			}
+
+			if (right < heap.length && isBefore(heap[right]!, heap[first]!)) {
+				first = right;
+			}
+
+			if (first === index) {
+				return top;
+			}
+
+			[heap[first], heap[index]] = [heap[index]!, heap[first]!];
+			index = first;
+		}
+	}
+}
