--- a/src/core/config-fold.ts
+++ b/src/core/config-fold.ts
@@ -2,44 +2,16 @@
 Folds the configuration stream. Every reader of the same records comes to the same sections and verdicts.
 */
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
 import {
-	ConfigRecordType, ConfigVerdict, type ConfigPublish, type ConfigResult, type ConfigSection, type ConfigSnapshot, type SectionValues,
+	ConfigRecordType, ConfigVerdict, type ConfigPublish, type ConfigResult, type ConfigSection, type ConfigSnapshot,
 } from '../types/config.ts';
 import {type LogRecord} from '../types/platform.ts';
-import {findSectionMistakes} from './config-text.ts';
-import {createError, ErrorCode} from './errors.ts';
-
-const valuesSchema = z.record(z.string(), z.string());
-const resultSchema = z.object({
-	id: z.string(),
-	author: z.string(),
-	offset: z.number().int(),
-	verdict: z.enum(ConfigVerdict),
-	sections: z.array(z.string()),
-	reason: z.string().optional(),
-	winnerId: z.string().optional(),
-	winnerAuthor: z.string().optional(),
-});
-const recordSchema = z.discriminatedUnion('type', [
-	z.object({
-		type: z.literal(ConfigRecordType.Publish),
-		id: z.string().min(1).max(128),
-		author: z.string().max(128),
-		publishedAt: z.string().max(64),
-		sections: z.record(z.string(), z.object({baseOffset: z.number().int(), values: valuesSchema.optional()})),
-	}),
-	z.object({
-		type: z.literal(ConfigRecordType.Snapshot),
-		id: z.string().min(1).max(128),
-		upToOffset: z.number().int(),
-		sections: z.array(z.object({name: z.string(), offset: z.number().int(), values: valuesSchema.optional()})),
-		results: z.array(resultSchema),
-	}),
-]);
+import {parseConfigRecord} from './config-records.ts';
+import {findSectionMistakes, type SectionView} from './config-text.ts';
+import {ServiceOwners} from './service-owners.ts';
 
 /** Verdicts kept: enough to tell every publisher of the last minutes what became of its change. */
-const maxResults = 2000;
+const maxResults = 500;
 
 /** State of a fold: what is in force after all records up to and with `offset`. */
 export class ConfigFold {
@@ -48,6 +20,7 @@
 	#isComplete = true;
 	#gapEnd = 0;
 	readonly #sections = new Map<string, ConfigSection>();
+	readonly #owners = new ServiceOwners();
 	readonly #results = new Map<string, ConfigResult>();
 	// Records read while incomplete: a snapshot may cover the gap but not these.
 	readonly #pending: LogRecord[] = [];
@@ -62,6 +35,16 @@
 		return this.#isComplete;
 	}
 
+	/** Offset to read next. */
+	get nextOffset(): number {
+		return (this.#pending.at(-1)?.offset ?? this.#offset) + 1;
+	}
+
+	/** Owners of services. */
+	get owners(): Pick<ServiceOwners, 'get' | 'list'> {
+		return this.#owners;
+	}
+
 	/** Sections, with deleted ones. */
 	get sections(): ReadonlyMap<string, ConfigSection> {
 		return this.#sections;
@@ -79,7 +62,7 @@
 
 	/** Takes the next record. Throws `bad-input` for one that is malformed; it then counts as read. */
 	apply(record: LogRecord): void {
-		if (record.offset <= this.#offset) {
+		if (record.offset < this.nextOffset) {
 			return;
 		}
 
@@ -90,7 +73,7 @@
 		}
 
 		this.#pending.push(record);
-		const parsed = parseRecord(record);
+		const parsed = parseConfigRecord(record);
 		if (parsed.type === ConfigRecordType.Snapshot) {
 			this.restore(parsed);
 		}
@@ -98,7 +81,7 @@
 
 	/** Notes that the records before `oldestOffset` are gone from the log. */
 	noteGap(oldestOffset: number): void {
-		if (oldestOffset > this.#offset + 1) {
+		if (oldestOffset > this.nextOffset) {
 			this.#isComplete = false;
 			this.#gapEnd = oldestOffset;
 		}
@@ -120,6 +103,7 @@
 			this.#sections.set(section.name, section);
 		}
 
+		this.#owners.restore(snapshot.owners);
 		this.#results.clear();
 		for (const result of snapshot.results) {
 			this.#results.set(result.id, result);
@@ -144,6 +128,7 @@
 			id,
 			upToOffset: this.#offset,
 			sections: [...this.#sections.values()],
+			owners: this.#owners.list(),
 			results: this.getResults(),
 		};
 	}
@@ -156,6 +141,10 @@
 			hash.update(JSON.stringify([name, section.offset, Object.entries(section.values ?? {}).toSorted(([a], [b]) => compareText(a, b)), section.values === undefined]));
 		}
 
+		for (const {service, region, offset} of this.#owners.list().toSorted((a, b) => compareText(a.service, b.service))) {
+			hash.update(JSON.stringify([service, region, offset]));
+		}
+
 		return hash.digest('hex').slice(0, 32);
 	}
 
@@ -168,11 +157,14 @@
 	}
 
 	#fold(record: LogRecord): void {
-		const parsed = parseRecord(record);
-		// A complete fold has nothing to learn from a snapshot.
+		const parsed = parseConfigRecord(record);
 		if (parsed.type === ConfigRecordType.Publish && !this.#results.has(parsed.id)) {
 			this.#judge(parsed, record.offset);
+		} else if (parsed.type === ConfigRecordType.Move) {
+			this.#owners.take(parsed, record.offset, this.#sections);
 		}
+
+		// A complete fold has nothing to learn from a snapshot.
 	}
 
 	#judge(publish: ConfigPublish, offset: number): void {
@@ -181,7 +173,7 @@
 		};
 		const stale = result.sections.find(name => (this.#sections.get(name)?.offset ?? -1) !== publish.sections[name]!.baseOffset);
 		if (stale === undefined) {
-			const mistakes = findSectionMistakes(this.#getChanged(publish));
+			const mistakes = findSectionMistakes(this.#getView(publish), result.sections);
 			if (mistakes.length > 0) {
 				result.verdict = ConfigVerdict.Invalid;
 				result.reason = mistakes.join('; ');
@@ -193,6 +185,7 @@
 		if (result.verdict === ConfigVerdict.Accepted) {
 			for (const [name, {values}] of Object.entries(publish.sections)) {
 				this.#sections.set(name, {name, offset, values});
+				this.#owners.noteSection(name, values, offset);
 			}
 		}
 
@@ -211,36 +204,16 @@
 		result.winnerAuthor = winner?.author;
 	}
 
-	#getChanged(publish: ConfigPublish): Map<string, SectionValues> {
-		const changed = new Map<string, SectionValues>();
-		for (const [name, {values}] of this.#sections) {
-			if (values) {
-				changed.set(name, values);
-			}
-		}
-
-		for (const [name, {values}] of Object.entries(publish.sections)) {
-			if (values) {
-				changed.set(name, values);
-			} else {
-				changed.delete(name);
-			}
-		}
-
-		return changed;
+	#getView(publish: ConfigPublish): SectionView {
+		const changes = new Map(Object.entries(publish.sections));
+		const get = (section: string) => (changes.get(section) ?? this.#sections.get(section))?.values;
+		return {
+			get,
+			size: this.#sections.size + changes.size,
+			keys: () => new Set([...this.#sections.keys(), ...changes.keys()].filter(section => get(section) !== undefined)),
+		};
 	}
 }
 
 /** Compares by code unit: the same order on every machine, whatever its locale. */
 const compareText = (a: string, b: string): number => a < b ? -1 : (a > b ? 1 : 0);
-
-const parseRecord = (record: LogRecord): ConfigPublish | ConfigSnapshot => {
-	const parsed = recordSchema.safeParse(record.value);
-	if (!parsed.success) {
-		throw createError(ErrorCode.BadInput, {
-			step: 'read config record', peer: `offset ${record.offset}`, detail: z.prettifyError(parsed.error),
-		});
-	}
-
-	return parsed.data;
-};
--- a/src/core/config-publisher.ts
+++ b/src/core/config-publisher.ts
@@ -25,7 +25,7 @@
 /** Reads the stream to its end. Throws `log-unavailable`. */
 export const readConfig = async (log: PlatformLog, fold = new ConfigFold()): Promise<ConfigFold> => {
 	for (;;) {
-		const page = await log.read(Stream.Config, fold.offset + 1);
+		const page = await log.read(Stream.Config, fold.nextOffset);
 		fold.noteGap(page.oldestOffset);
 		for (const record of page.records) {
 			try {
@@ -35,7 +35,7 @@
 			}
 		}
 
-		if (page.records.length === 0 || page.records.at(-1)!.offset + 1 >= page.endOffset) {
+		if (page.records.length === 0 || fold.nextOffset >= page.endOffset) {
 			return fold;
 		}
 	}
@@ -68,20 +68,22 @@
 	};
 	const endMs = clock.monotonicMs() + timeoutMs;
 	const fold = new ConfigFold();
+	let isAppended = false;
 	let lastError: unknown;
 	while (clock.monotonicMs() < endMs) {
 		try {
-			await log.append(Stream.Config, publish);
-		} catch (error) {
-			lastError = error;
-		}
-
-		try {
+			// Read first: after a lost answer the change may already stand in the log.
 			await readConfig(log, fold);
 			const result = fold.getResult(publish.id);
 			if (result) {
 				return result;
 			}
+
+			if (!isAppended) {
+				await log.append(Stream.Config, publish);
+				isAppended = true;
+				continue;
+			}
 		} catch (error) {
 			lastError = error;
 		}
--- a/src/core/config-text.ts
+++ b/src/core/config-text.ts
@@ -93,6 +93,9 @@
 	return stringify(document, {whitespace: true});
 };
 
+/** Gets the name of a service's section. */
+export const getServiceSection = (service: string): string => `${SectionKind.Service} ${service}`;
+
 /** Splits a section's name into kind and name proper, or undefined when it has no known kind. */
 export const parseSectionName = (section: string): {kind: SectionKind; name: string} | undefined => {
 	const [kind, name, ...rest] = section.split(' ');
@@ -102,27 +105,48 @@
 		: undefined;
 };
 
-/** Finds all mistakes in a whole set of sections. */
-export const findSectionMistakes = (sections: ReadonlyMap<string, SectionValues>): string[] => {
+/** Sections as they would be after a change. */
+export type SectionView = {
+	size: number;
+	get(section: string): SectionValues | undefined;
+	keys(): Iterable<string>;
+};
+
+/**
+Finds the mistakes that the named sections bring into a set that was valid before; without names, all mistakes of the set.
+Its cost grows with the change, not with the set, but for a deletion.
+*/
+export const findSectionMistakes = (view: SectionView, changed: Iterable<string> = view.keys()): string[] => {
 	const mistakes: string[] = [];
-	if (sections.size > maxSections) {
+	if (view.size > maxSections) {
 		mistakes.push(`at most ${maxSections} sections are allowed`);
 	}
 
-	for (const [section, values] of sections) {
-		const parsed = parseSectionName(section);
-		if (!parsed) {
-			mistakes.push(`[${section}]: a section is named "service NAME" or "team NAME"`);
+	for (const section of changed) {
+		const values = view.get(section);
+		if (!values) {
+			mistakes.push(...findOrphans(section, view));
 			continue;
 		}
 
-		mistakes.push(...findKeyMistakes(section, parsed.kind, values));
+		const parsed = parseSectionName(section);
+		if (parsed) {
+			mistakes.push(...findKeyMistakes(section, parsed.kind, values), ...findDependencyMistakes(section, view));
+		} else {
+			mistakes.push(`[${section}]: a section is named "service NAME" or "team NAME"`);
+		}
 	}
 
-	mistakes.push(...findDependencyMistakes(sections));
 	return mistakes;
 };
 
+const findOrphans = (deleted: string, view: SectionView): string[] => [...view.keys()]
+	.filter(section => getDependencies(section, view).includes(deleted))
+	.map(section => `[${section}] dependsOn: [${deleted}] is still needed`);
+
+const getDependencies = (section: string, view: SectionView): string[] =>
+	splitList(view.get(section)?.dependsOn).map(dependency => getServiceSection(dependency));
+
 const findKeyMistakes = (section: string, kind: SectionKind, values: SectionValues): string[] => {
 	const mistakes: string[] = [];
 	const specs = keysByKind[kind];
@@ -138,34 +162,21 @@
 	return mistakes;
 };
 
-const findDependencyMistakes = (sections: ReadonlyMap<string, SectionValues>): string[] => {
-	const mistakes: string[] = [];
-	const done = new Set<string>();
-	const visit = (section: string, path: string[]) => {
-		if (path.includes(section)) {
-			mistakes.push(`[${section}] dependsOn: services depend on each other in a circle`);
-			return;
-		}
-
-		if (done.has(section)) {
-			return;
-		}
+const findDependencyMistakes = (section: string, view: SectionView): string[] => {
+	const missing = getDependencies(section, view).filter(dependency => !view.get(dependency));
+	if (missing.length > 0) {
+		return missing.map(dependency => `[${section}] dependsOn: there is no [${dependency}]`);
+	}
 
-		for (const dependency of splitList(sections.get(section)?.dependsOn)) {
-			const next = `${SectionKind.Service} ${dependency}`;
-			if (sections.has(next)) {
-				visit(next, [...path, section]);
-			} else {
-				mistakes.push(`[${section}] dependsOn = ${dependency}: no such service`);
-			}
+	const seen = new Set<string>();
+	const reaches = (from: string): boolean => getDependencies(from, view).some(dependency => {
+		if (dependency === section) {
+			return true;
 		}
 
-		done.add(section);
-	};
-
-	for (const section of sections.keys()) {
-		visit(section, []);
-	}
-
-	return mistakes;
+		const isNew = !seen.has(dependency);
+		seen.add(dependency);
+		return isNew && reaches(dependency);
+	});
+	return reaches(section) ? [`[${section}] dependsOn: services depend on each other in a circle`] : [];
 };
--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -60,6 +60,17 @@
 		timeoutMs: whole(2000, 50, 60_000, 'Longest wait for an answer of the log.'),
 		retentionMs: whole(dayMs, 1000, 365 * dayMs, 'How long the log keeps records, at the least.'),
 	},
+	config: {
+		snapshotEveryMs: whole(3_600_000, 1000, 30 * dayMs, 'Longest time between snapshots of the configuration in the log; keep it well under the retention.'),
+		snapshotEveryRecords: whole(2000, 10, 1_000_000, 'A snapshot is also written after so many records.'),
+		peerEveryMs: whole(1000, 50, 600_000, 'How often configuration is compared with a peer.'),
+	},
+	moves: {
+		warmUpstreams: whole(1, 0, 10_000, 'Alive upstreams that a service needs in its new region before it moves there.'),
+		warmMs: whole(3000, 0, 3_600_000, 'How long those upstreams must have been alive.'),
+		settleMs: whole(4000, 0, 600_000, 'Time after a move in which non-idempotent requests wait for the old side to have stopped.'),
+		checkEveryMs: whole(500, 20, 600_000, 'How often moves are considered.'),
+	},
 	callers: {
 		checkDeadlineMs: whole(2000, 1, 600_000, 'Deadline of a check that names none.'),
 		longDeadlineMs: whole(30_000, 1, 3_600_000, 'Deadline of a long request that names none.'),
--- a/src/plugins/config-service.ts
+++ b/src/plugins/config-service.ts
@@ -1,70 +1,166 @@
 /**
-Keeps the configuration in force: follows its stream and folds it.
+Keeps the configuration in force: follows its stream, folds it, snapshots it before records lapse,
+and takes it from peers while the log is down.
 */
 import {ConfigFold} from '../core/config-fold.ts';
+import {parseConfigSnapshot} from '../core/config-records.ts';
 import {getMessage} from '../core/errors.ts';
 import {type Kernel} from '../core/kernel.ts';
 import {followLog} from '../core/log-reader.ts';
+import {ConfigRecordType} from '../types/config.ts';
 import {Metric} from '../types/metrics.ts';
-import {Stream} from '../types/platform.ts';
-import {ServiceName, type ConfigService} from '../types/services.ts';
+import {Stream, type LogPage, type LogRecord} from '../types/platform.ts';
+import {PeerMethod, ServiceName, type ConfigService} from '../types/services.ts';
 import {createLogger, Part} from '../utils/logger.ts';
 
 const log = createLogger(Part.Config);
 
+/** What one side tells the other when they compare configurations. */
+type ConfigHello = {
+	offset: number;
+	digest: string;
+	isComplete: boolean;
+};
+
 /** Creates the configuration service. */
 export const createConfigService = (kernel: Kernel): ConfigService => {
-	const fold = new ConfigFold();
+	const clock = kernel.get(ServiceName.Clock);
+	const random = kernel.get(ServiceName.Random);
 	const metrics = kernel.get(ServiceName.Metrics);
 	const control = kernel.get(ServiceName.Control);
+	const platformLog = kernel.get(ServiceName.Log);
+	const settings = kernel.get(ServiceName.Settings).config;
+	const fold = new ConfigFold();
 	const aborter = new AbortController();
-	let hasReadEnd = false;
-	let following: Promise<void> | undefined;
+	const tasks: Array<Promise<void>> = [];
+	let isCurrent = false;
+	let endReadAtMs = Number.NEGATIVE_INFINITY;
+	let snapshotSeenAtMs = clock.monotonicMs();
+	let recordsSinceSnapshot = 0;
+
+	const takeRecord = (record: LogRecord) => {
+		recordsSinceSnapshot++;
+		if ((record.value as {type?: string} | undefined)?.type === ConfigRecordType.Snapshot) {
+			snapshotSeenAtMs = clock.monotonicMs();
+			recordsSinceSnapshot = 0;
+		}
+
+		fold.apply(record);
+		metrics.gauge(Metric.ConfigOffset, fold.offset);
+	};
+
+	const takePage = ({endOffset}: LogPage) => {
+		if (fold.nextOffset >= endOffset) {
+			endReadAtMs = clock.monotonicMs();
+			isCurrent ||= fold.isComplete;
+		}
+	};
+
+	const follow = async () => followLog({
+		onRecord: takeRecord,
+		onPage: takePage,
+		onGap(_fromOffset, oldestOffset) {
+			log('Records before offset %d have lapsed.', oldestOffset);
+			fold.noteGap(oldestOffset);
+		},
+		onBadRecord(record, error) {
+			metrics.count(Metric.BadRecords, Stream.Config);
+			log('Bad record at offset %d: %s', record.offset, getMessage(error));
+		},
+		onUnavailable(message) {
+			metrics.count(Metric.LogErrors, Stream.Config);
+			log('Cannot read the log: %s', message);
+		},
+	}, {
+		log: platformLog, stream: Stream.Config, clock, random, fromOffset: 0, signal: aborter.signal,
+	});
+
+	const isSnapshotDue = () => fold.isComplete && recordsSinceSnapshot > 0 && (
+		recordsSinceSnapshot >= settings.snapshotEveryRecords || clock.monotonicMs() - snapshotSeenAtMs >= settings.snapshotEveryMs
+	);
+
+	const keepSnapshots = async () => {
+		while (!aborter.signal.aborted) {
+			// Jitter: the first entry to wake writes the snapshot and the others see it.
+			await clock.sleep((settings.snapshotEveryMs / 20) * (0.5 + random.next()), aborter.signal);
+			if (aborter.signal.aborted || !isSnapshotDue()) {
+				continue;
+			}
+
+			try {
+				await platformLog.append(Stream.Config, fold.createSnapshot(random.id()), aborter.signal);
+				metrics.count(Metric.ConfigSnapshots);
+			} catch (error) {
+				log('No snapshot was written: %s', getMessage(error));
+			}
+		}
+	};
+
+	const getHello = (): ConfigHello => ({offset: fold.offset, digest: fold.getDigest(), isComplete: fold.isComplete});
+
+	const comparePeer = async (peerId: string) => {
+		const reply = await kernel.get(ServiceName.Peers).call(peerId, PeerMethod.Config, getHello()) as {hello: ConfigHello; snapshot?: unknown};
+		if (reply.snapshot !== undefined && fold.restore(parseConfigSnapshot(reply.snapshot))) {
+			isCurrent = true;
+			metrics.count(Metric.ConfigFromPeer);
+			log('Took the configuration up to offset %d from %s.', fold.offset, peerId);
+		}
+
+		if (reply.hello.isComplete && fold.isComplete && reply.hello.offset === fold.offset && reply.hello.digest !== fold.getDigest()) {
+			metrics.count(Metric.ConfigDiverged);
+			log('The configuration of %s differs at offset %d.', peerId, fold.offset);
+		}
+	};
+
+	const answerPeer = (body: unknown) => {
+		const {offset} = body as ConfigHello;
+		const isAhead = fold.isComplete && fold.offset > offset;
+		return {hello: getHello(), snapshot: isAhead ? fold.createSnapshot('peer') : undefined};
+	};
+
+	const comparePeers = async () => {
+		const peers = kernel.get(ServiceName.Peers);
+		while (!aborter.signal.aborted) {
+			await clock.sleep(settings.peerEveryMs * (0.5 + random.next()), aborter.signal);
+			const alive = peers.list().filter(({isAlive}) => isAlive);
+			const peer = alive[random.below(alive.length)];
+			if (!peer || aborter.signal.aborted) {
+				continue;
+			}
+
+			try {
+				await comparePeer(peer.processId);
+			} catch (error) {
+				log('Not compared with %s: %s', peer.processId, getMessage(error));
+			}
+		}
+	};
 
-	control.addReadiness('config', () => hasReadEnd && fold.isComplete);
-	control.addStatus('config', () => ({offset: fold.offset, digest: fold.getDigest(), isComplete: fold.isComplete}));
+	control.addReadiness('config', () => isCurrent);
+	control.addStatus('config', () => ({...getHello(), owners: fold.owners.list()}));
 	control.route('GET', '/v1/config', () => ({
-		body: {offset: fold.offset, digest: fold.getDigest(), sections: [...fold.sections.values()]},
+		body: {...getHello(), sections: [...fold.sections.values()], owners: fold.owners.list()},
 	}));
+	control.route('GET', '/v1/config/history', () => ({body: {results: fold.getResults()}}));
 
 	return {
-		isReady: () => hasReadEnd && fold.isComplete,
+		isReady: () => isCurrent,
+		isFresh: withinMs => clock.monotonicMs() - endReadAtMs <= withinMs,
 		getOffset: () => fold.offset,
 		getSection: name => fold.sections.get(name),
 		getSections: () => new Map(fold.sections),
+		getOwner: serviceName => fold.owners.get(serviceName),
 		getHistory: () => fold.getResults(),
 		async start() {
-			following = followLog({
-				onRecord(record) {
-					fold.apply(record);
-					metrics.gauge(Metric.ConfigOffset, fold.offset);
-				},
-				onGap(_fromOffset, oldestOffset) {
-					fold.noteGap(oldestOffset);
-				},
-				onPage(page) {
-					hasReadEnd ||= fold.offset + 1 >= page.endOffset;
-				},
-				onBadRecord(record, error) {
-					metrics.count(Metric.BadRecords, Stream.Config);
-					log('Bad record at offset %d: %s', record.offset, getMessage(error));
-				},
-				onUnavailable(message) {
-					metrics.count(Metric.LogErrors, Stream.Config);
-					log('Cannot read the log: %s', message);
-				},
-			}, {
-				log: kernel.get(ServiceName.Log),
-				stream: Stream.Config,
-				clock: kernel.get(ServiceName.Clock),
-				random: kernel.get(ServiceName.Random),
-				fromOffset: 0,
-				signal: aborter.signal,
-			});
+			tasks.push(follow(), keepSnapshots());
+			if (kernel.has(ServiceName.Peers)) {
+				kernel.get(ServiceName.Peers).handle(PeerMethod.Config, answerPeer);
+				tasks.push(comparePeers());
+			}
 		},
 		async stop() {
 			aborter.abort();
-			await following;
+			await Promise.all(tasks);
 		},
 	};
 };
--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -70,6 +70,11 @@
 		dependsOn: [ServiceName.Control],
 		load: async () => (await import('./workers-service.ts')).createWorkersService,
 	});
+	kernel.register({
+		name: ServiceName.Moves,
+		dependsOn: [ServiceName.Config, ServiceName.Upstreams],
+		load: async () => (await import('./moves-service.ts')).createMovesService,
+	});
 	kernel.register({
 		name: ServiceName.Jobs,
 		dependsOn: [ServiceName.Log, ServiceName.Workers, ServiceName.Config],
--- a/src/types/config.ts
+++ b/src/types/config.ts
@@ -17,6 +17,7 @@
 export enum ConfigRecordType {
 	Publish = 'publish',
 	Snapshot = 'snapshot',
+	Move = 'move',
 }
 
 /** Change of one section: values, or none to delete it, based on the offset the author saw (-1: no such section). */
@@ -40,9 +41,37 @@
 	id: string;
 	upToOffset: number;
 	sections: ConfigSection[];
+	owners: ServiceOwner[];
 	results: ConfigResult[];
 };
 
+/** Region that owns a service: its new requests go to upstreams there. */
+export type ServiceOwner = {
+	service: string;
+	region: string;
+	/** Region it was moved from, if it ever was. */
+	previousRegion?: string;
+	/** Offset of the record that made it the owner. */
+	offset: number;
+};
+
+/**
+Takes a service over into the region that its section declares.
+Valid when the section still says so, its dependencies are where they are declared, and the owner is still the one it is based on.
+*/
+export type ConfigMove = {
+	type: ConfigRecordType.Move;
+	id: string;
+	service: string;
+	region: string;
+	/** Offset of the owner that is replaced. */
+	baseOffset: number;
+	entryId: string;
+};
+
+/** Any record of the configuration stream. */
+export type ConfigRecord = ConfigPublish | ConfigSnapshot | ConfigMove;
+
 /** What became of a published change. */
 export enum ConfigVerdict {
 	Accepted = 'accepted',
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -6,7 +6,7 @@
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AnnouncementReply, type UpstreamAnnouncement, type WorkerAnnouncement} from './announcements.ts';
 import {type Clock} from './clock.ts';
-import {type ConfigResult, type ConfigSection} from './config.ts';
+import {type ConfigResult, type ConfigSection, type ServiceOwner} from './config.ts';
 import {type JobSpec, type JobStatus} from './jobs.ts';
 import {type Metrics} from './metrics.ts';
 import {type PlatformLog, type WorkerClient} from './platform.ts';
@@ -75,6 +75,10 @@
 	getSection(name: string): ConfigSection | undefined;
 	getSections(): Map<string, ConfigSection>;
 	getHistory(): ConfigResult[];
+	/** Region that owns the service, with the record that made it so. */
+	getOwner(serviceName: string): ServiceOwner | undefined;
+	/** Whether the end of the log was read within the last so many milliseconds. */
+	isFresh(withinMs: number): boolean;
 };
 
 /** Upstreams that announced themselves. */
--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -9,6 +9,7 @@
 	Kernel = 'kernel',
 	Entry = 'entry',
 	Config = 'config',
+	Moves = 'moves',
 	Membership = 'membership',
 	Peers = 'peers',
 	Slots = 'slots',
