Close connections when a process stops

Cause: two leaks. The kernel never closed the log client, so its connections lived until their keep-alive ended; and a server's connection that fell idle after close() did the same. Ruled out: the stop of hosts and entries themselves. Conclusion: a graceful shutdown no longer waits for idle connections.

--- a/src/commands/config-commands.ts
+++ b/src/commands/config-commands.ts
@@ -53,7 +53,7 @@
 					: `Change ${result.id}: ${result.verdict} at offset ${result.offset}. ${result.reason ?? ''}${winner}\n`);
 				return result.verdict === ConfigVerdict.Accepted ? ExitCode.Ok : ExitCode.Failed;
 			} finally {
-				await log.close();
+				await log.stop();
 			}
 		});
 	}
--- a/src/plugins/log-client.ts
+++ b/src/plugins/log-client.ts
@@ -17,7 +17,7 @@
 
 /** A log client that holds connections. */
 export type LogClient = PlatformLog & {
-	close(): Promise<void>;
+	stop(): Promise<void>;
 };
 
 /** Creates a client of the log at the URL. All errors are `log-unavailable`. */
@@ -52,6 +52,6 @@
 			});
 			return pageSchema.parse(reply);
 		}),
-		close: async () => agent.destroy(),
+		stop: async () => agent.destroy(),
 	};
 };
--- a/src/utils/http-server.ts
+++ b/src/utils/http-server.ts
@@ -51,6 +51,7 @@
 };
 
 const defaultBounds: BodyBounds = {maxBytes: 4_194_304, timeoutMs: 10_000};
+const idleSweepMs = 20;
 const statusByCode: Partial<Record<ErrorCode, number>> = {
 	[ErrorCode.BadInput]: 400,
 	[ErrorCode.NotFound]: 404,
@@ -114,7 +115,12 @@
 	}
 
 	await new Promise<void>(resolve => {
+		// A connection that falls idle after this call would be kept open until its keep-alive ends.
+		const sweep = setInterval(() => {
+			server.closeIdleConnections();
+		}, idleSweepMs);
 		server.close(() => {
+			clearInterval(sweep);
 			resolve();
 		});
 		server.closeIdleConnections();
