Give operators their commands, checked settings and examples

Cause: the command line could only publish and submit, and loaded every role's code at start. Change: config check, show, history, diff and a restart after all records lapsed; job cancel and list; upstream, worker, request and status commands; roles load their code on demand; example settings for both users; tests of kernel and settings. Measured: none; covered by tests. Conclusion: an error's cause no longer stands twice in its message.

--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -4,30 +4,51 @@
 import process from 'node:process';
 import {Builtins, Cli} from 'clipanion';
 import {version} from '../utils/version.ts';
-import {ConfigPublishCommand} from './config-commands.ts';
+import {
+	ConfigCheckCommand, ConfigDiffCommand, ConfigHistoryCommand, ConfigPublishCommand, ConfigShowCommand,
+} from './config-commands.ts';
 import {DemoCommand} from './demo-command.ts';
 import {EntryCommand} from './entry-command.ts';
 import {ExitCode} from './exit-codes.ts';
-import {JobStatusCommand, JobSubmitCommand} from './job-commands.ts';
+import {
+	RequestListCommand, RequestLookupCommand, StatusCommand, UpstreamDrainCommand, UpstreamListCommand, WorkerListCommand,
+} from './host-commands.ts';
+import {
+	JobCancelCommand, JobListCommand, JobStatusCommand, JobSubmitCommand,
+} from './job-commands.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
 
+const commands = [
+	Builtins.HelpCommand,
+	Builtins.VersionCommand,
+	EntryCommand,
+	DemoCommand,
+	SettingsCommand,
+	ConfigCheckCommand,
+	ConfigPublishCommand,
+	ConfigShowCommand,
+	ConfigHistoryCommand,
+	ConfigDiffCommand,
+	JobSubmitCommand,
+	JobStatusCommand,
+	JobCancelCommand,
+	JobListCommand,
+	UpstreamListCommand,
+	UpstreamDrainCommand,
+	WorkerListCommand,
+	RequestLookupCommand,
+	RequestListCommand,
+	StatusCommand,
+	StandinLogCommand,
+	StandinUpstreamCommand,
+	StandinWorkerCommand,
+];
+
 /** Runs the command that the arguments name; resolves to the exit code. */
 export const runCli = async (argv: string[]): Promise<number> => {
 	const cli = new Cli({binaryLabel: 'chervilworks', binaryName: 'chervilworks', binaryVersion: version});
-	for (const command of [
-		Builtins.HelpCommand,
-		Builtins.VersionCommand,
-		EntryCommand,
-		DemoCommand,
-		SettingsCommand,
-		ConfigPublishCommand,
-		JobSubmitCommand,
-		JobStatusCommand,
-		StandinLogCommand,
-		StandinUpstreamCommand,
-		StandinWorkerCommand,
-	]) {
+	for (const command of commands) {
 		cli.register(command);
 	}
 
--- a/src/commands/demo-command.ts
+++ b/src/commands/demo-command.ts
@@ -2,13 +2,13 @@
 `chervilworks demo`: the whole path in one process, over loopback.
 */
 import {Command, Option} from 'clipanion';
-import {runDemo} from '../standin/demo.ts';
 import {ExitCode, withExitCode} from './exit-codes.ts';
 
 /** Runs the demonstration. */
 export class DemoCommand extends Command {
 	static override readonly paths = [['demo']];
 	static override readonly usage = Command.Usage({
+		category: 'Trying out',
 		description: 'Run entries, log, workers and upstreams in one process and send requests and jobs. Exits 0 only when every promise held.',
 		examples: [['A short run', 'chervilworks demo --requests 100 --jobs 5']],
 	});
@@ -19,6 +19,7 @@
 
 	async execute(): Promise<number> {
 		return withExitCode(this.context, async () => {
+			const {runDemo} = await import('../standin/demo.ts');
 			const report = await runDemo({requestCount: Number(this.requests), jobCount: Number(this.jobs)});
 			this.context.stdout.write(this.isJson ? `${JSON.stringify(report)}\n` : `${report.lines.join('\n')}\n`);
 			return report.isHeld ? ExitCode.Ok : ExitCode.Failed;
--- a/src/commands/entry-command.ts
+++ b/src/commands/entry-command.ts
@@ -2,22 +2,16 @@
 `chervilworks entry`: runs an entry host.
 */
 import {Command, Option} from 'clipanion';
-import {loadSettings} from '../core/settings.ts';
-import {createEntry} from '../plugins/entry.ts';
 import {ServiceName} from '../types/services.ts';
-import {createLogger, enableLogs, Part} from '../utils/logger.ts';
-import {createRandom} from '../utils/seeded-random.ts';
-import {createSystemClock} from '../utils/system-clock.ts';
 import {withExitCode} from './exit-codes.ts';
-import {runUntilSignal} from './run-until-signal.ts';
-
-const log = createLogger(Part.Entry);
 
 /** Runs an entry host. */
 export class EntryCommand extends Command {
 	static override readonly paths = [['entry']];
 	static override readonly usage = Command.Usage({
+		category: 'Roles',
 		description: 'Run an entry host: callers, operators and scheduling.',
+		details: 'SIGTERM finishes what is in progress within the stop bound; a second one ends at once.',
 		examples: [['Run with settings', 'chervilworks entry --settings settings/clydeside.ini']],
 	});
 
@@ -25,7 +19,15 @@
 
 	async execute(): Promise<number> {
 		return withExitCode(this.context, async () => {
+			// Loaded here, so that the small roles of the same binary do not carry it.
+			const {createLogger, enableLogs, Part} = await import('../utils/logger.ts');
+			const {loadSettings} = await import('../core/settings.ts');
+			const {createEntry} = await import('../plugins/entry.ts');
+			const {createRandom} = await import('../utils/seeded-random.ts');
+			const {createSystemClock} = await import('../utils/system-clock.ts');
+			const {runUntilSignal} = await import('./run-until-signal.ts');
 			enableLogs();
+			const log = createLogger(Part.Entry);
 			const kernel = createEntry({settings: loadSettings(this.settings), clock: createSystemClock(), random: createRandom()});
 			await runUntilSignal(async () => {
 				await kernel.start();
--- a/src/commands/job-commands.ts
+++ b/src/commands/job-commands.ts
@@ -1,21 +1,21 @@
 /**
-`chervilworks job …`: submits jobs and asks for them.
+`chervilworks job …`: submits jobs, asks for them and cancels them.
 */
 import {readFileSync} from 'node:fs';
 import {Command, Option} from 'clipanion';
-import {type JobStatus} from '../types/jobs.ts';
-import {callJson} from '../utils/http-client.ts';
-import {withExitCode} from './exit-codes.ts';
+import {createError, ErrorCode, getMessage} from '../core/errors.ts';
+import {JobState, type JobStatus} from '../types/jobs.ts';
+import {ExitCode, withExitCode} from './exit-codes.ts';
+import {formatTable, OperatorCommand} from './operator-command.ts';
 
-const timeoutMs = 5000;
-
-abstract class JobCommand extends Command {
-	readonly entry = Option.String('--entry', '127.0.0.1:7081', {description: 'Control address of an entry.'});
-	readonly isJson = Option.Boolean('--json', false, {description: 'Print JSON.'});
-
-	protected print(status: JobStatus): void {
-		const {jobId, state, reason = '', tasks} = status;
-		this.context.stdout.write(this.isJson ? `${JSON.stringify(status)}\n` : `Job ${jobId}: ${state}, ${tasks.length} tasks. ${reason}\n`);
+abstract class JobCommand extends OperatorCommand {
+	protected printJob(status: JobStatus): ExitCode {
+		const {jobId, state, reason, tasks} = status;
+		const rows = tasks.map(({taskId, attempt, state: taskState = 'waiting', workerId = '', evictions}) =>
+			[taskId, taskState, String(attempt), workerId, String(evictions)]);
+		const title = `Job ${jobId}: ${state}.${reason === undefined ? '' : ` ${reason}`}`;
+		this.print(status, `${title}\n${formatTable(['task', 'state', 'attempt', 'worker', 'evictions'], rows)}`);
+		return state === JobState.Failed || state === JobState.Unplaceable ? ExitCode.Failed : ExitCode.Ok;
 	}
 }
 
@@ -23,19 +23,16 @@
 export class JobSubmitCommand extends JobCommand {
 	static override readonly paths = [['job', 'submit']];
 	static override readonly usage = Command.Usage({
-		description: 'Submit a job; the same id twice is one job.',
+		category: 'Jobs',
+		description: 'Submit a job. The same id twice is one job, so a submission whose answer was lost may be sent again.',
 		examples: [['Submit a file', 'chervilworks job submit rebuild.json']],
 	});
 
 	readonly file = Option.String({name: 'file'});
 
 	async execute(): Promise<number> {
-		return withExitCode(this.context, async () => {
-			const body = JSON.parse(readFileSync(this.file, 'utf8')) as unknown;
-			this.print(await callJson<JobStatus>({
-				method: 'POST', url: `http://${this.entry}/v1/jobs`, body, timeoutMs, step: 'submit job',
-			}));
-		});
+		return withExitCode(this.context, async () =>
+			this.printJob(await this.ask<JobStatus>('POST', '/v1/jobs', 'submit job', readJson(this.file))));
 	}
 }
 
@@ -43,17 +40,58 @@
 export class JobStatusCommand extends JobCommand {
 	static override readonly paths = [['job', 'status']];
 	static override readonly usage = Command.Usage({
-		description: 'Show a job, its tasks and its results.',
+		category: 'Jobs',
+		description: 'Show a job, its tasks and, with --json, its results. Exits with 1 for a job that failed or cannot be placed.',
 		examples: [['Show a job', 'chervilworks job status rebuild-7 --json']],
 	});
 
 	readonly id = Option.String({name: 'id'});
 
+	async execute(): Promise<number> {
+		return withExitCode(this.context, async () =>
+			this.printJob(await this.ask<JobStatus>('GET', `/v1/jobs/${encodeURIComponent(this.id)}`, 'get job')));
+	}
+}
+
+/** Cancels a job. */
+export class JobCancelCommand extends JobCommand {
+	static override readonly paths = [['job', 'cancel']];
+	static override readonly usage = Command.Usage({
+		category: 'Jobs',
+		description: 'Cancel a job. Its running tasks are stopped.',
+		examples: [['Cancel a job', 'chervilworks job cancel rebuild-7']],
+	});
+
+	readonly id = Option.String({name: 'id'});
+
+	async execute(): Promise<number> {
+		return withExitCode(this.context, async () =>
+			this.printJob(await this.ask<JobStatus>('POST', `/v1/jobs/${encodeURIComponent(this.id)}/cancel`, 'cancel job')));
+	}
+}
+
+/** Lists jobs. */
+export class JobListCommand extends JobCommand {
+	static override readonly paths = [['job', 'list']];
+	static override readonly usage = Command.Usage({
+		category: 'Jobs',
+		description: 'List jobs.',
+		examples: [['List jobs', 'chervilworks job list']],
+	});
+
 	async execute(): Promise<number> {
 		return withExitCode(this.context, async () => {
-			this.print(await callJson<JobStatus>({
-				method: 'GET', url: `http://${this.entry}/v1/jobs/${encodeURIComponent(this.id)}`, timeoutMs, step: 'get job',
-			}));
+			const reply = await this.ask<{jobs: JobStatus[]}>('GET', '/v1/jobs', 'list jobs');
+			const rows = reply.jobs.map(({jobId, state, tasks, reason = ''}) => [jobId, state, String(tasks.length), reason]);
+			this.print(reply, formatTable(['job', 'state', 'tasks', 'reason'], rows));
 		});
 	}
 }
+
+const readJson = (file: string): unknown => {
+	try {
+		return JSON.parse(readFileSync(file, 'utf8')) as unknown;
+	} catch (error) {
+		throw createError(ErrorCode.BadInput, {step: 'read job', peer: file, detail: getMessage(error)});
+	}
+};
--- /dev/null
+++ b/src/commands/operator-command.ts
@@ -0,0 +1,31 @@
+/**
+What the operators' commands that ask an entry have in common.
+*/
+import {Command, Option} from 'clipanion';
+
+const timeoutMs = 5000;
+
+/** A command that asks an entry. */
+export abstract class OperatorCommand extends Command {
+	readonly entry = Option.String('--entry', '127.0.0.1:7081', {description: 'Control address of an entry.'});
+	readonly isJson = Option.Boolean('--json', false, {description: 'Print JSON.'});
+
+	protected async ask<Reply>(method: 'GET' | 'POST', path: string, step: string, body?: unknown): Promise<Reply> {
+		const {callJson} = await import('../utils/http-client.ts');
+		return callJson<Reply>({
+			method, url: `http://${this.entry}${path}`, body, timeoutMs, step,
+		});
+	}
+
+	protected print(value: unknown, text: string): void {
+		this.context.stdout.write(this.isJson ? `${JSON.stringify(value)}\n` : `${text}\n`);
+	}
+}
+
+/** Formats rows as a table with aligned columns. */
+export const formatTable = (header: string[], rows: string[][]): string => {
+	const widths = header.map((title, column) => Math.max(title.length, ...rows.map(row => row[column]?.length ?? 0)));
+	return [header, ...rows]
+		.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd())
+		.join('\n');
+};
--- a/src/commands/standin-commands.ts
+++ b/src/commands/standin-commands.ts
@@ -2,9 +2,7 @@
 `chervilworks standin log|upstream|worker`: small stand-ins for the platform, for trying out and tests.
 */
 import {Command, Option} from 'clipanion';
-import {MemoryLog} from '../standin/memory-log.ts';
-import {createLogServer} from '../standin/log-server.ts';
-import {createUpstreamHost, createWorkerHost, type StandinHost} from '../standin/hosts.ts';
+import {type StandinHost} from '../standin/hosts.ts';
 import {createLogger, enableLogs, Part} from '../utils/logger.ts';
 import {createRandom} from '../utils/seeded-random.ts';
 import {createSystemClock} from '../utils/system-clock.ts';
@@ -17,6 +15,7 @@
 export class StandinLogCommand extends Command {
 	static override readonly paths = [['standin', 'log']];
 	static override readonly usage = Command.Usage({
+		category: 'Trying out',
 		description: 'Run a stand-in for the platform log.',
 		examples: [['Run on the default port', 'chervilworks standin log --address 127.0.0.1:7090']],
 	});
@@ -25,6 +24,8 @@
 
 	async execute(): Promise<number> {
 		return withExitCode(this.context, async () => {
+			const {MemoryLog} = await import('../standin/memory-log.ts');
+			const {createLogServer} = await import('../standin/log-server.ts');
 			enableLogs();
 			const clock = createSystemClock();
 			const server = createLogServer(new MemoryLog(clock, createRandom()), clock);
@@ -44,14 +45,14 @@
 	async execute(): Promise<number> {
 		return withExitCode(this.context, async () => {
 			enableLogs();
-			const host = this.createHost();
+			const host = await this.createHost();
 			await runUntilSignal(async () => {
 				log('%s on %s.', this.id, await host.start());
 			}, async () => host.stop());
 		});
 	}
 
-	abstract createHost(): StandinHost;
+	abstract createHost(): Promise<StandinHost>;
 
 	protected getHostOptions() {
 		return {
@@ -70,13 +71,15 @@
 export class StandinUpstreamCommand extends HostCommand {
 	static override readonly paths = [['standin', 'upstream']];
 	static override readonly usage = Command.Usage({
+		category: 'Trying out',
 		description: 'Run a stand-in upstream.',
 		examples: [['Announce to a local entry', 'chervilworks standin upstream --id desk-1 --service lading-desk']],
 	});
 
 	readonly service = Option.String('--service', {description: 'Service it belongs to.', required: true});
 
-	createHost(): StandinHost {
+	async createHost(): Promise<StandinHost> {
+		const {createUpstreamHost} = await import('../standin/hosts.ts');
 		return createUpstreamHost({...this.getHostOptions(), service: this.service, getServiceMs: path => path.includes('long') ? 200 : 5});
 	}
 }
@@ -85,13 +88,15 @@
 export class StandinWorkerCommand extends HostCommand {
 	static override readonly paths = [['standin', 'worker']];
 	static override readonly usage = Command.Usage({
+		category: 'Trying out',
 		description: 'Run a stand-in worker.',
 		examples: [['Announce to a local entry', 'chervilworks standin worker --id worker-1']],
 	});
 
 	readonly rack = Option.String('--rack', 'rack-1', {description: 'Rack of the worker.'});
 
-	createHost(): StandinHost {
+	async createHost(): Promise<StandinHost> {
+		const {createWorkerHost} = await import('../standin/hosts.ts');
 		return createWorkerHost({...this.getHostOptions(), rack: this.rack});
 	}
 }
--- a/src/core/config-publisher.ts
+++ b/src/core/config-publisher.ts
@@ -2,12 +2,13 @@
 Publishes a change of the operators' text and tells what became of it.
 */
 import {
-	ConfigRecordType, type ConfigPublish, type ConfigResult, type SectionChange, type SectionValues,
+	ConfigRecordType, type ConfigPublish, type ConfigResult, type ConfigSnapshot, type SectionChange, type SectionValues,
 } from '../types/config.ts';
 import {type Clock} from '../types/clock.ts';
 import {Stream, type PlatformLog} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
 import {ConfigFold} from './config-fold.ts';
+import {parseSectionName, SectionKind} from './config-text.ts';
 import {createError, ErrorCode} from './errors.ts';
 
 /** What publishing needs. */
@@ -98,3 +99,21 @@
 	const keys = Object.keys(b);
 	return a !== undefined && Object.keys(a).length === keys.length && keys.every(key => a[key] === b[key]);
 };
+
+/**
+Writes the text as a snapshot of everything so far. Readers that have a configuration ignore it; readers that found
+earlier records lapsed with no snapshot left start from it. Resolves to its offset; throws `log-unavailable`.
+*/
+export const publishRestart = async (log: PlatformLog, wanted: ReadonlyMap<string, SectionValues>, id: string): Promise<number> => {
+	const {endOffset} = await log.read(Stream.Config, 0, {limit: 1});
+	const upToOffset = endOffset - 1;
+	const sections = [...wanted].map(([name, values]) => ({name, offset: upToOffset, values}));
+	const owners = sections.flatMap(({name, values}) => {
+		const parsed = parseSectionName(name);
+		const {region} = values;
+		return parsed?.kind === SectionKind.Service && region !== undefined ? [{service: parsed.name, region, offset: upToOffset}] : [];
+	});
+	return log.append(Stream.Config, {
+		type: ConfigRecordType.Snapshot, id, upToOffset, sections, owners, results: [],
+	} satisfies ConfigSnapshot);
+};
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -50,7 +50,9 @@
 export const createError = (code: ErrorCode, place: ErrorPlace): VError => {
 	const {step, peer, detail, cause} = place;
 	const where = peer === undefined ? step : `${step} (${peer})`;
-	const text = detail === undefined ? messages[code] : `${messages[code]}: ${detail}`;
+	// The cause's message is appended to the text; it must not stand there twice.
+	const isRepeated = cause instanceof Error && detail === cause.message;
+	const text = detail === undefined || isRepeated ? messages[code] : `${messages[code]}: ${detail}`;
 	return new VError({
 		name: 'ChervilworksError',
 		cause: cause instanceof Error ? cause : undefined,
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,33 @@
+import {describe, expect, test} from 'vitest';
+import {
+	checkSettings, createSettings, formatMistake, loadSettings, printSettings,
+} from '../src/core/settings.ts';
+
+describe('settings', () => {
+	test('defaults are valid and printed as they are read', () => {
+		const {settings, mistakes} = checkSettings(printSettings(), 'printed');
+		expect(mistakes).toEqual([]);
+		expect(settings).toEqual(createSettings());
+	});
+
+	test('a misspelt key, a value out of range and an unknown section are told at once, with the nearest name', () => {
+		const {mistakes} = checkSettings('[log]\ntimeoutMS = 5\nretentionMs = -1\n[enrty]\nx = 1\n', 'a.ini');
+		expect(mistakes.map(mistake => formatMistake(mistake))).toEqual([
+			'a.ini: [log] timeoutMS = 5: no such key; did you mean timeoutMs?',
+			'a.ini: [enrty]: no such section; did you mean entry?',
+			expect.stringMatching(/a\.ini: \[log] retentionMs = -1: a whole number from 1000 to \d+/) as string,
+		]);
+	});
+
+	test('a key outside any section is a mistake', () => {
+		expect(checkSettings('id = 1\n', 'a.ini').mistakes).toHaveLength(1);
+	});
+
+	test.each(['clydeside', 'authority'])('the example of %s is valid', name => {
+		expect(loadSettings(`settings/${name}.ini`).process.region).not.toBe('local');
+	});
+
+	test('a file that cannot be read is named', () => {
+		expect(() => loadSettings('no-such-file.ini')).toThrow(/no-such-file/);
+	});
+});
