Let entries learn of each other from the log, seeds and each other

Cause: entries had no way to find or call each other. Change: a peers service with one heartbeat task for each peer, presence records in the log, hello messages that pass on known peers, one unary gRPC method carrying msgpack, and a transport in memory for tests on manual time.

--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -70,6 +70,13 @@
 		leaseMs: whole(3000, 100, 600_000, 'How long an upstream or worker counts as alive after its last announcement.'),
 		announceEveryMs: whole(1000, 20, 600_000, 'How often upstreams and workers are asked to announce themselves.'),
 	},
+	peers: {
+		heartbeatMs: whole(250, 10, 60_000, 'How often an entry speaks to each other entry.'),
+		leaseMs: whole(1250, 50, 600_000, 'How long another entry counts as alive after it answered.'),
+		callTimeoutMs: whole(500, 10, 60_000, 'Longest wait for the answer of another entry.'),
+		presenceEveryMs: whole(60_000, 100, 86_400_000, 'How often an entry appends its presence to the log; far less than its retention.'),
+		forgetAfterMs: whole(600_000, 1000, 86_400_000, 'When an entry that was not heard of any more is forgotten.'),
+	},
 	metrics: {
 		statsdAddress: address('', 'Where counters are sent over UDP; empty: nowhere.'),
 		prefix: name('chervilworks', 'Prefix of all metric names.'),
--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -7,6 +7,7 @@
 import {type PlatformLog} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
 import {ServiceName} from '../types/services.ts';
+import {type PeerTransport} from './peers-transport.ts';
 
 /** What an entry is created with. */
 export type EntryOptions = {
@@ -15,10 +16,12 @@
 	random: Random;
 	/** Another log in place of the one at the URL of the settings. */
 	log?: PlatformLog;
+	/** Another way to call peers in place of gRPC. */
+	peerTransport?: PeerTransport;
 };
 
 /** Creates an entry host; the caller starts and stops its kernel. */
-export const createEntry = ({settings, clock, random, log}: EntryOptions): RunningKernel => {
+export const createEntry = ({settings, clock, random, log, peerTransport}: EntryOptions): RunningKernel => {
 	const kernel = createKernel(clock, settings.process.stopBoundMs);
 	const {id, region, failureDomain} = settings.process;
 	kernel.provide(ServiceName.Settings, settings);
@@ -40,6 +43,14 @@
 		});
 	}
 
+	kernel.register({
+		name: ServiceName.Peers,
+		dependsOn: [ServiceName.Log, ServiceName.Control],
+		async load() {
+			const {createPeersService} = await import('./peers-service.ts');
+			return peerKernel => createPeersService(peerKernel, peerTransport);
+		},
+	});
 	registerServices(kernel);
 	return kernel;
 };
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -20,6 +20,8 @@
 	TasksStarted = 'tasks_started',
 	TasksEnded = 'tasks_ended',
 	TaskRefusals = 'task_refusals',
+	PeersAlive = 'peers_alive',
+	PeerErrors = 'peer_errors',
 }
 
 /** Counts events and sets levels. */
