--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -66,6 +66,31 @@
 		maxBodyBytes: whole(1_048_576, 0, 1_073_741_824, 'Largest body of a request.'),
 		bodyTimeoutMs: whole(10_000, 50, 600_000, 'Longest time for a body to arrive.'),
 	},
+	admission: {
+		queueLimit: whole(512, 1, 100_000, 'Longest queue of each class of a service at this entry.'),
+		longShare: fraction(0.25, 0, 0.9, 'Share of the slots, or of the turns when slots are few, kept for long requests while any wait.'),
+		waitShare: fraction(0.5, 0.05, 1, 'Share of the time left after the expected run that a request may be expected to wait in the queue.'),
+	},
+	retries: {
+		budgetShare: fraction(0.1, 0, 1, 'Retries allowed as a share of first tries.'),
+		budgetBurst: whole(10, 0, 10_000, 'Retries of a service allowed at once, whatever the share.'),
+		maxAttempts: whole(3, 1, 10, 'Most tries of one request, the first included.'),
+	},
+	answers: {
+		bufferBytes: whole(65_536, 0, 16_777_216, 'Answers up to this size are held until they are whole; larger ones are streamed.'),
+		stalledCallerMs: whole(10_000, 50, 600_000, 'How long a caller may leave an answer unread before its connection is broken.'),
+	},
+	claims: {
+		appendEveryMs: whole(20, 0, 1000, 'Least time between two appends of claims by this entry.'),
+		idLifetimeMs: whole(3_600_000, 1000, 30 * dayMs, 'Oldest request id that is taken, at most the retention of the log less the margin.'),
+		marginMs: whole(300_000, 0, 7 * dayMs, 'Part of the retention that is never relied on.'),
+		maxClockErrorMs: whole(5000, 0, 600_000, 'How far the clock of a caller or entry may be off.'),
+		maxWaitMs: whole(5000, 1, 600_000, 'Longest wait for the log to confirm a claim.'),
+		failFastAfterMs: whole(1000, 0, 600_000, 'After the log has failed for so long, claims are refused at once.'),
+		maxPending: whole(5000, 1, 1_000_000, 'Claims and ends held for the log at most.'),
+		maxKnown: whole(500_000, 1, 10_000_000, 'Request ids remembered at most.'),
+		maxBodyBytes: whole(2048, 0, 65_536, 'Largest answer kept with a claim, to be replayed to a duplicate.'),
+	},
 	membership: {
 		leaseMs: whole(3000, 100, 600_000, 'How long an upstream or worker counts as alive after its last announcement.'),
 		announceEveryMs: whole(1000, 20, 600_000, 'How often upstreams and workers are asked to announce themselves.'),
