Choose upstreams by load, latency, failure domain and outliers

The first version took the first upstream with the fewest requests in flight: it crossed failure domains at rest, had no memory of slow hosts, and an upstream that failed at once drew the traffic.

Two random choices on own requests in flight and a latency estimate that rises fast and decays to the service's mean; own failure domain first with spill; ejection with a floor, probes by checks, slow start; weights across failure domains.

Tests produce a slow host, a host that recovers unmeasured, an upstream that fails everything fast, a service that fails everywhere, and a restart with requests in progress. Not measured yet under load.

--- /dev/null
+++ b/test/choice.test.ts
@@ -0,0 +1,220 @@
+import {expect, test} from 'vitest';
+import fc from 'fast-check';
+import {createChooser, type ChooserOptions} from '../src/requests/choice.ts';
+import {parseFailureDomainWeights} from '../src/requests/choice-weights.ts';
+import {HostState, type UpstreamAnnouncement} from '../src/types/announcements.ts';
+import {type Chooser} from '../src/types/choice.ts';
+import {RequestClass} from '../src/types/requests.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {createRandom} from '../src/utils/seeded-random.ts';
+
+const service = 'lading-desk';
+const createUpstream = (index: number, overrides: Partial<UpstreamAnnouncement> = {}): UpstreamAnnouncement => ({
+	upstreamId: `desk-${index}`,
+	service,
+	incarnation: 1,
+	sequence: 1,
+	state: HostState.Alive,
+	address: `127.0.0.1:${9000 + index}`,
+	region: 'scot-central',
+	failureDomain: ['leith-hall', 'govan-hall', 'grange-hall'][index % 3]!,
+	slots: 8,
+	connections: 64,
+	isGuarded: false,
+	...overrides,
+});
+const createUpstreams = (count: number) => Array.from({length: count}, (_, index) => createUpstream(index));
+
+const createFixture = (options: Partial<ChooserOptions> = {}) => {
+	const clock = new ManualClock();
+	const chooser = createChooser({
+		clock, random: createRandom(7), failureDomain: 'leith-hall', ...options,
+	});
+	return {clock, chooser};
+};
+
+const context = {requestClass: RequestClass.Check, excluded: new Set<string>(), hasSlot: () => true};
+
+/** Sends one request at a time; the latency of each upstream is given, undefined fails at once. */
+const send = (chooser: Chooser, clock: ManualClock, upstreams: UpstreamAnnouncement[], getLatencyMs: (id: string) => number | undefined): string | undefined => {
+	const chosen = chooser.choose(service, upstreams, context);
+	if (!chosen) {
+		return undefined;
+	}
+
+	const {upstreamId} = chosen;
+	const latencyMs = getLatencyMs(upstreamId);
+	chooser.noteStart(upstreamId, RequestClass.Check);
+	clock.advanceSync(latencyMs ?? 1);
+	chooser.noteEnd(upstreamId, {requestClass: RequestClass.Check, latencyMs: latencyMs ?? 1, isSuccess: latencyMs !== undefined});
+	return upstreamId;
+};
+
+/** Lets an upstream fail often enough to be ejected. */
+const eject = (chooser: Chooser, upstreams: UpstreamAnnouncement[], upstreamId: string) => {
+	chooser.choose(service, upstreams, context);
+	for (let index = 0; index < 5; index++) {
+		chooser.noteStart(upstreamId, RequestClass.Check);
+		chooser.noteEnd(upstreamId, {requestClass: RequestClass.Check, latencyMs: 1, isSuccess: false});
+	}
+};
+
+const count = (times: number, action: () => string | undefined) => {
+	const counts = new Map<string | undefined, number>();
+	for (let index = 0; index < times; index++) {
+		const id = action();
+		counts.set(id, (counts.get(id) ?? 0) + 1);
+	}
+
+	return counts;
+};
+
+test('never an excluded upstream nor one without a slot', () => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 12}), fc.array(fc.integer({min: 0, max: 11})), fc.array(fc.integer({min: 0, max: 11})), fc.integer(), (size, excludedIndexes, busyIndexes, seed) => {
+		const {chooser} = createFixture({random: createRandom(Math.abs(seed))});
+		const upstreams = createUpstreams(size);
+		const excluded = new Set(excludedIndexes.map(index => `desk-${index}`));
+		const busy = new Set(busyIndexes.map(index => `desk-${index}`));
+		const chosen = chooser.choose(service, upstreams, {requestClass: RequestClass.Check, excluded, hasSlot: id => !busy.has(id)});
+		const isAnyFree = upstreams.some(({upstreamId}) => !excluded.has(upstreamId) && !busy.has(upstreamId));
+		expect(chosen !== undefined).toBe(isAnyFree);
+		expect(chosen && (excluded.has(chosen.upstreamId) || busy.has(chosen.upstreamId))).toBeFalsy();
+	}));
+});
+
+test('stays in its failure domain at rest and spills when its domain is loaded', () => {
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(9);
+	const isNear = (id: string | undefined) => upstreams.find(({upstreamId}) => upstreamId === id)?.failureDomain === 'leith-hall';
+	for (let index = 0; index < 100; index++) {
+		expect(isNear(send(chooser, clock, upstreams, () => 10))).toBe(true);
+	}
+
+	for (const {upstreamId} of upstreams.filter(({failureDomain}) => failureDomain === 'leith-hall')) {
+		for (let held = 0; held < 6; held++) {
+			chooser.noteStart(upstreamId, RequestClass.Check);
+		}
+	}
+
+	expect(isNear(chooser.choose(service, upstreams, context)?.upstreamId)).toBe(false);
+});
+
+test('a slow host keeps almost no checks', () => {
+	// Checks sent to one host came back ten times later than the others, and one caller in eleven saw it.
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(11).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	const counts = count(3000, () => send(chooser, clock, upstreams, id => id === 'desk-3' ? 100 : 10));
+	expect(counts.get('desk-3') ?? 0).toBeLessThan(60);
+	expect(counts.get(undefined)).toBeUndefined();
+});
+
+test('a host that was slow gets its load back without being measured', () => {
+	// A host was slow for a while; nothing was sent there any more, so nothing showed that it had become fast again.
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(4).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	count(400, () => send(chooser, clock, upstreams, id => id === 'desk-1' ? 100 : 10));
+	clock.advanceSync(60_000);
+	const counts = count(2000, () => send(chooser, clock, upstreams, () => 10));
+	expect(counts.get('desk-1') ?? 0).toBeGreaterThan(300);
+});
+
+test('an upstream that fails everything at once does not draw the traffic', () => {
+	// One upstream refused every request within a millisecond. It had the fewest requests in flight and the best latency,
+	// so that each policy by load alone sent it nearly everything.
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(11).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	const counts = count(5000, () => send(chooser, clock, upstreams, id => id === 'desk-5' ? undefined : 10));
+	expect(counts.get('desk-5') ?? 0).toBeLessThan(50);
+});
+
+test('comes back by probes and slow start after failing', () => {
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(4).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	eject(chooser, upstreams, 'desk-2');
+	const out = count(50, () => send(chooser, clock, upstreams, () => 10));
+	expect(out.get('desk-2')).toBeUndefined();
+	clock.advanceSync(40_000);
+	const early = count(40, () => send(chooser, clock, upstreams, () => 10));
+	expect(early.get('desk-2') ?? 0).toBeGreaterThanOrEqual(3);
+	expect(early.get('desk-2') ?? 0).toBeLessThan(10);
+	clock.advanceSync(60_000);
+	const late = count(2000, () => send(chooser, clock, upstreams, () => 10));
+	expect(late.get('desk-2') ?? 0).toBeGreaterThan(300);
+});
+
+test('when every upstream fails, all stay in use but the share that may be ejected', () => {
+	// A bad release failed on every host. Ejecting them all would have left nobody to answer.
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(10).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	const counts = count(2000, () => send(chooser, clock, upstreams, () => undefined));
+	expect(counts.get(undefined)).toBeUndefined();
+	expect([...counts.values()].filter(times => times > 200).length).toBeGreaterThanOrEqual(5);
+});
+
+test('a long request is not sent as a probe while another upstream is there', () => {
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(4).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	eject(chooser, upstreams, 'desk-2');
+	clock.advanceSync(40_000);
+	for (let index = 0; index < 100; index++) {
+		expect(chooser.choose(service, upstreams, {...context, requestClass: RequestClass.Long})?.upstreamId).not.toBe('desk-2');
+	}
+});
+
+test('requests broken by a restart do not count against the new incarnation', () => {
+	// An upstream restarted with eight requests in progress. All eight broke, and the fresh process was ejected for it.
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(2).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	chooser.choose(service, upstreams, context);
+	for (let held = 0; held < 8; held++) {
+		chooser.noteStart('desk-0', RequestClass.Check);
+	}
+
+	upstreams[0] = {...upstreams[0]!, incarnation: 2};
+	chooser.choose(service, upstreams, context);
+	for (let held = 0; held < 8; held++) {
+		chooser.noteEnd('desk-0', {requestClass: RequestClass.Check, latencyMs: 1, isSuccess: false});
+	}
+
+	clock.advanceSync(20_000);
+	const counts = count(200, () => send(chooser, clock, upstreams, () => 10));
+	expect(counts.get('desk-0') ?? 0).toBeGreaterThan(50);
+});
+
+test('a new host starts slowly', () => {
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(4).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	count(10, () => send(chooser, clock, upstreams, () => 10));
+	clock.advanceSync(20_000);
+	const more = [...upstreams, createUpstream(9, {failureDomain: 'leith-hall'})];
+	const counts = count(50, () => send(chooser, clock, more, () => 10));
+	expect(counts.get('desk-9') ?? 0).toBeLessThan(5);
+	clock.advanceSync(20_000);
+	const later = count(1000, () => send(chooser, clock, more, () => 10));
+	expect(later.get('desk-9') ?? 0).toBeGreaterThan(100);
+});
+
+test('weights across failure domains are kept, and an unweighted domain is the last resort', () => {
+	const weights = parseFailureDomainWeights('leith-hall:1, govan-hall:3');
+	const {clock, chooser} = createFixture({getFailureDomainWeights: () => weights});
+	const upstreams = createUpstreams(9);
+	const domains = count(4000, () => {
+		const id = send(chooser, clock, upstreams, () => 10);
+		return upstreams.find(({upstreamId}) => upstreamId === id)!.failureDomain;
+	});
+	expect(domains.get('grange-hall')).toBeUndefined();
+	expect(domains.get('govan-hall')! / domains.get('leith-hall')!).toBeGreaterThan(2.6);
+	expect(domains.get('govan-hall')! / domains.get('leith-hall')!).toBeLessThan(3.4);
+	const rest = upstreams.filter(({failureDomain}) => failureDomain === 'grange-hall');
+	expect(chooser.choose(service, rest, context)).toBeDefined();
+});
+
+test('the same seed gives the same choices', () => {
+	const run = () => {
+		const {clock, chooser} = createFixture();
+		const upstreams = createUpstreams(11);
+		return Array.from({length: 500}, () => send(chooser, clock, upstreams, id => id === 'desk-3' ? undefined : 10));
+	};
+
+	expect(run()).toEqual(run());
+});
