Place tasks by fit, quotas, urgency and learned harm

The jobs service tried workers in order. The engine keeps an index of workers by free room and failure domain, takes room when a start is decided, serves teams by dominant share, keeps room for gangs, evicts for urgent work, learns the harm between kinds from late reports, and tells workers that fail everything from jobs that fail everywhere. Eleven tests of behaviour; nothing is measured yet.

--- /dev/null
+++ b/src/jobs/placement-context.ts
@@ -0,0 +1,73 @@
+/**
+Puts the parts of the placement engine together.
+*/
+import {TaskClass} from '../types/jobs.ts';
+import {HarmCost} from './harm-cost.ts';
+import {HarmHistory} from './harm-history.ts';
+import {HarmModel} from './harm-model.ts';
+import {type PlacementOptions} from './placement-engine.ts';
+import {Fleet} from './placement-fleet.ts';
+import {WaitingQueue} from './placement-queue.ts';
+import {Reservations} from './placement-reservations.ts';
+import {type PlacementContext} from './placement-round.ts';
+import {createCheapestChoice, PlacementSearch, type ChooseWorker} from './placement-search.ts';
+import {QuotaLedger} from './quota-ledger.ts';
+import {SizeEstimates} from './size-estimates.ts';
+import {createEvictionCost, EvictionBudget, EvictionMemory} from './urgency-eviction.ts';
+import {WorkerHealth} from './worker-health.ts';
+
+// Urgent work may evict this share of a fleet's workers a minute, or the budget of the settings when that is more.
+const urgentPerWorker = 4;
+
+/** Creates what the engine decides from. */
+export const createContext = (options: PlacementOptions): PlacementContext => {
+	const {settings, random} = options;
+	const quotas = new QuotaLedger();
+	const fleet = new Fleet(quotas);
+	const queue = new WaitingQueue(settings.urgentPriority);
+	const model = new HarmModel(settings.harmHalfLifeMs);
+	const harmCost = new HarmCost(model, settings);
+	const sizes = new SizeEstimates(settings.isShrinkAllowed);
+	const evictions = new EvictionMemory();
+	const choose = options.choose ?? createChoice({
+		settings, queue, harmCost, sizes,
+	});
+	return {
+		settings,
+		random,
+		fleet,
+		queue,
+		quotas,
+		model,
+		harmCost,
+		sizes,
+		evictions,
+		reservations: new Reservations({fleet, queue, quotas}),
+		search: new PlacementSearch({index: fleet.index, random, choose}),
+		health: new WorkerHealth(settings),
+		history: new HarmHistory(),
+		urgentBudget: new EvictionBudget(() => Math.max(settings.evictionsPerMinute, urgentPerWorker * fleet.size)),
+		otherBudget: new EvictionBudget(() => settings.evictionsPerMinute),
+		getEvictionCost: createEvictionCost({...settings, getEvictions: taskId => evictions.getCount(taskId)}),
+		blocked: new Map(),
+		harmed: new Set(),
+		throttled: new Set(),
+	};
+};
+
+const createChoice = ({settings, queue, harmCost, sizes}: Pick<PlacementContext, 'settings' | 'queue' | 'harmCost' | 'sizes'>): ChooseWorker => {
+	if (!settings.isHarmAware) {
+		return createCheapestChoice(() => 0, () => Number.POSITIVE_INFINITY);
+	}
+
+	return createCheapestChoice(
+		(worker, entry) => {
+			const {kindId, spec} = entry.job;
+			return harmCost.getAdded(worker, entry, sizes.getExpectedProcessors(kindId, entry.reserved, spec.resources));
+		},
+		// A batch task that would do more harm than its own progress is worth is held back, for a while.
+		({job}, nowMs) => job.spec.taskClass === TaskClass.Batch && !queue.isUrgent(job) && nowMs - job.queuedAtMs < settings.deferMs
+			? settings.throughputWeight
+			: Number.POSITIVE_INFINITY,
+	);
+};
--- /dev/null
+++ b/src/jobs/placement-engine.ts
@@ -0,0 +1,421 @@
+/**
+The placement engine: takes note of all that happens to tasks and workers, and decides in rounds.
+
+Room is taken when a start is decided and given back when an end is confirmed, so that decisions never give a worker
+more than it has, whatever becomes of the orders in between.
+*/
+import {type Settings} from '../core/settings-schema.ts';
+import {TaskClass} from '../types/jobs.ts';
+import {
+	DecisionType, type Decision, type PendingTask, type PlacementEngine, type PlacementWorker,
+} from '../types/placement.ts';
+import {type Resources, type TaskUsage} from '../types/platform.ts';
+import {type Random} from '../types/random.ts';
+import {KindTable} from './harm-model.ts';
+import {runHarmPass} from './harm-response.ts';
+import {createContext} from './placement-context.ts';
+import {
+	runFairPass, runReservePass, runReturnPass, runUrgentPass,
+} from './placement-passes.ts';
+import {createNone} from './placement-resources.ts';
+import {getNeed, Round, type PlacementContext} from './placement-round.ts';
+import {type ChooseWorker} from './placement-search.ts';
+import {TaskPhase, type JobEntry, type TaskEntry} from './placement-state.ts';
+
+/** What the engine is made from. */
+export type PlacementOptions = {
+	settings: Settings['placement'];
+	random: Random;
+	/** Replaces the choice among the workers with room: for comparison. */
+	choose?: ChooseWorker;
+};
+
+const avoidMs = 2000;
+const smoothing = 0.3;
+// Measured use this far above what is held is no noise.
+const excessRatio = 1.05;
+
+/** Creates a placement engine. */
+export const createPlacementEngine = (options: PlacementOptions): PlacementEngine => new Engine(options);
+
+class Engine implements PlacementEngine {
+	readonly #context: PlacementContext;
+	readonly #kinds: KindTable;
+	readonly #tasks = new Map<string, TaskEntry>();
+	readonly #jobs = new Map<string, JobEntry>();
+	/** Jobs of which something is to be told. */
+	readonly #toCheck = new Set<JobEntry>();
+	readonly #finals = new Map<string, string>();
+	#checkedFleet = -1;
+	#nowMs = 0;
+	#order = 0;
+
+	constructor(options: PlacementOptions) {
+		this.#context = createContext(options);
+		this.#kinds = new KindTable(kindId => {
+			this.#context.model.forget(kindId);
+			this.#context.sizes.forget(kindId);
+		});
+	}
+
+	setWorker(worker: PlacementWorker): void {
+		this.#context.fleet.set(worker);
+	}
+
+	removeWorker(workerId: string): void {
+		const worker = this.#context.fleet.remove(workerId);
+		if (!worker) {
+			return;
+		}
+
+		this.#context.health.forget(worker);
+		for (const entry of worker.tasks) {
+			entry.isBlameless = true;
+		}
+	}
+
+	setQuota(team: string, quota: Resources, weight: number): void {
+		this.#context.quotas.setQuota(team, quota, weight);
+	}
+
+	enqueue(task: PendingTask): void {
+		const known = this.#tasks.get(task.taskId);
+		if (known?.worker) {
+			// The former attempt still holds its room: this one waits for its confirmed end.
+			known.next = task;
+			return;
+		}
+
+		if (known) {
+			known.task = task;
+			return;
+		}
+
+		const job = this.#openJob(task);
+		const entry = createEntry(task, job);
+		this.#tasks.set(task.taskId, entry);
+		this.#context.queue.add(entry);
+		this.#toCheck.add(job);
+	}
+
+	cancel(taskId: string): void {
+		const entry = this.#tasks.get(taskId);
+		if (!entry) {
+			return;
+		}
+
+		entry.next = undefined;
+		entry.isBlameless = true;
+		if (!entry.worker) {
+			this.#leaveQueue(entry);
+			this.#drop(entry);
+		}
+	}
+
+	noteRunning(task: PendingTask, workerId: string, startedAtMs: number): void {
+		const {fleet, history} = this.#context;
+		const known = this.#tasks.get(task.taskId);
+		if (known?.worker?.spec.workerId === workerId) {
+			known.task = task;
+			known.startedAtMs = startedAtMs;
+			return;
+		}
+
+		if (known?.phase === TaskPhase.Evicting) {
+			this.#context.quotas.changeLeaving(known.job.spec.team, known.reserved, -1);
+		}
+
+		if (known) {
+			this.#leaveQueue(known);
+			fleet.release(known);
+		}
+
+		const entry = known ?? createEntry(task, this.#openJob(task));
+		entry.task = task;
+		entry.reserved = task.reserved ?? entry.job.need;
+		entry.startedAtMs = startedAtMs;
+		this.#tasks.set(task.taskId, entry);
+		const worker = fleet.get(workerId) ?? this.#createUnknownWorker(workerId);
+		fleet.take(worker, entry);
+		history.begin(entry, startedAtMs);
+	}
+
+	noteStartRefused(taskId: string, workerId: string): void {
+		const entry = this.#tasks.get(taskId);
+		if (entry?.worker?.spec.workerId === workerId) {
+			entry.isBlameless = true;
+			entry.worker.avoidUntilMs = this.#nowMs + avoidMs;
+		}
+	}
+
+	noteEnded(taskId: string, isSuccess: boolean, nowMs: number): void {
+		this.#nowMs = Math.max(this.#nowMs, nowMs);
+		const entry = this.#tasks.get(taskId);
+		if (!entry) {
+			return;
+		}
+
+		const {next} = entry;
+		if (entry.worker) {
+			this.#leaveWorker(entry, isSuccess, nowMs);
+		} else {
+			this.#leaveQueue(entry);
+		}
+
+		this.#drop(entry);
+		if (isSuccess) {
+			this.#context.evictions.forget(taskId);
+		} else if (next) {
+			this.enqueue(next);
+		}
+	}
+
+	noteUsage(taskId: string, usage: TaskUsage): void {
+		const {settings, history, model, sizes} = this.#context;
+		const entry = this.#tasks.get(taskId);
+		if (settings.isHarmAware) {
+			const surroundings = history.getSurroundings(taskId, entry, usage.measuredAtMs);
+			if (surroundings) {
+				model.note({...surroundings, slowdown: usage.slowdown});
+			}
+		}
+
+		if (!entry?.worker || usage.measuredAtMs < entry.startedAtMs) {
+			return;
+		}
+
+		entry.slowdown += smoothing * (usage.slowdown - entry.slowdown);
+		entry.usedProcessors = usage.processors;
+		entry.worker.mix = undefined;
+		history.measure(entry);
+		if (entry.throttleShare === 1) {
+			sizes.noteUsage(entry.job.kindId, entry.job.spec.resources, usage);
+		}
+
+		this.#coverExcess(entry, usage);
+		if (settings.isHarmAware && entry.job.spec.taskClass === TaskClass.LatencyCritical) {
+			if (entry.slowdown >= settings.harmThreshold) {
+				this.#context.harmed.add(entry);
+			} else {
+				this.#context.harmed.delete(entry);
+			}
+		}
+	}
+
+	decide(nowMs: number, maxDecisions: number): Decision[] {
+		this.#nowMs = nowMs;
+		const context = this.#context;
+		for (const worker of context.health.release(nowMs)) {
+			context.fleet.freedVersion++;
+			context.fleet.refresh(worker);
+		}
+
+		context.model.fade(nowMs);
+		const round = new Round(context, nowMs, maxDecisions);
+		this.#tellUnplaceable(round);
+		context.reservations.giveUp(nowMs);
+		context.reservations.startReady((entry, worker) => {
+			round.noteStarted(entry, worker);
+		});
+		runUrgentPass(round);
+		runFairPass(round);
+		runReturnPass(round);
+		runReservePass(round);
+		if (context.settings.isHarmAware) {
+			runHarmPass(round);
+		}
+
+		return round.decisions;
+	}
+
+	#openJob(task: PendingTask): JobEntry {
+		const {spec, queuedAtMs, region} = task;
+		let job = this.#jobs.get(spec.jobId);
+		if (!job) {
+			job = createJob(task, this.#kinds.get(spec.kind), this.#order++);
+			job.need = getNeed(this.#context, job);
+			job.needAtMs = queuedAtMs;
+			job.isFinal = this.#noteIfFinal(spec.jobId);
+			this.#jobs.set(spec.jobId, job);
+		}
+
+		if (job.region !== region) {
+			job.region = region;
+			job.shapeKey = getShapeKey(job);
+			job.checkedAtFleet = -1;
+		}
+
+		return job;
+	}
+
+	#createUnknownWorker(workerId: string) {
+		this.#context.fleet.set({
+			workerId, region: '', failureDomain: '', rack: '', capacity: createNone(), isOpen: false,
+		});
+		return this.#context.fleet.get(workerId)!;
+	}
+
+	#leaveQueue(entry: TaskEntry): void {
+		if (entry.phase === TaskPhase.Claiming) {
+			this.#context.reservations.cancel(entry);
+		}
+
+		if (entry.phase === TaskPhase.Waiting) {
+			entry.phase = TaskPhase.Gone;
+			this.#context.queue.remove(entry);
+		}
+	}
+
+	#leaveWorker(entry: TaskEntry, isSuccess: boolean, nowMs: number): void {
+		const {fleet, history, health, sizes, quotas} = this.#context;
+		const {job: {spec, kindId}, phase, isBlameless} = entry;
+		const worker = entry.worker!;
+		history.end(entry, nowMs);
+		fleet.release(entry);
+		if (phase === TaskPhase.Evicting) {
+			quotas.changeLeaving(spec.team, entry.reserved, -1);
+			return;
+		}
+
+		if (isBlameless) {
+			return;
+		}
+
+		if (isSuccess) {
+			sizes.noteRunTime(kindId, spec.declaredRunTimeMs, nowMs - entry.startedAtMs);
+		}
+
+		const hasChanged = health.note({
+			jobId: spec.jobId, worker, isSuccess, nowMs, fleetSize: fleet.size,
+		});
+		if (hasChanged) {
+			fleet.freedVersion++;
+			fleet.refresh(worker);
+		}
+
+		if (!isSuccess && !entry.job.isFinal) {
+			entry.job.isFinal = this.#noteIfFinal(spec.jobId);
+		}
+	}
+
+	#noteIfFinal(jobId: string): boolean {
+		const reason = this.#context.health.describeFailure(jobId, this.#context.fleet.size);
+		if (reason !== undefined) {
+			this.#finals.set(jobId, reason);
+		}
+
+		return reason !== undefined;
+	}
+
+	#drop(entry: TaskEntry): void {
+		const {job} = entry;
+		entry.phase = TaskPhase.Gone;
+		this.#tasks.delete(entry.task.taskId);
+		this.#context.harmed.delete(entry);
+		this.#context.throttled.delete(entry);
+		if (job.waitingCount === 0 && job.placedCount === 0 && !this.#context.reservations.has(job)) {
+			this.#jobs.delete(job.spec.jobId);
+			this.#toCheck.delete(job);
+		}
+	}
+
+	/** A host that is in truth fuller than what is held on it gets nothing more. */
+	#coverExcess(entry: TaskEntry, usage: TaskUsage): void {
+		const {reserved} = entry;
+		if (usage.processors <= reserved.processors * excessRatio && usage.memoryMb <= reserved.memoryMb * excessRatio) {
+			return;
+		}
+
+		if (entry.phase === TaskPhase.Placed) {
+			this.#context.fleet.resize(entry, {
+				processors: Math.max(reserved.processors, usage.processors),
+				memoryMb: Math.max(reserved.memoryMb, usage.memoryMb),
+				accelerators: reserved.accelerators,
+			});
+		}
+	}
+
+	#tellUnplaceable(round: Round): void {
+		const {fleet, queue} = this.#context;
+		for (const [jobId, reason] of this.#finals) {
+			round.decisions.push({
+				type: DecisionType.Unplaceable, jobId, missing: reason, isFinal: true,
+			});
+		}
+
+		this.#finals.clear();
+		if (this.#checkedFleet !== fleet.version) {
+			this.#checkedFleet = fleet.version;
+			for (const jobs of [queue.urgent, ...queue.teams.values()]) {
+				for (const job of jobs) {
+					this.#toCheck.add(job);
+				}
+			}
+		}
+
+		for (const job of this.#toCheck) {
+			this.#check(job, round);
+		}
+
+		this.#toCheck.clear();
+	}
+
+	#check(job: JobEntry, round: Round): void {
+		const {fleet} = this.#context;
+		if (job.checkedAtFleet === fleet.version || job.waitingCount === 0) {
+			return;
+		}
+
+		job.checkedAtFleet = fleet.version;
+		const taskCount = job.spec.isGang ? job.waitingCount + job.placedCount : 1;
+		const missing = fleet.describeMissing(job.spec.resources, taskCount, job.region);
+		if (missing !== undefined && missing !== job.missing) {
+			round.decisions.push({
+				type: DecisionType.Unplaceable, jobId: job.spec.jobId, missing, isFinal: false,
+			});
+		}
+
+		job.missing = missing;
+	}
+}
+
+const createJob = ({spec, region, queuedAtMs}: PendingTask, kindId: number, order: number): JobEntry => {
+	const job: JobEntry = {
+		spec,
+		kindId,
+		region,
+		shapeKey: '',
+		waiting: [],
+		head: 0,
+		waitingCount: 0,
+		placedCount: 0,
+		queuedAtMs,
+		order,
+		need: spec.resources,
+		needAtMs: queuedAtMs,
+		spread: undefined,
+		checkedAtFleet: -1,
+		missing: undefined,
+		isFinal: false,
+	};
+	job.shapeKey = getShapeKey(job);
+	return job;
+};
+
+const getShapeKey = ({spec: {resources, taskClass, kind}, region = ''}: JobEntry): string =>
+	`${resources.processors}/${resources.memoryMb}/${resources.accelerators}/${taskClass}/${region}/${kind}`;
+
+const createEntry = (task: PendingTask, job: JobEntry): TaskEntry => ({
+	task,
+	job,
+	phase: TaskPhase.Gone,
+	worker: undefined,
+	reserved: job.need,
+	startedAtMs: 0,
+	isBlameless: false,
+	next: undefined,
+	slowdown: 1,
+	usedProcessors: -1,
+	throttleShare: 1,
+	throttledAtMs: 0,
+});
--- /dev/null
+++ b/src/jobs/worker-health.ts
@@ -0,0 +1,188 @@
+/**
+Tells workers that fail everything from jobs that fail everywhere.
+
+Each failure is divided between its worker and its job by how often the worker fails other jobs and how often the job
+fails on other workers. A worker that bears the blame is held down and probed; a job that bears it ends.
+*/
+import {type WorkerEntry} from './placement-state.ts';
+
+const priorFailures = 0.2;
+const priorEnds = 2;
+const leastBlame = 3;
+const badRate = 0.7;
+const fadeMs = 600_000;
+const maxHoldMs = 600_000;
+// More bad workers than this at once point to a common cause; holding them down would only lose their room.
+const maxHeldShare = 0.25;
+const leastWorkers = 3;
+const keptJobs = 10_000;
+
+type Score = {
+	failures: number;
+	ends: number;
+	blame: number;
+	atMs: number;
+};
+
+type JobScore = Score & {
+	workers: Set<string>;
+	hasSucceeded: boolean;
+};
+
+type WorkerScore = Score & {
+	jobs: Set<string>;
+	holdMs: number;
+	heldUntilMs: number;
+};
+
+/** How a task ended, for the blame. */
+export type HealthReport = {
+	jobId: string;
+	worker: WorkerEntry;
+	isSuccess: boolean;
+	nowMs: number;
+	fleetSize: number;
+};
+
+/** Keeps the scores of workers and jobs. */
+export class WorkerHealth {
+	readonly #jobs = new Map<string, JobScore>();
+	readonly #workers = new Map<string, WorkerScore>();
+	readonly #held = new Set<WorkerEntry>();
+	readonly #options: {maxTries: number; holdMs: number};
+
+	constructor(options: {maxTries: number; holdMs: number}) {
+		this.#options = options;
+	}
+
+	/** Workers held down now. */
+	get heldCount(): number {
+		return this.#held.size;
+	}
+
+	/** Learns from an end. Returns whether the worker's availability changed. */
+	note(report: HealthReport): boolean {
+		const {jobId, worker, isSuccess, nowMs} = report;
+		const job = this.#getJob(jobId, nowMs);
+		const score = this.#getWorker(worker.spec.workerId, nowMs);
+		job.ends++;
+		score.ends++;
+		if (isSuccess) {
+			job.hasSucceeded = true;
+			score.blame = Math.max(0, score.blame - 1);
+			return this.#endProbe(worker, score);
+		}
+
+		const workerBlame = getBlame(score, job);
+		job.failures++;
+		score.failures++;
+		job.workers.add(worker.spec.workerId);
+		score.jobs.add(jobId);
+		job.blame += 1 - workerBlame;
+		score.blame += workerBlame;
+		return this.#judge(report, score);
+	}
+
+	/** Says why the job ends, when it fails everywhere. */
+	describeFailure(jobId: string, fleetSize: number): string | undefined {
+		const job = this.#jobs.get(jobId);
+		if (!job || job.hasSucceeded || job.blame < this.#options.maxTries / 2 || job.failures < this.#options.maxTries) {
+			return undefined;
+		}
+
+		return job.workers.size >= Math.min(leastWorkers, fleetSize)
+			? `fails everywhere: ${job.failures} failures on ${job.workers.size} workers, no success`
+			: undefined;
+	}
+
+	/** Lets workers whose time is over take one task as a probe; returns them. */
+	release(nowMs: number): WorkerEntry[] {
+		const released: WorkerEntry[] = [];
+		for (const worker of this.#held) {
+			if (this.#getWorker(worker.spec.workerId, nowMs).heldUntilMs <= nowMs) {
+				this.#held.delete(worker);
+				worker.isHeld = false;
+				worker.isProbing = true;
+				released.push(worker);
+			}
+		}
+
+		return released;
+	}
+
+	/** Forgets a worker that is gone: its successor starts afresh. */
+	forget(worker: WorkerEntry): void {
+		this.#held.delete(worker);
+		this.#workers.delete(worker.spec.workerId);
+		worker.isHeld = false;
+		worker.isProbing = false;
+	}
+
+	#judge({worker, nowMs, fleetSize}: HealthReport, score: WorkerScore): boolean {
+		const isBad = worker.isProbing
+			? score.blame > 0.5
+			: score.blame >= leastBlame && score.jobs.size > 1 && score.blame / score.ends >= badRate;
+		if (!isBad || worker.isHeld || this.#held.size + 1 > Math.max(1, maxHeldShare * fleetSize)) {
+			return false;
+		}
+
+		score.holdMs = Math.min(maxHoldMs, score.holdMs === 0 ? this.#options.holdMs : score.holdMs * 2);
+		score.heldUntilMs = nowMs + score.holdMs;
+		score.jobs.clear();
+		worker.isHeld = true;
+		worker.isProbing = false;
+		this.#held.add(worker);
+		return true;
+	}
+
+	#endProbe(worker: WorkerEntry, score: WorkerScore): boolean {
+		if (!worker.isProbing) {
+			return false;
+		}
+
+		worker.isProbing = false;
+		score.blame = 0;
+		score.failures = 0;
+		score.ends = 1;
+		return true;
+	}
+
+	#getJob(jobId: string, nowMs: number): JobScore {
+		let score = this.#jobs.get(jobId);
+		if (!score) {
+			score = {
+				failures: 0, ends: 0, blame: 0, atMs: nowMs, workers: new Set(), hasSucceeded: false,
+			};
+			this.#jobs.set(jobId, score);
+			if (this.#jobs.size > keptJobs) {
+				this.#jobs.delete(this.#jobs.keys().next().value!);
+			}
+		}
+
+		return score;
+	}
+
+	#getWorker(workerId: string, nowMs: number): WorkerScore {
+		let score = this.#workers.get(workerId);
+		if (!score) {
+			score = {
+				failures: 0, ends: 0, blame: 0, atMs: nowMs, jobs: new Set(), holdMs: 0, heldUntilMs: 0,
+			};
+			this.#workers.set(workerId, score);
+		}
+
+		const kept = 2 ** (-Math.max(0, nowMs - score.atMs) / fadeMs);
+		score.failures *= kept;
+		score.ends *= kept;
+		score.blame *= kept;
+		score.atMs = nowMs;
+		return score;
+	}
+}
+
+/** Share of a failure that the worker bears, from the rates of both before it. */
+const getBlame = (worker: Score, job: Score): number => {
+	const workerRate = (worker.failures + priorFailures) / (worker.ends - 1 + priorEnds);
+	const jobRate = (job.failures + priorFailures) / (job.ends - 1 + priorEnds);
+	return workerRate / (workerRate + jobRate);
+};
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -23,6 +23,10 @@
 	queuedAtMs: number;
 	/** Region in which it must run; undefined: any. */
 	region?: string;
+	/** What a worker already holds for it, as learned after a takeover; undefined: decided here. */
+	reserved?: Resources;
+	/** False: an eviction loses all of its work. */
+	isCheckpointable?: boolean;
 };
 
 /** Kinds of decisions. */
@@ -41,12 +45,15 @@
 	Drain = 'drain',
 }
 
-/** One decision. Starts of a gang come together, or not at all. */
+/**
+One decision. Starts of a gang come together, or not at all. `resources` of a start is what is held for the task, to be
+ordered from the worker. A final `Unplaceable` ends the job; any other is reconsidered when the fleet changes.
+*/
 export type Decision
-	= | {type: DecisionType.Start; taskId: string; workerId: string}
+	= | {type: DecisionType.Start; taskId: string; workerId: string; resources: Resources}
 		| {type: DecisionType.Evict; taskId: string; workerId: string; reason: EvictionReason; forTaskId?: string}
 		| {type: DecisionType.Throttle; taskId: string; workerId: string; share: number}
-		| {type: DecisionType.Unplaceable; jobId: string; missing: string};
+		| {type: DecisionType.Unplaceable; jobId: string; missing: string; isFinal: boolean};
 
 /** Decides where tasks run. It is told all that happens and keeps no timers of its own. */
 export type PlacementEngine = {
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,191 @@
+import {expect, test} from 'vitest';
+import {TaskClass} from '../src/types/jobs.ts';
+import {
+	createEngine, createSpec, createTask, createWorker, enqueueJob, getEvictions, getStarts, getUnplaceable,
+} from './placement-tools.ts';
+
+test('tasks start where they fit and wait where none has room', () => {
+	const engine = createEngine();
+	engine.setWorker(createWorker(0));
+	enqueueJob(engine, createSpec('j', {taskCount: 5}));
+	expect(getStarts(engine.decide(0, 100))).toHaveLength(4);
+	expect(engine.decide(10, 100)).toEqual([]);
+	engine.noteEnded('j/1', true, 1000);
+	expect(getStarts(engine.decide(1000, 100)).map(({taskId}) => taskId)).toEqual(['j/4']);
+});
+
+/*
+A start's answer is lost: the worker may or may not run the task. Giving its room to another at once would run two
+tasks in the room of one. The room comes back only with the confirmed end.
+*/
+test('the room of an unanswered start stays taken until its end is confirmed', () => {
+	const engine = createEngine();
+	engine.setWorker(createWorker(0));
+	const whole = {processors: 16, memoryMb: 1024, accelerators: 0};
+	enqueueJob(engine, createSpec('a', {resources: whole}));
+	engine.decide(0, 10);
+	engine.noteStartRefused('a/0', 'w0');
+	engine.enqueue(createTask(createSpec('a', {resources: whole}), 0, {attempt: 1}));
+	enqueueJob(engine, createSpec('b', {resources: whole}));
+	expect(engine.decide(100, 10)).toEqual([]);
+	engine.noteEnded('a/0', false, 5000);
+	expect(getStarts(engine.decide(5000, 10))).toHaveLength(1);
+});
+
+test('replicas of a service are spread over failure domains, then over racks', () => {
+	const engine = createEngine();
+	for (let number = 0; number < 11; number++) {
+		engine.setWorker(createWorker(number));
+	}
+
+	enqueueJob(engine, createSpec('desk', {taskClass: TaskClass.LatencyCritical, taskCount: 6}));
+	const hosts = getStarts(engine.decide(0, 100)).map(({workerId}) => createWorker(Number(workerId.slice(1))));
+	const count = (name: string) => hosts.filter(({failureDomain}) => failureDomain === name).length;
+	expect([count('leith-hall'), count('govan-hall'), count('grange-hall')]).toEqual([2, 2, 2]);
+	expect(new Set(hosts.map(({workerId}) => workerId)).size).toBe(6);
+});
+
+test('small tasks leave hosts with accelerators and empty hosts alone', () => {
+	const engine = createEngine();
+	engine.setWorker(createWorker(0, {capacity: {processors: 16, memoryMb: 61_440, accelerators: 4}}));
+	engine.setWorker(createWorker(1));
+	engine.setWorker(createWorker(2));
+	enqueueJob(engine, createSpec('small', {taskCount: 4}));
+	const used = new Set(getStarts(engine.decide(0, 100)).map(({workerId}) => workerId));
+	expect(used.size).toBe(1);
+	expect(used.has('w0')).toBe(false);
+});
+
+/*
+Two gangs of three whole workers arrive at a fleet of four. If each took what is free and waited for the rest, both
+would hold two workers for ever. One starts whole, the other waits and starts when the first has ended.
+*/
+test('gangs start whole or not at all, and never block each other', () => {
+	const engine = createEngine();
+	for (let number = 0; number < 4; number++) {
+		engine.setWorker(createWorker(number));
+	}
+
+	const gang = {isGang: true, taskCount: 3, resources: {processors: 16, memoryMb: 1024, accelerators: 0}};
+	enqueueJob(engine, createSpec('g1', gang));
+	enqueueJob(engine, createSpec('g2', gang));
+	const first = getStarts(engine.decide(0, 100));
+	expect(first.map(({taskId}) => taskId)).toEqual(['g1/0', 'g1/1', 'g1/2']);
+	expect(engine.decide(10_000, 100)).toEqual([]);
+	for (const {taskId} of first) {
+		engine.noteEnded(taskId, true, 20_000);
+	}
+
+	expect(getStarts(engine.decide(20_000, 100))).toHaveLength(3);
+});
+
+/*
+A gang needs the whole fleet. Small tasks arrive without end and take each processor as it comes free, so the gang
+would wait for ever. After a wait, room is kept for it and the small tasks queue behind.
+*/
+test('a stream of small tasks cannot starve a gang', () => {
+	const engine = createEngine({reserveAfterMs: 5000});
+	engine.setWorker(createWorker(0));
+	engine.setWorker(createWorker(1));
+	const running = new Map<string, number>();
+	let gangAtMs: number | undefined;
+	for (let step = 0; step < 120; step++) {
+		const nowMs = step * 500;
+		if (step === 2) {
+			enqueueJob(engine, createSpec('gang', {isGang: true, taskCount: 4, resources: {processors: 8, memoryMb: 1024, accelerators: 0}}), {queuedAtMs: nowMs});
+		}
+
+		enqueueJob(engine, createSpec(`s${step}`, {taskCount: 2, declaredRunTimeMs: 4000, resources: {processors: 4, memoryMb: 1024, accelerators: 0}}), {queuedAtMs: nowMs});
+		for (const [taskId, endMs] of running) {
+			if (endMs <= nowMs) {
+				running.delete(taskId);
+				engine.noteEnded(taskId, true, nowMs);
+			}
+		}
+
+		for (const {taskId} of getStarts(engine.decide(nowMs, 100))) {
+			running.set(taskId, nowMs + 4000 + ((step % 5) * 300));
+			if (taskId.startsWith('gang')) {
+				gangAtMs ??= nowMs;
+			}
+		}
+	}
+
+	expect(gangAtMs).toBeLessThan(15_000);
+});
+
+test('a job that can run nowhere is told at once what is missing, and reconsidered when the fleet changes', () => {
+	const engine = createEngine();
+	engine.setWorker(createWorker(0));
+	enqueueJob(engine, createSpec('wide', {resources: {processors: 32, memoryMb: 1024, accelerators: 1}}));
+	enqueueJob(engine, createSpec('gang', {isGang: true, taskCount: 8, resources: {processors: 4, memoryMb: 1024, accelerators: 0}}));
+	const told = getUnplaceable(engine.decide(0, 10));
+	expect(told.map(({jobId, missing, isFinal}) => [jobId, missing, isFinal])).toEqual([
+		['wide', 'one task needs 32 processors of 16, 1 accelerators of 0 on the largest worker', false],
+		['gang', 'the gang needs room for 8 tasks at once; the whole fleet has room for 4', false],
+	]);
+	expect(engine.decide(100, 10)).toEqual([]);
+	engine.setWorker(createWorker(1, {capacity: {processors: 64, memoryMb: 61_440, accelerators: 2}}));
+	expect(getStarts(engine.decide(200, 20))).toHaveLength(9);
+});
+
+/*
+The fleet is full of batch work when an urgent check arrives. It has to start within 3.9 s, by evicting the task that
+loses least, and no service.
+*/
+test('urgent work starts on a full fleet by the cheapest sufficient eviction', () => {
+	const engine = createEngine();
+	for (let number = 0; number < 2; number++) {
+		engine.setWorker(createWorker(number));
+	}
+
+	enqueueJob(engine, createSpec('service', {taskClass: TaskClass.LatencyCritical, taskCount: 2, resources: {processors: 8, memoryMb: 1024, accelerators: 0}}));
+	enqueueJob(engine, createSpec('dear', {taskCount: 3}), {isCheckpointable: false});
+	engine.decide(0, 100);
+	enqueueJob(engine, createSpec('cheap'), {queuedAtMs: 1000});
+	engine.decide(50_000, 100);
+	enqueueJob(engine, createSpec('urgent', {priority: 950}), {queuedAtMs: 60_000});
+	const evictions = getEvictions(engine.decide(60_000, 100));
+	expect(evictions.map(({taskId, forTaskId}) => [taskId, forTaskId])).toEqual([['cheap/0', 'urgent/0']]);
+	engine.noteEnded('cheap/0', false, 60_300);
+	engine.enqueue(createTask(createSpec('cheap'), 0, {attempt: 1, queuedAtMs: 60_300}));
+	expect(getStarts(engine.decide(60_400, 100)).map(({taskId}) => taskId)).toEqual(['urgent/0']);
+	expect(engine.decide(60_500, 100)).toEqual([]);
+});
+
+test('an urgent task whose victim does not end gets room elsewhere', () => {
+	const engine = createEngine({urgentClaimMs: 1000});
+	engine.setWorker(createWorker(0));
+	engine.setWorker(createWorker(1));
+	enqueueJob(engine, createSpec('batch', {taskCount: 2, resources: {processors: 16, memoryMb: 1024, accelerators: 0}}));
+	engine.decide(0, 100);
+	enqueueJob(engine, createSpec('urgent', {priority: 950}), {queuedAtMs: 1000});
+	const [first] = getEvictions(engine.decide(1000, 100));
+	const [second] = getEvictions(engine.decide(2000, 100));
+	expect(second!.workerId).not.toBe(first!.workerId);
+	engine.noteEnded(second!.taskId, false, 2200);
+	expect(getStarts(engine.decide(2300, 100))).toMatchObject([{taskId: 'urgent/0', workerId: second!.workerId}]);
+});
+
+test('after a takeover tasks learned from workers hold their room', () => {
+	const engine = createEngine();
+	const spec = createSpec('old', {resources: {processors: 12, memoryMb: 1024, accelerators: 0}});
+	engine.noteRunning(createTask(spec), 'w0', 0);
+	engine.setWorker(createWorker(0));
+	enqueueJob(engine, createSpec('new', {taskCount: 2}));
+	expect(getStarts(engine.decide(0, 10))).toHaveLength(1);
+});
+
+test('a drained or lost worker gets nothing new, and its room counts until its tasks have ended', () => {
+	const engine = createEngine();
+	engine.setWorker(createWorker(0));
+	enqueueJob(engine, createSpec('a'));
+	engine.decide(0, 10);
+	engine.setWorker(createWorker(0, {isOpen: false}));
+	enqueueJob(engine, createSpec('b'));
+	expect(getStarts(engine.decide(10, 10))).toEqual([]);
+	engine.removeWorker('w0');
+	engine.setWorker(createWorker(0));
+	enqueueJob(engine, createSpec('c', {resources: {processors: 16, memoryMb: 1, accelerators: 0}}));
+	expect(getStarts(engine.decide(20, 10)).map(({taskId}) => taskId)).toEqual(['b/0']);
+});
