Let all entries know announced hosts, and name one sponsor for each upstream

Cause: an announcement reached one entry only, and nothing ordered who may grant an upstream's slots. Change: each entry keeps a set with versions of the hosts in its care; entries pull each other's changes, and pass on third sets across a cut. Upstreams echo a sponsor and its term and keep it until a lock has passed. The demonstration runs three entries.

--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -69,6 +69,21 @@
 	membership: {
 		leaseMs: whole(3000, 100, 600_000, 'How long an upstream or worker counts as alive after its last announcement.'),
 		announceEveryMs: whole(1000, 20, 600_000, 'How often upstreams and workers are asked to announce themselves.'),
+		relayEveryMs: whole(250, 10, 60_000, 'How often an entry asks each other entry for news of the hosts in its care.'),
+		voucherLeaseMs: whole(1250, 50, 600_000, 'How long the word of another entry counts after that entry was last known to be alive.'),
+		graceMs: whole(1250, 0, 600_000, 'Longest further time for the hosts of a silent entry to announce themselves elsewhere.'),
+		forgetAfterMs: whole(600_000, 1000, 86_400_000, 'When a host that nobody speaks for is forgotten.'),
+		announcementsPerSecond: whole(2000, 1, 1_000_000, 'Announcements an entry wants to take in a second; above, hosts are told to wait longer.'),
+		flapHoldAt: fraction(4, 1, 1000, 'Flaps, decaying, from which a host gets no work.'),
+		flapReleaseAt: fraction(1.5, 0.1, 1000, 'Decayed flaps below which a host gets work again.'),
+		flapHalfLifeMs: whole(60_000, 1000, 86_400_000, 'Half-life of flaps.'),
+	},
+	slots: {
+		periodMs: whole(100, 10, 60_000, 'How often an entry speaks to each other entry of slots.'),
+		leaseMs: whole(5000, 100, 600_000, 'How long a share of slots may be used without a word of its sponsor; longer than the lock of the sponsor.'),
+		sponsorLockMs: whole(3000, 100, 600_000, 'How long an upstream keeps a sponsor that is silent.'),
+		maxHoldMs: whole(60_000, 100, 3_600_000, 'Longest time that a slot may be held for one request; at least the longest deadline.'),
+		entryCount: whole(3, 1, 1000, 'Entries among which the slots of an upstream that echoes no sponsor are divided.'),
 	},
 	peers: {
 		heartbeatMs: whole(250, 10, 60_000, 'How often an entry speaks to each other entry.'),
--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -71,14 +71,19 @@
 		dependsOn: [ServiceName.Log, ServiceName.Control],
 		load: async () => (await import('./config-service.ts')).createConfigService,
 	});
+	kernel.register({
+		name: ServiceName.Membership,
+		dependsOn: [ServiceName.Peers, ServiceName.Control],
+		load: async () => (await import('./membership-service.ts')).createMembershipService,
+	});
 	kernel.register({
 		name: ServiceName.Upstreams,
-		dependsOn: [ServiceName.Control],
+		dependsOn: [ServiceName.Control, ServiceName.Membership],
 		load: async () => (await import('./upstreams-service.ts')).createUpstreamsService,
 	});
 	kernel.register({
 		name: ServiceName.Workers,
-		dependsOn: [ServiceName.Control],
+		dependsOn: [ServiceName.Control, ServiceName.Membership],
 		load: async () => (await import('./workers-service.ts')).createWorkersService,
 	});
 	kernel.register({
--- /dev/null
+++ b/src/plugins/membership-service.ts
@@ -0,0 +1,176 @@
+/**
+Shares what the entries know of hosts: one task for each peer that pulls the news of the hosts in its care.
+*/
+import {z} from 'zod';
+import {createError, ErrorCode, getMessage} from '../core/errors.ts';
+import {type Kernel, type Service} from '../core/kernel.ts';
+import {Taken} from '../requests/announcement-book.ts';
+import {FlapDamper} from '../requests/flap-damper.ts';
+import {AnnouncementBudget} from '../requests/membership-budget.ts';
+import {
+	getHostKey, HostKind, parsePull, parsePullAnswer, parseUpstreamAnnouncement, type HostAnnouncement,
+} from '../requests/membership-messages.ts';
+import {MembershipState} from '../requests/membership-state.ts';
+import {getSponsorId} from '../requests/sponsor-book.ts';
+import {type AnnouncementReply, type UpstreamAnnouncement} from '../types/announcements.ts';
+import {Metric} from '../types/metrics.ts';
+import {PeerMethod, ServiceName} from '../types/services.ts';
+import {createLogger, Part} from '../utils/logger.ts';
+import {createParser} from '../utils/parser.ts';
+
+const log = createLogger(Part.Membership);
+
+enum RelayKind {
+	Pull = 'pull',
+	Forward = 'forward',
+}
+
+const parseRelay = createParser('read relay', z.object({kind: z.enum(RelayKind), content: z.unknown()}));
+const leaseFactor = 3;
+
+/** Takes an announcement that another entry passed on to its sponsor. */
+export type ForwardHandler = (announcement: UpstreamAnnouncement) => AnnouncementReply;
+
+/** Hosts known to the entries. */
+export type MembershipService = Service & {
+	/** Name of this incarnation of the entry, as sponsor and as owner of its set. */
+	readonly ownId: string;
+	/** Takes an announcement of a host. `isOurs`: this entry cares for it, whoever else does. */
+	hear(kind: HostKind, id: string, announcement: HostAnnouncement, isOurs?: boolean): AnnouncementReply;
+	getAlive(kind: HostKind): HostAnnouncement[];
+	get(kind: HostKind, id: string): HostAnnouncement | undefined;
+	list(kind: HostKind): HostAnnouncement[];
+	/** Passes an announcement on to its sponsor and gets the sponsor's reply. */
+	forward(peerId: string, announcement: UpstreamAnnouncement): Promise<AnnouncementReply>;
+	onForward(handler: ForwardHandler): void;
+};
+
+/** Creates the membership service. */
+export const createMembershipService = (kernel: Kernel): MembershipService => {
+	const settings = kernel.get(ServiceName.Settings).membership;
+	const clock = kernel.get(ServiceName.Clock);
+	const random = kernel.get(ServiceName.Random);
+	const metrics = kernel.get(ServiceName.Metrics);
+	const peers = kernel.get(ServiceName.Peers);
+	const control = kernel.get(ServiceName.Control);
+	const {processId, incarnation} = kernel.get(ServiceName.Identity);
+	const ownId = getSponsorId(processId, incarnation);
+	const damper = new FlapDamper(clock, {holdAt: settings.flapHoldAt, releaseAt: settings.flapReleaseAt, halfLifeMs: settings.flapHalfLifeMs});
+	const state = new MembershipState(clock, ownId, {...settings, getSpread: createSpread(random.below(65_536))}, damper);
+	const budget = new AnnouncementBudget(clock, settings.announceEveryMs, settings.announcementsPerSecond);
+	const aborter = new AbortController();
+	const {signal} = aborter;
+	const tasks = new Map<string, Promise<void>>();
+	let watching: Promise<void> | undefined;
+	let takeForward: ForwardHandler | undefined;
+
+	const pull = async (peerId: string, ownerId: string) => {
+		const request = state.createPull(ownerId);
+		const sentAtMs = clock.monotonicMs();
+		try {
+			const answer = await peers.call(peerId, PeerMethod.Announcements, {kind: RelayKind.Pull, content: request});
+			state.takeAnswer(parsePullAnswer(answer), sentAtMs);
+		} catch (error) {
+			state.takeFailure(request);
+			log('No news from %s: %s', peerId, getMessage(error));
+		}
+	};
+
+	const followPeer = async (peerId: string) => {
+		while (!signal.aborted) {
+			const peer = peers.list().find(({processId: id}) => id === peerId);
+			if (!peer) {
+				break;
+			}
+
+			if (peer.isAlive) {
+				await pull(peerId, getSponsorId(peerId, peer.incarnation));
+			}
+
+			await clock.sleep(settings.relayEveryMs * (0.75 + (random.next() / 2)), signal);
+		}
+
+		tasks.delete(peerId);
+	};
+
+	const watch = async () => {
+		let lastMs = clock.monotonicMs();
+		while (!signal.aborted) {
+			for (const {processId: peerId} of peers.list()) {
+				if (!tasks.has(peerId)) {
+					tasks.set(peerId, followPeer(peerId));
+				}
+			}
+
+			await clock.sleep(settings.relayEveryMs, signal);
+			const nowMs = clock.monotonicMs();
+			state.expire(nowMs - lastMs > settings.leaseMs / 2);
+			lastMs = nowMs;
+			setGauges();
+		}
+	};
+
+	const setGauges = () => {
+		metrics.gauge(Metric.UpstreamsAlive, state.getAlive(HostKind.Upstream).length);
+		metrics.gauge(Metric.WorkersAlive, state.getAlive(HostKind.Worker).length);
+		metrics.gauge(Metric.HostsInCare, state.careCount);
+		metrics.gauge(Metric.HostsHeldDown, damper.countHeld());
+	};
+
+	peers.handle(PeerMethod.Announcements, body => {
+		const {kind, content} = parseRelay(body);
+		if (kind === RelayKind.Pull) {
+			return state.servePull(parsePull(content));
+		}
+
+		if (!takeForward) {
+			throw createError(ErrorCode.Refused, {step: 'take forwarded announcement', detail: 'not ready'});
+		}
+
+		return takeForward(parseUpstreamAnnouncement(content));
+	});
+	control.addStatus('membership', () => ({ownId, hostsInCare: state.careCount, heldDown: damper.countHeld()}));
+
+	return {
+		ownId,
+		hear(kind, id, announcement, isOurs = false) {
+			const nextAfterMs = budget.note(state.careCount);
+			if (nextAfterMs > settings.announceEveryMs) {
+				metrics.count(Metric.AnnouncementsSlowed);
+			}
+
+			// A host that is told to speak less often must not lapse by doing so.
+			const leaseMs = Math.max(settings.leaseMs, nextAfterMs * leaseFactor);
+			const taken = state.hear(getHostKey(kind, id), announcement, leaseMs, isOurs);
+			metrics.count(Metric.Announcements, taken);
+			return taken === Taken.Stale
+				? {isAccepted: false, reason: 'a newer announcement is known', nextAfterMs}
+				: {isAccepted: true, nextAfterMs};
+		},
+		getAlive: kind => state.getAlive(kind),
+		get: (kind, id) => state.get(getHostKey(kind, id)),
+		list: kind => state.list(kind),
+		forward: async (peerId, announcement) =>
+			peers.call(peerId, PeerMethod.Announcements, {kind: RelayKind.Forward, content: announcement}) as Promise<AnnouncementReply>,
+		onForward(handler) {
+			takeForward = handler;
+		},
+		async start() {
+			watching = watch();
+		},
+		async stop() {
+			aborter.abort();
+			await Promise.all([watching, ...tasks.values()]);
+		},
+	};
+};
+
+/** Creates a fixed spread of ids over [0, 1), another in each process. */
+const createSpread = (salt: number) => (id: string): number => {
+	let hash = salt;
+	for (let index = 0; index < id.length; index++) {
+		hash = Math.imul(hash ^ id.codePointAt(index)!, 16_777_619);
+	}
+
+	return (hash >>> 0) / (2 ** 32);
+};
--- a/src/plugins/upstreams-service.ts
+++ b/src/plugins/upstreams-service.ts
@@ -1,48 +1,121 @@
 /**
 Takes the announcements of upstreams and tells which may get new requests.
 */
-import {z} from 'zod';
+import {getMessage} from '../core/errors.ts';
 import {type Kernel} from '../core/kernel.ts';
-import {AnnouncementBook} from '../requests/announcement-book.ts';
-import {HostState, type UpstreamAnnouncement} from '../types/announcements.ts';
+import {HostKind, parseUpstreamAnnouncement} from '../requests/membership-messages.ts';
+import {getSponsorProcess, SponsorBook} from '../requests/sponsor-book.ts';
+import {type AnnouncementReply, type UpstreamAnnouncement} from '../types/announcements.ts';
 import {Metric} from '../types/metrics.ts';
 import {ServiceName, type UpstreamRegistry} from '../types/services.ts';
-import {createParser} from '../utils/parser.ts';
-
-const parseAnnouncement = createParser('read announcement', z.object({
-	upstreamId: z.string().min(1).max(128),
-	service: z.string().min(1).max(64),
-	incarnation: z.number().int().nonnegative(),
-	sequence: z.number().int().nonnegative(),
-	state: z.enum(HostState),
-	address: z.string().max(64),
-	region: z.string().max(64),
-	failureDomain: z.string().max(64),
-	slots: z.number().int().min(1).max(10_000),
-	connections: z.number().int().min(1).max(100_000),
-	isGuarded: z.boolean(),
-	sponsorId: z.string().max(64).optional(),
-	sponsorTerm: z.number().int().nonnegative().optional(),
-}));
+import {createLogger, Part} from '../utils/logger.ts';
+
+const log = createLogger(Part.Membership);
+/** Until it is settled which entry grants its slots, an upstream gets no requests: it announces again soon. */
+const handshakeMs = 50;
 
 /** Creates the registry of upstreams. */
 export const createUpstreamsService = (kernel: Kernel): UpstreamRegistry => {
-	const {leaseMs, announceEveryMs} = kernel.get(ServiceName.Settings).membership;
-	const book = new AnnouncementBook<UpstreamAnnouncement>(kernel.get(ServiceName.Clock), leaseMs);
+	const {forgetAfterMs} = kernel.get(ServiceName.Settings).membership;
+	const {sponsorLockMs} = kernel.get(ServiceName.Settings).slots;
+	const clock = kernel.get(ServiceName.Clock);
+	const membership = kernel.get(ServiceName.Membership);
+	const peers = kernel.get(ServiceName.Peers);
 	const control = kernel.get(ServiceName.Control);
 	const metrics = kernel.get(ServiceName.Metrics);
+	const sponsors = new SponsorBook(clock, membership.ownId);
+	const aborter = new AbortController();
+	let forgetting: Promise<void> | undefined;
+	let isLeaving = false;
+	let grouped: {of: UpstreamAnnouncement[]; byService: Map<string, UpstreamAnnouncement[]>} = {of: [], byService: new Map()};
+
+	const takeOwn = (announcement: UpstreamAnnouncement, isOurs: boolean): AnnouncementReply => {
+		const reply = membership.hear(HostKind.Upstream, announcement.upstreamId, announcement, isOurs);
+		if (!reply.isAccepted || announcement.isGuarded || announcement.sponsorTerm === undefined) {
+			return reply;
+		}
+
+		if (isLeaving) {
+			return {...reply, isSponsorLeaving: announcement.sponsorId === membership.ownId, nextAfterMs: handshakeMs};
+		}
+
+		const isSettled = announcement.sponsorId === membership.ownId;
+		const lockMs = Math.max(sponsorLockMs, reply.nextAfterMs * 3);
+		return {...reply, ...sponsors.note(announcement, lockMs), nextAfterMs: isSettled ? reply.nextAfterMs : handshakeMs};
+	};
+
+	const receive = async (announcement: UpstreamAnnouncement): Promise<AnnouncementReply> => {
+		const {sponsorId, sponsorTerm} = announcement;
+		const hasOtherSponsor = sponsorTerm !== undefined && !announcement.isGuarded && sponsorId && sponsorId !== membership.ownId;
+		if (!hasOtherSponsor) {
+			return takeOwn(announcement, Boolean(sponsorId));
+		}
+
+		try {
+			if (isPeerAlive(sponsorId)) {
+				return await membership.forward(getSponsorProcess(sponsorId), announcement);
+			}
+		} catch (error) {
+			log('Sponsor %s does not answer: %s', sponsorId, getMessage(error));
+		}
+
+		// The upstream stays locked to its sponsor until its own clock says otherwise; nobody else may grant before.
+		metrics.count(Metric.SponsorUnreachable);
+		const reply = membership.hear(HostKind.Upstream, announcement.upstreamId, announcement);
+		return {...reply, sponsorId, sponsorTerm};
+	};
+
+	const isPeerAlive = (sponsorId: string) => peers.list().some(peer => peer.isAlive && `${peer.processId}#${peer.incarnation}` === sponsorId);
+
+	const getByService = (serviceName: string): UpstreamAnnouncement[] => {
+		const alive = membership.getAlive(HostKind.Upstream) as UpstreamAnnouncement[];
+		if (alive !== grouped.of) {
+			grouped = {of: alive, byService: groupByService(alive)};
+		}
+
+		return grouped.byService.get(serviceName) ?? [];
+	};
+
+	const forget = async () => {
+		while (!aborter.signal.aborted) {
+			await clock.sleep(forgetAfterMs, aborter.signal);
+			sponsors.forgetOlderThan(forgetAfterMs);
+		}
+	};
+
+	membership.onForward(announcement => takeOwn(announcement, true));
 
 	const registry: UpstreamRegistry = {
-		announce(announcement) {
-			const isAccepted = book.take(announcement.upstreamId, announcement);
-			metrics.gauge(Metric.UpstreamsAlive, book.getAlive().length);
-			return {isAccepted, reason: isAccepted ? undefined : 'a newer announcement is known', nextAfterMs: announceEveryMs};
+		announce: announcement => takeOwn(announcement, false),
+		getRoutable: getByService,
+		list: () => membership.list(HostKind.Upstream) as UpstreamAnnouncement[],
+		getSponsorship: upstreamId => sponsors.get(upstreamId),
+		get: upstreamId => membership.get(HostKind.Upstream, upstreamId) as UpstreamAnnouncement | undefined,
+		resignSponsorships() {
+			isLeaving = true;
+			sponsors.resign();
+		},
+		async start() {
+			forgetting = forget();
+		},
+		async stop() {
+			aborter.abort();
+			await forgetting;
 		},
-		getRoutable: serviceName => book.getAlive().filter(({service}) => service === serviceName),
-		list: () => book.list(),
 	};
 
-	control.route('POST', '/v1/announcements/upstreams', ({body}) => ({body: registry.announce(parseAnnouncement(body))}));
+	control.route('POST', '/v1/announcements/upstreams', async ({body}) => ({body: await receive(parseUpstreamAnnouncement(body))}));
 	control.route('GET', '/v1/upstreams', () => ({body: {upstreams: registry.list()}}));
 	return registry;
 };
+
+const groupByService = (upstreams: UpstreamAnnouncement[]): Map<string, UpstreamAnnouncement[]> => {
+	const byService = new Map<string, UpstreamAnnouncement[]>();
+	for (const upstream of upstreams) {
+		const list = byService.get(upstream.service) ?? [];
+		list.push(upstream);
+		byService.set(upstream.service, list);
+	}
+
+	return byService;
+};
--- a/src/plugins/workers-service.ts
+++ b/src/plugins/workers-service.ts
@@ -1,67 +1,58 @@
 /**
 Takes the announcements of workers and gives a client for each.
 */
-import {z} from 'zod';
 import {type Kernel} from '../core/kernel.ts';
-import {AnnouncementBook} from '../requests/announcement-book.ts';
-import {HostState, type WorkerAnnouncement} from '../types/announcements.ts';
-import {Metric} from '../types/metrics.ts';
+import {HostKind, parseWorkerAnnouncement} from '../requests/membership-messages.ts';
+import {type WorkerAnnouncement} from '../types/announcements.ts';
 import {ServiceName, type WorkerRegistry} from '../types/services.ts';
-import {createParser} from '../utils/parser.ts';
 import {createWorkerClient, type HttpWorkerClient} from './worker-client.ts';
 
-const parseAnnouncement = createParser('read announcement', z.object({
-	workerId: z.string().min(1).max(128),
-	incarnation: z.number().int().nonnegative(),
-	sequence: z.number().int().nonnegative(),
-	state: z.enum(HostState),
-	address: z.string().max(64),
-	region: z.string().max(64),
-	failureDomain: z.string().max(64),
-	rack: z.string().max(64),
-	capacity: z.object({
-		processors: z.number().nonnegative(),
-		memoryMb: z.number().nonnegative(),
-		accelerators: z.number().int().nonnegative(),
-	}),
-}));
-
 /** Creates the registry of workers. */
 export const createWorkersService = (kernel: Kernel): WorkerRegistry => {
-	const {leaseMs, announceEveryMs} = kernel.get(ServiceName.Settings).membership;
-	const book = new AnnouncementBook<WorkerAnnouncement>(kernel.get(ServiceName.Clock), leaseMs);
+	const membership = kernel.get(ServiceName.Membership);
 	const clients = new Map<string, {address: string; client: HttpWorkerClient}>();
 	const control = kernel.get(ServiceName.Control);
-	const metrics = kernel.get(ServiceName.Metrics);
 
-	const setClient = ({workerId, address}: WorkerAnnouncement) => {
+	const getClient = ({workerId, address}: WorkerAnnouncement): HttpWorkerClient => {
 		const known = clients.get(workerId);
 		if (known?.address === address) {
-			return;
+			return known.client;
 		}
 
 		void known?.client.close();
-		clients.set(workerId, {address, client: createWorkerClient(address)});
+		const client = createWorkerClient(address);
+		clients.set(workerId, {address, client});
+		dropClients();
+		return client;
 	};
 
-	const registry: WorkerRegistry = {
-		announce(announcement) {
-			const isAccepted = book.take(announcement.workerId, announcement);
-			if (isAccepted) {
-				setClient(announcement);
+	/** Closes the clients of workers that are not known any more. */
+	const dropClients = () => {
+		if (clients.size <= 2 * membership.list(HostKind.Worker).length) {
+			return;
+		}
+
+		for (const [workerId, {client}] of clients) {
+			if (!membership.get(HostKind.Worker, workerId)) {
+				clients.delete(workerId);
+				void client.close();
 			}
+		}
+	};
 
-			metrics.gauge(Metric.WorkersAlive, book.getAlive().length);
-			return {isAccepted, reason: isAccepted ? undefined : 'a newer announcement is known', nextAfterMs: announceEveryMs};
+	const registry: WorkerRegistry = {
+		announce: announcement => membership.hear(HostKind.Worker, announcement.workerId, announcement),
+		list: () => membership.getAlive(HostKind.Worker) as WorkerAnnouncement[],
+		getClient(workerId) {
+			const announcement = membership.get(HostKind.Worker, workerId) as WorkerAnnouncement | undefined;
+			return announcement && getClient(announcement);
 		},
-		list: () => book.getAlive(),
-		getClient: workerId => clients.get(workerId)?.client,
 		async stop() {
 			await Promise.all([...clients.values()].map(async ({client}) => client.close()));
 		},
 	};
 
-	control.route('POST', '/v1/announcements/workers', ({body}) => ({body: registry.announce(parseAnnouncement(body))}));
+	control.route('POST', '/v1/announcements/workers', ({body}) => ({body: registry.announce(parseWorkerAnnouncement(body))}));
 	control.route('GET', '/v1/workers', () => ({body: {workers: registry.list()}}));
 	return registry;
 };
--- a/src/requests/announcement-book.ts
+++ b/src/requests/announcement-book.ts
@@ -11,9 +11,23 @@
 	state: HostState;
 };
 
+/** What taking an announcement changed. */
+export enum Taken {
+	/** A newer announcement, or this one, is known. */
+	Stale = 'stale',
+	/** Only newer: nothing that other entries need to hear. */
+	Refreshed = 'refreshed',
+	/** New host, or new incarnation, state or content. */
+	Changed = 'changed',
+}
+
 type Entry<A extends Announced> = {
 	announcement: A;
-	heardAtMs: number;
+	content: string;
+	/** Until when it counts as heard by this entry itself. */
+	heardUntilMs: number;
+	/** Last time that anything spoke for the host. */
+	namedAtMs: number;
 };
 
 const stateRank: Record<HostState, number> = {
@@ -36,43 +50,92 @@
 	return next.sequence > known.sequence;
 };
 
-/** Announcements by host id, with leases. */
+/** What of an announcement concerns other entries: all but what changes with each one. */
+const getContent = (announcement: Announced): string =>
+	JSON.stringify({...announcement, sequence: undefined, sponsorTerm: undefined});
+
+/** Announcements by host id. Later news of a host only ever replaces earlier news. */
 export class AnnouncementBook<A extends Announced> {
 	readonly #entries = new Map<string, Entry<A>>();
 	readonly #clock: Clock;
-	readonly #leaseMs: number;
 
-	constructor(clock: Clock, leaseMs: number) {
+	constructor(clock: Clock) {
 		this.#clock = clock;
-		this.#leaseMs = leaseMs;
 	}
 
-	/** Takes an announcement; false when a newer one is known. */
-	take(id: string, announcement: A): boolean {
+	/** Takes an announcement that this entry heard from the host itself, or on its behalf; it counts for the lease. */
+	take(id: string, announcement: A, leaseMs: number): Taken {
+		const taken = this.merge(id, announcement);
+		if (taken !== Taken.Stale) {
+			const entry = this.#entries.get(id)!;
+			entry.heardUntilMs = Math.max(entry.heardUntilMs, this.#clock.monotonicMs() + leaseMs);
+		}
+
+		return taken;
+	}
+
+	/** Takes an announcement that another entry passed on: its order counts, its lease is the other entry's matter. */
+	merge(id: string, announcement: A): Taken {
 		const known = this.#entries.get(id);
 		if (known && !isNewer(announcement, known.announcement)) {
+			return Taken.Stale;
+		}
+
+		const content = getContent(announcement);
+		const isSame = known?.content === content;
+		this.#entries.set(id, {
+			announcement,
+			content,
+			heardUntilMs: known?.announcement.incarnation === announcement.incarnation ? known.heardUntilMs : Number.NEGATIVE_INFINITY,
+			namedAtMs: this.#clock.monotonicMs(),
+		});
+		return isSame ? Taken.Refreshed : Taken.Changed;
+	}
+
+	/** Extends the lease of a host whose announcement reached another entry. */
+	refresh(id: string, incarnation: number, leaseMs: number): boolean {
+		const entry = this.#entries.get(id);
+		if (entry?.announcement.incarnation !== incarnation) {
 			return false;
 		}
 
-		this.#entries.set(id, {announcement, heardAtMs: this.#clock.monotonicMs()});
+		entry.heardUntilMs = Math.max(entry.heardUntilMs, this.#clock.monotonicMs() + leaseMs);
 		return true;
 	}
 
-	/** Hosts that are alive and whose lease has not lapsed. */
-	getAlive(): A[] {
-		const oldestMs = this.#clock.monotonicMs() - this.#leaseMs;
-		const alive: A[] = [];
-		for (const {announcement, heardAtMs} of this.#entries.values()) {
-			if (announcement.state === HostState.Alive && heardAtMs >= oldestMs) {
-				alive.push(announcement);
-			}
-		}
+	get(id: string): A | undefined {
+		return this.#entries.get(id)?.announcement;
+	}
 
-		return alive;
+	/** Tells whether this entry itself heard the host within its lease. */
+	isHeard(id: string): boolean {
+		return (this.#entries.get(id)?.heardUntilMs ?? Number.NEGATIVE_INFINITY) > this.#clock.monotonicMs();
 	}
 
 	/** All hosts known. */
-	list(): A[] {
-		return [...this.#entries.values()].map(({announcement}) => announcement);
+	list(): Array<[string, A]> {
+		return [...this.#entries].map(([id, {announcement}]) => [id, announcement]);
+	}
+
+	/** Notes that something still speaks for the host. */
+	noteNamed(id: string): void {
+		const entry = this.#entries.get(id);
+		if (entry) {
+			entry.namedAtMs = this.#clock.monotonicMs();
+		}
+	}
+
+	/** Forgets hosts that nothing has spoken for since; the book stays as small as what is alive. */
+	forgetOlderThan(ageMs: number): string[] {
+		const oldestMs = this.#clock.monotonicMs() - ageMs;
+		const forgotten: string[] = [];
+		for (const [id, {namedAtMs, heardUntilMs}] of this.#entries) {
+			if (namedAtMs < oldestMs && heardUntilMs < oldestMs) {
+				this.#entries.delete(id);
+				forgotten.push(id);
+			}
+		}
+
+		return forgotten;
 	}
 }
--- /dev/null
+++ b/src/requests/slot-messages.ts
@@ -0,0 +1,46 @@
+/**
+What entries tell the sponsors of upstreams, and what these answer: one message for each pair of entries and period.
+*/
+import {z} from 'zod';
+import {createParser} from '../utils/parser.ts';
+
+const count = z.number().int().nonnegative();
+const upstreamId = z.string().min(1).max(128);
+
+/** Checks a message to a sponsor. */
+export const parseSlotMessage = createParser('read slot message', z.object({
+	granteeId: z.string().max(128),
+	/** The sponsor meant: one incarnation of an entry. */
+	sponsorId: z.string().max(128),
+	seq: count,
+	/** Last message that was answered; what is not named has not changed since. */
+	afterSeq: count,
+	isFull: z.boolean(),
+	items: z.array(z.object({
+		upstreamId,
+		incarnation: count,
+		share: count,
+		limit: count,
+		wanted: count,
+		/** From the sponsor before: its accounts. */
+		grants: z.array(z.object({granteeId: z.string().max(128), limit: count})).optional(),
+	})),
+	gone: z.array(upstreamId),
+}));
+
+/** Checks the answer of a sponsor. */
+export const parseSlotAnswer = createParser('read slot answer', z.object({
+	/** Nothing was taken; the next message must be full. */
+	isResync: z.boolean(),
+	/** Shares that differ from what was reported. */
+	shares: z.array(z.object({upstreamId, incarnation: count, share: count})),
+	/** Upstreams whose leases were not renewed: not, or no longer, sponsored here. */
+	lapsed: z.array(upstreamId),
+}));
+
+/** Message to a sponsor. */
+export type SlotMessage = ReturnType<typeof parseSlotMessage>;
+/** One upstream in a message to its sponsor. */
+export type SlotItem = SlotMessage['items'][number];
+/** Answer of a sponsor. */
+export type SlotAnswer = ReturnType<typeof parseSlotAnswer>;
--- a/src/standin/demo.ts
+++ b/src/standin/demo.ts
@@ -69,7 +69,7 @@
 ];
 const hostsPerUser = 11;
 const hostsPerRack = 3;
-const entryCount = 1;
+const entryCount = 3;
 const concurrency = 16;
 const checkMs = 5;
 const longMs = 60;
--- a/src/types/announcements.ts
+++ b/src/types/announcements.ts
@@ -31,6 +31,8 @@
 	sponsorId?: string;
 	/** Echo of the sponsor's term from the last reply. */
 	sponsorTerm?: number;
+	/** Sponsor before the present one, in this incarnation. */
+	formerSponsorId?: string;
 };
 
 /** Reply to an announcement. */
@@ -40,6 +42,10 @@
 	/** Entry that grants this upstream's slots; to be echoed. */
 	sponsorId?: string;
 	sponsorTerm?: number;
+	/** How long the upstream takes no other sponsor after it got a reply with a new term. */
+	sponsorLockMs?: number;
+	/** The sponsor itself gives the sponsorship up; another may be taken at once. */
+	isSponsorLeaving?: boolean;
 	/** When to announce next. */
 	nextAfterMs: number;
 };
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -22,6 +22,14 @@
 	TaskRefusals = 'task_refusals',
 	PeersAlive = 'peers_alive',
 	PeerErrors = 'peer_errors',
+	Announcements = 'announcements',
+	AnnouncementsSlowed = 'announcements_slowed',
+	HostsInCare = 'hosts_in_care',
+	HostsHeldDown = 'hosts_held_down',
+	SponsorUnreachable = 'sponsor_unreachable',
+	SlotRefusals = 'slot_refusals',
+	SlotsSponsored = 'slots_sponsored',
+	SlotsHeldBack = 'slots_held_back',
 }
 
 /** Counts events and sets levels. */
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -3,6 +3,8 @@
 */
 import {type Service} from '../core/kernel.ts';
 import {type Settings} from '../core/settings-schema.ts';
+import {type MembershipService} from '../plugins/membership-service.ts';
+import {type Sponsorship} from '../requests/sponsor-book.ts';
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AnnouncementReply, type UpstreamAnnouncement, type WorkerAnnouncement} from './announcements.ts';
 import {type Clock} from './clock.ts';
@@ -30,6 +32,7 @@
 	Slots = 'slots',
 	Claims = 'claims',
 	Moves = 'moves',
+	Membership = 'membership',
 }
 
 /** What entries ask of each other. */
@@ -83,6 +86,11 @@
 	/** Upstreams of the service that may get new requests. */
 	getRoutable(serviceName: string): UpstreamAnnouncement[];
 	list(): UpstreamAnnouncement[];
+	get(upstreamId: string): UpstreamAnnouncement | undefined;
+	/** This entry's right to grant the upstream's slots, while it may be believed. */
+	getSponsorship(upstreamId: string): Sponsorship | undefined;
+	/** Gives all sponsorships up; for a graceful shutdown. */
+	resignSponsorships(): void;
 };
 
 /** Workers that announced themselves. */
@@ -216,4 +224,5 @@
 	[ServiceName.Slots]: SlotsService;
 	[ServiceName.Claims]: ClaimsService;
 	[ServiceName.Moves]: MovesService;
+	[ServiceName.Membership]: MembershipService;
 };
--- a/src/utils/announcer.ts
+++ b/src/utils/announcer.ts
@@ -28,42 +28,112 @@
 
 const timeoutMs = 1000;
 const retryMs = 300;
+const maxRetryMs = 5000;
 const log = createLogger(Part.Standin);
 
+/** The sponsor as its upstream knows it. */
+type Echo = {
+	sponsorId?: string;
+	sponsorTerm: number;
+	formerSponsorId?: string;
+};
+
+/** Keeps an upstream's promise: no other sponsor until the lock has passed since the last new term. */
+export class SponsorLock {
+	#echo: Echo = {sponsorTerm: 0};
+	#lockedUntilMs = Number.NEGATIVE_INFINITY;
+	readonly #clock: Clock;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** What to put into the next announcement. */
+	getEcho(): Echo {
+		if (this.#echo.sponsorId !== undefined && this.#clock.monotonicMs() >= this.#lockedUntilMs) {
+			this.#drop();
+		}
+
+		return this.#echo;
+	}
+
+	/** Takes the reply to an announcement that carried the echo. */
+	take({sponsorId, sponsorTerm, sponsorLockMs = 0, isSponsorLeaving}: AnnouncementReply, sent: Echo): void {
+		if (isSponsorLeaving) {
+			// A late word of a former sponsor must not unlock the present one.
+			if (sent.sponsorId === this.#echo.sponsorId) {
+				this.#drop();
+			}
+
+			return;
+		}
+
+		const {sponsorId: knownId, sponsorTerm: knownTerm, formerSponsorId} = this.#echo;
+		if (sponsorId === undefined || sponsorTerm === undefined || (knownId !== undefined && knownId !== sponsorId)) {
+			return;
+		}
+
+		// The same term again means that the sponsor was not reached: the lock must go on running out.
+		if (knownId === sponsorId && sponsorTerm <= knownTerm) {
+			return;
+		}
+
+		this.#echo = {sponsorId, sponsorTerm, formerSponsorId};
+		this.#lockedUntilMs = this.#clock.monotonicMs() + sponsorLockMs;
+	}
+
+	#drop(): void {
+		this.#echo = {sponsorTerm: 0, formerSponsorId: this.#echo.sponsorId ?? this.#echo.formerSponsorId};
+	}
+}
+
 /** Starts announcing. */
 export const startAnnouncer = (options: AnnouncerOptions): Announcer => {
 	const {clock, random, entryAddresses, path, body} = options;
 	const aborter = new AbortController();
+	const lock = new SponsorLock(clock);
 	let sequence = 0;
 	let state = HostState.Alive;
 	let target = random.below(entryAddresses.length);
-	let echo: Pick<AnnouncementReply, 'sponsorId' | 'sponsorTerm'> = {};
+	let failures = 0;
 
-	const announce = async (): Promise<number> => {
+	/** Announces once; undefined when no entry answered. */
+	const announce = async (): Promise<number | undefined> => {
+		const echo = lock.getEcho();
 		try {
 			const reply = await callJson<AnnouncementReply>({
 				method: 'POST',
 				url: `http://${entryAddresses[target]!}/v1/announcements/${path}`,
 				body: {
-					...body, ...echo, sequence: ++sequence, state,
+					...body, ...(path === 'upstreams' && echo), sequence: ++sequence, state,
 				},
 				timeoutMs,
 				step: 'announce',
 			});
-			echo = {sponsorId: reply.sponsorId, sponsorTerm: reply.sponsorTerm};
+			failures = 0;
+			lock.take(reply, echo);
 			return reply.nextAfterMs;
 		} catch (error) {
+			failures++;
 			log('Not announced: %s', getMessage(error));
 			target = (target + 1) % entryAddresses.length;
-			return retryMs;
+			return undefined;
 		}
 	};
 
+	const getPauseMs = (nextAfterMs: number | undefined): number => {
+		if (nextAfterMs !== undefined) {
+			return nextAfterMs * (0.75 + (random.next() / 2));
+		}
+
+		// After the loss of an entry its hosts must not all come back in the same instant, and while all are lost they
+		// must not wear out the one that comes back first.
+		return Math.min(maxRetryMs, retryMs * (2 ** (failures - 1))) * (0.5 + random.next());
+	};
+
 	const run = async () => {
 		while (!aborter.signal.aborted) {
-			const nextAfterMs = await announce();
-			// Jitter: after the loss of an entry its hosts must not all come back in the same instant.
-			await clock.sleep(nextAfterMs * (0.75 + (random.next() / 2)), aborter.signal);
+			await clock.sleep(getPauseMs(await announce()), aborter.signal);
 		}
 	};
 
@@ -72,7 +142,7 @@
 		async drain() {
 			state = HostState.Draining;
 			for (const _ of entryAddresses) {
-				if (await announce() !== retryMs) {
+				if (await announce() !== undefined) {
 					return;
 				}
 			}
