Check placement by properties and return borrowed room to gangs

Room kept for a large task within its quota counted against that quota, so borrowed room was not asked back: the team held 16 of its 32 processors. Such a task now waits for the eviction first, and gangs are served by it too. Properties over random steps: capacity, whole gangs, lower priority, no task lost, urgent within 3.9 s, quotas.

--- a/src/jobs/placement-engine.ts
+++ b/src/jobs/placement-engine.ts
@@ -14,9 +14,8 @@
 import {KindTable} from './harm-model.ts';
 import {runHarmPass} from './harm-response.ts';
 import {createContext} from './placement-context.ts';
-import {
-	runFairPass, runReservePass, runReturnPass, runUrgentPass,
-} from './placement-passes.ts';
+import {runReturnPass} from './placement-evictions.ts';
+import {runFairPass, runReservePass, runUrgentPass} from './placement-passes.ts';
 import {createNone} from './placement-resources.ts';
 import {getNeed, Round, type PlacementContext} from './placement-round.ts';
 import {type ChooseWorker} from './placement-search.ts';
--- a/src/jobs/placement-passes.ts
+++ b/src/jobs/placement-passes.ts
@@ -3,22 +3,21 @@
 */
 import {TaskClass} from '../types/jobs.ts';
 import {type Resources} from '../types/platform.ts';
-import {EvictionReason} from '../types/placement.ts';
 import {addTo, getDominantShare, isWithin} from './placement-resources.ts';
 import {type Place} from './placement-reservations.ts';
 import {type Round} from './placement-round.ts';
 import {
 	isAvailable, TaskPhase, type JobEntry, type TaskEntry, type WorkerEntry,
 } from './placement-state.ts';
-import {planEviction, type EvictionPlan} from './urgency-eviction.ts';
+import {evictForUrgent} from './placement-evictions.ts';
 
 const drawnWorkers = 256;
 const reservedMs = 120_000;
 const maxReservations = 4;
 // Tasks that take less than this share of a worker find room as others end.
 const largeShare = 0.25;
-const returnsPerRound = 16;
-const returnTries = 4;
+// Waits longer by this factor when an eviction may bring the room instead.
+const patience = 3;
 
 /** Starts urgent work, by eviction where no room is free. */
 export const runUrgentPass = (round: Round): void => {
@@ -64,7 +63,7 @@
 
 /** Keeps room for the gang or large task that has waited longest, so that smaller ones cannot pass it for ever. */
 export const runReservePass = (round: Round): void => {
-	const {queue, reservations, settings, fleet} = round.context;
+	const {queue, reservations, fleet} = round.context;
 	if (reservations.size >= maxReservations) {
 		return;
 	}
@@ -72,7 +71,7 @@
 	let oldest: JobEntry | undefined;
 	for (const jobs of queue.teams.values()) {
 		for (const job of jobs) {
-			if (isWaitingForRoom(job) && round.nowMs - job.queuedAtMs >= settings.reserveAfterMs && (!oldest || job.queuedAtMs < oldest.queuedAtMs)) {
+			if (isWaitingForRoom(round, job) && (!oldest || job.queuedAtMs < oldest.queuedAtMs)) {
 				oldest = job;
 			}
 		}
@@ -94,150 +93,22 @@
 	}
 };
 
-/** Takes borrowed room back for demand within a quota that has waited too long. */
-export const runReturnPass = (round: Round): void => {
-	const {queue} = round.context;
-	let left = returnsPerRound;
-	const waiting = [...queue.teams.values()].flat();
-	for (const job of waiting) {
-		while (left > 0 && !round.isFull && isOwed(round, job)) {
-			left--;
-			if (!takeBack(round, job)) {
-				break;
-			}
-		}
+const isWaitingForRoom = ({context: {quotas, settings}, nowMs}: Round, job: JobEntry): boolean => {
+	const waitedMs = nowMs - job.queuedAtMs;
+	if (job.missing !== undefined || job.isFinal || waitedMs < settings.reserveAfterMs || !(job.spec.isGang || isLarge(job))) {
+		return false;
 	}
-};
 
-/** Tells whether the job has waited too long for room that its team's quota grants. */
-const isOwed = ({context: {quotas, settings}, nowMs}: Round, job: JobEntry): boolean =>
-	job.waitingCount > 0 && !job.spec.isGang && job.missing === undefined && !job.isFinal
-	&& nowMs - job.queuedAtMs >= settings.quotaReturnMs && quotas.hasQuotaFor(job.spec.team, job.need);
-
-const isWaitingForRoom = (job: JobEntry): boolean => job.missing === undefined && !job.isFinal && (job.spec.isGang || isLarge(job));
+	// Borrowed room is taken back for it by then; only if that does not help, it waits for ends.
+	const canBeReturned = quotas.hasBorrower() && quotas.hasQuotaFor(job.spec.team, job.need);
+	return !canBeReturned || waitedMs >= patience * Math.max(settings.reserveAfterMs, settings.quotaReturnMs);
+};
 
 const isLarge = ({need, spec}: JobEntry): boolean => spec.taskCount > 0 && getDominantShare(need, largeUnit) >= largeShare;
 
 // A worker of today; on larger ones the share only becomes more cautious.
 const largeUnit: Resources = {processors: 16, memoryMb: 61_440, accelerators: 1};
 
-const evictForUrgent = (round: Round, job: JobEntry): boolean => {
-	if (job.missing !== undefined || job.isFinal) {
-		return false;
-	}
-
-	const {context} = round;
-	const first = context.queue.peek(job)!;
-	const entries = job.spec.isGang ? context.queue.listWaiting(job) : [first];
-	const places: Place[] = [];
-	const victims: TaskEntry[] = [];
-	for (const entry of entries) {
-		round.refreshNeed(entry);
-		const plan = findPlan(round, entry, ({job: other}) => !context.queue.isUrgent(other) && other.spec.priority < job.spec.priority);
-		if (!plan) {
-			break;
-		}
-
-		// Counted at once, so that the next task of a gang plans with what is left.
-		context.fleet.claim(plan.worker, entry.reserved, 1);
-		places.push({entry, worker: plan.worker});
-		for (const victim of plan.victims) {
-			victim.phase = TaskPhase.Evicting;
-			victims.push(victim);
-		}
-	}
-
-	for (const {entry, worker} of places) {
-		context.fleet.claim(worker, entry.reserved, -1);
-	}
-
-	for (const victim of victims) {
-		victim.phase = TaskPhase.Placed;
-	}
-
-	if (places.length < entries.length || !context.urgentBudget.take(victims.length, round.nowMs)) {
-		return false;
-	}
-
-	context.reservations.reserve(job, places, round.nowMs + context.settings.urgentClaimMs);
-	for (const victim of victims) {
-		round.evict(victim, EvictionReason.Urgent, first.task.taskId);
-	}
-
-	return true;
-};
-
-/**
-Urgent tasks are never victims, and only urgent tasks evict for urgency: an evicted task cannot evict in turn, so one
-eviction never leads to the next.
-*/
-const findPlan = (round: Round, entry: TaskEntry, isEligible: (entry: TaskEntry) => boolean): EvictionPlan | undefined => {
-	const {fleet, random, getEvictionCost} = round.context;
-	const {region} = entry.job;
-	const policy = {
-		isAllowed: (worker: WorkerEntry) =>
-			isAvailable(worker) && !worker.isProbing && worker.avoidUntilMs <= round.nowMs && (region === undefined || worker.spec.region === region),
-		isEligible,
-		getCost: (victim: TaskEntry) => getEvictionCost(victim, round.nowMs),
-	};
-	return planEviction(entry.reserved, fleet.draw(drawnWorkers, random), policy)
-		?? (fleet.size > drawnWorkers ? planEviction(entry.reserved, fleet.list(), policy) : undefined);
-};
-
-const takeBack = (round: Round, job: JobEntry): boolean => {
-	const {context} = round;
-	const entry = context.queue.peek(job)!;
-	const spared = new Set<TaskEntry>();
-	round.refreshNeed(entry);
-	for (let tries = 0; tries < returnTries; tries++) {
-		const plan = findPlan(round, entry, other =>
-			!spared.has(other) && other.job.spec.team !== job.spec.team && !context.queue.isUrgent(other.job) && context.quotas.isOver(other.job.spec.team));
-		if (!plan) {
-			return false;
-		}
-
-		const excess = findUnborrowed(round, plan.victims);
-		if (!excess) {
-			return takePlan(round, entry, plan);
-		}
-
-		// The earlier victims already bring this team within its quota.
-		spared.add(excess);
-	}
-
-	return false;
-};
-
-const takePlan = (round: Round, entry: TaskEntry, plan: EvictionPlan): boolean => {
-	const {reservations, settings, otherBudget} = round.context;
-	if (!otherBudget.take(plan.victims.length, round.nowMs)) {
-		return false;
-	}
-
-	reservations.reserve(entry.job, [{entry, worker: plan.worker}], round.nowMs + (4 * settings.urgentClaimMs));
-	for (const victim of plan.victims) {
-		round.evict(victim, EvictionReason.QuotaReturn, entry.task.taskId);
-	}
-
-	return true;
-};
-
-const findUnborrowed = ({context: {quotas}}: Round, victims: TaskEntry[]): TaskEntry | undefined => {
-	const gone = new Map<string, Resources>();
-	for (const victim of victims) {
-		const {team} = victim.job.spec;
-		const before = gone.get(team) ?? {processors: 0, memoryMb: 0, accelerators: 0};
-		if (!quotas.isOver(team, before)) {
-			return victim;
-		}
-
-		addTo(before, victim.reserved);
-		gone.set(team, before);
-	}
-
-	return undefined;
-};
-
 /** Chooses the places that batch work leaves soonest, for all of the entries or none. */
 const planPlaces = (round: Round, entries: TaskEntry[], workers: readonly WorkerEntry[]): Place[] | undefined => {
 	const first = entries[0]!;
--- a/src/jobs/quota-ledger.ts
+++ b/src/jobs/quota-ledger.ts
@@ -78,9 +78,36 @@
 		return !quota || !isWithin(getDifference(getDifference(used, leaving), besides), quota);
 	}
 
-	/** Tells whether the team would still be within its quota after taking the amount. */
-	hasQuotaFor(team: string, amount: Resources): boolean {
+	/** Tells whether any team holds more than its quota. */
+	hasBorrower(): boolean {
+		return [...this.#teams.values()].some(({team, used}) => used.processors > 0 && this.isOver(team));
+	}
+
+	/** Finds the first holding that is not borrowed any more once those before it are gone. */
+	findUnborrowed(holdings: Array<{team: string; amount: Resources}>): number | undefined {
+		const gone = new Map<string, Resources>();
+		for (const [index, {team, amount}] of holdings.entries()) {
+			const before = gone.get(team) ?? createNone();
+			if (!this.isOver(team, before)) {
+				return index;
+			}
+
+			addTo(before, amount);
+			gone.set(team, before);
+		}
+
+		return undefined;
+	}
+
+	/** Tells whether the team would still be within its quota after taking the amount so many times. */
+	hasQuotaFor(team: string, amount: Resources, times = 1): boolean {
 		const {quota, used, claimed} = this.get(team);
-		return quota !== undefined && isWithin(getSum(getSum(used, claimed), amount), quota);
+		if (!quota) {
+			return false;
+		}
+
+		const sum = getSum(used, claimed);
+		addTo(sum, amount, times);
+		return isWithin(sum, quota);
 	}
 }
--- /dev/null
+++ b/test/placement-properties.test.ts
@@ -0,0 +1,330 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {TaskClass, type JobSpec} from '../src/types/jobs.ts';
+import {
+	DecisionType, EvictionReason, type PendingTask, type PlacementWorker,
+} from '../src/types/placement.ts';
+import {type Resources} from '../src/types/platform.ts';
+import {
+	createEngine, createSpec, createTask, createWorker,
+} from './placement-tools.ts';
+
+const settings = {
+	reserveAfterMs: 2000, quotaReturnMs: 3000, urgentClaimMs: 1000, evictionsPerMinute: 1000, harmSettleMs: 1000,
+};
+const stepMs = 200;
+
+type Running = {task: PendingTask; workerId: string; resources: Resources; endMs: number; isEvicting: boolean};
+
+type Step
+	= | {type: 'submit'; team: number; size: number; count: number; isGang: boolean; priority: number; isService: boolean; runMs: number}
+		| {type: 'cancel'; pick: number}
+		| {type: 'refuse'; pick: number}
+		| {type: 'worker'; number: number; state: 'open' | 'closed' | 'lost'}
+		| {type: 'usage'; pick: number; slowdown: number; ratio: number}
+		| {type: 'pass'; steps: number};
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+	{
+		weight: 5, arbitrary: fc.record({
+			type: fc.constant('submit' as const), team: fc.nat(2), size: fc.constantFrom(1, 2, 4, 8, 16), count: fc.integer({min: 1, max: 6}),
+			isGang: fc.boolean(), priority: fc.constantFrom(10, 100, 950), isService: fc.boolean(), runMs: fc.integer({min: 200, max: 6000}),
+		}),
+	},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('cancel' as const), pick: fc.nat(50)})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('refuse' as const), pick: fc.nat(50)})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('worker' as const), number: fc.nat(4), state: fc.constantFrom('open' as const, 'closed' as const, 'lost' as const)})},
+	{
+		weight: 2, arbitrary: fc.record({
+			type: fc.constant('usage' as const), pick: fc.nat(50), slowdown: fc.double({min: 0.5, max: 4, noNaN: true}), ratio: fc.double({min: 0.1, max: 2, noNaN: true}),
+		}),
+	},
+	{weight: 6, arbitrary: fc.record({type: fc.constant('pass' as const), steps: fc.integer({min: 1, max: 20})})},
+);
+
+/** A small world around the engine that does as decided and checks each decision. */
+class World {
+	readonly engine = createEngine(settings);
+	readonly workers = new Map<string, PlacementWorker>();
+	readonly running = new Map<string, Running>();
+	readonly waiting = new Map<string, PendingTask>();
+	readonly unplaceable = new Set<string>();
+	nowMs = 0;
+	jobs = 0;
+
+	constructor() {
+		for (let number = 0; number < 4; number++) {
+			this.setWorker(createWorker(number));
+		}
+	}
+
+	setWorker(worker: PlacementWorker): void {
+		this.workers.set(worker.workerId, worker);
+		this.engine.setWorker(worker);
+		this.unplaceable.clear();
+	}
+
+	submit(step: Extract<Step, {type: 'submit'}>): void {
+		const spec: JobSpec = createSpec(`j${this.jobs++}`, {
+			team: `team-${step.team}`, taskCount: step.count, isGang: step.isGang, priority: step.priority, kind: `kind-${step.size}`,
+			taskClass: step.isService ? TaskClass.LatencyCritical : TaskClass.Batch,
+			resources: {processors: step.size, memoryMb: 1024, accelerators: 0}, declaredRunTimeMs: step.runMs,
+		});
+		for (let index = 0; index < step.count; index++) {
+			this.enqueue(createTask(spec, index, {queuedAtMs: this.nowMs}));
+		}
+	}
+
+	enqueue(task: PendingTask): void {
+		this.waiting.set(task.taskId, task);
+		this.engine.enqueue(task);
+	}
+
+	end(running: Running, isSuccess: boolean): void {
+		const {task} = running;
+		this.running.delete(task.taskId);
+		this.engine.noteEnded(task.taskId, isSuccess, this.nowMs);
+		if (!isSuccess) {
+			this.enqueue({...task, attempt: task.attempt + 1, queuedAtMs: this.nowMs});
+		}
+	}
+
+	decide(): void {
+		const decisions = this.engine.decide(this.nowMs, 50);
+		const started: Running[] = [];
+		for (const decision of decisions) {
+			switch (decision.type) {
+				case DecisionType.Start: {
+					started.push(this.start(decision));
+					break;
+				}
+
+				case DecisionType.Evict: {
+					this.evict(decision);
+					break;
+				}
+
+				case DecisionType.Unplaceable: {
+					expect(decision.isFinal).toBe(false);
+					this.unplaceable.add(decision.jobId);
+					break;
+				}
+
+				case DecisionType.Throttle: {
+					expect(this.running.get(decision.taskId)?.workerId).toBe(decision.workerId);
+					break;
+				}
+			}
+		}
+
+		this.checkGangs(started);
+	}
+
+	evict({taskId, workerId, reason, forTaskId}: {taskId: string; workerId: string; reason: EvictionReason; forTaskId?: string}): void {
+		const victim = this.running.get(taskId)!;
+		expect(victim.workerId).toBe(workerId);
+		expect(victim.isEvicting).toBe(false);
+		victim.isEvicting = true;
+		victim.endMs = Math.min(victim.endMs, this.nowMs + 400);
+		if (reason === EvictionReason.Urgent) {
+			expect(victim.task.spec.priority).toBeLessThan(this.waiting.get(forTaskId!)!.spec.priority);
+		}
+	}
+
+	start({taskId, workerId, resources}: {taskId: string; workerId: string; resources: Resources}): Running {
+		const task = this.waiting.get(taskId)!;
+		expect(task).toBeDefined();
+		const worker = this.workers.get(workerId)!;
+		expect(worker.isOpen).toBe(true);
+		let used = resources.processors;
+		for (const other of this.running.values()) {
+			used += other.workerId === workerId ? other.resources.processors : 0;
+		}
+
+		expect(used).toBeLessThanOrEqual(worker.capacity.processors + 1e-6);
+		this.waiting.delete(taskId);
+		const running = {
+			task, workerId, resources, endMs: this.nowMs + task.spec.declaredRunTimeMs, isEvicting: false,
+		};
+		this.running.set(taskId, running);
+		return running;
+	}
+
+	checkGangs(started: Running[]): void {
+		for (const {task: {spec}} of started) {
+			if (spec.isGang) {
+				const left = [...this.waiting.values()].filter(task => task.spec.jobId === spec.jobId);
+				expect(left).toEqual([]);
+			}
+		}
+	}
+
+	pass(steps: number): void {
+		for (let step = 0; step < steps; step++) {
+			this.nowMs += stepMs;
+			for (const running of this.running.values()) {
+				if (running.endMs <= this.nowMs) {
+					this.end(running, !running.isEvicting);
+				}
+			}
+
+			this.decide();
+		}
+	}
+
+	run(step: Step): void {
+		const pick = (index: number) => [...this.running.values()][index % Math.max(1, this.running.size)];
+		switch (step.type) {
+			case 'submit': {
+				this.submit(step);
+				return;
+			}
+
+			case 'pass': {
+				this.pass(step.steps);
+				return;
+			}
+
+			case 'cancel': {
+				const task = [...this.waiting.values()][step.pick % Math.max(1, this.waiting.size)];
+				if (task) {
+					this.waiting.delete(task.taskId);
+					this.engine.cancel(task.taskId);
+				}
+
+				return;
+			}
+
+			case 'refuse': {
+				const running = pick(step.pick);
+				if (running && !running.isEvicting) {
+					this.engine.noteStartRefused(running.task.taskId, running.workerId);
+					this.end(running, false);
+				}
+
+				return;
+			}
+
+			case 'usage': {
+				const running = pick(step.pick);
+				if (running) {
+					this.engine.noteUsage(running.task.taskId, {
+						measuredAtMs: this.nowMs, processors: running.resources.processors * step.ratio, memoryMb: 512, slowdown: step.slowdown,
+					});
+				}
+
+				return;
+			}
+
+			case 'worker': {
+				this.changeWorker(step.number, step.state);
+			}
+		}
+	}
+
+	changeWorker(number: number, state: 'open' | 'closed' | 'lost'): void {
+		const worker = createWorker(number, {isOpen: state === 'open'});
+		if (state !== 'lost') {
+			this.setWorker(worker);
+			return;
+		}
+
+		this.engine.removeWorker(worker.workerId);
+		this.workers.delete(worker.workerId);
+		for (const running of this.running.values()) {
+			if (running.workerId === worker.workerId) {
+				this.end(running, false);
+			}
+		}
+	}
+
+	/** Opens the whole fleet and lets all work end. */
+	drainOut(): void {
+		for (let number = 0; number < 5; number++) {
+			this.setWorker(createWorker(number));
+		}
+
+		for (let round = 0; round < 400 && this.waiting.size + this.running.size > 0; round++) {
+			this.pass(5);
+		}
+	}
+}
+
+describe('whatever happens to tasks and workers', () => {
+	/*
+	Capacity, gangs, priorities of victims are checked at each decision; at the end every task that was neither
+	cancelled nor told to be unplaceable must have run.
+	*/
+	test('capacity holds, gangs start whole, only lower priority is evicted, no task is lost', () => {
+		fc.assert(fc.property(fc.array(stepArbitrary, {minLength: 5, maxLength: 40}), steps => {
+			const world = new World();
+			for (const step of steps) {
+				world.run(step);
+			}
+
+			world.drainOut();
+			expect([...world.waiting.values()].filter(({spec}) => !world.unplaceable.has(spec.jobId))).toEqual([]);
+		}), {numRuns: 300, seed: 20_261});
+	});
+});
+
+describe('on a fleet that is full', () => {
+	/*
+	Batch work of any sizes fills the fleet and each eviction takes a second to be confirmed. Urgent tasks that fit the
+	fleet beside its services must start within 3.9 s.
+	*/
+	test('urgent work starts within 3.9 s', () => {
+		fc.assert(fc.property(
+			fc.array(fc.constantFrom(1, 2, 4, 8, 16), {minLength: 20, maxLength: 60}),
+			fc.array(fc.constantFrom(1, 2, 4, 8, 16), {minLength: 1, maxLength: 4}),
+			(batch, urgent) => {
+				const world = new World();
+				for (const size of batch) {
+					world.submit({
+						type: 'submit', team: 0, size, count: 2, isGang: false, priority: 100, isService: false, runMs: 100_000,
+					});
+				}
+
+				world.pass(3);
+				for (const size of urgent) {
+					world.submit({
+						type: 'submit', team: 1, size, count: 1, isGang: false, priority: 950, isService: false, runMs: 100_000,
+					});
+				}
+
+				world.pass(19);
+				expect([...world.waiting.values()].filter(({spec}) => spec.priority === 950)).toEqual([]);
+			},
+		), {numRuns: 100, seed: 20_262});
+	});
+
+	/*
+	One team fills the fleet beyond its quota. Another asks for what its quota grants. Borrowed room must come back
+	within the return time and the time to evict, and never more than is asked for.
+	*/
+	test('no team keeps more than its quota while another waits within its own', () => {
+		fc.assert(fc.property(fc.constantFrom(1, 2, 4), fc.constantFrom(1, 2, 4), (borrowed, asked) => {
+			const world = new World();
+			for (const team of [0, 1]) {
+				world.engine.setQuota(`team-${team}`, {processors: 32, memoryMb: 122_880, accelerators: 0}, 1);
+			}
+
+			const submit = (team: number, size: number, count: number) => {
+				world.submit({
+					type: 'submit', team, size, count, isGang: false, priority: 100, isService: false, runMs: 1_000_000,
+				});
+			};
+
+			submit(0, borrowed, 64 / borrowed);
+			world.pass(2);
+			expect(world.waiting.size).toBe(0);
+			submit(1, asked, 64 / asked);
+			world.pass(40);
+			const getHeld = (team: string) => [...world.running.values()].filter(({task}) => task.spec.team === team).reduce((sum, {resources}) => sum + resources.processors, 0);
+			expect([getHeld('team-0'), getHeld('team-1')]).toEqual([32, 32]);
+			const evicted = [...world.waiting.values()].filter(({attempt}) => attempt > 0);
+			world.pass(40);
+			expect([...world.waiting.values()].filter(({attempt}) => attempt > 0)).toEqual(evicted);
+		}), {numRuns: 9, seed: 20_263});
+	});
+});
