Let an observer watch the stand-in hosts

Cause: runs in real processes need to be watched from outside. Change: stand-in hosts tell what they run, as lines of JSON; they can linger while leaving. The configuration is compared with peers. Measured: nothing yet. Conclusion: the checker can be fed from separate processes.

--- a/src/commands/standin-commands.ts
+++ b/src/commands/standin-commands.ts
@@ -2,6 +2,7 @@
 `chervilworks standin log|upstream|worker`: small stand-ins for the platform, for trying out and tests.
 */
 import {Command, Option} from 'clipanion';
+import {type HostEvent} from '../standin/host-events.ts';
 import {type StandinHost} from '../standin/hosts.ts';
 import {createLogger, enableLogs, Part} from '../utils/logger.ts';
 import {createRandom} from '../utils/seeded-random.ts';
@@ -40,6 +41,9 @@
 	readonly address = Option.String('--address', '127.0.0.1:0', {description: 'Where to listen.'});
 	readonly entries = Option.String('--entries', '127.0.0.1:7081', {description: 'Control addresses of entries, separated by commas.'});
 	readonly id = Option.String('--id', {description: 'Name of the host.', required: true});
+	readonly isObserved = Option.Boolean('--events', false, {description: 'Write what happens as lines of JSON on stdout.'});
+	readonly lingerMs = Option.String('--linger-ms', '0', {description: 'How long it goes on serving after it said that it leaves.'});
+	readonly region = Option.String('--region', 'local', {description: 'Region of the host.'});
 	readonly failureDomain = Option.String('--failure-domain', 'local-1', {description: 'Failure domain of the host.'});
 
 	async execute(): Promise<number> {
@@ -59,10 +63,12 @@
 			id: this.id,
 			address: this.address,
 			entryAddresses: this.entries.split(','),
-			region: 'local',
+			region: this.region,
 			failureDomain: this.failureDomain,
 			clock: createSystemClock(),
 			random: createRandom(),
+			lingerMs: Number(this.lingerMs),
+			observe: this.isObserved ? (event: HostEvent) => this.context.stdout.write(`${JSON.stringify(event)}\n`) : undefined,
 		};
 	}
 }
--- a/src/plugins/config-service.ts
+++ b/src/plugins/config-service.ts
@@ -152,11 +152,8 @@
 		getOwner: serviceName => fold.owners.get(serviceName),
 		getHistory: () => fold.getResults(),
 		async start() {
-			tasks.push(follow(), keepSnapshots());
-			if (kernel.has(ServiceName.Peers)) {
-				kernel.get(ServiceName.Peers).handle(PeerMethod.Config, answerPeer);
-				tasks.push(comparePeers());
-			}
+			tasks.push(follow(), keepSnapshots(), comparePeers());
+			kernel.get(ServiceName.Peers).handle(PeerMethod.Config, answerPeer);
 		},
 		async stop() {
 			aborter.abort();
--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -68,7 +68,7 @@
 	});
 	kernel.register({
 		name: ServiceName.Config,
-		dependsOn: [ServiceName.Log, ServiceName.Control],
+		dependsOn: [ServiceName.Log, ServiceName.Control, ServiceName.Peers],
 		load: async () => (await import('./config-service.ts')).createConfigService,
 	});
 	kernel.register({
--- a/src/standin/hosts.ts
+++ b/src/standin/hosts.ts
@@ -5,6 +5,7 @@
 import {type Resources} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
 import {type Announcer, startAnnouncer} from '../utils/announcer.ts';
+import {HostEventType, type HostEvent, type HostObserver} from './host-events.ts';
 import {MemoryWorker} from './memory-worker.ts';
 import {createStandinUpstream, type StandinUpstream} from './upstream-server.ts';
 import {createWorkerServer} from './worker-server.ts';
@@ -25,6 +26,9 @@
 	failureDomain: string;
 	clock: Clock;
 	random: Random;
+	observe?: HostObserver;
+	/** How long it goes on serving after it said that it leaves. */
+	lingerMs?: number;
 };
 
 /** Shape of an upstream of both users. */
@@ -37,12 +41,21 @@
 /** Creates a stand-in upstream that announces itself. */
 export const createUpstreamHost = (options: HostOptions & {service: string; getServiceMs(path: string): number}): StandinHost & {upstream: StandinUpstream} => {
 	const {id, clock, random, entryAddresses, region, failureDomain, service} = options;
-	const upstream = createStandinUpstream({clock, slots: upstreamShape.slots, getServiceMs: options.getServiceMs});
+	const observe = createObserve(options);
+	const upstream = createStandinUpstream({
+		clock,
+		slots: upstreamShape.slots,
+		getServiceMs: options.getServiceMs,
+		onRan(tryId) {
+			observe({type: HostEventType.Ran, tryId});
+		},
+	});
 	let announcer: Announcer | undefined;
 	return {
 		upstream,
 		async start() {
 			const address = await upstream.listen(options.address);
+			observe({type: HostEventType.Listening, address});
 			announcer = startAnnouncer({
 				clock,
 				random,
@@ -56,6 +69,8 @@
 		},
 		async stop() {
 			await announcer?.drain();
+			observe({type: HostEventType.Leaving});
+			await clock.sleep(options.lingerMs ?? 0);
 			announcer?.stop();
 			await upstream.close();
 		},
@@ -66,8 +81,16 @@
 export const createWorkerHost = (options: HostOptions & {rack: string}): StandinHost & {worker: MemoryWorker} => {
 	const {id, clock, random, entryAddresses, region, failureDomain, rack} = options;
 	const incarnation = clock.now().getTime();
+	const observe = createObserve(options);
 	const worker = new MemoryWorker({
-		workerId: id, incarnation, capacity: workerShape, clock, getBehaviour: getDeclaredBehaviour,
+		workerId: id,
+		incarnation,
+		capacity: workerShape,
+		clock,
+		getBehaviour: getDeclaredBehaviour,
+		onRunning(taskId, attempt, isRunning) {
+			observe({type: isRunning ? HostEventType.TaskStarted : HostEventType.TaskEnded, taskId, attempt});
+		},
 	});
 	const server = createWorkerServer(worker, clock);
 	let announcer: Announcer | undefined;
@@ -75,6 +98,7 @@
 		worker,
 		async start() {
 			const address = await server.listen(options.address);
+			observe({type: HostEventType.Listening, address});
 			announcer = startAnnouncer({
 				clock,
 				random,
@@ -94,6 +118,10 @@
 	};
 };
 
+const createObserve = ({id, clock, observe}: HostOptions) => (event: Omit<HostEvent, 'hostId' | 'atMs'>) => {
+	observe?.({...event, hostId: id, atMs: clock.now().getTime()});
+};
+
 /** A task runs as long as its input says, and gives its input back. */
 const getDeclaredBehaviour = ({input}: {input?: unknown}) => {
 	const {runTimeMs = defaultRunTimeMs, isFailing = false} = (input ?? {}) as {runTimeMs?: number; isFailing?: boolean};
--- a/src/standin/memory-worker.ts
+++ b/src/standin/memory-worker.ts
@@ -29,6 +29,8 @@
 	clock: Clock;
 	/** Decides how long a task runs and how it ends. */
 	getBehaviour(order: StartOrder): TaskBehaviour;
+	/** Told of each task that begins and ends to run, for tests that watch where tasks run. */
+	onRunning?(taskId: string, attempt: number, isRunning: boolean): void;
 };
 
 /** A worker in memory. */
--- a/src/standin/upstream-server.ts
+++ b/src/standin/upstream-server.ts
@@ -5,6 +5,7 @@
 import {type Clock} from '../types/clock.ts';
 import {Header} from '../types/requests.ts';
 import {close, listen, readBody} from '../utils/http-server.ts';
+import {tryHeader} from './host-events.ts';
 
 /** Ways an upstream can go wrong. */
 export enum UpstreamFault {
@@ -19,6 +20,8 @@
 	clock: Clock;
 	slots: number;
 	getServiceMs(path: string): number;
+	/** Told of each request that begins to run, with the id of its try. */
+	onRan?(tryId: string): void;
 };
 
 /** A running stand-in upstream. */
@@ -51,6 +54,11 @@
 				runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
 			}
 
+			const tryId = request.headers[tryHeader];
+			if (typeof tryId === 'string') {
+				options.onRan?.(tryId);
+			}
+
 			await answer(request.url ?? '/', body, response);
 		} finally {
 			inProgress--;
