Run the whole system in real processes under faults

Cause: the promises were watched only inside one process. Change: npm run soak starts entries, log, upstreams and workers as processes, kills, pauses and restarts them from a seed, and feeds the promise checker from outside.

--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,49 @@
+/**
+Runs a soak and prints what it found. Exits 0 only when every promise held.
+
+node dist build first: `npm run soak -- --seed 1 --seconds 60`.
+*/
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {formatPromises} from '../src/measure/promise-checker.ts';
+import {runSoak} from '../src/measure/soak.ts';
+
+const {values} = parseArgs({
+	options: {
+		seed: {type: 'string', default: '1'},
+		seconds: {type: 'string', default: '60'},
+		entries: {type: 'string', default: '3'},
+		hosts: {type: 'string', default: '11'},
+		rate: {type: 'string', default: '100'},
+		faultEveryMs: {type: 'string', default: '3000'},
+	},
+});
+
+const report = await runSoak({
+	binary: 'dist/chervilworks.cjs',
+	seed: Number(values.seed),
+	durationMs: Number(values.seconds) * 1000,
+	entryCount: Number(values.entries),
+	hostsPerUser: Number(values.hosts),
+	ratePerSecond: Number(values.rate),
+	faultEveryMs: Number(values.faultEveryMs) > 0 ? Number(values.faultEveryMs) : undefined,
+	report(line) {
+		process.stderr.write(`${line}\n`);
+	},
+});
+
+const {callers, jobs} = report;
+const lines = [
+	...formatPromises(report.promises),
+	`faults: ${[...report.faults].map(([name, count]) => `${name} ${count}`).join(', ') || 'none'}`,
+	`requests: ${callers.answered} answered, ${callers.broken} connections broken; refused: ${[...callers.refused].map(([reason, count]) => `${reason} ${count}`).join(', ') || 'none'}`,
+	...Object.entries(callers.latencies).map(([name, histogram]) =>
+		`${name}: p50 ${histogram.getValueAtPercentile(50)} ms, p99 ${histogram.getValueAtPercentile(99)} ms, ${histogram.totalCount} answers (tries of the caller included)`),
+	`jobs: ${jobs.ended} of ${jobs.submitted} acknowledged ones ended; not ended: ${jobs.lost.join(', ') || 'none'}`,
+	...[...report.use].map(([role, {count, residentMb, cpuShare}]) =>
+		`${role}: ${count} processes, most resident ${residentMb.toFixed(0)} MB, most processor ${(100 * cpuShare).toFixed(1)}% of a core`),
+	`crashes: ${report.crashes.join(', ') || 'none'}; logs in ${report.directory}`,
+	report.isHeld ? 'Every promise held.' : 'A promise was broken.',
+];
+process.stdout.write(`${lines.join('\n')}\n`);
+process.exitCode = report.isHeld ? 0 : 1;
--- /dev/null
+++ b/src/measure/soak-processes.ts
@@ -0,0 +1,178 @@
+/**
+Processes of a soak run: started, paused, killed and restarted by the script that owns them, by id.
+*/
+import {spawn, type ChildProcess} from 'node:child_process';
+import {
+	createWriteStream, mkdtempSync, readFileSync, writeFileSync, type WriteStream,
+} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {type HostEvent} from '../standin/host-events.ts';
+
+/** Roles of processes. */
+export enum Role {
+	Log = 'log',
+	Entry = 'entry',
+	Upstream = 'upstream',
+	Worker = 'worker',
+}
+
+/** A process that the run started. */
+export type SoakProcess = {
+	name: string;
+	role: Role;
+	args: string[];
+	/** Grows with each start. */
+	life: number;
+	child?: ChildProcess;
+	isPaused: boolean;
+	/** Exits that nobody asked for. */
+	crashes: number;
+	startedAtMs: number;
+};
+
+/** Use of one process, read while it runs. */
+export type ProcessUse = {
+	residentMb: number;
+	cpuMs: number;
+};
+
+const kilobyte = 1024;
+const pageKilobytes = 4;
+const msPerTick = 10;
+
+/** Starts and stops processes of one run. */
+export class ProcessPool {
+	readonly directory = mkdtempSync(path.join(tmpdir(), 'chervilworks-soak-'));
+	readonly processes: SoakProcess[] = [];
+	readonly #binary: string;
+	readonly #onEvent: (event: HostEvent) => void;
+	readonly #logs = new Map<string, WriteStream>();
+
+	constructor(binary: string, onEvent: (event: HostEvent) => void) {
+		this.#binary = binary;
+		this.#onEvent = onEvent;
+	}
+
+	add(name: string, role: Role, args: string[]): SoakProcess {
+		const added: SoakProcess = {
+			name, role, args, life: 0, isPaused: false, crashes: 0, startedAtMs: 0,
+		};
+		this.processes.push(added);
+		this.start(added);
+		return added;
+	}
+
+	start(target: SoakProcess): void {
+		const child = spawn(process.execPath, [this.#binary, ...target.args], {stdio: ['ignore', 'pipe', 'pipe']});
+		target.child = child;
+		target.life++;
+		target.isPaused = false;
+		target.startedAtMs = Date.now();
+		child.stderr.pipe(this.#getLog(target.name), {end: false});
+		createInterface({input: child.stdout}).on('line', line => {
+			if (line.startsWith('{')) {
+				this.#onEvent(JSON.parse(line) as HostEvent);
+			}
+		});
+		child.once('exit', () => {
+			if (target.child === child) {
+				target.child = undefined;
+				target.crashes++;
+			}
+		});
+	}
+
+	/** Kills at once; resolves when the process is gone. */
+	async kill(target: SoakProcess): Promise<void> {
+		await this.#end(target, 'SIGKILL');
+	}
+
+	/** Asks for a graceful shutdown; resolves when the process is gone. */
+	async terminate(target: SoakProcess): Promise<void> {
+		await this.#end(target, 'SIGTERM');
+	}
+
+	pause(target: SoakProcess): void {
+		target.isPaused = target.child?.kill('SIGSTOP') ?? false;
+	}
+
+	resume(target: SoakProcess): void {
+		target.child?.kill('SIGCONT');
+		target.isPaused = false;
+	}
+
+	async stopAll(): Promise<void> {
+		for (const target of this.processes) {
+			this.resume(target);
+		}
+
+		await Promise.all(this.processes.map(async target => this.kill(target)));
+		for (const log of this.#logs.values()) {
+			log.end();
+		}
+	}
+
+	/** Reads resident memory and processor time of a running process. */
+	getUse(target: SoakProcess): ProcessUse | undefined {
+		try {
+			const pid = target.child!.pid!;
+			const resident = Number(readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1]) * pageKilobytes;
+			const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+			return {residentMb: resident / kilobyte, cpuMs: (Number(fields[11]) + Number(fields[12])) * msPerTick};
+		} catch {
+			return undefined;
+		}
+	}
+
+	/** Writes a file for a process; returns its path. */
+	writeFile(name: string, content: string): string {
+		const file = path.join(this.directory, name);
+		writeFileSync(file, content);
+		return file;
+	}
+
+	async #end(target: SoakProcess, signal: NodeJS.Signals): Promise<void> {
+		const {child} = target;
+		if (!child) {
+			return;
+		}
+
+		const exited = new Promise<void>(resolve => {
+			child.once('exit', () => {
+				resolve();
+			});
+		});
+		target.child = undefined;
+		child.kill(signal);
+		await exited;
+	}
+
+	#getLog(name: string): WriteStream {
+		let log = this.#logs.get(name);
+		if (!log) {
+			log = createWriteStream(path.join(this.directory, `${name}.log`));
+			this.#logs.set(name, log);
+		}
+
+		return log;
+	}
+}
+
+/** Finds ports that are free on loopback. */
+export const findFreePorts = async (count: number): Promise<number[]> => {
+	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
+		const server = createServer();
+		server.listen(0, '127.0.0.1', () => {
+			resolve(server);
+		});
+	})));
+	const ports = servers.map(server => (server.address() as AddressInfo).port);
+	await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.close(resolve);
+	})));
+	return ports;
+};
