Divide the slots of each upstream among entries by leased shares

Cause: with several entries and no guard, nothing kept the sum of requests at an upstream within its slots. Change: the upstream's sponsor grants shares under leases, asked for in one message for each pair of entries and period; a share grows only from slots reported as given back, or past every bound. Registered in the entry.

--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -91,9 +91,17 @@
 		dependsOn: [ServiceName.Log, ServiceName.Workers, ServiceName.Config],
 		load: async () => (await import('./jobs-service.ts')).createJobsService,
 	});
+	kernel.register({
+		name: ServiceName.Slots,
+		dependsOn: [ServiceName.Upstreams],
+		async load() {
+			const {createSlotsService} = await import('./slots-service.ts');
+			return slotsKernel => createSlotsService(slotsKernel);
+		},
+	});
 	kernel.register({
 		name: ServiceName.Callers,
-		dependsOn: [ServiceName.Config, ServiceName.Upstreams],
+		dependsOn: [ServiceName.Slots, ServiceName.Config, ServiceName.Upstreams],
 		load: async () => (await import('./callers-service.ts')).createCallersService,
 	});
 };
--- /dev/null
+++ b/src/plugins/slots-service.ts
@@ -0,0 +1,281 @@
+/**
+Slots of upstreams at this entry: takes and gives back, asks sponsors for shares, grants shares of its own upstreams.
+*/
+import {getMessage} from '../core/errors.ts';
+import {type Kernel} from '../core/kernel.ts';
+import {SlotAsker, type AskedShare} from '../requests/slot-asker.ts';
+import {parseSlotAnswer, parseSlotMessage} from '../requests/slot-messages.ts';
+import {divideByDemand, type DivideSlots} from '../requests/slot-policy.ts';
+import {SlotMode, SlotShare} from '../requests/slot-share.ts';
+import {SlotSponsor} from '../requests/slot-sponsor.ts';
+import {getSponsorId} from '../requests/sponsor-book.ts';
+import {HostState, type UpstreamAnnouncement} from '../types/announcements.ts';
+import {Metric} from '../types/metrics.ts';
+import {PeerMethod, ServiceName, type SlotsService} from '../types/services.ts';
+import {createLogger, Part} from '../utils/logger.ts';
+
+const log = createLogger(Part.Slots);
+const forgetFactor = 10;
+
+enum SlotRefusal {
+	NoShare = 'no-share',
+	UnknownUpstream = 'unknown-upstream',
+	HoldTooLong = 'hold-too-long',
+}
+
+/** Creates the slots service with a policy by which sponsors divide slots. */
+export const createSlotsService = (kernel: Kernel, divide: DivideSlots = divideByDemand): SlotsService => {
+	const {periodMs, leaseMs, maxHoldMs, entryCount} = kernel.get(ServiceName.Settings).slots;
+	const {announceEveryMs} = kernel.get(ServiceName.Settings).membership;
+	const clock = kernel.get(ServiceName.Clock);
+	const random = kernel.get(ServiceName.Random);
+	const metrics = kernel.get(ServiceName.Metrics);
+	const upstreams = kernel.get(ServiceName.Upstreams);
+	const peers = kernel.get(ServiceName.Peers);
+	const control = kernel.get(ServiceName.Control);
+	const {ownId} = kernel.get(ServiceName.Membership);
+	const shares = new Map<string, SlotShare>();
+	const wanted = new Map<string, number>();
+	const demand = new Map<string, number>();
+	const callbacks: Array<() => void> = [];
+	const tasks = new Map<string, Promise<void>>();
+	const aborter = new AbortController();
+	const {signal} = aborter;
+	let isLeaving = false;
+	let ticking: Promise<void> | undefined;
+	const sponsor = new SlotSponsor({
+		clock, ownId, leaseMs, maxHoldMs, divide, getSponsorship: upstreams.getSponsorship,
+	});
+
+	const notifyFree = () => {
+		for (const callback of callbacks) {
+			callback();
+		}
+	};
+
+	const getShare = (upstream: UpstreamAnnouncement): SlotShare => {
+		const known = shares.get(upstream.upstreamId);
+		if (known && known.incarnation >= upstream.incarnation) {
+			known.setSponsor(upstream.sponsorId ?? '');
+			return known;
+		}
+
+		const share = new SlotShare(clock, {...upstream, mode: getMode(upstream)});
+		if (share.mode !== SlotMode.Sponsored) {
+			share.share = share.mode === SlotMode.Guarded ? share.slots : Math.floor(share.slots / entryCount);
+			share.leaseEndMs = Number.POSITIVE_INFINITY;
+		}
+
+		share.setSponsor(upstream.sponsorId ?? '');
+		shares.set(upstream.upstreamId, share);
+		return share;
+	};
+
+	const findShare = (upstreamId: string): SlotShare | undefined => {
+		const known = shares.get(upstreamId);
+		if (known) {
+			return known;
+		}
+
+		const upstream = upstreams.get(upstreamId);
+		return upstream && getShare(upstream);
+	};
+
+	/** Brings the shares in line with the upstreams known, and grants this entry's own. */
+	const reconcile = () => {
+		const known = upstreams.list().filter(({state}) => state !== HostState.Gone);
+		const perService = new Map<string, number>();
+		for (const {service} of known) {
+			perService.set(service, (perService.get(service) ?? 0) + 1);
+		}
+
+		let hasGrown = false;
+		for (const upstream of known) {
+			const {upstreamId, service} = upstream;
+			const share = getShare(upstream);
+			wanted.set(upstreamId, share.takeWanted(Math.ceil((demand.get(service) ?? 0) / perService.get(service)!)));
+			hasGrown ||= grantOwn(upstreamId, share);
+		}
+
+		forgetUnknown(new Set(known.map(({upstreamId}) => upstreamId)));
+		if (hasGrown) {
+			notifyFree();
+		}
+	};
+
+	const grantOwn = (upstreamId: string, share: SlotShare): boolean => {
+		if (share.mode !== SlotMode.Sponsored || share.sponsorId !== ownId) {
+			return false;
+		}
+
+		const wasFree = share.free;
+		const granted = sponsor.grantOwn(upstreamId, share.incarnation, {
+			share: share.share, limit: share.getLimit(), wanted: isLeaving ? 0 : wanted.get(upstreamId) ?? 0,
+		});
+		if (granted === undefined) {
+			return false;
+		}
+
+		share.share = granted;
+		share.leaseEndMs = clock.monotonicMs() + leaseMs;
+		return share.free > wasFree;
+	};
+
+	const forgetUnknown = (known: Set<string>) => {
+		for (const upstreamId of shares.keys()) {
+			if (!known.has(upstreamId)) {
+				shares.delete(upstreamId);
+				wanted.delete(upstreamId);
+			}
+		}
+
+		sponsor.forget(upstreamId => known.has(upstreamId), (leaseMs + maxHoldMs) * forgetFactor);
+	};
+
+	const getAsked = (sponsorId: string): AskedShare[] => {
+		const asked: AskedShare[] = [];
+		for (const [upstreamId, share] of shares) {
+			if (share.mode === SlotMode.Sponsored && share.sponsorId === sponsorId) {
+				const isFormer = upstreams.get(upstreamId)?.formerSponsorId === ownId;
+				asked.push({
+					upstreamId,
+					share,
+					wanted: isLeaving ? 0 : wanted.get(upstreamId) ?? 0,
+					grants: isFormer ? sponsor.getGrants(upstreamId, share.incarnation) : undefined,
+				});
+			}
+		}
+
+		return asked;
+	};
+
+	const ask = async (peerId: string, sponsorId: string, asker: SlotAsker) => {
+		const asked = asker.compose(getAsked(sponsorId), clock.monotonicMs());
+		if (!asked) {
+			return;
+		}
+
+		const answer = parseSlotAnswer(await peers.call(peerId, PeerMethod.Slots, asked.message));
+		if (asker.apply(asked, answer, leaseMs)) {
+			notifyFree();
+		}
+	};
+
+	const followPeer = async (peerId: string) => {
+		let asker: SlotAsker | undefined;
+		let askedId = '';
+		while (!signal.aborted) {
+			const peer = peers.list().find(({processId}) => processId === peerId);
+			if (!peer) {
+				break;
+			}
+
+			const sponsorId = getSponsorId(peerId, peer.incarnation);
+			if (!asker || askedId !== sponsorId) {
+				asker = new SlotAsker(ownId, sponsorId);
+				askedId = sponsorId;
+			}
+
+			try {
+				if (peer.isAlive) {
+					await ask(peerId, sponsorId, asker);
+				}
+			} catch (error) {
+				log('No slots from %s: %s', peerId, getMessage(error));
+			}
+
+			await clock.sleep(periodMs * (0.75 + (random.next() / 2)), signal);
+		}
+
+		tasks.delete(peerId);
+	};
+
+	const tick = async () => {
+		while (!signal.aborted) {
+			for (const {processId} of peers.list()) {
+				if (!tasks.has(processId)) {
+					tasks.set(processId, followPeer(processId));
+				}
+			}
+
+			reconcile();
+			const {sponsored, heldBack} = sponsor.getTotals();
+			metrics.gauge(Metric.SlotsSponsored, sponsored);
+			metrics.gauge(Metric.SlotsHeldBack, heldBack);
+			await clock.sleep(periodMs, signal);
+		}
+	};
+
+	const getRefusal = (share: SlotShare | undefined, holdMs: number): SlotRefusal => {
+		if (!share) {
+			return SlotRefusal.UnknownUpstream;
+		}
+
+		return holdMs > maxHoldMs ? SlotRefusal.HoldTooLong : SlotRefusal.NoShare;
+	};
+
+	/** Upstreams that still name this entry as their sponsor. */
+	const countSponsored = () => upstreams.list().filter(({sponsorId, state}) => sponsorId === ownId && state === HostState.Alive).length;
+
+	peers.handle(PeerMethod.Slots, body => sponsor.answer(parseSlotMessage(body)));
+	control.addStatus('slots', () => ({
+		...sponsor.getTotals(),
+		shares: Object.fromEntries([...shares].map(([upstreamId, {share, held, free, mode}]) => [upstreamId, {
+			share, held, free, mode,
+		}])),
+	}));
+
+	return {
+		tryTake(upstreamId, holdMs) {
+			const share = findShare(upstreamId);
+			// The sponsor counts on this bound before it grants the slots of a silent entry to others.
+			const hold = holdMs > maxHoldMs ? undefined : share?.tryTake(holdMs, notifyFree);
+			if (!hold) {
+				metrics.count(Metric.SlotRefusals, getRefusal(share, holdMs));
+			}
+
+			return hold;
+		},
+		getFree: upstreamId => findShare(upstreamId)?.free ?? 0,
+		getConnections(upstreamId) {
+			const share = findShare(upstreamId);
+			return share ? Math.floor(share.connections * share.share / share.slots) : 0;
+		},
+		setDemand(serviceName, waiting) {
+			demand.set(serviceName, waiting);
+		},
+		onFree(callback) {
+			callbacks.push(callback);
+		},
+		async start() {
+			ticking = tick();
+		},
+		async stop() {
+			isLeaving = true;
+			upstreams.resignSponsorships();
+			// Long enough for the upstreams to name another sponsor and for it to get the accounts; without them it
+			// would hold back what this entry granted until every bound had passed.
+			const endMs = clock.monotonicMs() + (2 * announceEveryMs) + (4 * periodMs);
+			const hasHeir = () => peers.list().some(({isAlive}) => isAlive);
+			const wasSponsor = countSponsored() > 0 && hasHeir();
+			while (countSponsored() > 0 && hasHeir() && clock.monotonicMs() < endMs) {
+				await clock.sleep(periodMs);
+			}
+
+			if (wasSponsor) {
+				await clock.sleep(2 * periodMs);
+			}
+
+			aborter.abort();
+			await Promise.all([ticking, ...tasks.values()]);
+		},
+	};
+};
+
+const getMode = ({isGuarded, sponsorTerm}: UpstreamAnnouncement): SlotMode => {
+	if (isGuarded) {
+		return SlotMode.Guarded;
+	}
+
+	return sponsorTerm === undefined ? SlotMode.Static : SlotMode.Sponsored;
+};
--- a/src/plugins/upstreams-service.ts
+++ b/src/plugins/upstreams-service.ts
@@ -87,6 +87,7 @@
 
 	const registry: UpstreamRegistry = {
 		announce: announcement => takeOwn(announcement, false),
+		receive,
 		getRoutable: getByService,
 		list: () => membership.list(HostKind.Upstream) as UpstreamAnnouncement[],
 		getSponsorship: upstreamId => sponsors.get(upstreamId),
--- /dev/null
+++ b/src/requests/slot-asker.ts
@@ -0,0 +1,97 @@
+/**
+The asking side of slots towards one sponsor: composes messages with what changed, and applies the answers.
+*/
+import {type SlotAnswer, type SlotItem, type SlotMessage} from './slot-messages.ts';
+import {type SlotShare} from './slot-share.ts';
+import {type SlotGrant} from './slot-table.ts';
+
+/** A share and what this entry wants of its upstream. */
+export type AskedShare = {
+	upstreamId: string;
+	share: SlotShare;
+	wanted: number;
+	/** Accounts of this entry for the upstream's new sponsor. */
+	grants?: SlotGrant[];
+};
+
+/** A message with what is needed to apply its answer. */
+export type Asked = {
+	message: SlotMessage;
+	sentAtMs: number;
+	generations: Map<string, {share: SlotShare; generation: number}>;
+};
+
+/** Messages of one entry to one sponsor; one at a time. */
+export class SlotAsker {
+	#seq = 0;
+	#afterSeq = 0;
+	#isFull = true;
+	#reported = new Map<string, SlotItem>();
+	readonly #granteeId: string;
+	readonly #sponsorId: string;
+
+	constructor(granteeId: string, sponsorId: string) {
+		this.#granteeId = granteeId;
+		this.#sponsorId = sponsorId;
+	}
+
+	/** Composes the next message; undefined when this sponsor is neither asked nor told anything. */
+	compose(asked: AskedShare[], nowMs: number): Asked | undefined {
+		if (asked.length === 0 && this.#reported.size === 0) {
+			return undefined;
+		}
+
+		const current = new Map<string, SlotItem>();
+		const generations: Asked['generations'] = new Map();
+		const items: SlotItem[] = [];
+		for (const {upstreamId, share, wanted, grants} of asked) {
+			const item = {
+				upstreamId, incarnation: share.incarnation, share: share.share, limit: share.getLimit(), wanted, grants,
+			};
+			current.set(upstreamId, item);
+			generations.set(upstreamId, {share, generation: share.generation});
+			if (this.#isFull || !isSame(item, this.#reported.get(upstreamId))) {
+				items.push(item);
+			}
+		}
+
+		const gone = this.#isFull ? [] : [...this.#reported.keys()].filter(upstreamId => !current.has(upstreamId));
+		const message = {
+			granteeId: this.#granteeId, sponsorId: this.#sponsorId, seq: ++this.#seq, afterSeq: this.#afterSeq, isFull: this.#isFull, items, gone,
+		};
+		this.#reported = current;
+		// Until an answer comes it is not known what the sponsor took; the next message then says it all.
+		this.#isFull = true;
+		return {message, sentAtMs: nowMs, generations};
+	}
+
+	/** Applies an answer; true when a share has grown. */
+	apply({message, sentAtMs, generations}: Asked, answer: SlotAnswer, leaseMs: number): boolean {
+		if (answer.isResync) {
+			return false;
+		}
+
+		this.#isFull = false;
+		this.#afterSeq = message.seq;
+		const lapsed = new Set(answer.lapsed);
+		const shares = new Map(answer.shares.map(item => [item.upstreamId, item]));
+		let hasGrown = false;
+		for (const [upstreamId, {share, generation}] of generations) {
+			// Another sponsor was told of this share in the meantime: an answer of the former one would add to it.
+			if (lapsed.has(upstreamId) || share.generation !== generation) {
+				continue;
+			}
+
+			const wasFree = share.free;
+			share.share = shares.get(upstreamId)?.share ?? share.share;
+			// Counted from before the message was sent, the sponsor's own count being from its answer.
+			share.leaseEndMs = Math.max(share.leaseEndMs, sentAtMs + leaseMs);
+			hasGrown ||= share.free > wasFree;
+		}
+
+		return hasGrown;
+	}
+}
+
+const isSame = (a: SlotItem, b: SlotItem | undefined): boolean => a.incarnation === b?.incarnation
+	&& a.share === b.share && a.limit === b.limit && a.wanted === b.wanted && (a.grants === undefined) === (b.grants === undefined);
--- a/src/requests/slot-table.ts
+++ b/src/requests/slot-table.ts
@@ -42,7 +42,7 @@
 /** Grants of one upstream under one sponsorship. */
 export class SlotTable {
 	#capacity: number;
-	#fullAtMs: number;
+	readonly #fullAtMs: number;
 	readonly #grantees = new Map<string, Grantee>();
 	readonly #options: SlotTableOptions;
 
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -83,6 +83,8 @@
 /** Upstreams that announced themselves. */
 export type UpstreamRegistry = Service & {
 	announce(announcement: UpstreamAnnouncement): AnnouncementReply;
+	/** Takes an announcement that may be meant for another entry, and passes it on to its sponsor. */
+	receive(announcement: UpstreamAnnouncement): Promise<AnnouncementReply>;
 	/** Upstreams of the service that may get new requests. */
 	getRoutable(serviceName: string): UpstreamAnnouncement[];
 	list(): UpstreamAnnouncement[];
@@ -148,6 +150,8 @@
 	/** Takes a slot, or undefined when this entry's share has none free. `holdMs` bounds how long it may be held. */
 	tryTake(upstreamId: string, holdMs: number): SlotHold | undefined;
 	getFree(upstreamId: string): number;
+	/** Connections to the upstream that this entry may keep open: the same part as its share of the slots. */
+	getConnections(upstreamId: string): number;
 	/** Requests that wait for a slot of the service: shares move to where the demand is. */
 	setDemand(serviceName: string, waiting: number): void;
 	/** Calls back when a slot may have become free. */
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -41,6 +41,21 @@
 
 const getAlive = (entry: RunningKernel) => entry.get(ServiceName.Peers).list().filter(({isAlive}) => isAlive).map(({processId}) => processId).toSorted();
 
+const stopNow = async (entry: RunningKernel) => {
+	const status = {isStopped: false};
+	const stop = async () => {
+		await entry.stop();
+		status.isStopped = true;
+	};
+
+	const stopping = stop();
+	while (!status.isStopped) {
+		await clock.advance(20);
+	}
+
+	await stopping;
+};
+
 afterEach(async () => {
 	const stopping = Promise.all(started.splice(0).map(async entry => entry.stop()));
 	await clock.advance(60_000);
@@ -96,9 +111,8 @@
 	const b = await startEntry('b');
 	await clock.advance(1000);
 	started.splice(started.indexOf(b), 1);
-	const stopping = b.stop();
-	await clock.advance(100);
-	await stopping;
+	await stopNow(b);
+	// At once: the lease of the peer has not lapsed yet.
 	expect(getAlive(a)).toEqual([]);
 	await clock.advance(800_000);
 	expect(a.get(ServiceName.Peers).list()).toEqual([]);
