Measure requests on fakes with manual time; add limits and hedging

`chervilworks measure requests` runs the choosers over fake hosts: both sites, eleven conditions, the same offered requests for each policy, the same decisions for a seed. A check with no answer counts as answered at its deadline, so that failing fast does not look quick. Such ends are now marked abandoned.

Concurrency limits and hedging are modules with tests, measured as variants; both are off.

--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -9,6 +9,7 @@
 import {EntryCommand} from './entry-command.ts';
 import {ExitCode} from './exit-codes.ts';
 import {JobStatusCommand, JobSubmitCommand} from './job-commands.ts';
+import {MeasureRequestsCommand} from './measure-requests-command.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
 
@@ -24,6 +25,7 @@
 		ConfigPublishCommand,
 		JobSubmitCommand,
 		JobStatusCommand,
+		MeasureRequestsCommand,
 		StandinLogCommand,
 		StandinUpstreamCommand,
 		StandinWorkerCommand,
--- /dev/null
+++ b/src/commands/measure-command.ts
@@ -0,0 +1,46 @@
+/**
+`chervilworks measure …`: measures the product on fakes with manual time. Each matter is one subclass.
+*/
+import process from 'node:process';
+import {Command, Option} from 'clipanion';
+import {createError, ErrorCode} from '../core/errors.ts';
+import {type MeasureOptions, type MeasureReport} from '../measure/measure-types.ts';
+import {formatReport, readReport} from '../measure/report.ts';
+import {ExitCode, withExitCode} from './exit-codes.ts';
+
+/** What all measurements share: options, progress, output and comparison. */
+export abstract class MeasureCommand extends Command {
+	readonly seed = Option.String('--seed', '1', {description: 'Seed; the same seed gives the same decisions.'});
+	readonly seconds = Option.String('--seconds', {description: 'Measured time of each run.'});
+	readonly compare = Option.String('--compare', {description: 'Earlier report in JSON to compare with.'});
+	readonly isJson = Option.Boolean('--json', false, {description: 'Print JSON.'});
+
+	async execute(): Promise<number> {
+		return withExitCode(this.context, async () => {
+			const earlier = this.compare === undefined ? undefined : readReport(this.compare);
+			const report = await this.measure({
+				seed: toNumber('--seed', this.seed),
+				seconds: this.seconds === undefined ? this.getDefaultSeconds() : toNumber('--seconds', this.seconds),
+				onProgress: (done, total, label) => {
+					this.context.stderr.write(process.stderr.isTTY ? `\r\u001B[K${done}/${total} ${label}` : `${done}/${total} ${label}\n`);
+				},
+			});
+			this.context.stderr.write('\n');
+			this.context.stdout.write(this.isJson ? `${JSON.stringify(report, undefined, '\t')}\n` : `${formatReport(report, earlier).join('\n')}\n`);
+			return ExitCode.Ok;
+		});
+	}
+
+	protected abstract getDefaultSeconds(): number;
+
+	protected abstract measure(options: MeasureOptions): Promise<MeasureReport>;
+}
+
+const toNumber = (option: string, value: string): number => {
+	const number = Number(value);
+	if (!Number.isFinite(number) || number <= 0) {
+		throw createError(ErrorCode.BadInput, {step: 'read options', peer: option, detail: `${value} is no number above 0`});
+	}
+
+	return number;
+};
--- /dev/null
+++ b/src/measure/measure-types.ts
@@ -0,0 +1,28 @@
+/**
+What every measurement reports: rows of named figures.
+*/
+
+/** One row: what was measured, and the figures. Names of figures carry their unit. */
+export type MeasureRow = {
+	labels: Record<string, string>;
+	figures: Record<string, number>;
+};
+
+/** Report of one measurement. */
+export type MeasureReport = {
+	matter: string;
+	seed: number;
+	seconds: number;
+	rows: MeasureRow[];
+	/** Sentences on what the figures say. */
+	notes: string[];
+};
+
+/** What every measurement is asked with. */
+export type MeasureOptions = {
+	seed: number;
+	/** Measured time of each run. */
+	seconds: number;
+	/** Told before each run. */
+	onProgress: (done: number, total: number, label: string) => void;
+};
--- /dev/null
+++ b/src/measure/requests-entry.ts
@@ -0,0 +1,330 @@
+/**
+One entry of a measured run: the product's decisions on fake hosts.
+*/
+import {type HedgePolicy} from '../requests/hedge.ts';
+import {type LimitBook} from '../requests/limit.ts';
+import {type UpstreamAnnouncement} from '../types/announcements.ts';
+import {type Chooser} from '../types/choice.ts';
+import {type Clock, type Timer} from '../types/clock.ts';
+import {type RefusalReason, RequestClass} from '../types/requests.ts';
+import {HostAnswer, type HostFakes} from './requests-hosts.ts';
+import {type ThinQueue} from './requests-queue.ts';
+import {type Recorder} from './requests-recorder.ts';
+import {classLoads, type Site} from './requests-sites.ts';
+
+/** A request as its caller sent it. */
+export type OfferedRequest = {
+	requestClass: RequestClass;
+	/** Run time on an idle host. */
+	idleMs: number;
+	sentAtMs: number;
+	deadlineAtMs: number;
+	/** Not sent during the warm-up. */
+	isCounted: boolean;
+};
+
+/** What an entry works with. */
+export type EntryOptions = {
+	site: Site;
+	index: number;
+	clock: Clock;
+	hosts: HostFakes;
+	recorder: Recorder;
+	/** End of the run; after it comes only the drain. */
+	endMs: number;
+	chooser: Chooser;
+	createQueue: (getNowMs: () => number) => ThinQueue;
+	getRoutable: () => readonly UpstreamAnnouncement[];
+	getSlotShare: (upstreamIndex: number) => number;
+	limits?: LimitBook;
+	hedges?: HedgePolicy;
+};
+
+/** A try of a check is given up after so long. */
+const tryTimeoutMs = 400;
+/** Second tries as a share of first tries. */
+const retryShare = 0.1;
+const maxRetryTokens = 20;
+
+type Try = {
+	upstream: UpstreamAnnouncement;
+	startedAtMs: number;
+	/** Its end is the caller's deadline, not the upstream's failure. */
+	isAbandoned: boolean;
+	timer: Timer;
+	hedgeTimer?: Timer;
+};
+
+type Served = {
+	request: OfferedRequest;
+	excluded: Set<string>;
+	tries: Set<Try>;
+	isAccepted: boolean;
+	isEnded: boolean;
+};
+
+/** An entry. */
+export class MeasuredEntry {
+	readonly #options: EntryOptions;
+	readonly #queue: ThinQueue;
+	readonly #failureDomain: string;
+	readonly #inFlight = new Map<string, number>();
+	readonly #indexes = new Map<string, number>();
+	#retryTokens = maxRetryTokens;
+
+	constructor(options: EntryOptions) {
+		this.#options = options;
+		this.#queue = options.createQueue(() => options.clock.monotonicMs());
+		this.#failureDomain = options.site.failureDomains[options.index % options.site.failureDomains.length]!;
+		for (const [index, {upstreamId}] of options.getRoutable().entries()) {
+			this.#indexes.set(upstreamId, index);
+		}
+	}
+
+	/** Takes a request that has just arrived. */
+	take(request: OfferedRequest): void {
+		const served: Served = {
+			request, excluded: new Set(), tries: new Set(), isAccepted: false, isEnded: false,
+		};
+		this.#queue.submit(this.#createQueued(served));
+	}
+
+	/** Tries what waits; for when the upstreams have changed. */
+	wake(): void {
+		this.#queue.wake();
+	}
+
+	#createQueued(served: Served) {
+		const {requestClass, deadlineAtMs} = served.request;
+		return {
+			requestClass,
+			deadlineAtMs,
+			tryStart: () => this.#tryStart(served),
+			refuse: ({reason}: {reason: RefusalReason}) => {
+				this.#refuse(served, reason);
+			},
+		};
+	}
+
+	#tryStart(served: Served): boolean {
+		const {chooser, getRoutable, site, recorder} = this.#options;
+		const {requestClass, isCounted} = served.request;
+		const upstream = chooser.choose(site.service, getRoutable(), {
+			requestClass, excluded: served.excluded, hasSlot: upstreamId => this.#hasSlot(upstreamId),
+		});
+		if (!upstream) {
+			return false;
+		}
+
+		if (!served.isAccepted) {
+			served.isAccepted = true;
+			this.#retryTokens = Math.min(maxRetryTokens, this.#retryTokens + retryShare);
+			if (isCounted) {
+				recorder.firstTries++;
+				recorder.longAccepted += requestClass === RequestClass.Long ? 1 : 0;
+			}
+		}
+
+		this.#dispatch(served, upstream);
+		return true;
+	}
+
+	#hasSlot(upstreamId: string): boolean {
+		const {getSlotShare, limits, site} = this.#options;
+		const share = getSlotShare(this.#indexes.get(upstreamId)!);
+		// The limit is of the whole upstream; this entry keeps its part of it.
+		const bound = limits ? Math.max(1, Math.floor(share * limits.getLimit(upstreamId, site.slots) / site.slots)) : share;
+		return (this.#inFlight.get(upstreamId) ?? 0) < bound;
+	}
+
+	#dispatch(served: Served, upstream: UpstreamAnnouncement): void {
+		const {clock, hosts, chooser, site} = this.#options;
+		const {requestClass, idleMs, deadlineAtMs} = served.request;
+		const {upstreamId, failureDomain} = upstream;
+		const startedAtMs = clock.monotonicMs();
+		this.#inFlight.set(upstreamId, (this.#inFlight.get(upstreamId) ?? 0) + 1);
+		chooser.noteStart(upstreamId, requestClass);
+		const run = hosts.start(this.#indexes.get(upstreamId)!, requestClass, idleMs, startedAtMs);
+		const delayMs = 2 * (failureDomain === this.#failureDomain ? site.withinDomainMs : site.betweenDomainsMs);
+		const boundMs = requestClass === RequestClass.Check
+			? Math.min(tryTimeoutMs, deadlineAtMs - startedAtMs)
+			: deadlineAtMs - startedAtMs;
+		const answerMs = run.durationMs + delayMs;
+		const answer = answerMs > boundMs ? HostAnswer.None : run.answer;
+		const isAbandoned = answer === HostAnswer.None && requestClass === RequestClass.Check && boundMs < tryTimeoutMs;
+		const oneTry: Try = {
+			upstream,
+			startedAtMs,
+			isAbandoned,
+			timer: clock.setTimer(() => {
+				this.#end(served, oneTry, answer);
+			}, Math.min(answerMs, boundMs)),
+		};
+		served.tries.add(oneTry);
+		this.#planHedge(served, oneTry, Math.min(answerMs, boundMs));
+	}
+
+	#planHedge(served: Served, oneTry: Try, endsAfterMs: number): void {
+		const {hedges, clock} = this.#options;
+		const delayMs = hedges?.getDelayMs();
+		if (!hedges || delayMs === undefined || served.tries.size > 1 || endsAfterMs <= delayMs) {
+			return;
+		}
+
+		const {requestClass, deadlineAtMs} = served.request;
+		oneTry.hedgeTimer = clock.setTimer(() => {
+			const excluded = new Set([...served.excluded, oneTry.upstream.upstreamId]);
+			const other = this.#options.chooser.choose(this.#options.site.service, this.#options.getRoutable(), {
+				requestClass, excluded, hasSlot: upstreamId => this.#hasSlot(upstreamId),
+			});
+			const candidate = {
+				requestClass, isIdempotent: requestClass === RequestClass.Check, deadlineAtMs, nowMs: clock.monotonicMs(), hasOtherSlot: other !== undefined,
+			};
+			if (other && hedges.mayHedge(candidate, () => this.#tryTakeRetry())) {
+				this.#options.recorder.hedges += served.request.isCounted ? 1 : 0;
+				this.#dispatch(served, other);
+			}
+		}, delayMs);
+	}
+
+	#tryTakeRetry(): boolean {
+		if (this.#retryTokens < 1) {
+			return false;
+		}
+
+		this.#retryTokens--;
+		return true;
+	}
+
+	#end(served: Served, oneTry: Try, answer: HostAnswer): void {
+		const {requestClass} = served.request;
+		const latencyMs = this.#release(served, oneTry, answer);
+		if (served.isEnded) {
+			return;
+		}
+
+		if (answer === HostAnswer.Whole) {
+			this.#answer(served, latencyMs);
+		} else if (served.tries.size === 0) {
+			this.#fail(served, oneTry, answer);
+		}
+
+		this.#queue.noteEnd(requestClass, latencyMs);
+	}
+
+	#release(served: Served, oneTry: Try, answer: HostAnswer): number {
+		const {clock, hosts, chooser, limits, site} = this.#options;
+		const {requestClass} = served.request;
+		const {upstreamId} = oneTry.upstream;
+		const latencyMs = clock.monotonicMs() - oneTry.startedAtMs;
+		const inFlight = this.#inFlight.get(upstreamId)!;
+		const isSuccess = answer === HostAnswer.Whole;
+		served.tries.delete(oneTry);
+		oneTry.hedgeTimer?.cancel();
+		this.#inFlight.set(upstreamId, inFlight - 1);
+		hosts.end(this.#indexes.get(upstreamId)!, requestClass);
+		chooser.noteEnd(upstreamId, {
+			requestClass, latencyMs, isSuccess, isAbandoned: oneTry.isAbandoned,
+		});
+		const limit = limits?.getOrCreate(upstreamId, site.slots);
+		if (isSuccess) {
+			limit?.recordSuccess(requestClass, latencyMs, inFlight * site.entryCount);
+		} else if (!oneTry.isAbandoned) {
+			limit?.recordFailure();
+		}
+
+		return latencyMs;
+	}
+
+	#answer(served: Served, latencyMs: number): void {
+		const {clock, recorder, site, hedges} = this.#options;
+		const {requestClass, isCounted, sentAtMs, deadlineAtMs, idleMs} = served.request;
+		served.isEnded = true;
+		if (requestClass === RequestClass.Check) {
+			hedges?.recordCheck(latencyMs);
+		}
+
+		for (const other of served.tries) {
+			this.#cancel(served, other);
+		}
+
+		if (!isCounted) {
+			return;
+		}
+
+		const answeredAtMs = clock.monotonicMs() + site.clientMs;
+		if (requestClass === RequestClass.Check) {
+			recorder.recordCheck(answeredAtMs - sentAtMs);
+		} else {
+			recorder.longCompleted++;
+		}
+
+		if (answeredAtMs <= deadlineAtMs) {
+			recorder.inTime[requestClass]++;
+			const isWithinRun = answeredAtMs <= this.#options.endMs;
+			recorder.goodAnswers += isWithinRun ? 1 : 0;
+			recorder.usefulMs += isWithinRun ? idleMs : 0;
+		}
+	}
+
+	/** Closes the other try of a hedged check: the first answer won. */
+	#cancel(served: Served, oneTry: Try): void {
+		const {chooser, hosts, clock} = this.#options;
+		const {requestClass} = served.request;
+		const {upstreamId} = oneTry.upstream;
+		oneTry.timer.cancel();
+		oneTry.hedgeTimer?.cancel();
+		served.tries.delete(oneTry);
+		this.#inFlight.set(upstreamId, this.#inFlight.get(upstreamId)! - 1);
+		hosts.end(this.#indexes.get(upstreamId)!, requestClass);
+		const latencyMs = clock.monotonicMs() - oneTry.startedAtMs;
+		chooser.noteEnd(upstreamId, {
+			requestClass, latencyMs, isSuccess: false, isAbandoned: true,
+		});
+		this.#queue.noteEnd(requestClass, latencyMs);
+	}
+
+	#fail(served: Served, {upstream}: Try, answer: HostAnswer): void {
+		const {recorder, clock} = this.#options;
+		const {requestClass, deadlineAtMs, isCounted} = served.request;
+		const isRetryable = requestClass === RequestClass.Check && clock.monotonicMs() < deadlineAtMs;
+		if (isRetryable && this.#tryTakeRetry()) {
+			recorder.retries += isCounted ? 1 : 0;
+			served.excluded.add(upstream.upstreamId);
+			this.#queue.resubmit(this.#createQueued(served));
+			return;
+		}
+
+		served.isEnded = true;
+		if (!isCounted) {
+			return;
+		}
+
+		if (requestClass === RequestClass.Check) {
+			recorder.failCheck();
+		} else if (answer === HostAnswer.None) {
+			recorder.longUnknown++;
+		} else {
+			recorder.longFailed++;
+		}
+	}
+
+	#refuse(served: Served, reason: RefusalReason): void {
+		served.isEnded = true;
+		if (!served.request.isCounted) {
+			return;
+		}
+
+		const {recorder} = this.#options;
+		if (served.isAccepted) {
+			recorder.failCheck();
+		} else {
+			recorder.refuse(served.request.requestClass, reason);
+		}
+	}
+}
+
+/** Creates a request of the class. */
+export const createOffered = (requestClass: RequestClass, idleMs: number, sentAtMs: number, isCounted: boolean): OfferedRequest => ({
+	requestClass, idleMs, sentAtMs, isCounted, deadlineAtMs: sentAtMs + classLoads[requestClass].deadlineMs,
+});
--- /dev/null
+++ b/src/measure/requests-run.ts
@@ -0,0 +1,147 @@
+/**
+One measured run: a site, a condition, a policy and a seed, on manual time.
+*/
+import {HedgePolicy} from '../requests/hedge.ts';
+import {LimitBook} from '../requests/limit.ts';
+import {type UpstreamAnnouncement} from '../types/announcements.ts';
+import {RequestClass} from '../types/requests.ts';
+import {ManualClock} from '../utils/manual-clock.ts';
+import {createRandom} from '../utils/seeded-random.ts';
+import {type Condition} from './requests-conditions.ts';
+import {createOffered, MeasuredEntry} from './requests-entry.ts';
+import {HostFakes} from './requests-hosts.ts';
+import {type Policy} from './requests-policies.ts';
+import {ThinQueue} from './requests-queue.ts';
+import {Recorder} from './requests-recorder.ts';
+import {
+	classLoads, createUpstreams, drawRunMs, getCapacityPerS, getSlotShare, type Site,
+} from './requests-sites.ts';
+
+/** What is run. */
+export type RunOptions = {
+	site: Site;
+	condition: Condition;
+	policy: Policy;
+	seed: number;
+	seconds: number;
+};
+
+/** What a run gave. */
+export type RunResult = {
+	figures: Record<string, number>;
+	/** Digest of every choice in order. */
+	choiceDigest: number;
+	/** Most requests that any host had at once. */
+	maxRunning: number;
+};
+
+const warmUpMs = 2000;
+/** Lost upstreams leave the membership after so long. */
+const leaseMs = 3000;
+/** Time for what was accepted to end. */
+const drainMs = 60_000;
+/** Streams of random numbers of one seed. */
+const streams = {offer: 1, hosts: 2, choice: 3};
+
+/** Runs once. */
+export const runRequests = (options: RunOptions): RunResult => {
+	const {site, condition, seed, seconds} = options;
+	const clock = new ManualClock();
+	const endMs = warmUpMs + (seconds * 1000);
+	const hosts = new HostFakes(site, condition, createStream(seed, streams.hosts), endMs);
+	const recorder = new Recorder();
+	const upstreams = createUpstreams(site);
+	let routable: readonly UpstreamAnnouncement[] = upstreams;
+	const run: RunState = {
+		...options, clock, hosts, recorder, endMs, choiceDigest: 0, maxRunning: 0, getRoutable: () => routable,
+		indexes: new Map(upstreams.map(({upstreamId}, index) => [upstreamId, index])),
+	};
+	const entries = Array.from({length: site.entryCount}, (_, index) => createEntry(run, index));
+	if (condition.isDomainLost) {
+		clock.setTimer(() => {
+			routable = upstreams.filter((_, index) => !hosts.isLost(index, clock.monotonicMs()));
+			for (const entry of entries) {
+				entry.wake();
+			}
+		}, hosts.faultAtMs + leaseMs);
+	}
+
+	offer(run, entries);
+	clock.advanceSync(endMs + drainMs);
+	return {figures: recorder.getFigures(seconds), choiceDigest: run.choiceDigest, maxRunning: run.maxRunning};
+};
+
+type RunState = RunOptions & RunResultState & {
+	clock: ManualClock;
+	hosts: HostFakes;
+	recorder: Recorder;
+	endMs: number;
+	getRoutable: () => readonly UpstreamAnnouncement[];
+	indexes: ReadonlyMap<string, number>;
+};
+
+type RunResultState = Pick<RunResult, 'choiceDigest' | 'maxRunning'>;
+
+const createStream = (seed: number, stream: number) => createRandom((seed * 8191) + (stream * 131));
+
+const createEntry = (run: RunState, index: number): MeasuredEntry => {
+	const {site, condition, policy, seed, clock, hosts, recorder, getRoutable} = run;
+	const {measurementDelayMs} = condition;
+	const chooser = policy.createChooser({
+		clock,
+		random: createStream(seed, streams.choice + index),
+		failureDomain: site.failureDomains[index % site.failureDomains.length]!,
+		deliver: measurementDelayMs === undefined
+			? undefined
+			: record => {
+				clock.setTimer(record, measurementDelayMs);
+			},
+	});
+	return new MeasuredEntry({
+		site,
+		index,
+		clock,
+		hosts,
+		recorder,
+		endMs: run.endMs,
+		chooser: {
+			...bindChooser(chooser),
+			noteStart(upstreamId, requestClass) {
+				const upstreamIndex = run.indexes.get(upstreamId)!;
+				run.choiceDigest = ((run.choiceDigest * 31) + upstreamIndex + 1) % 2_147_483_647;
+				run.maxRunning = Math.max(run.maxRunning, hosts.getRunning(upstreamIndex) + 1);
+				chooser.noteStart(upstreamId, requestClass);
+			},
+		},
+		createQueue: getNowMs => new ThinQueue(site.upstreamCount * site.slots / site.entryCount, getNowMs),
+		getRoutable,
+		getSlotShare: upstreamIndex => getSlotShare(site, upstreamIndex, index),
+		limits: policy.isLimiting ? new LimitBook() : undefined,
+		hedges: policy.isHedging ? new HedgePolicy() : undefined,
+	});
+};
+
+const bindChooser = (chooser: ReturnType<Policy['createChooser']>) => ({
+	choose: chooser.choose.bind(chooser), noteStart: chooser.noteStart.bind(chooser), noteEnd: chooser.noteEnd.bind(chooser),
+});
+
+/** Offers requests until the end, as a Poisson process that no policy influences. */
+const offer = (run: RunState, entries: MeasuredEntry[]): void => {
+	const {site, condition, seed, clock, recorder, endMs} = run;
+	const random = createStream(seed, streams.offer);
+	const meanGapMs = 1000 / (condition.load * getCapacityPerS(site));
+	const next = () => {
+		const nowMs = clock.monotonicMs();
+		const requestClass = random.next() < classLoads.check.share ? RequestClass.Check : RequestClass.Long;
+		const isCounted = nowMs >= warmUpMs;
+		recorder.arrived[requestClass] += isCounted ? 1 : 0;
+		const request = createOffered(requestClass, drawRunMs(classLoads[requestClass], random), nowMs - site.clientMs, isCounted);
+		entries[random.below(entries.length)]!.take(request);
+		const gapMs = -Math.log(1 - random.next()) * meanGapMs;
+		if (nowMs + gapMs < endMs) {
+			clock.setTimer(next, gapMs);
+		}
+	};
+
+	clock.setTimer(next, 0);
+};
--- a/src/requests/choice.ts
+++ b/src/requests/choice.ts
@@ -158,8 +158,15 @@
 		}
 	}
 
-	#record(state: UpstreamState, upstreamId: string, {requestClass, latencyMs, isSuccess}: RequestEnd): void {
+	#record(state: UpstreamState, upstreamId: string, {requestClass, latencyMs, isSuccess, isAbandoned}: RequestEnd): void {
 		const {serviceName} = state;
+		// A deadline that came while the request was young says nothing of the upstream: counted as failures, the short
+		// rests that queueing leaves under overload would eject one healthy upstream after the other.
+		if (isAbandoned) {
+			this.#latencies.recordAtLeast(serviceName, upstreamId, requestClass, latencyMs);
+			return;
+		}
+
 		if (isSuccess) {
 			this.#latencies.recordSuccess(serviceName, upstreamId, requestClass, latencyMs);
 		} else {
--- a/src/requests/latency.ts
+++ b/src/requests/latency.ts
@@ -80,6 +80,14 @@
 		}
 	}
 
+	/** Takes a request that was given up before its end: it would have taken at least so long. */
+	recordAtLeast(serviceName: string, upstreamId: string, requestClass: RequestClass, latencyMs: number): void {
+		const meanMs = this.getMeanMs(serviceName, requestClass);
+		if (meanMs !== undefined && latencyMs > meanMs * this.getRatio(serviceName, upstreamId, requestClass)) {
+			this.#follow(upstreamId, requestClass, latencyMs, meanMs);
+		}
+	}
+
 	/** Forgets an upstream. */
 	forget(upstreamId: string): void {
 		this.#byUpstream.delete(upstreamId);
--- a/src/types/choice.ts
+++ b/src/types/choice.ts
@@ -19,6 +19,8 @@
 	latencyMs: number;
 	/** A whole answer that is no server error. */
 	isSuccess: boolean;
+	/** Given up by this process for its own reasons, as when the caller left or its deadline came: no failure of the upstream. */
+	isAbandoned?: boolean;
 };
 
 /** Chooses upstreams and learns from how requests end. */
--- /dev/null
+++ b/test/limit.test.ts
@@ -0,0 +1,92 @@
+import {expect, test} from 'vitest';
+import {HedgePolicy} from '../src/requests/hedge.ts';
+import {ConcurrencyLimit, LimitBook} from '../src/requests/limit.ts';
+import {RequestClass} from '../src/types/requests.ts';
+
+const repeat = (times: number, action: () => void) => {
+	for (let index = 0; index < times; index++) {
+		action();
+	}
+};
+
+test('the limit falls while full requests get slower, and comes back', () => {
+	const limit = new ConcurrencyLimit(8);
+	repeat(200, () => {
+		limit.recordSuccess(RequestClass.Check, 20, 8);
+	});
+	expect(limit.getLimit()).toBe(8);
+	repeat(60, () => {
+		limit.recordSuccess(RequestClass.Check, 200, 8);
+	});
+	expect(limit.getLimit()).toBeLessThan(6);
+	repeat(400, () => {
+		limit.recordSuccess(RequestClass.Check, 20, 8);
+	});
+	expect(limit.getLimit()).toBe(8);
+});
+
+test('latency with little in flight says nothing of the limit', () => {
+	const limit = new ConcurrencyLimit(8);
+	repeat(50, () => {
+		limit.recordSuccess(RequestClass.Check, 20, 1);
+	});
+	repeat(50, () => {
+		limit.recordSuccess(RequestClass.Check, 500, 1);
+	});
+	expect(limit.getLimit()).toBe(8);
+});
+
+test('failures bring the limit down to one, never to none', () => {
+	const limit = new ConcurrencyLimit(8);
+	repeat(500, () => {
+		limit.recordFailure();
+	});
+	expect(limit.getLimit()).toBe(1);
+});
+
+test('a limit never exceeds the slots, whatever is measured', () => {
+	const book = new LimitBook();
+	expect(book.getLimit('desk-1', 8)).toBe(8);
+	const limit = book.getOrCreate('desk-1', 8);
+	for (let index = 0; index < 1000; index++) {
+		limit.recordSuccess(index % 7 === 0 ? RequestClass.Long : RequestClass.Check, 1 + ((index * 37) % 500), index % 9);
+		expect(limit.getLimit()).toBeGreaterThanOrEqual(1);
+		expect(limit.getLimit()).toBeLessThanOrEqual(8);
+	}
+
+	book.forget('desk-1');
+	expect(book.getLimit('desk-1', 8)).toBe(8);
+});
+
+const candidate = {
+	requestClass: RequestClass.Check, isIdempotent: true, deadlineAtMs: 1000, nowMs: 100, hasOtherSlot: true,
+};
+const allow = () => true;
+
+test('hedges start after the 95th percentile of recent checks', () => {
+	const hedges = new HedgePolicy();
+	for (let latencyMs = 1; latencyMs < 100; latencyMs++) {
+		hedges.recordCheck(latencyMs);
+	}
+
+	expect(hedges.getDelayMs()).toBeUndefined();
+	hedges.recordCheck(100);
+	expect(hedges.getDelayMs()).toBe(95);
+});
+
+test('only idempotent checks before their deadline are hedged, elsewhere, and within the budget', () => {
+	const hedges = new HedgePolicy();
+	let asked = 0;
+	const count = () => {
+		asked++;
+		return true;
+	};
+
+	expect(hedges.mayHedge({...candidate, requestClass: RequestClass.Long}, count)).toBe(false);
+	expect(hedges.mayHedge({...candidate, isIdempotent: false}, count)).toBe(false);
+	expect(hedges.mayHedge({...candidate, nowMs: 1000}, count)).toBe(false);
+	expect(hedges.mayHedge({...candidate, hasOtherSlot: false}, count)).toBe(false);
+	expect(asked).toBe(0);
+	expect(hedges.mayHedge(candidate, () => false)).toBe(false);
+	expect(hedges.mayHedge(candidate, allow)).toBe(true);
+});
