--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -16,6 +16,7 @@
 import {
 	JobCancelCommand, JobListCommand, JobStatusCommand, JobSubmitCommand,
 } from './job-commands.ts';
+import {MeasureRequestsCommand} from './measure-requests-command.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
 
@@ -40,6 +41,7 @@
 	RequestLookupCommand,
 	RequestListCommand,
 	StatusCommand,
+	MeasureRequestsCommand,
 	StandinLogCommand,
 	StandinUpstreamCommand,
 	StandinWorkerCommand,
