--- /dev/null
+++ b/src/jobs/first-fit-engine.ts
@@ -0,0 +1,167 @@
+/**
+Placement by first fit: the first open worker with room. The baseline that better engines are measured against.
+*/
+import {
+	DecisionType, type Decision, type PendingTask, type PlacementEngine, type PlacementWorker,
+} from '../types/placement.ts';
+import {type Resources} from '../types/platform.ts';
+import {getMissing, hasRoom} from './job-status.ts';
+
+type Worker = {
+	spec: PlacementWorker;
+	used: Resources;
+};
+
+/** Places each task on the first worker with room; gangs as a whole; evicts nothing. */
+export class FirstFitEngine implements PlacementEngine {
+	readonly #workers = new Map<string, Worker>();
+	readonly #waiting = new Map<string, PendingTask>();
+	readonly #placed = new Map<string, {workerId: string; resources: Resources}>();
+	readonly #reported = new Set<string>();
+
+	setWorker(spec: PlacementWorker): void {
+		const known = this.#workers.get(spec.workerId);
+		this.#workers.set(spec.workerId, {spec, used: known?.used ?? this.#sumPlaced(spec.workerId)});
+		this.#reported.clear();
+	}
+
+	removeWorker(workerId: string): void {
+		this.#workers.delete(workerId);
+	}
+
+	setQuota(): void {
+		// First fit knows no quotas.
+	}
+
+	enqueue(task: PendingTask): void {
+		this.#waiting.set(task.taskId, task);
+	}
+
+	cancel(taskId: string): void {
+		this.#waiting.delete(taskId);
+	}
+
+	noteRunning(task: PendingTask, workerId: string): void {
+		this.#waiting.delete(task.taskId);
+		if (this.#placed.get(task.taskId)?.workerId !== workerId) {
+			this.#take(task, workerId);
+		}
+	}
+
+	noteStartRefused(): void {
+		// The room stays taken until the end of the attempt is noted.
+	}
+
+	noteEnded(taskId: string): void {
+		const placed = this.#placed.get(taskId);
+		if (!placed) {
+			return;
+		}
+
+		this.#placed.delete(taskId);
+		const worker = this.#workers.get(placed.workerId);
+		if (worker) {
+			worker.used = add(worker.used, placed.resources, -1);
+		}
+	}
+
+	noteUsage(): void {
+		// First fit knows no harm.
+	}
+
+	decide(_nowMs: number, maxDecisions: number): Decision[] {
+		const decisions: Decision[] = [];
+		const full = new Set<string>();
+		for (const task of this.#waiting.values()) {
+			if (decisions.length >= maxDecisions) {
+				break;
+			}
+
+			const {jobId, resources, isGang} = task.spec;
+			// A shape that found no room in this round finds none for the next task either.
+			const shape = `${resources.processors}/${resources.memoryMb}/${resources.accelerators}/${task.region ?? ''}`;
+			if (full.has(shape)) {
+				continue;
+			}
+
+			const group = isGang ? [...this.#waiting.values()].filter(({spec}) => spec.jobId === jobId) : [task];
+			const starts = this.#place(group);
+			if (starts) {
+				decisions.push(...starts);
+			} else {
+				full.add(shape);
+				this.#reportMissing(task, decisions);
+			}
+		}
+
+		return decisions;
+	}
+
+	#place(group: PendingTask[]): Decision[] | undefined {
+		const starts: Decision[] = [];
+		for (const task of group) {
+			const worker = this.#findRoom(task);
+			if (!worker) {
+				for (const start of starts as Array<Decision & {type: DecisionType.Start}>) {
+					this.noteEnded(start.taskId);
+				}
+
+				return undefined;
+			}
+
+			this.#take(task, worker.spec.workerId);
+			starts.push({type: DecisionType.Start, taskId: task.taskId, workerId: worker.spec.workerId});
+		}
+
+		for (const task of group) {
+			this.#waiting.delete(task.taskId);
+		}
+
+		return starts;
+	}
+
+	#findRoom({spec, region}: PendingTask): Worker | undefined {
+		for (const worker of this.#workers.values()) {
+			const {isOpen, capacity, region: workerRegion} = worker.spec;
+			if (isOpen && (region === undefined || region === workerRegion) && hasRoom(add(capacity, worker.used, -1), spec.resources)) {
+				return worker;
+			}
+		}
+
+		return undefined;
+	}
+
+	#take({taskId, spec: {resources}}: PendingTask, workerId: string): void {
+		this.noteEnded(taskId);
+		this.#placed.set(taskId, {workerId, resources});
+		const worker = this.#workers.get(workerId);
+		if (worker) {
+			worker.used = add(worker.used, resources, 1);
+		}
+	}
+
+	#reportMissing({spec: {jobId, resources}}: PendingTask, decisions: Decision[]): void {
+		const missing = getMissing(resources, [...this.#workers.values()].map(({spec}) => spec.capacity));
+		if (missing !== undefined && !this.#reported.has(jobId)) {
+			this.#reported.add(jobId);
+			decisions.push({type: DecisionType.Unplaceable, jobId, missing});
+		}
+	}
+
+	#sumPlaced(workerId: string): Resources {
+		let used: Resources = {processors: 0, memoryMb: 0, accelerators: 0};
+		for (const placed of this.#placed.values()) {
+			if (placed.workerId === workerId) {
+				used = add(used, placed.resources, 1);
+			}
+		}
+
+		return used;
+	}
+}
+
+const add = (a: Resources, b: Resources, sign: 1 | -1): Resources => ({
+	processors: a.processors + (sign * b.processors),
+	memoryMb: a.memoryMb + (sign * b.memoryMb),
+	accelerators: a.accelerators + (sign * b.accelerators),
+});
--- /dev/null
+++ b/src/jobs/job-fold.ts
@@ -0,0 +1,223 @@
+/**
+Folds the jobs stream. Every reader comes to the same jobs, whatever was appended twice, late or by a paused owner.
+*/
+import {type JobSpec} from '../types/jobs.ts';
+import {
+	JobEntryType, type Dispatch, type JobEntry, type JobRecord, type TaskEnd,
+} from './job-records.ts';
+
+/** A job as the log tells it. */
+export type FoldedJob = {
+	readonly spec: JobSpec;
+	readonly shard: number;
+	/** Offset of the record that brought it. */
+	readonly offset: number;
+	/** Wall time of its last whole publication, by its writer. */
+	publishedAtMs: number;
+	isCancelled: boolean;
+	/** Ends by index of the task; the first in the log stands. */
+	readonly ends: Map<number, TaskEnd>;
+	/** Last dispatches of non-idempotent tasks by index. */
+	readonly dispatches: Map<number, Dispatch>;
+	/** Wall time of the record that ended the last task, or cancelled the job. */
+	finishedAtMs?: number;
+};
+
+/** What changed, for those who act on it. */
+export type JobChange = {
+	type: JobEntryType;
+	shard: number;
+	job?: FoldedJob;
+	end?: TaskEnd;
+};
+
+/** The jobs that the log tells of. */
+export class JobFold {
+	readonly jobs = new Map<string, FoldedJob>();
+	/** Offset of the last record folded. */
+	offset = -1;
+	readonly #byShard = new Map<number, Map<string, FoldedJob>>();
+	readonly #tokens = new Map<number, number>();
+	readonly #previousTokens = new Map<number, number>();
+
+	/** Jobs of one shard. */
+	getShard(shard: number): ReadonlyMap<string, FoldedJob> {
+		return this.#byShard.get(shard) ?? new Map<string, FoldedJob>();
+	}
+
+	/** Shards that have jobs. */
+	getShards(): number[] {
+		return [...this.#byShard.keys()];
+	}
+
+	/** Token of the owner whose entries have effect, or -1. */
+	getToken(shard: number): number {
+		return this.#tokens.get(shard) ?? -1;
+	}
+
+	/** Token that the last seal of the shard took over from, or -1 when the shard never had an owner. */
+	getPreviousToken(shard: number): number {
+		return this.#previousTokens.get(shard) ?? -1;
+	}
+
+	/** Forgets everything: after a gap, what is still live follows in the records that are kept. */
+	clear(): void {
+		this.jobs.clear();
+		this.#byShard.clear();
+		this.#tokens.clear();
+	}
+
+	/** Applies one record; gives what it changed. */
+	apply(record: JobRecord, offset: number): JobChange[] {
+		this.offset = offset;
+		const changes: JobChange[] = [];
+		for (const entry of record.entries) {
+			const change = this.#applyEntry(entry, record.writtenAtMs, offset);
+			if (change) {
+				changes.push(change);
+			}
+		}
+
+		return changes;
+	}
+
+	#applyEntry(entry: JobEntry, writtenAtMs: number, offset: number): JobChange | undefined {
+		switch (entry.type) {
+			case JobEntryType.Accept: {
+				return this.#accept(entry, writtenAtMs, offset);
+			}
+
+			case JobEntryType.Cancel: {
+				const job = this.jobs.get(entry.jobId);
+				if (!job || job.isCancelled) {
+					return undefined;
+				}
+
+				job.isCancelled = true;
+				job.finishedAtMs ??= writtenAtMs;
+				return {type: entry.type, shard: job.shard, job};
+			}
+
+			case JobEntryType.Seal: {
+				const known = this.getToken(entry.shard);
+				if (entry.fencingToken <= known) {
+					return undefined;
+				}
+
+				this.#previousTokens.set(entry.shard, known);
+				this.#tokens.set(entry.shard, entry.fencingToken);
+				return {type: entry.type, shard: entry.shard};
+			}
+
+			case JobEntryType.Snapshot: {
+				return this.#applySnapshot(entry, writtenAtMs, offset);
+			}
+
+			case JobEntryType.End:
+			case JobEntryType.Dispatch:
+			case JobEntryType.Forget: {
+				return this.#applyOwned(entry, writtenAtMs);
+			}
+		}
+	}
+
+	#accept({spec, shard}: JobEntry & {type: JobEntryType.Accept}, writtenAtMs: number, offset: number): JobChange | undefined {
+		// A submission sent again after a lost answer, or by a caller that asked twice: the first stands.
+		if (this.jobs.has(spec.jobId)) {
+			return undefined;
+		}
+
+		const job = this.#add(spec, shard, writtenAtMs, offset);
+		return {type: JobEntryType.Accept, shard, job};
+	}
+
+	#applyOwned(entry: JobEntry & {type: JobEntryType.End | JobEntryType.Dispatch | JobEntryType.Forget}, writtenAtMs: number): JobChange | undefined {
+		const job = this.jobs.get(entry.jobId);
+		if (!job || this.#isStale(job.shard, entry.fencingToken)) {
+			return undefined;
+		}
+
+		const {shard} = job;
+		if (entry.type === JobEntryType.Forget) {
+			this.jobs.delete(entry.jobId);
+			this.#byShard.get(shard)?.delete(entry.jobId);
+			return {type: entry.type, shard, job};
+		}
+
+		if (entry.type === JobEntryType.Dispatch) {
+			job.dispatches.set(entry.dispatch.index, entry.dispatch);
+			return {type: entry.type, shard, job};
+		}
+
+		if (job.ends.has(entry.end.index) || entry.end.index >= job.spec.taskCount) {
+			return undefined;
+		}
+
+		this.#end(job, entry.end, writtenAtMs);
+		return {
+			type: entry.type, shard, job, end: entry.end,
+		};
+	}
+
+	#applySnapshot(entry: JobEntry & {type: JobEntryType.Snapshot}, writtenAtMs: number, offset: number): JobChange | undefined {
+		if (this.#isStale(entry.shard, entry.fencingToken)) {
+			return undefined;
+		}
+
+		// The seal itself may have lapsed from the log before this reader came.
+		this.#tokens.set(entry.shard, entry.fencingToken);
+		const known = this.jobs.get(entry.spec.jobId);
+		const job = known ?? this.#add(entry.spec, entry.shard, writtenAtMs, offset);
+		job.publishedAtMs = Math.max(job.publishedAtMs, writtenAtMs);
+		// Merged, never replaced: a snapshot taken before a later end or cancellation cannot undo it.
+		for (const end of entry.ends) {
+			if (!job.ends.has(end.index)) {
+				this.#end(job, end, writtenAtMs);
+			}
+		}
+
+		for (const dispatch of entry.dispatches) {
+			if ((job.dispatches.get(dispatch.index)?.attempt ?? -1) < dispatch.attempt) {
+				job.dispatches.set(dispatch.index, dispatch);
+			}
+		}
+
+		if (entry.isCancelled && !job.isCancelled) {
+			job.isCancelled = true;
+			job.finishedAtMs ??= writtenAtMs;
+		}
+
+		return known ? undefined : {type: entry.type, shard: job.shard, job};
+	}
+
+	/**
+	A paused owner that wakes up may append ends, dispatches or snapshots decided before its pause. They come after the seal
+	of its successor in this stream, so every reader drops them.
+	*/
+	#isStale(shard: number, fencingToken: number): boolean {
+		return fencingToken < this.getToken(shard);
+	}
+
+	#end(job: FoldedJob, end: TaskEnd, writtenAtMs: number): void {
+		job.ends.set(end.index, end);
+		job.dispatches.delete(end.index);
+		if (job.ends.size === job.spec.taskCount) {
+			job.finishedAtMs ??= writtenAtMs;
+		}
+	}
+
+	#add(spec: JobSpec, shard: number, publishedAtMs: number, offset: number): FoldedJob {
+		const job: FoldedJob = {
+			spec, shard, offset, publishedAtMs, isCancelled: false, ends: new Map(), dispatches: new Map(),
+		};
+		this.jobs.set(spec.jobId, job);
+		let jobs = this.#byShard.get(shard);
+		if (!jobs) {
+			jobs = new Map();
+			this.#byShard.set(shard, jobs);
+		}
+
+		jobs.set(spec.jobId, job);
+		return job;
+	}
+}
--- /dev/null
+++ b/src/jobs/job-limiter.ts
@@ -0,0 +1,37 @@
+/**
+Bounds how many calls are made at a time, so that a wave does not flood the workers.
+*/
+
+/** Runs actions, at most so many at a time, in order of arrival. */
+export class JobLimiter {
+	readonly #max: number;
+	readonly #waiting: Array<() => void> = [];
+	#running = 0;
+
+	constructor(max: number) {
+		this.#max = max;
+	}
+
+	/** Runs the action once its turn has come. */
+	async run<Result>(action: () => Promise<Result>): Promise<Result> {
+		if (this.#running >= this.#max) {
+			// The place is handed over by who leaves, so the count stays.
+			await new Promise<void>(resolve => {
+				this.#waiting.push(resolve);
+			});
+		} else {
+			this.#running++;
+		}
+
+		try {
+			return await action();
+		} finally {
+			const next = this.#waiting.shift();
+			if (next) {
+				next();
+			} else {
+				this.#running--;
+			}
+		}
+	}
+}
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -1,15 +1,23 @@
 /**
-Records of the jobs stream: acceptance, cancellation and ends. Starts are not recorded.
+Records of the jobs stream. Each is a batch of entries: acceptance, cancellation, ends, and what keeps them alive. Starts of
+idempotent tasks are not recorded.
 */
 import {z} from 'zod';
 import {TaskClass, type JobSpec} from '../types/jobs.ts';
 import {TaskState} from '../types/platform.ts';
 
-/** Types of records in the jobs stream. */
-export enum JobRecordType {
+/** Types of entries in a record of the jobs stream. */
+export enum JobEntryType {
 	Accept = 'accept',
 	Cancel = 'cancel',
 	End = 'end',
+	/** A non-idempotent task is about to be started: its end, when never learned, is then unknown and not "not run". */
+	Dispatch = 'dispatch',
+	/** A new owner of the shard writes from here on; what older owners append later has no effect. */
+	Seal = 'seal',
+	/** A live job published again before retention takes its older records. */
+	Snapshot = 'snapshot',
+	Forget = 'forget',
 }
 
 const maxTasks = 100_000;
@@ -34,19 +42,62 @@
 	input: z.unknown().optional(),
 });
 
-/** Shape of a record of the jobs stream. */
-export const jobRecordSchema = z.discriminatedUnion('type', [
-	z.object({type: z.literal(JobRecordType.Accept), spec: jobSpecSchema}),
-	z.object({type: z.literal(JobRecordType.Cancel), jobId: z.string()}),
+const index = z.number().int().nonnegative();
+const attempt = z.number().int().nonnegative();
+const shard = z.number().int().nonnegative();
+const fencingToken = z.number().int().nonnegative();
+
+const taskEndSchema = z.object({
+	index,
+	attempt,
+	state: z.enum(TaskState),
+	result: z.unknown().optional(),
+	/** Why it counts as ended, when no worker confirmed it. */
+	reason: z.string().optional(),
+	evictions: z.number().int().nonnegative().optional(),
+});
+const dispatchSchema = z.object({
+	index, attempt, workerId: z.string(), incarnation: z.number(),
+});
+
+const jobEntrySchema = z.discriminatedUnion('type', [
+	z.object({type: z.literal(JobEntryType.Accept), shard, spec: jobSpecSchema}),
+	z.object({type: z.literal(JobEntryType.Cancel), jobId: z.string()}),
+	z.object({
+		type: z.literal(JobEntryType.End), jobId: z.string(), fencingToken, end: taskEndSchema,
+	}),
 	z.object({
-		type: z.literal(JobRecordType.End),
-		jobId: z.string(),
-		taskId: z.string(),
-		attempt: z.number().int(),
-		state: z.enum(TaskState),
-		result: z.unknown().optional(),
+		type: z.literal(JobEntryType.Dispatch), jobId: z.string(), fencingToken, dispatch: dispatchSchema,
 	}),
+	z.object({type: z.literal(JobEntryType.Seal), shard, fencingToken}),
+	z.object({
+		type: z.literal(JobEntryType.Snapshot),
+		shard,
+		fencingToken,
+		spec: jobSpecSchema,
+		isCancelled: z.boolean(),
+		ends: z.array(taskEndSchema),
+		dispatches: z.array(dispatchSchema),
+	}),
+	z.object({type: z.literal(JobEntryType.Forget), jobId: z.string(), fencingToken}),
 ]);
 
+/** Shape of a record of the jobs stream. */
+export const jobRecordSchema = z.object({
+	id: z.string(),
+	/** Wall time of the writer: the age of a job's last publication. */
+	writtenAtMs: z.number(),
+	entries: z.array(jobEntrySchema),
+});
+
+/** End of one attempt that is final for its task. */
+export type TaskEnd = z.infer<typeof taskEndSchema>;
+
+/** Where a non-idempotent task was about to be started. */
+export type Dispatch = z.infer<typeof dispatchSchema>;
+
+/** One entry of a record. */
+export type JobEntry = z.infer<typeof jobEntrySchema>;
+
 /** A record of the jobs stream. */
 export type JobRecord = z.infer<typeof jobRecordSchema>;
--- /dev/null
+++ b/src/jobs/job-scheduler.ts
@@ -0,0 +1,526 @@
+/**
+The scheduling half of an entry: follows the jobs stream, owns shards, and runs their tasks on the fleet.
+*/
+import {
+	createError, ErrorCode, getMessage,
+} from '../core/errors.ts';
+import {followLog} from '../core/log-reader.ts';
+import {type Settings} from '../core/settings-schema.ts';
+import {type Clock} from '../types/clock.ts';
+import {type JobSpec, type JobStatus} from '../types/jobs.ts';
+import {Metric, type Metrics} from '../types/metrics.ts';
+import {DecisionType, type Decision, type PlacementEngine} from '../types/placement.ts';
+import {
+	Stream, type PlatformLog, type TaskRef, type WorkerSnapshot,
+} from '../types/platform.ts';
+import {type Random} from '../types/random.ts';
+import {type WorkerRegistry} from '../types/services.ts';
+import {createLogger, Part} from '../utils/logger.ts';
+import {createParser} from '../utils/parser.ts';
+import {JobFleet} from './job-fleet.ts';
+import {JobFold, type FoldedJob} from './job-fold.ts';
+import {JobLimiter} from './job-limiter.ts';
+import {JobEntryType, jobRecordSchema, type JobEntry} from './job-records.ts';
+import {getJobStatus, getMissing, isSameSpec} from './job-status.ts';
+import {keepUp} from './job-upkeep.ts';
+import {JobWriter} from './job-writer.ts';
+import {LeaseKeeper} from './lease-keeper.ts';
+import {getMajorityMs} from './lease-proof.ts';
+import {type OwnerId} from './ownership-fold.ts';
+import {OwnershipKeeper} from './ownership-keeper.ts';
+import {recoverShard} from './recovery.ts';
+import {getShard} from './shard-hash.ts';
+import {ShardOwner} from './shard-owner.ts';
+import {type LiveTask} from './shard-task.ts';
+
+const log = createLogger(Part.Jobs);
+const parseRecord = createParser('read job record', jobRecordSchema);
+const fleetEveryMs = 500;
+const proofEveryMs = 100;
+const keepSilentMs = 600_000;
+const minUpkeepMs = 1000;
+const maxUpkeepMs = 60_000;
+const upkeepsPerRetention = 100;
+
+/** What the scheduler needs. */
+export type JobSchedulerOptions = {
+	log: PlatformLog;
+	clock: Clock;
+	random: Random;
+	metrics: Metrics;
+	self: OwnerId;
+	settings: Pick<Settings, 'jobs' | 'ownership' | 'log'>;
+	workers: Pick<WorkerRegistry, 'list' | 'getClient'>;
+	engine: PlacementEngine;
+	getRegion(service: string): string | undefined;
+};
+
+/** Schedules the jobs of the shards that this entry owns. */
+export class JobScheduler {
+	readonly fold = new JobFold();
+	readonly ownership: OwnershipKeeper;
+	readonly fleet: JobFleet;
+	readonly tasks = new Map<string, LiveTask>();
+	readonly #options: JobSchedulerOptions;
+	readonly #writer: JobWriter;
+	readonly #limiter: JobLimiter;
+	readonly #owners = new Map<number, ShardOwner>();
+	readonly #open = new Set<ShardOwner>();
+	readonly #waiting = new Map<string, Set<() => void>>();
+	readonly #proofs = new Map<number, {atMs: number; endMs: number}>();
+	readonly #recoveries = new Set<Promise<void>>();
+	readonly #startedAtMs: number;
+	#isCaughtUp = false;
+	#isTruncated = false;
+
+	constructor(options: JobSchedulerOptions) {
+		const {clock, random, metrics, settings: {jobs, ownership, log: {timeoutMs}}} = options;
+		this.#options = options;
+		this.#startedAtMs = clock.monotonicMs();
+		this.#limiter = new JobLimiter(jobs.maxCalls);
+		this.#writer = new JobWriter({
+			log: options.log, clock, random, metrics, gatherMs: jobs.gatherMs, maxEntries: jobs.maxBatch, maxQueued: jobs.maxQueued,
+		});
+		this.ownership = new OwnershipKeeper({
+			log: options.log,
+			clock,
+			random,
+			metrics,
+			self: options.self,
+			...ownership,
+			logTimeoutMs: timeoutMs,
+			getShards: () => this.#getShards(),
+			onOwned: (shard, fencingToken) => {
+				this.#own(shard, fencingToken);
+			},
+			onLost: shard => {
+				this.#lose(shard);
+			},
+			onRelease: async shard => this.#owners.get(shard)?.settle(),
+		});
+		this.fleet = new JobFleet({
+			clock,
+			engine: options.engine,
+			keepSilentMs,
+			listWorkers: () => options.workers.list(),
+			createKeeper: workerId => this.#createKeeper(workerId),
+			isOwned: shard => this.#owners.has(shard),
+		});
+	}
+
+	/** Whether the jobs stream was read to its end once. */
+	get isCaughtUp(): boolean {
+		return this.#isCaughtUp;
+	}
+
+	/** Entries that wait for the log. */
+	get queued(): number {
+		return this.#writer.queued;
+	}
+
+	/** Resolves once the job is in the log. The same job twice is one; another job under its id is refused. */
+	async submit(spec: JobSpec): Promise<JobStatus> {
+		const {jobs} = this.#options.settings;
+		if (!this.fold.jobs.has(spec.jobId)) {
+			await this.#write({type: JobEntryType.Accept, shard: getShard(spec.jobId, jobs.shards), spec}, spec.jobId, () => this.fold.jobs.has(spec.jobId));
+		}
+
+		const job = this.fold.jobs.get(spec.jobId)!;
+		if (!isSameSpec(job.spec, spec)) {
+			this.#options.metrics.count(Metric.JobsRefused, 'conflict');
+			throw createError(ErrorCode.Conflict, {step: 'submit job', peer: spec.jobId, detail: 'another job has this id'});
+		}
+
+		this.#options.metrics.count(Metric.JobsAccepted);
+		return this.#getStatus(job);
+	}
+
+	/** Resolves once the cancellation is in the log. */
+	async cancel(jobId: string): Promise<JobStatus> {
+		const job = this.fold.jobs.get(jobId);
+		if (!job) {
+			throw createError(ErrorCode.NotFound, {step: 'cancel job', peer: jobId});
+		}
+
+		if (!job.isCancelled && job.finishedAtMs === undefined) {
+			await this.#write({type: JobEntryType.Cancel, jobId}, jobId, () => job.isCancelled);
+		}
+
+		return this.#getStatus(job);
+	}
+
+	/** Status as known here. */
+	getStatus(jobId: string): JobStatus | undefined {
+		const job = this.fold.jobs.get(jobId);
+		return job && this.#getStatus(job);
+	}
+
+	/** Entry that owns the job's shard and so knows its tasks; none while nobody does. */
+	getOwner(jobId: string): string | undefined {
+		const job = this.fold.jobs.get(jobId);
+		return job && this.ownership.fold.getOwner(job.shard)?.processId;
+	}
+
+	/** Tells whether the tasks of the job are followed here. */
+	isOwnerOf(jobId: string): boolean {
+		const job = this.fold.jobs.get(jobId);
+		return job !== undefined && this.#owners.has(job.shard);
+	}
+
+	/** Runs until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {settings} = this.#options;
+		const upkeepMs = Math.min(maxUpkeepMs, Math.max(minUpkeepMs, settings.log.retentionMs / upkeepsPerRetention));
+		await Promise.all([
+			this.#follow(signal),
+			this.#writer.run(signal),
+			this.ownership.run(signal),
+			this.#repeat(fleetEveryMs, signal, () => {
+				this.fleet.update();
+			}),
+			this.#repeat(settings.jobs.roundMs, signal, () => {
+				this.#decide();
+			}),
+			this.#repeat(upkeepMs, signal, async () => this.#keepUp()),
+		]);
+		// Stopped for good or not, running tasks stay with their workers: the next owner finds them there.
+		for (const shard of this.#owners.keys()) {
+			this.#lose(shard);
+		}
+
+		await this.fleet.stop();
+	}
+
+	/** Gives the shards back, so that another entry need not wait for the lease. */
+	async leave(): Promise<void> {
+		await this.ownership.releaseAll();
+	}
+
+	/** Tells whether this entry may act for the shard: by its lease, or while the log is away by what most workers say. */
+	mayAct(shard: number): boolean {
+		return this.ownership.owned.has(shard) && (this.ownership.hasLease() || this.#hasProof(shard));
+	}
+
+	async #repeat(everyMs: number, signal: AbortSignal, act: () => void | Promise<void>): Promise<void> {
+		while (!signal.aborted) {
+			try {
+				await act();
+			} catch (error) {
+				log('Round failed: %s', getMessage(error));
+			}
+
+			await this.#options.clock.sleep(everyMs, signal);
+		}
+	}
+
+	async #follow(signal: AbortSignal): Promise<void> {
+		const {log: platformLog, clock, random, metrics} = this.#options;
+		await followLog({
+			onRecord: ({offset, value}) => {
+				this.#take(offset, value);
+			},
+			onGap: () => {
+				this.#onGap();
+			},
+			onPage: ({endOffset}) => {
+				this.#isCaughtUp ||= this.fold.offset + 1 >= endOffset;
+			},
+			onBadRecord(record, error) {
+				metrics.count(Metric.BadRecords, Stream.Jobs);
+				log('Bad record at offset %d: %s', record.offset, getMessage(error));
+			},
+			onUnavailable(message) {
+				metrics.count(Metric.LogErrors, Stream.Jobs);
+				log('Cannot read the log: %s', message);
+			},
+		}, {
+			log: platformLog, stream: Stream.Jobs, clock, random, fromOffset: 0, signal,
+		});
+	}
+
+	#take(offset: number, value: unknown): void {
+		for (const change of this.fold.apply(parseRecord(value), offset)) {
+			const owner = this.#owners.get(change.shard);
+			if (owner && this.#open.has(owner)) {
+				owner.onChange(change);
+			}
+
+			this.#wake(change.job?.spec.jobId);
+		}
+	}
+
+	/** Records were lost to retention: what is live was published again, so the fold starts anew and ownership with it. */
+	#onGap(): void {
+		this.#isTruncated = true;
+		if (this.fold.offset < 0) {
+			return;
+		}
+
+		for (const shard of this.#owners.keys()) {
+			this.ownership.noteDeposed(shard);
+		}
+
+		this.fold.clear();
+	}
+
+	#own(shard: number, fencingToken: number): void {
+		const {clock, metrics, engine, settings: {jobs}} = this.#options;
+		// What workers accepted under an earlier token of this entry proves nothing for this one.
+		for (const keeper of this.fleet.getKeepers()) {
+			keeper.acceptedAtMs.delete(shard);
+		}
+
+		this.#proofs.delete(shard);
+		const owner = new ShardOwner(shard, fencingToken, {
+			clock,
+			metrics,
+			engine,
+			writer: this.#writer,
+			limiter: this.#limiter,
+			tasks: this.tasks,
+			times: jobs,
+			maxFailures: jobs.maxFailures,
+			getKeeper: workerId => this.fleet.getKeeper(workerId),
+			mayStart: () => this.mayAct(shard) && !this.ownership.isReleasing(shard),
+			getRegion: service => service === undefined ? undefined : this.#options.getRegion(service),
+			onDeposed: (deposed, token) => {
+				this.#depose(deposed, token);
+			},
+		});
+		this.#owners.set(shard, owner);
+		const recovery = this.#recover(owner);
+		this.#recoveries.add(recovery);
+		void recovery.finally(() => {
+			this.#recoveries.delete(recovery);
+		});
+	}
+
+	async #recover(owner: ShardOwner): Promise<void> {
+		const {clock, random, metrics, settings: {jobs, ownership}} = this.#options;
+		const {shard, fencingToken} = owner;
+		await this.#writer.write({type: JobEntryType.Seal, shard, fencingToken}, () => !owner.isClosed);
+		while (!owner.isClosed && this.fold.getToken(shard) < fencingToken) {
+			await clock.sleep(jobs.gatherMs);
+		}
+
+		if (owner.isClosed || this.fold.getToken(shard) > fencingToken) {
+			return;
+		}
+
+		// Every owner seals the stream before it starts anything: without an earlier seal nothing can be running.
+		const isHeld = this.#isTruncated || this.fold.getPreviousToken(shard) >= 0;
+		this.#open.add(owner);
+		for (const job of this.fold.getShard(shard).values()) {
+			owner.takeJob(job, isHeld);
+		}
+
+		if (isHeld) {
+			const waitMs = ownership.leaseMs + jobs.leaseMs + jobs.callTimeoutMs + jobs.clockErrorMs;
+			await recoverShard(owner, {
+				clock,
+				random,
+				metrics,
+				limiter: this.#limiter,
+				getKeepers: () => this.fleet.getKeepers(),
+				isFleetKnown: () => clock.monotonicMs() - this.#startedAtMs >= waitMs,
+				waitMs,
+				retryMs: jobs.renewEveryMs,
+			});
+		}
+	}
+
+	#lose(shard: number): void {
+		const owner = this.#owners.get(shard);
+		if (owner) {
+			this.#owners.delete(shard);
+			this.#open.delete(owner);
+			owner.close();
+		}
+	}
+
+	#depose(shard: number, fencingToken: number): void {
+		if (this.ownership.owned.get(shard) === fencingToken) {
+			log('A worker knows a newer owner of shard %d.', shard);
+			this.ownership.noteDeposed(shard);
+		}
+	}
+
+	#createKeeper(workerId: string): LeaseKeeper {
+		const {clock, random, metrics, workers, settings: {jobs}} = this.#options;
+		const keeper: LeaseKeeper = new LeaseKeeper({
+			workerId,
+			clock,
+			random,
+			metrics,
+			times: jobs,
+			getClient: () => workers.getClient(workerId),
+			mayRenew: shard => this.mayAct(shard),
+			getProbes: () => this.#getProbes(),
+			onReply: (task, attempt, reply, report) => {
+				this.#owners.get(task.job.shard)?.onReply(task, attempt, reply, report);
+			},
+			onLapsed: task => {
+				this.#owners.get(task.job.shard)?.onLapsed(task);
+			},
+			onStaleToken: (shard, fencingToken) => {
+				this.#depose(shard, fencingToken);
+			},
+			onSnapshot: (snapshot, sentAtMs) => {
+				this.#takeSnapshot(keeper, snapshot, sentAtMs);
+			},
+		});
+		return keeper;
+	}
+
+	#takeSnapshot(keeper: LeaseKeeper, snapshot: WorkerSnapshot, sentAtMs: number): void {
+		const attempts = new Map<string, number>();
+		for (const report of snapshot.tasks) {
+			attempts.set(report.taskId, report.attempt);
+			const owner = this.#owners.get(report.shard);
+			if (owner && this.#open.has(owner)) {
+				owner.onReport(keeper, report);
+			}
+		}
+
+		for (const task of keeper.tasks) {
+			if (attempts.get(task.taskId) !== task.attempt) {
+				this.#owners.get(task.job.shard)?.onAbsent(task, keeper, sentAtMs);
+			}
+		}
+
+		this.fleet.noteSnapshot(snapshot);
+	}
+
+	/** While the log cannot be read, each worker is asked whether it knows a newer owner of any of our shards. */
+	#getProbes(): TaskRef[] {
+		if (this.ownership.fold.isFresh(this.#options.clock.monotonicMs())) {
+			return [];
+		}
+
+		return [...this.ownership.owned].map(([shard, fencingToken]) => ({
+			taskId: '', attempt: 0, shard, fencingToken,
+		}));
+	}
+
+	/**
+	A new owner starts nothing that may run elsewhere before it has sealed more than half of the workers and waited. So while
+	more than half of them have not been sealed, within the last lease, no newer owner has begun its wait.
+	*/
+	#hasProof(shard: number): boolean {
+		const {clock, settings: {ownership}} = this.#options;
+		const nowMs = clock.monotonicMs();
+		let proof = this.#proofs.get(shard);
+		if (!proof || nowMs - proof.atMs >= proofEveryMs) {
+			const majorityMs = getMajorityMs(this.fleet.getKeepers().map(keeper => keeper.acceptedAtMs.get(shard)));
+			proof = {atMs: nowMs, endMs: (majorityMs ?? Number.NEGATIVE_INFINITY) + ownership.leaseMs};
+			this.#proofs.set(shard, proof);
+		}
+
+		return nowMs < proof.endMs;
+	}
+
+	#decide(): void {
+		const {clock, engine, settings: {jobs}} = this.#options;
+		if (this.#open.size === 0) {
+			return;
+		}
+
+		for (const decision of engine.decide(clock.monotonicMs(), jobs.maxDecisions)) {
+			this.#carryOut(decision);
+		}
+	}
+
+	#carryOut(decision: Decision): void {
+		if (decision.type === DecisionType.Unplaceable) {
+			this.#options.metrics.count(Metric.JobsRefused, 'unplaceable');
+			log('Job %s can run nowhere: %s', decision.jobId, decision.missing);
+			return;
+		}
+
+		const task = this.tasks.get(decision.taskId);
+		const owner = task && this.#owners.get(task.job.shard);
+		if (!task || !owner) {
+			this.#options.engine.cancel(decision.taskId);
+			this.#options.engine.noteEnded(decision.taskId, true, this.#options.clock.monotonicMs());
+			return;
+		}
+
+		switch (decision.type) {
+			case DecisionType.Start: {
+				void owner.start(task, decision.workerId);
+				break;
+			}
+
+			case DecisionType.Evict: {
+				void owner.evict(task, decision.reason);
+				break;
+			}
+
+			case DecisionType.Throttle: {
+				void this.fleet.getKeeper(decision.workerId)?.throttle(task, decision.share).catch((error: unknown) => {
+					log('Throttle of %s failed: %s', task.taskId, getMessage(error));
+				});
+			}
+		}
+	}
+
+	async #keepUp(): Promise<void> {
+		const {clock, settings: {jobs, log: {retentionMs}}} = this.#options;
+		for (const owner of this.#open) {
+			await keepUp(owner, clock.now().getTime(), {
+				fold: this.fold, writer: this.#writer, retentionMs, keepFinishedMs: jobs.keepFinishedMs, maxEntries: jobs.maxBatch,
+			});
+		}
+	}
+
+	/** Shards of the settings, and those of older settings that still have jobs. */
+	#getShards(): Set<number> {
+		return new Set([...Array.from({length: this.#options.settings.jobs.shards}, (_, shard) => shard), ...this.fold.getShards()]);
+	}
+
+	#getStatus(job: FoldedJob): JobStatus {
+		const owner = this.#owners.get(job.shard);
+		const missing = getMissing(job.spec.resources, this.fleet.getCapacities());
+		return getJobStatus(job, owner && (index => owner.getTaskStatus(job.spec.jobId, index)), missing);
+	}
+
+	/** Writes an entry and waits until it is read back: only then is it certain, and known which of two came first. */
+	async #write(entry: JobEntry, jobId: string, isDone: () => boolean): Promise<void> {
+		const {clock, metrics, settings: {jobs: {submitTimeoutMs}}} = this.#options;
+		const aborter = new AbortController();
+		const wake = () => {
+			if (isDone()) {
+				aborter.abort();
+			}
+		};
+
+		const waiting = this.#waiting.get(jobId) ?? new Set();
+		this.#waiting.set(jobId, waiting.add(wake));
+		const dropped = this.#writer.write(entry, () => !isDone()).then(isWritten => {
+			if (!isWritten) {
+				aborter.abort();
+			}
+		});
+		await clock.sleep(submitTimeoutMs, aborter.signal);
+		void dropped;
+		waiting.delete(wake);
+		if (waiting.size === 0) {
+			this.#waiting.delete(jobId);
+		}
+
+		if (!isDone()) {
+			metrics.count(Metric.JobsRefused, 'log-unavailable');
+			throw createError(ErrorCode.LogUnavailable, {
+				step: `write ${entry.type}`, peer: jobId, detail: 'it is not known whether the log has it; send it again under the same id',
+			});
+		}
+	}
+
+	#wake(jobId: string | undefined): void {
+		if (jobId !== undefined) {
+			for (const wake of this.#waiting.get(jobId) ?? []) {
+				wake();
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/jobs/job-upkeep.ts
@@ -0,0 +1,46 @@
+/**
+Keeps the jobs stream whole within its retention: live jobs are published again in time, finished ones are forgotten.
+*/
+import {type FoldedJob, type JobFold} from './job-fold.ts';
+import {JobEntryType} from './job-records.ts';
+import {type JobWriter} from './job-writer.ts';
+import {type ShardOwner} from './shard-owner.ts';
+
+/** What upkeep needs. */
+export type UpkeepOptions = {
+	fold: JobFold;
+	writer: JobWriter;
+	retentionMs: number;
+	keepFinishedMs: number;
+	/** Entries written in one pass, at most: an old stream is not rewritten in one burst. */
+	maxEntries: number;
+};
+
+/** Publishes and forgets for one owned shard; gives how many entries were written. */
+export const keepUp = async (owner: ShardOwner, nowMs: number, options: UpkeepOptions): Promise<number> => {
+	const {fold, writer, retentionMs, keepFinishedMs, maxEntries} = options;
+	const writes: Array<Promise<boolean>> = [];
+	const isWanted = () => !owner.isClosed;
+	for (const job of fold.getShard(owner.shard).values()) {
+		if (writes.length >= maxEntries) {
+			break;
+		}
+
+		if (isForgettable(job, owner, nowMs - keepFinishedMs)) {
+			writes.push(writer.write({type: JobEntryType.Forget, jobId: job.spec.jobId, fencingToken: owner.fencingToken}, isWanted));
+		} else if (nowMs - job.publishedAtMs > retentionMs / 2) {
+			// Half of the retention is left for an outage of the log.
+			writes.push(writer.write(createSnapshot(job, owner.fencingToken), isWanted));
+		}
+	}
+
+	await Promise.all(writes);
+	return writes.length;
+};
+
+const isForgettable = ({finishedAtMs, spec}: FoldedJob, owner: ShardOwner, beforeMs: number): boolean =>
+	finishedAtMs !== undefined && finishedAtMs <= beforeMs && !owner.hasTasks(spec.jobId);
+
+const createSnapshot = ({spec, shard, isCancelled, ends, dispatches}: FoldedJob, fencingToken: number) => ({
+	type: JobEntryType.Snapshot as const, shard, fencingToken, spec, isCancelled, ends: [...ends.values()], dispatches: [...dispatches.values()],
+});
--- /dev/null
+++ b/src/jobs/job-writer.ts
@@ -0,0 +1,139 @@
+/**
+Writes to the jobs stream in batches: one append at a time for each process, however many tasks start and end.
+*/
+import {getMessage} from '../core/errors.ts';
+import {type Clock} from '../types/clock.ts';
+import {Metric, type Metrics} from '../types/metrics.ts';
+import {Stream, type PlatformLog} from '../types/platform.ts';
+import {type Random} from '../types/random.ts';
+import {createLogger, Part} from '../utils/logger.ts';
+import {type JobEntry, type JobRecord} from './job-records.ts';
+
+const log = createLogger(Part.Jobs);
+const minPauseMs = 50;
+const maxPauseMs = 2000;
+
+/** What the writer needs. */
+export type JobWriterOptions = {
+	log: PlatformLog;
+	clock: Clock;
+	random: Random;
+	metrics: Metrics;
+	/** How long entries gather before they are appended together. */
+	gatherMs: number;
+	maxEntries: number;
+	/** Entries held at most while the log is away. */
+	maxQueued: number;
+};
+
+type Queued = {
+	entry: JobEntry;
+	/** Asked just before the append: an entry decided by an owner that was deposed meanwhile is dropped. */
+	isWanted?: () => boolean;
+	resolve: (isWritten: boolean) => void;
+};
+
+/** Gathers entries and appends them, each batch until the log has taken it. */
+export class JobWriter {
+	readonly #options: JobWriterOptions;
+	readonly #queue: Queued[] = [];
+	#wake?: () => void;
+
+	constructor(options: JobWriterOptions) {
+		this.#options = options;
+	}
+
+	/** Entries that wait for the log. */
+	get queued(): number {
+		return this.#queue.length;
+	}
+
+	/** Resolves to true once the entry is in the log; to false when it was dropped: the queue is full, or it is not wanted any more. */
+	async write(entry: JobEntry, isWanted?: () => boolean): Promise<boolean> {
+		if (this.#queue.length >= this.#options.maxQueued) {
+			this.#options.metrics.count(Metric.JobEntriesDropped, entry.type);
+			return false;
+		}
+
+		return new Promise(resolve => {
+			this.#queue.push({entry, isWanted, resolve});
+			this.#wake?.();
+		});
+	}
+
+	/** Appends what is queued until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, gatherMs} = this.#options;
+		while (!signal.aborted) {
+			if (this.#queue.length === 0) {
+				await this.#waitForEntry(signal);
+			}
+
+			await clock.sleep(gatherMs, signal);
+			const batch = this.#takeBatch();
+			if (batch.length > 0) {
+				await this.#append(batch, signal);
+			}
+		}
+
+		for (const {resolve} of this.#queue.splice(0)) {
+			resolve(false);
+		}
+	}
+
+	#takeBatch(): Queued[] {
+		const batch: Queued[] = [];
+		for (const queued of this.#queue.splice(0, this.#options.maxEntries)) {
+			if (queued.isWanted?.() ?? true) {
+				batch.push(queued);
+			} else {
+				queued.resolve(false);
+			}
+		}
+
+		return batch;
+	}
+
+	async #append(batch: Queued[], signal: AbortSignal): Promise<void> {
+		const {clock, random, metrics} = this.#options;
+		const record: JobRecord = {id: random.id(), writtenAtMs: clock.now().getTime(), entries: batch.map(({entry}) => entry)};
+		let pauseMs = minPauseMs;
+		while (!signal.aborted) {
+			try {
+				await this.#options.log.append(Stream.Jobs, record, signal);
+				metrics.count(Metric.LogAppends, Stream.Jobs);
+				for (const {resolve} of batch) {
+					resolve(true);
+				}
+
+				return;
+			} catch (error) {
+				// The append may have taken effect. The same record again changes nothing: every entry folds idempotently.
+				metrics.count(Metric.LogErrors, Stream.Jobs);
+				log('Append failed: %s', getMessage(error));
+				await clock.sleep(pauseMs * (0.5 + random.next()), signal);
+				pauseMs = Math.min(maxPauseMs, pauseMs * 2);
+			}
+		}
+
+		for (const {resolve} of batch) {
+			resolve(false);
+		}
+	}
+
+	async #waitForEntry(signal: AbortSignal): Promise<void> {
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				this.#wake = undefined;
+				signal.removeEventListener('abort', finish);
+				resolve();
+			};
+
+			this.#wake = finish;
+			signal.addEventListener('abort', finish, {once: true});
+			if (signal.aborted) {
+				finish();
+			}
+		});
+	}
+}
--- a/src/standin/memory-worker.ts
+++ b/src/standin/memory-worker.ts
@@ -1,9 +1,12 @@
 /**
 Stand-in for a worker of the platform: runs tasks as timers, under leases, within its capacity.
 */
+import {createError, ErrorCode} from '../core/errors.ts';
 import {type Clock, type Timer} from '../types/clock.ts';
+import {type Random} from '../types/random.ts';
 import {
-	TaskState, WorkerRefusal, type Resources, type StartOrder, type TaskRef, type TaskReport, type WorkerClient, type WorkerReply, type WorkerSnapshot,
+	TaskState, WorkerRefusal, type Resources, type StartOrder, type TaskRef, type TaskReport, type TaskUsage, type WorkerClient, type WorkerReply,
+	type WorkerSnapshot,
 } from '../types/platform.ts';
 
 /** How a task behaves once started. */
@@ -13,6 +16,23 @@
 	result?: unknown;
 };
 
+/** Failures to act out. */
+export type WorkerFaults = {
+	/** Nothing reaches the worker; its tasks run on until their leases lapse. */
+	isCut: boolean;
+	/** Calls hang until the pause ends, then take effect; leases lapse when it ends. */
+	isPaused: boolean;
+	/** Chance that a call takes effect and its answer is lost. */
+	loseAnswerChance: number;
+	/** Every task started fails at once. */
+	isFailingAll: boolean;
+	/** Usage is measured so long before it is reported. */
+	usageLagMs: number;
+	/** Usage is not reported. */
+	isUsageMissing: boolean;
+	delayMs: number;
+};
+
 type RunningTask = {
 	order: StartOrder;
 	report: TaskReport;
@@ -27,22 +47,146 @@
 	incarnation: number;
 	capacity: Resources;
 	clock: Clock;
+	/** Needed for faults of chance. */
+	random?: Random;
 	/** Decides how long a task runs and how it ends. */
 	getBehaviour(order: StartOrder): TaskBehaviour;
+	/** Told of each task that begins and ends to run, for tests that watch where tasks run. */
+	onRunning?(taskId: string, attempt: number, isRunning: boolean): void;
+	/** Measured use of a running task. */
+	getUsage?(order: StartOrder, measuredAtMs: number): TaskUsage;
+};
+
+/** A worker that does all that it is asked. */
+export const noWorkerFaults: Readonly<WorkerFaults> = {
+	isCut: false, isPaused: false, loseAnswerChance: 0, isFailingAll: false, usageLagMs: 0, isUsageMissing: false, delayMs: 0,
 };
 
+const pausePollMs = 20;
+
 /** A worker in memory. */
 export class MemoryWorker implements WorkerClient {
+	faults: WorkerFaults = {...noWorkerFaults};
 	readonly #tasks = new Map<string, RunningTask>();
 	readonly #tokens = new Map<number, number>();
 	readonly #attempts = new Map<string, number>();
 	readonly #options: MemoryWorkerOptions;
+	#incarnation: number;
 
 	constructor(options: MemoryWorkerOptions) {
 		this.#options = options;
+		this.#incarnation = options.incarnation;
+	}
+
+	/** Grows with each restart. */
+	get incarnation(): number {
+		return this.#incarnation;
+	}
+
+	/** Resources of the tasks that run. */
+	get used(): Resources {
+		const used = {processors: 0, memoryMb: 0, accelerators: 0};
+		for (const {report} of this.#tasks.values()) {
+			if (report.state === TaskState.Running) {
+				used.processors += report.resources.processors;
+				used.memoryMb += report.resources.memoryMb;
+				used.accelerators += report.resources.accelerators;
+			}
+		}
+
+		return used;
+	}
+
+	/** Restarts under the same address: its tasks, tokens and memory of attempts are gone. */
+	restart(): void {
+		for (const task of this.#tasks.values()) {
+			this.#end(task, TaskState.Stopped);
+		}
+
+		this.#tasks.clear();
+		this.#tokens.clear();
+		this.#attempts.clear();
+		this.#incarnation++;
 	}
 
 	async start(order: StartOrder): Promise<WorkerReply> {
+		return this.#serve(() => this.#start(order));
+	}
+
+	async renew(refs: TaskRef[], leaseMs: number): Promise<WorkerReply[]> {
+		return this.#serve(() => refs.map(ref => this.#renew(ref, leaseMs)));
+	}
+
+	async stop(ref: TaskRef, options: {isCheckpoint: boolean}): Promise<WorkerReply> {
+		return this.#serve(() => {
+			const found = this.#find(ref);
+			if ('refusal' in found) {
+				return found;
+			}
+
+			const {task} = found;
+			if (task.report.state === TaskState.Running) {
+				this.#end(task, TaskState.Stopped);
+				task.report.checkpointId = options.isCheckpoint ? `${ref.taskId}/${ref.attempt}` : undefined;
+			}
+
+			return {isAccepted: true, state: task.report.state, checkpointId: task.report.checkpointId};
+		});
+	}
+
+	async throttle(ref: TaskRef, _share: number): Promise<WorkerReply> {
+		return this.#serve(() => {
+			const found = this.#find(ref);
+			return 'refusal' in found ? found : {isAccepted: true, state: found.task.report.state};
+		});
+	}
+
+	async forget(refs: TaskRef[]): Promise<void> {
+		return this.#serve(() => {
+			for (const ref of refs) {
+				const found = this.#find(ref);
+				if ('task' in found && found.task.report.state !== TaskState.Running) {
+					this.#tasks.delete(ref.taskId);
+				}
+			}
+		});
+	}
+
+	async seal(shard: number, fencingToken: number): Promise<WorkerSnapshot> {
+		return this.#serve(() => {
+			this.#tokens.set(shard, Math.max(fencingToken, this.#tokens.get(shard) ?? -1));
+			return this.#list();
+		});
+	}
+
+	async list(): Promise<WorkerSnapshot> {
+		return this.#serve(() => this.#list());
+	}
+
+	/** Carries a call through the faults of the way to the worker and back. */
+	async #serve<Reply>(handle: () => Reply): Promise<Reply> {
+		const {clock, workerId, random} = this.#options;
+		if (this.faults.delayMs > 0) {
+			await clock.sleep(this.faults.delayMs);
+		}
+
+		while (this.faults.isPaused) {
+			await clock.sleep(pausePollMs);
+		}
+
+		if (this.faults.isCut) {
+			throw createError(ErrorCode.PeerUnavailable, {step: 'call worker', peer: workerId});
+		}
+
+		const reply = handle();
+		if (this.faults.loseAnswerChance > 0 && (random?.next() ?? 0) < this.faults.loseAnswerChance) {
+			throw createError(ErrorCode.PeerUnavailable, {step: 'call worker (answer lost)', peer: workerId});
+		}
+
+		return reply;
+	}
+
+	#start(order: StartOrder): WorkerReply {
 		if (this.#isStale(order)) {
 			return {isAccepted: false, refusal: WorkerRefusal.StaleToken};
 		}
@@ -53,6 +197,10 @@
 			return {isAccepted: true, state: known.report.state};
 		}
 
+		if (this.#isExpired(order)) {
+			return {isAccepted: false, refusal: WorkerRefusal.Expired};
+		}
+
 		const isLate = order.attempt <= (this.#attempts.get(order.taskId) ?? -1);
 		if (isLate || known?.report.state === TaskState.Running) {
 			return {isAccepted: false, refusal: WorkerRefusal.StaleAttempt};
@@ -66,67 +214,48 @@
 		return {isAccepted: true, state: TaskState.Running};
 	}
 
-	async renew(refs: TaskRef[], leaseMs: number): Promise<WorkerReply[]> {
-		return refs.map(ref => {
-			const found = this.#find(ref);
-			if ('refusal' in found) {
-				return found;
-			}
-
-			if (found.task.report.state === TaskState.Running) {
-				this.#setLease(found.task, leaseMs);
-			}
-
-			return {isAccepted: true, state: found.task.report.state, checkpointId: found.task.report.checkpointId};
-		});
-	}
-
-	async stop(ref: TaskRef, options: {isCheckpoint: boolean}): Promise<WorkerReply> {
+	#renew(ref: TaskRef, leaseMs: number): WorkerReply {
 		const found = this.#find(ref);
 		if ('refusal' in found) {
 			return found;
 		}
 
-		const {task} = found;
-		if (task.report.state === TaskState.Running) {
-			this.#end(task, TaskState.Stopped);
-			task.report.checkpointId = options.isCheckpoint ? `${ref.taskId}/${ref.attempt}` : undefined;
+		if (this.#isExpired(ref)) {
+			return {isAccepted: false, refusal: WorkerRefusal.Expired};
 		}
 
-		return {isAccepted: true, state: task.report.state, checkpointId: task.report.checkpointId};
-	}
-
-	async throttle(ref: TaskRef, _share: number): Promise<WorkerReply> {
-		const found = this.#find(ref);
-		return 'refusal' in found ? found : {isAccepted: true, state: found.task.report.state};
-	}
-
-	async forget(refs: TaskRef[]): Promise<void> {
-		for (const ref of refs) {
-			const found = this.#find(ref);
-			if ('task' in found && found.task.report.state !== TaskState.Running) {
-				this.#tasks.delete(ref.taskId);
-			}
+		const {report} = found.task;
+		if (report.state === TaskState.Running) {
+			this.#setLease(found.task, leaseMs);
 		}
-	}
 
-	async seal(shard: number, fencingToken: number): Promise<WorkerSnapshot> {
-		this.#tokens.set(shard, Math.max(fencingToken, this.#tokens.get(shard) ?? -1));
-		return this.list();
+		return {isAccepted: true, state: report.state, checkpointId: report.checkpointId};
 	}
 
-	async list(): Promise<WorkerSnapshot> {
-		const {workerId, incarnation, capacity, clock} = this.#options;
+	#list(): WorkerSnapshot {
+		const {workerId, capacity, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const tasks = [...this.#tasks.values()].map(({report, leaseEndMs}) => ({...report, leaseRemainingMs: Math.max(0, leaseEndMs - nowMs)}));
+		const tasks = [...this.#tasks.values()].map(task => ({
+			...task.report, leaseRemainingMs: Math.max(0, task.leaseEndMs - nowMs), usage: this.#getUsage(task),
+		}));
 		return {
-			workerId, incarnation, capacity, tasks,
+			workerId, incarnation: this.#incarnation, capacity, tasks, clockMs: nowMs,
 		};
 	}
 
+	#getUsage(task: RunningTask): TaskUsage | undefined {
+		const {clock, getUsage} = this.#options;
+		const measuredAtMs = clock.monotonicMs() - this.faults.usageLagMs;
+		if (this.faults.isUsageMissing || measuredAtMs < task.startedAtMs) {
+			return undefined;
+		}
+
+		return getUsage?.(task.order, measuredAtMs);
+	}
+
 	#run(order: StartOrder): void {
 		const {clock} = this.#options;
-		const behaviour = this.#options.getBehaviour(order);
+		const behaviour = this.faults.isFailingAll ? {runTimeMs: 0, isFailing: true} : this.#options.getBehaviour(order);
 		const {taskId, attempt, shard, kind, resources} = order;
 		const task: RunningTask = {
 			order,
@@ -138,6 +267,7 @@
 		};
 		this.#tasks.set(taskId, task);
 		this.#attempts.set(taskId, attempt);
+		this.#options.onRunning?.(taskId, attempt, true);
 		this.#setLease(task, order.leaseMs);
 		task.endTimer = clock.setTimer(() => {
 			task.report.result = behaviour.result;
@@ -148,7 +278,10 @@
 	#end(task: RunningTask, state: TaskState): void {
 		task.endTimer?.cancel();
 		task.leaseTimer?.cancel();
-		task.report.state = state;
+		if (task.report.state === TaskState.Running) {
+			task.report.state = state;
+			this.#options.onRunning?.(task.report.taskId, task.report.attempt, false);
+		}
 	}
 
 	#setLease(task: RunningTask, leaseMs: number): void {
@@ -183,17 +316,14 @@
 		return false;
 	}
 
+	/** An order that lay in the buffers of a paused worker must not start a task that runs elsewhere by then. */
+	#isExpired({notAfterMs = Number.POSITIVE_INFINITY, workerIncarnation = this.#incarnation}: Pick<StartOrder, 'notAfterMs' | 'workerIncarnation'>): boolean {
+		return this.#options.clock.monotonicMs() > notAfterMs || workerIncarnation !== this.#incarnation;
+	}
+
 	#hasRoom(wanted: Resources): boolean {
 		const {capacity} = this.#options;
-		const used = {processors: 0, memoryMb: 0, accelerators: 0};
-		for (const {report} of this.#tasks.values()) {
-			if (report.state === TaskState.Running) {
-				used.processors += report.resources.processors;
-				used.memoryMb += report.resources.memoryMb;
-				used.accelerators += report.resources.accelerators;
-			}
-		}
-
+		const {used} = this;
 		return used.processors + wanted.processors <= capacity.processors
 			&& used.memoryMb + wanted.memoryMb <= capacity.memoryMb
 			&& used.accelerators + wanted.accelerators <= capacity.accelerators;
--- a/src/types/jobs.ts
+++ b/src/types/jobs.ts
@@ -50,6 +50,8 @@
 	workerId?: string;
 	evictions: number;
 	result?: unknown;
+	/** Why it counts as ended, when no worker confirmed the end. */
+	reason?: string;
 };
 
 /** What a caller is told of a job. */
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -20,6 +20,17 @@
 	TasksStarted = 'tasks_started',
 	TasksEnded = 'tasks_ended',
 	TaskRefusals = 'task_refusals',
+	/** Entries for the jobs stream that were not queued: the log has been away for long. */
+	JobEntriesDropped = 'job_entries_dropped',
+	JobsRefused = 'jobs_refused',
+	TaskRetries = 'task_retries',
+	Evictions = 'evictions',
+	EvictionWorkLostMs = 'eviction_work_lost_ms',
+	ShardsOwned = 'shards_owned',
+	ShardsLost = 'shards_lost',
+	ShardTakeovers = 'shard_takeovers',
+	LeaseRenewals = 'lease_renewals',
+	RecoveryMs = 'recovery_ms',
 }
 
 /** Counts events and sets levels. */
--- a/src/types/platform.ts
+++ b/src/types/platform.ts
@@ -71,6 +71,10 @@
 	shard: number;
 	checkpointId?: string;
 	input?: unknown;
+	/** Latest reading of the worker's own monotonic clock at which the order may take effect; none: at any time. */
+	notAfterMs?: number;
+	/** Incarnation of the worker that is meant; none: any. */
+	workerIncarnation?: number;
 };
 
 /** Why a worker did not do as ordered. */
@@ -80,6 +84,8 @@
 	StaleAttempt = 'stale-attempt',
 	UnknownTask = 'unknown-task',
 	Draining = 'draining',
+	/** The order came too late, or was meant for an earlier incarnation of the worker. */
+	Expired = 'expired',
 }
 
 /** A worker's answer to an order; a refusal changed nothing. */
@@ -121,6 +127,9 @@
 	attempt: number;
 	shard: number;
 	fencingToken: number;
+	/** As in an order to start; a renewal that comes later is refused. */
+	notAfterMs?: number;
+	workerIncarnation?: number;
 };
 
 /** Everything that a worker runs or has ended and not yet been told to forget. */
@@ -129,6 +138,8 @@
 	incarnation: number;
 	capacity: Resources;
 	tasks: TaskReport[];
+	/** The worker's own monotonic clock as it answered. */
+	clockMs?: number;
 };
 
 /** One worker. It runs tasks under leases and is the last word on its own capacity. */
--- /dev/null
+++ b/test/jobs-harness.ts
@@ -0,0 +1,357 @@
+/**
+Entries, workers and a log in one process on manual time, each of which can be paused, cut off, lost and restarted.
+*/
+import {createSettings} from '../src/core/settings.ts';
+import {createError, ErrorCode} from '../src/core/errors.ts';
+import {FirstFitEngine} from '../src/jobs/first-fit-engine.ts';
+import {JobScheduler} from '../src/jobs/job-scheduler.ts';
+import {MemoryLog} from '../src/standin/memory-log.ts';
+import {MemoryWorker, type TaskBehaviour} from '../src/standin/memory-worker.ts';
+import {HostState, type WorkerAnnouncement} from '../src/types/announcements.ts';
+import {type Clock} from '../src/types/clock.ts';
+import {TaskClass, type JobSpec} from '../src/types/jobs.ts';
+import {type Metrics} from '../src/types/metrics.ts';
+import {type PlacementEngine} from '../src/types/placement.ts';
+import {
+	type PlatformLog, type Resources, type StartOrder, type WorkerClient,
+} from '../src/types/platform.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {createRandom} from '../src/utils/seeded-random.ts';
+
+export const defaultCapacity: Resources = {processors: 4, memoryMb: 4096, accelerators: 0};
+
+export const createSpec = (jobId: string, changes: Partial<JobSpec> = {}): JobSpec => ({
+	jobId,
+	team: 'authority',
+	kind: 'compute-relief',
+	taskClass: TaskClass.Batch,
+	priority: 100,
+	taskCount: 1,
+	isGang: false,
+	isIdempotent: true,
+	resources: {processors: 1, memoryMb: 512, accelerators: 0},
+	declaredRunTimeMs: 5000,
+	...changes,
+});
+
+/** Stands between a process and all it speaks to: while paused nothing goes in or out, once dead nothing ever does. */
+class Gate {
+	isDead = false;
+	isLogCut = false;
+	readonly cutWorkers = new Set<string>();
+	#waiting: Array<() => void> | undefined;
+
+	get isPaused(): boolean {
+		return this.#waiting !== undefined;
+	}
+
+	pause(): void {
+		this.#waiting ??= [];
+	}
+
+	resume(): void {
+		const waiting = this.#waiting ?? [];
+		this.#waiting = undefined;
+		for (const wake of waiting) {
+			wake();
+		}
+	}
+
+	async pass(): Promise<void> {
+		while (this.isDead || this.#waiting) {
+			await new Promise<void>(resolve => {
+				this.#waiting?.push(resolve);
+			});
+		}
+	}
+
+	async call<Result>(isCut: () => boolean, act: () => Promise<Result>): Promise<Result> {
+		await this.pass();
+		if (isCut()) {
+			throw createError(ErrorCode.PeerUnavailable, {step: 'call'});
+		}
+
+		try {
+			return await act();
+		} finally {
+			await this.pass();
+			if (isCut()) {
+				throw createError(ErrorCode.PeerUnavailable, {step: 'call (answer)'}); // eslint-disable-line no-unsafe-finally
+			}
+		}
+	}
+}
+
+const gateClock = (clock: ManualClock, gate: Gate): Clock => ({
+	monotonicMs: () => clock.monotonicMs(),
+	now: () => clock.now(),
+	setTimer: (callback, delayMs) => clock.setTimer(() => {
+		void gate.pass().then(callback);
+	}, delayMs),
+	async sleep(delayMs, signal) {
+		await clock.sleep(delayMs, signal);
+		await gate.pass();
+	},
+});
+
+const gateLog = (log: PlatformLog, gate: Gate): PlatformLog => ({
+	append: async (stream, value) => gate.call(() => gate.isLogCut, async () => log.append(stream, value)),
+	read: async (stream, fromOffset, options) => gate.call(() => gate.isLogCut, async () => log.read(stream, fromOffset, options)),
+});
+
+const gateWorker = (worker: MemoryWorker, workerId: string, gate: Gate): WorkerClient => {
+	const isCut = () => gate.cutWorkers.has(workerId);
+	const through = async <Result>(act: () => Promise<Result>) => gate.call(isCut, act);
+	return {
+		start: async order => through(async () => worker.start(order)),
+		renew: async (refs, leaseMs) => through(async () => worker.renew(refs, leaseMs)),
+		stop: async (ref, options) => through(async () => worker.stop(ref, options)),
+		throttle: async (ref, share) => through(async () => worker.throttle(ref, share)),
+		forget: async refs => through(async () => worker.forget(refs)),
+		seal: async (shard, token) => through(async () => worker.seal(shard, token)),
+		list: async () => through(async () => worker.list()),
+	};
+};
+
+const createCounts = (): Metrics => {
+	const counts = new Map<string, number>();
+	return {
+		count(metric, reason, amount = 1) {
+			const key = reason === undefined ? metric : `${metric}.${reason}`;
+			counts.set(key, (counts.get(key) ?? 0) + amount);
+		},
+		gauge(metric, value) {
+			counts.set(metric, value);
+		},
+		timing(metric, valueMs) {
+			counts.set(metric, valueMs);
+		},
+		getCounts: () => Object.fromEntries(counts),
+	};
+};
+
+export type TestEntry = {
+	id: string;
+	gate: Gate;
+	scheduler: JobScheduler;
+	metrics: Metrics;
+	engine: PlacementEngine;
+	/** Ends the process with no word to anybody. */
+	crash(): void;
+	/** Gives its shards back and ends. */
+	leave(): Promise<void>;
+};
+
+export type WorldOptions = {
+	seed?: number;
+	workers?: number;
+	entries?: number;
+	shards?: number;
+	capacity?: Resources;
+	retentionMs?: number;
+	settings?: Parameters<typeof createSettings>[0];
+	getBehaviour?(order: StartOrder): TaskBehaviour;
+	createEngine?(): PlacementEngine;
+};
+
+/** A world of entries, workers and a log. It notes at once when a task runs in two places or a worker is overcommitted. */
+export class World {
+	readonly clock = new ManualClock();
+	readonly log: MemoryLog;
+	readonly workers = new Map<string, MemoryWorker>();
+	readonly entries = new Map<string, TestEntry>();
+	readonly violations: string[] = [];
+	/** Starts of each task, in order: `worker#attempt`. */
+	readonly starts = new Map<string, string[]>();
+	readonly orders = new Map<string, StartOrder[]>();
+	/** Workers that announce themselves to all entries. */
+	readonly announced = new Map<string, WorkerAnnouncement>();
+	mostRunning = 0;
+	readonly #running = new Map<string, Set<string>>();
+	readonly #options: WorldOptions;
+	#incarnation = 0;
+
+	constructor(options: WorldOptions = {}) {
+		this.#options = options;
+		const {seed = 1, retentionMs} = options;
+		this.log = new MemoryLog(this.clock, createRandom(seed), retentionMs);
+		for (let index = 0; index < (options.workers ?? 3); index++) {
+			this.addWorker(`worker-${index}`);
+		}
+
+		for (let index = 0; index < (options.entries ?? 1); index++) {
+			this.startEntry(`entry-${index}`);
+		}
+	}
+
+	addWorker(workerId: string, capacity = this.#options.capacity ?? defaultCapacity): MemoryWorker {
+		const worker = new MemoryWorker({
+			workerId,
+			incarnation: 1,
+			capacity,
+			clock: this.clock,
+			random: createRandom((this.#options.seed ?? 1) + this.workers.size + 100),
+			getBehaviour: order => {
+				this.#noteOrder(order);
+				return this.#options.getBehaviour?.(order) ?? {runTimeMs: 5000, result: order.taskId};
+			},
+			onRunning: (taskId, attempt, isRunning) => {
+				this.#noteRunning(workerId, taskId, attempt, isRunning);
+			},
+		});
+		this.workers.set(workerId, worker);
+		this.announce(workerId, {capacity});
+		return worker;
+	}
+
+	announce(workerId: string, changes: Partial<WorkerAnnouncement> = {}): void {
+		const known = this.announced.get(workerId);
+		this.announced.set(workerId, {
+			workerId,
+			incarnation: this.workers.get(workerId)!.incarnation,
+			sequence: 1,
+			state: HostState.Alive,
+			address: workerId,
+			region: 'bagmati',
+			failureDomain: 'hall-ktm',
+			rack: 'rack-1',
+			capacity: known?.capacity ?? defaultCapacity,
+			...changes,
+		});
+	}
+
+	startEntry(id: string): TestEntry {
+		const gate = new Gate();
+		const clock = gateClock(this.clock, gate);
+		const aborter = new AbortController();
+		const metrics = createCounts();
+		const engine = this.#options.createEngine?.() ?? new FirstFitEngine();
+		const {jobs, ownership, log, ...others} = this.#options.settings ?? {};
+		const scheduler = new JobScheduler({
+			log: gateLog(this.log, gate),
+			clock,
+			random: createRandom((this.#options.seed ?? 1) + (1000 * ++this.#incarnation)),
+			metrics,
+			self: {processId: id, incarnation: this.#incarnation},
+			settings: createSettings({
+				jobs: {shards: this.#options.shards ?? 4, ...jobs},
+				ownership: {settleMs: 5000, ...ownership},
+				log: {...(this.#options.retentionMs !== undefined && {retentionMs: this.#options.retentionMs}), ...log},
+				...others,
+			}),
+			workers: {
+				list: () => [...this.announced.values()],
+				getClient: workerId => gateWorker(this.workers.get(workerId)!, workerId, gate),
+			},
+			engine,
+			getRegion: () => undefined,
+		});
+		const running = scheduler.run(aborter.signal);
+		const entry: TestEntry = {
+			id,
+			gate,
+			scheduler,
+			metrics,
+			engine,
+			crash: () => {
+				gate.isDead = true;
+				aborter.abort();
+				this.entries.delete(id);
+			},
+			leave: async () => {
+				await scheduler.leave();
+				aborter.abort();
+				this.entries.delete(id);
+				await running;
+			},
+		};
+		this.entries.set(id, entry);
+		return entry;
+	}
+
+	getEntry(index = 0): TestEntry {
+		return [...this.entries.values()][index]!;
+	}
+
+	/** Entry that owns the job's shard by its own account. */
+	getOwner(jobId: string): TestEntry | undefined {
+		return [...this.entries.values()].find(({scheduler}) => scheduler.isOwnerOf(jobId));
+	}
+
+	/** Runs the world until the condition holds; gives whether it came to hold in time. */
+	async until(isDone: () => boolean, limitMs = 120_000, stepMs = 100): Promise<boolean> {
+		const endMs = this.clock.monotonicMs() + limitMs;
+		while (!isDone() && this.clock.monotonicMs() < endMs) {
+			await this.clock.advance(stepMs);
+		}
+
+		return isDone();
+	}
+
+	async submit(spec: JobSpec, entry = this.getEntry()): Promise<void> {
+		let outcome: unknown;
+		const submitting = (async () => {
+			try {
+				await entry.scheduler.submit(spec);
+				outcome = true;
+			} catch (error) {
+				outcome = error;
+			}
+		})();
+		await this.until(() => outcome !== undefined);
+		await submitting;
+		if (outcome !== true) {
+			throw outcome as Error;
+		}
+	}
+
+	getState(jobId: string): string | undefined {
+		return this.getEntry().scheduler.getStatus(jobId)?.state;
+	}
+
+	/** Tasks that run now, by the workers' account. */
+	getRunning(): string[] {
+		return [...this.#running].filter(([, workerIds]) => workerIds.size > 0).map(([taskId]) => taskId);
+	}
+
+	/** Workers that run the task now. */
+	getPlaces(taskId: string): string[] {
+		return [...this.#running.get(taskId) ?? []];
+	}
+
+	/** Sums a counter over all entries that live. */
+	count(key: string): number {
+		return [...this.entries.values()].reduce((sum, {metrics}) => sum + (metrics.getCounts()[key] ?? 0), 0);
+	}
+
+	async stop(): Promise<void> {
+		for (const entry of this.entries.values()) {
+			entry.crash();
+		}
+	}
+
+	#noteOrder(order: StartOrder): void {
+		this.orders.set(order.taskId, [...this.orders.get(order.taskId) ?? [], order]);
+	}
+
+	#noteRunning(workerId: string, taskId: string, attempt: number, isRunning: boolean): void {
+		const places = this.#running.get(taskId) ?? new Set();
+		this.#running.set(taskId, places);
+		if (!isRunning) {
+			places.delete(workerId);
+			return;
+		}
+
+		places.add(workerId);
+		this.starts.set(taskId, [...this.starts.get(taskId) ?? [], `${workerId}#${attempt}`]);
+		if (places.size > 1) {
+			this.violations.push(`${taskId} runs in two places: ${[...places].join(', ')}`);
+		}
+
+		const {used} = this.workers.get(workerId)!;
+		const {capacity} = this.announced.get(workerId)!;
+		if (used.processors > capacity.processors || used.memoryMb > capacity.memoryMb || used.accelerators > capacity.accelerators) {
+			this.violations.push(`${workerId} has more than it can hold`);
+		}
+	}
+}
