Test ownership, evictions and recovery with the failures they are for

Cause: trying the failures showed four faults. A worker that announces itself but does not answer was given each task again and again, a lease apart. What other entries had given back of a worker was not learned. A record kept for an hour while the log was away carried its old time, so jobs were forgotten at once. Capacity taken by others made a job look as if it fitted nowhere.

Change: a worker that does not answer takes no tasks; workers used by others are listed while tasks wait; records carry the time of their append; a job that the engine gives up is put before it again.

--- a/src/jobs/job-fleet.ts
+++ b/src/jobs/job-fleet.ts
@@ -7,6 +7,10 @@
 import {type Resources, type WorkerSnapshot, TaskState} from '../types/platform.ts';
 import {type LeaseKeeper} from './lease-keeper.ts';
 
+/** How often a worker that others use is listed while tasks wait for room. */
+const listEveryMs = 2000;
+/** Such workers listed in one pass, at most. */
+const maxListed = 200;
 const noResources: Resources = {processors: 0, memoryMb: 0, accelerators: 0};
 
 type Member = {
@@ -17,6 +21,7 @@
 	foreign: Resources;
 	isOpen: boolean;
 	seenAtMs: number;
+	listedAtMs: number;
 };
 
 /** What the fleet needs. */
@@ -29,6 +34,8 @@
 	listWorkers(): WorkerAnnouncement[];
 	createKeeper(workerId: string): LeaseKeeper;
 	isOwned(shard: number): boolean;
+	/** Tells whether tasks wait for room: then it matters what others have given back. */
+	isRoomWanted(): boolean;
 };
 
 /** Workers with their keepers. */
@@ -77,6 +84,10 @@
 				this.#miss(member, nowMs);
 			}
 		}
+
+		if (this.#options.isRoomWanted()) {
+			this.#listForeign(nowMs);
+		}
 	}
 
 	/** Takes what a worker listed: what shards of others hold there is not ours to give. */
@@ -95,6 +106,7 @@
 			}
 		}
 
+		member.listedAtMs = this.#options.clock.monotonicMs();
 		if (!isSame(foreign, member.foreign)) {
 			member.foreign = foreign;
 			this.#setWorker(member);
@@ -113,7 +125,7 @@
 	#addMember(announcement: WorkerAnnouncement, nowMs: number): void {
 		const keeper = this.#options.createKeeper(announcement.workerId);
 		const member: Member = {
-			announcement, keeper, aborter: new AbortController(), foreign: noResources, isOpen: true, seenAtMs: nowMs,
+			announcement, keeper, aborter: new AbortController(), foreign: noResources, isOpen: true, seenAtMs: nowMs, listedAtMs: nowMs,
 		};
 		this.#members.set(announcement.workerId, member);
 		this.#setWorker(member);
@@ -134,12 +146,29 @@
 			member.keeper.wake();
 		}
 
-		if (!member.isOpen || !isSame(known.capacity, announcement.capacity)) {
-			member.isOpen = true;
+		// A worker that announces itself and does not answer takes no tasks: each start would wait for a whole lease.
+		const {isAnswering} = member.keeper;
+		if (member.isOpen !== isAnswering || !isSame(known.capacity, announcement.capacity)) {
+			member.isOpen = isAnswering;
 			this.#setWorker(member);
 		}
 	}
 
+	#listForeign(nowMs: number): void {
+		let count = 0;
+		for (const {foreign, keeper, listedAtMs} of this.#members.values()) {
+			if (count >= maxListed) {
+				return;
+			}
+
+			if (nowMs - listedAtMs >= listEveryMs && !isSame(foreign, noResources)) {
+				count++;
+				keeper.wantSnapshot();
+				keeper.wake();
+			}
+		}
+	}
+
 	#miss(member: Member, nowMs: number): void {
 		const {keeper, announcement: {workerId}} = member;
 		if (member.isOpen) {
--- a/src/jobs/job-scheduler.ts
+++ b/src/jobs/job-scheduler.ts
@@ -36,6 +36,7 @@
 const log = createLogger(Part.Jobs);
 const parseRecord = createParser('read job record', jobRecordSchema);
 const fleetEveryMs = 500;
+const reconsiderEveryMs = 5000;
 const proofEveryMs = 100;
 const keepSilentMs = 600_000;
 const minUpkeepMs = 1000;
@@ -61,12 +62,15 @@
 	readonly ownership: OwnershipKeeper;
 	readonly fleet: JobFleet;
 	readonly tasks = new Map<string, LiveTask>();
+	readonly #waitingTasks = new Set<LiveTask>();
 	readonly #options: JobSchedulerOptions;
 	readonly #writer: JobWriter;
 	readonly #limiter: JobLimiter;
 	readonly #owners = new Map<number, ShardOwner>();
 	readonly #open = new Set<ShardOwner>();
 	readonly #waiting = new Map<string, Set<() => void>>();
+	/** Jobs that the engine gave up; it is asked again, since what others use of a worker comes and goes. */
+	readonly #unplaceable = new Set<string>();
 	readonly #proofs = new Map<number, {atMs: number; endMs: number}>();
 	readonly #recoveries = new Set<Promise<void>>();
 	readonly #startedAtMs: number;
@@ -105,6 +109,7 @@
 			listWorkers: () => options.workers.list(),
 			createKeeper: workerId => this.#createKeeper(workerId),
 			isOwned: shard => this.#owners.has(shard),
+			isRoomWanted: () => this.#waitingTasks.size > 0,
 		});
 	}
 
@@ -178,6 +183,9 @@
 			this.#repeat(fleetEveryMs, signal, () => {
 				this.fleet.update();
 			}),
+			this.#repeat(reconsiderEveryMs, signal, () => {
+				this.#reconsider();
+			}),
 			this.#repeat(settings.jobs.roundMs, signal, () => {
 				this.#decide();
 			}),
@@ -278,6 +286,7 @@
 			writer: this.#writer,
 			limiter: this.#limiter,
 			tasks: this.tasks,
+			waiting: this.#waitingTasks,
 			times: jobs,
 			maxFailures: jobs.maxFailures,
 			getKeeper: workerId => this.fleet.getKeeper(workerId),
@@ -433,7 +442,8 @@
 	#carryOut(decision: Decision): void {
 		if (decision.type === DecisionType.Unplaceable) {
 			this.#options.metrics.count(Metric.JobsRefused, 'unplaceable');
-			log('Job %s can run nowhere: %s', decision.jobId, decision.missing);
+			log('Job %s can run nowhere now: %s', decision.jobId, decision.missing);
+			this.#unplaceable.add(decision.jobId);
 			return;
 		}
 
@@ -464,6 +474,16 @@
 		}
 	}
 
+	#reconsider(): void {
+		for (const jobId of this.#unplaceable) {
+			const job = this.fold.jobs.get(jobId);
+			this.#unplaceable.delete(jobId);
+			if (job) {
+				this.#owners.get(job.shard)?.enqueueAgain(jobId);
+			}
+		}
+	}
+
 	async #keepUp(): Promise<void> {
 		const {clock, settings: {jobs, log: {retentionMs}}} = this.#options;
 		for (const owner of this.#open) {
--- a/src/jobs/job-writer.ts
+++ b/src/jobs/job-writer.ts
@@ -96,10 +96,13 @@
 
 	async #append(batch: Queued[], signal: AbortSignal): Promise<void> {
 		const {clock, random, metrics} = this.#options;
-		const record: JobRecord = {id: random.id(), writtenAtMs: clock.now().getTime(), entries: batch.map(({entry}) => entry)};
+		const id = random.id();
+		const entries = batch.map(({entry}) => entry);
 		let pauseMs = minPauseMs;
 		while (!signal.aborted) {
 			try {
+				// Written now, even when it was decided before a long outage: the age of a job counts from when others can know.
+				const record: JobRecord = {id, writtenAtMs: clock.now().getTime(), entries};
 				await this.#options.log.append(Stream.Jobs, record, signal);
 				metrics.count(Metric.LogAppends, Stream.Jobs);
 				for (const {resolve} of batch) {
--- a/src/jobs/lease-keeper.ts
+++ b/src/jobs/lease-keeper.ts
@@ -77,6 +77,11 @@
 		return this.#calibration?.incarnation;
 	}
 
+	/** Tells whether the last message to the worker was answered. */
+	get isAnswering(): boolean {
+		return this.#isAnswering;
+	}
+
 	/** Tells whether the worker refuses orders that come late. */
 	get isExpiring(): boolean {
 		return Number.isFinite(this.#calibration?.offsetMs);
@@ -184,9 +189,7 @@
 			await this.#resolve();
 			await this.#renew();
 			await this.#sendForgets();
-			this.#isAnswering = true;
 		} catch (error) {
-			this.#isAnswering = false;
 			log('Worker %s: %s', this.workerId, getMessage(error));
 		}
 
@@ -194,7 +197,7 @@
 	}
 
 	#isIdle(): boolean {
-		return this.tasks.size === 0 && this.#forgets.length === 0 && !this.#isSnapshotWanted && this.#options.getProbes().length === 0;
+		return this.#isAnswering && this.tasks.size === 0 && this.#forgets.length === 0 && !this.#isSnapshotWanted && this.#options.getProbes().length === 0;
 	}
 
 	/** After silence the worker is asked what it has before leases are renewed: an unanswered renewal prolongs what may run. */
@@ -319,7 +322,12 @@
 		const expiry = expire();
 		expiry.catch(() => undefined);
 		try {
-			return await Promise.race([send(client), expiry]);
+			const reply = await Promise.race([send(client), expiry]);
+			this.#isAnswering = true;
+			return reply;
+		} catch (error) {
+			this.#isAnswering = false;
+			throw error;
 		} finally {
 			aborter.abort();
 		}
--- a/src/jobs/shard-owner.ts
+++ b/src/jobs/shard-owner.ts
@@ -45,6 +45,8 @@
 	limiter: JobLimiter;
 	/** All live tasks of the shards owned here. */
 	tasks: Map<string, LiveTask>;
+	/** Those that wait to be placed. */
+	waiting: Set<LiveTask>;
 	times: LeaseTimes;
 	maxFailures: number;
 	getKeeper(workerId: string): LeaseKeeper | undefined;
@@ -150,6 +152,15 @@
 		}
 	}
 
+	/** Puts the waiting tasks of a job before the engine once more. */
+	enqueueAgain(jobId: string): void {
+		for (const task of this.#jobs.get(jobId)?.values() ?? []) {
+			if (task.phase === TaskPhase.Waiting) {
+				this.#context.engine.enqueue(this.#getPending(task));
+			}
+		}
+	}
+
 	/** A held task is not running anywhere any more: it may be started. */
 	release(task: LiveTask): void {
 		if (task.phase !== TaskPhase.Held) {
@@ -176,6 +187,7 @@
 			return;
 		}
 
+		this.#context.waiting.delete(task);
 		task.phase = TaskPhase.Starting;
 		task.attempt++;
 		task.workerId = workerId;
@@ -310,6 +322,7 @@
 			this.#leaveWorker(task, true);
 			this.#context.engine.cancel(task.taskId);
 			this.#context.tasks.delete(task.taskId);
+			this.#context.waiting.delete(task);
 			task.phase = TaskPhase.Closed;
 		}
 
@@ -561,6 +574,7 @@
 		task.phase = TaskPhase.Waiting;
 		task.workerId = undefined;
 		task.queuedAtMs = this.#context.clock.monotonicMs();
+		this.#context.waiting.add(task);
 		this.#context.engine.enqueue(this.#getPending(task));
 	}
 
@@ -619,6 +633,7 @@
 		const tasks = this.#jobs.get(jobId);
 		this.#forgetKept(task);
 		task.phase = TaskPhase.Closed;
+		this.#context.waiting.delete(task);
 		this.#context.tasks.delete(task.taskId);
 		tasks?.delete(task.index);
 		if (tasks?.size === 0) {
--- a/src/standin/memory-worker.ts
+++ b/src/standin/memory-worker.ts
@@ -26,6 +26,8 @@
 	loseAnswerChance: number;
 	/** Every task started fails at once. */
 	isFailingAll: boolean;
+	/** Tasks are stopped without a checkpoint, even when one is asked for. */
+	isCheckpointFailing: boolean;
 	/** Usage is measured so long before it is reported. */
 	usageLagMs: number;
 	/** Usage is not reported. */
@@ -59,7 +61,7 @@
 
 /** A worker that does all that it is asked. */
 export const noWorkerFaults: Readonly<WorkerFaults> = {
-	isCut: false, isPaused: false, loseAnswerChance: 0, isFailingAll: false, usageLagMs: 0, isUsageMissing: false, delayMs: 0,
+	isCut: false, isPaused: false, loseAnswerChance: 0, isFailingAll: false, isCheckpointFailing: false, usageLagMs: 0, isUsageMissing: false, delayMs: 0,
 };
 
 const pausePollMs = 20;
@@ -127,7 +129,7 @@
 			const {task} = found;
 			if (task.report.state === TaskState.Running) {
 				this.#end(task, TaskState.Stopped);
-				task.report.checkpointId = options.isCheckpoint ? `${ref.taskId}/${ref.attempt}` : undefined;
+				task.report.checkpointId = options.isCheckpoint && !this.faults.isCheckpointFailing ? `${ref.taskId}/${ref.attempt}` : undefined;
 			}
 
 			return {isAccepted: true, state: task.report.state, checkpointId: task.report.checkpointId};
--- /dev/null
+++ b/test/eviction.test.ts
@@ -0,0 +1,127 @@
+import {afterEach, expect, test} from 'vitest';
+import {JobState, type JobSpec} from '../src/types/jobs.ts';
+import {createSpec, World, type WorldOptions} from './jobs-harness.ts';
+
+let world: World;
+const startTask = async (options: WorldOptions = {}, changes: Partial<JobSpec> = {}): Promise<string> => {
+	world = new World({getBehaviour: () => ({runTimeMs: 60_000}), ...options});
+	await world.submit(createSpec('a', changes));
+	await world.until(() => world.getRunning().length === 1);
+	return world.getPlaces('a/0')[0]!;
+};
+
+const getOrders = () => world.orders.get('a/0')!;
+const isSucceeded = async () => world.until(() => world.getState('a') === JobState.Succeeded, 300_000);
+
+afterEach(async () => {
+	await world.stop();
+});
+
+test.each([true, false])('an evicted task resumes once from its checkpoint (idempotent: %s)', async isIdempotent => {
+	const from = await startTask({}, {isIdempotent});
+	world.announced.delete(from);
+	await world.clock.advance(1000);
+	world.evict('a/0');
+	expect(await isSucceeded()).toBe(true);
+	expect(getOrders()).toHaveLength(2);
+	expect(getOrders()[1]!.checkpointId).toBe(`a/0/${getOrders()[0]!.attempt}`);
+	expect(getOrders()[1]!.attempt).toBeGreaterThan(getOrders()[0]!.attempt);
+	expect(world.getEntry().scheduler.getStatus('a')!.tasks[0]!.evictions).toBe(1);
+	expect(world.violations).toEqual([]);
+	await world.clock.advance(5000);
+	expect((await world.workers.get(from)!.list()).tasks).toEqual([]);
+});
+
+// A stop takes effect and its answer is lost. The worker is asked what it has and the stop is ordered again, so that the end
+// of the attempt is told more than once. Only the first may resume the task.
+test('an eviction answered twice gives one resume', async () => {
+	const from = await startTask();
+	world.workers.get(from)!.faults.loseAnswerChance = 1;
+	world.evict('a/0');
+	await world.clock.advance(4000);
+	expect(world.getRunning()).toEqual([]);
+	world.workers.get(from)!.faults.loseAnswerChance = 0.5;
+	expect(await isSucceeded()).toBe(true);
+	expect(getOrders()).toHaveLength(2);
+	expect(getOrders()[1]!.checkpointId).toBeDefined();
+	expect(world.violations).toEqual([]);
+});
+
+// The stop never reaches the worker, which is cut off. The task runs there until its lease lapses; the resume elsewhere must
+// wait for that, and the worker that comes back with the old attempt must not cause another.
+test('a resume waits for the lapse of the old lease when the end is not confirmed', async () => {
+	const from = await startTask();
+	const worker = world.workers.get(from)!;
+	worker.faults.isCut = true;
+	world.evict('a/0');
+	await world.clock.advance(20_000);
+	expect(world.getPlaces('a/0')).toEqual([from]);
+	expect(getOrders()).toHaveLength(1);
+	expect(await world.until(() => getOrders().length === 2, 60_000)).toBe(true);
+	worker.faults.isCut = false;
+	expect(await isSucceeded()).toBe(true);
+	expect(getOrders()).toHaveLength(2);
+	expect(world.violations).toEqual([]);
+});
+
+// The stop takes effect, its answer is lost and the worker is cut off until the lease has lapsed by the owner's clock, so the
+// task was started again. Then the worker returns and tells of the stop with a checkpoint: a second reason to resume.
+test('a resume raced by the lapse of the old lease happens once', async () => {
+	const from = await startTask();
+	const worker = world.workers.get(from)!;
+	worker.faults.loseAnswerChance = 1;
+	world.evict('a/0');
+	await world.clock.advance(200);
+	worker.faults.isCut = true;
+	expect(await world.until(() => getOrders().length === 2, 120_000)).toBe(true);
+	worker.faults.loseAnswerChance = 0;
+	worker.faults.isCut = false;
+	expect(await isSucceeded()).toBe(true);
+	expect(getOrders()).toHaveLength(2);
+	expect(world.violations).toEqual([]);
+});
+
+// The owner stops a task for an eviction and dies before it starts it again. The worker still has the checkpoint: the next
+// owner must find it there and resume once, not begin anew, and not forget the task.
+test.each([true, false])('a new owner resumes what the old one had stopped (idempotent: %s)', async isIdempotent => {
+	const from = await startTask({entries: 2, shards: 1, workers: 1}, {isIdempotent});
+	const owner = world.getOwner('a')!;
+	world.announced.delete(from);
+	await world.clock.advance(1000);
+	world.evict('a/0');
+	expect(await world.until(() => world.getRunning().length === 0, 5000)).toBe(true);
+	owner.crash();
+	world.announce(from);
+	expect(await isSucceeded()).toBe(true);
+	expect(getOrders()).toHaveLength(2);
+	expect(getOrders()[1]!.checkpointId).toBe(`a/0/${getOrders()[0]!.attempt}`);
+});
+
+test('work lost to an eviction without a checkpoint is counted, and none with one', async () => {
+	const from = await startTask();
+	await world.clock.advance(10_000);
+	world.evict('a/0');
+	await world.until(() => getOrders().length === 2);
+	expect(world.count('eviction_work_lost_ms')).toBe(0);
+	world.workers.get(from)!.faults.isCheckpointFailing = true;
+	await world.clock.advance(10_000);
+	world.evict('a/0');
+	await world.until(() => getOrders().length === 3);
+	expect(world.count('eviction_work_lost_ms')).toBeGreaterThan(9000);
+	expect(world.count('evictions.harm')).toBe(2);
+	expect(await isSucceeded()).toBe(true);
+});
+
+test('a task cancelled while it is being evicted does not resume', async () => {
+	const from = await startTask();
+	world.workers.get(from)!.faults.loseAnswerChance = 1;
+	world.evict('a/0');
+	await world.clock.advance(300);
+	const cancelling = world.getEntry().scheduler.cancel('a');
+	await world.clock.advance(1000);
+	await cancelling;
+	world.workers.get(from)!.faults.loseAnswerChance = 0;
+	await world.clock.advance(90_000);
+	expect(getOrders()).toHaveLength(1);
+	expect(world.getState('a')).toBe(JobState.Cancelled);
+});
--- a/test/jobs-acceptance.test.ts
+++ b/test/jobs-acceptance.test.ts
@@ -83,19 +83,24 @@
 	expect(world.violations).toEqual([]);
 });
 
+const measureAppends = async (starts: number): Promise<{starts: number; appends: number; seconds: number}> => {
+	create({
+		workers: 10, capacity: {processors: 1200, memoryMb: 1_000_000, accelerators: 0}, shards: 1, settings: {jobs: {maxDecisions: 2000}},
+	});
+	await world.until(() => world.getEntry().scheduler.ownership.owned.size === 1);
+	const before = world.log.appends;
+	const beginMs = world.clock.monotonicMs();
+	await world.submit(createSpec('wave', {taskCount: starts, resources: {processors: 1, memoryMb: 1, accelerators: 0}}));
+	expect(await world.until(() => world.getState('wave') === JobState.Succeeded, 120_000, 500)).toBe(true);
+	const figures = {starts: world.starts.size, appends: world.log.appends - before, seconds: (world.clock.monotonicMs() - beginMs) / 1000};
+	await world.stop();
+	return figures;
+};
+
 test('the log does not grow with starts: appends for 10 to 10,000 starts', async () => {
-	const figures: Array<{starts: number; appends: number; seconds: number}> = [];
+	const figures = [];
 	for (const starts of [10, 100, 1000, 10_000]) {
-		create({
-			workers: 10, capacity: {processors: 1200, memoryMb: 1_000_000, accelerators: 0}, shards: 1, settings: {jobs: {maxDecisions: 2000}},
-		});
-		await world.until(() => world.getEntry().scheduler.ownership.owned.size === 1);
-		const before = world.log.appends;
-		const beginMs = world.clock.monotonicMs();
-		await world.submit(createSpec('wave', {taskCount: starts, resources: {processors: 1, memoryMb: 1, accelerators: 0}}));
-		expect(await world.until(() => world.getState('wave') === JobState.Succeeded, 120_000, 500)).toBe(true);
-		figures.push({starts: world.starts.size, appends: world.log.appends - before, seconds: (world.clock.monotonicMs() - beginMs) / 1000});
-		await world.stop();
+		figures.push(await measureAppends(starts));
 	}
 
 	console.log(JSON.stringify(figures));
--- a/test/jobs-harness.ts
+++ b/test/jobs-harness.ts
@@ -11,7 +11,7 @@
 import {type Clock} from '../src/types/clock.ts';
 import {TaskClass, type JobSpec} from '../src/types/jobs.ts';
 import {type Metrics} from '../src/types/metrics.ts';
-import {type PlacementEngine} from '../src/types/placement.ts';
+import {DecisionType, EvictionReason, type Decision} from '../src/types/placement.ts';
 import {
 	type PlatformLog, type Resources, type StartOrder, type WorkerClient,
 } from '../src/types/platform.ts';
@@ -39,6 +39,8 @@
 	isDead = false;
 	isLogCut = false;
 	readonly cutWorkers = new Set<string>();
+	mostCalls = 0;
+	#calls = 0;
 	#waiting: Array<() => void> | undefined;
 
 	get isPaused(): boolean {
@@ -65,6 +67,16 @@
 		}
 	}
 
+	/** Counts how many calls to workers are made at a time. */
+	async count<Result>(act: () => Promise<Result>): Promise<Result> {
+		this.mostCalls = Math.max(this.mostCalls, ++this.#calls);
+		try {
+			return await act();
+		} finally {
+			this.#calls--;
+		}
+	}
+
 	async call<Result>(isCut: () => boolean, act: () => Promise<Result>): Promise<Result> {
 		await this.pass();
 		if (isCut()) {
@@ -101,7 +113,7 @@
 
 const gateWorker = (worker: MemoryWorker, workerId: string, gate: Gate): WorkerClient => {
 	const isCut = () => gate.cutWorkers.has(workerId);
-	const through = async <Result>(act: () => Promise<Result>) => gate.call(isCut, act);
+	const through = async <Result>(act: () => Promise<Result>) => gate.count(async () => gate.call(isCut, act));
 	return {
 		start: async order => through(async () => worker.start(order)),
 		renew: async (refs, leaseMs) => through(async () => worker.renew(refs, leaseMs)),
@@ -130,12 +142,21 @@
 	};
 };
 
+/** First fit that also decides what a test tells it to. */
+export class ScriptedEngine extends FirstFitEngine {
+	readonly script: Decision[] = [];
+
+	override decide(nowMs: number, maxDecisions: number): Decision[] {
+		return [...this.script.splice(0), ...super.decide(nowMs, maxDecisions)];
+	}
+}
+
 export type TestEntry = {
 	id: string;
 	gate: Gate;
 	scheduler: JobScheduler;
 	metrics: Metrics;
-	engine: PlacementEngine;
+	engine: ScriptedEngine;
 	/** Ends the process with no word to anybody. */
 	crash(): void;
 	/** Gives its shards back and ends. */
@@ -151,7 +172,6 @@
 	retentionMs?: number;
 	settings?: Parameters<typeof createSettings>[0];
 	getBehaviour?(order: StartOrder): TaskBehaviour;
-	createEngine?(): PlacementEngine;
 };
 
 /** A world of entries, workers and a log. It notes at once when a task runs in two places or a worker is overcommitted. */
@@ -225,7 +245,7 @@
 		const clock = gateClock(this.clock, gate);
 		const aborter = new AbortController();
 		const metrics = createCounts();
-		const engine = this.#options.createEngine?.() ?? new FirstFitEngine();
+		const engine = new ScriptedEngine();
 		const {jobs, ownership, log, ...others} = this.#options.settings ?? {};
 		const scheduler = new JobScheduler({
 			log: gateLog(this.log, gate),
@@ -319,6 +339,14 @@
 		return [...this.#running.get(taskId) ?? []];
 	}
 
+	/** Has the owner of the job decide to evict a task. */
+	evict(taskId: string): void {
+		const owner = this.getOwner(taskId.split('/')[0]!)!;
+		owner.engine.script.push({
+			type: DecisionType.Evict, taskId, workerId: this.getPlaces(taskId)[0]!, reason: EvictionReason.Harm,
+		});
+	}
+
 	/** Sums a counter over all entries that live. */
 	count(key: string): number {
 		return [...this.entries.values()].reduce((sum, {metrics}) => sum + (metrics.getCounts()[key] ?? 0), 0);
