Claim request ids in the log before a non-idempotent request runs

Nothing kept a request with an id from running twice. An entry now appends a claim, group-committed with others in one record, follows the stream, and may dispatch only when it reads its own claim as the first for that id. A claim given up is given back, and no late copy of it can win. Ids older than what the log keeps, or from the future, are refused; so are ids that a reader may have forgotten.

--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -75,9 +75,14 @@
 		dependsOn: [ServiceName.Log, ServiceName.Workers, ServiceName.Config],
 		load: async () => (await import('./jobs-service.ts')).createJobsService,
 	});
+	kernel.register({
+		name: ServiceName.Claims,
+		dependsOn: [ServiceName.Log, ServiceName.Control],
+		load: async () => (await import('./claims-service.ts')).createClaimsService,
+	});
 	kernel.register({
 		name: ServiceName.Callers,
-		dependsOn: [ServiceName.Config, ServiceName.Upstreams],
+		dependsOn: [ServiceName.Config, ServiceName.Upstreams, ServiceName.Claims],
 		load: async () => (await import('./callers-service.ts')).createCallersService,
 	});
 };
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -9,6 +9,12 @@
 	Refusals = 'refusals',
 	Retries = 'retries',
 	RequestMs = 'request_ms',
+	/** Retries that the budget did not allow. */
+	RetriesDenied = 'retries_denied',
+	/** Answers of an upstream that came after the request was closed. */
+	LateAnswers = 'late_answers',
+	ClaimsOpen = 'claims_open',
+	ClaimEndsDropped = 'claim_ends_dropped',
 	UpstreamsAlive = 'upstreams_alive',
 	WorkersAlive = 'workers_alive',
 	ConfigOffset = 'config_offset',
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -11,6 +11,7 @@
 import {type Metrics} from './metrics.ts';
 import {type PlatformLog, type WorkerClient} from './platform.ts';
 import {type Random} from './random.ts';
+import {type RefusalReason} from './requests.ts';
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -171,6 +172,9 @@
 	contentType?: string;
 };
 
+/** How a claimed request ended. */
+export type ClaimEnd = Pick<ClaimStatus, 'state' | 'status' | 'body' | 'contentType'>;
+
 /** Outcome of a try to claim. */
 export type ClaimResult
 	= | {isWon: true}
@@ -184,7 +188,11 @@
 	/** Claims the id. Only after `isWon` may the request be dispatched, once, by this entry. */
 	claim(requestId: string, serviceName: string, timeoutMs: number): Promise<ClaimResult>;
 	/** Records the end of a claim that this entry won. */
-	finish(requestId: string, end: Pick<ClaimStatus, 'state' | 'status' | 'body' | 'contentType'>): void;
+	finish(requestId: string, end: ClaimEnd): void;
+	/** Why the id may not be claimed, or undefined when it may. */
+	judge(requestId: string): RefusalReason | undefined;
+	/** Whether a claim that was won may still be dispatched; to be asked right before the first byte. */
+	isDispatchable(requestId: string): boolean;
 	lookup(requestId: string): ClaimStatus | undefined;
 	/** Claims with no known end, oldest first. */
 	listOpen(): ClaimStatus[];
--- /dev/null
+++ b/test/claims-world.ts
@@ -0,0 +1,198 @@
+/**
+Several claim books on one log in memory, whose processes can pause, crash and start again, and whose appends can be
+answered by an error and take effect, at once or later.
+*/
+import {followLog} from '../src/core/log-reader.ts';
+import {createSettings} from '../src/core/settings.ts';
+import {type Settings} from '../src/core/settings-schema.ts';
+import {ClaimBook} from '../src/requests/claim-book.ts';
+import {findStartOffset} from '../src/requests/claim-start.ts';
+import {MemoryLog} from '../src/standin/memory-log.ts';
+import {type Clock, type Timer} from '../src/types/clock.ts';
+import {Stream, type PlatformLog} from '../src/types/platform.ts';
+import {ClaimState} from '../src/types/services.ts';
+import {sleepOn} from '../src/utils/system-clock.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {createRequestId} from '../src/utils/request-id.ts';
+import {createRandom} from '../src/utils/seeded-random.ts';
+
+/** Holds back all that a process does while it is paused. */
+export class Gate {
+	isPaused = false;
+	readonly #held: Array<() => void> = [];
+
+	pass(action: () => void): void {
+		if (this.isPaused) {
+			this.#held.push(action);
+		} else {
+			action();
+		}
+	}
+
+	async wait(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.pass(resolve);
+		});
+	}
+
+	resume(): void {
+		this.isPaused = false;
+		for (const action of this.#held.splice(0)) {
+			action();
+		}
+	}
+}
+
+/** A clock whose timers do not fire while the process is paused. */
+const createGatedClock = (clock: Clock, gate: Gate): Clock => {
+	const setTimer = (callback: () => void, delayMs: number): Timer => {
+		let isCancelled = false;
+		const timer = clock.setTimer(() => {
+			gate.pass(() => {
+				if (!isCancelled) {
+					callback();
+				}
+			});
+		}, delayMs);
+		return {
+			cancel() {
+				isCancelled = true;
+				timer.cancel();
+			},
+		};
+	};
+
+	return {
+		monotonicMs: () => clock.monotonicMs(),
+		now: () => clock.now(),
+		setTimer,
+		sleep: async (delayMs, signal) => sleepOn(setTimer, delayMs, signal),
+	};
+};
+
+/** One try of a caller, and what came of it. */
+export type Try = {
+	requestId: string;
+	told?: 'not-run' | 'in-use';
+	isDispatched: boolean;
+	heldState?: ClaimState;
+};
+
+/** What the world is created with. */
+export type WorldOptions = {
+	seed?: number;
+	retentionMs?: number;
+	claims?: Partial<Settings['claims']>;
+};
+
+/** A log, and processes on it. */
+export const createClaimsWorld = ({seed = 1, retentionMs, claims = {}}: WorldOptions = {}) => {
+	const clock = new ManualClock();
+	const random = createRandom(seed);
+	const memory = new MemoryLog(clock, random, retentionMs);
+	const settings = createSettings({claims, ...(retentionMs !== undefined && {log: {retentionMs}})});
+	const dispatches = new Map<string, number>();
+	const tries: Try[] = [];
+	const late = {chance: 0, delayMs: 3000};
+
+	const append: PlatformLog['append'] = async (stream, value) => {
+		if (random.next() >= late.chance) {
+			return memory.append(stream, value);
+		}
+
+		// Rejected now, in effect later: an append that hung in the platform.
+		clock.setTimer(() => {
+			void memory.append(stream, value).catch(() => undefined);
+		}, late.delayMs * random.next());
+		throw new Error('no answer');
+	};
+
+	const start = (entryId: string) => {
+		const gate = new Gate();
+		const aborter = new AbortController();
+		const gatedClock = createGatedClock(clock, gate);
+		const log: PlatformLog = {
+			async append(stream, value) {
+				try {
+					return await append(stream, value);
+				} finally {
+					await gate.wait();
+				}
+			},
+			async read(stream, fromOffset, options) {
+				try {
+					return await memory.read(stream, fromOffset, options);
+				} finally {
+					await gate.wait();
+				}
+			},
+		};
+		const book = new ClaimBook({
+			log, clock: gatedClock, random, entryId, settings,
+		});
+		const follow = async () => {
+			const fromOffset = await findStartOffset({
+				log, clock: gatedClock, random, settings, signal: aborter.signal,
+			});
+			await followLog(book, {
+				log, stream: Stream.Claims, clock: gatedClock, random, fromOffset, signal: aborter.signal,
+			});
+		};
+
+		void follow();
+		void book.run(aborter.signal);
+		let isDead = false;
+
+		/** A caller's try: claims, and when it won dispatches for so long. */
+		const request = async (requestId: string, {timeoutMs = 500, runMs = 50, queueMs = 0} = {}): Promise<Try> => {
+			const attempt: Try = {requestId, isDispatched: false};
+			tries.push(attempt);
+			const result = await book.claim(requestId, 'desk', timeoutMs);
+			if (result.isWon && queueMs > 0) {
+				await gatedClock.sleep(queueMs);
+			}
+
+			await gate.wait();
+			if (isDead) {
+				return attempt;
+			}
+
+			if (!result.isWon) {
+				attempt.told = result.claim ? 'in-use' : 'not-run';
+				attempt.heldState = result.claim?.state;
+				return attempt;
+			}
+
+			if (!book.isDispatchable(requestId)) {
+				book.finish(requestId, {state: ClaimState.NotRun});
+				attempt.told = 'not-run';
+				return attempt;
+			}
+
+			attempt.isDispatched = true;
+			dispatches.set(requestId, (dispatches.get(requestId) ?? 0) + 1);
+			await gatedClock.sleep(runMs);
+			if (!isDead) {
+				book.finish(requestId, {state: ClaimState.Done, status: 200});
+			}
+
+			return attempt;
+		};
+
+		return {
+			book,
+			gate,
+			request,
+			crash() {
+				isDead = true;
+				aborter.abort();
+				gate.resume();
+			},
+		};
+	};
+
+	return {
+		clock, random, memory, settings, start, tries, dispatches, late,
+		createId: () => createRequestId(clock, random),
+	};
+};
