--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -104,9 +104,14 @@
 			return slotsKernel => createSlotsService(slotsKernel);
 		},
 	});
+	kernel.register({
+		name: ServiceName.Claims,
+		dependsOn: [ServiceName.Log, ServiceName.Control],
+		load: async () => (await import('./claims-service.ts')).createClaimsService,
+	});
 	kernel.register({
 		name: ServiceName.Callers,
-		dependsOn: [ServiceName.Slots, ServiceName.Config, ServiceName.Upstreams],
+		dependsOn: [ServiceName.Config, ServiceName.Upstreams, ServiceName.Slots, ServiceName.Moves, ServiceName.Claims],
 		load: async () => (await import('./callers-service.ts')).createCallersService,
 	});
 };
