--- a/src/requests/choice.ts
+++ b/src/requests/choice.ts
@@ -7,6 +7,7 @@
 import {type Clock} from '../types/clock.ts';
 import {type Random} from '../types/random.ts';
 import {RequestClass} from '../types/requests.ts';
+import {getTotalInFlight, UpstreamStates, type UpstreamState} from './choice-states.ts';
 import {drawFailureDomain, type FailureDomainWeights} from './choice-weights.ts';
 import {defaultLatencyTuning, LatencyBook, type LatencyTuning} from './latency.ts';
 import {
@@ -20,8 +21,14 @@
 	choices: number;
 	/** Another failure domain is used when the own one's best costs more than this many times as much. */
 	spillRatio: number;
-	/** A check rather waits than goes to an upstream this many times slower than the mean. */
-	waitRatio: number;
+	/** A request rather waits than goes to an upstream this many times slower than the mean. */
+	slowRatio: number;
+	/** The same for a long request, which has time: on a host that is merely slow it leaves faster slots to checks. */
+	longSlowRatio: number;
+	/** An upstream that ends no check for so many times their mean counts as silent. */
+	silentRatio: number;
+	/** How much more a long request in flight weighs than a check. */
+	longWeight: number;
 	/** State of an upstream not offered for so long is forgotten. */
 	forgetAfterMs: number;
 	latency: LatencyTuning;
@@ -33,7 +40,10 @@
 export const defaultChoiceTuning: ChoiceTuning = {
 	choices: 2,
 	spillRatio: 1.3,
-	waitRatio: 3,
+	slowRatio: 3,
+	longSlowRatio: 6,
+	silentRatio: 5,
+	longWeight: 1,
 	forgetAfterMs: 60_000,
 	latency: defaultLatencyTuning,
 	outlier: defaultOutlierTuning,
@@ -53,19 +63,12 @@
 	deliver?: (record: () => void) => void;
 };
 
-type UpstreamState = {
-	serviceName: string;
-	incarnation: number;
-	firstSeenMs: number;
-	lastSeenMs: number;
-	inFlight: number;
-	/** Ends still to come of requests that an earlier incarnation took. */
-	staleEnds: number;
-};
-
 /** Creates the product's chooser. */
 export const createChooser = (options: ChooserOptions): Chooser => new LoadChooser(options);
 
+/** Upstreams that could take the request now, by standing. */
+type Groups = Record<Standing, UpstreamAnnouncement[]>;
+
 class LoadChooser implements Chooser {
 	readonly #clock: Clock;
 	readonly #random: Random;
@@ -73,9 +76,8 @@
 	readonly #tuning: ChoiceTuning;
 	readonly #latencies: LatencyBook;
 	readonly #outliers: OutlierBook;
-	readonly #states = new Map<string, UpstreamState>();
+	readonly #states: UpstreamStates;
 	readonly #upstreamCounts = new Map<string, number>();
-	#sweptAtMs: number;
 
 	constructor(options: ChooserOptions) {
 		this.#clock = options.clock;
@@ -84,32 +86,16 @@
 		this.#tuning = {...defaultChoiceTuning, ...options.tuning};
 		this.#latencies = new LatencyBook(options.clock, this.#tuning.latency);
 		this.#outliers = new OutlierBook(options.clock, options.random, this.#tuning.outlier);
-		this.#sweptAtMs = options.clock.monotonicMs();
+		this.#states = new UpstreamStates(options.clock, this.#tuning.forgetAfterMs, upstreamId => {
+			this.#latencies.forget(upstreamId);
+			this.#outliers.forget(upstreamId);
+		});
 	}
 
 	choose(serviceName: string, candidates: readonly UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement | undefined {
 		this.#upstreamCounts.set(serviceName, candidates.length);
-		this.#sweep();
-		const admitted: UpstreamAnnouncement[] = [];
-		const probing: UpstreamAnnouncement[] = [];
-		const ejected: UpstreamAnnouncement[] = [];
-		for (const candidate of candidates) {
-			const {upstreamId} = candidate;
-			const state = this.#see(candidate);
-			if (context.excluded.has(upstreamId) || !context.hasSlot(upstreamId)) {
-				continue;
-			}
-
-			const standing = this.#outliers.getStanding(upstreamId);
-			if (standing === Standing.Admitted) {
-				admitted.push(candidate);
-			} else if (standing === Standing.Probing && state.inFlight === 0) {
-				probing.push(candidate);
-			} else {
-				ejected.push(candidate);
-			}
-		}
-
+		this.#states.sweep();
+		const {admitted, probing, ejected} = this.#group(candidates, context);
 		// A probe is a check: it ends soon and may be tried again elsewhere.
 		if (probing.length > 0 && (context.requestClass === RequestClass.Check || admitted.length === 0)) {
 			return probing[this.#random.below(probing.length)];
@@ -125,26 +111,16 @@
 		return isAnyAdmitted ? undefined : ejected[this.#random.below(ejected.length)];
 	}
 
-	noteStart(upstreamId: string): void {
-		const state = this.#states.get(upstreamId);
-		if (state) {
-			state.inFlight++;
-		}
+	noteStart(upstreamId: string, requestClass: RequestClass): void {
+		this.#states.noteStart(upstreamId, requestClass);
 	}
 
 	noteEnd(upstreamId: string, end: RequestEnd): void {
-		const state = this.#states.get(upstreamId);
+		const state = this.#states.noteEnd(upstreamId, end.requestClass);
 		if (!state) {
 			return;
 		}
 
-		state.inFlight = Math.max(0, state.inFlight - 1);
-		// A restart breaks the requests that the earlier incarnation held; counted against the new one they would eject it.
-		if (state.staleEnds > 0) {
-			state.staleEnds--;
-			return;
-		}
-
 		const record = () => {
 			if (this.#states.get(upstreamId) === state) {
 				this.#record(state, upstreamId, end);
@@ -158,6 +134,23 @@
 		}
 	}
 
+	#group(candidates: readonly UpstreamAnnouncement[], {excluded, hasSlot}: ChoiceContext): Groups {
+		const groups: Groups = {[Standing.Admitted]: [], [Standing.Probing]: [], [Standing.Ejected]: []};
+		for (const candidate of candidates) {
+			const {upstreamId} = candidate;
+			const state = this.#states.see(candidate);
+			if (excluded.has(upstreamId) || !hasSlot(upstreamId)) {
+				continue;
+			}
+
+			const standing = this.#outliers.getStanding(upstreamId);
+			const isBusyProbing = standing === Standing.Probing && getTotalInFlight(state) > 0;
+			groups[isBusyProbing ? Standing.Ejected : standing].push(candidate);
+		}
+
+		return groups;
+	}
+
 	#record(state: UpstreamState, upstreamId: string, {requestClass, latencyMs, isSuccess, isAbandoned}: RequestEnd): void {
 		const {serviceName} = state;
 		// A deadline that came while the request was young says nothing of the upstream: counted as failures, the short
@@ -176,19 +169,20 @@
 		const wasProbing = this.#outliers.getStanding(upstreamId) === Standing.Probing;
 		this.#outliers.record(serviceName, upstreamId, isSuccess, this.#upstreamCounts.get(serviceName) ?? 0);
 		if (wasProbing && this.#outliers.getStanding(upstreamId) === Standing.Admitted) {
-			state.firstSeenMs = this.#clock.monotonicMs();
+			state.startedMs = this.#clock.monotonicMs();
 		}
 	}
 
 	#chooseAdmitted(serviceName: string, admitted: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement | undefined {
+		// Fast path: hosts to be avoided are few.
 		const best = this.#chooseAmong(serviceName, admitted, context);
-		if (context.requestClass !== RequestClass.Check || !this.#isSlow(serviceName, best.upstreamId)) {
+		if (!this.#isAvoided(best.upstreamId, context.requestClass)) {
 			return best;
 		}
 
-		const fast = admitted.filter(({upstreamId}) => !this.#isSlow(serviceName, upstreamId));
-		if (fast.length > 0) {
-			return this.#chooseAmong(serviceName, fast, context);
+		const sound = admitted.filter(({upstreamId}) => !this.#isAvoided(upstreamId, context.requestClass));
+		if (sound.length > 0) {
+			return this.#chooseAmong(serviceName, sound, context);
 		}
 
 		return this.#isWorthWaiting(serviceName, context) ? undefined : best;
@@ -201,15 +195,15 @@
 			: this.#chooseNear(group, context);
 	}
 
-	#chooseNear(admitted: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement {
+	#chooseNear(group: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement {
 		const near: UpstreamAnnouncement[] = [];
 		const far: UpstreamAnnouncement[] = [];
-		for (const candidate of admitted) {
+		for (const candidate of group) {
 			(candidate.failureDomain === this.#options.failureDomain ? near : far).push(candidate);
 		}
 
 		if (near.length === 0 || far.length === 0) {
-			return this.#sample(admitted, context);
+			return this.#sample(group, context);
 		}
 
 		const nearest = this.#sample(near, context);
@@ -236,72 +230,37 @@
 	}
 
 	#getCost({upstreamId, slots}: UpstreamAnnouncement, {requestClass}: ChoiceContext): number {
-		const {serviceName, inFlight, firstSeenMs} = this.#states.get(upstreamId)!;
-		const factor = getSlowStartFactor(this.#clock.monotonicMs() - firstSeenMs, this.#tuning.slowStart);
-		return this.#latencies.getRatio(serviceName, upstreamId, requestClass) * (inFlight + 1) / (slots * factor);
+		const {serviceName, inFlight, startedMs} = this.#states.get(upstreamId)!;
+		const factor = getSlowStartFactor(this.#clock.monotonicMs() - startedMs, this.#tuning.slowStart);
+		const load = inFlight.check + (this.#tuning.longWeight * inFlight.long) + 1;
+		return this.#latencies.getRatio(serviceName, upstreamId, requestClass) * load / (slots * factor);
 	}
 
-	#isSlow(serviceName: string, upstreamId: string): boolean {
-		return this.#latencies.getRatio(serviceName, upstreamId, RequestClass.Check) >= this.#tuning.waitRatio;
+	/** Whether the upstream is slow or silent, or, for a long request, has just failed: a check finds out first, as it can be tried again. */
+	#isAvoided(upstreamId: string, requestClass: RequestClass): boolean {
+		const state = this.#states.get(upstreamId)!;
+		const {serviceName} = state;
+		const {slowRatio, longSlowRatio} = this.#tuning;
+		// Checks end soon, so that they show a slow host long before its first long request ends.
+		if (this.#latencies.getRatio(serviceName, upstreamId, RequestClass.Check) >= (requestClass === RequestClass.Check ? slowRatio : longSlowRatio)) {
+			return true;
+		}
+
+		const meanMs = this.#latencies.getMeanMs(serviceName, RequestClass.Check) ?? Number.POSITIVE_INFINITY;
+		return this.#states.getSilentMs(state) > this.#tuning.silentRatio * meanMs
+			|| (requestClass === RequestClass.Long && this.#outliers.isSuspect(upstreamId));
 	}
 
-	// A slow host has free slots just because it is slow; a check sent there would take longer than the wait for the next
+	// A slow host has free slots just because it is slow; a request sent there would take longer than the wait for the next
 	// slot elsewhere. Waiting is safe only while this process has requests under way elsewhere, whose slots come free.
-	#isWorthWaiting(serviceName: string, {excluded}: ChoiceContext): boolean {
+	#isWorthWaiting(serviceName: string, {excluded, requestClass}: ChoiceContext): boolean {
 		for (const [upstreamId, state] of this.#states) {
-			const isBusyElsewhere = state.serviceName === serviceName && state.inFlight > 0 && !excluded.has(upstreamId);
-			if (isBusyElsewhere && !this.#isSlow(serviceName, upstreamId) && this.#outliers.getStanding(upstreamId) === Standing.Admitted) {
+			const isBusyElsewhere = state.serviceName === serviceName && getTotalInFlight(state) > 0 && !excluded.has(upstreamId);
+			if (isBusyElsewhere && !this.#isAvoided(upstreamId, requestClass) && this.#outliers.getStanding(upstreamId) === Standing.Admitted) {
 				return true;
 			}
 		}
 
 		return false;
 	}
-
-	#see({upstreamId, service, incarnation}: UpstreamAnnouncement): UpstreamState {
-		const nowMs = this.#clock.monotonicMs();
-		let state = this.#states.get(upstreamId);
-		if (state?.incarnation !== incarnation) {
-			// What was learnt of an earlier incarnation says nothing of this one; its requests still end.
-			this.#latencies.forget(upstreamId);
-			this.#outliers.forget(upstreamId);
-			const inFlight = state?.inFlight ?? 0;
-			state = {
-				serviceName: service, incarnation, firstSeenMs: nowMs, lastSeenMs: nowMs, inFlight, staleEnds: inFlight,
-			};
-			this.#states.set(upstreamId, state);
-		}
-
-		state.lastSeenMs = nowMs;
-		return state;
-	}
-
-	/** Forgets upstreams and services that are no longer offered, so that replaced hosts leave nothing behind. */
-	#sweep(): void {
-		const nowMs = this.#clock.monotonicMs();
-		const {forgetAfterMs} = this.#tuning;
-		if (nowMs - this.#sweptAtMs < forgetAfterMs) {
-			return;
-		}
-
-		this.#sweptAtMs = nowMs;
-		const services = new Set<string>();
-		for (const [upstreamId, {serviceName, lastSeenMs}] of this.#states) {
-			if (nowMs - lastSeenMs < forgetAfterMs) {
-				services.add(serviceName);
-				continue;
-			}
-
-			this.#states.delete(upstreamId);
-			this.#latencies.forget(upstreamId);
-			this.#outliers.forget(upstreamId);
-		}
-
-		for (const serviceName of this.#upstreamCounts.keys()) {
-			if (!services.has(serviceName)) {
-				this.#upstreamCounts.delete(serviceName);
-				this.#latencies.forgetService(serviceName);
-			}
-		}
-	}
 }
--- a/src/requests/outlier.ts
+++ b/src/requests/outlier.ts
@@ -84,6 +84,11 @@
 		return record.standing;
 	}
 
+	/** Whether its last result was a failure. */
+	isSuspect(upstreamId: string): boolean {
+		return (this.#records.get(upstreamId)?.failuresInRow ?? 0) > 0;
+	}
+
 	/** Upstreams of the service that are ejected or probing. */
 	getOutCount(serviceName: string): number {
 		return this.#outByService.get(serviceName) ?? 0;
