--- a/src/plugins/slots-service.ts
+++ b/src/plugins/slots-service.ts
@@ -72,13 +72,10 @@
 	};
 
 	const findShare = (upstreamId: string): SlotShare | undefined => {
-		const known = shares.get(upstreamId);
-		if (known) {
-			return known;
-		}
-
 		const upstream = upstreams.get(upstreamId);
-		return upstream && getShare(upstream);
+		const known = shares.get(upstreamId);
+		// A share of the incarnation before says nothing of the one to which the request would go.
+		return upstream && known?.incarnation !== upstream.incarnation ? getShare(upstream) : known;
 	};
 
 	/** Brings the shares in line with the upstreams known, and grants this entry's own. */
--- a/src/requests/slot-policy.ts
+++ b/src/requests/slot-policy.ts
@@ -15,7 +15,7 @@
 export const divideEvenly: DivideSlots = (slots, needs) => needs.map(() => Math.floor(slots / needs.length));
 
 /**
-Divides by demand, max-min fair; what nobody wants stays where it is, and the rest goes around.
+Divides by demand, max-min fair. What nobody wants stays where it is up to an even part, and the rest goes around.
 The offset turns the order, so that the odd slots of different upstreams go to different entries.
 */
 export const divideByDemand: DivideSlots = (slots, needs, offset) => {
@@ -38,7 +38,9 @@
 	deal(index => shares[index]! < needs[index]!.wanted);
 	// One slot each, as far as they go: a first request then need not wait for a share.
 	deal(index => shares[index] === 0);
-	deal(index => shares[index]! < needs[index]!.share);
+	const even = Math.ceil(slots / needs.length);
+	deal(index => shares[index]! < Math.min(needs[index]!.share, even));
+	deal(index => shares[index]! < even);
 	deal(() => true);
 	return shares;
 };
