Measure what one more host, task, claim or change costs, and work out full size

Cause: the size ahead was a list of wishes. Change: measure capacity runs the real parts on fakes at three sizes each, fits slopes and works out a table by role.

--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -16,6 +16,7 @@
 import {
 	JobCancelCommand, JobListCommand, JobStatusCommand, JobSubmitCommand,
 } from './job-commands.ts';
+import {MeasureCapacityCommand} from './measure-capacity-command.ts';
 import {MeasureRequestsCommand} from './measure-requests-command.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
@@ -42,6 +43,7 @@
 	RequestListCommand,
 	StatusCommand,
 	MeasureRequestsCommand,
+	MeasureCapacityCommand,
 	StandinLogCommand,
 	StandinUpstreamCommand,
 	StandinWorkerCommand,
--- /dev/null
+++ b/src/measure/capacity-scale.ts
@@ -0,0 +1,52 @@
+/**
+The size that the product is made for, and the budgets that hold there.
+*/
+
+const daySeconds = 86_400;
+
+/** The size ahead. */
+export const scale = {
+	workers: 26_000,
+	accelerators: 45_000,
+	jobsPerDay: 110_000,
+	startsPerSecond: 11_000,
+	latencyCriticalTasks: 120_000,
+	batchTasks: 430_000,
+	teams: 80,
+	urgentStartMs: 3900,
+	regions: 6,
+	failureDomains: 17,
+	configChangesPerDay: 81_000,
+	configDueMs: 6000,
+	hostFailuresPerDay: 150,
+	restartsPerDay: 3600,
+	logAppendsPerSecond: 300,
+} as const;
+
+/** Budgets of control for one daemon. */
+export const budget = {
+	cpuShare: 0.015,
+	memoryMb: 32,
+	bytesPerSecond: 4096,
+} as const;
+
+/** What the letter leaves open and the model assumes; each is named in docs/CAPACITY.md. */
+export const assumed = {
+	/** Entries of one failure domain. */
+	entriesPerDomain: 3,
+	/** Sections of the operators' text: services and teams. */
+	sections: 10_000,
+	/** Non-idempotent requests a second in all regions. */
+	claimsPerSecond: 1000,
+	/** Share of a day's jobs that comes in its busiest hour. */
+	busiestHourShare: 0.15,
+	tasksPerJob: 100,
+	/** Header bytes of one announcement over HTTP and TCP. */
+	announcementOverheadBytes: 400,
+} as const;
+
+/** Configuration changes a second, on average. */
+export const configChangesPerSecond = scale.configChangesPerDay / daySeconds;
+
+/** Jobs a second in the busiest hour. */
+export const jobsPerSecond = scale.jobsPerDay * assumed.busiestHourShare / 3600;
