--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -82,7 +82,7 @@
 		periodMs: whole(100, 10, 60_000, 'How often an entry speaks to each other entry of slots.'),
 		leaseMs: whole(5000, 100, 600_000, 'How long a share of slots may be used without a word of its sponsor; longer than the lock of the sponsor.'),
 		sponsorLockMs: whole(3000, 100, 600_000, 'How long an upstream keeps a sponsor that is silent.'),
-		maxHoldMs: whole(60_000, 100, 3_600_000, 'Longest time that a slot may be held for one request; at least the longest deadline.'),
+		maxHoldMs: whole(30_000, 100, 3_600_000, 'Longest time that a slot may be held for one request; at least the longest deadline.'),
 		entryCount: whole(3, 1, 1000, 'Entries among which the slots of an upstream that echoes no sponsor are divided.'),
 	},
 	peers: {
--- a/src/plugins/slots-service.ts
+++ b/src/plugins/slots-service.ts
@@ -39,6 +39,8 @@
 	const demand = new Map<string, number>();
 	const callbacks: Array<() => void> = [];
 	const tasks = new Map<string, Promise<void>>();
+	/** Upstreams whose next sponsor has the accounts of this entry. */
+	const handedOver = new Set<string>();
 	const aborter = new AbortController();
 	const {signal} = aborter;
 	let isLeaving = false;
@@ -107,7 +109,7 @@
 
 		const wasFree = share.free;
 		const granted = sponsor.grantOwn(upstreamId, share.incarnation, {
-			share: share.share, limit: share.getLimit(), wanted: isLeaving ? 0 : wanted.get(upstreamId) ?? 0,
+			share: share.share, limit: share.getLimit(), wanted: wanted.get(upstreamId) ?? 0,
 		});
 		if (granted === undefined) {
 			return false;
@@ -137,7 +139,7 @@
 				asked.push({
 					upstreamId,
 					share,
-					wanted: isLeaving ? 0 : wanted.get(upstreamId) ?? 0,
+					wanted: wanted.get(upstreamId) ?? 0,
 					grants: isFormer ? sponsor.getGrants(upstreamId, share.incarnation) : undefined,
 				});
 			}
@@ -147,12 +149,18 @@
 	};
 
 	const ask = async (peerId: string, sponsorId: string, asker: SlotAsker) => {
-		const asked = asker.compose(getAsked(sponsorId), clock.monotonicMs());
+		const asked = asker.compose(getAsked(sponsorId), clock.monotonicMs(), isLeaving);
 		if (!asked) {
 			return;
 		}
 
 		const answer = parseSlotAnswer(await peers.call(peerId, PeerMethod.Slots, asked.message));
+		for (const {upstreamId, incarnation, grants} of answer.isResync ? [] : asked.message.items) {
+			if (grants && !answer.lapsed.includes(upstreamId)) {
+				handedOver.add(getHandoverKey(upstreamId, incarnation));
+			}
+		}
+
 		if (asker.apply(asked, answer, leaseMs)) {
 			notifyFree();
 		}
@@ -211,8 +219,9 @@
 		return holdMs > maxHoldMs ? SlotRefusal.HoldTooLong : SlotRefusal.NoShare;
 	};
 
-	/** Upstreams that still name this entry as their sponsor. */
-	const countSponsored = () => upstreams.list().filter(({sponsorId, state}) => sponsorId === ownId && state === HostState.Alive).length;
+	/** Tells whether an upstream still names this entry as its sponsor, or its next sponsor has not got the accounts. */
+	const isHandingOver = () => upstreams.list().some(({upstreamId, incarnation, sponsorId, formerSponsorId, state}) => state === HostState.Alive
+		&& (sponsorId === ownId || (formerSponsorId === ownId && !handedOver.has(getHandoverKey(upstreamId, incarnation)) && sponsor.getGrants(upstreamId, incarnation) !== undefined)));
 
 	peers.handle(PeerMethod.Slots, body => sponsor.answer(parseSlotMessage(body)));
 	control.addStatus('slots', () => ({
@@ -249,26 +258,26 @@
 		},
 		async stop() {
 			isLeaving = true;
+			for (const share of shares.values()) {
+				share.share = 0;
+			}
+
 			upstreams.resignSponsorships();
 			// Long enough for the upstreams to name another sponsor and for it to get the accounts; without them it
 			// would hold back what this entry granted until every bound had passed.
 			const endMs = clock.monotonicMs() + (2 * announceEveryMs) + (4 * periodMs);
-			const hasHeir = () => peers.list().some(({isAlive}) => isAlive);
-			const wasSponsor = countSponsored() > 0 && hasHeir();
-			while (countSponsored() > 0 && hasHeir() && clock.monotonicMs() < endMs) {
+			while (isHandingOver() && peers.list().some(({isAlive}) => isAlive) && clock.monotonicMs() < endMs) {
 				await clock.sleep(periodMs);
 			}
 
-			if (wasSponsor) {
-				await clock.sleep(2 * periodMs);
-			}
-
 			aborter.abort();
 			await Promise.all([ticking, ...tasks.values()]);
 		},
 	};
 };
 
+const getHandoverKey = (upstreamId: string, incarnation: number): string => `${upstreamId}@${incarnation}`;
+
 const getMode = ({isGuarded, sponsorTerm}: UpstreamAnnouncement): SlotMode => {
 	if (isGuarded) {
 		return SlotMode.Guarded;
--- a/src/requests/slot-asker.ts
+++ b/src/requests/slot-asker.ts
@@ -36,7 +36,7 @@
 	}
 
 	/** Composes the next message; undefined when this sponsor is neither asked nor told anything. */
-	compose(asked: AskedShare[], nowMs: number): Asked | undefined {
+	compose(asked: AskedShare[], nowMs: number, isLeaving = false): Asked | undefined {
 		if (asked.length === 0 && this.#reported.size === 0) {
 			return undefined;
 		}
@@ -57,7 +57,7 @@
 
 		const gone = this.#isFull ? [] : [...this.#reported.keys()].filter(upstreamId => !current.has(upstreamId));
 		const message = {
-			granteeId: this.#granteeId, sponsorId: this.#sponsorId, seq: ++this.#seq, afterSeq: this.#afterSeq, isFull: this.#isFull, items, gone,
+			granteeId: this.#granteeId, sponsorId: this.#sponsorId, seq: ++this.#seq, afterSeq: this.#afterSeq, isFull: this.#isFull, isLeaving, items, gone,
 		};
 		this.#reported = current;
 		// Until an answer comes it is not known what the sponsor took; the next message then says it all.
--- a/src/requests/slot-messages.ts
+++ b/src/requests/slot-messages.ts
@@ -16,6 +16,8 @@
 	/** Last message that was answered; what is not named has not changed since. */
 	afterSeq: count,
 	isFull: z.boolean(),
+	/** The entry stops: it takes no more slots and is to get none. */
+	isLeaving: z.boolean(),
 	items: z.array(z.object({
 		upstreamId,
 		incarnation: count,
--- a/src/requests/slot-sponsor.ts
+++ b/src/requests/slot-sponsor.ts
@@ -27,6 +27,7 @@
 type Sponsored = {
 	incarnation: number;
 	epoch: number;
+	/** Sponsor whose accounts are still to be taken over. */
 	formerSponsorId?: string;
 	table: SlotTable;
 };
@@ -69,7 +70,7 @@
 			grantee.items.delete(upstreamId);
 		}
 
-		return this.#grant(granteeId, grantee);
+		return this.#grant(granteeId, grantee, message.isLeaving);
 	}
 
 	/** Grants this entry its own share; undefined while it does not sponsor the upstream. */
@@ -118,7 +119,7 @@
 		}
 	}
 
-	#grant(granteeId: string, grantee: Grantee): SlotAnswer {
+	#grant(granteeId: string, grantee: Grantee, isLeaving: boolean): SlotAnswer {
 		const answer: SlotAnswer = {isResync: false, shares: [], lapsed: []};
 		for (const [upstreamId, item] of grantee.items) {
 			const table = this.#getTable(upstreamId, item.incarnation);
@@ -127,13 +128,14 @@
 				continue;
 			}
 
-			if (item.grants && this.#sponsored.get(upstreamId)!.formerSponsorId === granteeId) {
+			const sponsored = this.#sponsored.get(upstreamId)!;
+			if (item.grants && sponsored.formerSponsorId === granteeId) {
 				table.takeOver(item.grants);
-				// Once: later, these accounts are out of date.
-				item.grants = undefined;
+				// Once: later, these accounts are out of date, and what was given back would be counted again.
+				sponsored.formerSponsorId = undefined;
 			}
 
-			table.report(granteeId, item);
+			table.report(granteeId, {...item, isLeaving});
 			const share = table.grant(granteeId);
 			if (share !== item.share) {
 				answer.shares.push({upstreamId, incarnation: item.incarnation, share});
--- a/src/requests/slot-table.ts
+++ b/src/requests/slot-table.ts
@@ -15,6 +15,8 @@
 	/** The most that it may be using: its share while that may be used, or what it holds when that is more. */
 	limit: number;
 	wanted: number;
+	/** The entry takes no more slots. */
+	isLeaving?: boolean;
 };
 
 /** Slots that one entry may be using. */
@@ -75,6 +77,7 @@
 			known.share = report.share;
 			known.limit = report.limit;
 			known.wanted = report.wanted;
+			known.isLeaving = report.isLeaving;
 			return;
 		}
 
@@ -140,8 +143,8 @@
 		const {clock, slots, divide, offset} = this.#options;
 		const nowMs = clock.monotonicMs();
 		// In the order of names: every report must lead to the same division, or shares would move for nothing.
-		const live = [...this.#grantees].filter(([, {leaseEndMs}]) => leaseEndMs > nowMs).toSorted(([a], [b]) => a < b ? -1 : 1);
-		const lost = [...this.#grantees.values()].reduce((sum, {leaseEndMs, limit}) => leaseEndMs > nowMs ? sum : sum + limit, 0);
+		const live = [...this.#grantees].filter(([, {leaseEndMs, isLeaving}]) => leaseEndMs > nowMs && !isLeaving).toSorted(([a], [b]) => a < b ? -1 : 1);
+		const lost = [...this.#grantees.values()].reduce((sum, {leaseEndMs, limit, isLeaving}) => leaseEndMs > nowMs && !isLeaving ? sum : sum + limit, 0);
 		const shares = divide(Math.max(0, slots - lost), live.map(([, grantee]) => grantee), offset);
 		return shares[live.findIndex(([id]) => id === granteeId)] ?? 0;
 	}
