--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -7,6 +7,7 @@
 import {type PlatformLog} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
 import {ServiceName} from '../types/services.ts';
+import {type PeerTransport} from './peers-transport.ts';
 
 /** What an entry is created with. */
 export type EntryOptions = {
@@ -15,10 +16,12 @@
 	random: Random;
 	/** Another log in place of the one at the URL of the settings. */
 	log?: PlatformLog;
+	/** Another way to call peers in place of gRPC. */
+	peerTransport?: PeerTransport;
 };
 
 /** Creates an entry host; the caller starts and stops its kernel. */
-export const createEntry = ({settings, clock, random, log}: EntryOptions): RunningKernel => {
+export const createEntry = ({settings, clock, random, log, peerTransport}: EntryOptions): RunningKernel => {
 	const kernel = createKernel(clock, settings.process.stopBoundMs);
 	const {id, region, failureDomain} = settings.process;
 	kernel.provide(ServiceName.Settings, settings);
@@ -40,6 +43,14 @@
 		});
 	}
 
+	kernel.register({
+		name: ServiceName.Peers,
+		dependsOn: [ServiceName.Log, ServiceName.Control],
+		async load() {
+			const {createPeersService} = await import('./peers-service.ts');
+			return peerKernel => createPeersService(peerKernel, peerTransport);
+		},
+	});
 	registerServices(kernel);
 	return kernel;
 };
@@ -57,24 +68,42 @@
 	});
 	kernel.register({
 		name: ServiceName.Config,
-		dependsOn: [ServiceName.Log, ServiceName.Control],
+		dependsOn: [ServiceName.Log, ServiceName.Control, ServiceName.Peers],
 		load: async () => (await import('./config-service.ts')).createConfigService,
 	});
+	kernel.register({
+		name: ServiceName.Membership,
+		dependsOn: [ServiceName.Peers, ServiceName.Control],
+		load: async () => (await import('./membership-service.ts')).createMembershipService,
+	});
 	kernel.register({
 		name: ServiceName.Upstreams,
-		dependsOn: [ServiceName.Control],
+		dependsOn: [ServiceName.Control, ServiceName.Membership],
 		load: async () => (await import('./upstreams-service.ts')).createUpstreamsService,
 	});
 	kernel.register({
 		name: ServiceName.Workers,
-		dependsOn: [ServiceName.Control],
+		dependsOn: [ServiceName.Control, ServiceName.Membership],
 		load: async () => (await import('./workers-service.ts')).createWorkersService,
 	});
+	kernel.register({
+		name: ServiceName.Moves,
+		dependsOn: [ServiceName.Config, ServiceName.Upstreams],
+		load: async () => (await import('./moves-service.ts')).createMovesService,
+	});
 	kernel.register({
 		name: ServiceName.Jobs,
 		dependsOn: [ServiceName.Log, ServiceName.Workers, ServiceName.Config],
 		load: async () => (await import('./jobs-service.ts')).createJobsService,
 	});
+	kernel.register({
+		name: ServiceName.Slots,
+		dependsOn: [ServiceName.Upstreams],
+		async load() {
+			const {createSlotsService} = await import('./slots-service.ts');
+			return slotsKernel => createSlotsService(slotsKernel);
+		},
+	});
 	kernel.register({
 		name: ServiceName.Claims,
 		dependsOn: [ServiceName.Log, ServiceName.Control],
@@ -82,7 +111,7 @@
 	});
 	kernel.register({
 		name: ServiceName.Callers,
-		dependsOn: [ServiceName.Config, ServiceName.Upstreams, ServiceName.Claims],
+		dependsOn: [ServiceName.Slots, ServiceName.Config, ServiceName.Upstreams, ServiceName.Claims],
 		load: async () => (await import('./callers-service.ts')).createCallersService,
 	});
 };
