--- /dev/null
+++ b/src/jobs/job-decisions.ts
@@ -0,0 +1,91 @@
+/**
+Carries out what the placement engine decides.
+*/
+import {getMessage} from '../core/errors.ts';
+import {type Clock} from '../types/clock.ts';
+import {Metric, type Metrics} from '../types/metrics.ts';
+import {DecisionType, type Decision, type PlacementEngine} from '../types/placement.ts';
+import {createLogger, Part} from '../utils/logger.ts';
+import {type LeaseKeeper} from './lease-keeper.ts';
+import {type ShardOwner} from './shard-owner.ts';
+import {type LiveTask} from './shard-task.ts';
+
+const log = createLogger(Part.Placement);
+
+/** What decisions need. */
+export type JobDecisionsOptions = {
+	clock: Clock;
+	metrics: Metrics;
+	engine: PlacementEngine;
+	maxDecisions: number;
+	getTask(taskId: string): LiveTask | undefined;
+	getOwner(shard: number): ShardOwner | undefined;
+	/** Shard of a job that is known. */
+	getShard(jobId: string): number | undefined;
+	getKeeper(workerId: string): LeaseKeeper | undefined;
+};
+
+/** Decisions of one entry. */
+export class JobDecisions {
+	readonly #options: JobDecisionsOptions;
+	/** Jobs that the engine gave up; it is asked again, since what others use of a worker comes and goes. */
+	readonly #unplaceable = new Set<string>();
+
+	constructor(options: JobDecisionsOptions) {
+		this.#options = options;
+	}
+
+	/** One round of decisions. */
+	decide(): void {
+		const {clock, engine, maxDecisions} = this.#options;
+		for (const decision of engine.decide(clock.monotonicMs(), maxDecisions)) {
+			this.#carryOut(decision);
+		}
+	}
+
+	/** Puts the jobs that were given up before the engine again. */
+	reconsider(): void {
+		for (const jobId of this.#unplaceable) {
+			const shard = this.#options.getShard(jobId);
+			this.#unplaceable.delete(jobId);
+			if (shard !== undefined) {
+				this.#options.getOwner(shard)?.enqueueAgain(jobId);
+			}
+		}
+	}
+
+	#carryOut(decision: Decision): void {
+		if (decision.type === DecisionType.Unplaceable) {
+			this.#options.metrics.count(Metric.JobsRefused, 'unplaceable');
+			log('Job %s can run nowhere now: %s', decision.jobId, decision.missing);
+			this.#unplaceable.add(decision.jobId);
+			return;
+		}
+
+		const task = this.#options.getTask(decision.taskId);
+		const owner = task && this.#options.getOwner(task.job.shard);
+		if (!task || !owner) {
+			this.#options.engine.cancel(decision.taskId);
+			this.#options.engine.noteEnded(decision.taskId, true, this.#options.clock.monotonicMs());
+			return;
+		}
+
+		switch (decision.type) {
+			case DecisionType.Start: {
+				void owner.runner.start(task, decision.workerId);
+				break;
+			}
+
+			case DecisionType.Evict: {
+				void owner.runner.evict(task, decision.reason);
+				break;
+			}
+
+			case DecisionType.Throttle: {
+				void this.#options.getKeeper(decision.workerId)?.throttle(task, decision.share).catch((error: unknown) => {
+					log('Throttle of %s failed: %s', task.taskId, getMessage(error));
+				});
+			}
+		}
+	}
+}
--- a/src/jobs/job-scheduler.ts
+++ b/src/jobs/job-scheduler.ts
@@ -1,15 +1,13 @@
 /**
 The scheduling half of an entry: follows the jobs stream, owns shards, and runs their tasks on the fleet.
 */
-import {
-	createError, ErrorCode, getMessage,
-} from '../core/errors.ts';
+import {getMessage} from '../core/errors.ts';
 import {followLog} from '../core/log-reader.ts';
 import {type Settings} from '../core/settings-schema.ts';
 import {type Clock} from '../types/clock.ts';
 import {type JobSpec, type JobStatus} from '../types/jobs.ts';
 import {Metric, type Metrics} from '../types/metrics.ts';
-import {DecisionType, type Decision, type PlacementEngine} from '../types/placement.ts';
+import {type PlacementEngine} from '../types/placement.ts';
 import {
 	Stream, type PlatformLog, type TaskRef, type WorkerSnapshot,
 } from '../types/platform.ts';
@@ -17,19 +15,20 @@
 import {type WorkerRegistry} from '../types/services.ts';
 import {createLogger, Part} from '../utils/logger.ts';
 import {createParser} from '../utils/parser.ts';
+import {JobDecisions} from './job-decisions.ts';
 import {JobFleet} from './job-fleet.ts';
 import {JobFold, type FoldedJob} from './job-fold.ts';
 import {JobLimiter} from './job-limiter.ts';
-import {JobEntryType, jobRecordSchema, type JobEntry} from './job-records.ts';
-import {getJobStatus, getMissing, isSameSpec} from './job-status.ts';
+import {JobEntryType, jobRecordSchema} from './job-records.ts';
+import {getJobStatus, getMissing} from './job-status.ts';
+import {JobSubmissions} from './job-submissions.ts';
 import {keepUp} from './job-upkeep.ts';
 import {JobWriter} from './job-writer.ts';
 import {LeaseKeeper} from './lease-keeper.ts';
-import {getMajorityMs} from './lease-proof.ts';
+import {LeaseProof} from './lease-proof.ts';
 import {type OwnerId} from './ownership-fold.ts';
 import {OwnershipKeeper} from './ownership-keeper.ts';
 import {recoverShard} from './recovery.ts';
-import {getShard} from './shard-hash.ts';
 import {ShardOwner} from './shard-owner.ts';
 import {type LiveTask} from './shard-task.ts';
 
@@ -37,7 +36,6 @@
 const parseRecord = createParser('read job record', jobRecordSchema);
 const fleetEveryMs = 500;
 const reconsiderEveryMs = 5000;
-const proofEveryMs = 100;
 const keepSilentMs = 600_000;
 const minUpkeepMs = 1000;
 const maxUpkeepMs = 60_000;
@@ -65,13 +63,12 @@
 	readonly #waitingTasks = new Set<LiveTask>();
 	readonly #options: JobSchedulerOptions;
 	readonly #writer: JobWriter;
+	readonly #submissions: JobSubmissions;
+	readonly #proof: LeaseProof;
+	readonly #decisions: JobDecisions;
 	readonly #limiter: JobLimiter;
 	readonly #owners = new Map<number, ShardOwner>();
 	readonly #open = new Set<ShardOwner>();
-	readonly #waiting = new Map<string, Set<() => void>>();
-	/** Jobs that the engine gave up; it is asked again, since what others use of a worker comes and goes. */
-	readonly #unplaceable = new Set<string>();
-	readonly #proofs = new Map<number, {atMs: number; endMs: number}>();
 	readonly #recoveries = new Set<Promise<void>>();
 	readonly #startedAtMs: number;
 	#isCaughtUp = false;
@@ -85,6 +82,22 @@
 		this.#writer = new JobWriter({
 			log: options.log, clock, random, metrics, gatherMs: jobs.gatherMs, maxEntries: jobs.maxBatch, maxQueued: jobs.maxQueued,
 		});
+		this.#submissions = new JobSubmissions({
+			clock, metrics, fold: this.fold, writer: this.#writer, shards: jobs.shards, submitTimeoutMs: jobs.submitTimeoutMs,
+		});
+		this.#decisions = new JobDecisions({
+			clock,
+			metrics,
+			engine: options.engine,
+			maxDecisions: jobs.maxDecisions,
+			getTask: taskId => this.tasks.get(taskId),
+			getOwner: shard => this.#owners.get(shard),
+			getShard: jobId => this.fold.jobs.get(jobId)?.shard,
+			getKeeper: workerId => this.fleet.getKeeper(workerId),
+		});
+		this.#proof = new LeaseProof({
+			clock, validMs: ownership.leaseMs, getKeepers: () => this.fleet.getKeepers(), getLeaseEndMs: () => this.ownership.leaseEndMs,
+		});
 		this.ownership = new OwnershipKeeper({
 			log: options.log,
 			clock,
@@ -125,33 +138,12 @@
 
 	/** Resolves once the job is in the log. The same job twice is one; another job under its id is refused. */
 	async submit(spec: JobSpec): Promise<JobStatus> {
-		const {jobs} = this.#options.settings;
-		if (!this.fold.jobs.has(spec.jobId)) {
-			await this.#write({type: JobEntryType.Accept, shard: getShard(spec.jobId, jobs.shards), spec}, spec.jobId, () => this.fold.jobs.has(spec.jobId));
-		}
-
-		const job = this.fold.jobs.get(spec.jobId)!;
-		if (!isSameSpec(job.spec, spec)) {
-			this.#options.metrics.count(Metric.JobsRefused, 'conflict');
-			throw createError(ErrorCode.Conflict, {step: 'submit job', peer: spec.jobId, detail: 'another job has this id'});
-		}
-
-		this.#options.metrics.count(Metric.JobsAccepted);
-		return this.#getStatus(job);
+		return this.#getStatus(await this.#submissions.submit(spec));
 	}
 
 	/** Resolves once the cancellation is in the log. */
 	async cancel(jobId: string): Promise<JobStatus> {
-		const job = this.fold.jobs.get(jobId);
-		if (!job) {
-			throw createError(ErrorCode.NotFound, {step: 'cancel job', peer: jobId});
-		}
-
-		if (!job.isCancelled && job.finishedAtMs === undefined) {
-			await this.#write({type: JobEntryType.Cancel, jobId}, jobId, () => job.isCancelled);
-		}
-
-		return this.#getStatus(job);
+		return this.#getStatus(await this.#submissions.cancel(jobId));
 	}
 
 	/** Status as known here. */
@@ -184,10 +176,12 @@
 				this.fleet.update();
 			}),
 			this.#repeat(reconsiderEveryMs, signal, () => {
-				this.#reconsider();
+				this.#decisions.reconsider();
 			}),
 			this.#repeat(settings.jobs.roundMs, signal, () => {
-				this.#decide();
+				if (this.#open.size > 0) {
+					this.#decisions.decide();
+				}
 			}),
 			this.#repeat(upkeepMs, signal, async () => this.#keepUp()),
 		]);
@@ -206,7 +200,7 @@
 
 	/** Tells whether this entry may act for the shard: by its lease, or while the log is away by what most workers say. */
 	mayAct(shard: number): boolean {
-		return this.ownership.owned.has(shard) && (this.ownership.hasLease() || this.#hasProof(shard));
+		return this.ownership.owned.has(shard) && (this.ownership.hasLease() || this.#proof.has(shard));
 	}
 
 	async #repeat(everyMs: number, signal: AbortSignal, act: () => void | Promise<void>): Promise<void> {
@@ -253,7 +247,9 @@
 				owner.onChange(change);
 			}
 
-			this.#wake(change.job?.spec.jobId);
+			if (change.job) {
+				this.#submissions.onChange(change.job.spec.jobId);
+			}
 		}
 	}
 
@@ -274,11 +270,7 @@
 	#own(shard: number, fencingToken: number): void {
 		const {clock, metrics, engine, settings: {jobs}} = this.#options;
 		// What workers accepted under an earlier token of this entry proves nothing for this one.
-		for (const keeper of this.fleet.getKeepers()) {
-			keeper.acceptedAtMs.delete(shard);
-		}
-
-		this.#proofs.delete(shard);
+		this.#proof.clear(shard);
 		const owner = new ShardOwner(shard, fencingToken, {
 			clock,
 			metrics,
@@ -366,34 +358,34 @@
 			mayRenew: shard => this.mayAct(shard),
 			getProbes: () => this.#getProbes(),
 			onReply: (task, attempt, reply, report) => {
-				this.#owners.get(task.job.shard)?.onReply(task, attempt, reply, report);
+				this.#owners.get(task.job.shard)?.runner.onReply(task, attempt, reply, report);
 			},
 			onLapsed: task => {
-				this.#owners.get(task.job.shard)?.onLapsed(task);
+				this.#owners.get(task.job.shard)?.runner.onLapsed(task);
 			},
 			onStaleToken: (shard, fencingToken) => {
 				this.#depose(shard, fencingToken);
 			},
-			onSnapshot: (snapshot, sentAtMs) => {
-				this.#takeSnapshot(keeper, snapshot, sentAtMs);
+			onSnapshot: (snapshot, sentAtMs, sealedShard) => {
+				this.#takeSnapshot(keeper, snapshot, sentAtMs, sealedShard);
 			},
 		});
 		return keeper;
 	}
 
-	#takeSnapshot(keeper: LeaseKeeper, snapshot: WorkerSnapshot, sentAtMs: number): void {
+	#takeSnapshot(keeper: LeaseKeeper, snapshot: WorkerSnapshot, sentAtMs: number, sealedShard?: number): void {
 		const attempts = new Map<string, number>();
 		for (const report of snapshot.tasks) {
 			attempts.set(report.taskId, report.attempt);
 			const owner = this.#owners.get(report.shard);
 			if (owner && this.#open.has(owner)) {
-				owner.onReport(keeper, report);
+				owner.onReport(keeper, report, report.shard === sealedShard);
 			}
 		}
 
 		for (const task of keeper.tasks) {
 			if (attempts.get(task.taskId) !== task.attempt) {
-				this.#owners.get(task.job.shard)?.onAbsent(task, keeper, sentAtMs);
+				this.#owners.get(task.job.shard)?.runner.onAbsent(task, keeper, sentAtMs);
 			}
 		}
 
@@ -411,79 +403,6 @@
 		}));
 	}
 
-	/**
-	A new owner starts nothing that may run elsewhere before it has sealed more than half of the workers and waited. So while
-	more than half of them have not been sealed, within the last lease, no newer owner has begun its wait.
-	*/
-	#hasProof(shard: number): boolean {
-		const {clock, settings: {ownership}} = this.#options;
-		const nowMs = clock.monotonicMs();
-		let proof = this.#proofs.get(shard);
-		if (!proof || nowMs - proof.atMs >= proofEveryMs) {
-			const majorityMs = getMajorityMs(this.fleet.getKeepers().map(keeper => keeper.acceptedAtMs.get(shard)));
-			proof = {atMs: nowMs, endMs: (majorityMs ?? Number.NEGATIVE_INFINITY) + ownership.leaseMs};
-			this.#proofs.set(shard, proof);
-		}
-
-		return nowMs < proof.endMs;
-	}
-
-	#decide(): void {
-		const {clock, engine, settings: {jobs}} = this.#options;
-		if (this.#open.size === 0) {
-			return;
-		}
-
-		for (const decision of engine.decide(clock.monotonicMs(), jobs.maxDecisions)) {
-			this.#carryOut(decision);
-		}
-	}
-
-	#carryOut(decision: Decision): void {
-		if (decision.type === DecisionType.Unplaceable) {
-			this.#options.metrics.count(Metric.JobsRefused, 'unplaceable');
-			log('Job %s can run nowhere now: %s', decision.jobId, decision.missing);
-			this.#unplaceable.add(decision.jobId);
-			return;
-		}
-
-		const task = this.tasks.get(decision.taskId);
-		const owner = task && this.#owners.get(task.job.shard);
-		if (!task || !owner) {
-			this.#options.engine.cancel(decision.taskId);
-			this.#options.engine.noteEnded(decision.taskId, true, this.#options.clock.monotonicMs());
-			return;
-		}
-
-		switch (decision.type) {
-			case DecisionType.Start: {
-				void owner.start(task, decision.workerId);
-				break;
-			}
-
-			case DecisionType.Evict: {
-				void owner.evict(task, decision.reason);
-				break;
-			}
-
-			case DecisionType.Throttle: {
-				void this.fleet.getKeeper(decision.workerId)?.throttle(task, decision.share).catch((error: unknown) => {
-					log('Throttle of %s failed: %s', task.taskId, getMessage(error));
-				});
-			}
-		}
-	}
-
-	#reconsider(): void {
-		for (const jobId of this.#unplaceable) {
-			const job = this.fold.jobs.get(jobId);
-			this.#unplaceable.delete(jobId);
-			if (job) {
-				this.#owners.get(job.shard)?.enqueueAgain(jobId);
-			}
-		}
-	}
-
 	async #keepUp(): Promise<void> {
 		const {clock, settings: {jobs, log: {retentionMs}}} = this.#options;
 		for (const owner of this.#open) {
@@ -503,44 +422,4 @@
 		const missing = getMissing(job.spec.resources, this.fleet.getCapacities());
 		return getJobStatus(job, owner && (index => owner.getTaskStatus(job.spec.jobId, index)), missing);
 	}
-
-	/** Writes an entry and waits until it is read back: only then is it certain, and known which of two came first. */
-	async #write(entry: JobEntry, jobId: string, isDone: () => boolean): Promise<void> {
-		const {clock, metrics, settings: {jobs: {submitTimeoutMs}}} = this.#options;
-		const aborter = new AbortController();
-		const wake = () => {
-			if (isDone()) {
-				aborter.abort();
-			}
-		};
-
-		const waiting = this.#waiting.get(jobId) ?? new Set();
-		this.#waiting.set(jobId, waiting.add(wake));
-		const dropped = this.#writer.write(entry, () => !isDone()).then(isWritten => {
-			if (!isWritten) {
-				aborter.abort();
-			}
-		});
-		await clock.sleep(submitTimeoutMs, aborter.signal);
-		void dropped;
-		waiting.delete(wake);
-		if (waiting.size === 0) {
-			this.#waiting.delete(jobId);
-		}
-
-		if (!isDone()) {
-			metrics.count(Metric.JobsRefused, 'log-unavailable');
-			throw createError(ErrorCode.LogUnavailable, {
-				step: `write ${entry.type}`, peer: jobId, detail: 'it is not known whether the log has it; send it again under the same id',
-			});
-		}
-	}
-
-	#wake(jobId: string | undefined): void {
-		if (jobId !== undefined) {
-			for (const wake of this.#waiting.get(jobId) ?? []) {
-				wake();
-			}
-		}
-	}
 }
--- /dev/null
+++ b/src/jobs/job-submissions.ts
@@ -0,0 +1,104 @@
+/**
+Takes submissions and cancellations into the log, and tells the caller only what is certain.
+*/
+import {createError, ErrorCode} from '../core/errors.ts';
+import {type Clock} from '../types/clock.ts';
+import {type JobSpec} from '../types/jobs.ts';
+import {Metric, type Metrics} from '../types/metrics.ts';
+import {type FoldedJob, type JobFold} from './job-fold.ts';
+import {JobEntryType, type JobEntry} from './job-records.ts';
+import {isSameSpec} from './job-status.ts';
+import {type JobWriter} from './job-writer.ts';
+import {getShard} from './shard-hash.ts';
+
+/** What submissions need. */
+export type JobSubmissionsOptions = {
+	clock: Clock;
+	metrics: Metrics;
+	fold: JobFold;
+	writer: JobWriter;
+	shards: number;
+	submitTimeoutMs: number;
+};
+
+/** Submissions and cancellations at one entry. */
+export class JobSubmissions {
+	readonly #options: JobSubmissionsOptions;
+	readonly #waiting = new Map<string, Set<() => void>>();
+
+	constructor(options: JobSubmissionsOptions) {
+		this.#options = options;
+	}
+
+	/** Resolves once the job is in the log. The same job twice is one; another job under its id is refused. */
+	async submit(spec: JobSpec): Promise<FoldedJob> {
+		const {fold, metrics, shards} = this.#options;
+		if (!fold.jobs.has(spec.jobId)) {
+			const entry: JobEntry = {type: JobEntryType.Accept, shard: getShard(spec.jobId, shards), spec};
+			await this.#write(entry, spec.jobId, () => fold.jobs.has(spec.jobId));
+		}
+
+		const job = fold.jobs.get(spec.jobId)!;
+		if (!isSameSpec(job.spec, spec)) {
+			metrics.count(Metric.JobsRefused, 'conflict');
+			throw createError(ErrorCode.Conflict, {step: 'submit job', peer: spec.jobId, detail: 'another job has this id'});
+		}
+
+		metrics.count(Metric.JobsAccepted);
+		return job;
+	}
+
+	/** Resolves once the cancellation is in the log. */
+	async cancel(jobId: string): Promise<FoldedJob> {
+		const job = this.#options.fold.jobs.get(jobId);
+		if (!job) {
+			throw createError(ErrorCode.NotFound, {step: 'cancel job', peer: jobId});
+		}
+
+		if (!job.isCancelled && job.finishedAtMs === undefined) {
+			await this.#write({type: JobEntryType.Cancel, jobId}, jobId, () => job.isCancelled || job.finishedAtMs !== undefined);
+		}
+
+		return job;
+	}
+
+	/** The log told something of the job. */
+	onChange(jobId: string): void {
+		for (const wake of this.#waiting.get(jobId) ?? []) {
+			wake();
+		}
+	}
+
+	/** Writes an entry and waits until it is read back: only then is it certain, and known which of two came first. */
+	async #write(entry: JobEntry, jobId: string, isDone: () => boolean): Promise<void> {
+		const {clock, metrics, writer, submitTimeoutMs} = this.#options;
+		const aborter = new AbortController();
+		const wake = () => {
+			if (isDone()) {
+				aborter.abort();
+			}
+		};
+
+		const waiting = this.#waiting.get(jobId) ?? new Set();
+		this.#waiting.set(jobId, waiting.add(wake));
+		const write = async () => {
+			if (!await writer.write(entry, () => !isDone())) {
+				aborter.abort();
+			}
+		};
+
+		void write();
+		await clock.sleep(submitTimeoutMs, aborter.signal);
+		waiting.delete(wake);
+		if (waiting.size === 0) {
+			this.#waiting.delete(jobId);
+		}
+
+		if (!isDone()) {
+			metrics.count(Metric.JobsRefused, 'log-unavailable');
+			throw createError(ErrorCode.LogUnavailable, {
+				step: `write ${entry.type}`, peer: jobId, detail: 'it is not known whether the log has it; send it again under the same id',
+			});
+		}
+	}
+}
--- a/src/jobs/lease-keeper.ts
+++ b/src/jobs/lease-keeper.ts
@@ -41,8 +41,8 @@
 	onLapsed(task: LiveTask): void;
 	/** The worker knows a newer owner of the shard. */
 	onStaleToken(shard: number, fencingToken: number): void;
-	/** All that the worker has, whenever it was asked, and when the question was sent. */
-	onSnapshot(snapshot: WorkerSnapshot, sentAtMs: number): void;
+	/** All that the worker has, when the question was sent, and which shard it sealed in doing so. */
+	onSnapshot(snapshot: WorkerSnapshot, sentAtMs: number, sealedShard?: number): void;
 };
 
 type Calibration = {
@@ -57,6 +57,8 @@
 	readonly tasks = new Set<LiveTask>();
 	/** When the last message was sent that the worker answered without naming a newer token, by shard. */
 	readonly acceptedAtMs = new Map<number, number>();
+	/** Since when the worker's present incarnation is known. */
+	knownSinceMs = Number.POSITIVE_INFINITY;
 	readonly #options: LeaseKeeperOptions;
 	#forgets: TaskRef[] = [];
 	#calibration?: Calibration;
@@ -132,9 +134,8 @@
 	async seal(shard: number, fencingToken: number): Promise<WorkerSnapshot> {
 		const sentAtMs = this.#options.clock.monotonicMs();
 		const snapshot = await this.#call(async client => client.seal(shard, fencingToken));
-		// Before the list is taken: what a worker lists counts for a recovery only once the worker refuses the earlier owner.
 		this.acceptedAtMs.set(shard, sentAtMs);
-		this.#noteSnapshot(snapshot, sentAtMs);
+		this.#noteSnapshot(snapshot, sentAtMs, shard);
 		return snapshot;
 	}
 
@@ -216,7 +217,7 @@
 		const sentAtMs = clock.monotonicMs();
 		const expiry = this.#getExpiry(sentAtMs);
 		const probes = getProbes();
-		const refs = [...tasks.map(task => ({...getTaskRef(task), ...expiry})), ...probes];
+		const refs = [...tasks.map(task => getTaskRef(task)), ...probes].map(ref => ({...ref, ...expiry}));
 		if (refs.length === 0) {
 			return;
 		}
@@ -232,7 +233,7 @@
 			const reply = replies[index];
 			if (reply?.refusal === WorkerRefusal.StaleToken) {
 				onStaleToken(ref.shard, ref.fencingToken);
-			} else if (reply) {
+			} else if (reply && reply.refusal !== WorkerRefusal.Expired) {
 				this.acceptedAtMs.set(ref.shard, sentAtMs);
 			}
 		}
@@ -286,15 +287,19 @@
 		}
 	}
 
-	#noteSnapshot(snapshot: WorkerSnapshot, sentAtMs: number): void {
+	#noteSnapshot(snapshot: WorkerSnapshot, sentAtMs: number, sealedShard?: number): void {
 		const {clock, onSnapshot} = this.#options;
 		const nowMs = clock.monotonicMs();
+		if (this.#calibration?.incarnation !== snapshot.incarnation) {
+			this.knownSinceMs = nowMs;
+		}
+
 		// Taken when the answer is here, the worker's clock is at least so far ahead: orders expire too early rather than too late.
 		this.#calibration = {
 			incarnation: snapshot.incarnation,
 			offsetMs: snapshot.clockMs === undefined ? Number.POSITIVE_INFINITY : snapshot.clockMs - nowMs,
 		};
-		onSnapshot(snapshot, sentAtMs);
+		onSnapshot(snapshot, sentAtMs, sealedShard);
 	}
 
 	#getExpiry(asOfMs: number): Pick<StartOrder, 'notAfterMs' | 'workerIncarnation'> {
--- a/src/jobs/lease-proof.ts
+++ b/src/jobs/lease-proof.ts
@@ -1,6 +1,10 @@
 /**
 Proof, by the workers, that no newer owner of a shard can have begun: what an owner goes by while the log is away.
 */
+import {type Clock} from '../types/clock.ts';
+import {type LeaseKeeper} from './lease-keeper.ts';
+
+const proofEveryMs = 100;
 
 /** Moment up to which more than half of the workers have not known a newer token, or undefined when they did not tell. */
 export const getMajorityMs = (acceptedAtMs: Array<number | undefined>): number | undefined => {
@@ -11,3 +15,54 @@
 
 /** Tells whether so many of the workers are more than half. */
 export const isMajority = (count: number, total: number): boolean => count > total / 2;
+
+/** What a proof needs. */
+export type LeaseProofOptions = {
+	clock: Clock;
+	/** How long an answer of a worker counts; no longer than an entry's lease on its shards. */
+	validMs: number;
+	getKeepers(): LeaseKeeper[];
+	/** Until when this entry's lease by the log lasted. */
+	getLeaseEndMs(): number;
+};
+
+/**
+A new owner starts nothing that may run elsewhere before it has sealed more than half of the workers and waited. So while
+more than half of them have not been sealed, within the last lease, no newer owner has begun its wait.
+*/
+export class LeaseProof {
+	readonly #options: LeaseProofOptions;
+	readonly #proofs = new Map<number, {atMs: number; endMs: number}>();
+
+	constructor(options: LeaseProofOptions) {
+		this.#options = options;
+	}
+
+	/** Forgets what was proved under an earlier token. */
+	clear(shard: number): void {
+		this.#proofs.delete(shard);
+		for (const keeper of this.#options.getKeepers()) {
+			keeper.acceptedAtMs.delete(shard);
+		}
+	}
+
+	/** Tells whether the proof holds for the shard now. */
+	has(shard: number): boolean {
+		const {clock, validMs} = this.#options;
+		const nowMs = clock.monotonicMs();
+		let proof = this.#proofs.get(shard);
+		if (!proof || nowMs - proof.atMs >= proofEveryMs) {
+			proof = {atMs: nowMs, endMs: (this.#getMajorityMs(shard) ?? Number.NEGATIVE_INFINITY) + validMs};
+			this.#proofs.set(shard, proof);
+		}
+
+		return nowMs < proof.endMs;
+	}
+
+	#getMajorityMs(shard: number): number | undefined {
+		const leaseEndMs = this.#options.getLeaseEndMs();
+		// A worker that restarted since has forgotten whom it was sealed for: its word proves nothing.
+		return getMajorityMs(this.#options.getKeepers().map(keeper =>
+			keeper.knownSinceMs <= leaseEndMs ? keeper.acceptedAtMs.get(shard) : undefined));
+	}
+}
--- a/src/jobs/ownership-keeper.ts
+++ b/src/jobs/ownership-keeper.ts
@@ -62,6 +62,11 @@
 		return this.#owned;
 	}
 
+	/** Until when this entry's lease lasts or lasted. */
+	get leaseEndMs(): number {
+		return this.#leaseEndMs;
+	}
+
 	/** Tells whether this entry's lease, counted from before its last renewal was sent, has not run out by its own clock. */
 	hasLease(): boolean {
 		return this.#options.clock.monotonicMs() < this.#leaseEndMs;
--- a/src/jobs/recovery.ts
+++ b/src/jobs/recovery.ts
@@ -68,6 +68,7 @@
 			// Limited: a fleet is not sealed in one instant, and several shards taken over at once share the limit.
 			await options.limiter.run(async () => owner.isClosed ? undefined : keeper.seal(owner.shard, owner.fencingToken));
 			if (!owner.isClosed) {
+				owner.onSealed(keeper.workerId, keeper.incarnation!);
 				sealed.add(keeper);
 			}
 		} catch (error) {
--- a/src/jobs/shard-owner.ts
+++ b/src/jobs/shard-owner.ts
@@ -1,67 +1,30 @@
 /**
-The tasks of one shard while this entry owns it, from acceptance to recorded end.
+The tasks of one shard while this entry owns it: taken from the log, learned from the workers, and closed with their ends.
 */
 import {getMessage} from '../core/errors.ts';
-import {type Clock} from '../types/clock.ts';
 import {type TaskStatus} from '../types/jobs.ts';
-import {Metric, type Metrics} from '../types/metrics.ts';
-import {type PendingTask, type PlacementEngine} from '../types/placement.ts';
-import {
-	TaskState, WorkerRefusal, type StartOrder, type TaskReport, type WorkerReply,
-} from '../types/platform.ts';
+import {TaskState, type TaskReport} from '../types/platform.ts';
 import {createLogger, Part} from '../utils/logger.ts';
 import {type FoldedJob, type JobChange} from './job-fold.ts';
-import {type JobLimiter} from './job-limiter.ts';
-import {JobEntryType, type Dispatch, type TaskEnd} from './job-records.ts';
-import {type JobWriter} from './job-writer.ts';
-import {type LeaseKeeper, type LeaseTimes} from './lease-keeper.ts';
+import {JobEntryType, type Dispatch} from './job-records.ts';
+import {type LeaseKeeper} from './lease-keeper.ts';
+import {type ShardContext} from './shard-context.ts';
+import {ShardRunner} from './shard-runner.ts';
 import {
-	createLiveTask, getLiveStatus, getTaskRef, mayRun, TaskPhase, type LiveTask,
+	createLiveTask, getLiveStatus, getTaskRef, TaskPhase, type LiveTask,
 } from './shard-task.ts';
 
 const log = createLogger(Part.Jobs);
-const retryMs = 500;
-
-/** Why an attempt was followed by another. One counter each. */
-export enum AttemptEnd {
-	Refused = 'refused',
-	Lapsed = 'lapsed',
-	WorkerForgot = 'worker-forgot',
-	Failed = 'failed',
-	Evicted = 'evicted',
-	NotStarted = 'not-started',
-	NotOwner = 'not-owner',
-	LogAway = 'log-away',
-}
-
-const countsAgainstWorker: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Lapsed, AttemptEnd.WorkerForgot, AttemptEnd.Failed]);
-
-/** What the owner of a shard works with, shared by all shards of the entry. */
-export type ShardContext = {
-	clock: Clock;
-	metrics: Metrics;
-	writer: JobWriter;
-	engine: PlacementEngine;
-	limiter: JobLimiter;
-	/** All live tasks of the shards owned here. */
-	tasks: Map<string, LiveTask>;
-	/** Those that wait to be placed. */
-	waiting: Set<LiveTask>;
-	times: LeaseTimes;
-	maxFailures: number;
-	getKeeper(workerId: string): LeaseKeeper | undefined;
-	/** Tells whether this entry may start tasks of the shard at this moment. */
-	mayStart(shard: number): boolean;
-	getRegion(service: string | undefined): string | undefined;
-	/** A worker knows a newer owner of the shard. */
-	onDeposed(shard: number, fencingToken: number): void;
-};
 
 /** Owner of one shard under one token. */
 export class ShardOwner {
 	readonly shard: number;
 	readonly fencingToken: number;
+	/** Carries the tasks through their attempts. */
+	readonly runner: ShardRunner;
 	readonly #context: ShardContext;
+	/** Incarnations of the workers that have been sealed under this token, and whose tasks are known therefore. */
+	readonly #sealed = new Map<string, number>();
 	readonly #jobs = new Map<string, Map<number, LiveTask>>();
 	#isClosed = false;
 
@@ -69,6 +32,15 @@
 		this.shard = shard;
 		this.fencingToken = fencingToken;
 		this.#context = context;
+		this.runner = new ShardRunner({
+			shard,
+			fencingToken,
+			isClosed: () => this.#isClosed,
+			getSiblings: task => this.#jobs.get(task.job.spec.jobId)?.values() ?? [],
+			onClosed: task => {
+				this.#remove(task);
+			},
+		}, context);
 	}
 
 	get isClosed(): boolean {
@@ -100,18 +72,23 @@
 		}
 
 		const nowMs = this.#context.clock.monotonicMs();
+		const tasks: LiveTask[] = [];
 		for (let index = 0; index < job.spec.taskCount; index++) {
 			if (!job.ends.has(index)) {
 				const task = createLiveTask(job, index, this.fencingToken, nowMs);
 				task.isCancelled = job.isCancelled;
+				tasks.push(task);
 				this.#add(task);
-				if (isHeld) {
-					task.phase = TaskPhase.Held;
-				} else {
-					this.#enqueue(task);
-				}
 			}
 		}
+
+		if (isHeld) {
+			return;
+		}
+
+		for (const task of tasks) {
+			this.runner.queue.enqueue(task);
+		}
 	}
 
 	/** Follows a change of the log. */
@@ -129,7 +106,7 @@
 
 			case JobEntryType.Cancel: {
 				for (const task of this.#jobs.get(job.spec.jobId)?.values() ?? []) {
-					this.#cancel(task);
+					this.runner.cancel(task);
 				}
 
 				break;
@@ -138,7 +115,7 @@
 			case JobEntryType.End: {
 				const task = this.#jobs.get(job.spec.jobId)?.get(end!.index);
 				if (task) {
-					this.#closeRecorded(task);
+					this.runner.ends.closeRecorded(task);
 				}
 
 				break;
@@ -156,7 +133,7 @@
 	enqueueAgain(jobId: string): void {
 		for (const task of this.#jobs.get(jobId)?.values() ?? []) {
 			if (task.phase === TaskPhase.Waiting) {
-				this.#context.engine.enqueue(this.#getPending(task));
+				this.runner.queue.offer(task);
 			}
 		}
 	}
@@ -169,91 +146,25 @@
 
 		const dispatch = task.job.dispatches.get(task.index);
 		if (task.isCancelled) {
-			this.#close(task);
+			this.runner.ends.close(task);
 		} else if (dispatch && !this.#isSettled(task, dispatch)) {
 			// It was about to be started, and what became of it cannot be learned: to run it again might run it twice.
-			this.#finish(task, {state: TaskState.Failed, reason: 'unknown: its end was lost with its worker or owner'});
+			this.runner.ends.finish(task, {state: TaskState.Failed, reason: 'unknown: its end was lost with its worker or owner'});
 		} else {
-			this.#enqueue(task);
-		}
-	}
-
-	/** Orders the start of a waiting task. */
-	async start(task: LiveTask, workerId: string): Promise<void> {
-		const {clock, engine, metrics} = this.#context;
-		const keeper = this.#context.getKeeper(workerId);
-		if (task.phase !== TaskPhase.Waiting || !keeper) {
-			engine.noteEnded(task.taskId, false, clock.monotonicMs());
-			return;
-		}
-
-		this.#context.waiting.delete(task);
-		task.phase = TaskPhase.Starting;
-		task.attempt++;
-		task.workerId = workerId;
-		const {attempt} = task;
-		const hindrance = await this.#prepare(task, keeper);
-		task.startedAtMs = clock.monotonicMs();
-		// Asked right before the order: after a pause the lease may be over, and the shard somebody else's. A pause between
-		// this line and the sending makes the order late, and the worker refuses it.
-		if (hindrance ?? (this.#isClosed || !this.#context.mayStart(this.shard))) {
-			this.#giveBack(task, attempt, hindrance ?? AttemptEnd.NotOwner);
-			return;
-		}
-
-		task.runsUntilMs = keeper.getRunsUntilMs();
-		keeper.add(task);
-		try {
-			const reply = await keeper.start(this.#createOrder(task), task.startedAtMs);
-			if (task.attempt === attempt && task.phase === TaskPhase.Starting) {
-				this.#takeStartReply(task, reply, keeper);
+			this.runner.queue.enqueue(task);
+			if (task.job.spec.isGang) {
+				this.runner.breakGang(task);
 			}
-		} catch (error) {
-			// No answer: it may run there. It stays with that worker until the worker tells, or its lease is over.
-			metrics.count(Metric.TaskRefusals, 'no-answer');
-			task.isUnresolved = true;
-			log('Start of %s unresolved: %s', task.taskId, getMessage(error));
-			keeper.wantSnapshot();
-		}
-	}
-
-	/** Stops a running task after a checkpoint, to resume it elsewhere once its end is confirmed. */
-	async evict(task: LiveTask, reason: string): Promise<void> {
-		if (task.phase !== TaskPhase.Running) {
-			return;
 		}
-
-		this.#context.metrics.count(Metric.Evictions, reason);
-		await this.#stop(task, true);
 	}
 
-	/** Takes a worker's answer for an attempt; answers for older attempts change nothing. */
-	onReply(task: LiveTask, attempt: number, reply: WorkerReply, report?: TaskReport): void {
-		if (this.#isClosed || task.attempt !== attempt || !mayRun(task)) {
-			return;
-		}
-
-		if (!reply.isAccepted) {
-			if (reply.refusal === WorkerRefusal.UnknownTask || reply.refusal === WorkerRefusal.StaleAttempt) {
-				this.#onLost(task, AttemptEnd.WorkerForgot);
-			}
-
-			return;
-		}
-
-		if (reply.state === TaskState.Running) {
-			if (task.phase === TaskPhase.Starting) {
-				this.#takeRunning(task);
-			}
-
-			return;
-		}
-
-		this.#onEnded(task, reply.state ?? TaskState.Stopped, {checkpointId: reply.checkpointId ?? report?.checkpointId, result: report?.result});
+	/** The worker refuses earlier owners, and has listed its tasks since. */
+	onSealed(workerId: string, incarnation: number): void {
+		this.#sealed.set(workerId, incarnation);
 	}
 
-	/** Takes what a worker lists of an attempt of this shard. */
-	onReport(keeper: LeaseKeeper, report: TaskReport): void {
+	/** Takes what a worker lists of an attempt of this shard; `isSeal`: in answer to the seal. */
+	onReport(keeper: LeaseKeeper, report: TaskReport, isSeal: boolean): void {
 		if (this.#isClosed) {
 			return;
 		}
@@ -265,16 +176,16 @@
 		}
 
 		if (task.phase === TaskPhase.Held) {
-			if (!keeper.acceptedAtMs.has(this.shard)) {
-				return;
+			// Another list may have been on its way while the earlier owner could still change what runs.
+			if (isSeal) {
+				this.#learn(task, keeper, report);
 			}
 
-			this.#learn(task, keeper, report);
 			return;
 		}
 
 		if (task.workerId === keeper.workerId && task.attempt === report.attempt) {
-			this.#takeReport(task, report);
+			this.runner.takeReport(task, report);
 			return;
 		}
 
@@ -287,43 +198,11 @@
 		}
 	}
 
-	/** The worker's list, asked for at the time, does not have the task. */
-	onAbsent(task: LiveTask, keeper: LeaseKeeper, askedAtMs: number): void {
-		const {times: {callTimeoutMs, clockErrorMs}} = this.#context;
-		if (this.#isClosed || !mayRun(task)) {
-			return;
-		}
-
-		if (task.phase !== TaskPhase.Starting) {
-			if (askedAtMs >= task.startedAtMs) {
-				this.#onLost(task, AttemptEnd.WorkerForgot);
-			}
-
-			return;
-		}
-
-		// The order may still be on its way: only when it would be refused as late is it certain that it starts nothing.
-		if (keeper.isExpiring && askedAtMs > task.startedAtMs + callTimeoutMs + clockErrorMs) {
-			this.#requeue(task, AttemptEnd.NotStarted);
-		}
-	}
-
-	/** No lease of the attempt can be running any more. */
-	onLapsed(task: LiveTask): void {
-		if (!this.#isClosed && mayRun(task)) {
-			this.#onLost(task, AttemptEnd.Lapsed);
-		}
-	}
-
 	/** Lets go of all tasks: they run on under the next owner. */
 	close(): void {
 		this.#isClosed = true;
 		for (const task of this.list()) {
-			this.#leaveWorker(task, true);
-			this.#context.engine.cancel(task.taskId);
-			this.#context.tasks.delete(task.taskId);
-			this.#context.waiting.delete(task);
-			task.phase = TaskPhase.Closed;
+			this.runner.ends.letGo(task);
 		}
 
 		this.#jobs.clear();
@@ -345,94 +224,7 @@
 		}
 
 		// The order never reached the worker when the same incarnation was sealed since and does not know it.
-		const keeper = this.#context.getKeeper(workerId);
-		return task.learnedAttempt < attempt && keeper?.incarnation === incarnation && keeper.acceptedAtMs.has(this.shard);
-	}
-
-	/** What a start needs first; gives what hinders it. */
-	async #prepare(task: LiveTask, keeper: LeaseKeeper): Promise<AttemptEnd | undefined> {
-		try {
-			await keeper.prepare();
-		} catch {
-			return AttemptEnd.NotStarted;
-		}
-
-		if (task.isCancelled || this.#isClosed) {
-			return AttemptEnd.NotStarted;
-		}
-
-		if (task.job.spec.isIdempotent) {
-			return undefined;
-		}
-
-		const isWritten = await this.#context.writer.write({
-			type: JobEntryType.Dispatch,
-			jobId: task.job.spec.jobId,
-			fencingToken: this.fencingToken,
-			dispatch: {
-				index: task.index, attempt: task.attempt, workerId: keeper.workerId, incarnation: keeper.incarnation!,
-			},
-		}, () => !this.#isClosed && !task.isCancelled);
-		return isWritten && !task.isCancelled ? undefined : AttemptEnd.LogAway;
-	}
-
-	#createOrder(task: LiveTask): StartOrder {
-		const {kind, taskClass, resources, input} = task.job.spec;
-		return {
-			...getTaskRef(task), kind, taskClass, resources, input, leaseMs: this.#context.times.leaseMs, checkpointId: task.checkpointId,
-		};
-	}
-
-	#takeStartReply(task: LiveTask, reply: WorkerReply, keeper: LeaseKeeper): void {
-		if (reply.isAccepted) {
-			if (reply.state === undefined || reply.state === TaskState.Running) {
-				this.#takeRunning(task);
-			} else {
-				keeper.wantSnapshot();
-				keeper.wake();
-			}
-
-			return;
-		}
-
-		this.#context.metrics.count(Metric.TaskRefusals, reply.refusal);
-		if (reply.refusal === WorkerRefusal.StaleToken) {
-			this.#context.onDeposed(this.shard, this.fencingToken);
-			return;
-		}
-
-		keeper.wantSnapshot();
-		this.#giveBack(task, task.attempt, AttemptEnd.Refused);
-	}
-
-	#takeRunning(task: LiveTask): void {
-		const {metrics, engine} = this.#context;
-		task.phase = TaskPhase.Running;
-		task.isUnresolved = false;
-		metrics.count(Metric.TasksStarted);
-		engine.noteRunning(this.#getPending(task), task.workerId!, task.startedAtMs);
-		this.#forgetKept(task);
-		if (task.isCancelled) {
-			void this.#stop(task, false);
-		}
-	}
-
-	#takeReport(task: LiveTask, report: TaskReport): void {
-		if (!mayRun(task)) {
-			return;
-		}
-
-		if (report.usage) {
-			this.#context.engine.noteUsage(task.taskId, report.usage);
-		}
-
-		if (report.state !== TaskState.Running) {
-			this.#onEnded(task, report.state, report);
-		} else if (task.phase === TaskPhase.Starting) {
-			this.#takeRunning(task);
-		} else if (task.phase === TaskPhase.Stopping) {
-			void this.#stop(task, !task.isCancelled);
-		}
+		return task.learnedAttempt < attempt && this.#sealed.get(workerId) === incarnation;
 	}
 
 	/** Adopts what an earlier owner left at a worker; the highest attempt stands for the task. */
@@ -445,12 +237,13 @@
 			task.attempt = report.attempt;
 			task.workerId = keeper.workerId;
 			task.startedAtMs = clock.monotonicMs();
+			task.confirmedAtMs = task.startedAtMs;
 			task.runsUntilMs = keeper.getRunsUntilMs();
 			keeper.add(task);
-			engine.noteRunning(this.#getPending(task), keeper.workerId, task.startedAtMs);
+			engine.noteRunning(this.runner.queue.getPending(task), keeper.workerId, task.startedAtMs);
 			keeper.wake();
 			if (task.isCancelled) {
-				void this.#stop(task, false);
+				void this.runner.stop(task, false);
 			}
 
 			return;
@@ -459,182 +252,23 @@
 		if (report.state === TaskState.Succeeded || (report.state === TaskState.Failed && !task.job.spec.isIdempotent)) {
 			task.workerId = keeper.workerId;
 			task.attempt = report.attempt;
-			this.#finish(task, {state: report.state, result: report.result});
+			this.runner.ends.finish(task, {state: report.state, result: report.result});
 			return;
 		}
 
 		if (report.checkpointId !== undefined && report.attempt > (task.kept?.ref.attempt ?? -1)) {
 			// Stopped for an eviction that the earlier owner did not finish: resumed once, when nothing newer can be running.
-			this.#forgetKept(task);
+			this.runner.ends.forgetKept(task);
 			task.checkpointId = report.checkpointId;
 			task.kept = {workerId: keeper.workerId, ref};
-		}
-	}
-
-	async #stop(task: LiveTask, isCheckpoint: boolean): Promise<void> {
-		const keeper = this.#context.getKeeper(task.workerId!);
-		const {attempt} = task;
-		task.phase = TaskPhase.Stopping;
-		try {
-			const reply = await this.#context.limiter.run(async () => keeper!.stop(task, isCheckpoint));
-			this.onReply(task, attempt, reply);
-			if (reply.isAccepted && reply.state === TaskState.Succeeded) {
-				keeper!.wake();
-			}
-		} catch (error) {
-			// No answer: it counts as running. The next round asks the worker, or its lease runs out unrenewed.
-			task.isUnresolved = true;
-			log('Stop of %s unresolved: %s', task.taskId, getMessage(error));
-		}
-	}
-
-	#cancel(task: LiveTask): void {
-		task.isCancelled = true;
-		if (task.phase === TaskPhase.Waiting) {
-			this.#context.engine.cancel(task.taskId);
-			this.#close(task);
-		} else if (task.phase === TaskPhase.Running) {
-			void this.#stop(task, false);
-		}
-	}
-
-	#onEnded(task: LiveTask, state: TaskState, {checkpointId, result}: {checkpointId?: string; result?: unknown}): void {
-		const {metrics, maxFailures} = this.#context;
-		metrics.count(Metric.TasksEnded, state);
-		const {isIdempotent} = task.job.spec;
-		if (task.isCancelled && state !== TaskState.Succeeded) {
-			this.#finish(task, {state: TaskState.Stopped});
-			return;
-		}
-
-		if (state === TaskState.Stopped) {
-			this.#onStopped(task, checkpointId);
-		} else if (state === TaskState.Lapsed) {
-			this.#onLost(task, AttemptEnd.Lapsed);
-		} else if (state === TaskState.Failed && isIdempotent && ++task.failures < maxFailures) {
-			this.#keepNothing(task);
-			this.#requeue(task, AttemptEnd.Failed);
-		} else {
-			this.#finish(task, {state, result});
-		}
-	}
-
-	#onStopped(task: LiveTask, checkpointId: string | undefined): void {
-		const {clock, metrics} = this.#context;
-		task.evictions++;
-		if (checkpointId === undefined) {
-			metrics.count(Metric.EvictionWorkLostMs, undefined, Math.round(clock.monotonicMs() - task.startedAtMs));
-			if (!task.job.spec.isIdempotent) {
-				this.#finish(task, {state: TaskState.Failed, reason: 'stopped without a checkpoint'});
-				return;
-			}
-
-			this.#keepNothing(task);
-		} else {
-			this.#forgetKept(task);
-			task.checkpointId = checkpointId;
-			task.kept = {workerId: task.workerId!, ref: getTaskRef(task)};
-		}
-
-		this.#requeue(task, AttemptEnd.Evicted);
-	}
-
-	/** The attempt is over for certain, and how it ended cannot be learned. */
-	#onLost(task: LiveTask, reason: AttemptEnd): void {
-		if (task.isCancelled) {
-			this.#finish(task, {state: TaskState.Stopped});
 		} else if (task.job.spec.isIdempotent) {
-			this.#keepNothing(task);
-			this.#requeue(task, reason);
-		} else {
-			this.#finish(task, {state: TaskState.Failed, reason: `unknown: ${reason}`});
-		}
-	}
-
-	#giveBack(task: LiveTask, attempt: number, reason: AttemptEnd): void {
-		if (task.attempt !== attempt || task.phase !== TaskPhase.Starting) {
-			return;
-		}
-
-		this.#context.engine.noteStartRefused(task.taskId, task.workerId!);
-		this.#requeue(task, reason);
-	}
-
-	#requeue(task: LiveTask, reason: AttemptEnd): void {
-		this.#context.metrics.count(Metric.TaskRetries, reason);
-		this.#leaveWorker(task, !countsAgainstWorker.has(reason));
-		if (task.isCancelled) {
-			this.#close(task);
-		} else {
-			this.#enqueue(task);
-		}
-	}
-
-	#enqueue(task: LiveTask): void {
-		task.phase = TaskPhase.Waiting;
-		task.workerId = undefined;
-		task.queuedAtMs = this.#context.clock.monotonicMs();
-		this.#context.waiting.add(task);
-		this.#context.engine.enqueue(this.#getPending(task));
-	}
-
-	#getPending(task: LiveTask): PendingTask {
-		const {taskId, attempt, job: {spec}, queuedAtMs} = task;
-		return {
-			taskId, attempt, spec, queuedAtMs, region: this.#context.getRegion(spec.service),
-		};
-	}
-
-	/** Frees the task's room; its present attempt is not running any more. */
-	#leaveWorker(task: LiveTask, isSuccess: boolean): void {
-		const {clock, engine, getKeeper} = this.#context;
-		task.isUnresolved = false;
-		if (task.workerId !== undefined) {
-			getKeeper(task.workerId)?.tasks.delete(task);
-			engine.noteEnded(task.taskId, isSuccess, clock.monotonicMs());
-		}
-	}
-
-	/** Records the task's end; asked again until the log has it or the shard is lost. */
-	#finish(task: LiveTask, end: Pick<TaskEnd, 'state' | 'result' | 'reason'>): void {
-		this.#leaveWorker(task, end.state === TaskState.Succeeded);
-		task.phase = TaskPhase.Ending;
-		task.end = {
-			index: task.index, attempt: Math.max(0, task.attempt), evictions: task.evictions, ...end,
-		};
-		void this.#record(task, task.end);
-	}
-
-	async #record(task: LiveTask, end: TaskEnd): Promise<void> {
-		const {clock, writer} = this.#context;
-		while (!this.#isClosed && task.phase === TaskPhase.Ending) {
-			const isWritten = await writer.write({
-				type: JobEntryType.End, jobId: task.job.spec.jobId, fencingToken: this.fencingToken, end,
-			}, () => !this.#isClosed && !task.job.ends.has(task.index));
-			if (isWritten || task.job.ends.has(task.index)) {
-				return;
-			}
-
-			// The queue is full: the worker keeps the end until it is told to forget it.
-			await clock.sleep(retryMs);
-		}
-	}
-
-	#closeRecorded(task: LiveTask): void {
-		if (task.workerId !== undefined && task.phase === TaskPhase.Ending) {
-			this.#context.getKeeper(task.workerId)?.forget(getTaskRef(task));
+			keeper.forget(ref);
 		}
-
-		this.#close(task);
 	}
 
-	#close(task: LiveTask): void {
+	#remove(task: LiveTask): void {
 		const {jobId} = task.job.spec;
 		const tasks = this.#jobs.get(jobId);
-		this.#forgetKept(task);
-		task.phase = TaskPhase.Closed;
-		this.#context.waiting.delete(task);
-		this.#context.tasks.delete(task.taskId);
 		tasks?.delete(task.index);
 		if (tasks?.size === 0) {
 			this.#jobs.delete(jobId);
@@ -653,19 +287,6 @@
 		this.#context.tasks.set(task.taskId, task);
 	}
 
-	#keepNothing(task: LiveTask): void {
-		if (task.workerId !== undefined) {
-			this.#context.getKeeper(task.workerId)?.forget(getTaskRef(task));
-		}
-	}
-
-	#forgetKept(task: LiveTask): void {
-		if (task.kept) {
-			this.#context.getKeeper(task.kept.workerId)?.forget(task.kept.ref);
-			task.kept = undefined;
-		}
-	}
-
 	/** An attempt that nothing stands for: of an ended, cancelled or forgotten task, or overtaken by a newer attempt. */
 	#dropStray(keeper: LeaseKeeper, report: TaskReport): void {
 		const {taskId, attempt} = report;
--- /dev/null
+++ b/src/jobs/shard-queue.ts
@@ -0,0 +1,53 @@
+/**
+Puts the tasks of a shard before the placement engine.
+*/
+import {type PendingTask} from '../types/placement.ts';
+import {type ShardContext} from './shard-context.ts';
+import {mayRun, TaskPhase, type LiveTask} from './shard-task.ts';
+
+/** Waiting tasks of one shard. */
+export class ShardQueue {
+	readonly #context: ShardContext;
+	readonly #getSiblings: (task: LiveTask) => Iterable<LiveTask>;
+
+	constructor(context: ShardContext, getSiblings: (task: LiveTask) => Iterable<LiveTask>) {
+		this.#context = context;
+		this.#getSiblings = getSiblings;
+	}
+
+	/** Queues a task that runs nowhere. */
+	enqueue(task: LiveTask): void {
+		task.phase = TaskPhase.Waiting;
+		task.workerId = undefined;
+		task.queuedAtMs = this.#context.clock.monotonicMs();
+		this.#context.waiting.add(task);
+		this.offer(task);
+	}
+
+	/** Offers a waiting task to the engine; a gang only once none of its tasks runs or may run: it starts as a whole. */
+	offer(task: LiveTask): void {
+		if (!task.job.spec.isGang) {
+			this.#context.engine.enqueue(this.getPending(task));
+			return;
+		}
+
+		const siblings = [...this.#getSiblings(task)];
+		if (siblings.some(sibling => mayRun(sibling) || sibling.phase === TaskPhase.Held)) {
+			return;
+		}
+
+		for (const sibling of siblings) {
+			if (sibling.phase === TaskPhase.Waiting) {
+				this.#context.engine.enqueue(this.getPending(sibling));
+			}
+		}
+	}
+
+	/** The task as the engine sees it. */
+	getPending(task: LiveTask): PendingTask {
+		const {taskId, attempt, job: {spec}, queuedAtMs} = task;
+		return {
+			taskId, attempt, spec, queuedAtMs, region: this.#context.getRegion(spec.service),
+		};
+	}
+}
--- a/src/jobs/shard-task.ts
+++ b/src/jobs/shard-task.ts
@@ -39,6 +39,8 @@
 	runsUntilMs: number;
 	queuedAtMs: number;
 	startedAtMs: number;
+	/** When the worker's answer that it runs was read. */
+	confirmedAtMs: number;
 	checkpointId?: string;
 	evictions: number;
 	failures: number;
@@ -56,18 +58,19 @@
 /** First attempt number under a token. */
 export const getFirstAttempt = (fencingToken: number): number => (fencingToken + 1) * attemptsPerToken;
 
-/** Creates a task that waits. */
+/** Creates a task that is not offered for placement yet. */
 export const createLiveTask = (job: FoldedJob, index: number, fencingToken: number, nowMs: number): LiveTask => ({
 	taskId: getTaskId(job.spec.jobId, index),
 	job,
 	index,
 	fencingToken,
-	phase: TaskPhase.Waiting,
+	phase: TaskPhase.Held,
 	attempt: getFirstAttempt(fencingToken) - 1,
 	isUnresolved: false,
 	runsUntilMs: 0,
 	queuedAtMs: nowMs,
 	startedAtMs: nowMs,
+	confirmedAtMs: nowMs,
 	evictions: 0,
 	failures: 0,
 	isCancelled: false,
--- a/src/standin/memory-worker.ts
+++ b/src/standin/memory-worker.ts
@@ -33,6 +33,8 @@
 	/** Usage is not reported. */
 	isUsageMissing: boolean;
 	delayMs: number;
+	/** Up to so much more delay on the way there and on the way back: answers come out of order. */
+	jitterMs: number;
 };
 
 type RunningTask = {
@@ -61,7 +63,7 @@
 
 /** A worker that does all that it is asked. */
 export const noWorkerFaults: Readonly<WorkerFaults> = {
-	isCut: false, isPaused: false, loseAnswerChance: 0, isFailingAll: false, isCheckpointFailing: false, usageLagMs: 0, isUsageMissing: false, delayMs: 0,
+	isCut: false, isPaused: false, loseAnswerChance: 0, isFailingAll: false, isCheckpointFailing: false, usageLagMs: 0, isUsageMissing: false, delayMs: 0, jitterMs: 0,
 };
 
 const pausePollMs = 20;
@@ -168,9 +170,14 @@
 	/** Carries a call through the faults of the way to the worker and back. */
 	async #serve<Reply>(handle: () => Reply): Promise<Reply> {
 		const {clock, workerId, random} = this.#options;
-		if (this.faults.delayMs > 0) {
-			await clock.sleep(this.faults.delayMs);
-		}
+		const travel = async () => {
+			const {delayMs, jitterMs} = this.faults;
+			if (delayMs + jitterMs > 0) {
+				await clock.sleep(delayMs + (jitterMs * (random?.next() ?? 0)));
+			}
+		};
+
+		await travel();
 
 		while (this.faults.isPaused) {
 			await clock.sleep(pausePollMs);
@@ -181,6 +188,7 @@
 		}
 
 		const reply = handle();
+		await travel();
 		if (this.faults.loseAnswerChance > 0 && (random?.next() ?? 0) < this.faults.loseAnswerChance) {
 			throw createError(ErrorCode.PeerUnavailable, {step: 'call worker (answer lost)', peer: workerId});
 		}
@@ -218,7 +226,7 @@
 
 	#renew(ref: TaskRef, leaseMs: number): WorkerReply {
 		const found = this.#find(ref);
-		if ('refusal' in found) {
+		if ('refusal' in found && found.refusal === WorkerRefusal.StaleToken) {
 			return found;
 		}
 
@@ -226,6 +234,10 @@
 			return {isAccepted: false, refusal: WorkerRefusal.Expired};
 		}
 
+		if ('refusal' in found) {
+			return found;
+		}
+
 		const {report} = found.task;
 		if (report.state === TaskState.Running) {
 			this.#setLease(found.task, leaseMs);
