Keep no listener for each round of a lease keeper

Cause: each round joined the keeper's signal to one of its own with AbortSignal.any, and the joined signals stayed for as long as the keeper. A run of the property over 600 interleavings ended out of memory at 4 GB.

Change: the keeper wakes its round when its signal aborts. The property also has answers come out of order.

--- a/src/jobs/lease-keeper.ts
+++ b/src/jobs/lease-keeper.ts
@@ -160,6 +160,9 @@
 	/** Renews, learns ends and drops what has ended, until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, random, times} = this.#options;
+		signal.addEventListener('abort', () => {
+			this.wake();
+		}, {once: true});
 		while (!signal.aborted) {
 			const aborter = new AbortController();
 			this.#wake = () => {
@@ -168,7 +171,7 @@
 
 			// Jitter: the workers of a fleet are not all spoken to in the same instant.
 			const periodMs = this.#isIdle() ? times.renewEveryMs * idleFactor : times.renewEveryMs;
-			await clock.sleep(periodMs * (0.75 + (random.next() / 2)), AbortSignal.any([signal, aborter.signal]));
+			await clock.sleep(periodMs * (0.75 + (random.next() / 2)), aborter.signal);
 			if (!signal.aborted) {
 				await this.runRound();
 			}
--- a/test/jobs-property.test.ts
+++ b/test/jobs-property.test.ts
@@ -16,6 +16,7 @@
 	PauseWorker = 'pause-worker',
 	RestartWorker = 'restart-worker',
 	LoseAnswers = 'lose-answers',
+	SlowWorker = 'slow-worker',
 	LogDown = 'log-down',
 	LoseLogAnswers = 'lose-log-answers',
 }
@@ -180,6 +181,14 @@
 				break;
 			}
 
+			case EventType.SlowWorker: {
+				faults.jitterMs = 1500;
+				until(() => {
+					faults.jitterMs = 0;
+				});
+				break;
+			}
+
 			case EventType.LogDown: {
 				world.log.faults.isDown = true;
 				until(() => {
