Add a small world in which placement is measured

Workers with hidden harm between kinds, late and noisy reports, waves of noisy tasks, urgent work and wrong declarations.

--- /dev/null
+++ b/src/measure/jobs-policies.ts
@@ -0,0 +1,31 @@
+/**
+Placement policies that ours is measured against. All share its queue, quotas and evictions; only the choice differs.
+*/
+import {getDominantShare} from '../jobs/placement-resources.ts';
+import {type ChooseWorker} from '../jobs/placement-search.ts';
+import {type WorkerEntry} from '../jobs/placement-state.ts';
+import {type Random} from '../types/random.ts';
+import {type MeasuredPolicy} from './jobs-run.ts';
+
+const getFreeShare = ({free, spec}: WorkerEntry): number => getDominantShare(free, spec.capacity);
+
+const chooseFirst: ChooseWorker = candidates =>
+	candidates.toSorted((a, b) => a.spec.workerId < b.spec.workerId ? -1 : 1)[0];
+
+const chooseTightest: ChooseWorker = candidates =>
+	candidates.toSorted((a, b) => getFreeShare(a) - getFreeShare(b))[0];
+
+const createRandomOfTwo = (random: Random): ChooseWorker => candidates => {
+	const first = candidates[random.below(candidates.length)]!;
+	const second = candidates[random.below(candidates.length)]!;
+	return getFreeShare(first) >= getFreeShare(second) ? first : second;
+};
+
+/** Creates all policies that are compared. The last two are ours, blind to harm and aware of it. */
+export const createPolicies = (random: Random): MeasuredPolicy[] => [
+	{name: 'first-fit', isHarmAware: false, choose: chooseFirst},
+	{name: 'best-fit', isHarmAware: false, choose: chooseTightest},
+	{name: 'random-of-two', isHarmAware: false, choose: createRandomOfTwo(random)},
+	{name: 'blind', isHarmAware: false},
+	{name: 'harm-aware', isHarmAware: true},
+];
--- /dev/null
+++ b/src/measure/jobs-users.ts
@@ -0,0 +1,134 @@
+/**
+The two users' fleets, services, batch work and weights, for measuring placement.
+*/
+import {createSettings} from '../core/settings.ts';
+import {type Settings} from '../core/settings-schema.ts';
+import {TaskClass} from '../types/jobs.ts';
+import {type PlacementWorker} from '../types/placement.ts';
+
+/** How the results of a run are weighed into one figure. */
+export type ResultWeights = {
+	tail: number;
+	batch: number;
+	evictions: number;
+};
+
+/** A kind of task as it really is. */
+export type TrueKind = {
+	name: string;
+	taskClass: TaskClass;
+	processors: number;
+	memoryMb: number;
+	runTimeMs: number;
+	/** Declared size over true size, and declared run time over true run time. */
+	declaredRatio: number;
+	declaredTimeRatio: number;
+	/** Mean harm to a neighbour on a full host. */
+	noise: number;
+	replicas: number;
+	isCheckpointable: boolean;
+};
+
+/** One user as measured. */
+export type MeasuredUser = {
+	name: string;
+	weights: ResultWeights;
+	placement: Settings['placement'];
+	kinds: TrueKind[];
+	workers: PlacementWorker[];
+};
+
+const workerCount = 11;
+const rackSize = 3;
+const capacity = {processors: 16, memoryMb: 61_440, accelerators: 0};
+
+/** Settings of placement as shipped for Clydeside: tail latency first. */
+export const clydesidePlacement: Partial<Settings['placement']> = {
+	tailWeight: 4, throughputWeight: 1, evictionWeight: 0.5, isShrinkAllowed: true,
+};
+
+/** Settings of placement as shipped for the Authority: batch throughput and few evictions first. */
+export const authorityPlacement: Partial<Settings['placement']> = {
+	tailWeight: 0.5, throughputWeight: 1, evictionWeight: 3, deferMs: 5000, isShrinkAllowed: true,
+};
+
+const createWorkers = (region: string, domains: string[]): PlacementWorker[] => Array.from({length: workerCount}, (_, index) => {
+	const rack = Math.floor(index / rackSize);
+	return {
+		workerId: `worker-${String(index).padStart(2, '0')}`,
+		region,
+		failureDomain: domains[rack % domains.length]!,
+		rack: `rack-${rack}`,
+		capacity,
+		isOpen: true,
+	};
+});
+
+const createService = (name: string, processors: number, replicas: number): TrueKind => ({
+	name,
+	taskClass: TaskClass.LatencyCritical,
+	processors,
+	memoryMb: processors * 2048,
+	runTimeMs: Number.POSITIVE_INFINITY,
+	declaredRatio: 1.2,
+	declaredTimeRatio: 1,
+	noise: 0.02,
+	replicas,
+	isCheckpointable: false,
+});
+
+const createBatch = (name: string, changes: Partial<TrueKind>): TrueKind => ({
+	name,
+	taskClass: TaskClass.Batch,
+	processors: 2,
+	memoryMb: 4096,
+	runTimeMs: 60_000,
+	declaredRatio: 1,
+	declaredTimeRatio: 1,
+	noise: 0.02,
+	replicas: 0,
+	isCheckpointable: true,
+	...changes,
+});
+
+// Quiet and noisy kinds, small and large, declared too large, too small and too long.
+const batchKinds = (names: [string, string, string, string, string, string]): TrueKind[] => [
+	createBatch(names[0], {declaredRatio: 1.5}),
+	createBatch(names[1], {processors: 3, runTimeMs: 90_000, declaredTimeRatio: 0.4}),
+	createBatch(names[2], {
+		processors: 1, memoryMb: 6144, runTimeMs: 40_000, declaredRatio: 0.8, isCheckpointable: false,
+	}),
+	createBatch(names[3], {processors: 2, runTimeMs: 50_000, noise: 0.12}),
+	createBatch(names[4], {
+		processors: 4, memoryMb: 8192, runTimeMs: 120_000, noise: 0.2, declaredTimeRatio: 3,
+	}),
+	createBatch(names[5], {
+		processors: 2, runTimeMs: 70_000, noise: 0.3, isCheckpointable: false,
+	}),
+];
+
+/** Both users of today. */
+export const createUsers = (): MeasuredUser[] => [
+	{
+		name: 'clydeside',
+		weights: {tail: 3, batch: 1, evictions: 1},
+		placement: {...createSettings().placement, ...clydesidePlacement},
+		kinds: [
+			createService('lading-desk', 3, 11),
+			createService('tracking', 2, 5),
+			...batchKinds(['issue-title', 'rebuild-records', 'archive', 'render', 'reconcile', 'index']),
+		],
+		workers: createWorkers('scot-central', ['leith-hall', 'govan-hall', 'grange-hall']),
+	},
+	{
+		name: 'authority',
+		weights: {tail: 1, batch: 3, evictions: 3},
+		placement: {...createSettings().placement, ...authorityPlacement},
+		kinds: [
+			createService('tariff-relief', 3, 11),
+			createService('ward-desk', 2, 5),
+			...batchKinds(['compute-relief', 'rebuild-cases', 'notify', 'check-income', 'settle', 'audit']),
+		],
+		workers: createWorkers('bagmati', ['hall-ktm', 'hall-ltp', 'hall-bkt', 'hall-hetauda']),
+	},
+];
