Count what room beside a service will be filled with

Cause: a service started on an empty fleet looked unharmed anywhere, and held-back batch work was let go at once because its time in the queue counted as held back. Change: free room beside a service is priced at the usual harm of batch work, holding back counts from the first refusal and its limit doubles, replicas keep to distinct hosts, sizes grow only on more than report noise, urgent work waits a second for an end before it evicts and takes room that is kept for large work.

--- a/src/jobs/harm-cost.ts
+++ b/src/jobs/harm-cost.ts
@@ -22,24 +22,37 @@
 export class HarmCost {
 	readonly #model: HarmModel;
 	readonly #weights: HarmWeights;
+	readonly #getBusyness: () => number;
 
-	constructor(model: HarmModel, weights: HarmWeights) {
+	constructor(model: HarmModel, options: {weights: HarmWeights; getBusyness: () => number}) {
 		this.#model = model;
-		this.#weights = weights;
+		this.#weights = options.weights;
+		this.#getBusyness = options.getBusyness;
 	}
 
-	/** Cost that the task would add to the worker: what it suffers there and what it does to others. */
+	/**
+	Cost that the task would add to the worker: what it suffers there and what it does to others.
+
+	Room beside a service does not stay free: batch work of the usual kind will fill it. So a service is better off on a
+	host that services fill already, and beside it a quiet task is worth more than no task.
+	*/
 	getAdded(worker: WorkerEntry, entry: TaskEntry, processors: number): number {
 		const mix = getMix(worker);
 		const {capacity} = worker.spec;
 		const load = worker.expectedProcessors / capacity.processors;
 		const newLoad = (worker.expectedProcessors + processors) / capacity.processors;
 		const {kindId, spec: {taskClass}} = entry.job;
-		let cost = this.#getPrice(taskClass, this.#getExcess(kindId, taskClass, {mix, load: newLoad, isMember: false}));
+		const isService = taskClass === TaskClass.LatencyCritical;
+		const filler = this.#model.usualHarm * (isService ? 1 : this.#getBusyness() ** 2);
+		const exposure = filler * Math.max(0, worker.free.processors);
+		const newExposure = filler * Math.max(0, worker.free.processors - entry.reserved.processors);
+		const own = this.#getExcess(kindId, taskClass, {mix, load: newLoad, isMember: false});
+		let cost = this.#getPrice(taskClass, isService ? own + newExposure : own);
 		for (const item of mix) {
-			const before = this.#getExcess(item.kindId, item.taskClass, {mix, load, isMember: true});
+			const isExposed = item.taskClass === TaskClass.LatencyCritical;
+			const before = this.#getExcess(item.kindId, item.taskClass, {mix, load, isMember: true}) + (isExposed ? exposure : 0);
 			const after = this.#getExcess(item.kindId, item.taskClass, {mix, load: newLoad, isMember: true})
-				+ this.#getEffect(item.kindId, item.taskClass, kindId, newLoad);
+				+ this.#getEffect(item.kindId, item.taskClass, kindId, newLoad) + (isExposed ? newExposure : 0);
 			cost += item.count * (this.#getPrice(item.taskClass, after) - this.#getPrice(item.taskClass, before));
 		}
 
--- a/src/jobs/harm-history.ts
+++ b/src/jobs/harm-history.ts
@@ -1,7 +1,7 @@
 /**
 Who stood beside whom at which time, so that a late report is credited to the time that it speaks of.
 */
-import {type TaskClass} from '../types/jobs.ts';
+import {TaskClass} from '../types/jobs.ts';
 import {type Neighbour} from './harm-model.ts';
 import {type Residency, type TaskEntry, type WorkerEntry} from './placement-state.ts';
 
@@ -15,6 +15,8 @@
 	taskClass: TaskClass;
 	neighbours: Neighbour[];
 	load: number;
+	/** Processors of the batch tasks among the neighbours. */
+	batchProcessors: number;
 };
 
 type EndedStay = {
@@ -43,6 +45,7 @@
 		worker.residencies.push({
 			taskId: entry.task.taskId,
 			kindId: entry.job.kindId,
+			isBatch: entry.job.spec.taskClass === TaskClass.Batch,
 			share: entry.throttleShare,
 			processors: getExpectedProcessors(entry),
 			startMs: nowMs,
@@ -114,6 +117,7 @@
 	const {victimId, taskClass, atMs} = victim;
 	const neighbours: Neighbour[] = [];
 	let processors = 0;
+	let batchProcessors = 0;
 	for (const residency of worker.residencies) {
 		if (!isAt(residency, atMs)) {
 			continue;
@@ -124,6 +128,7 @@
 			continue;
 		}
 
+		batchProcessors += residency.isBatch ? residency.processors : 0;
 		const known = neighbours.find(({kindId}) => kindId === residency.kindId);
 		if (known) {
 			known.amount += residency.share;
@@ -133,6 +138,6 @@
 	}
 
 	return {
-		victimId, taskClass, neighbours, load: processors / Math.max(worker.spec.capacity.processors, 1e-6),
+		victimId, taskClass, neighbours, batchProcessors, load: processors / Math.max(worker.spec.capacity.processors, 1e-6),
 	};
 };
--- a/src/jobs/harm-model.ts
+++ b/src/jobs/harm-model.ts
@@ -22,6 +22,8 @@
 const maxSlowdown = 10;
 const neighbourRate = 0.05;
 const fadeSteps = 20;
+const usualHarmStart = 0.03;
+const usualHarmRate = 0.005;
 
 /** Kinds by number. The least recently used one makes room when there are too many. */
 export class KindTable {
@@ -84,12 +86,26 @@
 	};
 
 	readonly #noise = new Float64Array(maxKinds).fill(noiseStart);
+	#usualHarm = usualHarmStart;
 	#fadedAtMs = Number.NaN;
 
 	constructor(halfLifeMs: number) {
 		this.#halfLifeMs = halfLifeMs;
 	}
 
+	/** Harm that a service suffers on average for each processor of batch work beside it. */
+	get usualHarm(): number {
+		return this.#usualHarm;
+	}
+
+	/** Learns it from a service's report. */
+	noteUsualHarm(slowdown: number, batchProcessors: number): void {
+		if (batchProcessors >= 1) {
+			const harm = Math.max(0, Math.min(slowdown, maxSlowdown) - 1) / batchProcessors;
+			this.#usualHarm += usualHarmRate * (harm - this.#usualHarm);
+		}
+	}
+
 	/** Forgets all that was learned of the kind. */
 	forget(kindId: number): void {
 		for (let other = 0; other < maxKinds; other++) {
--- a/src/jobs/placement-context.ts
+++ b/src/jobs/placement-context.ts
@@ -26,7 +26,7 @@
 	const fleet = new Fleet(quotas);
 	const queue = new WaitingQueue(settings.urgentPriority);
 	const model = new HarmModel(settings.harmHalfLifeMs);
-	const harmCost = new HarmCost(model, settings);
+	const harmCost = new HarmCost(model, {weights: settings, getBusyness: () => fleet.busyness});
 	const sizes = new SizeEstimates(settings.isShrinkAllowed);
 	const evictions = new EvictionMemory();
 	const choose = options.choose ?? createChoice({
@@ -65,9 +65,15 @@
 			const {kindId, spec} = entry.job;
 			return harmCost.getAdded(worker, entry, sizes.getExpectedProcessors(kindId, entry.reserved, spec.resources));
 		},
-		// A batch task that would do more harm than its own progress is worth is held back, for a while.
-		({job}, nowMs) => job.spec.taskClass === TaskClass.Batch && !queue.isUrgent(job) && nowMs - job.queuedAtMs < settings.deferMs
-			? settings.throughputWeight
-			: Number.POSITIVE_INFINITY,
+		// A batch task that would do more harm than its own progress is worth is held back. The limit doubles with the
+		// time, so that the task runs in the end wherever it harms least.
+		({job}, nowMs) => {
+			if (job.spec.taskClass !== TaskClass.Batch || queue.isUrgent(job) || settings.deferMs === 0) {
+				return Number.POSITIVE_INFINITY;
+			}
+
+			const deferredMs = Math.max(0, nowMs - job.deferredAtMs);
+			return settings.throughputWeight * (2 ** (deferredMs / settings.deferMs));
+		},
 	);
 };
--- a/src/jobs/placement-engine.ts
+++ b/src/jobs/placement-engine.ts
@@ -181,6 +181,9 @@
 			const surroundings = history.getSurroundings(taskId, entry, usage.measuredAtMs);
 			if (surroundings) {
 				model.note({...surroundings, slowdown: usage.slowdown});
+				if (surroundings.taskClass === TaskClass.LatencyCritical) {
+					model.noteUsualHarm(usage.slowdown, surroundings.batchProcessors);
+				}
 			}
 		}
 
@@ -218,10 +221,10 @@
 		const round = new Round(context, nowMs, maxDecisions);
 		this.#tellUnplaceable(round);
 		context.reservations.giveUp(nowMs);
-		context.reservations.startReady((entry, worker) => {
-			round.noteStarted(entry, worker);
-		});
+		const noteStarted = round.noteStarted.bind(round);
+		context.reservations.startReady(false, noteStarted);
 		runUrgentPass(round);
+		context.reservations.startReady(true, noteStarted);
 		runFairPass(round);
 		runReturnPass(round);
 		runReservePass(round);
@@ -401,6 +404,8 @@
 		order,
 		need: spec.resources,
 		needAtMs: queuedAtMs,
+		deferredAtMs: Number.POSITIVE_INFINITY,
+		retryAtMs: 0,
 		spread: undefined,
 		checkedAtFleet: -1,
 		missing: undefined,
--- a/src/jobs/placement-evictions.ts
+++ b/src/jobs/placement-evictions.ts
@@ -26,11 +26,11 @@
 cannot evict in turn, so one eviction never leads to the next.
 */
 export const evictForUrgent = (round: Round, job: JobEntry): boolean => {
-	if (job.missing !== undefined || job.isFinal) {
+	const {queue, urgentBudget, settings} = round.context;
+	if (job.missing !== undefined || job.isFinal || round.nowMs - job.queuedAtMs < settings.urgentPatienceMs) {
 		return false;
 	}
 
-	const {queue, urgentBudget, settings} = round.context;
 	const isEligible = ({job: other}: TaskEntry) => !queue.isUrgent(other) && other.spec.priority < job.spec.priority;
 	return evict(round, job, {
 		entries: listEntries(round, job),
@@ -113,7 +113,9 @@
 		return false;
 	}
 
-	reservations.reserve(job, places, round.nowMs + claimMs);
+	reservations.reserve({
+		job, places, deadlineMs: round.nowMs + claimMs, isPassive: false,
+	});
 	for (const victim of victims) {
 		round.evict(victim, reason, entries[0]!.task.taskId);
 	}
--- a/src/jobs/placement-fleet.ts
+++ b/src/jobs/placement-fleet.ts
@@ -31,6 +31,8 @@
 	readonly #list: WorkerEntry[] = [];
 	readonly #groups = new Map<string, CapacityGroup>();
 	readonly #quotas: QuotaLedger;
+	#usedProcessors = 0;
+	#openProcessors = 0;
 
 	constructor(quotas: QuotaLedger) {
 		this.#quotas = quotas;
@@ -41,6 +43,11 @@
 		return this.#workers.size;
 	}
 
+	/** Share of the open workers' processors that is held. */
+	get busyness(): number {
+		return this.#openProcessors > 0 ? Math.min(1, this.#usedProcessors / this.#openProcessors) : 0;
+	}
+
 	get(workerId: string): WorkerEntry | undefined {
 		return this.#workers.get(workerId);
 	}
@@ -98,7 +105,7 @@
 		worker.mix = undefined;
 		entry.worker = worker;
 		entry.phase = TaskPhase.Placed;
-		this.#changeSpread(worker, entry, 1);
+		this.#count(worker, entry, 1);
 		this.#quotas.change(entry.job.spec.team, entry.reserved, 1);
 		this.refresh(worker);
 	}
@@ -124,7 +131,7 @@
 		}
 
 		entry.worker = undefined;
-		this.#changeSpread(worker, entry, -1);
+		this.#count(worker, entry, -1);
 		this.#quotas.change(entry.job.spec.team, entry.reserved, -1);
 		this.refresh(worker);
 		this.#dropIfEmpty(worker);
@@ -141,6 +148,7 @@
 		addTo(worker.used, reserved);
 		this.#quotas.change(entry.job.spec.team, entry.reserved, -1);
 		this.#quotas.change(entry.job.spec.team, reserved, 1);
+		this.#usedProcessors += reserved.processors - entry.reserved.processors;
 		entry.reserved = reserved;
 		this.refresh(worker);
 	}
@@ -230,18 +238,20 @@
 			this.#groups.delete(key);
 		}
 
+		this.#openProcessors += times * capacity.processors;
 		this.#quotas.changeTotal(capacity, times);
 		this.version++;
 	}
 
-	#changeSpread({spec}: WorkerEntry, {job}: TaskEntry, times: 1 | -1): void {
+	#count({spec}: WorkerEntry, {job, reserved}: TaskEntry, times: 1 | -1): void {
 		job.placedCount += times;
+		this.#usedProcessors += times * reserved.processors;
 		if (job.spec.taskClass !== TaskClass.LatencyCritical || job.spec.taskCount < 2) {
 			return;
 		}
 
 		job.spread ??= new Map();
-		for (const key of [getDomainKey(spec), getRackKey(spec)]) {
+		for (const key of [getDomainKey(spec), getRackKey(spec), spec.workerId]) {
 			const count = (job.spread.get(key) ?? 0) + times;
 			if (count === 0) {
 				job.spread.delete(key);
--- a/src/jobs/placement-passes.ts
+++ b/src/jobs/placement-passes.ts
@@ -15,7 +15,7 @@
 const reservedMs = 120_000;
 const maxReservations = 4;
 // Tasks that take less than this share of a worker find room as others end.
-const largeShare = 0.25;
+const largeShare = 0.5;
 // Waits longer by this factor when an eviction may bring the room instead.
 const patience = 3;
 
@@ -23,12 +23,16 @@
 export const runUrgentPass = (round: Round): void => {
 	const jobs = [...round.context.queue.urgent];
 	for (const job of jobs) {
-		while (!round.isFull && job.waitingCount > 0 && (round.place(job) || evictForUrgent(round, job))) {
+		while (!round.isFull && job.waitingCount > 0 && placeUrgent(round, job)) {
 			// Goes on until the job is served or nothing more can be done for it.
 		}
 	}
 };
 
+/** Room that is kept for large work behind ends is given up first: that work gets it back at the end of the round. */
+const placeUrgent = (round: Round, job: JobEntry): boolean =>
+	round.place(job) || (round.context.reservations.cancelPassive() && round.place(job)) || evictForUrgent(round, job);
+
 /** Starts tasks of all teams: those within their quota first, then by dominant share; inside a team by priority. */
 export const runFairPass = (round: Round): void => {
 	const {queue, quotas} = round.context;
@@ -89,7 +93,9 @@
 
 	const places = planPlaces(round, entries, fleet.draw(2 * drawnWorkers, round.context.random));
 	if (places) {
-		reservations.reserve(oldest, places, round.nowMs + reservedMs);
+		reservations.reserve({
+			job: oldest, places, deadlineMs: round.nowMs + reservedMs, isPassive: true,
+		});
 	}
 };
 
--- a/src/jobs/placement-reservations.ts
+++ b/src/jobs/placement-reservations.ts
@@ -26,6 +26,8 @@
 	job: JobEntry;
 	places: Place[];
 	deadlineMs: number;
+	/** Waits for tasks to end by themselves; urgent work goes before it. */
+	isPassive: boolean;
 };
 
 /** Reservations in the order in which they were made. */
@@ -50,20 +52,21 @@
 	}
 
 	/** Keeps room for the tasks, which leave the queue. */
-	reserve(job: JobEntry, places: Place[], deadlineMs: number): void {
+	reserve(reservation: Reservation): void {
+		const {places} = reservation;
 		for (const {entry, worker} of places) {
 			this.#queue.remove(entry);
 			entry.phase = TaskPhase.Claiming;
 			this.#claim({entry, worker}, 1);
 		}
 
-		this.#all.add({job, places, deadlineMs});
+		this.#all.add(reservation);
 	}
 
-	/** Starts the tasks of every reservation whose room is free by now. */
-	startReady(start: (entry: TaskEntry, worker: WorkerEntry) => void): void {
+	/** Starts the tasks of every reservation of the sort whose room is free by now. */
+	startReady(isPassive: boolean, start: (entry: TaskEntry, worker: WorkerEntry) => void): void {
 		for (const reservation of this.#all) {
-			if (this.#takeAll(reservation)) {
+			if (reservation.isPassive === isPassive && this.#takeAll(reservation)) {
 				this.#all.delete(reservation);
 				for (const {entry, worker} of reservation.places) {
 					start(entry, worker);
@@ -84,6 +87,16 @@
 		}
 	}
 
+	/** Gives up all that waits for ends by themselves; returns whether there was any. */
+	cancelPassive(): boolean {
+		const passive = [...this.#all].filter(({isPassive}) => isPassive);
+		for (const reservation of passive) {
+			this.#release(reservation);
+		}
+
+		return passive.length > 0;
+	}
+
 	/** Gives up what is kept for the job; its tasks wait again. */
 	cancelJob(job: JobEntry): void {
 		for (const reservation of this.#all) {
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -47,6 +47,7 @@
 // Workers avoided after a refusal come back without any room being freed.
 const blockedMs = 1000;
 const needKeptMs = 1000;
+const deferredRetryMs = 1000;
 
 /** The decisions of one round. */
 export class Round {
@@ -104,7 +105,7 @@
 
 	/** Places one waiting task, or all of a gang. Returns whether something was started. */
 	place(job: JobEntry): boolean {
-		if (job.missing !== undefined || job.isFinal || this.#isBlocked(job)) {
+		if (job.missing !== undefined || job.isFinal || job.retryAtMs > this.nowMs || this.#isBlocked(job)) {
 			return false;
 		}
 
@@ -163,7 +164,13 @@
 			return undefined;
 		}
 
-		return search.choose(candidates, entry, this.nowMs);
+		const worker = search.choose(candidates, entry, this.nowMs);
+		if (!worker) {
+			entry.job.deferredAtMs = Math.min(entry.job.deferredAtMs, this.nowMs);
+			entry.job.retryAtMs = this.nowMs + deferredRetryMs;
+		}
+
+		return worker;
 	}
 
 	/** Tells whether the last search for the job found no room, and nothing came free since. */
--- a/src/jobs/placement-search.ts
+++ b/src/jobs/placement-search.ts
@@ -16,6 +16,8 @@
 const acceleratorHostCost = 2;
 const sameDomainCost = 0.5;
 const sameRackCost = 0.25;
+// The loss of one host should cost one replica, whatever the harm.
+const sameHostCost = 5;
 
 /** Chooses one of the candidates; undefined: none of them yet. */
 export type ChooseWorker = (candidates: readonly WorkerEntry[], entry: TaskEntry, nowMs: number) => WorkerEntry | undefined;
@@ -86,7 +88,8 @@
 
 	const {spread} = entry.job;
 	if (spread) {
-		cost += (sameDomainCost * (spread.get(getDomainKey(spec)) ?? 0)) + (sameRackCost * (spread.get(getRackKey(spec)) ?? 0));
+		cost += (sameDomainCost * (spread.get(getDomainKey(spec)) ?? 0)) + (sameRackCost * (spread.get(getRackKey(spec)) ?? 0))
+			+ (sameHostCost * (spread.get(spec.workerId) ?? 0));
 	}
 
 	return cost;
--- a/src/jobs/placement-state.ts
+++ b/src/jobs/placement-state.ts
@@ -34,7 +34,10 @@
 	/** What is to be held for one task, and when that was worked out. */
 	need: Resources;
 	needAtMs: number;
-	/** Placed tasks by failure domain and by rack; kept for services alone. */
+	/** First held back from harmful places, and when it is tried again. */
+	deferredAtMs: number;
+	retryAtMs: number;
+	/** Placed tasks by failure domain, rack and worker; kept for services alone. */
 	spread: Map<string, number> | undefined;
 	/** Version of the fleet for which `missing` was worked out. */
 	checkedAtFleet: number;
@@ -68,6 +71,7 @@
 export type Residency = {
 	taskId: string;
 	kindId: number;
+	isBatch: boolean;
 	share: number;
 	/** Processors as last measured, or as held for it. */
 	processors: number;
--- a/src/jobs/size-estimates.ts
+++ b/src/jobs/size-estimates.ts
@@ -1,12 +1,14 @@
 /**
 What tasks of a kind really use and how long they run, against what they declare.
 */
-import {type JobSpec} from '../types/jobs.ts';
+import {TaskClass, type JobSpec} from '../types/jobs.ts';
 import {type Resources, type TaskUsage} from '../types/platform.ts';
 
 const highQuantile = 0.95;
 const wellKnownCount = 40;
 const margin = 1.1;
+// Reports scatter by a few percent; only what is above that is room that has to be held.
+const excessRatio = 1.05;
 const leastRatio = 0.25;
 const maxRatio = 20;
 const firstStep = 0.25;
@@ -72,15 +74,17 @@
 	}
 
 	/** Gets what is to be held for one task: the larger of declared and measured, less only for a well-known kind. */
-	getReserved(kindId: number, {resources}: JobSpec): Resources {
+	getReserved(kindId: number, {resources, taskClass}: JobSpec): Resources {
 		const sizes = this.#kinds.get(kindId);
 		if (!sizes) {
 			return {...resources};
 		}
 
+		// What a service uses follows its callers; a quiet hour says nothing of the next.
+		const isShrinkable = this.#isShrinkAllowed && taskClass === TaskClass.Batch;
 		return {
-			processors: resources.processors * this.#getRatio(sizes.processors),
-			memoryMb: resources.memoryMb * this.#getRatio(sizes.memory),
+			processors: resources.processors * getRatio(sizes.processors, isShrinkable),
+			memoryMb: resources.memoryMb * getRatio(sizes.memory, isShrinkable),
 			accelerators: resources.accelerators,
 		};
 	}
@@ -99,15 +103,6 @@
 		return Math.max(expectedMs - ranMs, expectedMs / 4);
 	}
 
-	#getRatio(ratio: RunningQuantile): number {
-		if (ratio.count < wellKnownCount) {
-			return Math.max(1, ratio.largest);
-		}
-
-		const measured = Math.max(leastRatio, ratio.value * margin);
-		return this.#isShrinkAllowed ? measured : Math.max(1, measured);
-	}
-
 	#get(kindId: number): KindSizes {
 		let sizes = this.#kinds.get(kindId);
 		if (!sizes) {
@@ -120,3 +115,13 @@
 		return sizes;
 	}
 }
+
+const getRatio = ({count, value, largest}: RunningQuantile, isShrinkable: boolean): number => {
+	const isWellKnown = count >= wellKnownCount;
+	const measured = isWellKnown ? value : largest;
+	if (measured > excessRatio) {
+		return measured;
+	}
+
+	return isWellKnown && isShrinkable ? Math.min(1, Math.max(leastRatio, measured * margin)) : 1;
+};
