Judge the demonstration by the promise checker

Cause: the demonstration had checks of its own, and the checker took first attempts for resumes. Change: one way to feed the checker from stand-in hosts; a resume is a start after an earlier attempt.

--- /dev/null
+++ b/src/measure/host-watch.ts
@@ -0,0 +1,36 @@
+/**
+Tells the promise checker what stand-in hosts observed.
+*/
+import {HostEventType, type HostEvent} from '../standin/host-events.ts';
+import {type Resources} from '../types/platform.ts';
+import {type PromiseChecker} from './promise-checker.ts';
+
+/** Notes an event; all tasks of the run have the resources given. */
+export const noteHostEvent = (checker: PromiseChecker, event: HostEvent, taskResources: Resources): void => {
+	const {type, hostId, atMs, tryId = '', taskId = '', attempt = 0} = event;
+	switch (type) {
+		case HostEventType.Listening: {
+			checker.noteBack(hostId);
+			return;
+		}
+
+		case HostEventType.Ran: {
+			checker.noteRan(hostId, tryId, atMs);
+			return;
+		}
+
+		case HostEventType.Leaving: {
+			checker.noteLeaving(hostId, atMs);
+			return;
+		}
+
+		case HostEventType.TaskStarted: {
+			checker.noteTaskStarted(hostId, taskId, attempt, taskResources);
+			return;
+		}
+
+		case HostEventType.TaskEnded: {
+			checker.noteTaskEnded(hostId, taskId);
+		}
+	}
+};
--- a/src/measure/promise-checker.ts
+++ b/src/measure/promise-checker.ts
@@ -46,7 +46,7 @@
 	readonly #capacities = new Map<string, Resources>();
 	readonly #running = new Map<string, Map<string, Resources>>();
 	readonly #places = new Map<string, Set<string>>();
-	readonly #starts = new Map<string, number>();
+	readonly #lastAttempts = new Map<string, number>();
 	readonly #tries = new Map<string, RequestTry>();
 	readonly #runsById = new Map<string, number>();
 	readonly #leavingSinceMs = new Map<string, number>();
@@ -76,13 +76,13 @@
 		places.add(workerId);
 		this.#check(Promised.OnePlace, places.size === 1, `${taskId} runs on ${[...places].join(' and ')}`);
 
-		// An attempt that starts again is a second resume of the same eviction.
-		const key = `${taskId}#${attempt}`;
-		const starts = (this.#starts.get(key) ?? 0) + 1;
-		this.#starts.set(key, starts);
-		if (attempt > 0) {
-			this.#check(Promised.ResumeOnce, starts === 1, `attempt ${attempt} of ${taskId} started ${starts} times`);
+		// An attempt that starts again, or one older than the last, is a second resume of the same eviction.
+		const lastAttempt = this.#lastAttempts.get(taskId);
+		if (lastAttempt !== undefined) {
+			this.#check(Promised.ResumeOnce, attempt > lastAttempt, `attempt ${attempt} of ${taskId} started after attempt ${lastAttempt}`);
 		}
+
+		this.#lastAttempts.set(taskId, Math.max(attempt, lastAttempt ?? attempt));
 	}
 
 	/** A worker no longer runs a task. */
--- a/src/measure/soak.ts
+++ b/src/measure/soak.ts
@@ -6,7 +6,6 @@
 import {getChanges, publishChanges, readConfig} from '../core/config-publisher.ts';
 import {parseConfigText} from '../core/config-text.ts';
 import {createLogClient, type LogClient} from '../plugins/log-client.ts';
-import {HostEventType, type HostEvent} from '../standin/host-events.ts';
 import {workerShape} from '../standin/hosts.ts';
 import {type Clock} from '../types/clock.ts';
 import {ConfigVerdict, type SectionChange} from '../types/config.ts';
@@ -16,6 +15,7 @@
 import {callJson} from '../utils/http-client.ts';
 import {createRandom} from '../utils/seeded-random.ts';
 import {createSystemClock} from '../utils/system-clock.ts';
+import {noteHostEvent} from './host-watch.ts';
 import {PromiseChecker, type PromiseReport} from './promise-checker.ts';
 import {SoakCallers, type CallerTally} from './soak-callers.ts';
 import {
@@ -127,7 +127,7 @@
 const createWorld = async (options: SoakOptions, signal: AbortSignal): Promise<World> => {
 	const checker = new PromiseChecker();
 	const pool = new ProcessPool(options.binary, event => {
-		takeEvent(checker, event);
+		noteHostEvent(checker, event, taskResources);
 	});
 	const ports = await findFreePorts(1 + (3 * options.entryCount));
 	const logAddress = `127.0.0.1:${ports[0]}`;
@@ -183,35 +183,6 @@
 	};
 };
 
-const takeEvent = (checker: PromiseChecker, event: HostEvent): void => {
-	const {type, hostId, atMs, tryId = '', taskId = '', attempt = 0} = event;
-	switch (type) {
-		case HostEventType.Listening: {
-			checker.noteBack(hostId);
-			return;
-		}
-
-		case HostEventType.Ran: {
-			checker.noteRan(hostId, tryId, atMs);
-			return;
-		}
-
-		case HostEventType.Leaving: {
-			checker.noteLeaving(hostId, atMs);
-			return;
-		}
-
-		case HostEventType.TaskStarted: {
-			checker.noteTaskStarted(hostId, taskId, attempt, taskResources);
-			return;
-		}
-
-		case HostEventType.TaskEnded: {
-			checker.noteTaskEnded(hostId, taskId);
-		}
-	}
-};
-
 const publishFirst = async ({log, clock, random}: World): Promise<void> => {
 	const text = regions.map(({service, name}) => `[service ${service}]\nregion = ${name}\n`).join('\n');
 	const changes = getChanges(new ConfigFold(), parseConfigText(text).sections);
--- a/src/standin/demo.ts
+++ b/src/standin/demo.ts
@@ -7,22 +7,27 @@
 import {ConfigFold} from '../core/config-fold.ts';
 import {parseConfigText} from '../core/config-text.ts';
 import {type RunningKernel} from '../core/kernel.ts';
+import {noteHostEvent} from '../measure/host-watch.ts';
+import {formatPromises, PromiseChecker} from '../measure/promise-checker.ts';
 import {createSettings} from '../core/settings.ts';
 import {createEntry} from '../plugins/entry.ts';
 import {type Clock} from '../types/clock.ts';
 import {ConfigVerdict} from '../types/config.ts';
 import {JobState, TaskClass, type JobStatus} from '../types/jobs.ts';
+import {type Resources} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
-import {Header, RequestClass} from '../types/requests.ts';
+import {Header, Outcome, RequestClass} from '../types/requests.ts';
 import {ServiceName} from '../types/services.ts';
 import {callJson} from '../utils/http-client.ts';
 import {createRequestId} from '../utils/request-id.ts';
 import {createRandom} from '../utils/seeded-random.ts';
 import {createSystemClock} from '../utils/system-clock.ts';
-import {createUpstreamHost, createWorkerHost, type StandinHost} from './hosts.ts';
+import {tryHeader} from './host-events.ts';
+import {
+	createUpstreamHost, createWorkerHost, workerShape, type HostOptions, type StandinHost,
+} from './hosts.ts';
 import {createLogServer} from './log-server.ts';
 import {MemoryLog} from './memory-log.ts';
-import {type StandinUpstream} from './upstream-server.ts';
 
 /** How much to send. */
 export type DemoOptions = {
@@ -46,7 +51,6 @@
 type Tally = {
 	answered: number;
 	refused: Map<string, number>;
-	mixedUp: number;
 	latencies: Record<RequestClass, ReturnType<typeof createHistogram>>;
 };
 
@@ -55,7 +59,7 @@
 	random: Random;
 	entries: RunningKernel[];
 	hosts: StandinHost[];
-	upstreams: StandinUpstream[];
+	checker: PromiseChecker;
 	stop(): Promise<void>;
 };
 
@@ -71,6 +75,7 @@
 const hostsPerRack = 3;
 const entryCount = 3;
 const concurrency = 16;
+const taskResources: Resources = {processors: 2, memoryMb: 1024, accelerators: 0};
 const checkMs = 5;
 const longMs = 60;
 const waitMs = 15_000;
@@ -102,20 +107,30 @@
 			entry: {callerAddress: anyAddress, controlAddress: anyAddress, peerAddress: anyAddress},
 			log: {url: `http://${logAddress}`},
 			membership: {announceEveryMs: 300},
+			// Fresh entries wait for a lease of owners that they might not know; here there are none.
+			ownership: {leaseMs: 2000, renewEveryMs: 400},
 		}),
 	}));
 	await Promise.all(entries.map(async entry => entry.start()));
 	const entryAddresses = entries.map(entry => entry.get(ServiceName.Control).getAddress());
-	const upstreamHosts = users.flatMap(user => createUpstreams(user, entryAddresses, clock, random));
-	const workerHosts = users.flatMap(user => createWorkers(user, entryAddresses, clock, random));
-	const hosts: StandinHost[] = [...upstreamHosts, ...workerHosts];
+	const checker = new PromiseChecker();
+	const common: CommonOptions = {
+		address: anyAddress,
+		entryAddresses,
+		clock,
+		random,
+		observe(event) {
+			noteHostEvent(checker, event, taskResources);
+		},
+	};
+	const hosts: StandinHost[] = users.flatMap(user => [...createUpstreams(user, common), ...createWorkers(user, common, checker)]);
 	await Promise.all(hosts.map(async host => host.start()));
 	return {
 		clock,
 		random,
 		entries,
 		hosts,
-		upstreams: upstreamHosts.map(({upstream}) => upstream),
+		checker,
 		async stop() {
 			await Promise.all(hosts.map(async host => host.stop()));
 			await Promise.all(entries.map(async entry => entry.stop()));
@@ -124,30 +139,30 @@
 	};
 };
 
-const createUpstreams = (user: User, entryAddresses: string[], clock: Clock, random: Random) =>
+type CommonOptions = Pick<HostOptions, 'address' | 'entryAddresses' | 'clock' | 'random' | 'observe'>;
+
+const createUpstreams = (user: User, common: CommonOptions) =>
 	Array.from({length: hostsPerUser}, (_, index) => createUpstreamHost({
 		id: `${user.service}-${index + 1}`,
+		...common,
 		service: user.service,
-		address: anyAddress,
-		entryAddresses,
 		region: user.region,
 		failureDomain: getDomain(user, index),
-		clock,
-		random,
 		getServiceMs: path => path.includes('/long/') ? longMs : checkMs,
 	}));
 
-const createWorkers = (user: User, entryAddresses: string[], clock: Clock, random: Random) =>
-	Array.from({length: hostsPerUser}, (_, index) => createWorkerHost({
-		id: `${user.team}-worker-${index + 1}`,
-		address: anyAddress,
-		entryAddresses,
-		region: user.region,
-		failureDomain: getDomain(user, index),
-		rack: `${user.team}-rack-${Math.floor(index / hostsPerRack) + 1}`,
-		clock,
-		random,
-	}));
+const createWorkers = (user: User, common: CommonOptions, checker: PromiseChecker) =>
+	Array.from({length: hostsPerUser}, (_, index) => {
+		const id = `${user.team}-worker-${index + 1}`;
+		checker.setCapacity(id, workerShape);
+		return createWorkerHost({
+			id,
+			...common,
+			region: user.region,
+			failureDomain: getDomain(user, index),
+			rack: `${user.team}-rack-${Math.floor(index / hostsPerRack) + 1}`,
+		});
+	});
 
 const getDomain = ({failureDomains}: User, index: number): string => failureDomains[index % failureDomains.length]!;
 
@@ -168,7 +183,7 @@
 
 const sendRequests = async (world: World, user: User, count: number): Promise<Tally> => {
 	const tally: Tally = {
-		answered: 0, mixedUp: 0, refused: new Map(), latencies: {[RequestClass.Check]: createHistogram(), [RequestClass.Long]: createHistogram()},
+		answered: 0, refused: new Map(), latencies: {[RequestClass.Check]: createHistogram(), [RequestClass.Long]: createHistogram()},
 	};
 	const agent = new Agent({connections: concurrency});
 	let next = 0;
@@ -185,17 +200,21 @@
 };
 
 const sendOne = async (world: World, user: User, index: number, tally: Tally, agent: Agent): Promise<void> => {
-	const {clock, random, entries} = world;
+	const {clock, random, entries, checker} = world;
 	const requestClass = index % 5 === 0 ? RequestClass.Long : RequestClass.Check;
 	const entry = entries[index % entries.length]!;
 	const path = `/${user.service}/${requestClass}/${index}`;
+	const tryId = `${path}#${random.id()}`;
+	const requestId = requestClass === RequestClass.Long ? createRequestId(clock, random) : undefined;
+	checker.noteTry(tryId, requestId);
 	const startMs = clock.monotonicMs();
 	const answer = await request(`http://${entry.get(ServiceName.Callers).getAddress()}${path}`, {
 		method: requestClass === RequestClass.Long ? 'POST' : 'GET',
 		headers: {
+			[tryHeader]: tryId,
 			[Header.RequestClass]: requestClass,
 			[Header.CallerId]: user.team,
-			...(requestClass === RequestClass.Long && {[Header.RequestId]: createRequestId(clock, random)}),
+			...(requestId !== undefined && {[Header.RequestId]: requestId}),
 		},
 		body: requestClass === RequestClass.Long ? `document ${index}` : undefined,
 		dispatcher: agent,
@@ -204,14 +223,16 @@
 	if (answer.statusCode !== 200) {
 		const reason = String(answer.headers[Header.RefusalReason] ?? answer.statusCode);
 		tally.refused.set(reason, (tally.refused.get(reason) ?? 0) + 1);
+		if (answer.headers[Header.Outcome] === Outcome.NotRun) {
+			checker.noteNotRun(tryId);
+		}
+
 		return;
 	}
 
 	tally.answered++;
 	tally.latencies[requestClass].recordValue(Math.round((clock.monotonicMs() - startMs) * 1000));
-	if ((JSON.parse(text) as {path: string}).path !== path) {
-		tally.mixedUp++;
-	}
+	checker.noteAnswer(tryId, (JSON.parse(text) as {path: string}).path === path);
 };
 
 const runJobs = async ({clock, entries}: World, count: number): Promise<JobStatus[]> => {
@@ -231,7 +252,7 @@
 			taskCount: 3,
 			isGang: false,
 			isIdempotent: true,
-			resources: {processors: 2, memoryMb: 1024, accelerators: 0},
+			resources: taskResources,
 			declaredRunTimeMs: 200,
 			input: {runTimeMs: 200},
 		},
@@ -248,18 +269,23 @@
 	}
 };
 
-const createReport = ({upstreams}: World, tallies: Tally[], jobs: JobStatus[]): DemoReport => {
-	const twice = upstreams.flatMap(upstream => [...upstream.getRuns()]).filter(([, runs]) => runs > 1).length;
+const createReport = ({checker, entries}: World, tallies: Tally[], jobs: JobStatus[]): DemoReport => {
+	const offsets = entries.map(entry => entry.get(ServiceName.Config).getOffset());
+	for (const entry of entries) {
+		const {processId} = entry.get(ServiceName.Identity);
+		checker.noteConfig(processId, entry.get(ServiceName.Config).getOffset());
+		checker.noteConfigDue(processId, Math.max(...offsets));
+	}
+
 	const succeeded = jobs.filter(({state}) => state === JobState.Succeeded).length;
-	const mixedUp = tallies.reduce((sum, tally) => sum + tally.mixedUp, 0);
 	const answered = tallies.reduce((sum, tally) => sum + tally.answered, 0);
-	const lines = tallies.flatMap((tally, index) => describeTally(users[index]!, tally));
-	const isHeld = twice === 0 && mixedUp === 0 && succeeded === jobs.length && answered > 0;
-	lines.push(
+	const isHeld = checker.isHeld && succeeded === jobs.length && answered > 0;
+	const lines = [
+		...tallies.flatMap((tally, index) => describeTally(users[index]!, tally)),
 		`jobs: ${succeeded} of ${jobs.length} succeeded`,
-		`run twice: ${twice}; answers mixed up: ${mixedUp}`,
+		...formatPromises(checker.getReport()).filter(line => !line.endsWith('not put at risk')),
 		isHeld ? 'Every promise held in what was sent.' : 'A promise was broken.',
-	);
+	];
 	return {isHeld, lines};
 };
 
