Add the guard beside an upstream

Cause: without a process beside the upstream, its slots must be divided among entries, and idle shares are stranded. Change: chervilworks guard announces the upstream, admits its slots and connections with a short queue, passes requests through whole, refuses as not run when full, and drains without cutting what is in progress.

--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -8,6 +8,7 @@
 import {DemoCommand} from './demo-command.ts';
 import {EntryCommand} from './entry-command.ts';
 import {ExitCode} from './exit-codes.ts';
+import {GuardCommand} from './guard-usage.ts';
 import {JobStatusCommand, JobSubmitCommand} from './job-commands.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
@@ -19,6 +20,7 @@
 		Builtins.HelpCommand,
 		Builtins.VersionCommand,
 		EntryCommand,
+		GuardCommand,
 		DemoCommand,
 		SettingsCommand,
 		ConfigPublishCommand,
--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -85,6 +85,17 @@
 		maxHoldMs: whole(30_000, 100, 3_600_000, 'Longest time that a slot may be held for one request; at least the longest deadline.'),
 		entryCount: whole(3, 1, 1000, 'Entries among which the slots of an upstream that echoes no sponsor are divided.'),
 	},
+	guard: {
+		address: address('127.0.0.1:7083', 'Where the guard takes requests for its upstream.'),
+		upstreamAddress: address('127.0.0.1:7084', 'Where the upstream beside the guard takes requests.'),
+		entryAddresses: list(['127.0.0.1:7081'], 'Control addresses of entries, or the one of their balancer.'),
+		service: name('', 'Service to which the upstream belongs.'),
+		slots: whole(8, 1, 10_000, 'Requests that the upstream runs at once.'),
+		connections: whole(64, 1, 100_000, 'Connections that the guard takes and opens.'),
+		queueLimit: whole(8, 0, 10_000, 'Requests that may wait at the guard for a slot.'),
+		queueMs: whole(50, 0, 60_000, 'How long a request may wait at the guard for a slot.'),
+		drainMs: whole(3000, 0, 600_000, 'How long the guard still takes requests after it announced its end.'),
+	},
 	peers: {
 		heartbeatMs: whole(250, 10, 60_000, 'How often an entry speaks to each other entry.'),
 		leaseMs: whole(1250, 50, 600_000, 'How long another entry counts as alive after it answered.'),
--- /dev/null
+++ b/src/plugins/guard.ts
@@ -0,0 +1,290 @@
+/**
+The guard beside an upstream: announces it, admits requests within its slots, and passes them through whole.
+
+It stands on every host, so it loads as little as it can: node:http, the announcer, and no schema library.
+*/
+import {
+	Agent, createServer, request as sendRequest, type ClientRequest, type IncomingMessage, type ServerResponse,
+} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {pipeline} from 'node:stream/promises';
+import {createError, ErrorCode, getMessage} from '../core/errors.ts';
+import {type Settings} from '../core/settings-schema.ts';
+import {type Clock} from '../types/clock.ts';
+import {type Random} from '../types/random.ts';
+import {Header, Outcome, RefusalReason} from '../types/requests.ts';
+import {parseAddress} from '../utils/address.ts';
+import {startAnnouncer, type Announcer, type PostAnnouncement} from '../utils/announcer.ts';
+import {close, listen} from '../utils/http-server.ts';
+import {createLogger, Part} from '../utils/logger.ts';
+import {GuardAdmission} from './guard-admission.ts';
+
+/** What a guard is created with. */
+export type GuardOptions = {
+	settings: Pick<Settings, 'process' | 'guard'>;
+	clock: Clock;
+	random: Random;
+};
+
+/** A running guard. */
+export type Guard = {
+	/** Resolves to the address bound. */
+	start(): Promise<string>;
+	/** Announces the end, finishes what is in progress, then closes. */
+	stop(): Promise<void>;
+	/** Requests refused so far, by reason. */
+	getRefusals(): Record<string, number>;
+};
+
+const log = createLogger(Part.Guard);
+const hopByHop = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-connection', 'expect']);
+const maxHoldMs = 600_000;
+const probeTimeoutMs = 500;
+const ignore = () => undefined;
+
+/** Creates a guard. */
+export const createGuard = ({settings, clock, random}: GuardOptions): Guard => {
+	const {guard, process: identity} = settings;
+	const upstream = parseAddress(guard.upstreamAddress);
+	const admission = new GuardAdmission(clock, guard);
+	const agent = new Agent({keepAlive: true, maxSockets: guard.connections});
+	const refusals = new Map<RefusalReason, number>();
+	const excess = new WeakSet<Socket>();
+	let connections = 0;
+	let isClosing = false;
+	let announcer: Announcer | undefined;
+
+	const refuse = (response: ServerResponse, reason: RefusalReason, outcome: Outcome) => {
+		refusals.set(reason, (refusals.get(reason) ?? 0) + 1);
+		if (response.headersSent) {
+			// An answer cut short must be visibly broken.
+			response.destroy();
+			return;
+		}
+
+		response.writeHead(outcome === Outcome.NotRun ? 503 : 502, {
+			[Header.Outcome]: outcome, [Header.RefusalReason]: reason, ...(isClosing && {connection: 'close'}),
+		});
+		response.end();
+	};
+
+	const serve = async (request: IncomingMessage, response: ServerResponse) => {
+		if (isClosing) {
+			refuse(response, RefusalReason.GuardDraining, Outcome.NotRun);
+			return;
+		}
+
+		if (excess.has(request.socket) || !await admission.admit()) {
+			refuse(response, RefusalReason.GuardFull, Outcome.NotRun);
+			return;
+		}
+
+		try {
+			// While it waited, its sender may have given it up: then nobody waits for it, and it was not run.
+			if (!response.destroyed) {
+				await pass(request, response);
+			}
+		} finally {
+			admission.release();
+		}
+	};
+
+	const pass = async (request: IncomingMessage, response: ServerResponse) => {
+		const passed = sendRequest({
+			...upstream, agent, method: request.method, path: request.url, headers: getHeaders(request.rawHeaders),
+		});
+		// Errors end the exchange below; those that come after its end must not end the process.
+		passed.on('error', ignore);
+		response.on('error', ignore);
+		let isConnected = false;
+		passed.on('socket', (socket: Socket) => {
+			isConnected ||= !socket.connecting;
+			// Only while it connects: on a socket used again the event never comes, and each request would leave a listener.
+			if (socket.connecting) {
+				socket.once('connect', () => {
+					isConnected = true;
+				});
+			}
+		});
+		// A request that never ends would hold its slot for ever; by then nobody waits for the answer.
+		const timer = clock.setTimer(() => {
+			passed.destroy(createError(ErrorCode.TimedOut, {step: 'pass request', peer: guard.upstreamAddress}));
+		}, maxHoldMs);
+		try {
+			const answer = await exchange(request, passed);
+			await answerWhole(answer, response);
+		} catch (error) {
+			log('Request failed: %s', getMessage(error));
+			// Before a connection, no byte can have reached the upstream.
+			refuse(response, RefusalReason.UpstreamFailed, isConnected ? Outcome.Unknown : Outcome.NotRun);
+		} finally {
+			timer.cancel();
+		}
+	};
+
+	const isUpstreamUp = async (): Promise<boolean> => new Promise(resolve => {
+		const socket = connect({...upstream, timeout: probeTimeoutMs});
+		const finish = (isUp: boolean) => {
+			socket.destroy();
+			resolve(isUp);
+		};
+
+		socket.once('connect', () => {
+			finish(true);
+		});
+		socket.once('timeout', () => {
+			finish(false);
+		});
+		socket.once('error', () => {
+			finish(false);
+		});
+	});
+
+	const server = createServer(async (request, response) => {
+		try {
+			await serve(request, response);
+		} catch (error) {
+			log('Request failed: %s', getMessage(error));
+			response.destroy();
+		}
+	});
+	// Above the bound of connections, requests are refused as not run; far above, sockets are not accepted at all.
+	server.maxConnections = 2 * guard.connections;
+	server.on('connection', socket => {
+		connections++;
+		if (connections > guard.connections) {
+			excess.add(socket);
+		}
+
+		socket.once('close', () => {
+			connections--;
+		});
+	});
+
+	return {
+		async start() {
+			const address = await listen(server, guard.address);
+			announcer = startAnnouncer({
+				clock,
+				random,
+				entryAddresses: guard.entryAddresses,
+				path: 'upstreams',
+				post: postPlain,
+				isReady: isUpstreamUp,
+				body: {
+					upstreamId: identity.id,
+					service: guard.service,
+					incarnation: clock.now().getTime(),
+					address,
+					region: identity.region,
+					failureDomain: identity.failureDomain,
+					slots: guard.slots,
+					connections: guard.connections,
+					isGuarded: true,
+				},
+			});
+			return address;
+		},
+		async stop() {
+			await announcer?.drain();
+			// Entries that have not heard yet may still send for a moment; what they send is served.
+			await clock.sleep(guard.drainMs);
+			isClosing = true;
+			await admission.becomeIdle();
+			announcer?.stop();
+			await close(server);
+			agent.destroy();
+		},
+		getRefusals: () => Object.fromEntries(refusals),
+	};
+};
+
+const getHeaders = (rawHeaders: string[]): string[] => {
+	const headers: string[] = [];
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		if (!hopByHop.has(rawHeaders[index]!.toLowerCase())) {
+			headers.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+		}
+	}
+
+	return headers;
+};
+
+/** Sends the body and waits for the head of the answer. */
+const exchange = async (request: IncomingMessage, passed: ClientRequest): Promise<IncomingMessage> => {
+	const answered = new Promise<IncomingMessage>((resolve, reject) => {
+		passed.once('response', resolve);
+		passed.once('error', reject);
+	});
+	const send = async () => {
+		try {
+			await pipeline(request, passed);
+		} catch (error) {
+			// A body cut short by the sender must not look whole to the upstream.
+			passed.destroy(error as Error);
+		}
+	};
+
+	void send();
+	return answered;
+};
+
+/** Passes the answer on, and reads it to its end whatever becomes of the receiver. */
+const answerWhole = async (answer: IncomingMessage, response: ServerResponse): Promise<void> => {
+	const ended = new Promise<void>(resolve => {
+		answer.once('close', resolve);
+	});
+	response.writeHead(answer.statusCode!, answer.statusMessage, getHeaders(answer.rawHeaders));
+	for await (const chunk of answer) {
+		if (response.destroyed) {
+			// The upstream still works on the request: its slot is free only when it is done.
+			continue;
+		}
+
+		if (!response.write(chunk)) {
+			await drained(response);
+		}
+	}
+
+	await ended;
+	response.end();
+};
+
+const drained = async (response: ServerResponse): Promise<void> => {
+	await new Promise<void>(resolve => {
+		const finish = () => {
+			response.off('drain', finish);
+			response.off('close', finish);
+			resolve();
+		};
+
+		response.once('drain', finish);
+		response.once('close', finish);
+	});
+};
+
+/** Posts JSON with node:http alone. */
+const postPlain: PostAnnouncement = async (url, body, timeoutMs) => {
+	const text = JSON.stringify(body);
+	const call = sendRequest(url, {
+		method: 'POST', headers: {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)}, timeout: timeoutMs,
+	});
+	call.once('timeout', () => {
+		call.destroy(createError(ErrorCode.TimedOut, {step: 'announce', peer: url}));
+	});
+	call.end(text);
+	const answer = await new Promise<IncomingMessage>((resolve, reject) => {
+		call.once('response', resolve);
+		call.once('error', reject);
+	});
+	const chunks: Buffer[] = [];
+	for await (const chunk of answer) {
+		chunks.push(chunk as Buffer);
+	}
+
+	if (answer.statusCode !== 200) {
+		throw createError(ErrorCode.Refused, {step: 'announce', peer: url, detail: `status ${answer.statusCode}`});
+	}
+
+	return JSON.parse(Buffer.concat(chunks).toString('utf8')) as Awaited<ReturnType<PostAnnouncement>>;
+};
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -38,6 +38,10 @@
 	UpstreamTimeout = 'upstream-timeout',
 	AnswerTruncated = 'answer-truncated',
 	CallerGone = 'caller-gone',
+	/** The guard beside the upstream has no slot or connection left. */
+	GuardFull = 'guard-full',
+	/** The guard beside the upstream is stopping. */
+	GuardDraining = 'guard-draining',
 }
 
 /** Why a request was tried again. One counter each. */
--- a/src/utils/announcer.ts
+++ b/src/utils/announcer.ts
@@ -5,9 +5,11 @@
 import {HostState, type AnnouncementReply} from '../types/announcements.ts';
 import {type Clock} from '../types/clock.ts';
 import {type Random} from '../types/random.ts';
-import {callJson} from './http-client.ts';
 import {createLogger, Part} from './logger.ts';
 
+/** Posts one announcement. */
+export type PostAnnouncement = (url: string, body: unknown, timeoutMs: number) => Promise<AnnouncementReply>;
+
 /** What to announce, and to whom. */
 export type AnnouncerOptions = {
 	clock: Clock;
@@ -17,6 +19,10 @@
 	path: 'upstreams' | 'workers';
 	/** The announcement without what the announcer adds: sequence, state and the echo of the sponsor. */
 	body: Record<string, unknown>;
+	/** Another way to post than the usual client. */
+	post?: PostAnnouncement;
+	/** Announces only while this says so; without it, always. */
+	isReady?: () => Promise<boolean>;
 };
 
 /** A running announcer. */
@@ -29,7 +35,15 @@
 const timeoutMs = 1000;
 const retryMs = 300;
 const maxRetryMs = 5000;
-const log = createLogger(Part.Standin);
+const log = createLogger(Part.Membership);
+
+/** Loaded when it is used: a guard posts without the client's library. */
+const postJson: PostAnnouncement = async (url, body, timeoutMs) => {
+	const {callJson} = await import('./http-client.ts');
+	return callJson<AnnouncementReply>({
+		method: 'POST', url, body, timeoutMs, step: 'announce',
+	});
+};
 
 /** The sponsor as its upstream knows it. */
 type Echo = {
@@ -89,7 +103,7 @@
 
 /** Starts announcing. */
 export const startAnnouncer = (options: AnnouncerOptions): Announcer => {
-	const {clock, random, entryAddresses, path, body} = options;
+	const {clock, random, entryAddresses, path, body, post = postJson, isReady} = options;
 	const aborter = new AbortController();
 	const lock = new SponsorLock(clock);
 	let sequence = 0;
@@ -101,15 +115,9 @@
 	const announce = async (): Promise<number | undefined> => {
 		const echo = lock.getEcho();
 		try {
-			const reply = await callJson<AnnouncementReply>({
-				method: 'POST',
-				url: `http://${entryAddresses[target]!}/v1/announcements/${path}`,
-				body: {
-					...body, ...(path === 'upstreams' && echo), sequence: ++sequence, state,
-				},
-				timeoutMs,
-				step: 'announce',
-			});
+			const reply = await post(`http://${entryAddresses[target]!}/v1/announcements/${path}`, {
+				...body, ...(path === 'upstreams' && echo), sequence: ++sequence, state,
+			}, timeoutMs);
 			failures = 0;
 			lock.take(reply, echo);
 			return reply.nextAfterMs;
@@ -133,7 +141,9 @@
 
 	const run = async () => {
 		while (!aborter.signal.aborted) {
-			await clock.sleep(getPauseMs(await announce()), aborter.signal);
+			// Silence ends the lease: a host that cannot serve for a moment comes back with its next announcement.
+			const isAnnounced = await isReady?.() ?? true;
+			await clock.sleep(isAnnounced ? getPauseMs(await announce()) : retryMs, aborter.signal);
 		}
 	};
 
