--- /dev/null
+++ b/src/jobs/shard-owner.ts
@@ -0,0 +1,307 @@
+/**
+The tasks of one shard while this entry owns it: taken from the log, learned from the workers, and closed with their ends.
+*/
+import {getMessage} from '../core/errors.ts';
+import {type TaskStatus} from '../types/jobs.ts';
+import {TaskState, type TaskReport} from '../types/platform.ts';
+import {createLogger, Part} from '../utils/logger.ts';
+import {type FoldedJob, type JobChange} from './job-fold.ts';
+import {JobEntryType, type Dispatch} from './job-records.ts';
+import {type LeaseKeeper} from './lease-keeper.ts';
+import {type ShardContext} from './shard-context.ts';
+import {ShardRunner} from './shard-runner.ts';
+import {
+	createLiveTask, getLiveStatus, getTaskRef, TaskPhase, type LiveTask,
+} from './shard-task.ts';
+
+const log = createLogger(Part.Jobs);
+
+/** Owner of one shard under one token. */
+export class ShardOwner {
+	readonly shard: number;
+	readonly fencingToken: number;
+	/** Carries the tasks through their attempts. */
+	readonly runner: ShardRunner;
+	readonly #context: ShardContext;
+	/** Incarnations of the workers that have been sealed under this token, and whose tasks are known therefore. */
+	readonly #sealed = new Map<string, number>();
+	readonly #jobs = new Map<string, Map<number, LiveTask>>();
+	#isClosed = false;
+
+	constructor(shard: number, fencingToken: number, context: ShardContext) {
+		this.shard = shard;
+		this.fencingToken = fencingToken;
+		this.#context = context;
+		this.runner = new ShardRunner({
+			shard,
+			fencingToken,
+			isClosed: () => this.#isClosed,
+			getSiblings: task => this.#jobs.get(task.job.spec.jobId)?.values() ?? [],
+			onClosed: task => {
+				this.#remove(task);
+			},
+		}, context);
+	}
+
+	get isClosed(): boolean {
+		return this.#isClosed;
+	}
+
+	/** Tells whether some task of the job has not ended here. */
+	hasTasks(jobId: string): boolean {
+		return this.#jobs.has(jobId);
+	}
+
+	/** Status of a task, unless its end is recorded. */
+	getTaskStatus(jobId: string, index: number): TaskStatus | undefined {
+		const task = this.#jobs.get(jobId)?.get(index);
+		return task && getLiveStatus(task);
+	}
+
+	/** Live tasks of the shard. */
+	* list(): Iterable<LiveTask> {
+		for (const tasks of this.#jobs.values()) {
+			yield * tasks.values();
+		}
+	}
+
+	/** Takes a job's tasks that have not ended; held ones wait for what the workers tell. */
+	takeJob(job: FoldedJob, isHeld: boolean): void {
+		if (this.#isClosed || this.#jobs.has(job.spec.jobId) || (job.isCancelled && !isHeld)) {
+			return;
+		}
+
+		const nowMs = this.#context.clock.monotonicMs();
+		const tasks: LiveTask[] = [];
+		for (let index = 0; index < job.spec.taskCount; index++) {
+			if (!job.ends.has(index)) {
+				const task = createLiveTask(job, index, this.fencingToken, nowMs);
+				task.isCancelled = job.isCancelled;
+				tasks.push(task);
+				this.#add(task);
+			}
+		}
+
+		if (isHeld) {
+			return;
+		}
+
+		for (const task of tasks) {
+			this.runner.queue.enqueue(task);
+		}
+	}
+
+	/** Follows a change of the log. */
+	onChange({type, job, end}: JobChange): void {
+		if (this.#isClosed || !job) {
+			return;
+		}
+
+		switch (type) {
+			case JobEntryType.Accept:
+			case JobEntryType.Snapshot: {
+				this.takeJob(job, false);
+				break;
+			}
+
+			case JobEntryType.Cancel: {
+				for (const task of this.#jobs.get(job.spec.jobId)?.values() ?? []) {
+					this.runner.cancel(task);
+				}
+
+				break;
+			}
+
+			case JobEntryType.End: {
+				const task = this.#jobs.get(job.spec.jobId)?.get(end!.index);
+				if (task) {
+					this.runner.ends.closeRecorded(task);
+				}
+
+				break;
+			}
+
+			case JobEntryType.Dispatch:
+			case JobEntryType.Forget:
+			case JobEntryType.Seal: {
+				break;
+			}
+		}
+	}
+
+	/** Puts the waiting tasks of a job before the engine once more. */
+	enqueueAgain(jobId: string): void {
+		for (const task of this.#jobs.get(jobId)?.values() ?? []) {
+			if (task.phase === TaskPhase.Waiting) {
+				this.runner.queue.offer(task);
+			}
+		}
+	}
+
+	/** A held task is not running anywhere any more: it may be started. */
+	release(task: LiveTask): void {
+		if (task.phase !== TaskPhase.Held) {
+			return;
+		}
+
+		const dispatch = task.job.dispatches.get(task.index);
+		if (task.isCancelled) {
+			this.runner.ends.close(task);
+		} else if (dispatch && !this.#isSettled(task, dispatch)) {
+			// It was about to be started, and what became of it cannot be learned: to run it again might run it twice.
+			this.runner.ends.finish(task, {state: TaskState.Failed, reason: 'unknown: its end was lost with its worker or owner'});
+		} else {
+			this.runner.queue.enqueue(task);
+			if (task.job.spec.isGang) {
+				this.runner.breakGang(task);
+			}
+		}
+	}
+
+	/** The worker refuses earlier owners, and has listed its tasks since. */
+	onSealed(workerId: string, incarnation: number): void {
+		this.#sealed.set(workerId, incarnation);
+	}
+
+	/** Takes what a worker lists of an attempt of this shard; `isSeal`: in answer to the seal. */
+	onReport(keeper: LeaseKeeper, report: TaskReport, isSeal: boolean): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		const task = this.#context.tasks.get(report.taskId);
+		if (task?.job.shard !== this.shard) {
+			this.#dropStray(keeper, report);
+			return;
+		}
+
+		if (task.phase === TaskPhase.Held) {
+			// Another list may have been on its way while the earlier owner could still change what runs.
+			if (isSeal) {
+				this.#learn(task, keeper, report);
+			}
+
+			return;
+		}
+
+		if (task.workerId === keeper.workerId && task.attempt === report.attempt) {
+			this.runner.takeReport(task, report);
+			return;
+		}
+
+		if (task.kept?.workerId === keeper.workerId && task.kept.ref.attempt === report.attempt) {
+			return;
+		}
+
+		if (report.attempt < task.attempt) {
+			this.#dropStray(keeper, report);
+		}
+	}
+
+	/** Lets go of all tasks: they run on under the next owner. */
+	close(): void {
+		this.#isClosed = true;
+		for (const task of this.list()) {
+			this.runner.ends.letGo(task);
+		}
+
+		this.#jobs.clear();
+	}
+
+	/** Waits until no start is on its way, at most for the time of a call. */
+	async settle(): Promise<void> {
+		const {clock, times: {callTimeoutMs}} = this.#context;
+		const endMs = clock.monotonicMs() + callTimeoutMs;
+		while (clock.monotonicMs() < endMs && [...this.list()].some(({phase}) => phase === TaskPhase.Starting)) {
+			await clock.sleep(callTimeoutMs / 20);
+		}
+	}
+
+	/** Tells whether what was about to start is known to have stopped after a checkpoint, or never to have started. */
+	#isSettled(task: LiveTask, {attempt, workerId, incarnation}: Dispatch): boolean {
+		if ((task.kept?.ref.attempt ?? -1) >= attempt) {
+			return true;
+		}
+
+		// The order never reached the worker when the same incarnation was sealed since and does not know it.
+		return task.learnedAttempt < attempt && this.#sealed.get(workerId) === incarnation;
+	}
+
+	/** Adopts what an earlier owner left at a worker; the highest attempt stands for the task. */
+	#learn(task: LiveTask, keeper: LeaseKeeper, report: TaskReport): void {
+		const {clock, engine} = this.#context;
+		const ref = {...getTaskRef(task), attempt: report.attempt};
+		task.learnedAttempt = Math.max(task.learnedAttempt, report.attempt);
+		if (report.state === TaskState.Running) {
+			task.phase = TaskPhase.Running;
+			task.attempt = report.attempt;
+			task.workerId = keeper.workerId;
+			task.startedAtMs = clock.monotonicMs();
+			task.confirmedAtMs = task.startedAtMs;
+			task.runsUntilMs = keeper.getRunsUntilMs();
+			keeper.add(task);
+			engine.noteRunning(this.runner.queue.getPending(task), keeper.workerId, task.startedAtMs);
+			keeper.wake();
+			if (task.isCancelled) {
+				void this.runner.stop(task, false);
+			}
+
+			return;
+		}
+
+		if (report.state === TaskState.Succeeded || (report.state === TaskState.Failed && !task.job.spec.isIdempotent)) {
+			task.workerId = keeper.workerId;
+			task.attempt = report.attempt;
+			this.runner.ends.finish(task, {state: report.state, result: report.result});
+			return;
+		}
+
+		if (report.checkpointId !== undefined && report.attempt > (task.kept?.ref.attempt ?? -1)) {
+			// Stopped for an eviction that the earlier owner did not finish: resumed once, when nothing newer can be running.
+			this.runner.ends.forgetKept(task);
+			task.checkpointId = report.checkpointId;
+			task.kept = {workerId: keeper.workerId, ref};
+		} else if (task.job.spec.isIdempotent) {
+			keeper.forget(ref);
+		}
+	}
+
+	#remove(task: LiveTask): void {
+		const {jobId} = task.job.spec;
+		const tasks = this.#jobs.get(jobId);
+		tasks?.delete(task.index);
+		if (tasks?.size === 0) {
+			this.#jobs.delete(jobId);
+		}
+	}
+
+	#add(task: LiveTask): void {
+		const {jobId} = task.job.spec;
+		let tasks = this.#jobs.get(jobId);
+		if (!tasks) {
+			tasks = new Map();
+			this.#jobs.set(jobId, tasks);
+		}
+
+		tasks.set(task.index, task);
+		this.#context.tasks.set(task.taskId, task);
+	}
+
+	/** An attempt that nothing stands for: of an ended, cancelled or forgotten task, or overtaken by a newer attempt. */
+	#dropStray(keeper: LeaseKeeper, report: TaskReport): void {
+		const {taskId, attempt} = report;
+		const ref = {
+			taskId, attempt, shard: this.shard, fencingToken: this.fencingToken,
+		};
+		if (report.state !== TaskState.Running) {
+			keeper.forget(ref);
+			return;
+		}
+
+		void this.#context.limiter.run(async () => keeper.drop(ref)).catch((error: unknown) => {
+			log('Stray %s not stopped: %s', taskId, getMessage(error));
+			keeper.wantSnapshot();
+		});
+	}
+}
+
--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -68,7 +68,7 @@
 	});
 	kernel.register({
 		name: ServiceName.Config,
-		dependsOn: [ServiceName.Log, ServiceName.Control],
+		dependsOn: [ServiceName.Log, ServiceName.Control, ServiceName.Peers],
 		load: async () => (await import('./config-service.ts')).createConfigService,
 	});
 	kernel.register({
@@ -86,6 +86,11 @@
 		dependsOn: [ServiceName.Control, ServiceName.Membership],
 		load: async () => (await import('./workers-service.ts')).createWorkersService,
 	});
+	kernel.register({
+		name: ServiceName.Moves,
+		dependsOn: [ServiceName.Config, ServiceName.Upstreams],
+		load: async () => (await import('./moves-service.ts')).createMovesService,
+	});
 	kernel.register({
 		name: ServiceName.Jobs,
 		dependsOn: [ServiceName.Log, ServiceName.Workers, ServiceName.Config],
@@ -99,9 +104,14 @@
 			return slotsKernel => createSlotsService(slotsKernel);
 		},
 	});
+	kernel.register({
+		name: ServiceName.Claims,
+		dependsOn: [ServiceName.Log, ServiceName.Control],
+		load: async () => (await import('./claims-service.ts')).createClaimsService,
+	});
 	kernel.register({
 		name: ServiceName.Callers,
-		dependsOn: [ServiceName.Slots, ServiceName.Config, ServiceName.Upstreams],
+		dependsOn: [ServiceName.Config, ServiceName.Upstreams, ServiceName.Slots, ServiceName.Moves, ServiceName.Claims],
 		load: async () => (await import('./callers-service.ts')).createCallersService,
 	});
 };
--- a/src/types/metrics.ts
+++ b/src/types/metrics.ts
@@ -9,10 +9,21 @@
 	Refusals = 'refusals',
 	Retries = 'retries',
 	RequestMs = 'request_ms',
+	/** Retries that the budget did not allow. */
+	RetriesDenied = 'retries_denied',
+	/** Answers of an upstream that came after the request was closed. */
+	LateAnswers = 'late_answers',
+	ClaimsOpen = 'claims_open',
+	ClaimEndsDropped = 'claim_ends_dropped',
 	UpstreamsAlive = 'upstreams_alive',
 	WorkersAlive = 'workers_alive',
 	ConfigOffset = 'config_offset',
 	ConfigRejected = 'config_rejected',
+	ConfigDiverged = 'config_diverged',
+	ConfigSnapshots = 'config_snapshots',
+	ConfigFromPeer = 'config_from_peer',
+	Moves = 'moves',
+	MovesBlocked = 'moves_blocked',
 	LogErrors = 'log_errors',
 	LogAppends = 'log_appends',
 	BadRecords = 'bad_records',
@@ -30,6 +41,17 @@
 	SlotRefusals = 'slot_refusals',
 	SlotsSponsored = 'slots_sponsored',
 	SlotsHeldBack = 'slots_held_back',
+	/** Entries for the jobs stream that were not queued: the log has been away for long. */
+	JobEntriesDropped = 'job_entries_dropped',
+	JobsRefused = 'jobs_refused',
+	TaskRetries = 'task_retries',
+	Evictions = 'evictions',
+	EvictionWorkLostMs = 'eviction_work_lost_ms',
+	ShardsOwned = 'shards_owned',
+	ShardsLost = 'shards_lost',
+	ShardTakeovers = 'shard_takeovers',
+	LeaseRenewals = 'lease_renewals',
+	RecoveryMs = 'recovery_ms',
 }
 
 /** Counts events and sets levels. */
