Pass requests through admission, claims and one try at a time

The entry answered 503 "unknown" for every failure, passed answers that end with the connection, held no deadline, and dispatched non-idempotent requests unclaimed. A request is now read against the callers' contract, admitted, given a slot, and tried by a handler that knows whether a byte was written: "not run" is said only when none was. Small answers are held until whole; larger ones stream with backpressure, and a cut one breaks the caller's connection by a reset. A claimed request runs on past its caller, and its end is recorded. A body that is refused is read away for a moment so that the answer arrives.

A stop waited up to 3.7 s for a connection on which no request had come; it is closed now.

--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -76,6 +76,8 @@
 		longDeadlineMs: whole(30_000, 1, 3_600_000, 'Deadline of a long request that names none.'),
 		maxBodyBytes: whole(1_048_576, 0, 1_073_741_824, 'Largest body of a request.'),
 		bodyTimeoutMs: whole(10_000, 50, 600_000, 'Longest time for a body to arrive.'),
+		keepAliveMs: whole(65_000, 1000, 600_000, 'How long an idle connection of a caller is kept; longer than the balancer keeps it.'),
+		maxConnections: whole(20_000, 1, 1_000_000, 'Connections of callers at most.'),
 	},
 	admission: {
 		queueLimit: whole(512, 1, 100_000, 'Longest queue of each class of a service at this entry.'),
@@ -86,6 +88,7 @@
 		budgetShare: fraction(0.1, 0, 1, 'Retries allowed as a share of first tries.'),
 		budgetBurst: whole(10, 0, 10_000, 'Retries of a service allowed at once, whatever the share.'),
 		maxAttempts: whole(3, 1, 10, 'Most tries of one request, the first included.'),
+		connectTimeoutMs: whole(1000, 10, 60_000, 'Longest wait for a connection to an upstream.'),
 	},
 	answers: {
 		bufferBytes: whole(65_536, 0, 16_777_216, 'Answers up to this size are held until they are whole; larger ones are streamed.'),
--- /dev/null
+++ b/src/plugins/callers-refusals.ts
@@ -0,0 +1,103 @@
+/**
+The entry's own answers to callers.
+*/
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {breakResponse} from '../requests/answer.ts';
+import {type Clock} from '../types/clock.ts';
+import {Header, type Outcome, RefusalReason} from '../types/requests.ts';
+
+/** A refusal as a caller gets it. */
+export type CallerRefusal = {
+	reason: RefusalReason;
+	outcome: Outcome;
+	retryAfterMs: number;
+	/** Further headers. */
+	headers?: Record<string, string>;
+	/** Request whose body was not read to its end: its connection cannot be used again. */
+	unread?: IncomingMessage;
+};
+
+/** What the entry adds to its refusals. */
+export type RefusalOptions = {
+	ownHeaders: Record<string, string>;
+	clock: Clock;
+};
+
+const statusByReason: Record<RefusalReason, number> = {
+	[RefusalReason.UnknownService]: 404,
+	[RefusalReason.NoUpstream]: 503,
+	[RefusalReason.WrongSide]: 503,
+	[RefusalReason.QueueFull]: 503,
+	[RefusalReason.CallerShare]: 429,
+	[RefusalReason.DeadlineUnmeetable]: 503,
+	[RefusalReason.DeadlinePassed]: 503,
+	[RefusalReason.ShuttingDown]: 503,
+	[RefusalReason.BadRequest]: 400,
+	[RefusalReason.BodyTooLarge]: 413,
+	[RefusalReason.SlowCaller]: 408,
+	[RefusalReason.MissingRequestId]: 400,
+	[RefusalReason.BadRequestId]: 400,
+	[RefusalReason.RequestIdExpired]: 410,
+	[RefusalReason.RequestIdInUse]: 409,
+	[RefusalReason.ClaimUnavailable]: 503,
+	[RefusalReason.UpstreamFailed]: 502,
+	[RefusalReason.UpstreamTimeout]: 504,
+	[RefusalReason.AnswerTruncated]: 502,
+	[RefusalReason.CallerGone]: 499,
+	[RefusalReason.AnswerNotKept]: 409,
+};
+
+const msPerSecond = 1000;
+const discardMs = 500;
+
+/** Sends a refusal; a caller that has got a part of an answer sees that break instead. */
+export const sendRefusal = (response: ServerResponse, refusal: CallerRefusal, {ownHeaders, clock}: RefusalOptions): void => {
+	if (response.destroyed || response.writableEnded) {
+		return;
+	}
+
+	if (response.headersSent) {
+		breakResponse(response);
+		return;
+	}
+
+	const {reason, outcome, retryAfterMs} = refusal;
+	const body = JSON.stringify({reason, outcome});
+	const headers: Record<string, string> = {
+		'content-type': 'application/json',
+		'content-length': String(Buffer.byteLength(body)),
+		[Header.Outcome]: outcome,
+		[Header.RefusalReason]: reason,
+		...refusal.headers,
+		...ownHeaders,
+		...(refusal.unread && {connection: 'close'}),
+	};
+	if (retryAfterMs > 0) {
+		headers[Header.RetryAfter] = String(Math.ceil(retryAfterMs / msPerSecond));
+		headers[Header.RetryAfterMs] = String(Math.ceil(retryAfterMs));
+	}
+
+	response.writeHead(statusByReason[reason], headers);
+	if (refusal.unread) {
+		response.write(body);
+		closeUnread(refusal.unread, response, clock);
+	} else {
+		response.end(body);
+	}
+};
+
+/**
+Closes the connection of an answered request whose body still comes. What comes is thrown away for a moment first:
+with unread bytes the close would reset the connection, and the caller might never see the answer.
+*/
+const closeUnread = (request: IncomingMessage, response: ServerResponse, clock: Clock): void => {
+	const end = () => {
+		timer.cancel();
+		response.end();
+	};
+
+	const timer = clock.setTimer(end, discardMs);
+	request.once('end', end);
+	request.once('close', end);
+	request.resume();
+};
--- a/src/plugins/callers-service.ts
+++ b/src/plugins/callers-service.ts
@@ -1,121 +1,216 @@
 /**
-Serves callers: routes each request to an upstream of its service and passes the whole answer back.
+Serves callers: admits each request, routes it to an upstream of its service and passes the whole answer back.
 */
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {Agent} from 'undici';
-import {
-	createError, ErrorCode, getErrorCode, getMessage,
-} from '../core/errors.ts';
+import {ErrorCode, getErrorCode, getMessage} from '../core/errors.ts';
 import {type Kernel} from '../core/kernel.ts';
-import {type UpstreamAnnouncement} from '../types/announcements.ts';
+import {type WholeAnswer} from '../requests/answer.ts';
+import {Call} from '../requests/dispatch-call.ts';
+import {getPassedDown, getPassedUp} from '../requests/headers.ts';
+import {readFacts, type RequestFacts} from '../requests/headers-contract.ts';
 import {Metric} from '../types/metrics.ts';
 import {Header, Outcome, RefusalReason} from '../types/requests.ts';
 import {ServiceName, type CallersService} from '../types/services.ts';
 import {close, listen, readBody} from '../utils/http-server.ts';
 import {createLogger, Part} from '../utils/logger.ts';
+import {serveClaimed} from './callers-claimed.ts';
+import {createLanes} from './callers-lanes.ts';
+import {sendRefusal, type CallerRefusal} from './callers-refusals.ts';
 
 const log = createLogger(Part.Callers);
+const stoppingRetryAfterMs = 200;
+const noUpstreamRetryAfterMs = 1000;
+const maxHeaderBytes = 32_768;
 
 /** Creates the server for callers. */
 export const createCallersService = (kernel: Kernel): CallersService => {
 	const settings = kernel.get(ServiceName.Settings);
-	const upstreams = kernel.get(ServiceName.Upstreams);
 	const metrics = kernel.get(ServiceName.Metrics);
 	const clock = kernel.get(ServiceName.Clock);
-	const agent = new Agent({pipelining: 1});
-	const inFlight = new Map<string, number>();
+	const claims = kernel.get(ServiceName.Claims);
+	const control = kernel.get(ServiceName.Control);
 	const bounds = {maxBytes: settings.callers.maxBodyBytes, timeoutMs: settings.callers.bodyTimeoutMs};
+	const ownHeaders: Record<string, string> = {[Header.Entry]: kernel.get(ServiceName.Identity).processId};
+	let serving = 0;
+	let onIdle: (() => void) | undefined;
+	let isStopping = false;
 	let boundAddress = '';
 
-	const server = createServer(async (request, response) => {
+	const lanes = createLanes(kernel, call => {
+		// The deadline of a claimed request has come: its caller is told so at once, and the request runs on.
+		if (!call.isClosed) {
+			refuse(call.target.response, {reason: RefusalReason.UpstreamTimeout, outcome: Outcome.Unknown, retryAfterMs: stoppingRetryAfterMs});
+			call.close();
+		}
+	});
+
+	const claimedOptions = {
+		claims, clock, maxBodyBytes: settings.claims.maxBodyBytes, isSettled: (serviceName: string) => lanes.isSettled(serviceName),
+	};
+
+	const server = createServer({
+		keepAliveTimeout: settings.callers.keepAliveMs, maxHeaderSize: maxHeaderBytes, insecureHTTPParser: false, requireHostHeader: true,
+	}, async (request, response) => {
+		serving++;
+		await serveSafely(request, response);
+		serving--;
+		if (isStopping) {
+			server.closeIdleConnections();
+			noteIdle();
+		}
+	});
+	server.maxConnections = settings.callers.maxConnections;
+
+	const serveSafely = async (request: IncomingMessage, response: ServerResponse) => {
 		try {
 			await serve(request, response);
 		} catch (error) {
 			log('Request failed: %s', getMessage(error));
-			const isTooLarge = getErrorCode(error) === ErrorCode.BodyTooLarge;
-			refuse(response, isTooLarge ? RefusalReason.BodyTooLarge : RefusalReason.UpstreamFailed, isTooLarge ? Outcome.NotRun : Outcome.Unknown);
+			refuse(response, {reason: RefusalReason.UpstreamFailed, outcome: Outcome.Unknown, retryAfterMs: 0});
 		}
-	});
+	};
 
-	const refuse = (response: ServerResponse, reason: RefusalReason, outcome: Outcome) => {
-		metrics.count(Metric.Refusals, reason);
-		if (response.headersSent) {
-			// An answer cut short must be visibly broken.
-			response.destroy();
-			return;
+	const noteIdle = () => {
+		if (serving === 0) {
+			onIdle?.();
 		}
-
-		response.writeHead(reason === RefusalReason.UnknownService ? 404 : 503, {
-			[Header.Outcome]: outcome, [Header.RefusalReason]: reason,
-		});
-		response.end();
 	};
 
 	const serve = async (request: IncomingMessage, response: ServerResponse) => {
+		const arrivedAtMs = clock.monotonicMs();
 		metrics.count(Metric.Requests);
-		const serviceName = (request.url ?? '/').split('/')[1] ?? '';
-		if (!kernel.get(ServiceName.Config).getSection(`service ${serviceName}`)?.values) {
-			refuse(response, RefusalReason.UnknownService, Outcome.NotRun);
+		const facts = readFacts(request, settings.callers);
+		if (typeof facts === 'string') {
+			refuseUnread(request, response, {reason: facts, outcome: Outcome.NotRun, retryAfterMs: 0});
 			return;
 		}
 
-		const body = await readBody(request, clock, bounds);
-		const upstream = getLeastLoaded(upstreams.getRoutable(serviceName));
-		if (!upstream) {
-			refuse(response, RefusalReason.NoUpstream, Outcome.NotRun);
+		const early = findEarlyRefusal(facts);
+		if (early) {
+			refuseUnread(request, response, early);
 			return;
 		}
 
-		await pass(request, body, upstream, response);
-		metrics.count(Metric.Answers);
+		const body = facts.hasBody ? await readCallerBody(request, response) : undefined;
+		if (facts.hasBody && !body) {
+			return;
+		}
+
+		const call = createCall(request, response, {facts, arrivedAtMs, body});
+		// The caller is gone, or has got all of its answer.
+		response.once('close', () => {
+			call.close();
+		});
+		await answer(call);
+		metrics.timing(Metric.RequestMs, clock.monotonicMs() - arrivedAtMs, facts.requestClass);
 	};
 
-	const getLeastLoaded = (candidates: UpstreamAnnouncement[]) => {
-		const load = ({upstreamId}: UpstreamAnnouncement) => inFlight.get(upstreamId) ?? 0;
-		return candidates.reduce<UpstreamAnnouncement | undefined>((best, candidate) => best && load(best) <= load(candidate) ? best : candidate, undefined);
+	const findEarlyRefusal = ({serviceName}: RequestFacts): CallerRefusal | undefined => {
+		if (isStopping) {
+			return {reason: RefusalReason.ShuttingDown, outcome: Outcome.NotRun, retryAfterMs: stoppingRetryAfterMs};
+		}
+
+		if (!kernel.get(ServiceName.Config).getSection(`service ${serviceName}`)?.values) {
+			return {reason: RefusalReason.UnknownService, outcome: Outcome.NotRun, retryAfterMs: 0};
+		}
+
+		const obstacle = lanes.findObstacle(serviceName);
+		return obstacle && {reason: obstacle, outcome: Outcome.NotRun, retryAfterMs: noUpstreamRetryAfterMs};
 	};
 
-	const pass = async (request: IncomingMessage, body: Buffer, upstream: UpstreamAnnouncement, response: ServerResponse) => {
-		const {upstreamId, address} = upstream;
-		inFlight.set(upstreamId, (inFlight.get(upstreamId) ?? 0) + 1);
+	const readCallerBody = async (request: IncomingMessage, response: ServerResponse): Promise<Buffer | undefined> => {
 		try {
-			const answer = await agent.request({
-				origin: `http://${address}`, path: request.url ?? '/', method: (request.method ?? 'GET'), headers: getPassedHeaders(request), body,
+			return await readBody(request, clock, bounds);
+		} catch (error) {
+			const code = getErrorCode(error);
+			const reason = code === ErrorCode.BodyTooLarge ? RefusalReason.BodyTooLarge : RefusalReason.SlowCaller;
+			refuseUnread(request, response, {
+				reason: code === undefined ? RefusalReason.CallerGone : reason, outcome: Outcome.NotRun, retryAfterMs: 0,
 			});
-			response.writeHead(answer.statusCode, {...answer.headers, [Header.Entry]: kernel.get(ServiceName.Identity).processId});
-			for await (const chunk of answer.body) {
-				response.write(chunk);
-			}
+			return undefined;
+		}
+	};
 
-			response.end();
-		} catch (error) {
-			throw createError(ErrorCode.PeerUnavailable, {step: 'pass request', peer: upstreamId, cause: error});
-		} finally {
-			inFlight.set(upstreamId, inFlight.get(upstreamId)! - 1);
+	const createCall = (request: IncomingMessage, response: ServerResponse, {facts, arrivedAtMs, body}: {facts: RequestFacts; arrivedAtMs: number; body?: Buffer}): Call => new Call({
+		facts,
+		headers: getPassedUp(request.rawHeaders, request.headers.connection),
+		body,
+		arrivedAtMs,
+		target: {
+			response, bufferBytes: settings.answers.bufferBytes, ownHeaders, stalls: lanes.stalls,
+		},
+		mayWrite: () => facts.isIdempotent || (claims.isDispatchable(facts.requestId!) && lanes.isSettled(facts.serviceName)),
+	});
+
+	const answer = async (call: Call) => {
+		const lane = lanes.get(call.facts.serviceName);
+		const end = call.facts.isIdempotent ? await lane.run(call) : await serveClaimed(call, lane, claimedOptions);
+		const {response} = call.target;
+		if (end.refusal) {
+			refuse(response, end.refusal);
+		} else if (end.answer) {
+			sendAnswer(call, end.answer);
+		}
+	};
+
+	const sendAnswer = (call: Call, {status, headers, body, isReplayed}: WholeAnswer & {isReplayed?: boolean}) => {
+		const {response} = call.target;
+		if (call.isClosed || (body && response.headersSent)) {
+			metrics.count(Metric.LateAnswers);
+			return;
+		}
+
+		metrics.count(Metric.Answers);
+		if (!body) {
+			return;
+		}
+
+		const passed: Record<string, string | string[]> = {...getPassedDown(headers), ...getConnectionHeaders()};
+		if (isReplayed) {
+			passed[Header.Replayed] = 'true';
+		}
+
+		if (call.facts.method !== 'HEAD' && status !== 204 && status !== 304) {
+			passed['content-length'] = String(body.length);
+		}
+
+		response.writeHead(status, passed);
+		response.end(body);
+		lanes.stalls.add(response);
+	};
+
+	const refuse = (response: ServerResponse, refusal: CallerRefusal) => {
+		metrics.count(Metric.Refusals, refusal.reason);
+		if (!response.writableEnded) {
+			sendRefusal(response, refusal, {ownHeaders: getConnectionHeaders(), clock});
 		}
 	};
 
+	const refuseUnread = (request: IncomingMessage, response: ServerResponse, refusal: CallerRefusal) => {
+		const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
+		refuse(response, hasBody && !request.complete ? {...refusal, unread: request} : refusal);
+	};
+
+	const getConnectionHeaders = (): Record<string, string> => isStopping ? {...ownHeaders, connection: 'close'} : ownHeaders;
+
+	control.addReadiness('callers', () => !isStopping);
+	control.addStatus('callers', () => lanes.getStatus());
+
 	return {
 		getAddress: () => boundAddress,
 		async start() {
 			boundAddress = await listen(server, settings.entry.callerAddress);
 		},
 		async stop() {
+			isStopping = true;
+			lanes.close();
 			await close(server);
-			await agent.close();
+			// Requests whose callers are gone run on; their ends are recorded before the claims stop.
+			await new Promise<void>(resolve => {
+				onIdle = resolve;
+				noteIdle();
+			});
+			await lanes.destroy();
 		},
 	};
 };
-
-const hopByHop = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'host', 'expect', 'te', 'trailer', 'proxy-connection', 'content-length']);
-
-const getPassedHeaders = (request: IncomingMessage): Record<string, string | string[]> => {
-	const passed: Record<string, string | string[]> = {};
-	for (const [name, value] of Object.entries(request.headers)) {
-		if (value !== undefined && !hopByHop.has(name)) {
-			passed[name] = value;
-		}
-	}
-
-	return passed;
-};
--- /dev/null
+++ b/src/requests/dispatch-attempt.ts
@@ -0,0 +1,162 @@
+/**
+One try of a request at one upstream. It knows whether a byte of the request was written.
+*/
+import {type IncomingHttpHeaders} from 'node:http';
+import {type Dispatcher} from 'undici';
+import {createError, ErrorCode} from '../core/errors.ts';
+import {Header, Outcome} from '../types/requests.ts';
+import {type AnswerCollector, type WholeAnswer} from './answer.ts';
+import {isFramed} from './headers.ts';
+import {AttemptFailure} from './retry.ts';
+
+/** What is sent. */
+export type AttemptRequest = {
+	method: string;
+	path: string;
+	headers: string[];
+	body?: Buffer;
+};
+
+/** How a try ended. */
+export type AttemptEnd = {
+	isWritten: boolean;
+	answer?: WholeAnswer;
+	failure?: AttemptFailure;
+	error?: Error;
+};
+
+/** What a try works with. */
+export type AttemptOptions = {
+	dispatcher: Pick<Dispatcher, 'dispatch'>;
+	upstreamId: string;
+	request: AttemptRequest;
+	collector: AnswerCollector;
+	/** Asked right before the first byte is written. */
+	mayWrite(): boolean;
+	onEnd(end: AttemptEnd): void;
+};
+
+const guardRefusalStatus = 503;
+
+/** A running try. */
+export class Attempt implements Dispatcher.DispatchHandler {
+	readonly #options: AttemptOptions;
+	#controller: Dispatcher.DispatchController | undefined;
+	#isWritten = false;
+	#isEnded = false;
+	#giveUpFailure: AttemptFailure | undefined;
+	#status = 0;
+	#headers: IncomingHttpHeaders = {};
+
+	constructor(options: AttemptOptions) {
+		this.#options = options;
+	}
+
+	get isEnded(): boolean {
+		return this.#isEnded;
+	}
+
+	get isWritten(): boolean {
+		return this.#isWritten;
+	}
+
+	/** Sends the request. */
+	start(): void {
+		const {dispatcher, request} = this.#options;
+		try {
+			dispatcher.dispatch({
+				method: request.method, path: request.path, headers: request.headers, body: request.body,
+			}, this);
+		} catch (error) {
+			this.#fail(error as Error);
+		}
+	}
+
+	/** Ends the try; its connection is never used again, so that a late answer meets nobody else's request. */
+	abort(failure: AttemptFailure): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#giveUpFailure = failure;
+		const error = createError(ErrorCode.TimedOut, {step: 'wait for answer', peer: this.#options.upstreamId});
+		if (this.#controller) {
+			this.#controller.abort(error);
+		}
+
+		// Not sent yet: should the connection come, `onRequestStart` lets no byte out.
+		this.#fail(error);
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		// A client may send a request again by itself when the connection fails under it. It must not: the first
+		// sending may have run.
+		if (this.#isWritten || this.#isEnded || !this.#options.mayWrite()) {
+			controller.abort(createError(ErrorCode.TimedOut, {step: 'start request', peer: this.#options.upstreamId}));
+			return;
+		}
+
+		this.#controller = controller;
+		this.#isWritten = true;
+	}
+
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+		if (status < 200 || this.#isEnded) {
+			return;
+		}
+
+		this.#status = status;
+		this.#headers = headers;
+		this.#options.collector.start(status, headers);
+		if (!isFramed(this.#options.request.method, status, headers)) {
+			controller.abort(createError(ErrorCode.PeerUnavailable, {
+				step: 'read answer', peer: this.#options.upstreamId, detail: 'the answer does not say where it ends',
+			}));
+		}
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		const isFlowing = this.#options.collector.add(chunk, () => {
+			controller.resume();
+		});
+		if (!isFlowing) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		const isGuardRefusal = this.#status === guardRefusalStatus && this.#headers[Header.Outcome] === Outcome.NotRun;
+		this.#end({
+			isWritten: this.#isWritten,
+			answer: this.#options.collector.end(),
+			failure: isGuardRefusal ? AttemptFailure.GuardRefused : undefined,
+		});
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+		this.#fail(error);
+	}
+
+	#fail(error: Error): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#options.collector.break();
+		const failure = this.#isWritten ? this.#giveUpFailure ?? AttemptFailure.Broken : this.#giveUpFailure ?? AttemptFailure.NotWritten;
+		this.#end({isWritten: this.#isWritten, failure, error});
+	}
+
+	#end(end: AttemptEnd): void {
+		this.#isEnded = true;
+		this.#options.onEnd(end);
+	}
+}
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -14,6 +14,8 @@
 	NotRun = 'not-run',
 	/** The request may have run. */
 	Unknown = 'unknown',
+	/** The request ran and was answered; its answer is not at hand any more. */
+	Done = 'done',
 }
 
 /** Why a request was refused or given up. One counter each. */
@@ -38,6 +40,7 @@
 	UpstreamTimeout = 'upstream-timeout',
 	AnswerTruncated = 'answer-truncated',
 	CallerGone = 'caller-gone',
+	AnswerNotKept = 'answer-not-kept',
 }
 
 /** Why a request was tried again. One counter each. */
@@ -61,6 +64,16 @@
 	Outcome = 'request-outcome',
 	RefusalReason = 'refusal-reason',
 	RetryAfter = 'retry-after',
+	/** The same in milliseconds. */
+	RetryAfterMs = 'retry-after-ms',
+	/** Status of an answer that is not at hand any more. */
+	Status = 'request-status',
+	/** On an answer that was recorded at an earlier try of the same id. */
+	Replayed = 'request-replayed',
+	/** To upstreams: number of the try, from 1. */
+	Attempt = 'request-attempt',
+	/** Set by whoever retries itself: whoever receives it does not. */
+	NoRetry = 'no-retry',
 	/** On every answer: entry that served it. */
 	Entry = 'served-by-entry',
 }
--- a/src/utils/http-server.ts
+++ b/src/utils/http-server.ts
@@ -4,7 +4,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {
 	createError, ErrorCode, getErrorCode, getMessage,
 } from '../core/errors.ts';
@@ -98,9 +98,19 @@
 	};
 };
 
+const openSockets = new WeakMap<Server, Set<Socket>>();
+
 /** Binds the server to `host:port`; resolves to the address bound. */
 export const listen = async (server: Server, address: string): Promise<string> => {
 	const {host, port} = parseAddress(address);
+	const sockets = new Set<Socket>();
+	openSockets.set(server, sockets);
+	server.on('connection', (socket: Socket) => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(port, host, resolve);
@@ -124,32 +134,70 @@
 			resolve();
 		});
 		server.closeIdleConnections();
+		closeUnused(server);
 	});
 };
 
-/** Reads a body within bounds of size and time. */
-export const readBody = async (request: IncomingMessage, clock: Clock, bounds: BodyBounds): Promise<Buffer> => {
+/** The server counts a connection on which nothing came yet as busy: one opened ahead would hold up the close. */
+const closeUnused = (server: Server): void => {
+	for (const socket of openSockets.get(server) ?? []) {
+		if (socket.bytesRead === 0) {
+			socket.destroy();
+		}
+	}
+};
+
+/**
+Reads a body within bounds of size and time. On an error the request is left open and paused, so that the client can
+still be answered.
+*/
+export const readBody = async (request: IncomingMessage, clock: Clock, bounds: BodyBounds): Promise<Buffer> => new Promise((resolve, reject) => {
 	const chunks: Buffer[] = [];
 	let size = 0;
-	// A client that sends a byte at a time would hold memory and a socket for ever.
-	const timer = clock.setTimer(() => {
-		request.destroy(createError(ErrorCode.BodyTooSlow, {step: 'read body', detail: `${bounds.timeoutMs} ms`}));
-	}, bounds.timeoutMs);
-	try {
-		for await (const chunk of request) {
-			size += (chunk as Buffer).length;
-			if (size > bounds.maxBytes) {
-				throw createError(ErrorCode.BodyTooLarge, {step: 'read body', detail: `at most ${bounds.maxBytes} bytes`});
-			}
+	const finish = () => {
+		timer.cancel();
+		request.off('data', onData);
+		request.off('end', onEnd);
+		request.off('error', onError);
+		request.off('close', onClose);
+	};
 
-			chunks.push(chunk as Buffer);
+	const fail = (error: Error) => {
+		finish();
+		request.pause();
+		reject(error);
+	};
+
+	const onData = (chunk: Buffer) => {
+		size += chunk.length;
+		chunks.push(chunk);
+		if (size > bounds.maxBytes) {
+			fail(createError(ErrorCode.BodyTooLarge, {step: 'read body', detail: `at most ${bounds.maxBytes} bytes`}));
 		}
-	} finally {
-		timer.cancel();
-	}
+	};
 
-	return Buffer.concat(chunks);
-};
+	const onEnd = () => {
+		finish();
+		resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+	};
+
+	const onError = (error: Error) => {
+		fail(error);
+	};
+
+	const onClose = () => {
+		fail(createError(ErrorCode.PeerUnavailable, {step: 'read body', detail: 'the client closed the connection'}));
+	};
+
+	// A client that sends a byte at a time would hold memory and a socket for ever.
+	const timer = clock.setTimer(() => {
+		fail(createError(ErrorCode.BodyTooSlow, {step: 'read body', detail: `${bounds.timeoutMs} ms`}));
+	}, bounds.timeoutMs);
+	request.on('data', onData);
+	request.on('end', onEnd);
+	request.on('error', onError);
+	request.on('close', onClose);
+});
 
 const readJson = async (request: IncomingMessage, clock: Clock, bounds: BodyBounds): Promise<unknown> => {
 	const body = await readBody(request, clock, bounds);
--- /dev/null
+++ b/test/requests-world.ts
@@ -0,0 +1,309 @@
+/**
+Entries over real sockets, with upstreams that do as a test says, and slots counted locally.
+*/
+import {once} from 'node:events';
+import {
+	createServer as createHttpServer, type IncomingMessage, type Server as HttpServer, type ServerResponse,
+} from 'node:http';
+import {
+	connect, createServer as createNetServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {createKernel} from '../src/core/kernel.ts';
+import {createSettings} from '../src/core/settings.ts';
+import {createCallersService} from '../src/plugins/callers-service.ts';
+import {createClaimsService} from '../src/plugins/claims-service.ts';
+import {createControlService} from '../src/plugins/control-service.ts';
+import {createMetricsService} from '../src/plugins/metrics-service.ts';
+import {MemoryLog} from '../src/standin/memory-log.ts';
+import {HostState, type UpstreamAnnouncement} from '../src/types/announcements.ts';
+import {Header} from '../src/types/requests.ts';
+import {
+	ServiceName, type ConfigService, type MovesService, type SlotsService, type UpstreamRegistry,
+} from '../src/types/services.ts';
+import {createRequestId} from '../src/utils/request-id.ts';
+import {createRandom} from '../src/utils/seeded-random.ts';
+import {createSystemClock} from '../src/utils/system-clock.ts';
+
+/** Path of the service under test. */
+export const desk = '/desk';
+const host = '127.0.0.1';
+const waitMs = 10_000;
+
+/** What an upstream does with a request whose body was read. */
+export type Behaviour = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
+
+/** An answer as raw bytes, and whether the connection was broken. */
+export type RawAnswer = {
+	text: string;
+	isBroken: boolean;
+};
+
+/** An answer as a test looks at it. */
+export type Answer = {
+	status: number;
+	headers: Record<string, string>;
+	body: string;
+};
+
+type Seen = {
+	method: string;
+	url: string;
+	headers: IncomingMessage['headers'];
+	body: string;
+};
+
+/** Slots counted at this entry alone. */
+const createLocalSlots = (slotCount: number): SlotsService & {getHeld(): number} => {
+	const held = new Map<string, number>();
+	const callbacks: Array<() => void> = [];
+	const getFree = (upstreamId: string) => slotCount - (held.get(upstreamId) ?? 0);
+	return {
+		getFree,
+		getHeld: () => [...held.values()].reduce((sum, count) => sum + count, 0),
+		getConnections: () => slotCount,
+		setDemand: () => undefined,
+		onFree(callback) {
+			callbacks.push(callback);
+		},
+		tryTake(upstreamId) {
+			if (getFree(upstreamId) <= 0) {
+				return undefined;
+			}
+
+			held.set(upstreamId, (held.get(upstreamId) ?? 0) + 1);
+			let isHeld = true;
+			return {
+				release() {
+					if (isHeld) {
+						isHeld = false;
+						held.set(upstreamId, held.get(upstreamId)! - 1);
+						for (const callback of callbacks) {
+							callback();
+						}
+					}
+				},
+			};
+		},
+	};
+};
+
+const listen = async (server: Server | HttpServer): Promise<string> => {
+	server.listen(0, host);
+	await once(server, 'listening');
+	return `${host}:${(server.address() as AddressInfo).port}`;
+};
+
+type Overrides = Parameters<typeof createSettings>[0];
+
+/** Creates a world; `close` must be awaited at the end of the test. */
+export const createRequestsWorld = () => {
+	const clock = createSystemClock();
+	const random = createRandom(5);
+	const log = new MemoryLog(clock, random);
+	const announcements: UpstreamAnnouncement[] = [];
+	const closers: Array<() => Promise<void>> = [];
+	const seen: Seen[] = [];
+	const moves: {current?: MovesService} = {};
+
+	const announce = (address: string, isGuarded = false): UpstreamAnnouncement => {
+		const upstream: UpstreamAnnouncement = {
+			upstreamId: `desk-${announcements.length + 1}`,
+			service: 'desk',
+			incarnation: 1,
+			sequence: 1,
+			state: HostState.Alive,
+			address,
+			region: 'local',
+			failureDomain: 'local-1',
+			slots: 8,
+			connections: 64,
+			isGuarded,
+		};
+		announcements.push(upstream);
+		return upstream;
+	};
+
+	const startEntry = async (overrides: Overrides = {}, slotCount = 8) => {
+		const kernel = createKernel(clock, waitMs);
+		const any = `${host}:0`;
+		const settings = createSettings({
+			...overrides,
+			entry: {callerAddress: any, controlAddress: any},
+			claims: {appendEveryMs: 2, ...overrides?.claims},
+		});
+		const slots = createLocalSlots(slotCount);
+		kernel.provide(ServiceName.Settings, settings);
+		kernel.provide(ServiceName.Clock, clock);
+		kernel.provide(ServiceName.Random, random);
+		kernel.provide(ServiceName.Identity, {
+			processId: `entry-${closers.length}`, incarnation: 1, region: 'local', failureDomain: 'local-1',
+		});
+		kernel.provide(ServiceName.Log, log);
+		kernel.provide(ServiceName.Slots, slots);
+		kernel.provide(ServiceName.Config, {
+			getSection: (name: string) => name === 'service desk' ? {name, offset: 0, values: {}} : undefined,
+		} as ConfigService);
+		kernel.provide(ServiceName.Upstreams, {
+			getRoutable: (service: string) => service === 'desk' ? announcements : [],
+			get: (upstreamId: string) => announcements.find(upstream => upstream.upstreamId === upstreamId),
+			list: () => announcements,
+		} as UpstreamRegistry);
+		if (moves.current) {
+			kernel.provide(ServiceName.Moves, moves.current);
+		}
+
+		kernel.register({name: ServiceName.Metrics, dependsOn: [], load: async () => createMetricsService});
+		kernel.register({name: ServiceName.Control, dependsOn: [ServiceName.Metrics], load: async () => createControlService});
+		kernel.register({name: ServiceName.Claims, dependsOn: [ServiceName.Control], load: async () => createClaimsService});
+		kernel.register({name: ServiceName.Callers, dependsOn: [ServiceName.Claims], load: async () => createCallersService});
+		await kernel.start();
+		let stopped: Promise<void> | undefined;
+		const stop = async () => {
+			stopped ??= kernel.stop();
+			return stopped;
+		};
+
+		closers.push(stop);
+		return {
+			kernel,
+			slots,
+			stop,
+			address: kernel.get(ServiceName.Callers).getAddress(),
+			controlAddress: kernel.get(ServiceName.Control).getAddress(),
+			getCounts: () => kernel.get(ServiceName.Metrics).getCounts(),
+		};
+	};
+
+	/** An upstream that reads each request whole and then behaves. */
+	const startUpstream = async (behaviour: Behaviour, isGuarded = false) => {
+		const requests: Seen[] = [];
+		const server = createHttpServer(async (request, response) => {
+			const chunks: Buffer[] = [];
+			try {
+				for await (const chunk of request) {
+					chunks.push(chunk as Buffer);
+				}
+			} catch {
+				return;
+			}
+
+			const body = Buffer.concat(chunks);
+			const {method = '', url = '', headers} = request;
+			const one = {
+				method, url, headers, body: body.toString(),
+			};
+			requests.push(one);
+			seen.push(one);
+			behaviour(request, response, body);
+		});
+		const upstream = announce(await listen(server), isGuarded);
+		closers.push(async () => {
+			server.closeAllConnections();
+			server.close();
+		});
+		return {...upstream, requests, server};
+	};
+
+	/** An upstream that speaks in bytes. */
+	const startRawUpstream = async (onData: (socket: Socket, text: string, connection: number) => void) => {
+		const sockets = new Set<Socket>();
+		let connections = 0;
+		const server = createNetServer(socket => {
+			const connection = ++connections;
+			sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.on('data', data => {
+				onData(socket, data.toString(), connection);
+			});
+		});
+		const upstream = announce(await listen(server));
+		closers.push(async () => {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			server.close();
+		});
+		return {...upstream, sockets};
+	};
+
+	/** An upstream at whose address nothing listens. */
+	const announceClosedPort = async () => {
+		const server = createNetServer();
+		const address = await listen(server);
+		server.close();
+		await once(server, 'close');
+		return announce(address);
+	};
+
+	const waitUntil = async (isDone: () => boolean): Promise<void> => {
+		const endMs = clock.monotonicMs() + waitMs;
+		while (!isDone()) {
+			if (clock.monotonicMs() > endMs) {
+				throw new Error('not within the time');
+			}
+
+			await clock.sleep(5);
+		}
+	};
+
+	return {
+		clock,
+		log,
+		random,
+		seen,
+		moves,
+		announce,
+		announcements,
+		startEntry,
+		startUpstream,
+		startRawUpstream,
+		announceClosedPort,
+		waitUntil,
+		createId: () => createRequestId(clock, random),
+		async close() {
+			await Promise.all(closers.toReversed().map(async closer => closer()));
+		},
+	};
+};
+
+/** Sends raw bytes and collects what comes until the connection ends. */
+export const sendRaw = async (address: string, text: string): Promise<RawAnswer> => {
+	const [hostName, port] = address.split(':');
+	const socket = connect(Number(port), hostName);
+	const chunks: Buffer[] = [];
+	let isBroken = false;
+	socket.on('data', chunk => chunks.push(chunk));
+	socket.on('error', () => {
+		isBroken = true;
+	});
+	socket.write(text);
+	await new Promise<void>(resolve => {
+		socket.once('close', resolve);
+	});
+	return {text: Buffer.concat(chunks).toString(), isBroken};
+};
+
+/** Options of a request. */
+export type SendOptions = {
+	method?: string;
+	path?: string;
+	headers?: Record<string, string>;
+	body?: string;
+	signal?: AbortSignal;
+};
+
+/** Sends one request on a connection of its own; rejects when the answer is broken. */
+export const send = async (address: string, options: SendOptions = {}): Promise<Answer> => {
+	const {method = 'GET', path = desk, headers = {}, body, signal} = options;
+	const response = await fetch(`http://${address}${path}`, {
+		method, headers: {connection: 'close', ...headers}, body, signal,
+	});
+	const answerHeaders = {...Object.fromEntries(response.headers), 'set-cookie': response.headers.getSetCookie().join(', ')};
+	return {status: response.status, headers: answerHeaders, body: await response.text()};
+};
+
+/** What a refusal says. */
+export const describe = ({status, headers}: Answer) => ({
+	status, reason: headers[Header.RefusalReason], outcome: headers[Header.Outcome],
+});
