Measure requests with the real admission; hedge only on spare slots

The thin queue is gone: entries of the measurement run the product's admission with its default limits. A long request runs on past its deadline, as the product lets it; late ends are counted apart.

--- a/src/measure/requests-entry.ts
+++ b/src/measure/requests-entry.ts
@@ -1,20 +1,21 @@
 /**
 One entry of a measured run: the product's decisions on fake hosts.
 */
+import {type Admission, type Ticket} from '../requests/admission.ts';
 import {type HedgePolicy} from '../requests/hedge.ts';
 import {type LimitBook} from '../requests/limit.ts';
 import {type UpstreamAnnouncement} from '../types/announcements.ts';
 import {type Chooser} from '../types/choice.ts';
 import {type Clock, type Timer} from '../types/clock.ts';
-import {type RefusalReason, RequestClass} from '../types/requests.ts';
+import {RequestClass} from '../types/requests.ts';
 import {HostAnswer, type HostFakes} from './requests-hosts.ts';
-import {type ThinQueue} from './requests-queue.ts';
 import {type Recorder} from './requests-recorder.ts';
-import {classLoads, type Site} from './requests-sites.ts';
+import {type Site} from './requests-sites.ts';
 
 /** A request as its caller sent it. */
 export type OfferedRequest = {
 	requestClass: RequestClass;
+	callerId: string;
 	/** Run time on an idle host. */
 	idleMs: number;
 	sentAtMs: number;
@@ -33,7 +34,7 @@
 	/** End of the run; after it comes only the drain. */
 	endMs: number;
 	chooser: Chooser;
-	createQueue: (getFreeSlots: () => number) => ThinQueue;
+	createAdmission: (getFreeSlots: () => number) => Admission;
 	getRoutable: () => readonly UpstreamAnnouncement[];
 	getSlotShare: (upstreamIndex: number) => number;
 	limits?: LimitBook;
@@ -42,6 +43,8 @@
 
 /** A try of a check is given up after so long. */
 const tryTimeoutMs = 400;
+/** Long requests run on past the deadline at which their callers are told, so that their end becomes known. */
+const longHoldMs = 60_000;
 /** Second tries as a share of first tries. */
 const retryShare = 0.1;
 const maxRetryTokens = 20;
@@ -66,7 +69,7 @@
 /** An entry. */
 export class MeasuredEntry {
 	readonly #options: EntryOptions;
-	readonly #queue: ThinQueue;
+	readonly #admission: Admission;
 	readonly #failureDomain: string;
 	readonly #inFlight = new Map<string, number>();
 	readonly #indexes = new Map<string, number>();
@@ -74,7 +77,7 @@
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
-		this.#queue = options.createQueue(() => this.#getFreeSlots());
+		this.#admission = options.createAdmission(() => this.#getFreeSlots());
 		this.#failureDomain = options.site.failureDomains[options.index % options.site.failureDomains.length]!;
 		for (const [index, {upstreamId}] of options.getRoutable().entries()) {
 			this.#indexes.set(upstreamId, index);
@@ -86,21 +89,23 @@
 		const served: Served = {
 			request, excluded: new Set(), tries: new Set(), isAccepted: false, isEnded: false,
 		};
-		this.#queue.submit(this.#createQueued(served));
+		this.#admission.submit(this.#createTicket(served));
 	}
 
 	/** Tries what waits; for when the upstreams have changed. */
 	wake(): void {
-		this.#queue.wake();
+		this.#admission.wake();
 	}
 
-	#createQueued(served: Served) {
-		const {requestClass, deadlineAtMs} = served.request;
+	#createTicket(served: Served): Ticket {
+		const {requestClass, callerId, deadlineAtMs} = served.request;
 		return {
 			requestClass,
+			callerId,
+			arrivedAtMs: this.#options.clock.monotonicMs(),
 			deadlineAtMs,
 			tryStart: () => this.#tryStart(served),
-			refuse: ({reason}: {reason: RefusalReason}) => {
+			refuse: ({reason}) => {
 				this.#refuse(served, reason);
 			},
 		};
@@ -141,6 +146,12 @@
 		return bound - (this.#inFlight.get(upstreamId) ?? 0);
 	}
 
+	#getFreeShare(): number {
+		const {getRoutable, getSlotShare} = this.#options;
+		const slots = getRoutable().reduce((sum, {upstreamId}) => sum + getSlotShare(this.#indexes.get(upstreamId)!), 0);
+		return this.#getFreeSlots() / slots;
+	}
+
 	#getFreeSlots(): number {
 		return this.#options.getRoutable().reduce((sum, {upstreamId}) => sum + Math.max(0, this.#getFree(upstreamId)), 0);
 	}
@@ -156,7 +167,7 @@
 		const delayMs = 2 * (failureDomain === this.#failureDomain ? site.withinDomainMs : site.betweenDomainsMs);
 		const boundMs = requestClass === RequestClass.Check
 			? Math.min(tryTimeoutMs, deadlineAtMs - startedAtMs)
-			: deadlineAtMs - startedAtMs;
+			: longHoldMs;
 		const answerMs = run.durationMs + delayMs;
 		const answer = answerMs > boundMs ? HostAnswer.None : run.answer;
 		const isAbandoned = answer === HostAnswer.None && requestClass === RequestClass.Check && boundMs < tryTimeoutMs;
@@ -186,7 +197,7 @@
 				requestClass, excluded, hasSlot: upstreamId => this.#hasSlot(upstreamId),
 			});
 			const candidate = {
-				requestClass, isIdempotent: requestClass === RequestClass.Check, deadlineAtMs, nowMs: clock.monotonicMs(), hasOtherSlot: other !== undefined,
+				requestClass, isIdempotent: requestClass === RequestClass.Check, deadlineAtMs, nowMs: clock.monotonicMs(), hasOtherSlot: other !== undefined, freeShare: this.#getFreeShare(),
 			};
 			if (other && hedges.mayHedge(candidate, () => this.#tryTakeRetry())) {
 				this.#options.recorder.hedges += served.request.isCounted ? 1 : 0;
@@ -217,7 +228,12 @@
 			this.#fail(served, oneTry, answer);
 		}
 
-		this.#queue.noteEnd(requestClass, latencyMs);
+		// Admission counts a request once, however many tries it has.
+		if (served.tries.size === 0) {
+			this.#admission.noteEnd(requestClass, latencyMs);
+		} else {
+			this.#admission.wake();
+		}
 	}
 
 	#release(served: Served, oneTry: Try, answer: HostAnswer): number {
@@ -265,6 +281,7 @@
 			recorder.recordCheck(answeredAtMs - sentAtMs);
 		} else {
 			recorder.longCompleted++;
+			recorder.longLate += answeredAtMs > deadlineAtMs ? 1 : 0;
 		}
 
 		if (answeredAtMs <= deadlineAtMs) {
@@ -289,7 +306,6 @@
 		chooser.noteEnd(upstreamId, {
 			requestClass, latencyMs, isSuccess: false, isAbandoned: true,
 		});
-		this.#queue.noteEnd(requestClass, latencyMs);
 	}
 
 	#fail(served: Served, {upstream}: Try, answer: HostAnswer): void {
@@ -299,7 +315,7 @@
 		if (isRetryable && this.#tryTakeRetry()) {
 			recorder.retries += isCounted ? 1 : 0;
 			served.excluded.add(upstream.upstreamId);
-			this.#queue.resubmit(this.#createQueued(served));
+			this.#admission.resubmit(this.#createTicket(served));
 			return;
 		}
 
@@ -317,7 +333,7 @@
 		}
 	}
 
-	#refuse(served: Served, reason: RefusalReason): void {
+	#refuse(served: Served, reason: string): void {
 		served.isEnded = true;
 		if (!served.request.isCounted) {
 			return;
@@ -331,8 +347,3 @@
 		}
 	}
 }
-
-/** Creates a request of the class. */
-export const createOffered = (requestClass: RequestClass, idleMs: number, sentAtMs: number, isCounted: boolean): OfferedRequest => ({
-	requestClass, idleMs, sentAtMs, isCounted, deadlineAtMs: sentAtMs + classLoads[requestClass].deadlineMs,
-});
--- a/src/measure/requests-recorder.ts
+++ b/src/measure/requests-recorder.ts
@@ -23,6 +23,8 @@
 	hedges = 0;
 	longAccepted = 0;
 	longCompleted = 0;
+	/** Those of them whose answer came after their deadline. */
+	longLate = 0;
 	/** Long requests that ended with an error of their upstream. */
 	longFailed = 0;
 	/** Long requests of which nobody knows whether they ran. */
@@ -69,6 +71,7 @@
 			checksFailed: this.checksFailed,
 			longAccepted: this.longAccepted,
 			longCompleted: this.longCompleted / Math.max(1, this.longAccepted),
+			longLate: this.longLate,
 			longFailed: this.longFailed,
 			longUnknown: this.longUnknown,
 			retryRatio: (this.retries + this.hedges) / Math.max(1, this.firstTries),
--- a/src/measure/requests-run.ts
+++ b/src/measure/requests-run.ts
@@ -1,6 +1,8 @@
 /**
 One measured run: a site, a condition, a policy and a seed, on manual time.
 */
+import {settingsSchema} from '../core/settings-schema.ts';
+import {Admission, type AdmissionLimits} from '../requests/admission.ts';
 import {HedgePolicy} from '../requests/hedge.ts';
 import {LimitBook} from '../requests/limit.ts';
 import {type UpstreamAnnouncement} from '../types/announcements.ts';
@@ -8,10 +10,9 @@
 import {ManualClock} from '../utils/manual-clock.ts';
 import {createRandom} from '../utils/seeded-random.ts';
 import {type Condition} from './requests-conditions.ts';
-import {createOffered, MeasuredEntry} from './requests-entry.ts';
+import {MeasuredEntry} from './requests-entry.ts';
 import {HostFakes} from './requests-hosts.ts';
 import {type Policy} from './requests-policies.ts';
-import {ThinQueue} from './requests-queue.ts';
 import {type Recorder} from './requests-recorder.ts';
 import {
 	classLoads, createUpstreams, drawRunMs, getCapacityPerS, getSlotShare, type Site,
@@ -40,14 +41,21 @@
 /** Lost upstreams leave the membership after so long. */
 const leaseMs = 3000;
 /** Time for what was accepted to end. */
-const drainMs = 60_000;
+const drainMs = 90_000;
 /** Streams of random numbers of one seed. */
-const streams = {offer: 1, hosts: 2, choice: 3};
+const streams = {
+	offer: 1, hosts: 2, choice: 10, admission: 20,
+};
+const {queueLimit, longShare, waitShare} = settingsSchema.admission;
+/** The product's defaults. */
+const admissionLimits: AdmissionLimits = {queueLimit: queueLimit.fallback, longShare: longShare.fallback, waitShare: waitShare.fallback};
+const callerCount = 20;
 
 /** Runs once. */
 export const runRequests = (options: RunOptions): RunResult => {
 	const {site, condition, seed, seconds} = options;
-	const clock = new ManualClock();
+	// From 0 on, so that fractions of a millisecond keep their precision.
+	const clock = new ManualClock(0);
 	const endMs = warmUpMs + (seconds * 1000);
 	const hosts = new HostFakes(site, condition, createStream(seed, streams.hosts), endMs);
 	const upstreams = createUpstreams(site);
@@ -110,7 +118,9 @@
 				chooser.noteStart(upstreamId, requestClass);
 			},
 		},
-		createQueue: getFreeSlots => new ThinQueue(getFreeSlots, () => clock.monotonicMs()),
+		createAdmission: getFreeSlots => new Admission({
+			clock, random: createStream(seed, streams.admission + index), limits: admissionLimits, getFreeSlots,
+		}),
 		getRoutable,
 		getSlotShare: upstreamIndex => getSlotShare(site, upstreamIndex, index),
 		limits: policy.isLimiting ? new LimitBook() : undefined,
@@ -132,8 +142,15 @@
 		const requestClass = random.next() < classLoads.check.share ? RequestClass.Check : RequestClass.Long;
 		const isCounted = nowMs >= warmUpMs;
 		recorder.arrived[requestClass] += isCounted ? 1 : 0;
-		const request = createOffered(requestClass, drawRunMs(classLoads[requestClass], random), nowMs - site.clientMs, isCounted);
-		entries[random.below(entries.length)]!.take(request);
+		const sentAtMs = nowMs - site.clientMs;
+		entries[random.below(entries.length)]!.take({
+			requestClass,
+			callerId: `caller-${random.below(callerCount)}`,
+			idleMs: drawRunMs(classLoads[requestClass], random),
+			sentAtMs,
+			deadlineAtMs: sentAtMs + classLoads[requestClass].deadlineMs,
+			isCounted,
+		});
 		const gapMs = -Math.log(1 - random.next()) * meanGapMs;
 		if (nowMs + gapMs < endMs) {
 			clock.setTimer(next, gapMs);
--- a/src/requests/hedge.ts
+++ b/src/requests/hedge.ts
@@ -11,10 +11,14 @@
 	sampleCount: number;
 	/** No hedging before so many were seen. */
 	minSamples: number;
+	/** Least share of this process's slots that must be free: a hedge must not take a slot for which others will wait. */
+	minFreeShare: number;
 };
 
 /** Tuning used unless another is passed. */
-export const defaultHedgeTuning: HedgeTuning = {quantile: 0.95, sampleCount: 512, minSamples: 100};
+export const defaultHedgeTuning: HedgeTuning = {
+	quantile: 0.95, sampleCount: 512, minSamples: 100, minFreeShare: 0.2,
+};
 
 /** What is known of a request that might be hedged. */
 export type HedgeCandidate = {
@@ -23,6 +27,8 @@
 	deadlineAtMs: number;
 	nowMs: number;
 	hasOtherSlot: boolean;
+	/** Free slots as a share of all that this process may use. */
+	freeShare: number;
 };
 
 /** Latencies are sorted anew after so many samples. */
@@ -59,7 +65,10 @@
 	}
 
 	/** Whether to start a second try now; asked once the delay has passed. The budget is taken last, only for a hedge that starts. */
-	mayHedge({requestClass, isIdempotent, deadlineAtMs, nowMs, hasOtherSlot}: HedgeCandidate, tryTakeBudget: () => boolean): boolean {
-		return requestClass === RequestClass.Check && isIdempotent && hasOtherSlot && nowMs < deadlineAtMs && tryTakeBudget();
+	mayHedge(candidate: HedgeCandidate, tryTakeBudget: () => boolean): boolean {
+		const {requestClass, isIdempotent, deadlineAtMs, nowMs, hasOtherSlot, freeShare} = candidate;
+		const isSafe = requestClass === RequestClass.Check && isIdempotent;
+		const isSpare = hasOtherSlot && freeShare >= this.#tuning.minFreeShare;
+		return isSafe && isSpare && nowMs < deadlineAtMs && tryTakeBudget();
 	}
 }
--- a/test/limit.test.ts
+++ b/test/limit.test.ts
@@ -59,7 +59,7 @@
 });
 
 const candidate = {
-	requestClass: RequestClass.Check, isIdempotent: true, deadlineAtMs: 1000, nowMs: 100, hasOtherSlot: true,
+	requestClass: RequestClass.Check, isIdempotent: true, deadlineAtMs: 1000, nowMs: 100, hasOtherSlot: true, freeShare: 0.5,
 };
 const allow = () => true;
 
@@ -74,7 +74,7 @@
 	expect(hedges.getDelayMs()).toBe(95);
 });
 
-test('only idempotent checks before their deadline are hedged, elsewhere, and within the budget', () => {
+test('only idempotent checks before their deadline are hedged, on spare slots elsewhere, and within the budget', () => {
 	const hedges = new HedgePolicy();
 	let asked = 0;
 	const count = () => {
@@ -86,6 +86,7 @@
 	expect(hedges.mayHedge({...candidate, isIdempotent: false}, count)).toBe(false);
 	expect(hedges.mayHedge({...candidate, nowMs: 1000}, count)).toBe(false);
 	expect(hedges.mayHedge({...candidate, hasOtherSlot: false}, count)).toBe(false);
+	expect(hedges.mayHedge({...candidate, freeShare: 0.1}, count)).toBe(false);
 	expect(asked).toBe(0);
 	expect(hedges.mayHedge(candidate, () => false)).toBe(false);
 	expect(hedges.mayHedge(candidate, allow)).toBe(true);
