--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -118,9 +118,12 @@
 	expect([...world.starts.values()].every(starts => starts.length === 1)).toBe(true);
 });
 
-// One owner loses the log but not the workers, another the first owner's workers but not the log: both may believe that they
-// own the shard. The cut-off owner must stop renewing before the new one starts the task elsewhere.
-test('two owners, one cut off from the log and one from the worker, never run a task in two places', async () => {
+// One owner loses the log but not a worker, another that worker but not the log: both may believe that they own the shard.
+// The first must stop renewing before the second starts the task elsewhere, also when no worker can tell it of its successor.
+test.each([
+	['and a sealed worker tells it so', false],
+	['and it reaches only the worker that the other does not', true],
+])('two owners, one cut off from the log %s, never run a task in two places', async (_, isAlone) => {
 	create({
 		entries: 2, shards: 4, workers: 5, getBehaviour: () => ({runTimeMs: 300_000}),
 	});
@@ -136,6 +139,12 @@
 	const held = world.getPlaces(`${ids.find(id => first.scheduler.isOwnerOf(id))!}/0`)[0]!;
 	first.gate.isLogCut = true;
 	second.gate.cutWorkers.add(held);
+	for (const workerId of world.workers.keys()) {
+		if (isAlone && workerId !== held) {
+			first.gate.cutWorkers.add(workerId);
+		}
+	}
+
 	await world.clock.advance(200_000);
 	expect(second.scheduler.ownership.owned.size).toBe(4);
 	expect(world.violations).toEqual([]);
