--- a/src/jobs/first-fit-engine.ts
+++ b/src/jobs/first-fit-engine.ts
@@ -110,7 +110,9 @@
 			}
 
 			this.#take(task, worker.spec.workerId);
-			starts.push({type: DecisionType.Start, taskId: task.taskId, workerId: worker.spec.workerId});
+			starts.push({
+				type: DecisionType.Start, taskId: task.taskId, workerId: worker.spec.workerId, resources: task.spec.resources,
+			});
 		}
 
 		for (const task of group) {
@@ -144,7 +146,9 @@
 		const missing = getMissing(resources, [...this.#workers.values()].map(({spec}) => spec.capacity));
 		if (missing !== undefined && !this.#reported.has(jobId)) {
 			this.#reported.add(jobId);
-			decisions.push({type: DecisionType.Unplaceable, jobId, missing});
+			decisions.push({
+				type: DecisionType.Unplaceable, jobId, missing, isFinal: false,
+			});
 		}
 	}
 
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -3,14 +3,17 @@
 */
 import {type Service} from '../core/kernel.ts';
 import {type Settings} from '../core/settings-schema.ts';
+import {type MembershipService} from '../plugins/membership-service.ts';
+import {type Sponsorship} from '../requests/sponsor-book.ts';
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AnnouncementReply, type UpstreamAnnouncement, type WorkerAnnouncement} from './announcements.ts';
 import {type Clock} from './clock.ts';
-import {type ConfigResult, type ConfigSection} from './config.ts';
+import {type ConfigResult, type ConfigSection, type ServiceOwner} from './config.ts';
 import {type JobSpec, type JobStatus} from './jobs.ts';
 import {type Metrics} from './metrics.ts';
 import {type PlatformLog, type WorkerClient} from './platform.ts';
 import {type Random} from './random.ts';
+import {type RefusalReason} from './requests.ts';
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -30,6 +33,7 @@
 	Slots = 'slots',
 	Claims = 'claims',
 	Moves = 'moves',
+	Membership = 'membership',
 }
 
 /** What entries ask of each other. */
@@ -75,14 +79,25 @@
 	getSection(name: string): ConfigSection | undefined;
 	getSections(): Map<string, ConfigSection>;
 	getHistory(): ConfigResult[];
+	/** Region that owns the service, with the record that made it so. */
+	getOwner(serviceName: string): ServiceOwner | undefined;
+	/** Whether the end of the log was read within the last so many milliseconds. */
+	isFresh(withinMs: number): boolean;
 };
 
 /** Upstreams that announced themselves. */
 export type UpstreamRegistry = Service & {
 	announce(announcement: UpstreamAnnouncement): AnnouncementReply;
+	/** Takes an announcement that may be meant for another entry, and passes it on to its sponsor. */
+	receive(announcement: UpstreamAnnouncement): Promise<AnnouncementReply>;
 	/** Upstreams of the service that may get new requests. */
 	getRoutable(serviceName: string): UpstreamAnnouncement[];
 	list(): UpstreamAnnouncement[];
+	get(upstreamId: string): UpstreamAnnouncement | undefined;
+	/** This entry's right to grant the upstream's slots, while it may be believed. */
+	getSponsorship(upstreamId: string): Sponsorship | undefined;
+	/** Gives all sponsorships up; for a graceful shutdown. */
+	resignSponsorships(): void;
 };
 
 /** Workers that announced themselves. */
@@ -140,6 +155,8 @@
 	/** Takes a slot, or undefined when this entry's share has none free. `holdMs` bounds how long it may be held. */
 	tryTake(upstreamId: string, holdMs: number): SlotHold | undefined;
 	getFree(upstreamId: string): number;
+	/** Connections to the upstream that this entry may keep open: the same part as its share of the slots. */
+	getConnections(upstreamId: string): number;
 	/** Requests that wait for a slot of the service: shares move to where the demand is. */
 	setDemand(serviceName: string, waiting: number): void;
 	/** Calls back when a slot may have become free. */
@@ -171,6 +188,9 @@
 	contentType?: string;
 };
 
+/** How a claimed request ended. */
+export type ClaimEnd = Pick<ClaimStatus, 'state' | 'status' | 'body' | 'contentType'>;
+
 /** Outcome of a try to claim. */
 export type ClaimResult
 	= | {isWon: true}
@@ -184,7 +204,11 @@
 	/** Claims the id. Only after `isWon` may the request be dispatched, once, by this entry. */
 	claim(requestId: string, serviceName: string, timeoutMs: number): Promise<ClaimResult>;
 	/** Records the end of a claim that this entry won. */
-	finish(requestId: string, end: Pick<ClaimStatus, 'state' | 'status' | 'body' | 'contentType'>): void;
+	finish(requestId: string, end: ClaimEnd): void;
+	/** Why the id may not be claimed, or undefined when it may. */
+	judge(requestId: string): RefusalReason | undefined;
+	/** Whether a claim that was won may still be dispatched; to be asked right before the first byte. */
+	isDispatchable(requestId: string): boolean;
 	lookup(requestId: string): ClaimStatus | undefined;
 	/** Claims with no known end, oldest first. */
 	listOpen(): ClaimStatus[];
@@ -216,4 +240,5 @@
 	[ServiceName.Slots]: SlotsService;
 	[ServiceName.Claims]: ClaimsService;
 	[ServiceName.Moves]: MovesService;
+	[ServiceName.Membership]: MembershipService;
 };
