Place jobs by the placement engine, with the teams' quotas

Cause: entries placed tasks by first fit, and nothing read the quotas.

Change: the engine's starts carry what is to be ordered, ends that tell nothing of a worker are not held against it, a job that fails everywhere ends, and an eviction decided while a start is on its way follows it. Quotas of the operators' text are passed on, an entry's part by the shards that it owns.

--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -163,7 +163,7 @@
 		maxQueued: whole(100_000, 10, 10_000_000, 'Entries held while the log is away, at most.'),
 		submitTimeoutMs: whole(5000, 50, 600_000, 'Longest time for a submission to be in the log.'),
 		keepFinishedMs: whole(3_600_000, 1000, 30 * dayMs, 'How long a finished job can be asked for.'),
-		maxFailures: whole(3, 1, 1000, 'Failures of an idempotent task before it counts as failed.'),
+		maxFailures: whole(10, 1, 1000, 'Failures of an idempotent task before it counts as failed, whatever placement makes of them.'),
 	},
 	ownership: {
 		leaseMs: whole(8000, 200, 600_000, 'Lease of an entry on its shards.'),
--- a/src/jobs/job-decisions.ts
+++ b/src/jobs/job-decisions.ts
@@ -56,9 +56,7 @@
 
 	#carryOut(decision: Decision): void {
 		if (decision.type === DecisionType.Unplaceable) {
-			this.#options.metrics.count(Metric.JobsRefused, 'unplaceable');
-			log('Job %s can run nowhere now: %s', decision.jobId, decision.missing);
-			this.#unplaceable.add(decision.jobId);
+			this.#refuse(decision);
 			return;
 		}
 
@@ -72,7 +70,7 @@
 
 		switch (decision.type) {
 			case DecisionType.Start: {
-				void owner.runner.start(task, decision.workerId);
+				void owner.runner.start(task, decision.workerId, decision.resources);
 				break;
 			}
 
@@ -88,4 +86,15 @@
 			}
 		}
 	}
+
+	#refuse({jobId, missing, isFinal}: Decision & {type: DecisionType.Unplaceable}): void {
+		this.#options.metrics.count(Metric.JobsRefused, isFinal ? 'fails-everywhere' : 'unplaceable');
+		log('Job %s can run nowhere now: %s', jobId, missing);
+		const shard = this.#options.getShard(jobId);
+		if (isFinal && shard !== undefined) {
+			this.#options.getOwner(shard)?.fail(jobId, missing);
+		} else {
+			this.#unplaceable.add(jobId);
+		}
+	}
 }
--- a/src/jobs/shard-ends.ts
+++ b/src/jobs/shard-ends.ts
@@ -21,26 +21,32 @@
 	/** Frees what the task holds here, without a word to its worker: it runs on under the next owner. */
 	letGo(task: LiveTask): void {
 		const {engine, tasks, waiting} = this.#context;
-		this.leaveWorker(task, true);
+		this.leaveWorker(task);
 		engine.cancel(task.taskId);
 		tasks.delete(task.taskId);
 		waiting.delete(task);
 		task.phase = TaskPhase.Closed;
 	}
 
-	/** Frees the task's room; its present attempt is not running any more. */
-	leaveWorker(task: LiveTask, isSuccess: boolean): void {
+	/** Frees the task's room; its present attempt is not running any more. Without `isSuccess` its end tells nothing of its worker. */
+	leaveWorker(task: LiveTask, isSuccess?: boolean): void {
 		const {clock, engine, getKeeper} = this.#context;
 		task.isUnresolved = false;
-		if (task.workerId !== undefined) {
-			getKeeper(task.workerId)?.tasks.delete(task);
-			engine.noteEnded(task.taskId, isSuccess, clock.monotonicMs());
+		if (task.workerId === undefined) {
+			return;
+		}
+
+		getKeeper(task.workerId)?.tasks.delete(task);
+		if (isSuccess === undefined) {
+			engine.cancel(task.taskId);
 		}
+
+		engine.noteEnded(task.taskId, isSuccess ?? false, clock.monotonicMs());
 	}
 
 	/** Records the task's end; asked again until the log has it or the shard is lost. */
 	finish(task: LiveTask, end: Pick<TaskEnd, 'state' | 'result' | 'reason'>): void {
-		this.leaveWorker(task, end.state === TaskState.Succeeded);
+		this.leaveWorker(task, end.state === TaskState.Stopped ? undefined : end.state === TaskState.Succeeded);
 		task.phase = TaskPhase.Ending;
 		task.end = {
 			index: task.index, attempt: Math.max(0, task.attempt), evictions: task.evictions, ...end,
--- a/src/jobs/shard-owner.ts
+++ b/src/jobs/shard-owner.ts
@@ -138,6 +138,17 @@
 		}
 	}
 
+	/** Ends the waiting tasks of a job that can run nowhere. */
+	fail(jobId: string, reason: string): void {
+		for (const task of this.#jobs.get(jobId)?.values() ?? []) {
+			if (task.phase === TaskPhase.Waiting) {
+				this.#context.engine.cancel(task.taskId);
+				this.#context.waiting.delete(task);
+				this.runner.ends.finish(task, {state: TaskState.Failed, reason});
+			}
+		}
+	}
+
 	/** A held task is not running anywhere any more: it may be started. */
 	release(task: LiveTask): void {
 		if (task.phase !== TaskPhase.Held) {
@@ -236,6 +247,7 @@
 			task.phase = TaskPhase.Running;
 			task.attempt = report.attempt;
 			task.workerId = keeper.workerId;
+			task.reserved = report.resources;
 			task.startedAtMs = clock.monotonicMs();
 			task.confirmedAtMs = task.startedAtMs;
 			task.runsUntilMs = keeper.getRunsUntilMs();
--- a/src/jobs/shard-queue.ts
+++ b/src/jobs/shard-queue.ts
@@ -19,6 +19,8 @@
 	enqueue(task: LiveTask): void {
 		task.phase = TaskPhase.Waiting;
 		task.workerId = undefined;
+		task.reserved = undefined;
+		task.evictionReason = undefined;
 		task.queuedAtMs = this.#context.clock.monotonicMs();
 		this.#context.waiting.add(task);
 		this.offer(task);
@@ -45,9 +47,9 @@
 
 	/** The task as the engine sees it. */
 	getPending(task: LiveTask): PendingTask {
-		const {taskId, attempt, job: {spec}, queuedAtMs} = task;
+		const {taskId, attempt, job: {spec}, queuedAtMs, reserved} = task;
 		return {
-			taskId, attempt, spec, queuedAtMs, region: this.#context.getRegion(spec.service),
+			taskId, attempt, spec, queuedAtMs, reserved, region: this.#context.getRegion(spec.service),
 		};
 	}
 }
--- a/src/jobs/shard-runner.ts
+++ b/src/jobs/shard-runner.ts
@@ -4,7 +4,7 @@
 import {getMessage} from '../core/errors.ts';
 import {Metric} from '../types/metrics.ts';
 import {
-	TaskState, WorkerRefusal, type StartOrder, type TaskReport, type WorkerReply,
+	TaskState, WorkerRefusal, type Resources, type StartOrder, type TaskReport, type WorkerReply,
 } from '../types/platform.ts';
 import {createLogger, Part} from '../utils/logger.ts';
 import {JobEntryType} from './job-records.ts';
@@ -36,7 +36,7 @@
 	}
 
 	/** Orders the start of a waiting task. */
-	async start(task: LiveTask, workerId: string): Promise<void> {
+	async start(task: LiveTask, workerId: string, reserved: Resources): Promise<void> {
 		const {clock, engine, metrics} = this.#context;
 		const keeper = this.#context.getKeeper(workerId);
 		if (task.phase !== TaskPhase.Waiting || !keeper) {
@@ -48,6 +48,7 @@
 		task.phase = TaskPhase.Starting;
 		task.attempt++;
 		task.workerId = workerId;
+		task.reserved = reserved;
 		const {attempt} = task;
 		const hindrance = await this.#prepare(task, keeper);
 		task.startedAtMs = clock.monotonicMs();
@@ -76,6 +77,10 @@
 
 	/** Stops a running task after a checkpoint, to resume it elsewhere once its end is confirmed. */
 	async evict(task: LiveTask, reason: string): Promise<void> {
+		if (task.phase === TaskPhase.Starting) {
+			task.evictionReason = reason;
+		}
+
 		if (task.phase !== TaskPhase.Running) {
 			return;
 		}
@@ -235,7 +240,7 @@
 	#createOrder(task: LiveTask): StartOrder {
 		const {kind, taskClass, resources, input} = task.job.spec;
 		return {
-			...getTaskRef(task), kind, taskClass, resources, input, leaseMs: this.#context.times.leaseMs, checkpointId: task.checkpointId,
+			...getTaskRef(task), kind, taskClass, resources: task.reserved ?? resources, input, leaseMs: this.#context.times.leaseMs, checkpointId: task.checkpointId,
 		};
 	}
 
@@ -271,6 +276,8 @@
 		this.ends.forgetKept(task);
 		if (task.isCancelled) {
 			void this.stop(task, false);
+		} else if (task.evictionReason !== undefined) {
+			void this.evict(task, task.evictionReason);
 		}
 	}
 
@@ -341,13 +348,16 @@
 			return;
 		}
 
-		this.#context.engine.noteStartRefused(task.taskId, task.workerId!);
+		if (reason === AttemptEnd.Refused) {
+			this.#context.engine.noteStartRefused(task.taskId, task.workerId!);
+		}
+
 		this.#requeue(task, reason);
 	}
 
 	#requeue(task: LiveTask, reason: AttemptEnd): void {
 		this.#context.metrics.count(Metric.TaskRetries, reason);
-		this.ends.leaveWorker(task, !countsAgainstWorker.has(reason));
+		this.ends.leaveWorker(task, countsAgainstWorker.has(reason) ? false : undefined);
 		if (task.isCancelled) {
 			this.ends.close(task);
 			return;
--- a/src/jobs/shard-task.ts
+++ b/src/jobs/shard-task.ts
@@ -2,7 +2,7 @@
 A task that has not ended, as the owner of its shard keeps it.
 */
 import {type TaskStatus} from '../types/jobs.ts';
-import {TaskState, type TaskRef} from '../types/platform.ts';
+import {TaskState, type Resources, type TaskRef} from '../types/platform.ts';
 import {type FoldedJob} from './job-fold.ts';
 import {type TaskEnd} from './job-records.ts';
 import {getTaskId} from './job-status.ts';
@@ -45,6 +45,10 @@
 	evictions: number;
 	failures: number;
 	isCancelled: boolean;
+	/** What its worker holds for it, which may differ from what was declared. */
+	reserved?: Resources;
+	/** Why it is to be evicted once its start is confirmed. */
+	evictionReason?: string;
 	/** Highest attempt that a worker told of after a takeover. */
 	learnedAttempt: number;
 	/** End on its way into the log. */
--- a/src/plugins/jobs-service.ts
+++ b/src/plugins/jobs-service.ts
@@ -3,13 +3,14 @@
 */
 import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {type Kernel} from '../core/kernel.ts';
-import {FirstFitEngine} from '../jobs/first-fit-engine.ts';
 import {jobSpecSchema} from '../jobs/job-records.ts';
 import {JobScheduler} from '../jobs/job-scheduler.ts';
+import {createPlacementEngine} from '../jobs/placement-engine.ts';
 import {type JobStatus} from '../types/jobs.ts';
 import {PeerMethod, ServiceName, type JobsService} from '../types/services.ts';
 import {createLogger, Part} from '../utils/logger.ts';
 import {createParser} from '../utils/parser.ts';
+import {followQuotas} from './jobs-quotas.ts';
 
 const log = createLogger(Part.Jobs);
 const parseSpec = createParser('read job', jobSpecSchema);
@@ -18,19 +19,23 @@
 export const createJobsService = (kernel: Kernel): JobsService => {
 	const {processId, incarnation} = kernel.get(ServiceName.Identity);
 	const control = kernel.get(ServiceName.Control);
+	const clock = kernel.get(ServiceName.Clock);
+	const random = kernel.get(ServiceName.Random);
+	const settings = kernel.get(ServiceName.Settings);
+	const engine = createPlacementEngine({settings: settings.placement, random});
 	const scheduler = new JobScheduler({
 		log: kernel.get(ServiceName.Log),
-		clock: kernel.get(ServiceName.Clock),
-		random: kernel.get(ServiceName.Random),
+		clock,
+		random,
 		metrics: kernel.get(ServiceName.Metrics),
 		self: {processId, incarnation},
-		settings: kernel.get(ServiceName.Settings),
+		settings,
 		workers: kernel.get(ServiceName.Workers),
-		engine: new FirstFitEngine(),
+		engine,
 		getRegion: service => kernel.has(ServiceName.Moves) ? kernel.get(ServiceName.Moves).getRegion(service) : undefined,
 	});
 	const aborter = new AbortController();
-	let running: Promise<void> | undefined;
+	let running: Promise<unknown> | undefined;
 
 	const getKnown = (jobId: string): JobStatus => {
 		const status = scheduler.getStatus(jobId);
@@ -70,7 +75,15 @@
 				kernel.get(ServiceName.Peers).handle(PeerMethod.Jobs, body => getKnown((body as {jobId: string}).jobId));
 			}
 
-			running = scheduler.run(aborter.signal);
+			running = Promise.all([
+				scheduler.run(aborter.signal),
+				followQuotas({
+					engine,
+					clock,
+					config: kernel.get(ServiceName.Config),
+					getOwnedShare: () => scheduler.ownership.owned.size / settings.jobs.shards,
+				}, aborter.signal),
+			]);
 		},
 		async stop() {
 			await scheduler.leave();
