Keep room for urgent work and throttle tasks that are known to harm

Cause: reports come when a short task's harm is done, and each urgent task evicted. Change: a new task whose kind is known to harm is throttled at its start; a step's gain is counted on the convex price of the tail; as much room as urgent work lately asked for at once is kept free, at most 5% of the fleet, and given up while a gang waits for room.

--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -74,6 +74,7 @@
 		urgentPriority: whole(900, 1, 1001, 'Tasks of this priority or higher may evict others; 1001: none.'),
 		urgentPatienceMs: whole(1000, 0, 60_000, 'How long urgent work waits for a task to end before it evicts one.'),
 		urgentClaimMs: whole(1500, 100, 60_000, 'How long urgent work waits for one eviction before another is tried.'),
+		headroomHalfLifeMs: whole(600_000, 0, 86_400_000, 'Time in which half of the room kept free after urgent work is given up; 0: none is kept.'),
 		quotaReturnMs: whole(10_000, 0, 3_600_000, 'How long demand within a quota waits before borrowed room is taken back.'),
 		reserveAfterMs: whole(5000, 0, 3_600_000, 'How long a gang or large task waits before room is kept for it.'),
 		evictionsPerMinute: whole(30, 0, 1_000_000, 'Budget of evictions for quotas and harm, and the least one for urgent work.'),
--- a/src/jobs/harm-cost.ts
+++ b/src/jobs/harm-cost.ts
@@ -59,14 +59,16 @@
 		return cost;
 	}
 
-	/** Expected slowdown beyond 1 that the neighbour causes to services of the worker, summed and weighed. */
-	getContribution(worker: WorkerEntry, neighbour: TaskEntry): number {
+	/** Cost that services of the worker would be spared if the neighbour were gone, moved by so many deviations. */
+	getContribution(worker: WorkerEntry, neighbour: TaskEntry, deviations: number): number {
+		const mix = getMix(worker);
 		const load = worker.expectedProcessors / worker.spec.capacity.processors;
 		let sum = 0;
-		for (const item of getMix(worker)) {
-			if (item.taskClass === TaskClass.LatencyCritical) {
-				const effect = this.#model.getEffect(item.kindId, item.taskClass, neighbour.job.kindId, {load, deviations: 0});
-				sum += item.count * this.#weights.tailWeight * Math.max(0, effect) * neighbour.throttleShare;
+		for (const {kindId, taskClass, count} of mix) {
+			if (taskClass === TaskClass.LatencyCritical) {
+				const effect = neighbour.throttleShare * this.#model.getEffect(kindId, taskClass, neighbour.job.kindId, {load, deviations});
+				const excess = this.#getExcess(kindId, taskClass, {mix, load, isMember: true});
+				sum += count * (this.#getPrice(taskClass, Math.max(excess, effect)) - this.#getPrice(taskClass, Math.max(0, excess - effect)));
 			}
 		}
 
--- a/src/jobs/harm-response.ts
+++ b/src/jobs/harm-response.ts
@@ -11,7 +11,7 @@
 	isAvailable, TaskPhase, type TaskEntry, type WorkerEntry,
 } from './placement-state.ts';
 
-const throttleShare = 0.5;
+const leastShare = 0.25;
 // A step must gain more than it costs by this factor.
 const hysteresis = 1.5;
 // What a move is expected to gain for at the most.
@@ -35,16 +35,17 @@
 		}
 	}
 
+	throttleKnown(round);
 	releaseThrottled(round);
 };
 
 const relieve = (round: Round, worker: WorkerEntry): boolean => {
-	const {harmCost, settings} = round.context;
+	const {harmCost} = round.context;
 	let neighbour: TaskEntry | undefined;
 	let most = 0;
 	for (const entry of worker.tasks) {
 		if (entry.phase === TaskPhase.Placed && entry.job.spec.taskClass === TaskClass.Batch) {
-			const contribution = harmCost.getContribution(worker, entry);
+			const contribution = harmCost.getContribution(worker, entry, 0);
 			if (contribution > most) {
 				neighbour = entry;
 				most = contribution;
@@ -56,14 +57,32 @@
 		return false;
 	}
 
-	if (neighbour.throttleShare === 1) {
-		// Halving the neighbour costs half of its throughput and gains half of its harm.
-		return most > settings.throughputWeight * hysteresis && setShare(round, neighbour, throttleShare);
+	if (neighbour.throttleShare > leastShare) {
+		return isThrottlePaying(round, neighbour, most) && setShare(round, neighbour, neighbour.throttleShare / 2);
 	}
 
 	return isMovePaying(round, neighbour, most) && move(round, neighbour);
 };
 
+/** Halving the neighbour's share costs half of its throughput and gains half of its harm. */
+const isThrottlePaying = ({context: {settings}}: Round, entry: TaskEntry, contribution: number): boolean =>
+	contribution > settings.throughputWeight * entry.throttleShare * hysteresis;
+
+/** Throttles new tasks that are known to harm: their reports would come when the harm is long done. */
+const throttleKnown = (round: Round): void => {
+	const {filled, harmCost, queue} = round.context;
+	for (const worker of filled) {
+		for (const entry of worker.tasks) {
+			if (entry.phase === TaskPhase.Placed && entry.job.spec.taskClass === TaskClass.Batch && entry.throttleShare === 1 && !queue.isUrgent(entry.job)
+				&& isThrottlePaying(round, entry, harmCost.getContribution(worker, entry, -1))) {
+				setShare(round, entry, 1 / 2);
+			}
+		}
+	}
+
+	filled.clear();
+};
+
 const isMovePaying = (round: Round, entry: TaskEntry, contribution: number): boolean => {
 	const {context, nowMs} = round;
 	const {settings, queue, evictions, sizes} = context;
@@ -137,7 +156,7 @@
 		}
 
 		const isWell = [...worker.tasks].every(other => other.job.spec.taskClass === TaskClass.Batch || other.slowdown < clear);
-		const expected = harmCost.getContribution(worker, entry) / entry.throttleShare;
+		const expected = harmCost.getContribution(worker, entry, 0) / entry.throttleShare;
 		if (isWell && expected < settings.throughputWeight) {
 			setShare(round, entry, 1);
 		}
--- a/src/jobs/placement-context.ts
+++ b/src/jobs/placement-context.ts
@@ -14,6 +14,7 @@
 import {QuotaLedger} from './quota-ledger.ts';
 import {SizeEstimates} from './size-estimates.ts';
 import {createEvictionCost, EvictionBudget, EvictionMemory} from './urgency-eviction.ts';
+import {UrgencyHeadroom} from './urgency-headroom.ts';
 import {WorkerHealth} from './worker-health.ts';
 
 // Urgent work may evict this share of a fleet's workers a minute, or the budget of the settings when that is more.
@@ -32,6 +33,7 @@
 	const choose = options.choose ?? createChoice({
 		settings, queue, harmCost, sizes,
 	});
+	const search = new PlacementSearch({index: fleet.index, random, choose});
 	return {
 		settings,
 		random,
@@ -43,7 +45,8 @@
 		sizes,
 		evictions,
 		reservations: new Reservations({fleet, queue, quotas}),
-		search: new PlacementSearch({index: fleet.index, random, choose}),
+		search,
+		headroom: new UrgencyHeadroom({fleet, search, halfLifeMs: settings.headroomHalfLifeMs}),
 		health: new WorkerHealth(settings),
 		history: new HarmHistory(),
 		urgentBudget: new EvictionBudget(() => Math.max(settings.evictionsPerMinute, urgentPerWorker * fleet.size)),
@@ -52,6 +55,7 @@
 		blocked: new Map(),
 		harmed: new Set(),
 		throttled: new Set(),
+		filled: new Set(),
 	};
 };
 
--- a/src/jobs/placement-engine.ts
+++ b/src/jobs/placement-engine.ts
@@ -406,6 +406,7 @@
 		needAtMs: queuedAtMs,
 		deferredAtMs: Number.POSITIVE_INFINITY,
 		retryAtMs: 0,
+		reserveAtMs: 0,
 		spread: undefined,
 		checkedAtFleet: -1,
 		missing: undefined,
--- a/src/jobs/placement-fleet.ts
+++ b/src/jobs/placement-fleet.ts
@@ -43,6 +43,11 @@
 		return this.#workers.size;
 	}
 
+	/** Processors of all open workers. */
+	get openProcessors(): number {
+		return this.#openProcessors;
+	}
+
 	/** Share of the open workers' processors that is held. */
 	get busyness(): number {
 		return this.#openProcessors > 0 ? Math.min(1, this.#usedProcessors / this.#openProcessors) : 0;
--- a/src/jobs/placement-passes.ts
+++ b/src/jobs/placement-passes.ts
@@ -13,6 +13,7 @@
 
 const drawnWorkers = 256;
 const reservedMs = 120_000;
+const reserveRetryMs = 1000;
 const maxReservations = 4;
 // Tasks that take less than this share of a worker find room as others end.
 const largeShare = 0.5;
@@ -21,17 +22,37 @@
 
 /** Starts urgent work, by eviction where no room is free. */
 export const runUrgentPass = (round: Round): void => {
-	const jobs = [...round.context.queue.urgent];
+	const {queue, headroom, reservations} = round.context;
+	const jobs = [...queue.urgent];
+	const waiting = jobs.reduce((sum, {waitingCount}) => sum + waitingCount, 0);
 	for (const job of jobs) {
+		const entry = queue.peek(job);
+		if (entry) {
+			headroom.note(entry, waiting, round.nowMs);
+		}
+
 		while (!round.isFull && job.waitingCount > 0 && placeUrgent(round, job)) {
 			// Goes on until the job is served or nothing more can be done for it.
 		}
 	}
+
+	// A gang may need every host: no room is kept free for what may come while one waits.
+	if (!reservations.hasPassive()) {
+		headroom.refill(round.nowMs);
+	}
 };
 
-/** Room that is kept for large work behind ends is given up first: that work gets it back at the end of the round. */
-const placeUrgent = (round: Round, job: JobEntry): boolean =>
-	round.place(job) || (round.context.reservations.cancelPassive() && round.place(job)) || evictForUrgent(round, job);
+/**
+Room kept free for urgent work is used first, then room kept for large work behind ends: that work gets it back at the
+end of the round.
+*/
+const placeUrgent = (round: Round, job: JobEntry): boolean => {
+	const {headroom, reservations} = round.context;
+	return round.place(job)
+		|| (headroom.release() && round.place(job))
+		|| (reservations.cancelPassive() && round.place(job))
+		|| evictForUrgent(round, job);
+};
 
 /** Starts tasks of all teams: those within their quota first, then by dominant share; inside a team by priority. */
 export const runFairPass = (round: Round): void => {
@@ -67,7 +88,7 @@
 
 /** Keeps room for the gang or large task that has waited longest, so that smaller ones cannot pass it for ever. */
 export const runReservePass = (round: Round): void => {
-	const {queue, reservations, fleet} = round.context;
+	const {queue, reservations, fleet, headroom} = round.context;
 	if (reservations.size >= maxReservations) {
 		return;
 	}
@@ -86,6 +107,8 @@
 		return;
 	}
 
+	oldest.reserveAtMs = round.nowMs + reserveRetryMs;
+	headroom.release();
 	const entries = oldest.spec.isGang ? queue.listWaiting(oldest) : [entry];
 	for (const each of entries) {
 		round.refreshNeed(each);
@@ -101,7 +124,7 @@
 
 const isWaitingForRoom = ({context: {quotas, settings}, nowMs}: Round, job: JobEntry): boolean => {
 	const waitedMs = nowMs - job.queuedAtMs;
-	if (job.missing !== undefined || job.isFinal || waitedMs < settings.reserveAfterMs || !(job.spec.isGang || isLarge(job))) {
+	if (job.missing !== undefined || job.isFinal || job.reserveAtMs > nowMs || waitedMs < settings.reserveAfterMs || !(job.spec.isGang || isLarge(job))) {
 		return false;
 	}
 
--- a/src/jobs/placement-reservations.ts
+++ b/src/jobs/placement-reservations.ts
@@ -87,6 +87,11 @@
 		}
 	}
 
+	/** Tells whether any waits for tasks to end by themselves. */
+	hasPassive(): boolean {
+		return [...this.#all].some(({isPassive}) => isPassive);
+	}
+
 	/** Gives up all that waits for ends by themselves; returns whether there was any. */
 	cancelPassive(): boolean {
 		const passive = [...this.#all].filter(({isPassive}) => isPassive);
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -2,6 +2,7 @@
 One round of decisions, and what all its passes share.
 */
 import {type Settings} from '../core/settings-schema.ts';
+import {TaskClass} from '../types/jobs.ts';
 import {DecisionType, type Decision, type EvictionReason} from '../types/placement.ts';
 import {type Random} from '../types/random.ts';
 import {type HarmCost} from './harm-cost.ts';
@@ -16,6 +17,7 @@
 } from './placement-state.ts';
 import {type QuotaLedger} from './quota-ledger.ts';
 import {type SizeEstimates} from './size-estimates.ts';
+import {type UrgencyHeadroom} from './urgency-headroom.ts';
 import {type EvictionBudget, type EvictionMemory} from './urgency-eviction.ts';
 import {type WorkerHealth} from './worker-health.ts';
 
@@ -27,6 +29,7 @@
 	queue: WaitingQueue;
 	quotas: QuotaLedger;
 	reservations: Reservations;
+	headroom: UrgencyHeadroom;
 	search: PlacementSearch;
 	sizes: SizeEstimates;
 	health: WorkerHealth;
@@ -41,6 +44,8 @@
 	/** Services that are slowed down, and batch tasks that are throttled. */
 	harmed: Set<TaskEntry>;
 	throttled: Set<TaskEntry>;
+	/** Workers that were given a batch task in this round. */
+	filled: Set<WorkerEntry>;
 	getEvictionCost(entry: TaskEntry, nowMs: number): number;
 };
 
@@ -77,6 +82,10 @@
 	noteStarted(entry: TaskEntry, worker: WorkerEntry): void {
 		entry.startedAtMs = this.nowMs;
 		this.context.history.begin(entry, this.nowMs);
+		if (entry.job.spec.taskClass === TaskClass.Batch) {
+			this.context.filled.add(worker);
+		}
+
 		this.decisions.push({
 			type: DecisionType.Start, taskId: entry.task.taskId, workerId: worker.spec.workerId, resources: entry.reserved,
 		});
--- a/src/jobs/placement-state.ts
+++ b/src/jobs/placement-state.ts
@@ -37,6 +37,8 @@
 	/** First held back from harmful places, and when it is tried again. */
 	deferredAtMs: number;
 	retryAtMs: number;
+	/** When room may be kept for it again. */
+	reserveAtMs: number;
 	/** Placed tasks by failure domain, rack and worker; kept for services alone. */
 	spread: Map<string, number> | undefined;
 	/** Version of the fleet for which `missing` was worked out. */
