Keep the expected harm of a worker's tasks between decisions

Each candidate worked out the harm among all kinds on it anew, by pairs. Sums at no load and at full load are now kept with the worker until its tasks change, at most 5 s, and deviations are stored instead of variances.

--- a/src/jobs/harm-cost.ts
+++ b/src/jobs/harm-cost.ts
@@ -3,7 +3,7 @@
 */
 import {TaskClass} from '../types/jobs.ts';
 import {getExpectedProcessors} from './harm-history.ts';
-import {hostKindId, type HarmModel} from './harm-model.ts';
+import {clampLoad, hostKindId, type HarmModel} from './harm-model.ts';
 import {type MixItem, type TaskEntry, type WorkerEntry} from './placement-state.ts';
 
 /** Weights of harm by class of the harmed task. */
@@ -37,22 +37,22 @@
 	host that services fill already, and beside it a quiet task is worth more than no task.
 	*/
 	getAdded(worker: WorkerEntry, entry: TaskEntry, processors: number): number {
-		const mix = getMix(worker);
+		const mix = this.#getMix(worker);
 		const {capacity} = worker.spec;
-		const load = worker.expectedProcessors / capacity.processors;
-		const newLoad = (worker.expectedProcessors + processors) / capacity.processors;
+		const load = clampLoad(worker.expectedProcessors / capacity.processors);
+		const newLoad = clampLoad((worker.expectedProcessors + processors) / capacity.processors);
 		const {kindId, spec: {taskClass}} = entry.job;
 		const isService = taskClass === TaskClass.LatencyCritical;
 		const filler = this.#model.usualHarm * (isService ? 1 : this.#getBusyness() ** 2);
 		const exposure = filler * Math.max(0, worker.free.processors);
 		const newExposure = filler * Math.max(0, worker.free.processors - entry.reserved.processors);
-		const own = this.#getExcess(kindId, taskClass, {mix, load: newLoad, isMember: false});
+		const own = this.#getOwnExcess(kindId, taskClass, mix, newLoad);
 		let cost = this.#getPrice(taskClass, isService ? own + newExposure : own);
 		for (const item of mix) {
 			const isExposed = item.taskClass === TaskClass.LatencyCritical;
-			const before = this.#getExcess(item.kindId, item.taskClass, {mix, load, isMember: true}) + (isExposed ? exposure : 0);
-			const after = this.#getExcess(item.kindId, item.taskClass, {mix, load: newLoad, isMember: true})
-				+ this.#getEffect(item.kindId, item.taskClass, kindId, newLoad) + (isExposed ? newExposure : 0);
+			const before = getExcess(item, load) + (isExposed ? exposure : 0);
+			const after = getExcess(item, newLoad) + (isExposed ? newExposure : 0)
+				+ this.#getEffect(item.kindId, item.taskClass, kindId, {load: newLoad, deviations: deviationsByClass[item.taskClass]});
 			cost += item.count * (this.#getPrice(item.taskClass, after) - this.#getPrice(item.taskClass, before));
 		}
 
@@ -61,34 +61,33 @@
 
 	/** Cost that services of the worker would be spared if the neighbour were gone, moved by so many deviations. */
 	getContribution(worker: WorkerEntry, neighbour: TaskEntry, deviations: number): number {
-		const mix = getMix(worker);
-		const load = worker.expectedProcessors / worker.spec.capacity.processors;
+		const mix = this.#getMix(worker);
+		const load = clampLoad(worker.expectedProcessors / worker.spec.capacity.processors);
 		let sum = 0;
-		for (const {kindId, taskClass, count} of mix) {
-			if (taskClass === TaskClass.LatencyCritical) {
-				const effect = neighbour.throttleShare * this.#model.getEffect(kindId, taskClass, neighbour.job.kindId, {load, deviations});
-				const excess = this.#getExcess(kindId, taskClass, {mix, load, isMember: true});
-				sum += count * (this.#getPrice(taskClass, Math.max(excess, effect)) - this.#getPrice(taskClass, Math.max(0, excess - effect)));
+		for (const item of mix) {
+			if (item.taskClass === TaskClass.LatencyCritical) {
+				const effect = neighbour.throttleShare * this.#getEffect(item.kindId, item.taskClass, neighbour.job.kindId, {load, deviations});
+				const excess = getExcess(item, load);
+				sum += item.count * (this.#getPrice(item.taskClass, Math.max(excess, effect)) - this.#getPrice(item.taskClass, Math.max(0, excess - effect)));
 			}
 		}
 
 		return sum;
 	}
 
-	#getExcess(victimId: number, taskClass: TaskClass, {mix, load, isMember}: {mix: MixItem[]; load: number; isMember: boolean}): number {
-		let excess = this.#getEffect(victimId, taskClass, hostKindId, load);
+	#getOwnExcess(kindId: number, taskClass: TaskClass, mix: MixItem[], load: number): number {
+		const at = {load, deviations: deviationsByClass[taskClass]};
+		let excess = this.#getEffect(kindId, taskClass, hostKindId, at);
 		for (const item of mix) {
-			const amount = isMember && item.kindId === victimId ? item.amount - 1 : item.amount;
-			if (amount > 0) {
-				excess += amount * this.#getEffect(victimId, taskClass, item.kindId, load);
-			}
+			excess += item.amount * this.#getEffect(kindId, taskClass, item.kindId, at);
 		}
 
 		return Math.max(0, excess);
 	}
 
-	#getEffect(victimId: number, taskClass: TaskClass, neighbourId: number, load: number): number {
-		return this.#model.getEffect(victimId, taskClass, neighbourId, {load, deviations: deviationsByClass[taskClass]});
+	#getEffect(victimId: number, taskClass: TaskClass, neighbourId: number, {load, deviations}: {load: number; deviations: number}): number {
+		return ((1 - load) * this.#model.getIdleEffect(victimId, taskClass, neighbourId, deviations))
+			+ (load * this.#model.getFullEffect(victimId, taskClass, neighbourId, deviations));
 	}
 
 	// A tail grows faster than the mean harm, hence the square.
@@ -97,14 +96,42 @@
 			? this.#weights.tailWeight * (excess + (excess ** 2)) / 2
 			: this.#weights.throughputWeight * excess;
 	}
-}
 
-/** Gets the kinds on the worker and works out their expected processors. */
-export const getMix = (worker: WorkerEntry): MixItem[] => {
-	if (worker.mix) {
-		return worker.mix;
+	/** Gets the kinds on the worker with their expected harm, kept while the same tasks run there. */
+	#getMix(worker: WorkerEntry): MixItem[] {
+		if (worker.mix && worker.mixEpoch === this.#model.epoch) {
+			return worker.mix;
+		}
+
+		const mix = createMix(worker);
+		for (const item of mix) {
+			this.#setExcess(item, mix);
+		}
+
+		worker.mix = mix;
+		worker.mixEpoch = this.#model.epoch;
+		return mix;
+	}
+
+	#setExcess(item: MixItem, mix: MixItem[]): void {
+		const {kindId, taskClass} = item;
+		const deviations = deviationsByClass[taskClass];
+		item.idleExcess = this.#model.getIdleEffect(kindId, taskClass, hostKindId, deviations);
+		item.fullExcess = this.#model.getFullEffect(kindId, taskClass, hostKindId, deviations);
+		for (const other of mix) {
+			const amount = other === item ? other.amount - 1 : other.amount;
+			if (amount > 0) {
+				item.idleExcess += amount * this.#model.getIdleEffect(kindId, taskClass, other.kindId, deviations);
+				item.fullExcess += amount * this.#model.getFullEffect(kindId, taskClass, other.kindId, deviations);
+			}
+		}
 	}
+}
+
+const getExcess = ({idleExcess, fullExcess}: MixItem, load: number): number =>
+	Math.max(0, ((1 - load) * idleExcess) + (load * fullExcess));
 
+const createMix = (worker: WorkerEntry): MixItem[] => {
 	const mix: MixItem[] = [];
 	let processors = 0;
 	for (const entry of worker.tasks) {
@@ -116,12 +143,11 @@
 			known.amount += entry.throttleShare;
 		} else {
 			mix.push({
-				kindId, taskClass, count: 1, amount: entry.throttleShare,
+				kindId, taskClass, count: 1, amount: entry.throttleShare, idleExcess: 0, fullExcess: 0,
 			});
 		}
 	}
 
-	worker.mix = mix;
 	worker.expectedProcessors = processors;
 	return mix;
 };
--- a/src/jobs/harm-model.ts
+++ b/src/jobs/harm-model.ts
@@ -13,7 +13,7 @@
 
 const maxKinds = 256;
 const priorMean = 0.02;
-const priorVariance = 0.04;
+const priorDeviation = 0.2;
 const noiseFloor = 0.01;
 const noiseStart = 0.1;
 const noiseRate = 0.02;
@@ -22,6 +22,7 @@
 const maxSlowdown = 10;
 const neighbourRate = 0.05;
 const fadeSteps = 20;
+const epochMs = 5000;
 const usualHarmStart = 0.03;
 const usualHarmRate = 0.005;
 
@@ -72,12 +73,14 @@
 
 /** Learned effects between kinds. */
 export class HarmModel {
+	/** Changes every few seconds: what was worked out from the model before is to be worked out again. */
+	epoch = 0;
 	readonly #halfLifeMs: number;
 	// Pairs at [victim * maxKinds + neighbour]; idle and full are the ends of the line over load.
 	readonly #idle = new Float64Array(maxKinds * maxKinds).fill(priorMean);
 	readonly #full = new Float64Array(maxKinds * maxKinds).fill(priorMean);
-	readonly #idleVariance = new Float64Array(maxKinds * maxKinds).fill(priorVariance);
-	readonly #fullVariance = new Float64Array(maxKinds * maxKinds).fill(priorVariance);
+	readonly #idleDeviation = new Float64Array(maxKinds * maxKinds).fill(priorDeviation);
+	readonly #fullDeviation = new Float64Array(maxKinds * maxKinds).fill(priorDeviation);
 	readonly #isSeen = new Uint8Array(maxKinds * maxKinds);
 	// What a kind does on average to services and to batch tasks, for pairs not seen yet.
 	readonly #usual = {
@@ -112,8 +115,8 @@
 			for (const pair of [(kindId * maxKinds) + other, (other * maxKinds) + kindId]) {
 				this.#idle[pair] = priorMean;
 				this.#full[pair] = priorMean;
-				this.#idleVariance[pair] = priorVariance;
-				this.#fullVariance[pair] = priorVariance;
+				this.#idleDeviation[pair] = priorDeviation;
+				this.#fullDeviation[pair] = priorDeviation;
 				this.#isSeen[pair] = 0;
 			}
 		}
@@ -133,7 +136,7 @@
 		for (const {kindId, amount} of all) {
 			const pair = this.#open(victimId, kindId, taskClass);
 			expected += amount * ((idle * this.#idle[pair]!) + (full * this.#full[pair]!));
-			doubt += (amount ** 2) * (((idle ** 2) * this.#idleVariance[pair]!) + ((full ** 2) * this.#fullVariance[pair]!));
+			doubt += (amount ** 2) * (((idle * this.#idleDeviation[pair]!) ** 2) + ((full * this.#fullDeviation[pair]!) ** 2));
 		}
 
 		const noise = this.#noise[victimId]!;
@@ -151,24 +154,23 @@
 		}
 	}
 
-	/** Effect of one neighbour on the victim at the load, moved by so many deviations. */
-	getEffect(victimId: number, taskClass: TaskClass, neighbourId: number, options: {load: number; deviations: number}): number {
+	/** Effect of one neighbour on the victim on an idle host, moved by so many deviations. */
+	getIdleEffect(victimId: number, taskClass: TaskClass, neighbourId: number, deviations: number): number {
 		const pair = (victimId * maxKinds) + neighbourId;
-		const full = clampLoad(options.load);
-		const idle = 1 - full;
-		const mean = this.#isSeen[pair]
-			? (idle * this.#idle[pair]!) + (full * this.#full[pair]!)
-			: this.#usual[taskClass][neighbourId]!;
-		if (options.deviations === 0) {
-			return mean;
-		}
+		const mean = this.#isSeen[pair] ? this.#idle[pair]! : this.#usual[taskClass][neighbourId]!;
+		return mean + (deviations * this.#idleDeviation[pair]!);
+	}
 
-		const variance = ((idle ** 2) * this.#idleVariance[pair]!) + ((full ** 2) * this.#fullVariance[pair]!);
-		return mean + (options.deviations * Math.sqrt(variance));
+	/** The same on a full host; between the two the effect is a line over the load. */
+	getFullEffect(victimId: number, taskClass: TaskClass, neighbourId: number, deviations: number): number {
+		const pair = (victimId * maxKinds) + neighbourId;
+		const mean = this.#isSeen[pair] ? this.#full[pair]! : this.#usual[taskClass][neighbourId]!;
+		return mean + (deviations * this.#fullDeviation[pair]!);
 	}
 
 	/** Lets what was learned fade by the time that passed. */
 	fade(nowMs: number): void {
+		this.epoch = Math.floor(nowMs / epochMs);
 		if (Number.isNaN(this.#fadedAtMs)) {
 			this.#fadedAtMs = nowMs;
 		}
@@ -182,8 +184,8 @@
 		const kept = 2 ** (-passedMs / this.#halfLifeMs);
 		for (let pair = 0; pair < this.#isSeen.length; pair++) {
 			if (this.#isSeen[pair]) {
-				this.#idleVariance[pair] = priorVariance + ((this.#idleVariance[pair]! - priorVariance) * kept);
-				this.#fullVariance[pair] = priorVariance + ((this.#fullVariance[pair]! - priorVariance) * kept);
+				this.#idleDeviation[pair] = fadeDeviation(this.#idleDeviation[pair]!, kept);
+				this.#fullDeviation[pair] = fadeDeviation(this.#fullDeviation[pair]!, kept);
 			}
 		}
 	}
@@ -200,13 +202,17 @@
 	}
 
 	#correct(pair: number, {idle, full, surprise, total}: {idle: number; full: number; surprise: number; total: number}): void {
-		const idleGain = (idle * this.#idleVariance[pair]!) / total;
-		const fullGain = (full * this.#fullVariance[pair]!) / total;
+		const idleGain = idle * (this.#idleDeviation[pair]! ** 2) / total;
+		const fullGain = full * (this.#fullDeviation[pair]! ** 2) / total;
 		this.#idle[pair]! += idleGain * surprise;
 		this.#full[pair]! += fullGain * surprise;
-		this.#idleVariance[pair]! *= 1 - (idleGain * idle);
-		this.#fullVariance[pair]! *= 1 - (fullGain * full);
+		this.#idleDeviation[pair]! *= Math.sqrt(1 - (idleGain * idle));
+		this.#fullDeviation[pair]! *= Math.sqrt(1 - (fullGain * full));
 	}
 }
 
-const clampLoad = (load: number): number => Math.max(0, Math.min(1.2, load));
+const fadeDeviation = (deviation: number, kept: number): number =>
+	Math.sqrt((priorDeviation ** 2) + (((deviation ** 2) - (priorDeviation ** 2)) * kept));
+
+/** Keeps a load within what the line over it holds for. */
+export const clampLoad = (load: number): number => Math.max(0, Math.min(1.2, load));
--- a/src/jobs/placement-engine.ts
+++ b/src/jobs/placement-engine.ts
@@ -11,6 +11,7 @@
 } from '../types/placement.ts';
 import {type Resources, type TaskUsage} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
+import {getExpectedProcessors} from './harm-history.ts';
 import {KindTable} from './harm-model.ts';
 import {runHarmPass} from './harm-response.ts';
 import {createContext} from './placement-context.ts';
@@ -192,8 +193,8 @@
 		}
 
 		entry.slowdown += smoothing * (usage.slowdown - entry.slowdown);
+		entry.worker.expectedProcessors += usage.processors - getExpectedProcessors(entry);
 		entry.usedProcessors = usage.processors;
-		entry.worker.mix = undefined;
 		history.measure(entry);
 		if (entry.throttleShare === 1) {
 			sizes.noteUsage(entry.job.kindId, entry.job.spec.resources, usage);
--- a/src/jobs/placement-fleet.ts
+++ b/src/jobs/placement-fleet.ts
@@ -212,6 +212,7 @@
 			tasks: new Set(),
 			residencies: [],
 			mix: undefined,
+			mixEpoch: -1,
 			expectedProcessors: 0,
 			settledAtMs: 0,
 			avoidUntilMs: 0,
--- a/src/jobs/placement-state.ts
+++ b/src/jobs/placement-state.ts
@@ -88,6 +88,9 @@
 	count: number;
 	/** Sum of the throttle shares. */
 	amount: number;
+	/** Expected slowdown beyond 1 of one of them on this host, were it idle and were it full. */
+	idleExcess: number;
+	fullExcess: number;
 };
 
 /** A worker, what it holds and where the index keeps it. */
@@ -104,6 +107,7 @@
 	residencies: Residency[];
 	/** Kinds that run here, and the processors that they are expected to use; undefined: to be worked out. */
 	mix: MixItem[] | undefined;
+	mixEpoch: number;
 	expectedProcessors: number;
 	/** No response to harm before this time: the last one is still taking effect. */
 	settledAtMs: number;
