Do not bring an entry's own hosts back to it at rest

Cause: a request for news named the sets of others that the asker has, but not its own; every answer then brought the asker's own set back in full. Found by the measured slope of bytes by hosts. Ruled out: the slot exchange, which sends only changes. Change: the asker names its own set with its version. The measurement now takes the route that names sponsors.

--- /dev/null
+++ b/scripts/capacity.ts
@@ -0,0 +1,70 @@
+/**
+Measures the slopes and the resident memory, and writes the tables of docs/CAPACITY.md between their marks.
+*/
+import {readFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {measureCapacity} from '../src/measure/capacity-measurement.ts';
+import {type CapacityLine} from '../src/measure/capacity-model.ts';
+import {type Slope} from '../src/measure/slope.ts';
+import {measureResidentMemory, type ResidentMemory} from './resident-memory.ts';
+
+const page = 'docs/CAPACITY.md';
+const seed = 1;
+const startMark = '<!-- tables: start -->';
+const endMark = '<!-- tables: end -->';
+
+const formatNumber = (value: number): string => {
+	const digits = Math.abs(value) >= 100 ? 0 : (Math.abs(value) >= 1 ? 1 : 4);
+	return value.toLocaleString('en', {maximumFractionDigits: digits});
+};
+
+const formatLines = (lines: CapacityLine[]): string[] => [
+	'| role | what | at full size | budget | met | mechanism |',
+	'| --- | --- | --- | --- | --- | --- |',
+	...lines.map(({role, what, value, unit, budget, mechanism}) => {
+		const isMet = budget === undefined ? '' : (value <= budget ? 'yes' : `no, ${formatNumber(value / budget)} times over`);
+		return `| ${role} | ${what} | ${formatNumber(value)} ${unit} | ${budget === undefined ? '' : `${formatNumber(budget)} ${unit}`} | ${isMet} | ${mechanism} |`;
+	}),
+];
+
+const formatSlopes = (slopes: Slope[]): string[] => [
+	'| measured | at sizes | values | slope | base | largest error |',
+	'| --- | --- | --- | --- | --- | --- |',
+	...slopes.map(({name, per, perUnit, base, samples, error}) =>
+		`| ${name} | ${samples.map(({size}) => formatNumber(size)).join(', ')} | ${samples.map(({value}) => formatNumber(value)).join('; ')} | ${formatNumber(perUnit)} a ${per} | ${formatNumber(base)} | ${(100 * error).toFixed(0)}% |`),
+];
+
+const formatMemory = (memory: ResidentMemory): string[] => [
+	'| process | resident | above bare Node.js |',
+	'| --- | --- | --- |',
+	...memory.map(({name, residentMb, aboveBareMb}) => `| ${name} | ${formatNumber(residentMb)} MB | ${formatNumber(aboveBareMb)} MB |`),
+];
+
+const memory = await measureResidentMemory();
+const {slopes, lines} = await measureCapacity({
+	seed,
+	onProgress(done, total, label) {
+		process.stderr.write(`${done}/${total} ${label}\n`);
+	},
+});
+const tables = [
+	startMark,
+	'',
+	`Measured with seed ${seed} on Node.js ${process.version}.`,
+	'',
+	'### At full size',
+	'',
+	...formatLines(lines),
+	'',
+	'### Measured slopes',
+	'',
+	...formatSlopes(slopes),
+	'',
+	'### Resident memory',
+	'',
+	...formatMemory(memory),
+	'',
+	endMark,
+].join('\n');
+const content = readFileSync(page, 'utf8');
+writeFileSync(page, content.slice(0, content.indexOf(startMark)) + tables + content.slice(content.indexOf(endMark) + endMark.length));
--- a/src/measure/capacity-entries.ts
+++ b/src/measure/capacity-entries.ts
@@ -9,8 +9,9 @@
 import {MemoryNetwork} from '../plugins/peers-memory-transport.ts';
 import {type PeerTransport} from '../plugins/peers-transport.ts';
 import {MemoryLog} from '../standin/memory-log.ts';
-import {HostState, type AnnouncementReply, type UpstreamAnnouncement} from '../types/announcements.ts';
+import {HostState, type UpstreamAnnouncement} from '../types/announcements.ts';
 import {ServiceName} from '../types/services.ts';
+import {SponsorLock} from '../utils/announcer.ts';
 import {ManualClock} from '../utils/manual-clock.ts';
 import {createRandom} from '../utils/seeded-random.ts';
 import {getCpuUs, getHeapBytes} from './process-cost.ts';
@@ -29,7 +30,7 @@
 	appendsPerSecond: number;
 };
 
-const hostSizes = [100, 300, 900];
+const hostSizes = [300, 900, 2700];
 const entrySizes = [3, 5, 8];
 const usualHosts = 300;
 const usualEntries = 3;
@@ -90,7 +91,7 @@
 	const stateBefore = getHeapBytes();
 	const hosts = new Announcers(entries, hostCount, clock);
 	for (let passedMs = 0; passedMs < warmMs; passedMs += announceEveryMs) {
-		hosts.announceAll();
+		await hosts.announceAll();
 		await clock.advance(announceEveryMs);
 	}
 
@@ -100,9 +101,7 @@
 	const appendsBefore = log.appends;
 	let announcedUs = 0;
 	for (let passedMs = 0; passedMs < measuredMs; passedMs += announceEveryMs) {
-		announcedUs += await getCpuUs(() => {
-			hosts.announceAll();
-		});
+		announcedUs += await getCpuUs(async () => hosts.announceAll());
 		await clock.advance(announceEveryMs);
 	}
 
@@ -147,28 +146,27 @@
 
 /** Upstreams that announce themselves to one entry each and echo its replies. */
 class Announcers {
-	readonly #replies: AnnouncementReply[] = [];
+	readonly #locks: SponsorLock[];
 	readonly #entries: RunningKernel[];
-	readonly #count: number;
 	readonly #incarnation: number;
 	#sequence = 0;
 
 	constructor(entries: RunningKernel[], count: number, clock: ManualClock) {
 		this.#entries = entries;
-		this.#count = count;
+		this.#locks = Array.from({length: count}, () => new SponsorLock(clock));
 		this.#incarnation = clock.now().getTime();
 	}
 
-	announceAll(): void {
+	async announceAll(): Promise<void> {
 		this.#sequence++;
-		for (let index = 0; index < this.#count; index++) {
+		await Promise.all(this.#locks.map(async (lock, index) => {
+			const echo = lock.getEcho();
 			const entry = this.#entries[index % this.#entries.length]!;
-			this.#replies[index] = entry.get(ServiceName.Upstreams).announce(this.#create(index));
-		}
+			lock.take(await entry.get(ServiceName.Upstreams).receive({...this.#create(index), ...echo}), echo);
+		}));
 	}
 
 	#create(index: number): UpstreamAnnouncement {
-		const reply = this.#replies[index];
 		return {
 			upstreamId: `desk-${index}`,
 			service: 'lading-desk',
@@ -181,8 +179,6 @@
 			slots: 8,
 			connections: 64,
 			isGuarded: false,
-			sponsorId: reply?.sponsorId,
-			sponsorTerm: reply?.sponsorTerm,
 		};
 	}
 }
--- a/src/requests/membership-state.ts
+++ b/src/requests/membership-state.ts
@@ -120,7 +120,11 @@
 		const refreshed = this.#refreshed.get(ownerId) ?? new Map<string, {incarnation: number; leaseMs: number}>();
 		this.#refreshed.delete(ownerId);
 		return {
-			known: [...this.#owners].map(([knownId, {set, aliveAtMs}]) => ({ownerId: knownId, version: set.version, ageMs: Math.max(0, nowMs - aliveAtMs)})),
+			known: [
+				// Without its own set here, every answer would bring that set back in full.
+				{ownerId: this.#ownerId, version: this.#own.version, ageMs: 0},
+				...[...this.#owners].map(([knownId, {set, aliveAtMs}]) => ({ownerId: knownId, version: set.version, ageMs: Math.max(0, nowMs - aliveAtMs)})),
+			],
 			refreshed: [...refreshed].map(([id, value]) => ({id, ...value})),
 		};
 	}
