Keep answering while an entry stops

A stop closed idle connections at once. A stopping entry now answers for a while, with refusals that close the connection, before it closes what is idle.

--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -77,6 +77,7 @@
 		maxBodyBytes: whole(1_048_576, 0, 1_073_741_824, 'Largest body of a request.'),
 		bodyTimeoutMs: whole(10_000, 50, 600_000, 'Longest time for a body to arrive.'),
 		keepAliveMs: whole(65_000, 1000, 600_000, 'How long an idle connection of a caller is kept; longer than the balancer keeps it.'),
+		drainMs: whole(500, 0, 60_000, 'How long a stopping entry still answers callers, with refusals, before it closes idle connections.'),
 		maxConnections: whole(20_000, 1, 1_000_000, 'Connections of callers at most.'),
 	},
 	admission: {
--- a/src/plugins/callers-service.ts
+++ b/src/plugins/callers-service.ts
@@ -55,7 +55,6 @@
 		await serveSafely(request, response);
 		serving--;
 		if (isStopping) {
-			server.closeIdleConnections();
 			noteIdle();
 		}
 	});
@@ -204,6 +203,9 @@
 		async stop() {
 			isStopping = true;
 			lanes.close();
+			// A request may be on its way on a connection that looks idle here: closed now, it would be cut off. In this
+			// time each request gets an answer that closes its connection.
+			await clock.sleep(settings.callers.drainMs);
 			await close(server);
 			// Requests whose callers are gone run on; their ends are recorded before the claims stop.
 			await new Promise<void>(resolve => {
--- /dev/null
+++ b/test/shutdown.test.ts
@@ -0,0 +1,117 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {Agent, request} from 'undici';
+import {
+	afterEach, beforeEach, expect, test,
+} from 'vitest';
+import {Header, Outcome, RefusalReason} from '../src/types/requests.ts';
+import {ClaimState, ServiceName} from '../src/types/services.ts';
+import {
+	createRequestsWorld, describe, send, type Answer,
+} from './requests-world.ts';
+
+let world: ReturnType<typeof createRequestsWorld>;
+
+beforeEach(() => {
+	world = createRequestsWorld();
+});
+
+afterEach(async () => {
+	await world.close();
+});
+
+test('a stop finishes what is in progress, refuses what waits, and loses nothing', async () => {
+	// An entry is replaced in the middle of a working day. Titles being issued must come back whole; whoever waits
+	// must be told at once that nothing ran, so that the next entry can take it.
+	const upstream = await world.startUpstream((_request, response) => {
+		setTimeout(() => response.end('done'), 300);
+	});
+	const entry = await world.startEntry({}, 2);
+	const other = await world.startEntry();
+	const requestIds = [world.createId(), world.createId()];
+	const running = requestIds.map(async requestId => send(entry.address, {method: 'POST', body: 'x', headers: {[Header.RequestId]: requestId}}));
+	await world.waitUntil(() => upstream.requests.length === 2);
+	const waiting = Array.from({length: 5}, async () => send(entry.address));
+	await world.waitUntil(() => entry.getCounts().requests === 7);
+	const stopped = entry.stop();
+	for (const answer of await Promise.all(waiting)) {
+		expect(describe(answer)).toEqual({status: 503, reason: RefusalReason.ShuttingDown, outcome: Outcome.NotRun});
+		expect(Number(answer.headers[Header.RetryAfterMs])).toBeGreaterThan(0);
+		expect(answer.headers.connection).toBe('close');
+	}
+
+	expect(upstream.requests).toHaveLength(2);
+	for (const answer of await Promise.all(running)) {
+		expect(answer).toMatchObject({status: 200, body: 'done'});
+	}
+
+	await stopped;
+	await expect(send(entry.address)).rejects.toThrow();
+	// The ends were written before the stop.
+	await world.waitUntil(() => requestIds.every(requestId => other.kernel.get(ServiceName.Claims).lookup(requestId)?.state === ClaimState.Done));
+});
+
+test('a stop under load cuts off no request', async () => {
+	await world.startUpstream((_request, response) => {
+		setTimeout(() => response.end('ok'), 10);
+	});
+	const entry = await world.startEntry();
+	const agent = new Agent({connections: 16, pipelining: 1});
+	const answers: Answer[] = [];
+	let broken = 0;
+	// Each sender goes on until it is told to go elsewhere, as the balancer does.
+	const sendInTurn = async () => {
+		for (let status = 200; status === 200;) {
+			try {
+				const {statusCode, headers, body} = await request(`http://${entry.address}/desk`, {dispatcher: agent});
+				answers.push({status: statusCode, headers: headers as Record<string, string>, body: await body.text()});
+				status = statusCode;
+			} catch {
+				broken++;
+				break;
+			}
+		}
+	};
+
+	const senders = Array.from({length: 16}, sendInTurn);
+	await world.waitUntil(() => answers.length > 200);
+	const stopped = entry.stop();
+	await Promise.all(senders);
+	await stopped;
+	await agent.destroy();
+	const refused = answers.filter(({status}) => status !== 200);
+	expect(refused).toHaveLength(16);
+	expect(refused.every(answer => describe(answer).reason === RefusalReason.ShuttingDown)).toBe(true);
+	expect(answers.filter(({status}) => status === 200).every(({body}) => body === 'ok')).toBe(true);
+	expect(broken).toBe(0);
+});
+
+test('a stop waits for a request with an id whose caller is gone, and records its end', async () => {
+	const upstream = await world.startUpstream((_request, response) => {
+		setTimeout(() => response.end('done'), 300);
+	});
+	const entry = await world.startEntry();
+	const other = await world.startEntry();
+	const aborter = new AbortController();
+	const requestId = world.createId();
+	const sent = send(entry.address, {
+		method: 'POST', body: 'x', headers: {[Header.RequestId]: requestId}, signal: aborter.signal,
+	});
+	await world.waitUntil(() => upstream.requests.length === 1);
+	aborter.abort();
+	await expect(sent).rejects.toThrow();
+	await entry.stop();
+	await world.waitUntil(() => other.kernel.get(ServiceName.Claims).lookup(requestId)?.state === ClaimState.Done);
+});
+
+test('a connection opened ahead, on which nothing came, does not hold up the stop', async () => {
+	const entry = await world.startEntry();
+	const [host, port] = entry.address.split(':');
+	const socket = connect(Number(port), host);
+	await once(socket, 'connect');
+	const closed = once(socket, 'close');
+	socket.resume();
+	await world.clock.sleep(20);
+	await entry.stop();
+	await closed;
+});
