--- a/src/jobs/placement-context.ts
+++ b/src/jobs/placement-context.ts
@@ -14,6 +14,7 @@
 import {QuotaLedger} from './quota-ledger.ts';
 import {SizeEstimates} from './size-estimates.ts';
 import {createEvictionCost, EvictionBudget, EvictionMemory} from './urgency-eviction.ts';
+import {UrgencyHeadroom} from './urgency-headroom.ts';
 import {WorkerHealth} from './worker-health.ts';
 
 // Urgent work may evict this share of a fleet's workers a minute, or the budget of the settings when that is more.
@@ -26,12 +27,13 @@
 	const fleet = new Fleet(quotas);
 	const queue = new WaitingQueue(settings.urgentPriority);
 	const model = new HarmModel(settings.harmHalfLifeMs);
-	const harmCost = new HarmCost(model, settings);
+	const harmCost = new HarmCost(model, {weights: settings, getBusyness: () => fleet.busyness});
 	const sizes = new SizeEstimates(settings.isShrinkAllowed);
 	const evictions = new EvictionMemory();
 	const choose = options.choose ?? createChoice({
 		settings, queue, harmCost, sizes,
 	});
+	const search = new PlacementSearch({index: fleet.index, random, choose});
 	return {
 		settings,
 		random,
@@ -43,7 +45,8 @@
 		sizes,
 		evictions,
 		reservations: new Reservations({fleet, queue, quotas}),
-		search: new PlacementSearch({index: fleet.index, random, choose}),
+		search,
+		headroom: new UrgencyHeadroom({fleet, search, halfLifeMs: settings.headroomHalfLifeMs}),
 		health: new WorkerHealth(settings),
 		history: new HarmHistory(),
 		urgentBudget: new EvictionBudget(() => Math.max(settings.evictionsPerMinute, urgentPerWorker * fleet.size)),
@@ -52,6 +55,7 @@
 		blocked: new Map(),
 		harmed: new Set(),
 		throttled: new Set(),
+		filled: new Set(),
 	};
 };
 
@@ -65,9 +69,15 @@
 			const {kindId, spec} = entry.job;
 			return harmCost.getAdded(worker, entry, sizes.getExpectedProcessors(kindId, entry.reserved, spec.resources));
 		},
-		// A batch task that would do more harm than its own progress is worth is held back, for a while.
-		({job}, nowMs) => job.spec.taskClass === TaskClass.Batch && !queue.isUrgent(job) && nowMs - job.queuedAtMs < settings.deferMs
-			? settings.throughputWeight
-			: Number.POSITIVE_INFINITY,
+		// A batch task that would do more harm than its own progress is worth is held back. The limit doubles with the
+		// time, so that the task runs in the end wherever it harms least.
+		({job}, nowMs) => {
+			if (job.spec.taskClass !== TaskClass.Batch || queue.isUrgent(job) || settings.deferMs === 0) {
+				return Number.POSITIVE_INFINITY;
+			}
+
+			const deferredMs = Math.max(0, nowMs - job.deferredAtMs);
+			return settings.throughputWeight * (2 ** (deferredMs / settings.deferMs));
+		},
 	);
 };
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -2,6 +2,7 @@
 One round of decisions, and what all its passes share.
 */
 import {type Settings} from '../core/settings-schema.ts';
+import {TaskClass} from '../types/jobs.ts';
 import {DecisionType, type Decision, type EvictionReason} from '../types/placement.ts';
 import {type Random} from '../types/random.ts';
 import {type HarmCost} from './harm-cost.ts';
@@ -16,6 +17,7 @@
 } from './placement-state.ts';
 import {type QuotaLedger} from './quota-ledger.ts';
 import {type SizeEstimates} from './size-estimates.ts';
+import {type UrgencyHeadroom} from './urgency-headroom.ts';
 import {type EvictionBudget, type EvictionMemory} from './urgency-eviction.ts';
 import {type WorkerHealth} from './worker-health.ts';
 
@@ -27,6 +29,7 @@
 	queue: WaitingQueue;
 	quotas: QuotaLedger;
 	reservations: Reservations;
+	headroom: UrgencyHeadroom;
 	search: PlacementSearch;
 	sizes: SizeEstimates;
 	health: WorkerHealth;
@@ -41,12 +44,15 @@
 	/** Services that are slowed down, and batch tasks that are throttled. */
 	harmed: Set<TaskEntry>;
 	throttled: Set<TaskEntry>;
+	/** Workers that were given a batch task in this round. */
+	filled: Set<WorkerEntry>;
 	getEvictionCost(entry: TaskEntry, nowMs: number): number;
 };
 
 // Workers avoided after a refusal come back without any room being freed.
 const blockedMs = 1000;
 const needKeptMs = 1000;
+const deferredRetryMs = 1000;
 
 /** The decisions of one round. */
 export class Round {
@@ -76,6 +82,10 @@
 	noteStarted(entry: TaskEntry, worker: WorkerEntry): void {
 		entry.startedAtMs = this.nowMs;
 		this.context.history.begin(entry, this.nowMs);
+		if (entry.job.spec.taskClass === TaskClass.Batch) {
+			this.context.filled.add(worker);
+		}
+
 		this.decisions.push({
 			type: DecisionType.Start, taskId: entry.task.taskId, workerId: worker.spec.workerId, resources: entry.reserved,
 		});
@@ -104,7 +114,7 @@
 
 	/** Places one waiting task, or all of a gang. Returns whether something was started. */
 	place(job: JobEntry): boolean {
-		if (job.missing !== undefined || job.isFinal || this.#isBlocked(job)) {
+		if (job.missing !== undefined || job.isFinal || job.retryAtMs > this.nowMs || this.#isBlocked(job)) {
 			return false;
 		}
 
@@ -163,7 +173,13 @@
 			return undefined;
 		}
 
-		return search.choose(candidates, entry, this.nowMs);
+		const worker = search.choose(candidates, entry, this.nowMs);
+		if (!worker) {
+			entry.job.deferredAtMs = Math.min(entry.job.deferredAtMs, this.nowMs);
+			entry.job.retryAtMs = this.nowMs + deferredRetryMs;
+		}
+
+		return worker;
 	}
 
 	/** Tells whether the last search for the job found no room, and nothing came free since. */
--- a/src/jobs/placement-state.ts
+++ b/src/jobs/placement-state.ts
@@ -34,7 +34,12 @@
 	/** What is to be held for one task, and when that was worked out. */
 	need: Resources;
 	needAtMs: number;
-	/** Placed tasks by failure domain and by rack; kept for services alone. */
+	/** First held back from harmful places, and when it is tried again. */
+	deferredAtMs: number;
+	retryAtMs: number;
+	/** When room may be kept for it again. */
+	reserveAtMs: number;
+	/** Placed tasks by failure domain, rack and worker; kept for services alone. */
 	spread: Map<string, number> | undefined;
 	/** Version of the fleet for which `missing` was worked out. */
 	checkedAtFleet: number;
@@ -68,6 +73,7 @@
 export type Residency = {
 	taskId: string;
 	kindId: number;
+	isBatch: boolean;
 	share: number;
 	/** Processors as last measured, or as held for it. */
 	processors: number;
@@ -82,6 +88,9 @@
 	count: number;
 	/** Sum of the throttle shares. */
 	amount: number;
+	/** Expected slowdown beyond 1 of one of them on this host, were it idle and were it full. */
+	idleExcess: number;
+	fullExcess: number;
 };
 
 /** A worker, what it holds and where the index keeps it. */
@@ -98,6 +107,7 @@
 	residencies: Residency[];
 	/** Kinds that run here, and the processors that they are expected to use; undefined: to be worked out. */
 	mix: MixItem[] | undefined;
+	mixEpoch: number;
 	expectedProcessors: number;
 	/** No response to harm before this time: the last one is still taking effect. */
 	settledAtMs: number;
--- a/src/jobs/shard-task.ts
+++ b/src/jobs/shard-task.ts
@@ -2,7 +2,7 @@
 A task that has not ended, as the owner of its shard keeps it.
 */
 import {type TaskStatus} from '../types/jobs.ts';
-import {TaskState, type TaskRef} from '../types/platform.ts';
+import {TaskState, type Resources, type TaskRef} from '../types/platform.ts';
 import {type FoldedJob} from './job-fold.ts';
 import {type TaskEnd} from './job-records.ts';
 import {getTaskId} from './job-status.ts';
@@ -39,10 +39,16 @@
 	runsUntilMs: number;
 	queuedAtMs: number;
 	startedAtMs: number;
+	/** When the worker's answer that it runs was read. */
+	confirmedAtMs: number;
 	checkpointId?: string;
 	evictions: number;
 	failures: number;
 	isCancelled: boolean;
+	/** What its worker holds for it, which may differ from what was declared. */
+	reserved?: Resources;
+	/** Why it is to be evicted once its start is confirmed. */
+	evictionReason?: string;
 	/** Highest attempt that a worker told of after a takeover. */
 	learnedAttempt: number;
 	/** End on its way into the log. */
@@ -56,18 +62,19 @@
 /** First attempt number under a token. */
 export const getFirstAttempt = (fencingToken: number): number => (fencingToken + 1) * attemptsPerToken;
 
-/** Creates a task that waits. */
+/** Creates a task that is not offered for placement yet. */
 export const createLiveTask = (job: FoldedJob, index: number, fencingToken: number, nowMs: number): LiveTask => ({
 	taskId: getTaskId(job.spec.jobId, index),
 	job,
 	index,
 	fencingToken,
-	phase: TaskPhase.Waiting,
+	phase: TaskPhase.Held,
 	attempt: getFirstAttempt(fencingToken) - 1,
 	isUnresolved: false,
 	runsUntilMs: 0,
 	queuedAtMs: nowMs,
 	startedAtMs: nowMs,
+	confirmedAtMs: nowMs,
 	evictions: 0,
 	failures: 0,
 	isCancelled: false,
--- a/src/plugins/callers-refusals.ts
+++ b/src/plugins/callers-refusals.ts
@@ -45,6 +45,8 @@
 	[RefusalReason.AnswerTruncated]: 502,
 	[RefusalReason.CallerGone]: 499,
 	[RefusalReason.AnswerNotKept]: 409,
+	[RefusalReason.GuardFull]: 503,
+	[RefusalReason.GuardDraining]: 503,
 };
 
 const msPerSecond = 1000;
--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -111,7 +111,7 @@
 	});
 	kernel.register({
 		name: ServiceName.Callers,
-		dependsOn: [ServiceName.Slots, ServiceName.Config, ServiceName.Upstreams, ServiceName.Claims],
+		dependsOn: [ServiceName.Config, ServiceName.Upstreams, ServiceName.Slots, ServiceName.Moves, ServiceName.Claims],
 		load: async () => (await import('./callers-service.ts')).createCallersService,
 	});
 };
