--- a/src/jobs/index-of-workers.ts
+++ b/src/jobs/index-of-workers.ts
@@ -55,12 +55,18 @@
 export class WorkerIndex {
 	readonly #domains = new Map<string, DomainIndex>();
 	#order: DomainIndex[] = [];
+	#size = 0;
 
 	/** Failure domains with at least one worker. */
 	get domains(): readonly DomainIndex[] {
 		return this.#order;
 	}
 
+	/** Number of workers that may take something. */
+	get size(): number {
+		return this.#size;
+	}
+
 	/** Puts the worker where its free room belongs, or out of the index when nothing may be placed on it. */
 	update(worker: WorkerEntry): void {
 		const key = isAvailable(worker) ? getCellKey(worker.free) : -1;
@@ -91,6 +97,7 @@
 
 		worker.cellKey = -1;
 		domain.count--;
+		this.#size--;
 		if (workers.length === 0) {
 			domain.cells.splice(position, 1);
 		}
@@ -107,7 +114,7 @@
 	*/
 	collect(domain: DomainIndex, need: Resources, options: CollectOptions): void {
 		const {limit, random, found, isAllowed} = options;
-		const cells = domain.cells.filter(cell => isPossible(cell, need));
+		const cells = listPossible(domain.cells, need);
 		const total = cells.reduce((sum, cell) => sum + cell.workers.length, 0);
 		const tightLimit = found.length + (total <= limit ? limit : Math.ceil(limit / 2));
 		collectTightest(cells, need, {...options, limit: tightLimit});
@@ -146,6 +153,7 @@
 		worker.cellPosition = cell.workers.length;
 		cell.workers.push(worker);
 		domain.count++;
+		this.#size++;
 	}
 }
 
@@ -178,10 +186,12 @@
 	return low;
 };
 
-const isPossible = (cell: Cell, need: Resources): boolean =>
-	cell.processors >= getStep(processorSteps, need.processors)
-	&& cell.memory >= getStep(memorySteps, need.memoryMb)
-	&& cell.accelerators >= getStep(acceleratorSteps, need.accelerators);
+const listPossible = (cells: Cell[], need: Resources): Cell[] => {
+	const processors = getStep(processorSteps, need.processors);
+	const memory = getStep(memorySteps, need.memoryMb);
+	const accelerators = getStep(acceleratorSteps, need.accelerators);
+	return cells.filter(cell => cell.processors >= processors && cell.memory >= memory && cell.accelerators >= accelerators);
+};
 
 const collectTightest = (cells: Cell[], need: Resources, options: CollectOptions): void => {
 	const {limit, random, found, isAllowed} = options;
--- a/src/jobs/placement-engine.ts
+++ b/src/jobs/placement-engine.ts
@@ -433,4 +433,5 @@
 	usedProcessors: -1,
 	throttleShare: 1,
 	throttledAtMs: 0,
+	residency: undefined,
 });
--- a/src/jobs/placement-search.ts
+++ b/src/jobs/placement-search.ts
@@ -9,8 +9,10 @@
 import {getDominantShare, getDifference} from './placement-resources.ts';
 import {type TaskEntry, type WorkerEntry} from './placement-state.ts';
 
-// Enough that the best of them is near the best of all; few enough for the rate of decisions.
-const candidateLimit = 16;
+// Small fleets are searched whole. On large ones a few candidates come near the best of all, at a rate that does not
+// depend on the size.
+const smallFleet = 32;
+const largeFleetCandidates = 8;
 const fitWeight = 0.2;
 const emptyHostCost = 0.25;
 const acceleratorHostCost = 2;
@@ -39,14 +41,15 @@
 		const isService = entry.job.spec.taskClass === TaskClass.LatencyCritical;
 		const isAllowed = (worker: WorkerEntry) =>
 			worker.avoidUntilMs <= nowMs && (!worker.isProbing || (worker.tasks.size === 0 && !isService));
+		const limit = index.size <= smallFleet ? smallFleet : largeFleetCandidates;
 		const found: WorkerEntry[] = [];
 		for (const domain of this.#orderDomains(entry)) {
-			if (found.length >= candidateLimit) {
+			if (found.length >= limit) {
 				break;
 			}
 
 			index.collect(domain, entry.reserved, {
-				limit: candidateLimit, random, found, isAllowed,
+				limit, random, found, isAllowed,
 			});
 		}
 
--- a/src/jobs/placement-state.ts
+++ b/src/jobs/placement-state.ts
@@ -67,6 +67,8 @@
 	usedProcessors: number;
 	throttleShare: number;
 	throttledAtMs: number;
+	/** Its stay on the worker, while it lasts. */
+	residency: Residency | undefined;
 };
 
 /** One stay of a task on a worker at one share of its processors, kept for a while after its end. */
