--- a/src/measure/jobs-policies.ts
+++ b/src/measure/jobs-policies.ts
@@ -7,6 +7,10 @@
 import {type Random} from '../types/random.ts';
 import {type MeasuredPolicy} from './jobs-run.ts';
 
+/** Our placement without and with what it learns of harm. */
+export const blindName = 'blind';
+export const awareName = 'harm-aware';
+
 const getFreeShare = ({free, spec}: WorkerEntry): number => getDominantShare(free, spec.capacity);
 
 const chooseFirst: ChooseWorker = candidates =>
@@ -21,11 +25,11 @@
 	return getFreeShare(first) >= getFreeShare(second) ? first : second;
 };
 
-/** Creates all policies that are compared. The last two are ours, blind to harm and aware of it. */
-export const createPolicies = (random: Random): MeasuredPolicy[] => [
-	{name: 'first-fit', isHarmAware: false, choose: chooseFirst},
-	{name: 'best-fit', isHarmAware: false, choose: chooseTightest},
-	{name: 'random-of-two', isHarmAware: false, choose: createRandomOfTwo(random)},
-	{name: 'blind', isHarmAware: false},
-	{name: 'harm-aware', isHarmAware: true},
+/** All policies that are compared. The last two are ours, blind to harm and aware of it. */
+export const measuredPolicies: MeasuredPolicy[] = [
+	{name: 'first-fit', isHarmAware: false, createChoose: () => chooseFirst},
+	{name: 'best-fit', isHarmAware: false, createChoose: () => chooseTightest},
+	{name: 'random-of-two', isHarmAware: false, createChoose: createRandomOfTwo},
+	{name: blindName, isHarmAware: false},
+	{name: awareName, isHarmAware: true},
 ];
--- a/src/measure/jobs-run.ts
+++ b/src/measure/jobs-run.ts
@@ -6,7 +6,7 @@
 import {type ChooseWorker} from '../jobs/placement-search.ts';
 import {TaskClass, type JobSpec} from '../types/jobs.ts';
 import {
-	DecisionType, type Decision, type PendingTask, type PlacementEngine,
+	DecisionType, type Decision, type PendingTask, type PlacementEngine, type PlacementWorker,
 } from '../types/placement.ts';
 import {type Random} from '../types/random.ts';
 import {createRandom} from '../utils/seeded-random.ts';
@@ -33,6 +33,9 @@
 	urgentStartP99Ms: number;
 	batchStartP99Ms: number;
 	serviceStartP99Ms: number;
+	/** Largest share of a service's replicas on one host, and in one failure domain. */
+	worstHostLoss: number;
+	worstDomainLoss: number;
 	/** The user's own weighted measure; lower is better. */
 	cost: number;
 	/** Digest of all decisions. */
@@ -43,7 +46,7 @@
 export type MeasuredPolicy = {
 	name: string;
 	isHarmAware: boolean;
-	choose?: ChooseWorker;
+	createChoose?(random: Random): ChooseWorker;
 };
 
 const stepMs = 250;
@@ -60,6 +63,7 @@
 const slowdownScale = 1000;
 const seedSpread = 7_368_787;
 const skippedDraws = 32;
+const streams = 8;
 
 /** Runs one policy for so long. */
 export const runJobs = (user: MeasuredUser, policy: MeasuredPolicy, {seed, durationMs}: {seed: number; durationMs: number}): JobsResult =>
@@ -98,7 +102,7 @@
 		this.#stops = createStream(seed, 2);
 		this.#world = new JobsWorld(user.workers, user.kinds, createStream(seed, 3));
 		this.#engine = createPlacementEngine({
-			settings: {...user.placement, isHarmAware: policy.isHarmAware}, random: createStream(seed, 0), choose: policy.choose,
+			settings: {...user.placement, isHarmAware: policy.isHarmAware}, random: createStream(seed, 0), choose: policy.createChoose?.(createStream(seed, 4)),
 		});
 	}
 
@@ -278,6 +282,21 @@
 		}
 	}
 
+	#getWorstLoss(getPlace: (worker: PlacementWorker) => string): number {
+		const counts = new Map<string, number>();
+		let worst = 0;
+		for (const {kind, workerId} of this.#world.tasks.values()) {
+			if (kind.replicas > 0) {
+				const worker = this.#user.workers.find(other => other.workerId === workerId)!;
+				const key = `${kind.name}/${getPlace(worker)}`;
+				counts.set(key, (counts.get(key) ?? 0) + 1);
+				worst = Math.max(worst, counts.get(key)! / kind.replicas);
+			}
+		}
+
+		return worst;
+	}
+
 	#summarize(durationMs: number): JobsResult {
 		const hours = (durationMs - warmUpMs) / hourMs;
 		const evictions = [...this.#evictions.values()].reduce((sum, count) => sum + count, 0);
@@ -297,6 +316,8 @@
 			urgentStartP99Ms: this.#starts.urgent.getValueAtPercentile(99),
 			batchStartP99Ms: this.#starts.batch.getValueAtPercentile(99),
 			serviceStartP99Ms: this.#starts.service.getValueAtPercentile(99),
+			worstHostLoss: this.#getWorstLoss(({workerId}) => workerId),
+			worstDomainLoss: this.#getWorstLoss(({failureDomain}) => failureDomain),
 			digest: this.#digest,
 		};
 		return {...result, cost: getCost(this.#user, result)};
@@ -305,7 +326,7 @@
 
 /** The first numbers of small seeds lie close together: the streams of a run are spread and started further on. */
 const createStream = (seed: number, stream: number): Random => {
-	const random = createRandom(((seed * 4) + stream) * seedSpread);
+	const random = createRandom(((seed * streams) + stream) * seedSpread);
 	for (let draw = 0; draw < skippedDraws; draw++) {
 		random.next();
 	}
