--- /dev/null
+++ b/src/requests/choice.ts
@@ -0,0 +1,266 @@
+/**
+Chooses an upstream: two random choices on own requests in flight and a decaying latency estimate, the own failure
+domain first, without outliers, and with slow start.
+*/
+import {type UpstreamAnnouncement} from '../types/announcements.ts';
+import {type ChoiceContext, type Chooser, type RequestEnd} from '../types/choice.ts';
+import {type Clock} from '../types/clock.ts';
+import {type Random} from '../types/random.ts';
+import {RequestClass} from '../types/requests.ts';
+import {getTotalInFlight, UpstreamStates, type UpstreamState} from './choice-states.ts';
+import {drawFailureDomain, type FailureDomainWeights} from './choice-weights.ts';
+import {defaultLatencyTuning, LatencyBook, type LatencyTuning} from './latency.ts';
+import {
+	defaultOutlierTuning, OutlierBook, Standing, type OutlierTuning,
+} from './outlier.ts';
+import {defaultSlowStartTuning, getSlowStartFactor, type SlowStartTuning} from './slow-start.ts';
+
+/** Numbers of the choice. */
+export type ChoiceTuning = {
+	/** How many upstreams are compared in each group. */
+	choices: number;
+	/** Another failure domain is used when the own one's best costs more than this many times as much. */
+	spillRatio: number;
+	/** A request rather waits than goes to an upstream this many times slower than the mean. */
+	slowRatio: number;
+	/** The same for a long request, which has time: on a host that is merely slow it leaves faster slots to checks. */
+	longSlowRatio: number;
+	/** An upstream that ends no check for so many times their mean counts as silent. */
+	silentRatio: number;
+	/** How much more a long request in flight weighs than a check. */
+	longWeight: number;
+	/** State of an upstream not offered for so long is forgotten. */
+	forgetAfterMs: number;
+	latency: LatencyTuning;
+	outlier: OutlierTuning;
+	slowStart: SlowStartTuning;
+};
+
+/** Tuning that the measurements chose. */
+export const defaultChoiceTuning: ChoiceTuning = {
+	choices: 2,
+	spillRatio: 1.3,
+	slowRatio: 3,
+	longSlowRatio: 6,
+	silentRatio: 5,
+	longWeight: 1,
+	forgetAfterMs: 60_000,
+	latency: defaultLatencyTuning,
+	outlier: defaultOutlierTuning,
+	slowStart: defaultSlowStartTuning,
+};
+
+/** What a chooser works with. */
+export type ChooserOptions = {
+	clock: Clock;
+	random: Random;
+	/** Failure domain of this process. */
+	failureDomain: string;
+	/** Weights in force for the service, if its section has any. */
+	getFailureDomainWeights?: (serviceName: string) => FailureDomainWeights | undefined;
+	tuning?: Partial<ChoiceTuning>;
+	/** Takes a measurement to the estimates; for measurements that arrive late. */
+	deliver?: (record: () => void) => void;
+};
+
+/** Creates the product's chooser. */
+export const createChooser = (options: ChooserOptions): Chooser => new LoadChooser(options);
+
+/** Upstreams that could take the request now, by standing. */
+type Groups = Record<Standing, UpstreamAnnouncement[]>;
+
+class LoadChooser implements Chooser {
+	readonly #clock: Clock;
+	readonly #random: Random;
+	readonly #options: ChooserOptions;
+	readonly #tuning: ChoiceTuning;
+	readonly #latencies: LatencyBook;
+	readonly #outliers: OutlierBook;
+	readonly #states: UpstreamStates;
+	readonly #upstreamCounts = new Map<string, number>();
+
+	constructor(options: ChooserOptions) {
+		this.#clock = options.clock;
+		this.#random = options.random;
+		this.#options = options;
+		this.#tuning = {...defaultChoiceTuning, ...options.tuning};
+		this.#latencies = new LatencyBook(options.clock, this.#tuning.latency);
+		this.#outliers = new OutlierBook(options.clock, options.random, this.#tuning.outlier);
+		this.#states = new UpstreamStates(options.clock, this.#tuning.forgetAfterMs, upstreamId => {
+			this.#latencies.forget(upstreamId);
+			this.#outliers.forget(upstreamId);
+		});
+	}
+
+	choose(serviceName: string, candidates: readonly UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement | undefined {
+		this.#upstreamCounts.set(serviceName, candidates.length);
+		this.#states.sweep();
+		const {admitted, probing, ejected} = this.#group(candidates, context);
+		// A probe is a check: it ends soon and may be tried again elsewhere.
+		if (probing.length > 0 && (context.requestClass === RequestClass.Check || admitted.length === 0)) {
+			return probing[this.#random.below(probing.length)];
+		}
+
+		if (admitted.length > 0) {
+			return this.#chooseAdmitted(serviceName, admitted, context);
+		}
+
+		// With every admitted upstream merely busy, waiting is better than an upstream known to fail.
+		const isAnyAdmitted = candidates.some(({upstreamId}) =>
+			!context.excluded.has(upstreamId) && this.#outliers.getStanding(upstreamId) === Standing.Admitted);
+		return isAnyAdmitted ? undefined : ejected[this.#random.below(ejected.length)];
+	}
+
+	noteStart(upstreamId: string, requestClass: RequestClass): void {
+		this.#states.noteStart(upstreamId, requestClass);
+	}
+
+	noteEnd(upstreamId: string, end: RequestEnd): void {
+		const state = this.#states.noteEnd(upstreamId, end.requestClass);
+		if (!state) {
+			return;
+		}
+
+		const record = () => {
+			if (this.#states.get(upstreamId) === state) {
+				this.#record(state, upstreamId, end);
+			}
+		};
+
+		if (this.#options.deliver) {
+			this.#options.deliver(record);
+		} else {
+			record();
+		}
+	}
+
+	#group(candidates: readonly UpstreamAnnouncement[], {excluded, hasSlot}: ChoiceContext): Groups {
+		const groups: Groups = {[Standing.Admitted]: [], [Standing.Probing]: [], [Standing.Ejected]: []};
+		for (const candidate of candidates) {
+			const {upstreamId} = candidate;
+			const state = this.#states.see(candidate);
+			if (excluded.has(upstreamId) || !hasSlot(upstreamId)) {
+				continue;
+			}
+
+			const standing = this.#outliers.getStanding(upstreamId);
+			const isBusyProbing = standing === Standing.Probing && getTotalInFlight(state) > 0;
+			groups[isBusyProbing ? Standing.Ejected : standing].push(candidate);
+		}
+
+		return groups;
+	}
+
+	#record(state: UpstreamState, upstreamId: string, {requestClass, latencyMs, isSuccess, isAbandoned}: RequestEnd): void {
+		const {serviceName} = state;
+		// A deadline that came while the request was young says nothing of the upstream: counted as failures, the short
+		// rests that queueing leaves under overload would eject one healthy upstream after the other.
+		if (isAbandoned) {
+			this.#latencies.recordAtLeast(serviceName, upstreamId, requestClass, latencyMs);
+			return;
+		}
+
+		if (isSuccess) {
+			this.#latencies.recordSuccess(serviceName, upstreamId, requestClass, latencyMs);
+		} else {
+			this.#latencies.recordFailure(serviceName, upstreamId, requestClass, latencyMs);
+		}
+
+		const wasProbing = this.#outliers.getStanding(upstreamId) === Standing.Probing;
+		this.#outliers.record(serviceName, upstreamId, isSuccess, this.#upstreamCounts.get(serviceName) ?? 0);
+		if (wasProbing && this.#outliers.getStanding(upstreamId) === Standing.Admitted) {
+			state.startedMs = this.#clock.monotonicMs();
+		}
+	}
+
+	#chooseAdmitted(serviceName: string, admitted: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement | undefined {
+		// Fast path: hosts to be avoided are few.
+		const best = this.#chooseAmong(serviceName, admitted, context);
+		if (!this.#isAvoided(best.upstreamId, context.requestClass)) {
+			return best;
+		}
+
+		const sound = admitted.filter(({upstreamId}) => !this.#isAvoided(upstreamId, context.requestClass));
+		if (sound.length > 0) {
+			return this.#chooseAmong(serviceName, sound, context);
+		}
+
+		return this.#isWorthWaiting(serviceName, context) ? undefined : best;
+	}
+
+	#chooseAmong(serviceName: string, group: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement {
+		const weights = this.#options.getFailureDomainWeights?.(serviceName);
+		return weights && weights.size > 0
+			? this.#sample(drawFailureDomain(group, weights, this.#random), context)
+			: this.#chooseNear(group, context);
+	}
+
+	#chooseNear(group: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement {
+		const near: UpstreamAnnouncement[] = [];
+		const far: UpstreamAnnouncement[] = [];
+		for (const candidate of group) {
+			(candidate.failureDomain === this.#options.failureDomain ? near : far).push(candidate);
+		}
+
+		if (near.length === 0 || far.length === 0) {
+			return this.#sample(group, context);
+		}
+
+		const nearest = this.#sample(near, context);
+		const other = this.#sample(far, context);
+		return this.#getCost(nearest, context) > this.#tuning.spillRatio * this.#getCost(other, context) ? other : nearest;
+	}
+
+	/** Cheapest of a few upstreams drawn at random: the best of all would draw every entry to the same one. */
+	#sample(group: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement {
+		const draws = Math.min(this.#tuning.choices, group.length);
+		let best: UpstreamAnnouncement | undefined;
+		for (let draw = 0; draw < draws; draw++) {
+			// Each draw swaps its upstream to the front, so that none is drawn twice.
+			const index = draw + this.#random.below(group.length - draw);
+			const drawn = group[index]!;
+			group[index] = group[draw]!;
+			group[draw] = drawn;
+			if (!best || this.#getCost(drawn, context) < this.#getCost(best, context)) {
+				best = drawn;
+			}
+		}
+
+		return best!;
+	}
+
+	#getCost({upstreamId, slots}: UpstreamAnnouncement, {requestClass}: ChoiceContext): number {
+		const {serviceName, inFlight, startedMs} = this.#states.get(upstreamId)!;
+		const factor = getSlowStartFactor(this.#clock.monotonicMs() - startedMs, this.#tuning.slowStart);
+		const load = inFlight.check + (this.#tuning.longWeight * inFlight.long) + 1;
+		return this.#latencies.getRatio(serviceName, upstreamId, requestClass) * load / (slots * factor);
+	}
+
+	/** Whether the upstream is slow or silent, or, for a long request, has just failed: a check finds out first, as it can be tried again. */
+	#isAvoided(upstreamId: string, requestClass: RequestClass): boolean {
+		const state = this.#states.get(upstreamId)!;
+		const {serviceName} = state;
+		const {slowRatio, longSlowRatio} = this.#tuning;
+		// Checks end soon, so that they show a slow host long before its first long request ends.
+		if (this.#latencies.getRatio(serviceName, upstreamId, RequestClass.Check) >= (requestClass === RequestClass.Check ? slowRatio : longSlowRatio)) {
+			return true;
+		}
+
+		const meanMs = this.#latencies.getMeanMs(serviceName, RequestClass.Check) ?? Number.POSITIVE_INFINITY;
+		return this.#states.getSilentMs(state) > this.#tuning.silentRatio * meanMs
+			|| (requestClass === RequestClass.Long && this.#outliers.isSuspect(upstreamId));
+	}
+
+	// A slow host has free slots just because it is slow; a request sent there would take longer than the wait for the next
+	// slot elsewhere. Waiting is safe only while this process has requests under way elsewhere, whose slots come free.
+	#isWorthWaiting(serviceName: string, {excluded, requestClass}: ChoiceContext): boolean {
+		for (const [upstreamId, state] of this.#states) {
+			const isBusyElsewhere = state.serviceName === serviceName && getTotalInFlight(state) > 0 && !excluded.has(upstreamId);
+			if (isBusyElsewhere && !this.#isAvoided(upstreamId, requestClass) && this.#outliers.getStanding(upstreamId) === Standing.Admitted) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+}
