Try the optimal split across failure domains as weights; keep it a variant

The split of each class's flow that is best on average (Cardellini et al.) sends checks near and long requests far.

--- a/src/measure/requests-policies.ts
+++ b/src/measure/requests-policies.ts
@@ -5,7 +5,18 @@
 	createLeastInFlightChooser, createPreviousChooser, createRandomChooser, createRoundRobinChooser,
 } from '../requests/choice-baselines.ts';
 import {createChooser, type ChooserOptions} from '../requests/choice.ts';
+import {type UpstreamAnnouncement} from '../types/announcements.ts';
 import {type Chooser} from '../types/choice.ts';
+import {type Condition} from './requests-conditions.ts';
+import {type Site} from './requests-sites.ts';
+import {solveSplit} from './requests-split.ts';
+
+/** What a way may know of the run beside what an entry learns. */
+export type Surroundings = {
+	site: Site;
+	condition: Condition;
+	getRoutable: () => readonly UpstreamAnnouncement[];
+};
 
 /** One way. */
 export type Policy = {
@@ -14,7 +25,28 @@
 	isLimiting?: boolean;
 	/** Only measured when it is asked for. */
 	isVariant?: boolean;
-	createChooser(options: ChooserOptions): Chooser;
+	createChooser(options: ChooserOptions, surroundings: Surroundings): Chooser;
+};
+
+/** The product's chooser with weights solved anew whenever the upstreams change. */
+const createSplitChooser = (options: ChooserOptions, {site, condition, getRoutable}: Surroundings): Chooser => {
+	const {failureDomain} = options;
+	let solvedFor: readonly UpstreamAnnouncement[] | undefined;
+	let split: ReturnType<typeof solveSplit> | undefined;
+	return createChooser({
+		...options,
+		getFailureDomainWeights(_serviceName, requestClass) {
+			const upstreams = getRoutable();
+			if (!split || upstreams !== solvedFor) {
+				solvedFor = upstreams;
+				split = solveSplit({
+					site, condition, failureDomain, upstreams,
+				});
+			}
+
+			return split[requestClass];
+		},
+	});
 };
 
 /** Name of the product's own way. */
@@ -30,6 +62,7 @@
 	{
 		name: 'with-hedging', createChooser, isHedging: true, isVariant: true,
 	},
+	{name: 'with-optimal-split', createChooser: (options, surroundings) => createSplitChooser(options, surroundings), isVariant: true},
 	{
 		name: 'with-limits', createChooser, isLimiting: true, isVariant: true,
 	},
--- a/src/measure/requests-run.ts
+++ b/src/measure/requests-run.ts
@@ -101,7 +101,7 @@
 			: record => {
 				clock.setTimer(record, measurementDelayMs);
 			},
-	});
+	}, {site, condition, getRoutable});
 	return new MeasuredEntry({
 		site,
 		index,
--- a/src/requests/choice.ts
+++ b/src/requests/choice.ts
@@ -57,7 +57,7 @@
 	/** Failure domain of this process. */
 	failureDomain: string;
 	/** Weights in force for the service, if its section has any. */
-	getFailureDomainWeights?: (serviceName: string) => FailureDomainWeights | undefined;
+	getFailureDomainWeights?: (serviceName: string, requestClass: RequestClass) => FailureDomainWeights | undefined;
 	tuning?: Partial<ChoiceTuning>;
 	/** Takes a measurement to the estimates; for measurements that arrive late. */
 	deliver?: (record: () => void) => void;
@@ -189,7 +189,7 @@
 	}
 
 	#chooseAmong(serviceName: string, group: UpstreamAnnouncement[], context: ChoiceContext): UpstreamAnnouncement {
-		const weights = this.#options.getFailureDomainWeights?.(serviceName);
+		const weights = this.#options.getFailureDomainWeights?.(serviceName, context.requestClass);
 		return weights && weights.size > 0
 			? this.#sample(drawFailureDomain(group, weights, this.#random), context)
 			: this.#chooseNear(group, context);
