--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -10,12 +10,14 @@
 import {DemoCommand} from './demo-command.ts';
 import {EntryCommand} from './entry-command.ts';
 import {ExitCode} from './exit-codes.ts';
+import {GuardCommand} from './guard-usage.ts';
 import {
 	RequestListCommand, RequestLookupCommand, StatusCommand, UpstreamDrainCommand, UpstreamListCommand, WorkerListCommand,
 } from './host-commands.ts';
 import {
 	JobCancelCommand, JobListCommand, JobStatusCommand, JobSubmitCommand,
 } from './job-commands.ts';
+import {MeasureCapacityCommand} from './measure-capacity-command.ts';
 import {MeasureRequestsCommand} from './measure-requests-command.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
@@ -24,6 +26,7 @@
 	Builtins.HelpCommand,
 	Builtins.VersionCommand,
 	EntryCommand,
+	GuardCommand,
 	DemoCommand,
 	SettingsCommand,
 	ConfigCheckCommand,
@@ -42,6 +45,7 @@
 	RequestListCommand,
 	StatusCommand,
 	MeasureRequestsCommand,
+	MeasureCapacityCommand,
 	StandinLogCommand,
 	StandinUpstreamCommand,
 	StandinWorkerCommand,
--- a/src/jobs/placement-engine.ts
+++ b/src/jobs/placement-engine.ts
@@ -11,6 +11,7 @@
 } from '../types/placement.ts';
 import {type Resources, type TaskUsage} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
+import {getExpectedProcessors} from './harm-history.ts';
 import {KindTable} from './harm-model.ts';
 import {runHarmPass} from './harm-response.ts';
 import {createContext} from './placement-context.ts';
@@ -181,6 +182,9 @@
 			const surroundings = history.getSurroundings(taskId, entry, usage.measuredAtMs);
 			if (surroundings) {
 				model.note({...surroundings, slowdown: usage.slowdown});
+				if (surroundings.taskClass === TaskClass.LatencyCritical) {
+					model.noteUsualHarm(usage.slowdown, surroundings.batchProcessors);
+				}
 			}
 		}
 
@@ -189,8 +193,8 @@
 		}
 
 		entry.slowdown += smoothing * (usage.slowdown - entry.slowdown);
+		entry.worker.expectedProcessors += usage.processors - getExpectedProcessors(entry);
 		entry.usedProcessors = usage.processors;
-		entry.worker.mix = undefined;
 		history.measure(entry);
 		if (entry.throttleShare === 1) {
 			sizes.noteUsage(entry.job.kindId, entry.job.spec.resources, usage);
@@ -218,10 +222,10 @@
 		const round = new Round(context, nowMs, maxDecisions);
 		this.#tellUnplaceable(round);
 		context.reservations.giveUp(nowMs);
-		context.reservations.startReady((entry, worker) => {
-			round.noteStarted(entry, worker);
-		});
+		const noteStarted = round.noteStarted.bind(round);
+		context.reservations.startReady(false, noteStarted);
 		runUrgentPass(round);
+		context.reservations.startReady(true, noteStarted);
 		runFairPass(round);
 		runReturnPass(round);
 		runReservePass(round);
@@ -401,6 +405,9 @@
 		order,
 		need: spec.resources,
 		needAtMs: queuedAtMs,
+		deferredAtMs: Number.POSITIVE_INFINITY,
+		retryAtMs: 0,
+		reserveAtMs: 0,
 		spread: undefined,
 		checkedAtFleet: -1,
 		missing: undefined,
