Name a few peers in a heartbeat, and let the soak's balancer heed readiness

Cause: each heartbeat named all peers in both directions: with the number of entries the bytes grew with its square. The soak sent callers to entries that were not ready, which no balancer does. Change: three peers, drawn anew; the soak asks /readyz; its module is divided. Conclusion: bytes of a heartbeat no longer grow with the entries.

--- a/src/measure/soak-callers.ts
+++ b/src/measure/soak-callers.ts
@@ -15,6 +15,7 @@
 export type CallerTarget = {
 	entry: SoakProcess;
 	address: string;
+	isReady(): boolean;
 };
 
 /** What callers count. */
@@ -102,7 +103,7 @@
 	/** True when the caller got its answer. */
 	async #try(path: string, requestClass: RequestClass, requestId: string | undefined): Promise<boolean> {
 		const {clock, random, checker, targets} = this.#options;
-		const open = targets.filter(({entry}) => entry.child !== undefined);
+		const open = targets.filter(({entry, isReady}) => entry.child !== undefined && isReady());
 		const target = open[random.below(open.length)];
 		if (!target) {
 			return false;
--- /dev/null
+++ b/src/measure/soak-faults.ts
@@ -0,0 +1,110 @@
+/**
+Faults of a soak run, chosen by its seed.
+*/
+import {callJson} from '../utils/http-client.ts';
+import {type SoakCallers} from './soak-callers.ts';
+import {Role, type SoakProcess} from './soak-processes.ts';
+import {callTimeoutMs, type World} from './soak-world.ts';
+
+/** Time in which a process that is back is not yet held to the latest configuration. */
+const startMs = 3000;
+
+/** Makes one fault after the other until the signal aborts. */
+export const makeFaults = async (world: World, callers: SoakCallers): Promise<void> => {
+	const {options, clock, random, signal} = world;
+	if (options.faultEveryMs === undefined) {
+		return;
+	}
+
+	const faults = createFaults(world, callers);
+	while (!signal.aborted) {
+		await clock.sleep(options.faultEveryMs * (0.5 + random.next()), signal);
+		if (signal.aborted) {
+			return;
+		}
+
+		const [name, act] = faults[random.below(faults.length)]!;
+		world.faults.set(name, (world.faults.get(name) ?? 0) + 1);
+		options.report(`Fault: ${name}.`);
+		await act();
+	}
+};
+
+const createFaults = (world: World, callers: SoakCallers): Array<[string, () => Promise<void>]> => {
+	const {pool, clock, random, checker} = world;
+	const pick = (role: Role): SoakProcess => {
+		const candidates = pool.processes.filter(target => target.role === role && target.child);
+		return candidates[random.below(candidates.length)]!;
+	};
+
+	const excuse = ({name}: SoakProcess) => {
+		world.configExcusedUntilMs.set(name, clock.monotonicMs() + startMs);
+	};
+
+	const restart = async (target: SoakProcess, end: () => Promise<void>) => {
+		await end();
+		await clock.sleep(200 + random.below(2000));
+		pool.start(target);
+		excuse(target);
+	};
+
+	return [
+		['entry killed', async () => {
+			const target = pick(Role.Entry);
+			await restart(target, async () => pool.kill(target));
+		}],
+		['entry told to stop', async () => {
+			const target = pick(Role.Entry);
+			callers.noteShutdown(target);
+			await restart(target, async () => pool.terminate(target));
+		}],
+		['entry paused', async () => {
+			const target = pick(Role.Entry);
+			pool.pause(target);
+			await clock.sleep(1000 + random.below(6000));
+			pool.resume(target);
+			excuse(target);
+		}],
+		['upstream killed', async () => {
+			const target = pick(Role.Upstream);
+			await restart(target, async () => pool.kill(target));
+		}],
+		['upstream told to stop', async () => {
+			const target = pick(Role.Upstream);
+			await restart(target, async () => pool.terminate(target));
+		}],
+		['upstream paused', async () => {
+			const target = pick(Role.Upstream);
+			pool.pause(target);
+			await clock.sleep(500 + random.below(3000));
+			pool.resume(target);
+		}],
+		['worker killed', async () => {
+			const target = pick(Role.Worker);
+			await restart(target, async () => {
+				await pool.kill(target);
+				checker.noteWorkerGone(target.name);
+			});
+		}],
+		['log down', async () => {
+			world.isLogDown = true;
+			await setLogFaults(world, {isDown: true});
+			await clock.sleep(2000 + random.below(6000));
+			await setLogFaults(world, {isDown: false});
+			world.isLogDown = false;
+			world.logBackAtMs = clock.monotonicMs() + startMs;
+		}],
+		['log slow, answers lost', async () => {
+			await setLogFaults(world, {delayMs: 100, loseAnswerChance: 0.2});
+			await clock.sleep(3000);
+			await setLogFaults(world, {delayMs: 0, loseAnswerChance: 0});
+		}],
+	];
+};
+
+/** Sets what the stand-in log does wrong. */
+export const setLogFaults = async ({logUrl}: World, faults: Record<string, unknown>): Promise<void> => {
+	await callJson({
+		method: 'POST', url: `${logUrl}/faults`, body: faults, timeoutMs: callTimeoutMs, step: 'set log faults',
+	});
+};
--- a/src/plugins/peers-service.ts
+++ b/src/plugins/peers-service.ts
@@ -16,6 +16,7 @@
 import {createGrpcTransport, type PeerRequest, type PeerTransport} from './peers-transport.ts';
 
 const log = createLogger(Part.Peers);
+const namedPeers = 3;
 const maxPauseFactor = 8;
 
 /** Creates the peers service on a transport. */
@@ -39,9 +40,14 @@
 	// Jitter: heartbeats of entries that started together must not stay in step.
 	const jitter = (ms: number) => ms * (0.75 + (random.next() / 2));
 
-	const getHello = (isLeaving = false): Hello => ({
-		presence: ownPresence!, peers: directory.list().filter(({processId}) => directory.isAlive(processId)), isLeaving,
-	});
+	// A few peers, drawn anew each time, reach everybody within some heartbeats; all of them in every
+	// heartbeat would grow with the square of the entries.
+	const getHello = (isLeaving = false): Hello => {
+		const alive = directory.list().filter(({processId}) => directory.isAlive(processId));
+		const offset = random.below(Math.max(1, alive.length));
+		const named = [...alive.slice(offset), ...alive.slice(0, offset)].slice(0, namedPeers);
+		return {presence: ownPresence!, peers: named, isLeaving};
+	};
 
 	const learn = (presence: Presence) => {
 		directory.learn(presence);
