Measure what dividing slots strands, and ask for the mean unless requests wait

Cause: every waiting request was asked for at each upstream of its service, and peaks were asked for everywhere. Change: the parts asked for sum to what waits; without waiting requests the mean of late is wanted; a share that shrank is reported at once. src/measure/slots-measure.ts compares static shares, leased shares and a guard.

--- /dev/null
+++ b/src/measure/slots-measure.ts
@@ -0,0 +1,294 @@
+/**
+What dividing slots among entries strands: static shares beside shares that follow demand, on seeded manual time.
+*/
+import {SlotAsker, type AskedShare} from '../requests/slot-asker.ts';
+import {divideByDemand, getWaitingPart} from '../requests/slot-policy.ts';
+import {SlotMode, SlotShare} from '../requests/slot-share.ts';
+import {SlotSponsor} from '../requests/slot-sponsor.ts';
+import {ManualClock} from '../utils/manual-clock.ts';
+import {createRandom} from '../utils/seeded-random.ts';
+
+/** Ways to divide slots. */
+export enum SlotDivision {
+	/** Equal shares of the configured entries; the odd slots belong to nobody. */
+	Static = 'static',
+	/** Leased shares that follow demand. */
+	Leased = 'leased',
+	/** A guard at each upstream admits: nothing is divided. */
+	Guarded = 'guarded',
+}
+
+/** Conditions of one run. */
+export type SlotsCondition = {
+	seed: number;
+	upstreamCount: number;
+	slots: number;
+	/** Part of the load that each entry gets; sums to one. */
+	entryShares: number[];
+	/** How often the parts move on by one entry; 0: never. */
+	rotateEveryMs: number;
+	/** Offered load as a part of what all slots carry. */
+	load: number;
+	meanServiceMs: number;
+	delayMs: number;
+	periodMs: number;
+	durationMs: number;
+};
+
+/** What one run measured. */
+export type SlotsMeasurement = {
+	division: SlotDivision;
+	offered: number;
+	completed: number;
+	/** Slots that stood idle while a request waited at some entry, as a part of all slots, over time. */
+	strandedShare: number;
+	waitP50Ms: number;
+	waitP99Ms: number;
+	/** Messages of slots a second between all entries together. */
+	messagesPerSecond: number;
+	/** Most requests at once at one upstream; never more than its slots. */
+	peakHeld: number;
+};
+
+/** Both users' shape, with the load spread as a balancer would. */
+export const defaultSlotsCondition: SlotsCondition = {
+	seed: 1, upstreamCount: 11, slots: 8, entryShares: [1 / 3, 1 / 3, 1 / 3], rotateEveryMs: 0, load: 0.8, meanServiceMs: 50, delayMs: 1.5, periodMs: 100, durationMs: 20_000,
+};
+
+const leaseMs = 5000;
+const maxHoldMs = 30_000;
+const firstMs = 1000;
+
+/** Measures one way under one condition. */
+export const measureSlots = (division: SlotDivision, condition: SlotsCondition): SlotsMeasurement => new SlotsRun(division, condition).run();
+
+type MeasuredEntry = {
+	index: number;
+	shares: SlotShare[];
+	sponsor: SlotSponsor;
+	askers: Map<number, SlotAsker>;
+	queue: number[];
+};
+
+type Question = {
+	asker: SlotAsker;
+	shares: AskedShare[];
+	/** Sent only to report what was given back. */
+	isReport: boolean;
+};
+
+class SlotsRun {
+	readonly #clock = new ManualClock();
+	readonly #random;
+	readonly #entries: MeasuredEntry[];
+	readonly #held: number[];
+	readonly #waitsMs: number[] = [];
+	readonly #division: SlotDivision;
+	readonly #condition: SlotsCondition;
+	#offered = 0;
+	#completed = 0;
+	#messages = 0;
+	#strandedMs = 0;
+	#lastMs = 0;
+	#peakHeld = 0;
+
+	constructor(division: SlotDivision, condition: SlotsCondition) {
+		this.#division = division;
+		this.#condition = condition;
+		this.#random = createRandom(condition.seed);
+		this.#held = Array.from({length: condition.upstreamCount}, () => 0);
+		this.#entries = condition.entryShares.map((_, index) => this.#createEntry(index));
+	}
+
+	run(): SlotsMeasurement {
+		const {durationMs} = this.#condition;
+		if (this.#division === SlotDivision.Leased) {
+			for (const entry of this.#entries) {
+				this.#tick(entry);
+			}
+		}
+
+		this.#clock.advanceSync(firstMs);
+		this.#lastMs = this.#clock.monotonicMs();
+		this.#arrive();
+		this.#clock.advanceSync(durationMs);
+		this.#account();
+		const waits = this.#waitsMs.toSorted((a, b) => a - b);
+		const total = this.#condition.upstreamCount * this.#condition.slots * durationMs;
+		return {
+			division: this.#division,
+			offered: this.#offered,
+			completed: this.#completed,
+			strandedShare: this.#strandedMs / total,
+			waitP50Ms: waits[Math.floor(waits.length * 0.5)] ?? 0,
+			waitP99Ms: waits[Math.floor(waits.length * 0.99)] ?? 0,
+			messagesPerSecond: this.#messages / (durationMs + firstMs) * 1000,
+			peakHeld: this.#peakHeld,
+		};
+	}
+
+	#createEntry(index: number): MeasuredEntry {
+		const {upstreamCount, slots, entryShares} = this.#condition;
+		const shares = Array.from({length: upstreamCount}, () => {
+			const share = new SlotShare(this.#clock, {
+				incarnation: 1, mode: SlotMode.Sponsored, slots, connections: 64,
+			});
+			if (this.#division !== SlotDivision.Leased) {
+				share.share = this.#division === SlotDivision.Static ? Math.floor(slots / entryShares.length) : slots;
+				share.leaseEndMs = Number.POSITIVE_INFINITY;
+			}
+
+			return share;
+		});
+		const sponsor = new SlotSponsor({
+			clock: this.#clock,
+			ownId: String(index),
+			leaseMs,
+			maxHoldMs,
+			divide: divideByDemand,
+			getSponsorship: upstreamId => Number(upstreamId) % entryShares.length === index
+				? {
+					incarnation: 1, epoch: 1, startedAtMs: 0, believedUntilMs: Number.POSITIVE_INFINITY, isFirst: true, slots,
+				}
+				: undefined,
+		});
+		const askers = new Map(entryShares.flatMap((_, other) => other === index ? [] : [[other, new SlotAsker(String(index), String(other))] as const]));
+		return {
+			index, shares, sponsor, askers, queue: [],
+		};
+	}
+
+	/** One period of an entry: grants its own, asks the others. */
+	#tick(entry: MeasuredEntry): void {
+		const {periodMs, entryShares, upstreamCount} = this.#condition;
+		const waiting = entry.queue.length;
+		const first = this.#random.below(upstreamCount);
+		const asked: AskedShare[][] = entryShares.map(() => []);
+		for (const [upstream, share] of entry.shares.entries()) {
+			const wanted = share.takeWanted(getWaitingPart(waiting, (first + upstream) % upstreamCount, upstreamCount), waiting > 0);
+			const sponsorIndex = upstream % entryShares.length;
+			if (sponsorIndex === entry.index) {
+				share.share = entry.sponsor.grantOwn(String(upstream), 1, {share: share.share, limit: share.getLimit(), wanted})!;
+				share.leaseEndMs = this.#clock.monotonicMs() + leaseMs;
+			} else {
+				asked[sponsorIndex]!.push({upstreamId: String(upstream), share, wanted});
+			}
+		}
+
+		for (const [other, asker] of entry.askers) {
+			this.#ask(entry, other, {asker, shares: asked[other]!, isReport: false});
+		}
+
+		this.#serve(entry);
+		this.#clock.setTimer(() => {
+			this.#tick(entry);
+		}, periodMs * (0.75 + (this.#random.next() / 2)));
+	}
+
+	#ask(entry: MeasuredEntry, other: number, {asker, shares, isReport}: Question): void {
+		const {delayMs} = this.#condition;
+		const asked = asker.compose(shares, this.#clock.monotonicMs());
+		if (!asked) {
+			return;
+		}
+
+		this.#messages++;
+		this.#clock.setTimer(() => {
+			const answer = this.#entries[other]!.sponsor.answer(asked.message);
+			this.#clock.setTimer(() => {
+				const {hasShrunk} = asker.apply(asked, answer, leaseMs);
+				this.#serve(entry);
+				if (hasShrunk && !isReport) {
+					this.#ask(entry, other, {asker, shares, isReport: true});
+				}
+			}, delayMs);
+		}, delayMs);
+	}
+
+	#arrive(): void {
+		const {load, upstreamCount, slots, meanServiceMs, durationMs} = this.#condition;
+		this.#account();
+		if (this.#clock.monotonicMs() > firstMs + durationMs) {
+			return;
+		}
+
+		this.#offered++;
+		const entry = this.#entries[this.#pickEntry()]!;
+		entry.queue.push(this.#clock.monotonicMs());
+		this.#serve(entry);
+		const meanGapMs = meanServiceMs / (load * upstreamCount * slots);
+		this.#clock.setTimer(() => {
+			this.#arrive();
+		}, -Math.log(1 - this.#random.next()) * meanGapMs);
+	}
+
+	#pickEntry(): number {
+		const {entryShares, rotateEveryMs} = this.#condition;
+		let left = this.#random.next();
+		const index = Math.max(0, entryShares.findIndex(share => {
+			left -= share;
+			return left < 0;
+		}));
+		const turns = rotateEveryMs === 0 ? 0 : Math.floor(this.#clock.monotonicMs() / rotateEveryMs);
+		return (index + turns) % entryShares.length;
+	}
+
+	#serve(entry: MeasuredEntry): void {
+		const {meanServiceMs, slots} = this.#condition;
+		while (entry.queue.length > 0) {
+			const upstream = this.#findFree(entry);
+			const share = entry.shares[upstream];
+			// With a guard, what is free is what the guard would admit.
+			if (!share || this.#held[upstream]! >= slots) {
+				return;
+			}
+
+			this.#account();
+			const hold = share.tryTake(maxHoldMs, () => undefined)!;
+			this.#held[upstream]!++;
+			this.#peakHeld = Math.max(this.#peakHeld, this.#held[upstream]!);
+			this.#waitsMs.push(this.#clock.monotonicMs() - entry.queue.shift()!);
+			this.#clock.setTimer(() => {
+				this.#account();
+				hold.release();
+				this.#held[upstream]!--;
+				this.#completed++;
+				this.#serve(entry);
+				if (this.#division === SlotDivision.Guarded) {
+					this.#serveAll();
+				}
+			}, Math.min(maxHoldMs, -Math.log(1 - this.#random.next()) * meanServiceMs));
+		}
+	}
+
+	#serveAll(): void {
+		for (const entry of this.#entries) {
+			this.#serve(entry);
+		}
+	}
+
+	#findFree(entry: MeasuredEntry): number {
+		const isGuarded = this.#division === SlotDivision.Guarded;
+		let best = -1;
+		let bestFree = 0;
+		for (const [upstream, share] of entry.shares.entries()) {
+			const free = isGuarded ? this.#condition.slots - this.#held[upstream]! : share.free;
+			if (free > bestFree) {
+				best = upstream;
+				bestFree = free;
+			}
+		}
+
+		return best;
+	}
+
+	/** Adds up the time since the last change. */
+	#account(): void {
+		const nowMs = this.#clock.monotonicMs();
+		const {upstreamCount, slots} = this.#condition;
+		const idle = (upstreamCount * slots) - this.#held.reduce((sum, held) => sum + held, 0);
+		const waiting = this.#entries.reduce((sum, {queue}) => sum + queue.length, 0);
+		this.#strandedMs += Math.min(idle, waiting) * (nowMs - this.#lastMs);
+		this.#lastMs = nowMs;
+	}
+}
--- a/src/plugins/slots-service.ts
+++ b/src/plugins/slots-service.ts
@@ -5,7 +5,7 @@
 import {type Kernel} from '../core/kernel.ts';
 import {SlotAsker, type AskedShare} from '../requests/slot-asker.ts';
 import {parseSlotAnswer, parseSlotMessage} from '../requests/slot-messages.ts';
-import {divideByDemand, type DivideSlots} from '../requests/slot-policy.ts';
+import {divideByDemand, getWaitingPart, type DivideSlots} from '../requests/slot-policy.ts';
 import {SlotMode, SlotShare} from '../requests/slot-share.ts';
 import {SlotSponsor} from '../requests/slot-sponsor.ts';
 import {getSponsorId} from '../requests/sponsor-book.ts';
@@ -88,11 +88,16 @@
 			perService.set(service, (perService.get(service) ?? 0) + 1);
 		}
 
+		const indexes = new Map<string, number>();
 		let hasGrown = false;
 		for (const upstream of known) {
 			const {upstreamId, service} = upstream;
 			const share = getShare(upstream);
-			wanted.set(upstreamId, share.takeWanted(Math.ceil((demand.get(service) ?? 0) / perService.get(service)!)));
+			const waiting = demand.get(service) ?? 0;
+			const index = indexes.get(service) ?? random.below(perService.get(service)!);
+			indexes.set(service, index + 1);
+			const count = perService.get(service)!;
+			wanted.set(upstreamId, share.takeWanted(getWaitingPart(waiting, index % count, count), waiting > 0));
 			hasGrown ||= grantOwn(upstreamId, share);
 		}
 
@@ -148,10 +153,11 @@
 		return asked;
 	};
 
-	const ask = async (peerId: string, sponsorId: string, asker: SlotAsker) => {
+	/** Asks once; true when the sponsor waits for the report of what was given back. */
+	const ask = async (peerId: string, sponsorId: string, asker: SlotAsker): Promise<boolean> => {
 		const asked = asker.compose(getAsked(sponsorId), clock.monotonicMs(), isLeaving);
 		if (!asked) {
-			return;
+			return false;
 		}
 
 		const answer = parseSlotAnswer(await peers.call(peerId, PeerMethod.Slots, asked.message));
@@ -161,9 +167,12 @@
 			}
 		}
 
-		if (asker.apply(asked, answer, leaseMs)) {
+		const {hasGrown, hasShrunk} = asker.apply(asked, answer, leaseMs);
+		if (hasGrown) {
 			notifyFree();
 		}
+
+		return hasShrunk;
 	};
 
 	const followPeer = async (peerId: string) => {
@@ -182,7 +191,7 @@
 			}
 
 			try {
-				if (peer.isAlive) {
+				if (peer.isAlive && await ask(peerId, sponsorId, asker)) {
 					await ask(peerId, sponsorId, asker);
 				}
 			} catch (error) {
--- a/src/plugins/upstreams-service.ts
+++ b/src/plugins/upstreams-service.ts
@@ -1,7 +1,7 @@
 /**
 Takes the announcements of upstreams and tells which may get new requests.
 */
-import {getMessage} from '../core/errors.ts';
+import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {type Kernel} from '../core/kernel.ts';
 import {HostKind, parseUpstreamAnnouncement} from '../requests/membership-messages.ts';
 import {getSponsorProcess, SponsorBook} from '../requests/sponsor-book.ts';
@@ -35,11 +35,17 @@
 			return reply;
 		}
 
+		const {sponsorId, sponsorTerm} = announcement;
+		const isSettled = sponsorId === membership.ownId;
+		if (sponsorId && !isSettled) {
+			// Meant for a former incarnation of this entry: only the upstream's own lock ends that sponsorship.
+			return {...reply, sponsorId, sponsorTerm};
+		}
+
 		if (isLeaving) {
-			return {...reply, isSponsorLeaving: announcement.sponsorId === membership.ownId, nextAfterMs: handshakeMs};
+			return {...reply, isSponsorLeaving: isSettled, nextAfterMs: handshakeMs};
 		}
 
-		const isSettled = announcement.sponsorId === membership.ownId;
 		const lockMs = Math.max(sponsorLockMs, reply.nextAfterMs * 3);
 		return {...reply, ...sponsors.note(announcement, lockMs), nextAfterMs: isSettled ? reply.nextAfterMs : handshakeMs};
 	};
@@ -47,6 +53,10 @@
 	const receive = async (announcement: UpstreamAnnouncement): Promise<AnnouncementReply> => {
 		const {sponsorId, sponsorTerm} = announcement;
 		const hasOtherSponsor = sponsorTerm !== undefined && !announcement.isGuarded && sponsorId && sponsorId !== membership.ownId;
+		if (isLeaving && sponsorTerm !== undefined && !sponsorId) {
+			throw createError(ErrorCode.Refused, {step: 'take announcement', peer: announcement.upstreamId, detail: 'this entry is leaving'});
+		}
+
 		if (!hasOtherSponsor) {
 			return takeOwn(announcement, Boolean(sponsorId));
 		}
--- a/src/requests/membership-state.ts
+++ b/src/requests/membership-state.ts
@@ -223,9 +223,7 @@
 		}
 
 		this.#noteReturn(id, announcement);
-		this.#book.merge(id, announcement);
-		const own = this.#own.hosts.get(id);
-		if (own && isNewer(announcement, own)) {
+		if (this.#book.merge(id, announcement) !== Taken.Stale) {
 			// The host now announces itself to the other entry, which has the newer word.
 			this.#own.remove(id);
 		}
--- a/src/requests/slot-asker.ts
+++ b/src/requests/slot-asker.ts
@@ -21,6 +21,14 @@
 	generations: Map<string, {share: SlotShare; generation: number}>;
 };
 
+/** What an answer changed. */
+export type Applied = {
+	/** Slots have become free. */
+	hasGrown: boolean;
+	/** Slots are to be reported as given back: at once, since other entries wait for them. */
+	hasShrunk: boolean;
+};
+
 /** Messages of one entry to one sponsor; one at a time. */
 export class SlotAsker {
 	#seq = 0;
@@ -65,10 +73,10 @@
 		return {message, sentAtMs: nowMs, generations};
 	}
 
-	/** Applies an answer; true when a share has grown. */
-	apply({message, sentAtMs, generations}: Asked, answer: SlotAnswer, leaseMs: number): boolean {
+	/** Applies an answer. */
+	apply({message, sentAtMs, generations}: Asked, answer: SlotAnswer, leaseMs: number): Applied {
 		if (answer.isResync) {
-			return false;
+			return {hasGrown: false, hasShrunk: false};
 		}
 
 		this.#isFull = false;
@@ -76,6 +84,7 @@
 		const lapsed = new Set(answer.lapsed);
 		const shares = new Map(answer.shares.map(item => [item.upstreamId, item]));
 		let hasGrown = false;
+		let hasShrunk = false;
 		for (const [upstreamId, {share, generation}] of generations) {
 			// Another sponsor was told of this share in the meantime: an answer of the former one would add to it.
 			if (lapsed.has(upstreamId) || share.generation !== generation) {
@@ -83,13 +92,15 @@
 			}
 
 			const wasFree = share.free;
+			const formerShare = share.share;
 			share.share = shares.get(upstreamId)?.share ?? share.share;
 			// Counted from before the message was sent, the sponsor's own count being from its answer.
 			share.leaseEndMs = Math.max(share.leaseEndMs, sentAtMs + leaseMs);
 			hasGrown ||= share.free > wasFree;
+			hasShrunk ||= share.share < formerShare;
 		}
 
-		return hasGrown;
+		return {hasGrown, hasShrunk};
 	}
 }
 
--- a/src/requests/slot-policy.ts
+++ b/src/requests/slot-policy.ts
@@ -44,3 +44,7 @@
 	deal(() => true);
 	return shares;
 };
+
+/** Part of what waits for a service that is asked for at one of its upstreams: the parts sum to the whole. */
+export const getWaitingPart = (waiting: number, index: number, count: number): number =>
+	Math.floor(waiting / count) + (index < waiting % count ? 1 : 0);
--- a/src/requests/slot-share.ts
+++ b/src/requests/slot-share.ts
@@ -27,8 +27,12 @@
 	share = 0;
 	leaseEndMs = Number.NEGATIVE_INFINITY;
 	#peak = 0;
-	#formerPeak = 0;
 	#misses = 0;
+	/** Slots held, summed over the time since the period began. */
+	#heldMs = 0;
+	#accountedMs: number;
+	#periodStartMs: number;
+	#meanHeld = 0;
 	readonly #holdEndsMs = new Set<{endMs: number}>();
 	readonly #clock: Clock;
 
@@ -38,6 +42,8 @@
 		this.mode = shape.mode;
 		this.slots = shape.slots;
 		this.connections = shape.connections;
+		this.#accountedMs = clock.monotonicMs();
+		this.#periodStartMs = this.#accountedMs;
 	}
 
 	/** Slots held. */
@@ -58,11 +64,13 @@
 			return undefined;
 		}
 
+		this.#account();
 		const hold = {endMs: this.#clock.monotonicMs() + holdMs};
 		this.#holdEndsMs.add(hold);
 		this.#peak = Math.max(this.#peak, this.held);
 		return {
 			release: () => {
+				this.#account();
 				if (this.#holdEndsMs.delete(hold)) {
 					onRelease();
 				}
@@ -82,14 +90,23 @@
 		return Math.max(nowMs < this.leaseEndMs ? this.share : 0, bounded);
 	}
 
-	/** Slots wanted, from use of late and requests that wait. Ends a period of measurement. */
-	takeWanted(waiting: number): number {
-		const peak = Math.max(this.#peak, this.#formerPeak);
-		const missed = this.#misses > 0 && waiting === 0 ? 1 : waiting;
-		this.#formerPeak = this.#peak;
+	/**
+	Slots wanted. Ends a period of measurement. While requests of the service wait, the most that was held and this
+	upstream's part of what waits; else the mean of late: a peak asked for at every upstream would keep slots from entries
+	whose requests wait.
+	*/
+	takeWanted(waiting: number, isShort: boolean): number {
+		this.#account();
+		const durationMs = this.#accountedMs - this.#periodStartMs;
+		const mean = durationMs > 0 ? this.#heldMs / durationMs : this.held;
+		this.#meanHeld = (this.#meanHeld + mean) / 2;
+		const missed = !isShort && this.#misses > 0 ? 1 : 0;
+		const wanted = isShort || missed > 0 ? this.#peak + waiting + missed : Math.ceil(this.#meanHeld);
 		this.#peak = this.held;
 		this.#misses = 0;
-		return Math.min(this.slots, peak + missed);
+		this.#heldMs = 0;
+		this.#periodStartMs = this.#accountedMs;
+		return Math.min(this.slots, wanted);
 	}
 
 	/** Changes the sponsor; the share stays as it is until its lease ends or the new sponsor changes it. */
@@ -99,4 +116,10 @@
 			this.generation++;
 		}
 	}
+
+	#account(): void {
+		const nowMs = this.#clock.monotonicMs();
+		this.#heldMs += this.held * (nowMs - this.#accountedMs);
+		this.#accountedMs = nowMs;
+	}
 }
--- a/src/utils/announcer.ts
+++ b/src/utils/announcer.ts
@@ -120,6 +120,10 @@
 			}, timeoutMs);
 			failures = 0;
 			lock.take(reply, echo);
+			if (reply.isSponsorLeaving) {
+				target = (target + 1) % entryAddresses.length;
+			}
+
 			return reply.nextAfterMs;
 		} catch (error) {
 			failures++;
--- a/test/membership-world.ts
+++ b/test/membership-world.ts
@@ -365,7 +365,7 @@
 			}, announceTimeoutMs);
 			const exchange = async () => {
 				await entry.clock.ready();
-				const reply = await entry.kernel.get(ServiceName.Upstreams).receive(announcement);
+				const reply = await receive(entry, announcement);
 				await entry.clock.ready();
 				timer.cancel();
 				resolve(reply);
@@ -375,3 +375,12 @@
 		});
 	}
 }
+
+/** Undefined when the entry refuses. */
+const receive = async (entry: WorldEntry, announcement: UpstreamAnnouncement): Promise<AnnouncementReply | undefined> => {
+	try {
+		return await entry.kernel.get(ServiceName.Upstreams).receive(announcement);
+	} catch {
+		return undefined;
+	}
+};
