Round demand for slots so that it sums to what is used, and test the policy and relay cost

Cause: the mean rounded up at each upstream asked for a tenth more than was in use. A pull for 5,000 unchanged hosts stays below 250 bytes in both directions.

--- a/src/measure/slots-measure.ts
+++ b/src/measure/slots-measure.ts
@@ -165,7 +165,7 @@
 		const first = this.#random.below(upstreamCount);
 		const asked: AskedShare[][] = entryShares.map(() => []);
 		for (const [upstream, share] of entry.shares.entries()) {
-			const wanted = share.takeWanted(getWaitingPart(waiting, (first + upstream) % upstreamCount, upstreamCount), waiting > 0);
+			const wanted = share.takeWanted(getWaitingPart(waiting, (first + upstream) % upstreamCount, upstreamCount), waiting > 0, (upstream + 0.5) / upstreamCount);
 			const sponsorIndex = upstream % entryShares.length;
 			if (sponsorIndex === entry.index) {
 				share.share = entry.sponsor.grantOwn(String(upstream), 1, {share: share.share, limit: share.getLimit(), wanted})!;
--- a/src/plugins/slots-service.ts
+++ b/src/plugins/slots-service.ts
@@ -89,15 +89,16 @@
 		}
 
 		const indexes = new Map<string, number>();
+		const turn = random.below(65_536);
 		let hasGrown = false;
 		for (const upstream of known) {
 			const {upstreamId, service} = upstream;
 			const share = getShare(upstream);
 			const waiting = demand.get(service) ?? 0;
-			const index = indexes.get(service) ?? random.below(perService.get(service)!);
+			const index = indexes.get(service) ?? 0;
 			indexes.set(service, index + 1);
 			const count = perService.get(service)!;
-			wanted.set(upstreamId, share.takeWanted(getWaitingPart(waiting, index % count, count), waiting > 0));
+			wanted.set(upstreamId, share.takeWanted(getWaitingPart(waiting, (index + turn) % count, count), waiting > 0, (index + 0.5) / count));
 			hasGrown ||= grantOwn(upstreamId, share);
 		}
 
--- a/src/requests/slot-share.ts
+++ b/src/requests/slot-share.ts
@@ -93,15 +93,16 @@
 	/**
 	Slots wanted. Ends a period of measurement. While requests of the service wait, the most that was held and this
 	upstream's part of what waits; else the mean of late: a peak asked for at every upstream would keep slots from entries
-	whose requests wait.
+	whose requests wait. The rounding differs between the upstreams of a service, from 0 to 1, so that the sum is no more
+	than is in use: rounded up at each of eleven upstreams, the mean kept a tenth of all slots idle.
 	*/
-	takeWanted(waiting: number, isShort: boolean): number {
+	takeWanted(waiting: number, isShort: boolean, rounding: number): number {
 		this.#account();
 		const durationMs = this.#accountedMs - this.#periodStartMs;
 		const mean = durationMs > 0 ? this.#heldMs / durationMs : this.held;
 		this.#meanHeld = (this.#meanHeld + mean) / 2;
 		const missed = !isShort && this.#misses > 0 ? 1 : 0;
-		const wanted = isShort || missed > 0 ? this.#peak + waiting + missed : Math.ceil(this.#meanHeld);
+		const wanted = isShort || missed > 0 ? this.#peak + waiting + missed : Math.floor(this.#meanHeld + rounding);
 		this.#peak = this.held;
 		this.#misses = 0;
 		this.#heldMs = 0;
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -1,7 +1,11 @@
 import {afterEach, expect, test} from 'vitest';
 import fc from 'fast-check';
+import {FlapDamper} from '../src/requests/flap-damper.ts';
+import {HostKind} from '../src/requests/membership-messages.ts';
+import {MembershipState} from '../src/requests/membership-state.ts';
 import {HostState} from '../src/types/announcements.ts';
 import {ServiceName} from '../src/types/services.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
 import {World, type WorldEntry} from './membership-world.ts';
 
 let world = new World();
@@ -264,3 +268,38 @@
 	await world.clock.advance(15_000);
 	expect(getFree('b') + getFree('c')).toBe(8);
 });
+
+test('what entries tell each other does not grow with the hosts, only with what changed', () => {
+	const clock = new ManualClock();
+	const policy = {
+		voucherLeaseMs: 1250, graceMs: 1250, forgetAfterMs: 600_000, getSpread: () => 0,
+	};
+	const damper = new FlapDamper(clock, {holdAt: 4, releaseAt: 1.5, halfLifeMs: 60_000});
+	const [a, b] = ['a#1', 'b#1'].map(id => new MembershipState(clock, id, policy, damper)) as [MembershipState, MembershipState];
+	const announce = (index: number, sequence: number, state = HostState.Alive) => {
+		a.hear(`upstream/${index}`, {
+			upstreamId: String(index), service: 's', incarnation: 1, sequence, state, address: '127.0.0.1:1', region: 'r', failureDomain: 'd', slots: 8, connections: 64, isGuarded: false,
+		}, 3000);
+	};
+
+	const exchange = () => {
+		const request = b.createPull('a#1');
+		const answer = a.servePull(request);
+		b.takeAnswer(answer, clock.monotonicMs());
+		return JSON.stringify([request, answer]).length;
+	};
+
+	for (let index = 0; index < 5000; index++) {
+		announce(index, 1);
+	}
+
+	expect(exchange()).toBeGreaterThan(500_000);
+	for (let index = 0; index < 5000; index++) {
+		announce(index, 2);
+	}
+
+	expect(exchange()).toBeLessThan(250);
+	announce(7, 3, HostState.Draining);
+	expect(exchange()).toBeLessThan(600);
+	expect(b.getAlive(HostKind.Upstream)).toHaveLength(4999);
+});
