Judge a request with an id before it is claimed

Refused only after the claim, each request of an overload cost the log a claim and a release, and the fold an entry. Admission now judges it first and keeps its place while it is claimed. Requests past their deadline are refused before they take a slot, also when the timer is late, and long requests go on when no free upstream will do for the checks that wait. The sharing of slots between classes is a module of its own.

--- a/src/plugins/callers-claimed.ts
+++ b/src/plugins/callers-claimed.ts
@@ -50,7 +50,15 @@
 		return refuseNotRun(RefusalReason.WrongSide, wrongSideRetryAfterMs);
 	}
 
+	// Judged before the claim: refused only after it, each request of an overload would cost the log two items.
+	const early = lane.findRefusal(call);
+	if (early) {
+		return refuseNotRun(early.reason, early.retryAfterMs);
+	}
+
+	lane.admission.reserve(call.facts.requestClass, 1);
 	const claim = await claims.claim(requestId, serviceName, (call.deadlineAtMs - clock.monotonicMs()) * claimShare);
+	lane.admission.reserve(call.facts.requestClass, -1);
 	if (!claim.isWon) {
 		return claim.claim ? answerDuplicate(claim.claim) : refuseNotRun(RefusalReason.ClaimUnavailable, unavailableRetryAfterMs);
 	}
--- a/src/requests/admission-load.ts
+++ b/src/requests/admission-load.ts
@@ -52,8 +52,8 @@
 	}
 }
 
-/** Requests of each class that hold a slot. */
-export type InFlight = Record<RequestClass, number>;
+/** A number for each class. */
+export type ClassCounts = Record<RequestClass, number>;
 
 /** Creates counts of none. */
-export const createInFlight = (): InFlight => ({[RequestClass.Check]: 0, [RequestClass.Long]: 0});
+export const createClassCounts = (): ClassCounts => ({[RequestClass.Check]: 0, [RequestClass.Long]: 0});
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -4,9 +4,8 @@
 import {type Clock} from '../types/clock.ts';
 import {type Random} from '../types/random.ts';
 import {RefusalReason, RequestClass} from '../types/requests.ts';
-import {
-	createInFlight, HoldTime, LevelMean, type InFlight,
-} from './admission-load.ts';
+import {ClassTurns} from './admission-turns.ts';
+import {createClassCounts, HoldTime, type ClassCounts} from './admission-load.ts';
 import {DeadlineHeap} from './deadline-heap.ts';
 import {FairQueue, type GetWeight} from './fair-queue.ts';
 
@@ -16,13 +15,16 @@
 	retryAfterMs: number;
 };
 
-/** One request that asks to be dispatched. */
-export type Ticket = {
+/** What admission judges a request by. Times are on the monotonic clock. */
+export type Admissible = {
 	requestClass: RequestClass;
 	callerId: string;
 	arrivedAtMs: number;
-	/** On the monotonic clock. */
 	deadlineAtMs: number;
+};
+
+/** One request that asks to be dispatched. */
+export type Ticket = Admissible & {
 	/** Takes a slot and starts; false when no slot is free. */
 	tryStart(): boolean;
 	/** The request was not run and will not be. */
@@ -51,9 +53,6 @@
 	onWaiting?(waiting: number): void;
 };
 
-/** Below so many slots none is kept idle for checks. */
-const smallestHeadroomSlots = 4;
-const capacityRefreshMs = 20;
 const minRetryAfterMs = 50;
 /** Largest part of a request's whole time that its expected run may count as. */
 const maxRunShare = 0.5;
@@ -63,15 +62,13 @@
 	readonly #options: AdmissionOptions;
 	readonly #queues: Record<RequestClass, FairQueue<Ticket>>;
 	readonly #holds = {[RequestClass.Check]: new HoldTime(), [RequestClass.Long]: new HoldTime()};
-	readonly #inFlight: InFlight = createInFlight();
-	readonly #checkLoad: LevelMean;
+	readonly #turns: ClassTurns;
 	readonly #deadlines: DeadlineHeap<Ticket>;
 	/** Requests to be tried again; they were admitted before and go first. */
 	readonly #again = new Set<Ticket>();
 	readonly #queued = new Set<Ticket>();
-	#freeSlots = 0;
-	#freeSlotsAtMs = Number.NEGATIVE_INFINITY;
-	#longTurns = 0;
+	/** Places kept for requests that will be submitted shortly. */
+	readonly #reserved: ClassCounts = createClassCounts();
 	#toldWaiting = 0;
 	#isPumping = false;
 	#isClosed = false;
@@ -80,7 +77,7 @@
 		const {clock, getWeight} = options;
 		this.#options = options;
 		this.#queues = {[RequestClass.Check]: new FairQueue(getWeight), [RequestClass.Long]: new FairQueue(getWeight)};
-		this.#checkLoad = new LevelMean(clock.monotonicMs());
+		this.#turns = new ClassTurns({clock, longShare: options.limits.longShare, getFreeSlots: () => options.getFreeSlots()});
 		this.#deadlines = new DeadlineHeap<Ticket>({
 			clock,
 			isWaiting: ticket => this.#queued.has(ticket),
@@ -90,19 +87,33 @@
 		});
 	}
 
-	/** Starts the request, queues it, or refuses it, at once. */
-	submit(ticket: Ticket): void {
+	/** Tells why the request would be refused now, or undefined when it would be started or queued. */
+	findRefusal(request: Admissible): Refusal | undefined {
 		if (this.#isClosed) {
-			ticket.refuse({reason: RefusalReason.ShuttingDown, retryAfterMs: minRetryAfterMs});
-			return;
+			return {reason: RefusalReason.ShuttingDown, retryAfterMs: minRetryAfterMs};
+		}
+
+		if (request.deadlineAtMs <= this.#options.clock.monotonicMs()) {
+			return this.#createRefusal(RefusalReason.DeadlinePassed, 0);
 		}
 
+		return this.#isStartable(request.requestClass) ? undefined : this.#judge(request);
+	}
+
+	/** Keeps a place in the queue, or gives it back: for requests that have something to wait for before they are submitted. */
+	reserve(requestClass: RequestClass, count: 1 | -1): void {
+		this.#reserved[requestClass] += count;
+	}
+
+	/** Starts the request, queues it, or refuses it, at once. */
+	submit(ticket: Ticket): void {
+		const isOpen = !this.#isClosed && ticket.deadlineAtMs > this.#options.clock.monotonicMs();
 		// Fast path: nobody waits.
-		if (this.#queued.size === 0 && this.#mayStart(ticket.requestClass) && this.#start(ticket)) {
+		if (isOpen && this.#isStartable(ticket.requestClass) && this.#start(ticket)) {
 			return;
 		}
 
-		const refusal = this.#judge(ticket);
+		const refusal = isOpen ? this.#judge(ticket) : this.findRefusal(ticket);
 		if (refusal) {
 			ticket.refuse(refusal);
 			return;
@@ -135,10 +146,8 @@
 
 	/** A started request gave its slot back after so long. */
 	noteEnd(requestClass: RequestClass, heldMs: number): void {
-		this.#inFlight[requestClass]--;
+		this.#turns.noteEnd(requestClass);
 		this.#holds[requestClass].add(heldMs);
-		this.#freeSlots++;
-		this.#noteCheckLevel();
 		this.wake();
 	}
 
@@ -176,18 +185,22 @@
 	getStatus() {
 		return {
 			waiting: {check: this.#queues.check.size, long: this.#queues.long.size, again: this.#again.size},
-			inFlight: {...this.#inFlight},
+			inFlight: {...this.#turns.inFlight},
 			meanHoldMs: {check: this.#holds.check.meanMs, long: this.#holds.long.meanMs},
 		};
 	}
 
 	/** Estimates how long one more request of the caller would wait. */
 	estimateWaitMs(requestClass: RequestClass, callerId: string): number {
-		const ahead = this.#queues[requestClass].getAhead(callerId) + this.#again.size;
-		return (ahead + 1) * this.#holds[requestClass].meanMs / this.#getServingSlots(requestClass);
+		const ahead = this.#queues[requestClass].getAhead(callerId) + this.#again.size + this.#reserved[requestClass];
+		return (ahead + 1) * this.#holds[requestClass].meanMs / this.#turns.getServingSlots(requestClass);
 	}
 
-	#judge(ticket: Ticket): Refusal | undefined {
+	#isStartable(requestClass: RequestClass): boolean {
+		return this.#queued.size === 0 && this.#turns.mayStart(requestClass);
+	}
+
+	#judge(ticket: Admissible): Refusal | undefined {
 		const {requestClass, callerId} = ticket;
 		const {queueLimit, waitShare} = this.#options.limits;
 		const queue = this.#queues[requestClass];
@@ -198,7 +211,7 @@
 			return this.#createRefusal(RefusalReason.DeadlineUnmeetable, waitMs - Math.max(0, allowedMs));
 		}
 
-		if (!queue.hasRoom(callerId, queueLimit)) {
+		if (!queue.hasRoom(callerId, queueLimit - this.#reserved[requestClass])) {
 			const reason = queue.size < queueLimit ? RefusalReason.CallerShare : RefusalReason.QueueFull;
 			return this.#createRefusal(reason, waitMs / 2);
 		}
@@ -216,7 +229,7 @@
 	Expected run of the request, but no more than a part of the time it came with. Guards against a shut door: with
 	runs that once took longer than callers now allow, every request would be refused and no shorter run ever be measured.
 	*/
-	#getRunMs({requestClass, arrivedAtMs, deadlineAtMs}: Ticket): number {
+	#getRunMs({requestClass, arrivedAtMs, deadlineAtMs}: Admissible): number {
 		return Math.min(this.#holds[requestClass].meanMs, maxRunShare * (deadlineAtMs - arrivedAtMs));
 	}
 
@@ -224,7 +237,7 @@
 		this.#queued.add(ticket);
 		// After this instant the request would be given up before its answer came.
 		this.#deadlines.add(ticket, ticket.deadlineAtMs - this.#getRunMs(ticket), this.#queued.size);
-		this.#noteCheckLevel();
+		this.#noteWaiting();
 	}
 
 	#unqueue(ticket: Ticket, isServed = false): void {
@@ -233,7 +246,7 @@
 			this.#queues[ticket.requestClass].remove(ticket, isServed);
 		}
 
-		this.#noteCheckLevel();
+		this.#noteWaiting();
 	}
 
 	#expire(ticket: Ticket): void {
@@ -250,12 +263,19 @@
 			}
 		}
 
-		const requestClass = this.#getNextClass();
-		const ticket = requestClass && this.#queues[requestClass].peek();
-		return ticket !== undefined && this.#startQueued(ticket);
+		return this.#turns.getNextClasses().some(requestClass => {
+			const ticket = this.#queues[requestClass].peek();
+			return ticket !== undefined && this.#startQueued(ticket);
+		});
 	}
 
 	#startQueued(ticket: Ticket): boolean {
+		// A process that was paused may get here before the timer of the deadline fires.
+		if (ticket.deadlineAtMs <= this.#options.clock.monotonicMs()) {
+			this.#expire(ticket);
+			return true;
+		}
+
 		if (!this.#start(ticket)) {
 			return false;
 		}
@@ -265,92 +285,18 @@
 	}
 
 	#start(ticket: Ticket): boolean {
-		const {requestClass} = ticket;
-		this.#inFlight[requestClass]++;
-		if (!ticket.tryStart()) {
-			this.#inFlight[requestClass]--;
-			return false;
-		}
-
-		this.#freeSlots--;
-		this.#noteCheckLevel();
-		if (requestClass === RequestClass.Long) {
-			this.#longTurns = 0;
-		} else if (this.#queues.long.size > 0) {
-			this.#longTurns += this.#options.limits.longShare;
-		}
-
-		return true;
-	}
-
-	/** Class whose turn it is: long requests within their reserve, then checks, then long requests on what is spare. */
-	#getNextClass(): RequestClass | undefined {
-		const isLongWaiting = this.#queues.long.size > 0;
-		if (isLongWaiting && this.#isWithinReserve()) {
-			return RequestClass.Long;
-		}
-
-		if (this.#queues.check.size > 0) {
-			return this.#mayStart(RequestClass.Check) ? RequestClass.Check : undefined;
-		}
-
-		return isLongWaiting && this.#mayStart(RequestClass.Long) ? RequestClass.Long : undefined;
-	}
-
-	#isWithinReserve(): boolean {
-		const reserve = this.#getReserve();
-		// Too few slots to keep one aside: a share of the turns keeps long requests from waiting for ever.
-		return reserve === 0 ? this.#longTurns >= 1 : this.#inFlight.long < reserve;
-	}
-
-	#mayStart(requestClass: RequestClass): boolean {
-		if (requestClass === RequestClass.Long) {
-			return this.#isWithinReserve() || this.#inFlight.long < this.#getSlots() - this.#getHeadroom();
-		}
-
-		if (this.#queues.long.size === 0) {
+		this.#turns.beginStart(ticket.requestClass);
+		if (ticket.tryStart()) {
+			this.#turns.noteStart(ticket.requestClass);
 			return true;
 		}
 
-		const unusedReserve = Math.max(0, this.#getReserve() - this.#inFlight.long);
-		return unusedReserve === 0 || this.#getSlots() - this.#inFlight.long - this.#inFlight.check > unusedReserve;
-	}
-
-	#getServingSlots(requestClass: RequestClass): number {
-		const slots = this.#getSlots();
-		const serving = requestClass === RequestClass.Long
-			? Math.max(this.#getReserve(), slots - this.#getHeadroom())
-			: slots - Math.max(this.#inFlight.long, this.#queues.long.size > 0 ? this.#getReserve() : 0);
-		return Math.max(1, serving);
-	}
-
-	#getReserve(): number {
-		return Math.floor(this.#getSlots() * this.#options.limits.longShare);
-	}
-
-	/** Slots that long requests leave to checks: what these keep busy, and the square root of it for its swings. */
-	#getHeadroom(): number {
-		const slots = this.#getSlots();
-		if (slots < smallestHeadroomSlots) {
-			return 0;
-		}
-
-		const load = this.#checkLoad.getMean(this.#options.clock.monotonicMs());
-		return Math.min(slots - Math.max(1, this.#getReserve()), Math.max(1, Math.ceil(load + Math.sqrt(load))));
-	}
-
-	#getSlots(): number {
-		const nowMs = this.#options.clock.monotonicMs();
-		if (nowMs - this.#freeSlotsAtMs >= capacityRefreshMs) {
-			this.#freeSlots = this.#options.getFreeSlots();
-			this.#freeSlotsAtMs = nowMs;
-		}
-
-		return Math.max(0, this.#freeSlots) + this.#inFlight.check + this.#inFlight.long;
+		this.#turns.undoStart(ticket.requestClass);
+		return false;
 	}
 
-	#noteCheckLevel(): void {
-		this.#checkLoad.set(this.#inFlight.check + this.#queues.check.size, this.#options.clock.monotonicMs());
+	#noteWaiting(): void {
+		this.#turns.setWaiting({check: this.#queues.check.size, long: this.#queues.long.size});
 	}
 
 	#tellWaiting(): void {
--- a/src/requests/dispatch-lane.ts
+++ b/src/requests/dispatch-lane.ts
@@ -93,6 +93,13 @@
 		return this.#running;
 	}
 
+	/** Tells why the call would be refused now, or undefined. */
+	findRefusal({facts, arrivedAtMs, deadlineAtMs}: Call): Refusal | undefined {
+		return this.admission.findRefusal({
+			requestClass: facts.requestClass, callerId: facts.callerId, arrivedAtMs, deadlineAtMs,
+		});
+	}
+
 	/** Runs the call to its end. */
 	async run(call: Call): Promise<CallEnd> {
 		this.#budget.noteFirstTry();
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -190,6 +190,51 @@
 	expect(waiting.startedAtMs).toBeDefined();
 });
 
+test('a request that arrives past its deadline is refused although slots are free', () => {
+	const {send} = createWorld(1);
+	expect(send('late', {deadlineMs: 0}).refusal?.reason).toBe(RefusalReason.DeadlinePassed);
+});
+
+test('places reserved for requests that are being claimed count as queued', () => {
+	const {admission, sendMany, send} = createWorld(1, {queueLimit: 4});
+	sendMany(1, 'running');
+	for (let index = 0; index < 4; index++) {
+		expect(admission.findRefusal(send('x', {callerId: `c${index}`, deadlineMs: 0}).ticket)?.reason).toBe(RefusalReason.DeadlinePassed);
+		admission.reserve(RequestClass.Check, 1);
+	}
+
+	expect(send('late').refusal).toBeDefined();
+	admission.reserve(RequestClass.Check, -1);
+	expect(send('next').refusal).toBeUndefined();
+});
+
+test('long requests go on while no upstream that is free will do for the checks that wait', () => {
+	// Only a slow upstream has slots left. Checks rather wait; the titles behind them need not.
+	const clock = new ManualClock();
+	const admission = new Admission({
+		clock, random: createRandom(1), limits, getFreeSlots: () => 8,
+	});
+	const started: RequestClass[] = [];
+	for (const requestClass of [RequestClass.Check, RequestClass.Long, RequestClass.Long, RequestClass.Long]) {
+		admission.submit({
+			requestClass,
+			callerId: 'desk',
+			arrivedAtMs: 0,
+			deadlineAtMs: 1000,
+			tryStart() {
+				if (requestClass === RequestClass.Long) {
+					started.push(requestClass);
+				}
+
+				return requestClass === RequestClass.Long;
+			},
+			refuse: () => undefined,
+		});
+	}
+
+	expect(started).toHaveLength(3);
+});
+
 test('at a close all that wait are refused as shutting down', () => {
 	const {clock, admission, sendMany, send} = createWorld(1);
 	const [running, waiting] = sendMany(2, 'c');
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -262,13 +262,13 @@
 });
 
 /** A try whose client library does as the test says. */
-const createAttempt = (dispatch: (handler: Dispatcher.DispatchHandler) => void) => {
+const createAttempt = (dispatch: (handler: Dispatcher.DispatchHandler) => void, mayWrite = () => true) => {
 	const ends: AttemptEnd[] = [];
 	const attempt = new Attempt({
 		upstreamId: 'desk-1',
 		request: {method: 'POST', path: '/desk', headers: []},
 		collector: new AnswerCollector({} as ConstructorParameters<typeof AnswerCollector>[0]),
-		mayWrite: () => true,
+		mayWrite,
 		onEnd(end) {
 			ends.push(end);
 		},
@@ -320,3 +320,18 @@
 	expect(isAborted).toBe(true);
 	expect(attempt.isWritten).toBe(false);
 });
+
+test('a try whose time or claim has run out when its connection comes writes nothing', () => {
+	// The entry won the claim, and stood still while the connection was made.
+	let isAborted = false;
+	const {attempt, ends} = createAttempt(handler => {
+		const controller = createController(error => {
+			isAborted = true;
+			handler.onResponseError?.(controller, error);
+		});
+		handler.onRequestStart?.(controller, {});
+	}, () => false);
+	attempt.start();
+	expect(isAborted).toBe(true);
+	expect(ends).toMatchObject([{isWritten: false, failure: AttemptFailure.NotWritten}]);
+});
