--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -18,7 +18,7 @@
 	JobCancelCommand, JobListCommand, JobStatusCommand, JobSubmitCommand,
 } from './job-commands.ts';
 import {MeasureCapacityCommand} from './measure-capacity-command.ts';
-import {MeasureRequestsCommand} from './measure-requests-command.ts';
+import {MeasurePassThroughCommand, MeasureRequestsCommand} from './measure-requests-command.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
 
@@ -45,6 +45,7 @@
 	RequestListCommand,
 	StatusCommand,
 	MeasureRequestsCommand,
+	MeasurePassThroughCommand,
 	MeasureCapacityCommand,
 	StandinLogCommand,
 	StandinUpstreamCommand,
--- a/src/commands/measure-requests-command.ts
+++ b/src/commands/measure-requests-command.ts
@@ -3,8 +3,12 @@
 */
 import {Command, Option} from 'clipanion';
 import {type MeasureOptions, type MeasureReport} from '../measure/measure-types.ts';
+import {createPassThrough} from '../measure/pass-through.ts';
+import {measureCpu} from '../measure/requests-cpu.ts';
 import {measureRequests} from '../measure/requests-measurement.ts';
+import {withExitCode} from './exit-codes.ts';
 import {MeasureCommand} from './measure-command.ts';
+import {runUntilSignal} from './run-until-signal.ts';
 
 const split = (value: string | undefined): string[] | undefined => value?.split(',').map(item => item.trim());
 
@@ -24,13 +28,39 @@
 	readonly policies = Option.String('--policies', {description: 'Policies, separated by commas.'});
 	readonly sites = Option.String('--sites', {description: 'Sites, separated by commas; both by default.'});
 
+	readonly isCpu = Option.Boolean('--cpu', false, {description: 'Measure an entry\'s processor time beside a bare pass-through, over loopback.'});
+
 	protected getDefaultSeconds(): number {
-		return 12;
+		return this.isCpu ? 5 : 12;
 	}
 
 	protected async measure(options: MeasureOptions): Promise<MeasureReport> {
+		if (this.isCpu) {
+			return measureCpu(options);
+		}
+
 		return measureRequests({
 			...options, conditions: split(this.conditions), policies: split(this.policies), sites: split(this.sites),
 		});
 	}
 }
+
+/** Runs the bare pass-through that `--cpu` starts beside an entry. */
+export class MeasurePassThroughCommand extends Command {
+	static override readonly paths = [['measure', 'pass-through']];
+	static override readonly usage = Command.Usage({
+		description: 'Run a bare HTTP pass-through, for comparison with an entry.',
+	});
+
+	readonly address = Option.String('--address', '127.0.0.1:0', {description: 'Where to listen.'});
+	readonly targets = Option.String('--targets', {description: 'Addresses to pass to, separated by commas.', required: true});
+
+	async execute(): Promise<number> {
+		return withExitCode(this.context, async () => {
+			const passThrough = createPassThrough(this.targets.split(','));
+			await runUntilSignal(async () => {
+				await passThrough.start(this.address);
+			}, async () => passThrough.stop());
+		});
+	}
+}
