--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -19,7 +19,7 @@
 } from './job-commands.ts';
 import {MeasureCapacityCommand} from './measure-capacity-command.ts';
 import {MeasureJobsCommand} from './measure-jobs-command.ts';
-import {MeasureRequestsCommand} from './measure-requests-command.ts';
+import {MeasurePassThroughCommand, MeasureRequestsCommand} from './measure-requests-command.ts';
 import {SettingsCommand} from './settings-command.ts';
 import {StandinLogCommand, StandinUpstreamCommand, StandinWorkerCommand} from './standin-commands.ts';
 
@@ -47,6 +47,7 @@
 	StatusCommand,
 	MeasureRequestsCommand,
 	MeasureJobsCommand,
+	MeasurePassThroughCommand,
 	MeasureCapacityCommand,
 	StandinLogCommand,
 	StandinUpstreamCommand,
