Give a soak a minute to end its jobs

Change: 60 s in place of 30 s until an acknowledged job counts as lost. Conclusion: the time to recover is long and is measured apart; the check is for loss.

--- a/src/measure/soak.ts
+++ b/src/measure/soak.ts
@@ -31,6 +31,8 @@
 
 const configDueMs = 6000;
 const settleMs = 15_000;
+/** An owner that is lost twice in a row, and a log that was down, each add the wait for a lease. */
+const jobsDueMs = 60_000;
 const readyEveryMs = 500;
 const readyTimeoutMs = 1000;
 
@@ -234,7 +236,7 @@
 };
 
 const awaitJobs = async ({jobs, entries, clock}: World): Promise<SoakReport['jobs']> => {
-	const endMs = clock.monotonicMs() + (2 * settleMs);
+	const endMs = clock.monotonicMs() + jobsDueMs;
 	const open = new Set(jobs.keys());
 	const finals = new Set([JobState.Succeeded, JobState.Failed, JobState.Cancelled]);
 	while (open.size > 0 && clock.monotonicMs() < endMs) {
