Let the tests' upstreams wait as the announcer does

Change: the announcer's pause after failures is a function that both use; the test bounds the hosts in one 100 ms.

--- a/src/utils/announcer.ts
+++ b/src/utils/announcer.ts
@@ -101,6 +101,13 @@
 	}
 }
 
+/**
+How long to wait after so many tries without an answer. After the loss of an entry its hosts must not all come back in the
+same instant, and while all are lost they must not wear out the one that comes back first.
+*/
+export const getRetryPauseMs = (failures: number, random: Random): number =>
+	Math.min(maxRetryMs, retryMs * (2 ** (failures - 1))) * (0.5 + random.next());
+
 /** Starts announcing. */
 export const startAnnouncer = (options: AnnouncerOptions): Announcer => {
 	const {clock, random, entryAddresses, path, body, post = postJson, isReady} = options;
@@ -138,9 +145,7 @@
 			return nextAfterMs * (0.75 + (random.next() / 2));
 		}
 
-		// After the loss of an entry its hosts must not all come back in the same instant, and while all are lost they
-		// must not wear out the one that comes back first.
-		return Math.min(maxRetryMs, retryMs * (2 ** (failures - 1))) * (0.5 + random.next());
+		return getRetryPauseMs(failures, random);
 	};
 
 	const run = async () => {
--- a/test/membership-world.ts
+++ b/test/membership-world.ts
@@ -17,7 +17,7 @@
 import {type Clock, type Timer} from '../src/types/clock.ts';
 import {type Random} from '../src/types/random.ts';
 import {ServiceName, type ControlService} from '../src/types/services.ts';
-import {SponsorLock} from '../src/utils/announcer.ts';
+import {getRetryPauseMs, SponsorLock} from '../src/utils/announcer.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {createRandom} from '../src/utils/seeded-random.ts';
 import {sleepOn} from '../src/utils/system-clock.ts';
@@ -342,6 +342,7 @@
 
 	async #runUpstream(upstream: WorldUpstream): Promise<void> {
 		let target = '';
+		let failures = 0;
 		while (!upstream.isStopped) {
 			const ids = [...this.entries.keys()].filter(id => upstream.targets.length === 0 || upstream.targets.includes(id));
 			if (!ids.includes(target)) {
@@ -354,7 +355,8 @@
 				target = '';
 			}
 
-			await this.clock.sleep((reply?.nextAfterMs ?? 300) * (0.75 + (this.random.next() / 2)));
+			failures = reply ? 0 : failures + 1;
+			await this.clock.sleep(reply ? reply.nextAfterMs * (0.75 + (this.random.next() / 2)) : getRetryPauseMs(failures, this.random));
 		}
 	}
 
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -196,7 +196,15 @@
 		await world.startEntry(`${id}2`);
 	}
 
-	await world.clock.advance(15_000);
+	let peak = 0;
+	for (let step = 0; step < 150; step++) {
+		const sent = world.announcements;
+		await world.clock.advance(100);
+		peak = Math.max(peak, world.announcements - sent);
+	}
+
+	// 200 hosts in one instant would be 200 here.
+	expect(peak).toBeLessThan(40);
 	expect(getAllRoutable().map(ids => ids.length)).toEqual([200, 200, 200]);
 	const before = world.announcements;
 	await world.clock.advance(10_000);
