--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -76,6 +76,9 @@
 		longDeadlineMs: whole(30_000, 1, 3_600_000, 'Deadline of a long request that names none.'),
 		maxBodyBytes: whole(1_048_576, 0, 1_073_741_824, 'Largest body of a request.'),
 		bodyTimeoutMs: whole(10_000, 50, 600_000, 'Longest time for a body to arrive.'),
+		keepAliveMs: whole(65_000, 1000, 600_000, 'How long an idle connection of a caller is kept; longer than the balancer keeps it.'),
+		drainMs: whole(500, 0, 60_000, 'How long a stopping entry still answers callers, with refusals, before it closes idle connections.'),
+		maxConnections: whole(20_000, 1, 1_000_000, 'Connections of callers at most.'),
 	},
 	admission: {
 		queueLimit: whole(512, 1, 100_000, 'Longest queue of each class of a service at this entry.'),
@@ -86,6 +89,7 @@
 		budgetShare: fraction(0.1, 0, 1, 'Retries allowed as a share of first tries.'),
 		budgetBurst: whole(10, 0, 10_000, 'Retries of a service allowed at once, whatever the share.'),
 		maxAttempts: whole(3, 1, 10, 'Most tries of one request, the first included.'),
+		connectTimeoutMs: whole(1000, 10, 60_000, 'Longest wait for a connection to an upstream.'),
 	},
 	answers: {
 		bufferBytes: whole(65_536, 0, 16_777_216, 'Answers up to this size are held until they are whole; larger ones are streamed.'),
@@ -143,6 +147,7 @@
 		urgentPriority: whole(900, 1, 1001, 'Tasks of this priority or higher may evict others; 1001: none.'),
 		urgentPatienceMs: whole(1000, 0, 60_000, 'How long urgent work waits for a task to end before it evicts one.'),
 		urgentClaimMs: whole(1500, 100, 60_000, 'How long urgent work waits for one eviction before another is tried.'),
+		headroomHalfLifeMs: whole(600_000, 0, 86_400_000, 'Time in which half of the room kept free after urgent work is given up; 0: none is kept.'),
 		quotaReturnMs: whole(10_000, 0, 3_600_000, 'How long demand within a quota waits before borrowed room is taken back.'),
 		reserveAfterMs: whole(5000, 0, 3_600_000, 'How long a gang or large task waits before room is kept for it.'),
 		evictionsPerMinute: whole(30, 0, 1_000_000, 'Budget of evictions for quotas and harm, and the least one for urgent work.'),
@@ -174,7 +179,7 @@
 		maxQueued: whole(100_000, 10, 10_000_000, 'Entries held while the log is away, at most.'),
 		submitTimeoutMs: whole(5000, 50, 600_000, 'Longest time for a submission to be in the log.'),
 		keepFinishedMs: whole(3_600_000, 1000, 30 * dayMs, 'How long a finished job can be asked for.'),
-		maxFailures: whole(3, 1, 1000, 'Failures of an idempotent task before it counts as failed.'),
+		maxFailures: whole(10, 1, 1000, 'Failures of an idempotent task before it counts as failed, whatever placement makes of them.'),
 	},
 	ownership: {
 		leaseMs: whole(8000, 200, 600_000, 'Lease of an entry on its shards.'),
