Give long requests a longer queue, and bound the bodies held

Since a queue bounds requests and not bytes, bodies of all requests in progress are now bounded together.

--- a/src/plugins/callers-service.ts
+++ b/src/plugins/callers-service.ts
@@ -22,6 +22,12 @@
 const noUpstreamRetryAfterMs = 1000;
 const maxHeaderBytes = 32_768;
 
+type CallParts = {
+	facts: RequestFacts;
+	arrivedAtMs: number;
+	body?: Buffer;
+};
+
 /** Creates the server for callers. */
 export const createCallersService = (kernel: Kernel): CallersService => {
 	const settings = kernel.get(ServiceName.Settings);
@@ -32,6 +38,7 @@
 	const bounds = {maxBytes: settings.callers.maxBodyBytes, timeoutMs: settings.callers.bodyTimeoutMs};
 	const ownHeaders: Record<string, string> = {[Header.Entry]: kernel.get(ServiceName.Identity).processId};
 	let serving = 0;
+	let heldBytes = 0;
 	let onIdle: (() => void) | undefined;
 	let isStopping = false;
 	let boundAddress = '';
@@ -90,12 +97,37 @@
 			return;
 		}
 
-		const body = facts.hasBody ? await readCallerBody(request, response) : undefined;
-		if (facts.hasBody && !body) {
+		if (!facts.hasBody) {
+			await serveCall(request, response, {facts, arrivedAtMs});
+			return;
+		}
+
+		const bytes = Number(request.headers['content-length'] ?? bounds.maxBytes);
+		if (bytes > bounds.maxBytes) {
+			refuseUnread(request, response, {reason: RefusalReason.BodyTooLarge, outcome: Outcome.NotRun, retryAfterMs: 0});
+			return;
+		}
+
+		// Queues bound the number of requests; large bodies would still fill the memory.
+		if (heldBytes + bytes > settings.callers.maxHeldBytes) {
+			refuseUnread(request, response, {reason: RefusalReason.QueueFull, outcome: Outcome.NotRun, retryAfterMs: noUpstreamRetryAfterMs});
 			return;
 		}
 
-		const call = createCall(request, response, {facts, arrivedAtMs, body});
+		heldBytes += bytes;
+		try {
+			const body = await readCallerBody(request, response);
+			if (body) {
+				await serveCall(request, response, {facts, arrivedAtMs, body});
+			}
+		} finally {
+			heldBytes -= bytes;
+		}
+	};
+
+	const serveCall = async (request: IncomingMessage, response: ServerResponse, parts: CallParts) => {
+		const {facts, arrivedAtMs} = parts;
+		const call = createCall(request, response, parts);
 		// The caller is gone, or has got all of its answer.
 		response.once('close', () => {
 			call.close();
@@ -130,7 +162,7 @@
 		}
 	};
 
-	const createCall = (request: IncomingMessage, response: ServerResponse, {facts, arrivedAtMs, body}: {facts: RequestFacts; arrivedAtMs: number; body?: Buffer}): Call => new Call({
+	const createCall = (request: IncomingMessage, response: ServerResponse, {facts, arrivedAtMs, body}: CallParts): Call => new Call({
 		facts,
 		headers: getPassedUp(request.rawHeaders, request.headers.connection),
 		body,
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -33,8 +33,10 @@
 
 /** Bounds and shares; fractions are from 0 to 1. */
 export type AdmissionLimits = {
-	/** Longest queue of each class. */
+	/** Longest queue of checks. */
 	queueLimit: number;
+	/** Longest queue of long requests; without it, that of checks. */
+	longQueueLimit?: number;
 	/** Share of the slots kept for long requests while any wait. */
 	longShare: number;
 	/** Share of the time left after the expected run that may be spent in the queue. */
@@ -202,11 +204,12 @@
 
 	#judge(ticket: Admissible): Refusal | undefined {
 		const {requestClass, callerId} = ticket;
-		const {queueLimit, waitShare} = this.#options.limits;
+		const {limits} = this.#options;
+		const queueLimit = requestClass === RequestClass.Long ? limits.longQueueLimit ?? limits.queueLimit : limits.queueLimit;
 		const queue = this.#queues[requestClass];
 		const waitMs = this.estimateWaitMs(requestClass, callerId);
 		const spareMs = ticket.deadlineAtMs - this.#options.clock.monotonicMs() - this.#getRunMs(ticket);
-		const allowedMs = spareMs * waitShare;
+		const allowedMs = spareMs * limits.waitShare;
 		if (spareMs <= 0 || waitMs > allowedMs) {
 			return this.#createRefusal(RefusalReason.DeadlineUnmeetable, waitMs - Math.max(0, allowedMs));
 		}
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -1,12 +1,16 @@
 import * as fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {Admission, type Refusal, type Ticket} from '../src/requests/admission.ts';
+import {
+	Admission, type AdmissionLimits, type Refusal, type Ticket,
+} from '../src/requests/admission.ts';
 import {FairQueue} from '../src/requests/fair-queue.ts';
 import {RefusalReason, RequestClass} from '../src/types/requests.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {createRandom} from '../src/utils/seeded-random.ts';
 
-const limits = {queueLimit: 16, longShare: 0.25, waitShare: 0.5};
+const createLimits = (queueLimit = 16): AdmissionLimits => ({
+	queueLimit, longShare: 0.25, waitShare: 0.5,
+});
 
 type Sent = {
 	name: string;
@@ -19,13 +23,13 @@
 };
 
 /** A service with some slots, whose requests run as long as they say. */
-const createWorld = (slots: number, overrides: Partial<typeof limits> = {}) => {
+const createWorld = (slots: number, {queueLimit}: {queueLimit?: number} = {}) => {
 	const clock = new ManualClock();
 	let free = slots;
 	let peak = 0;
 	const started: string[] = [];
 	const admission = new Admission({
-		clock, random: createRandom(1), limits: {...limits, ...overrides}, getFreeSlots: () => free,
+		clock, random: createRandom(1), limits: createLimits(queueLimit), getFreeSlots: () => free,
 	});
 
 	const send = (name: string, options: {requestClass?: RequestClass; runMs?: number; deadlineMs?: number; callerId?: string} = {}): Sent => {
@@ -212,7 +216,7 @@
 	// Only a slow upstream has slots left. Checks rather wait; the titles behind them need not.
 	const clock = new ManualClock();
 	const admission = new Admission({
-		clock, random: createRandom(1), limits, getFreeSlots: () => 8,
+		clock, random: createRandom(1), limits: createLimits(), getFreeSlots: () => 8,
 	});
 	const started: RequestClass[] = [];
 	for (const requestClass of [RequestClass.Check, RequestClass.Long, RequestClass.Long, RequestClass.Long]) {
--- a/test/requests.test.ts
+++ b/test/requests.test.ts
@@ -58,6 +58,18 @@
 	}
 });
 
+test('bodies held at once are bounded, whatever the queues allow', async () => {
+	const upstream = await world.startUpstream((_request, response) => {
+		setTimeout(() => response.end('ok'), 100);
+	});
+	const entry = await world.startEntry({callers: {maxHeldBytes: 2500}});
+	const answers = await Promise.all(Array.from({length: 5}, async () => send(entry.address, {method: 'PUT', body: 'x'.repeat(1000)})));
+	expect(answers.filter(({status}) => status === 200)).toHaveLength(2);
+	expect(describe(answers.find(({status}) => status !== 200)!)).toMatchObject({reason: RefusalReason.QueueFull, outcome: Outcome.NotRun});
+	expect(upstream.requests).toHaveLength(2);
+	expect(await send(entry.address, {method: 'PUT', body: 'x'.repeat(1000)})).toMatchObject({status: 200});
+});
+
 test('without any upstream the caller is told so at once, with when to come back', async () => {
 	const entry = await world.startEntry();
 	const answer = await send(entry.address);
