Retry in the measurement as the product does; bound waiting for sound hosts

The measured entries retried errors and gave tries up after 400 ms; the product passes an upstream's error on and holds a check until its deadline.

--- a/src/measure/requests-policies.ts
+++ b/src/measure/requests-policies.ts
@@ -23,6 +23,8 @@
 	name: string;
 	isHedging?: boolean;
 	isLimiting?: boolean;
+	/** A try of a check is given up after so long; without, at its deadline. */
+	tryTimeoutMs?: number;
 	/** Only measured when it is asked for. */
 	isVariant?: boolean;
 	createChooser(options: ChooserOptions, surroundings: Surroundings): Chooser;
@@ -63,6 +65,9 @@
 		name: 'with-hedging', createChooser, isHedging: true, isVariant: true,
 	},
 	{name: 'with-optimal-split', createChooser: (options, surroundings) => createSplitChooser(options, surroundings), isVariant: true},
+	{
+		name: 'with-try-timeout', createChooser, tryTimeoutMs: 400, isVariant: true,
+	},
 	{
 		name: 'with-limits', createChooser, isLimiting: true, isVariant: true,
 	},
--- a/src/measure/requests-run.ts
+++ b/src/measure/requests-run.ts
@@ -123,6 +123,7 @@
 		}),
 		getRoutable,
 		getSlotShare: upstreamIndex => getSlotShare(site, upstreamIndex, index),
+		tryTimeoutMs: policy.tryTimeoutMs,
 		limits: policy.isLimiting ? new LimitBook() : undefined,
 		hedges: policy.isHedging ? new HedgePolicy() : undefined,
 	});
--- a/src/requests/choice.ts
+++ b/src/requests/choice.ts
@@ -27,6 +27,8 @@
 	longSlowRatio: number;
 	/** An upstream that ends no check for so many times their mean counts as silent. */
 	silentRatio: number;
+	/** Requests wait for a sound upstream only while at most this share of a service's upstreams is slow or silent. */
+	maxAvoidedShare: number;
 	/** How much more a long request in flight weighs than a check. */
 	longWeight: number;
 	/** State of an upstream not offered for so long is forgotten. */
@@ -43,6 +45,7 @@
 	slowRatio: 3,
 	longSlowRatio: 6,
 	silentRatio: 5,
+	maxAvoidedShare: 0.5,
 	longWeight: 1,
 	forgetAfterMs: 60_000,
 	latency: defaultLatencyTuning,
@@ -252,15 +255,23 @@
 	}
 
 	// A slow host has free slots just because it is slow; a request sent there would take longer than the wait for the next
-	// slot elsewhere. Waiting is safe only while this process has requests under way elsewhere, whose slots come free.
+	// slot elsewhere. Waiting is safe only while this process has requests under way elsewhere, whose slots come free, and
+	// while few hosts are avoided: when a wave slows many, the sound ones alone cannot carry the load, and all would queue.
 	#isWorthWaiting(serviceName: string, {excluded, requestClass}: ChoiceContext): boolean {
+		let avoidedCount = 0;
+		let isBusyElsewhere = false;
 		for (const [upstreamId, state] of this.#states) {
-			const isBusyElsewhere = state.serviceName === serviceName && getTotalInFlight(state) > 0 && !excluded.has(upstreamId);
-			if (isBusyElsewhere && !this.#isAvoided(upstreamId, requestClass) && this.#outliers.getStanding(upstreamId) === Standing.Admitted) {
-				return true;
+			if (state.serviceName !== serviceName || this.#outliers.getStanding(upstreamId) !== Standing.Admitted) {
+				continue;
+			}
+
+			if (this.#isAvoided(upstreamId, requestClass)) {
+				avoidedCount++;
+			} else {
+				isBusyElsewhere ||= getTotalInFlight(state) > 0 && !excluded.has(upstreamId);
 			}
 		}
 
-		return false;
+		return isBusyElsewhere && avoidedCount <= this.#tuning.maxAvoidedShare * this.#upstreamCounts.get(serviceName)!;
 	}
 }
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -108,6 +108,32 @@
 	expect(counts.get(undefined)).toBeUndefined();
 });
 
+test('checks do not queue for the few sound hosts while most are slow', () => {
+	// A wave of batch work slowed most hosts. Checks waited for the sound ones, which could not carry the load, until their
+	// deadlines passed, though the slow hosts had slots free.
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(10).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	count(100, () => send(chooser, clock, upstreams, () => 10));
+	const slowIds = new Set(['desk-0', 'desk-1', 'desk-2', 'desk-3', 'desk-4', 'desk-5']);
+	for (const upstreamId of slowIds) {
+		for (let index = 0; index < 20; index++) {
+			chooser.noteStart(upstreamId, RequestClass.Check);
+			chooser.noteEnd(upstreamId, {requestClass: RequestClass.Check, latencyMs: 400, isSuccess: true});
+		}
+	}
+
+	for (let index = 0; index < 1000; index++) {
+		chooser.noteStart('desk-9', RequestClass.Check);
+		chooser.noteEnd('desk-9', {requestClass: RequestClass.Check, latencyMs: 10, isSuccess: true});
+	}
+
+	chooser.noteStart('desk-9', RequestClass.Check);
+	const isSlow = (upstreamId: string) => slowIds.has(upstreamId);
+	expect(chooser.choose(service, upstreams, {...context, hasSlot: isSlow})).toBeDefined();
+	const fewer = upstreams.map(upstream => isSlow(upstream.upstreamId) && upstream.upstreamId !== 'desk-0' ? {...upstream, incarnation: 2} : upstream);
+	expect(chooser.choose(service, fewer, {...context, hasSlot: id => id === 'desk-0'})).toBeUndefined();
+});
+
 test('a host that was slow gets its load back without being measured', () => {
 	// A host was slow for a while; nothing was sent there any more, so nothing showed that it had become fast again.
 	const {clock, chooser} = createFixture();
