Ask a worker once before the first wave of starts, and measure owning

Cause: a measurement showed one listing for each of 1,000, 10,000 and 40,000 starts: each asked for the worker's clock by itself. A trial with a fault put in showed that no test noticed a list older than a start.

Change: starts share the first listing; calls keep one timer and make no error that nobody sees; the old list has a test that fails with the fault.

--- a/src/jobs/lease-keeper.ts
+++ b/src/jobs/lease-keeper.ts
@@ -2,7 +2,7 @@
 Everything said to one worker: orders that expire, lease renewals in one message a period, and the learning of ends.
 */
 import {createError, ErrorCode, getMessage} from '../core/errors.ts';
-import {type Clock} from '../types/clock.ts';
+import {type Clock, type Timer} from '../types/clock.ts';
 import {Metric, type Metrics} from '../types/metrics.ts';
 import {
 	TaskState, WorkerRefusal, type StartOrder, type TaskRef, type TaskReport, type WorkerClient, type WorkerReply, type WorkerSnapshot,
@@ -62,6 +62,7 @@
 	readonly #options: LeaseKeeperOptions;
 	#forgets: TaskRef[] = [];
 	#calibration?: Calibration;
+	#preparing?: Promise<unknown>;
 	#isAnswering = true;
 	#isSnapshotWanted = false;
 	#wake?: () => void;
@@ -97,8 +98,16 @@
 
 	/** Learns the worker's incarnation and clock, unless they are known. */
 	async prepare(): Promise<void> {
-		if (!this.#calibration) {
-			await this.list();
+		if (this.#calibration) {
+			return;
+		}
+
+		// Shared: the first wave of starts at a worker would otherwise ask once for each task.
+		this.#preparing ??= this.list();
+		try {
+			await this.#preparing;
+		} finally {
+			this.#preparing = undefined;
 		}
 	}
 
@@ -321,14 +330,12 @@
 			throw createError(ErrorCode.PeerUnavailable, {step: 'call worker', peer: workerId, detail: 'no address'});
 		}
 
-		const aborter = new AbortController();
-		const expire = async (): Promise<never> => {
-			await clock.sleep(times.callTimeoutMs, aborter.signal);
-			throw createError(ErrorCode.TimedOut, {step: 'call worker', peer: workerId});
-		};
-
-		const expiry = expire();
-		expiry.catch(() => undefined);
+		let timer: Timer | undefined;
+		const expiry = new Promise<never>((_, reject) => {
+			timer = clock.setTimer(() => {
+				reject(createError(ErrorCode.TimedOut, {step: 'call worker', peer: workerId}));
+			}, times.callTimeoutMs);
+		});
 		try {
 			const reply = await Promise.race([send(client), expiry]);
 			this.#isAnswering = true;
@@ -337,7 +344,7 @@
 			this.#isAnswering = false;
 			throw error;
 		} finally {
-			aborter.abort();
+			timer?.cancel();
 		}
 	}
 }
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -40,6 +40,38 @@
 	expect(world.violations).toEqual([]);
 });
 
+// A worker is asked for its list while a start is on its way, answers before the start arrives, and its answer is slow. Read
+// after the start was confirmed, the list lacks the task: taken as 'forgotten', the task would start a second time.
+test('a list older than a start does not end the task', async () => {
+	create({workers: 2, getBehaviour: () => ({runTimeMs: 30_000})});
+	await world.submit(createSpec('warm-up'));
+	await world.until(() => world.getRunning().length === 1);
+	const workerId = world.getPlaces('warm-up/0')[0]!;
+	const worker = world.workers.get(workerId)!;
+	const [start, list] = [worker.start.bind(worker), worker.list.bind(worker)];
+	let isOrdered = false;
+	worker.start = async order => {
+		isOrdered = true;
+		await world.clock.sleep(300);
+		return start(order);
+	};
+
+	worker.list = async () => {
+		const snapshot = await list();
+		await world.clock.sleep(1000);
+		return snapshot;
+	};
+
+	await world.submit(createSpec('a'));
+	await world.until(() => isOrdered, 10_000, 10);
+	const keeper = world.getEntry().scheduler.fleet.getKeeper(workerId)!;
+	keeper.wantSnapshot();
+	keeper.wake();
+	expect(await world.until(() => areAll(['a', 'warm-up'], JobState.Succeeded))).toBe(true);
+	expect(world.starts.get('a/0')).toHaveLength(1);
+	expect(world.violations).toEqual([]);
+});
+
 // The worker is paused with the order in its buffers. The owner waits for its lease and starts the task elsewhere. When the
 // worker wakes up it reads the old order: taken as new, it would run the task a second time at once.
 test('an order that a paused worker reads after its time starts nothing', async () => {
