--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -10,6 +10,7 @@
 import {DemoCommand} from './demo-command.ts';
 import {EntryCommand} from './entry-command.ts';
 import {ExitCode} from './exit-codes.ts';
+import {GuardCommand} from './guard-usage.ts';
 import {
 	RequestListCommand, RequestLookupCommand, StatusCommand, UpstreamDrainCommand, UpstreamListCommand, WorkerListCommand,
 } from './host-commands.ts';
@@ -25,6 +26,7 @@
 	Builtins.HelpCommand,
 	Builtins.VersionCommand,
 	EntryCommand,
+	GuardCommand,
 	DemoCommand,
 	SettingsCommand,
 	ConfigCheckCommand,
--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -76,6 +76,9 @@
 		longDeadlineMs: whole(30_000, 1, 3_600_000, 'Deadline of a long request that names none.'),
 		maxBodyBytes: whole(1_048_576, 0, 1_073_741_824, 'Largest body of a request.'),
 		bodyTimeoutMs: whole(10_000, 50, 600_000, 'Longest time for a body to arrive.'),
+		keepAliveMs: whole(65_000, 1000, 600_000, 'How long an idle connection of a caller is kept; longer than the balancer keeps it.'),
+		drainMs: whole(500, 0, 60_000, 'How long a stopping entry still answers callers, with refusals, before it closes idle connections.'),
+		maxConnections: whole(20_000, 1, 1_000_000, 'Connections of callers at most.'),
 	},
 	admission: {
 		queueLimit: whole(512, 1, 100_000, 'Longest queue of each class of a service at this entry.'),
@@ -86,6 +89,7 @@
 		budgetShare: fraction(0.1, 0, 1, 'Retries allowed as a share of first tries.'),
 		budgetBurst: whole(10, 0, 10_000, 'Retries of a service allowed at once, whatever the share.'),
 		maxAttempts: whole(3, 1, 10, 'Most tries of one request, the first included.'),
+		connectTimeoutMs: whole(1000, 10, 60_000, 'Longest wait for a connection to an upstream.'),
 	},
 	answers: {
 		bufferBytes: whole(65_536, 0, 16_777_216, 'Answers up to this size are held until they are whole; larger ones are streamed.'),
@@ -121,6 +125,17 @@
 		maxHoldMs: whole(30_000, 100, 3_600_000, 'Longest time that a slot may be held for one request; at least the longest deadline.'),
 		entryCount: whole(3, 1, 1000, 'Entries among which the slots of an upstream that echoes no sponsor are divided.'),
 	},
+	guard: {
+		address: address('127.0.0.1:7083', 'Where the guard takes requests for its upstream.'),
+		upstreamAddress: address('127.0.0.1:7084', 'Where the upstream beside the guard takes requests.'),
+		entryAddresses: list(['127.0.0.1:7081'], 'Control addresses of entries, or the one of their balancer.'),
+		service: name('', 'Service to which the upstream belongs.'),
+		slots: whole(8, 1, 10_000, 'Requests that the upstream runs at once.'),
+		connections: whole(64, 1, 100_000, 'Connections that the guard takes and opens.'),
+		queueLimit: whole(8, 0, 10_000, 'Requests that may wait at the guard for a slot.'),
+		queueMs: whole(50, 0, 60_000, 'How long a request may wait at the guard for a slot.'),
+		drainMs: whole(3000, 0, 600_000, 'How long the guard still takes requests after it announced its end.'),
+	},
 	peers: {
 		heartbeatMs: whole(250, 10, 60_000, 'How often an entry speaks to each other entry.'),
 		leaseMs: whole(1250, 50, 600_000, 'How long another entry counts as alive after it answered.'),
@@ -132,6 +147,7 @@
 		urgentPriority: whole(900, 1, 1001, 'Tasks of this priority or higher may evict others; 1001: none.'),
 		urgentPatienceMs: whole(1000, 0, 60_000, 'How long urgent work waits for a task to end before it evicts one.'),
 		urgentClaimMs: whole(1500, 100, 60_000, 'How long urgent work waits for one eviction before another is tried.'),
+		headroomHalfLifeMs: whole(600_000, 0, 86_400_000, 'Time in which half of the room kept free after urgent work is given up; 0: none is kept.'),
 		quotaReturnMs: whole(10_000, 0, 3_600_000, 'How long demand within a quota waits before borrowed room is taken back.'),
 		reserveAfterMs: whole(5000, 0, 3_600_000, 'How long a gang or large task waits before room is kept for it.'),
 		evictionsPerMinute: whole(30, 0, 1_000_000, 'Budget of evictions for quotas and harm, and the least one for urgent work.'),
--- a/src/jobs/placement-state.ts
+++ b/src/jobs/placement-state.ts
@@ -37,6 +37,8 @@
 	/** First held back from harmful places, and when it is tried again. */
 	deferredAtMs: number;
 	retryAtMs: number;
+	/** When room may be kept for it again. */
+	reserveAtMs: number;
 	/** Placed tasks by failure domain, rack and worker; kept for services alone. */
 	spread: Map<string, number> | undefined;
 	/** Version of the fleet for which `missing` was worked out. */
@@ -65,6 +67,8 @@
 	usedProcessors: number;
 	throttleShare: number;
 	throttledAtMs: number;
+	/** Its stay on the worker, while it lasts. */
+	residency: Residency | undefined;
 };
 
 /** One stay of a task on a worker at one share of its processors, kept for a while after its end. */
@@ -86,6 +90,9 @@
 	count: number;
 	/** Sum of the throttle shares. */
 	amount: number;
+	/** Expected slowdown beyond 1 of one of them on this host, were it idle and were it full. */
+	idleExcess: number;
+	fullExcess: number;
 };
 
 /** A worker, what it holds and where the index keeps it. */
@@ -102,6 +109,7 @@
 	residencies: Residency[];
 	/** Kinds that run here, and the processors that they are expected to use; undefined: to be worked out. */
 	mix: MixItem[] | undefined;
+	mixEpoch: number;
 	expectedProcessors: number;
 	/** No response to harm before this time: the last one is still taking effect. */
 	settledAtMs: number;
