--- /dev/null
+++ b/test/perf/jobs-owner.ts
@@ -0,0 +1,154 @@
+/**
+Measures what owning jobs costs and how long a takeover lasts: `npx tsx --expose-gc test/perf/jobs-owner.ts`.
+*/
+import process from 'node:process';
+import {JobFold} from '../../src/jobs/job-fold.ts';
+import {JobEntryType} from '../../src/jobs/job-records.ts';
+import {createLiveTask} from '../../src/jobs/shard-task.ts';
+import {JobState} from '../../src/types/jobs.ts';
+import {TaskState} from '../../src/types/platform.ts';
+import {createSpec, World} from '../jobs-harness.ts';
+
+const smallResources = {processors: 1, memoryMb: 1, accelerators: 0};
+const largeCapacity = {processors: 400, memoryMb: 10_000_000, accelerators: 0};
+
+const getHeapBytes = (): number => {
+	globalThis.gc?.();
+	return process.memoryUsage().heapUsed;
+};
+
+const getMedian = (values: number[]): number => values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)]!;
+
+/** Time from the death of an owner until its shards are owned, and until jobs submitted at its death, and a second after the takeover, run. */
+const measureTakeover = async (seed: number, isWorkerLost: boolean) => {
+	const world = new World({
+		seed, entries: 3, shards: 12, workers: 12, capacity: {processors: 16, memoryMb: 61_440, accelerators: 0}, getBehaviour: () => ({runTimeMs: 600_000}),
+	});
+	await world.until(() => [...world.entries.values()].reduce((sum, {scheduler}) => sum + scheduler.ownership.owned.size, 0) === 12);
+	await world.clock.advance(60_000);
+	for (let index = 0; index < 36; index++) {
+		await world.submit(createSpec(`running-${index}`, {resources: smallResources}));
+	}
+
+	await world.until(() => world.getRunning().length === 36);
+	const victim = world.getEntry(0);
+	const lost = [...victim.scheduler.ownership.owned.keys()];
+	victim.crash();
+	if (isWorkerLost) {
+		world.workers.get('worker-0')!.faults.isCut = true;
+		world.announced.delete('worker-0');
+	}
+
+	const beginMs = world.clock.monotonicMs();
+	const getSeconds = () => (world.clock.monotonicMs() - beginMs) / 1000;
+	const submitAll = (prefix: string): string[] => Array.from({length: 24}, (_, index) => {
+		void world.getEntry().scheduler.submit(createSpec(`${prefix}-${index}`, {resources: smallResources}));
+		return `${prefix}-${index}`;
+	});
+	const areStarted = (ids: string[]) => ids.every(id => world.getPlaces(`${id}/0`).length === 1);
+	const early = submitAll('at-death');
+	await world.until(() => lost.every(shard => [...world.entries.values()].some(({scheduler}) => scheduler.ownership.owned.has(shard))));
+	const ownedSeconds = getSeconds();
+	await world.clock.advance(1000);
+	const late = submitAll('after');
+	await world.until(() => areStarted(late), 120_000);
+	const lateSeconds = getSeconds() - ownedSeconds - 1;
+	await world.until(() => areStarted(early), 120_000);
+	const figures = {
+		ownedSeconds, earlySeconds: getSeconds(), lateSeconds, isSafe: world.violations.length === 0,
+	};
+	await world.stop();
+	return figures;
+};
+
+const measureCosts = async (taskCount: number) => {
+	const world = new World({
+		workers: 100, shards: 1, capacity: largeCapacity, settings: {jobs: {maxDecisions: 100_000}}, getBehaviour: () => ({runTimeMs: 20_000}),
+	});
+	await world.until(() => world.getEntry().scheduler.ownership.owned.size === 1);
+	const calls = {
+		start: 0, renew: 0, list: 0, forget: 0,
+	};
+	for (const worker of world.workers.values()) {
+		for (const name of Object.keys(calls) as Array<keyof typeof calls>) {
+			const call = worker[name].bind(worker) as (...values: unknown[]) => Promise<unknown>;
+			Object.assign(worker, {
+				async [name](...values: unknown[]) {
+					calls[name]++;
+					return call(...values);
+				},
+			});
+		}
+	}
+
+	const cpuBefore = process.cpuUsage();
+	const beginMs = world.clock.monotonicMs();
+	await world.submit(createSpec('wave', {taskCount, resources: smallResources}));
+	await world.until(() => world.getRunning().length === taskCount);
+	await world.until(() => world.getState('wave') === JobState.Succeeded, 120_000, 1000);
+	const cpu = process.cpuUsage(cpuBefore);
+	const seconds = (world.clock.monotonicMs() - beginMs) / 1000;
+	await world.stop();
+	return {
+		taskCount,
+		// With the stand-in log and workers and the harness, which run in the same process.
+		microsecondsPerTask: Math.round((cpu.user + cpu.system) / taskCount),
+		calls,
+		simulatedSeconds: seconds,
+	};
+};
+
+/** Memory of what an entry keeps: jobs as folded by every entry, ends, and live tasks at the owner. */
+const measureState = (count: number) => {
+	const fold = new JobFold();
+	const before = getHeapBytes();
+	for (let index = 0; index < count; index++) {
+		fold.apply({id: '', writtenAtMs: 0, entries: [{type: JobEntryType.Accept, shard: 0, spec: createSpec(`job-${index}`)}]}, index);
+	}
+
+	const afterJobs = getHeapBytes();
+	const jobs = [...fold.jobs.values()];
+	const tasks = jobs.map(job => createLiveTask(job, 0, 1, 0));
+	const afterTasks = getHeapBytes();
+	for (const {spec: {jobId}} of jobs) {
+		fold.apply({
+			id: '', writtenAtMs: 0, entries: [{
+				type: JobEntryType.End, jobId, fencingToken: 1, end: {
+					index: 0, attempt: 1, state: TaskState.Succeeded, evictions: 0,
+				},
+			}],
+		}, count);
+	}
+
+	const afterEnds = getHeapBytes();
+	return {
+		// Named last, so that nothing measured is collected before.
+		ended: fold.jobs.size,
+		live: tasks.filter(({job}) => job.ends.size > 0).length,
+		bytesPerJob: Math.round((afterJobs - before) / count),
+		bytesPerLiveTask: Math.round((afterTasks - afterJobs) / tasks.length),
+		bytesPerEnd: Math.round((afterEnds - afterTasks) / count),
+	};
+};
+
+console.log('state of 100,000 jobs of one task:', JSON.stringify(measureState(100_000)));
+
+for (const isWorkerLost of [false, true]) {
+	const runs = [];
+	for (let seed = 1; seed <= 10; seed++) {
+		runs.push(await measureTakeover(seed, isWorkerLost));
+	}
+
+	console.log(`takeover, ${isWorkerLost ? 'a worker lost as well' : 'all workers reached'}, 10 seeds:`, JSON.stringify({
+		owned: getMedian(runs.map(({ownedSeconds}) => ownedSeconds)),
+		ownedMax: Math.max(...runs.map(({ownedSeconds}) => ownedSeconds)),
+		submittedAtDeathStarted: getMedian(runs.map(({earlySeconds}) => earlySeconds)),
+		submittedAtDeathStartedMax: Math.max(...runs.map(({earlySeconds}) => earlySeconds)),
+		submittedLaterStartedWithin: Math.max(...runs.map(({lateSeconds}) => lateSeconds)),
+		isSafe: runs.every(({isSafe}) => isSafe),
+	}));
+}
+
+for (const taskCount of [1000, 10_000, 40_000]) {
+	console.log('costs:', JSON.stringify(await measureCosts(taskCount)));
+}
