--- a/src/jobs/harm-cost.ts
+++ b/src/jobs/harm-cost.ts
@@ -137,7 +137,7 @@
 	for (const entry of worker.tasks) {
 		const {kindId, spec: {taskClass}} = entry.job;
 		processors += getExpectedProcessors(entry);
-		const known = mix.find(item => item.kindId === kindId && item.taskClass === taskClass);
+		const known = findItem(mix, kindId, taskClass);
 		if (known) {
 			known.count++;
 			known.amount += entry.throttleShare;
@@ -151,3 +151,13 @@
 	worker.expectedProcessors = processors;
 	return mix;
 };
+
+const findItem = (mix: MixItem[], kindId: number, taskClass: TaskClass): MixItem | undefined => {
+	for (const item of mix) {
+		if (item.kindId === kindId && item.taskClass === taskClass) {
+			return item;
+		}
+	}
+
+	return undefined;
+};
--- a/src/jobs/placement-evictions.ts
+++ b/src/jobs/placement-evictions.ts
@@ -43,7 +43,12 @@
 
 /** Takes borrowed room back for demand within a quota that has waited too long. */
 export const runReturnPass = (round: Round): void => {
-	const waiting = [...round.context.queue.teams.values()].flat();
+	const {queue, quotas} = round.context;
+	if (!quotas.hasQuotas) {
+		return;
+	}
+
+	const waiting = [...queue.teams.values()].flat();
 	let left = returnsPerRound;
 	for (const job of waiting) {
 		while (left > 0 && !round.isFull && isOwed(round, job)) {
--- a/src/jobs/placement-passes.ts
+++ b/src/jobs/placement-passes.ts
@@ -5,6 +5,7 @@
 import {type Resources} from '../types/platform.ts';
 import {addTo, getDominantShare, isWithin} from './placement-resources.ts';
 import {type Place} from './placement-reservations.ts';
+import {type QuotaLedger} from './quota-ledger.ts';
 import {type Round} from './placement-round.ts';
 import {
 	isAvailable, TaskPhase, type JobEntry, type TaskEntry, type WorkerEntry,
@@ -57,21 +58,15 @@
 /** Starts tasks of all teams: those within their quota first, then by dominant share; inside a team by priority. */
 export const runFairPass = (round: Round): void => {
 	const {queue, quotas} = round.context;
-	const cursors = [...queue.teams].map(([team, jobs]) => ({team, jobs, position: 0}));
-	while (!round.isFull) {
-		let best: (typeof cursors)[number] | undefined;
-		let bestKey = Number.POSITIVE_INFINITY;
-		for (const cursor of cursors) {
-			const job = cursor.jobs[cursor.position];
-			if (job) {
-				const key = quotas.getShare(cursor.team) + (quotas.hasQuotaFor(cursor.team, job.need) ? 0 : overQuota);
-				if (key < bestKey) {
-					best = cursor;
-					bestKey = key;
-				}
-			}
-		}
+	const cursors = [...queue.teams].map(([team, jobs]): Cursor => ({
+		team, jobs, position: 0, key: 0,
+	}));
+	for (const cursor of cursors) {
+		setKey(cursor, quotas);
+	}
 
+	while (!round.isFull) {
+		const best = findFirst(cursors);
 		if (!best) {
 			return;
 		}
@@ -80,9 +75,37 @@
 		while (best.position < best.jobs.length && !round.place(best.jobs[best.position]!)) {
 			best.position++;
 		}
+
+		setKey(best, quotas);
 	}
 };
 
+type Cursor = {
+	team: string;
+	jobs: JobEntry[];
+	position: number;
+	/** Dominant share, behind all others for a borrower; infinite when nothing is left to start. */
+	key: number;
+};
+
+const setKey = (cursor: Cursor, quotas: QuotaLedger): void => {
+	const job = cursor.jobs[cursor.position];
+	cursor.key = job
+		? quotas.getShare(cursor.team) + (quotas.hasQuotaFor(cursor.team, job.need) ? 0 : overQuota)
+		: Number.POSITIVE_INFINITY;
+};
+
+const findFirst = (cursors: Cursor[]): Cursor | undefined => {
+	let best: Cursor | undefined;
+	for (const cursor of cursors) {
+		if (cursor.key < (best?.key ?? Number.POSITIVE_INFINITY)) {
+			best = cursor;
+		}
+	}
+
+	return best;
+};
+
 // Above any share, so that borrowers come after all teams within their quotas.
 const overQuota = 1e9;
 
@@ -135,8 +158,8 @@
 
 const isLarge = ({need, spec}: JobEntry): boolean => spec.taskCount > 0 && getDominantShare(need, largeUnit) >= largeShare;
 
-// A worker of today; on larger ones the share only becomes more cautious.
-const largeUnit: Resources = {processors: 16, memoryMb: 61_440, accelerators: 1};
+// About a worker of today; on larger ones the share only becomes more cautious.
+const largeUnit: Resources = {processors: 16, memoryMb: 61_440, accelerators: 8};
 
 /** Chooses the places that batch work leaves soonest, for all of the entries or none. */
 const planPlaces = (round: Round, entries: TaskEntry[], workers: readonly WorkerEntry[]): Place[] | undefined => {
--- a/src/jobs/quota-ledger.ts
+++ b/src/jobs/quota-ledger.ts
@@ -25,10 +25,17 @@
 export class QuotaLedger {
 	readonly #teams = new Map<string, TeamEntry>();
 	readonly #total = createNone();
+	#hasQuotas = false;
+
+	/** Tells whether any team has a quota. */
+	get hasQuotas(): boolean {
+		return this.#hasQuotas;
+	}
 
 	/** Sets the quota and weight of a team. */
 	setQuota(team: string, quota: Resources, weight: number): void {
 		const entry = this.get(team);
+		this.#hasQuotas = true;
 		entry.quota = {...quota};
 		entry.weight = Math.max(weight, Number.EPSILON);
 	}
