Count what others take of a worker apart from what it has

A worker's capacity less what other entries' tasks hold was passed as its capacity: jobs were told to be unplaceable for as long as others filled the large workers, and each change had all waiting jobs compared with the fleet again. Answers of that comparison are kept until the fleet changes.

--- a/src/jobs/placement-fleet.ts
+++ b/src/jobs/placement-fleet.ts
@@ -7,7 +7,7 @@
 import {type Random} from '../types/random.ts';
 import {WorkerIndex} from './index-of-workers.ts';
 import {
-	addTo, countFits, createNone, describeExcess, getDifference, isWithin,
+	addTo, countFits, createNone, describeExcess, getDifference, getSum, isWithin,
 } from './placement-resources.ts';
 import {
 	isAvailable, TaskPhase, type TaskEntry, type WorkerEntry,
@@ -20,6 +20,9 @@
 	count: number;
 };
 
+const nothing = createNone();
+const maxAnswers = 10_000;
+
 /** Workers with their room. All changes of room pass here. */
 export class Fleet {
 	readonly index = new WorkerIndex();
@@ -31,6 +34,9 @@
 	readonly #list: WorkerEntry[] = [];
 	readonly #groups = new Map<string, CapacityGroup>();
 	readonly #quotas: QuotaLedger;
+	// Many jobs ask the same of a fleet that seldom changes.
+	readonly #answers = new Map<string, string | undefined>();
+	#answeredVersion = -1;
 	#usedProcessors = 0;
 	#openProcessors = 0;
 
@@ -76,6 +82,7 @@
 		}
 
 		if (!worker.isRemoved && isSameSpec(worker.spec, spec)) {
+			this.#setForeign(worker, spec.foreign);
 			return false;
 		}
 
@@ -170,20 +177,36 @@
 
 	/** Tells whether the amount fits beside what is held now, whatever is kept for others. */
 	hasRoomNow(worker: WorkerEntry, amount: Resources): boolean {
-		return isAvailable(worker) && isWithin(amount, getDifference(worker.spec.capacity, worker.used));
+		const {capacity, foreign = nothing} = worker.spec;
+		return isAvailable(worker) && isWithin(getSum(amount, foreign), getDifference(capacity, worker.used));
 	}
 
 	/** Works out the free room again and moves the worker in the index. */
 	refresh(worker: WorkerEntry): void {
-		const {capacity} = worker.spec;
-		worker.free.processors = capacity.processors - worker.used.processors - worker.claimed.processors;
-		worker.free.memoryMb = capacity.memoryMb - worker.used.memoryMb - worker.claimed.memoryMb;
-		worker.free.accelerators = capacity.accelerators - worker.used.accelerators - worker.claimed.accelerators;
+		const {capacity, foreign = nothing} = worker.spec;
+		const {used, claimed, free} = worker;
+		free.processors = capacity.processors - foreign.processors - used.processors - claimed.processors;
+		free.memoryMb = capacity.memoryMb - foreign.memoryMb - used.memoryMb - claimed.memoryMb;
+		free.accelerators = capacity.accelerators - foreign.accelerators - used.accelerators - claimed.accelerators;
 		this.index.update(worker);
 	}
 
 	/** Says what is missing for the tasks even on an empty fleet; undefined: nothing. */
 	describeMissing(need: Resources, taskCount: number, region?: string): string | undefined {
+		if (this.#answeredVersion !== this.version || this.#answers.size > maxAnswers) {
+			this.#answers.clear();
+			this.#answeredVersion = this.version;
+		}
+
+		const key = `${need.processors}/${need.memoryMb}/${need.accelerators}/${taskCount}/${region ?? ''}`;
+		if (!this.#answers.has(key)) {
+			this.#answers.set(key, this.#findMissing(need, taskCount, region));
+		}
+
+		return this.#answers.get(key);
+	}
+
+	#findMissing(need: Resources, taskCount: number, region?: string): string | undefined {
 		const groups = [...this.#groups.values()].filter(group => region === undefined || group.region === region);
 		const where = region === undefined ? '' : ` in ${region}`;
 		if (groups.length === 0) {
@@ -203,6 +226,17 @@
 		return fitting < taskCount ? `the gang needs room for ${taskCount} tasks at once; the whole fleet${where} has room for ${fitting}` : undefined;
 	}
 
+	/** What others take comes and goes; it is no change of what the fleet could hold. */
+	#setForeign(worker: WorkerEntry, foreign: Resources = nothing): void {
+		if (isSameAmount(worker.spec.foreign ?? nothing, foreign)) {
+			return;
+		}
+
+		worker.spec = {...worker.spec, foreign};
+		this.freedVersion++;
+		this.refresh(worker);
+	}
+
 	#add(spec: PlacementWorker): void {
 		const worker: WorkerEntry = {
 			spec: {...spec},
@@ -286,10 +320,12 @@
 /** Key of a worker's rack in the spread of a job. */
 export const getRackKey = ({region, failureDomain, rack}: PlacementWorker): string => `${region}/${failureDomain}/${rack}`;
 
+const isSameAmount = (a: Resources, b: Resources): boolean =>
+	a.processors === b.processors && a.memoryMb === b.memoryMb && a.accelerators === b.accelerators;
+
 const isSameSpec = (a: PlacementWorker, b: PlacementWorker): boolean =>
 	a.isOpen === b.isOpen && a.region === b.region && a.failureDomain === b.failureDomain && a.rack === b.rack
-	&& a.capacity.processors === b.capacity.processors && a.capacity.memoryMb === b.capacity.memoryMb
-	&& a.capacity.accelerators === b.capacity.accelerators;
+	&& isSameAmount(a.capacity, b.capacity);
 
 /** Gets the capacity that lacks the need in the fewest dimensions; the larger one of equals. */
 const getNearestCapacity = (need: Resources, groups: CapacityGroup[]): Resources => {
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -11,6 +11,8 @@
 	failureDomain: string;
 	rack: string;
 	capacity: Resources;
+	/** Taken by tasks of others: room that cannot be given now, though the worker has it. */
+	foreign?: Resources;
 	/** False while draining or held down: what runs stays counted, nothing new is placed. */
 	isOpen: boolean;
 };
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,5 +1,6 @@
 import {expect, test} from 'vitest';
 import {TaskClass} from '../src/types/jobs.ts';
+import {DecisionType} from '../src/types/placement.ts';
 import {
 	createEngine, createSpec, createTask, createWorker, enqueueJob, getEvictions, getStarts, getUnplaceable,
 } from './placement-tools.ts';
@@ -209,3 +210,18 @@
 	engine.noteEnded('batch/2', true, 10_900);
 	expect(getStarts(engine.decide(10_900, 100)).map(({taskId}) => taskId)).toEqual(['urgent/0']);
 });
+
+/*
+Another entry's tasks fill the only large worker for a while. Counting its capacity as what they leave would tell the
+caller that the job can run nowhere, though it only has to wait.
+*/
+test('what others take of a worker is waited for and not told to be missing', () => {
+	const engine = createEngine();
+	engine.setWorker(createWorker(0, {foreign: {processors: 10, memoryMb: 1024, accelerators: 0}}));
+	enqueueJob(engine, createSpec('wide', {resources: {processors: 12, memoryMb: 1024, accelerators: 0}}));
+	enqueueJob(engine, createSpec('small'));
+	expect(engine.decide(0, 10)).toMatchObject([{type: DecisionType.Start, taskId: 'small/0'}]);
+	engine.noteEnded('small/0', true, 500);
+	engine.setWorker(createWorker(0, {foreign: {processors: 4, memoryMb: 1024, accelerators: 0}}));
+	expect(getStarts(engine.decide(1000, 10)).map(({taskId}) => taskId)).toEqual(['wide/0']);
+});
