--- a/src/jobs/placement-engine.ts
+++ b/src/jobs/placement-engine.ts
@@ -5,22 +5,22 @@
 more than it has, whatever becomes of the orders in between.
 */
 import {type Settings} from '../core/settings-schema.ts';
-import {TaskClass} from '../types/jobs.ts';
 import {
 	DecisionType, type Decision, type PendingTask, type PlacementEngine, type PlacementWorker,
 } from '../types/placement.ts';
 import {type Resources, type TaskUsage} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
-import {getExpectedProcessors} from './harm-history.ts';
 import {KindTable} from './harm-model.ts';
 import {runHarmPass} from './harm-response.ts';
 import {createContext} from './placement-context.ts';
+import {createEntry, createJob, getShapeKey} from './placement-entries.ts';
 import {runReturnPass} from './placement-evictions.ts';
 import {runFairPass, runReservePass, runUrgentPass} from './placement-passes.ts';
 import {createNone} from './placement-resources.ts';
 import {getNeed, Round, type PlacementContext} from './placement-round.ts';
 import {type ChooseWorker} from './placement-search.ts';
 import {TaskPhase, type JobEntry, type TaskEntry} from './placement-state.ts';
+import {learnHarm, noteRunningUsage} from './placement-usage.ts';
 
 /** What the engine is made from. */
 export type PlacementOptions = {
@@ -31,9 +31,6 @@
 };
 
 const avoidMs = 2000;
-const smoothing = 0.3;
-// Measured use this far above what is held is no noise.
-const excessRatio = 1.05;
 
 /** Creates a placement engine. */
 export const createPlacementEngine = (options: PlacementOptions): PlacementEngine => new Engine(options);
@@ -176,37 +173,10 @@
 	}
 
 	noteUsage(taskId: string, usage: TaskUsage): void {
-		const {settings, history, model, sizes} = this.#context;
 		const entry = this.#tasks.get(taskId);
-		if (settings.isHarmAware) {
-			const surroundings = history.getSurroundings(taskId, entry, usage.measuredAtMs);
-			if (surroundings) {
-				model.note({...surroundings, slowdown: usage.slowdown});
-				if (surroundings.taskClass === TaskClass.LatencyCritical) {
-					model.noteUsualHarm(usage.slowdown, surroundings.batchProcessors);
-				}
-			}
-		}
-
-		if (!entry?.worker || usage.measuredAtMs < entry.startedAtMs) {
-			return;
-		}
-
-		entry.slowdown += smoothing * (usage.slowdown - entry.slowdown);
-		entry.worker.expectedProcessors += usage.processors - getExpectedProcessors(entry);
-		entry.usedProcessors = usage.processors;
-		history.measure(entry);
-		if (entry.throttleShare === 1) {
-			sizes.noteUsage(entry.job.kindId, entry.job.spec.resources, usage);
-		}
-
-		this.#coverExcess(entry, usage);
-		if (settings.isHarmAware && entry.job.spec.taskClass === TaskClass.LatencyCritical) {
-			if (entry.slowdown >= settings.harmThreshold) {
-				this.#context.harmed.add(entry);
-			} else {
-				this.#context.harmed.delete(entry);
-			}
+		learnHarm(this.#context, {taskId, entry, usage});
+		if (entry?.worker && usage.measuredAtMs >= entry.startedAtMs) {
+			noteRunningUsage(this.#context, entry, usage);
 		}
 	}
 
@@ -331,22 +301,6 @@
 		}
 	}
 
-	/** A host that is in truth fuller than what is held on it gets nothing more. */
-	#coverExcess(entry: TaskEntry, usage: TaskUsage): void {
-		const {reserved} = entry;
-		if (usage.processors <= reserved.processors * excessRatio && usage.memoryMb <= reserved.memoryMb * excessRatio) {
-			return;
-		}
-
-		if (entry.phase === TaskPhase.Placed) {
-			this.#context.fleet.resize(entry, {
-				processors: Math.max(reserved.processors, usage.processors),
-				memoryMb: Math.max(reserved.memoryMb, usage.memoryMb),
-				accelerators: reserved.accelerators,
-			});
-		}
-	}
-
 	#tellUnplaceable(round: Round): void {
 		const {fleet, queue} = this.#context;
 		for (const [jobId, reason] of this.#finals) {
@@ -390,48 +344,3 @@
 		job.missing = missing;
 	}
 }
-
-const createJob = ({spec, region, queuedAtMs}: PendingTask, kindId: number, order: number): JobEntry => {
-	const job: JobEntry = {
-		spec,
-		kindId,
-		region,
-		shapeKey: '',
-		waiting: [],
-		head: 0,
-		waitingCount: 0,
-		placedCount: 0,
-		queuedAtMs,
-		order,
-		need: spec.resources,
-		needAtMs: queuedAtMs,
-		deferredAtMs: Number.POSITIVE_INFINITY,
-		retryAtMs: 0,
-		reserveAtMs: 0,
-		spread: undefined,
-		checkedAtFleet: -1,
-		missing: undefined,
-		isFinal: false,
-	};
-	job.shapeKey = getShapeKey(job);
-	return job;
-};
-
-const getShapeKey = ({spec: {resources, taskClass, kind}, region = ''}: JobEntry): string =>
-	`${resources.processors}/${resources.memoryMb}/${resources.accelerators}/${taskClass}/${region}/${kind}`;
-
-const createEntry = (task: PendingTask, job: JobEntry): TaskEntry => ({
-	task,
-	job,
-	phase: TaskPhase.Gone,
-	worker: undefined,
-	reserved: job.need,
-	startedAtMs: 0,
-	isBlameless: false,
-	next: undefined,
-	slowdown: 1,
-	usedProcessors: -1,
-	throttleShare: 1,
-	throttledAtMs: 0,
-	residency: undefined,
-});
--- /dev/null
+++ b/src/jobs/placement-entries.ts
@@ -0,0 +1,53 @@
+/**
+Creates what the engine keeps for jobs and tasks.
+*/
+import {type PendingTask} from '../types/placement.ts';
+import {TaskPhase, type JobEntry, type TaskEntry} from './placement-state.ts';
+
+/** Creates a job of which nothing waits yet. */
+export const createJob = ({spec, region, queuedAtMs}: PendingTask, kindId: number, order: number): JobEntry => {
+	const job: JobEntry = {
+		spec,
+		kindId,
+		region,
+		shapeKey: '',
+		waiting: [],
+		head: 0,
+		waitingCount: 0,
+		placedCount: 0,
+		queuedAtMs,
+		order,
+		need: spec.resources,
+		needAtMs: queuedAtMs,
+		deferredAtMs: Number.POSITIVE_INFINITY,
+		retryAtMs: 0,
+		reserveAtMs: 0,
+		spread: undefined,
+		checkedAtFleet: -1,
+		missing: undefined,
+		isFinal: false,
+	};
+	job.shapeKey = getShapeKey(job);
+	return job;
+};
+
+/** Key that is equal for jobs which the same search answers alike. */
+export const getShapeKey = ({spec: {resources, taskClass, kind}, region = ''}: JobEntry): string =>
+	`${resources.processors}/${resources.memoryMb}/${resources.accelerators}/${taskClass}/${region}/${kind}`;
+
+/** Creates a task that neither waits nor holds room yet. */
+export const createEntry = (task: PendingTask, job: JobEntry): TaskEntry => ({
+	task,
+	job,
+	phase: TaskPhase.Gone,
+	worker: undefined,
+	reserved: job.need,
+	startedAtMs: 0,
+	isBlameless: false,
+	next: undefined,
+	slowdown: 1,
+	usedProcessors: -1,
+	throttleShare: 1,
+	throttledAtMs: 0,
+	residency: undefined,
+});
