--- a/src/requests/dispatch-attempt.ts
+++ b/src/requests/dispatch-attempt.ts
@@ -4,7 +4,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {createError, ErrorCode} from '../core/errors.ts';
-import {Header, Outcome} from '../types/requests.ts';
+import {Header, Outcome, RefusalReason} from '../types/requests.ts';
 import {type AnswerCollector, type WholeAnswer} from './answer.ts';
 import {isFramed} from './headers.ts';
 import {AttemptFailure} from './retry.ts';
@@ -22,6 +22,8 @@
 	isWritten: boolean;
 	answer?: WholeAnswer;
 	failure?: AttemptFailure;
+	/** Reason that a guard gave. */
+	reason?: RefusalReason;
 	error?: Error;
 };
 
@@ -133,12 +135,17 @@
 			return;
 		}
 
-		const isGuardRefusal = this.#status === guardRefusalStatus && this.#headers[Header.Outcome] === Outcome.NotRun;
-		this.#end({
-			isWritten: this.#isWritten,
-			answer: this.#options.collector.end(),
-			failure: isGuardRefusal ? AttemptFailure.GuardRefused : undefined,
-		});
+		const outcome = this.#options.collector.isStreaming ? undefined : this.#headers[Header.Outcome];
+		if (outcome === Outcome.NotRun && this.#status === guardRefusalStatus) {
+			this.#end({isWritten: false, failure: AttemptFailure.GuardRefused, reason: getGuardReason(this.#headers)});
+		} else if (outcome === Outcome.Unknown) {
+			// A whole answer, but a guard's: the upstream behind it gave none.
+			this.#fail(createError(ErrorCode.PeerUnavailable, {
+				step: 'read answer', peer: this.#options.upstreamId, detail: 'the guard got no answer',
+			}));
+		} else {
+			this.#end({isWritten: true, answer: this.#options.collector.end()});
+		}
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
@@ -160,3 +167,6 @@
 		this.#options.onEnd(end);
 	}
 }
+
+const getGuardReason = (headers: IncomingHttpHeaders): RefusalReason =>
+	Object.values(RefusalReason).find(reason => reason === headers[Header.RefusalReason]) ?? RefusalReason.UpstreamFailed;
--- a/src/requests/dispatch-lane.ts
+++ b/src/requests/dispatch-lane.ts
@@ -259,15 +259,14 @@
 		return true;
 	}
 
-	#conclude({answer, failure, isWritten, error}: AttemptEnd): CallEnd {
+	#conclude({answer, failure, isWritten, reason, error}: AttemptEnd): CallEnd {
 		if (answer) {
-			// A guard's refusal is passed on as it is, and is as true as ours.
-			return {answer, isWritten: failure === undefined};
+			return {answer, isWritten};
 		}
 
-		const reason = failure === AttemptFailure.TimedOut ? RefusalReason.UpstreamTimeout : getBrokenReason(error);
+		const ownReason = failure === AttemptFailure.TimedOut ? RefusalReason.UpstreamTimeout : getBrokenReason(error);
 		return {
-			refusal: {reason, outcome: isWritten ? Outcome.Unknown : Outcome.NotRun, retryAfterMs: failedRetryAfterMs},
+			refusal: {reason: reason ?? ownReason, outcome: isWritten ? Outcome.Unknown : Outcome.NotRun, retryAfterMs: failedRetryAfterMs},
 			isWritten,
 		};
 	}
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -3,6 +3,7 @@
 import {createSettings} from '../src/core/settings.ts';
 import {ClaimBook} from '../src/requests/claim-book.ts';
 import {ClaimFold} from '../src/requests/claim-fold.ts';
+import {findStartOffset} from '../src/requests/claim-start.ts';
 import {ClaimItemType, type ClaimItem, type ClaimRecord} from '../src/requests/claim-records.ts';
 import {Stream} from '../src/types/platform.ts';
 import {RefusalReason} from '../src/types/requests.ts';
@@ -245,6 +246,26 @@
 	expect(late.book.judge(world.createId())).toBeUndefined();
 });
 
+test('a starting entry skips what can no longer matter, and misses nothing that can', async () => {
+	// A day of records would keep a new entry from claiming for minutes.
+	const world = createClaimsWorld({claims: {idLifetimeMs: 60_000, marginMs: 60_000}});
+	const createBatch = (writtenAtMs: number): ClaimRecord => ({
+		id: 'r', entryId: 'a', writtenAtMs, items: [],
+	});
+	const nowMs = world.clock.now().getTime();
+	for (let index = 10_000; index > 0; index--) {
+		await world.memory.append(Stream.Claims, createBatch(nowMs - (index * 1000)));
+	}
+
+	const {settings, clock, random, memory} = world;
+	const fromOffset = await findStartOffset({
+		log: memory, clock, random, settings, signal: new AbortController().signal,
+	});
+	// Records of the last 120 s are the last 120.
+	expect(fromOffset).toBeLessThanOrEqual(10_000 - 120);
+	expect(fromOffset).toBeGreaterThan(10_000 - 120 - 2000);
+});
+
 test('ids from the future and ids of another form are refused', () => {
 	// An id from tomorrow would outlive its claim and run again.
 	const world = createClaimsWorld();
--- a/test/requests.test.ts
+++ b/test/requests.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
 import {connect} from 'node:net';
 import {
 	afterEach, beforeEach, expect, test,
@@ -58,6 +59,13 @@
 	}
 });
 
+test('the contract for callers names every refusal reason and outcome', () => {
+	const contract = readFileSync(new URL('../docs/CALLERS.md', import.meta.url), 'utf8');
+	for (const word of [...Object.values(RefusalReason), ...Object.values(Outcome)]) {
+		expect(contract).toContain(`| \`${word}\` |`);
+	}
+});
+
 test('bodies held at once are bounded, whatever the queues allow', async () => {
 	const upstream = await world.startUpstream((_request, response) => {
 		setTimeout(() => response.end('ok'), 100);
--- a/test/retry.test.ts
+++ b/test/retry.test.ts
@@ -88,6 +88,39 @@
 	expect(entry.getCounts()[`retries.${RetryReason.GuardRefused}`] ?? 0).toBe(guarded.requests.length);
 });
 
+test('with every guard full the caller is told so, as not run, and its id may be used again', async () => {
+	let isFull = true;
+	await world.startUpstream((_request, response) => {
+		if (isFull) {
+			response.writeHead(503, {[Header.Outcome]: Outcome.NotRun, [Header.RefusalReason]: RefusalReason.GuardFull}).end();
+		} else {
+			response.end('ok');
+		}
+	}, true);
+	const entry = await world.startEntry();
+	const requestId = world.createId();
+	const answer = await send(entry.address, post(requestId));
+	expect(describe(answer)).toEqual({status: 503, reason: RefusalReason.GuardFull, outcome: Outcome.NotRun});
+	expect(Number(answer.headers[Header.RetryAfterMs])).toBeGreaterThan(0);
+	isFull = false;
+	expect(await send(entry.address, post(requestId))).toMatchObject({status: 200});
+});
+
+test('a guard that got no answer from its upstream makes the request unknown, not done', async () => {
+	// The guard answers whole, so the connection tells nothing. Kept as the answer of the request, the guard's error
+	// would be replayed for ever, and an issue request that may have run would look refused.
+	const upstream = await world.startUpstream((_request, response) => {
+		response.writeHead(502, {[Header.Outcome]: Outcome.Unknown, [Header.RefusalReason]: RefusalReason.UpstreamFailed}).end();
+	}, true);
+	const entry = await world.startEntry();
+	const requestId = world.createId();
+	expect(describe(await send(entry.address, post(requestId)))).toEqual({status: 502, reason: RefusalReason.UpstreamFailed, outcome: Outcome.Unknown});
+	await world.waitUntil(() => entry.kernel.get(ServiceName.Claims).lookup(requestId)?.state === ClaimState.Unknown);
+	expect(upstream.requests).toHaveLength(1);
+	await send(entry.address);
+	expect(upstream.requests.length).toBeGreaterThan(2);
+});
+
 test('a check that breaks is tried again, an issue request that breaks is not', async () => {
 	let count = 0;
 	await world.startRawUpstream(socket => {
