--- a/src/measure/requests-entry.ts
+++ b/src/measure/requests-entry.ts
@@ -302,8 +302,8 @@
 		});
 	}
 
-	#fail(served: Served, {upstream}: Try, answer: HostAnswer): void {
-		const {recorder, clock} = this.#options;
+	#fail(served: Served, {upstream, startedAtMs}: Try, answer: HostAnswer): void {
+		const {recorder, clock, hosts} = this.#options;
 		const {requestClass, deadlineAtMs, isCounted} = served.request;
 		// An error of the upstream is its answer, and is passed on.
 		const isRetryable = answer === HostAnswer.None && getRetryReason(AttemptFailure.TimedOut, requestClass === RequestClass.Check) !== undefined;
@@ -324,6 +324,7 @@
 			recorder.failCheck();
 		} else if (answer === HostAnswer.None) {
 			recorder.longUnknown++;
+			recorder.longCaught += startedAtMs < hosts.faultAtMs ? 1 : 0;
 		} else {
 			recorder.longFailed++;
 		}
--- a/src/measure/requests-recorder.ts
+++ b/src/measure/requests-recorder.ts
@@ -29,6 +29,8 @@
 	longFailed = 0;
 	/** Long requests of which nobody knows whether they ran. */
 	longUnknown = 0;
+	/** Those of them that were in progress when the fault began. */
+	longCaught = 0;
 	/** Checks that ended with no answer. */
 	checksFailed = 0;
 	/** All checks that arrived; one with no answer counts as answered at its deadline. */
@@ -74,6 +76,7 @@
 			longLate: this.longLate,
 			longFailed: this.longFailed,
 			longUnknown: this.longUnknown,
+			longCaught: this.longCaught,
 			retryRatio: (this.retries + this.hedges) / Math.max(1, this.firstTries),
 			goodputPerS: this.goodAnswers / seconds,
 			usefulMsPerS: this.usefulMs / seconds,
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -1,6 +1,7 @@
 import {expect, test} from 'vitest';
 import fc from 'fast-check';
 import {createChooser, type ChooserOptions} from '../src/requests/choice.ts';
+import {UpstreamStates} from '../src/requests/choice-states.ts';
 import {parseFailureDomainWeights} from '../src/requests/choice-weights.ts';
 import {HostState, type UpstreamAnnouncement} from '../src/types/announcements.ts';
 import {type Chooser} from '../src/types/choice.ts';
@@ -244,3 +245,33 @@
 
 	expect(run()).toEqual(run());
 });
+
+test('replaced hosts leave nothing behind', () => {
+	// Hosts were replaced all day under new names, and the entry kept a little of each until it was killed for its memory.
+	const clock = new ManualClock();
+	const forgotten: string[] = [];
+	const states = new UpstreamStates(clock, 60_000, id => forgotten.push(id));
+	for (let index = 0; index < 1000; index++) {
+		states.see(createUpstream(index));
+		states.noteStart(`desk-${index}`, RequestClass.Check);
+		states.sweep();
+		clock.advanceSync(1000);
+	}
+
+	expect(states.size).toBeLessThan(130);
+	expect(forgotten.length).toBe(1000 - states.size);
+	expect(states.noteEnd('desk-0', RequestClass.Check)).toBeUndefined();
+});
+
+test('a host that hangs is avoided before any request to it has ended', () => {
+	// A host accepted requests and never answered. Nothing had failed yet, so that long requests were sent there as well.
+	const {clock, chooser} = createFixture();
+	const upstreams = createUpstreams(4).map(upstream => ({...upstream, failureDomain: 'leith-hall'}));
+	count(100, () => send(chooser, clock, upstreams, () => 10));
+	chooser.noteStart('desk-1', RequestClass.Check);
+	clock.advanceSync(60);
+	for (let index = 0; index < 100; index++) {
+		expect(chooser.choose(service, upstreams, {...context, requestClass: RequestClass.Long})?.upstreamId).not.toBe('desk-1');
+		expect(chooser.choose(service, upstreams, context)?.upstreamId).not.toBe('desk-1');
+	}
+});
