Drain an upstream by command, take callers only with hosts known, and heed weights of failure domains

Change: the route; readiness waits for one announcement period and the news of each peer alive; weights come from the section in force, parsed once; the clock counts from 0. Conclusion: none yet for readiness.

--- a/src/plugins/callers-lanes.ts
+++ b/src/plugins/callers-lanes.ts
@@ -4,7 +4,9 @@
 import {type Kernel} from '../core/kernel.ts';
 import {breakResponse, type StallWatch} from '../requests/answer.ts';
 import {StallBook} from '../requests/answer-stalls.ts';
+import {createWeightsLookup} from '../requests/choice-weights.ts';
 import {createChooser} from '../requests/choice.ts';
+import {getServiceSection} from '../core/config-text.ts';
 import {DeadlineHeap} from '../requests/deadline-heap.ts';
 import {type Attempt} from '../requests/dispatch-attempt.ts';
 import {type Call} from '../requests/dispatch-call.ts';
@@ -50,7 +52,13 @@
 	const moves = kernel.has(ServiceName.Moves) ? kernel.get(ServiceName.Moves) : undefined;
 	const entries = new Map<string, LaneEntry>();
 
-	const chooser = createChooser({clock, random, failureDomain: kernel.get(ServiceName.Identity).failureDomain});
+	const config = kernel.get(ServiceName.Config);
+	const chooser = createChooser({
+		clock,
+		random,
+		failureDomain: kernel.get(ServiceName.Identity).failureDomain,
+		getFailureDomainWeights: createWeightsLookup(serviceName => config.getSection(getServiceSection(serviceName))?.values?.failureDomainWeights),
+	});
 	const pools = new UpstreamPools(retries.connectTimeoutMs, upstreamId => upstreams.get(upstreamId) !== undefined);
 	const dueAttempts = new DeadlineHeap<Attempt>({
 		clock,
--- a/src/plugins/membership-service.ts
+++ b/src/plugins/membership-service.ts
@@ -61,6 +61,8 @@
 	const aborter = new AbortController();
 	const {signal} = aborter;
 	const tasks = new Map<string, Promise<void>>();
+	const heardFrom = new Set<string>();
+	const startedAtMs = clock.monotonicMs();
 	let watching: Promise<void> | undefined;
 	let takeForward: ForwardHandler | undefined;
 
@@ -70,6 +72,7 @@
 		try {
 			const answer = await peers.call(peerId, PeerMethod.Announcements, {kind: RelayKind.Pull, content: request});
 			state.takeAnswer(parsePullAnswer(answer), sentAtMs);
+			heardFrom.add(peerId);
 		} catch (error) {
 			state.takeFailure(request);
 			log('No news from %s: %s', peerId, getMessage(error));
@@ -129,6 +132,9 @@
 
 		return takeForward(parseUpstreamAnnouncement(content));
 	});
+	// An entry that has just started knows no hosts: callers would be refused for want of upstreams that all others know.
+	control.addReadiness('membership', () => clock.monotonicMs() - startedAtMs >= settings.announceEveryMs
+		&& peers.list().every(({processId: peerId, isAlive}) => !isAlive || heardFrom.has(peerId)));
 	control.addStatus('membership', () => ({ownId, hostsInCare: state.careCount, heldDown: damper.countHeld()}));
 
 	return {
--- a/src/plugins/upstreams-service.ts
+++ b/src/plugins/upstreams-service.ts
@@ -5,7 +5,7 @@
 import {type Kernel} from '../core/kernel.ts';
 import {HostKind, parseUpstreamAnnouncement} from '../requests/membership-messages.ts';
 import {getSponsorProcess, SponsorBook} from '../requests/sponsor-book.ts';
-import {type AnnouncementReply, type UpstreamAnnouncement} from '../types/announcements.ts';
+import {HostState, type AnnouncementReply, type UpstreamAnnouncement} from '../types/announcements.ts';
 import {Metric} from '../types/metrics.ts';
 import {ServiceName, type UpstreamRegistry} from '../types/services.ts';
 import {createLogger, Part} from '../utils/logger.ts';
@@ -116,6 +116,21 @@
 	};
 
 	control.route('POST', '/v1/announcements/upstreams', async ({body}) => ({body: await receive(parseUpstreamAnnouncement(body))}));
+	/** Draining beats alive within an incarnation, so the upstream's own announcements do not undo it. */
+	const drain = (upstreamId: string): AnnouncementReply => {
+		const known = registry.get(upstreamId);
+		if (!known) {
+			throw createError(ErrorCode.NotFound, {step: 'drain upstream', peer: upstreamId});
+		}
+
+		if (known.state !== HostState.Alive) {
+			return {isAccepted: false, reason: `it is ${known.state}`, nextAfterMs: 0};
+		}
+
+		return membership.hear(HostKind.Upstream, upstreamId, {...known, state: HostState.Draining, sequence: known.sequence + 1});
+	};
+
+	control.route('POST', '/v1/upstreams/:id/drain', ({params}) => ({body: drain(params.id ?? '')}));
 	control.route('GET', '/v1/upstreams', () => ({body: {upstreams: registry.list()}}));
 	return registry;
 };
--- a/src/requests/choice-weights.ts
+++ b/src/requests/choice-weights.ts
@@ -20,6 +20,26 @@
 	return weights;
 };
 
+/** Creates a lookup of the weights in force; a text is parsed once, not for each request. */
+export const createWeightsLookup = (getText: (serviceName: string) => string | undefined): (serviceName: string) => FailureDomainWeights | undefined => {
+	const parsed = new Map<string, {text: string; weights: FailureDomainWeights}>();
+	return serviceName => {
+		const text = getText(serviceName);
+		if (text === undefined) {
+			parsed.delete(serviceName);
+			return undefined;
+		}
+
+		let known = parsed.get(serviceName);
+		if (known?.text !== text) {
+			known = {text, weights: parseFailureDomainWeights(text)};
+			parsed.set(serviceName, known);
+		}
+
+		return known.weights;
+	};
+};
+
 /**
 Draws a failure domain by weight among those with an upstream to offer; gets its upstreams. When no weighted domain has
 one, all upstreams are offered: a request rather crosses to an unweighted domain than fails.
--- a/src/utils/manual-clock.ts
+++ b/src/utils/manual-clock.ts
@@ -8,6 +8,7 @@
 	dueMs: number;
 	order: number;
 	callback: () => void;
+	isCancelled: boolean;
 };
 
 const isBefore = (a: Pending, b: Pending): boolean => a.dueMs < b.dueMs || (a.dueMs === b.dueMs && a.order < b.order);
@@ -21,32 +22,33 @@
 
 /** A clock moved by hand. Timers fire in order of due time, then of creation. */
 export class ManualClock implements Clock {
-	#nowMs: number;
+	// Counted from 0: on a wall reading, sums of small delays would round to nothing and a timer could come due early.
+	#nowMs = 0;
 	#order = 0;
 	readonly #startMs: number;
 	// A binary heap keyed by due time keeps long measurements linear in their events.
 	readonly #heap: Pending[] = [];
-	readonly #cancelled = new Set<Pending>();
 
 	constructor(startMs = 1_800_000_000_000) {
 		this.#startMs = startMs;
-		this.#nowMs = startMs;
 	}
 
 	monotonicMs(): number {
-		return this.#nowMs - this.#startMs;
+		return this.#nowMs;
 	}
 
 	now(): Date {
-		return new Date(this.#nowMs);
+		return new Date(this.#startMs + this.#nowMs);
 	}
 
 	setTimer(callback: () => void, delayMs: number): Timer {
-		const pending = {dueMs: this.#nowMs + Math.max(0, delayMs), order: this.#order++, callback};
+		const pending = {
+			dueMs: this.#nowMs + Math.max(0, delayMs), order: this.#order++, callback, isCancelled: false,
+		};
 		this.#push(pending);
 		return {
-			cancel: () => {
-				this.#cancelled.add(pending);
+			cancel() {
+				pending.isCancelled = true;
 			},
 		};
 	}
@@ -82,7 +84,7 @@
 	#takeDue(endMs: number): Pending | undefined {
 		while (this.#heap.length > 0 && this.#heap[0]!.dueMs <= endMs) {
 			const next = this.#pop();
-			if (!this.#cancelled.delete(next)) {
+			if (!next.isCancelled) {
 				return next;
 			}
 		}
