--- a/src/core/settings-schema.ts
+++ b/src/core/settings-schema.ts
@@ -58,6 +58,7 @@
 	log: {
 		url: text('http://127.0.0.1:7090', 'Address of the platform log.'),
 		timeoutMs: whole(2000, 50, 60_000, 'Longest wait for an answer of the log.'),
+		appendsPerSecond: whole(250, 1, 1_000_000, 'Appends a second that claims and jobs of all entries together may take; renewals and changes come on top.'),
 		retentionMs: whole(dayMs, 1000, 365 * dayMs, 'How long the log keeps records, at the least.'),
 	},
 	config: {
@@ -75,13 +76,15 @@
 		checkDeadlineMs: whole(2000, 1, 600_000, 'Deadline of a check that names none.'),
 		longDeadlineMs: whole(30_000, 1, 3_600_000, 'Deadline of a long request that names none.'),
 		maxBodyBytes: whole(1_048_576, 0, 1_073_741_824, 'Largest body of a request.'),
+		maxHeldBytes: whole(268_435_456, 0, 68_719_476_736, 'Bodies of all requests in progress at this entry together, at most.'),
 		bodyTimeoutMs: whole(10_000, 50, 600_000, 'Longest time for a body to arrive.'),
 		keepAliveMs: whole(65_000, 1000, 600_000, 'How long an idle connection of a caller is kept; longer than the balancer keeps it.'),
 		drainMs: whole(500, 0, 60_000, 'How long a stopping entry still answers callers, with refusals, before it closes idle connections.'),
 		maxConnections: whole(20_000, 1, 1_000_000, 'Connections of callers at most.'),
 	},
 	admission: {
-		queueLimit: whole(512, 1, 100_000, 'Longest queue of each class of a service at this entry.'),
+		queueLimit: whole(512, 1, 100_000, 'Longest queue of checks of a service at this entry.'),
+		longQueueLimit: whole(4096, 1, 100_000, 'Longest queue of long requests of a service at this entry.'),
 		longShare: fraction(0.25, 0, 0.9, 'Share of the slots, or of the turns when slots are few, kept for long requests while any wait.'),
 		waitShare: fraction(0.5, 0.05, 1, 'Share of the time left after the expected run that a request may be expected to wait in the queue.'),
 	},
