Write the ends that a stop cut off

The append in flight at a stop was aborted while the last write began, and both used the same batch: its ends could be lost, and the requests stay open though they ran. The stop now waits for the append in flight, and each append keeps its own batch.

--- a/src/plugins/claims-service.ts
+++ b/src/plugins/claims-service.ts
@@ -24,7 +24,8 @@
 	const platformLog = kernel.get(ServiceName.Log);
 	const reading = new AbortController();
 	const writing = new AbortController();
-	let tasks: Array<Promise<void>> = [];
+	let following: Promise<void> | undefined;
+	let running: Promise<void> | undefined;
 
 	const book = new ClaimBook({
 		log: platformLog,
@@ -103,10 +104,13 @@
 		lookup: requestId => book.lookup(requestId),
 		listOpen: () => book.listOpen(),
 		async start() {
-			tasks = [follow(), book.run(writing.signal)];
+			following = follow();
+			running = book.run(writing.signal);
 		},
 		async stop() {
 			writing.abort();
+			// The append in flight ends first: what it may have lost is written again below.
+			await running;
 			try {
 				await book.stop();
 			} catch (error) {
@@ -115,7 +119,7 @@
 			}
 
 			reading.abort();
-			await Promise.all(tasks);
+			await following;
 		},
 	};
 };
--- a/src/requests/claim-writer.ts
+++ b/src/requests/claim-writer.ts
@@ -30,7 +30,8 @@
 	readonly #options: ClaimWriterOptions;
 	/** Waiting items; false until the first append that may have carried the item. */
 	readonly #waiting = new Map<ClaimItem, boolean>();
-	#batch: ClaimItem[] = [];
+	/** Items in the append in flight. */
+	#inFlight = 0;
 	#wake: (() => void) | undefined;
 	#lastAppendMs = Number.NEGATIVE_INFINITY;
 
@@ -40,7 +41,7 @@
 
 	/** Items not yet confirmed. */
 	get size(): number {
-		return this.#waiting.size + this.#batch.length;
+		return this.#waiting.size + this.#inFlight;
 	}
 
 	add(item: ClaimItem): void {
@@ -79,7 +80,7 @@
 		}
 	}
 
-	/** Appends what waits, once, without the loop: for the shutdown. */
+	/** Appends what waits, once; for the shutdown, after `run` has ended: what its last append may have lost waits again. */
 	async flush(signal?: AbortSignal): Promise<void> {
 		while (this.#waiting.size > 0) {
 			await this.#appendBatch(signal);
@@ -88,25 +89,26 @@
 
 	async #appendBatch(signal?: AbortSignal): Promise<void> {
 		const {log, clock, random, entryId, isWanted} = this.#options;
-		this.#batch = this.#takeBatch();
+		const batch = this.#takeBatch();
 		this.#lastAppendMs = clock.monotonicMs();
 		const record: ClaimRecord = {
-			id: random.id(), entryId, writtenAtMs: clock.now().getTime(), items: this.#batch,
+			id: random.id(), entryId, writtenAtMs: clock.now().getTime(), items: batch,
 		};
+		this.#inFlight = batch.length;
 		try {
 			await log.append(Stream.Claims, record, signal);
-			this.#batch = [];
 		} catch (error) {
 			// The append may have taken effect. Items are idempotent by their claim ids, so all are appended again.
-			const again = this.#batch.filter(item => isWanted(item)).map(item => [item, true] as const);
+			const again = batch.filter(item => isWanted(item)).map(item => [item, true] as const);
 			const later = [...this.#waiting];
-			this.#batch = [];
 			this.#waiting.clear();
 			for (const [item, wasTried] of [...again, ...later]) {
 				this.#waiting.set(item, wasTried);
 			}
 
 			throw error;
+		} finally {
+			this.#inFlight = 0;
 		}
 	}
 
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -5,6 +5,7 @@
 import {ClaimFold} from '../src/requests/claim-fold.ts';
 import {findStartOffset} from '../src/requests/claim-start.ts';
 import {ClaimItemType, type ClaimItem, type ClaimRecord} from '../src/requests/claim-records.ts';
+import {MemoryLog} from '../src/standin/memory-log.ts';
 import {Stream} from '../src/types/platform.ts';
 import {RefusalReason} from '../src/types/requests.ts';
 import {ClaimState} from '../src/types/services.ts';
@@ -334,6 +335,51 @@
 	expect(await result).toEqual({isWon: false});
 });
 
+test('an end whose append is cut off by the stop is written before the process ends', async () => {
+	// The entry is replaced while it appends the end of a title. Lost, the title would stay open though it was issued.
+	const clock = new ManualClock();
+	const random = createRandom(3);
+	const memory = new MemoryLog(clock, random);
+	const aborter = new AbortController();
+	const hanging = {isHanging: false};
+	const book = new ClaimBook({
+		clock,
+		random,
+		entryId: 'a',
+		settings: createSettings(),
+		log: {
+			async append(stream, value, signal) {
+				if (hanging.isHanging && signal) {
+					await clock.sleep(60_000, signal);
+					throw new Error('aborted');
+				}
+
+				return memory.append(stream, value);
+			},
+			read: async (stream, fromOffset) => memory.read(stream, fromOffset),
+		},
+	});
+	const running = book.run(aborter.signal);
+	const requestId = createRequestId(clock, random);
+	const claimed = book.claim(requestId, 'desk', 1000);
+	await clock.advance(50);
+	for (const record of (await memory.read(Stream.Claims, 0)).records) {
+		book.onRecord(record);
+	}
+
+	expect(await claimed).toEqual({isWon: true});
+	hanging.isHanging = true;
+	book.finish(requestId, {state: ClaimState.Done, status: 201});
+	await clock.advance(50);
+	aborter.abort();
+	await clock.advance(2000);
+	await running;
+	await book.stop();
+	const {records} = await memory.read(Stream.Claims, 0);
+	const items = records.flatMap(({value}) => (value as ClaimRecord).items);
+	expect(items.at(-1)).toMatchObject({type: ClaimItemType.End, requestId, status: 201});
+});
+
 test('a late copy of a claim given back neither wins nor holds the id', () => {
 	// The append of a claim hung in the platform and took effect after the claim was given up and written off.
 	const fold = new ClaimFold();
