--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, expect, test} from 'vitest';
+import {createError, ErrorCode} from '../src/core/errors.ts';
 import {JobState} from '../src/types/jobs.ts';
 import {createSpec, World, type WorldOptions} from './jobs-harness.ts';
 
@@ -72,6 +73,26 @@
 	expect(world.violations).toEqual([]);
 });
 
+// The connection breaks while a start is on its way; the order arrives later. The worker's list in between does not have the
+// task: taken as 'not started', the task would start elsewhere and then here.
+test('a start that is not listed yet may still arrive', async () => {
+	create({workers: 2, getBehaviour: () => ({runTimeMs: 30_000})});
+	await world.submit(createSpec('warm-up'));
+	await world.until(() => world.getRunning().length === 1);
+	const worker = world.workers.get(world.getPlaces('warm-up/0')[0]!)!;
+	const start = worker.start.bind(worker);
+	worker.start = async order => {
+		worker.start = start;
+		void world.clock.sleep(1900).then(async () => start(order));
+		throw createError(ErrorCode.PeerUnavailable, {step: 'call worker'});
+	};
+
+	await world.submit(createSpec('a'));
+	expect(await world.until(() => areAll(['a', 'warm-up'], JobState.Succeeded))).toBe(true);
+	expect(world.starts.get('a/0')).toHaveLength(1);
+	expect(world.violations).toEqual([]);
+});
+
 // The worker is paused with the order in its buffers. The owner waits for its lease and starts the task elsewhere. When the
 // worker wakes up it reads the old order: taken as new, it would run the task a second time at once.
 test('an order that a paused worker reads after its time starts nothing', async () => {
