--- a/src/jobs/harm-cost.ts
+++ b/src/jobs/harm-cost.ts
@@ -52,7 +52,7 @@
 			const isExposed = item.taskClass === TaskClass.LatencyCritical;
 			const before = getExcess(item, load) + (isExposed ? exposure : 0);
 			const after = getExcess(item, newLoad) + (isExposed ? newExposure : 0)
-				+ this.#getEffect(item.kindId, item.taskClass, kindId, {load: newLoad, deviations: deviationsByClass[item.taskClass]});
+				+ this.#model.getEffect(item.kindId, item.taskClass, kindId, newLoad, deviationsByClass[item.taskClass]);
 			cost += item.count * (this.#getPrice(item.taskClass, after) - this.#getPrice(item.taskClass, before));
 		}
 
@@ -66,7 +66,7 @@
 		let sum = 0;
 		for (const item of mix) {
 			if (item.taskClass === TaskClass.LatencyCritical) {
-				const effect = neighbour.throttleShare * this.#getEffect(item.kindId, item.taskClass, neighbour.job.kindId, {load, deviations});
+				const effect = neighbour.throttleShare * this.#model.getEffect(item.kindId, item.taskClass, neighbour.job.kindId, load, deviations);
 				const excess = getExcess(item, load);
 				sum += item.count * (this.#getPrice(item.taskClass, Math.max(excess, effect)) - this.#getPrice(item.taskClass, Math.max(0, excess - effect)));
 			}
@@ -76,20 +76,15 @@
 	}
 
 	#getOwnExcess(kindId: number, taskClass: TaskClass, mix: MixItem[], load: number): number {
-		const at = {load, deviations: deviationsByClass[taskClass]};
-		let excess = this.#getEffect(kindId, taskClass, hostKindId, at);
+		const deviations = deviationsByClass[taskClass];
+		let excess = this.#model.getEffect(kindId, taskClass, hostKindId, load, deviations);
 		for (const item of mix) {
-			excess += item.amount * this.#getEffect(kindId, taskClass, item.kindId, at);
+			excess += item.amount * this.#model.getEffect(kindId, taskClass, item.kindId, load, deviations);
 		}
 
 		return Math.max(0, excess);
 	}
 
-	#getEffect(victimId: number, taskClass: TaskClass, neighbourId: number, {load, deviations}: {load: number; deviations: number}): number {
-		return ((1 - load) * this.#model.getIdleEffect(victimId, taskClass, neighbourId, deviations))
-			+ (load * this.#model.getFullEffect(victimId, taskClass, neighbourId, deviations));
-	}
-
 	// A tail grows faster than the mean harm, hence the square.
 	#getPrice(taskClass: TaskClass, excess: number): number {
 		return taskClass === TaskClass.LatencyCritical
--- a/src/jobs/harm-model.ts
+++ b/src/jobs/harm-model.ts
@@ -168,6 +168,16 @@
 		return mean + (deviations * this.#fullDeviation[pair]!);
 	}
 
+	/** The effect at a load between the two. */
+	getEffect(victimId: number, taskClass: TaskClass, neighbourId: number, load: number, deviations: number): number {
+		const pair = (victimId * maxKinds) + neighbourId;
+		const doubt = ((1 - load) * this.#idleDeviation[pair]!) + (load * this.#fullDeviation[pair]!);
+		const mean = this.#isSeen[pair]
+			? ((1 - load) * this.#idle[pair]!) + (load * this.#full[pair]!)
+			: this.#usual[taskClass][neighbourId]!;
+		return mean + (deviations * doubt);
+	}
+
 	/** Lets what was learned fade by the time that passed. */
 	fade(nowMs: number): void {
 		this.epoch = Math.floor(nowMs / epochMs);
--- a/src/jobs/harm-response.ts
+++ b/src/jobs/harm-response.ts
@@ -70,17 +70,15 @@
 
 /** Throttles new tasks that are known to harm: their reports would come when the harm is long done. */
 const throttleKnown = (round: Round): void => {
-	const {filled, harmCost, queue} = round.context;
-	for (const worker of filled) {
-		for (const entry of worker.tasks) {
-			if (entry.phase === TaskPhase.Placed && entry.job.spec.taskClass === TaskClass.Batch && entry.throttleShare === 1 && !queue.isUrgent(entry.job)
-				&& isThrottlePaying(round, entry, harmCost.getContribution(worker, entry, -1))) {
-				setShare(round, entry, 1 / 2);
-			}
+	const {started, harmCost, queue} = round.context;
+	for (const entry of started) {
+		const {worker, phase, job} = entry;
+		if (worker && phase === TaskPhase.Placed && !queue.isUrgent(job) && isThrottlePaying(round, entry, harmCost.getContribution(worker, entry, -1))) {
+			setShare(round, entry, 1 / 2);
 		}
 	}
 
-	filled.clear();
+	started.length = 0;
 };
 
 const isMovePaying = (round: Round, entry: TaskEntry, contribution: number): boolean => {
--- a/src/jobs/placement-context.ts
+++ b/src/jobs/placement-context.ts
@@ -55,7 +55,7 @@
 		blocked: new Map(),
 		harmed: new Set(),
 		throttled: new Set(),
-		filled: new Set(),
+		started: [],
 	};
 };
 
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -44,8 +44,8 @@
 	/** Services that are slowed down, and batch tasks that are throttled. */
 	harmed: Set<TaskEntry>;
 	throttled: Set<TaskEntry>;
-	/** Workers that were given a batch task in this round. */
-	filled: Set<WorkerEntry>;
+	/** Batch tasks started in this round. */
+	started: TaskEntry[];
 	getEvictionCost(entry: TaskEntry, nowMs: number): number;
 };
 
@@ -82,8 +82,8 @@
 	noteStarted(entry: TaskEntry, worker: WorkerEntry): void {
 		entry.startedAtMs = this.nowMs;
 		this.context.history.begin(entry, this.nowMs);
-		if (entry.job.spec.taskClass === TaskClass.Batch) {
-			this.context.filled.add(worker);
+		if (entry.job.spec.taskClass === TaskClass.Batch && this.context.settings.isHarmAware) {
+			this.context.started.push(entry);
 		}
 
 		this.decisions.push({
