--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -225,3 +225,39 @@
 	engine.setWorker(createWorker(0, {foreign: {processors: 4, memoryMb: 1024, accelerators: 0}}));
 	expect(getStarts(engine.decide(1000, 10)).map(({taskId}) => taskId)).toEqual(['wide/0']);
 });
+
+const half = {processors: 8, memoryMb: 1024, accelerators: 0};
+
+/*
+One task of a gang waits and room is kept for it; then the other task fails and waits too. Started in the kept room, the
+first would hold it and wait for the second.
+*/
+test('room kept for a part of a gang is given up when more of the gang comes back', () => {
+	const engine = createEngine({reserveAfterMs: 0});
+	engine.setWorker(createWorker(0));
+	const gang = createSpec('gang', {isGang: true, taskCount: 2, resources: half});
+	enqueueJob(engine, gang);
+	engine.decide(0, 10);
+	engine.noteEnded('gang/1', false, 1000);
+	enqueueJob(engine, createSpec('other', {priority: 200, resources: half}), {queuedAtMs: 1000});
+	engine.enqueue(createTask(gang, 1, {attempt: 1, queuedAtMs: 1000}));
+	expect(getStarts(engine.decide(1000, 10)).map(({taskId}) => taskId)).toEqual(['other/0']);
+	engine.noteEnded('gang/0', false, 2000);
+	engine.enqueue(createTask(gang, 0, {attempt: 1, queuedAtMs: 2000}));
+	expect(engine.decide(2000, 10)).toEqual([]);
+	engine.noteEnded('other/0', true, 3000);
+	expect(getStarts(engine.decide(3000, 10))).toHaveLength(2);
+});
+
+test('urgent work takes free room that is kept for a large task', () => {
+	const engine = createEngine({reserveAfterMs: 0});
+	engine.setWorker(createWorker(0));
+	enqueueJob(engine, createSpec('filler', {taskCount: 2, resources: half}));
+	engine.decide(0, 10);
+	enqueueJob(engine, createSpec('large', {resources: {...half, processors: 16}}), {queuedAtMs: 1000});
+	engine.decide(1000, 10);
+	engine.noteEnded('filler/0', true, 2000);
+	expect(engine.decide(2000, 10)).toEqual([]);
+	enqueueJob(engine, createSpec('urgent', {priority: 950, resources: half}), {queuedAtMs: 3000});
+	expect(getStarts(engine.decide(3000, 10)).map(({taskId}) => taskId)).toEqual(['urgent/0']);
+});
--- a/test/quota.test.ts
+++ b/test/quota.test.ts
@@ -30,6 +30,23 @@
 	expect(getStarts(engine.decide(15_500, 100)).map(({taskId}) => taskId)).toEqual(['b-job/0', 'b-job/1']);
 });
 
+/*
+Team a borrows 4 processors beyond its 8, and b asks for 8 at once. Taking them from a would leave it with 4 of the 8
+that are its own.
+*/
+test('nothing is taken back that would leave its holder below the quota', () => {
+	const engine = createEngine({quotaReturnMs: 1000});
+	engine.setWorker(createWorker(0));
+	for (const team of ['a', 'b', 'c']) {
+		engine.setQuota(team, quota, 1);
+	}
+
+	fillBy(engine, 'c', 1);
+	expect(fillBy(engine, 'a', 3)).toBe(3);
+	enqueueJob(engine, createSpec('b-job', {team: 'b', resources: {processors: 8, memoryMb: 1024, accelerators: 0}}), {queuedAtMs: 1000});
+	expect(engine.decide(3000, 100)).toEqual([]);
+});
+
 test('demand beyond a quota takes nothing back', () => {
 	const engine = createEngine({quotaReturnMs: 1000});
 	engine.setWorker(createWorker(0));
