--- a/src/commands/settings-command.ts
+++ b/src/commands/settings-command.ts
@@ -1,7 +1,7 @@
 /**
 `chervilworks settings`: prints the settings with their defaults.
 */
-import {Command} from 'clipanion';
+import {Command, Option} from 'clipanion';
 
 /** Prints all settings as commented INI. */
 export class SettingsCommand extends Command {
@@ -12,8 +12,10 @@
 		examples: [['Start a settings file', 'chervilworks settings > entry.ini']],
 	});
 
+	readonly isPage = Option.Boolean('--page', false, {description: 'Print them as a page in Markdown.'});
+
 	async execute(): Promise<void> {
-		const {printSettings} = await import('../core/settings.ts');
-		this.context.stdout.write(printSettings());
+		const {printSettings, printSettingsPage} = await import('../core/settings.ts');
+		this.context.stdout.write(this.isPage ? printSettingsPage() : printSettings());
 	}
 }
--- a/src/core/config-fold.ts
+++ b/src/core/config-fold.ts
@@ -22,6 +22,7 @@
 	readonly #sections = new Map<string, ConfigSection>();
 	readonly #owners = new ServiceOwners();
 	readonly #results = new Map<string, ConfigResult>();
+	#lastResult: ConfigResult | undefined;
 	// Records read while incomplete: a snapshot may cover the gap but not these.
 	readonly #pending: LogRecord[] = [];
 
@@ -55,6 +56,11 @@
 		return [...this.#results.values()];
 	}
 
+	/** Verdict on the latest change. */
+	getLastResult(): ConfigResult | undefined {
+		return this.#lastResult;
+	}
+
 	/** Verdict on a change by its id. */
 	getResult(id: string): ConfigResult | undefined {
 		return this.#results.get(id);
@@ -190,6 +196,7 @@
 		}
 
 		this.#results.set(publish.id, result);
+		this.#lastResult = result;
 		if (this.#results.size > maxResults) {
 			this.#results.delete(this.#results.keys().next().value!);
 		}
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -74,14 +74,34 @@
 	for (const [section, keys] of Object.entries(settingsSchema)) {
 		lines.push(`[${section}]`);
 		for (const [key, spec] of Object.entries(keys as Record<string, AnySpec>)) {
-			const fallback = Array.isArray(spec.fallback) ? spec.fallback.join(', ') : String(spec.fallback);
-			lines.push(`; ${spec.doc}`, `; Allowed: ${describeAllowed(spec)}.`, `${key} = ${fallback}`, '');
+			lines.push(`; ${spec.doc}`, `; Allowed: ${describeAllowed(spec)}.`, `${key} = ${formatFallback(spec)}`, '');
 		}
 	}
 
 	return lines.join('\n');
 };
 
+/** Prints all settings as a page for operators. */
+export const printSettingsPage = (): string => {
+	const lines = [
+		'# Settings',
+		'',
+		'Written in INI, read with `--settings FILE`. A mistake is told with file, section, key, value, what is allowed and the',
+		'nearest known key; all mistakes at once, and nothing starts. `chervilworks settings` prints a file with all defaults.',
+		'This page is made by `chervilworks settings --page`.',
+	];
+	for (const [section, keys] of Object.entries(settingsSchema)) {
+		lines.push('', `## [${section}]`, '', '| key | default | allowed | meaning |', '| --- | --- | --- | --- |');
+		for (const [key, spec] of Object.entries(keys as Record<string, AnySpec>)) {
+			lines.push(`| \`${key}\` | ${formatFallback(spec) || 'none'} | ${describeAllowed(spec)} | ${spec.doc} |`);
+		}
+	}
+
+	return `${lines.join('\n')}\n`;
+};
+
+const formatFallback = ({fallback}: AnySpec): string => Array.isArray(fallback) ? fallback.join(', ') : String(fallback);
+
 /** Formats a mistake as one line. */
 export const formatMistake = (mistake: SettingsMistake): string => {
 	const place = mistake.key === undefined ? `[${mistake.section}]` : `[${mistake.section}] ${mistake.key}`;
--- a/src/plugins/config-service.ts
+++ b/src/plugins/config-service.ts
@@ -7,7 +7,7 @@
 import {getMessage} from '../core/errors.ts';
 import {type Kernel} from '../core/kernel.ts';
 import {followLog} from '../core/log-reader.ts';
-import {ConfigRecordType} from '../types/config.ts';
+import {ConfigRecordType, ConfigVerdict} from '../types/config.ts';
 import {Metric} from '../types/metrics.ts';
 import {Stream, type LogPage, type LogRecord} from '../types/platform.ts';
 import {PeerMethod, ServiceName, type ConfigService} from '../types/services.ts';
@@ -46,9 +46,18 @@
 		}
 
 		fold.apply(record);
+		noteVerdict(record.offset);
 		metrics.gauge(Metric.ConfigOffset, fold.offset);
 	};
 
+	const noteVerdict = (offset: number) => {
+		const result = fold.getLastResult();
+		if (result?.offset === offset && result.verdict !== ConfigVerdict.Accepted) {
+			metrics.count(Metric.ConfigRejected, result.verdict);
+			log('Change %s by %s refused: %s', result.id, result.author, result.reason);
+		}
+	};
+
 	const takePage = ({endOffset}: LogPage) => {
 		if (fold.nextOffset >= endOffset) {
 			endReadAtMs = clock.monotonicMs();
