Seal the stream beside the recovery, and name what jobs depend on

Change: sealing the stream is a function of recovery; peers and moves are named as dependencies of the jobs service.

Measured: npx vitest run, 255 tests pass; in the run before, one test of test/retry.test.ts failed (a refused connection tried elsewhere) and passed in four runs after.

Conclusion: no behaviour of jobs changed.

--- a/src/jobs/job-scheduler.ts
+++ b/src/jobs/job-scheduler.ts
@@ -19,7 +19,7 @@
 import {JobFleet} from './job-fleet.ts';
 import {JobFold, type FoldedJob} from './job-fold.ts';
 import {JobLimiter} from './job-limiter.ts';
-import {JobEntryType, jobRecordSchema} from './job-records.ts';
+import {jobRecordSchema} from './job-records.ts';
 import {getJobStatus, getMissing} from './job-status.ts';
 import {JobSubmissions} from './job-submissions.ts';
 import {keepUp} from './job-upkeep.ts';
@@ -28,7 +28,7 @@
 import {LeaseProof} from './lease-proof.ts';
 import {type OwnerId} from './ownership-fold.ts';
 import {OwnershipKeeper} from './ownership-keeper.ts';
-import {recoverShard} from './recovery.ts';
+import {recoverShard, sealStream} from './recovery.ts';
 import {ShardOwner} from './shard-owner.ts';
 import {type LiveTask} from './shard-task.ts';
 
@@ -69,7 +69,6 @@
 	readonly #limiter: JobLimiter;
 	readonly #owners = new Map<number, ShardOwner>();
 	readonly #open = new Set<ShardOwner>();
-	readonly #recoveries = new Set<Promise<void>>();
 	readonly #startedAtMs: number;
 	#isCaughtUp = false;
 	#isTruncated = false;
@@ -289,22 +288,15 @@
 			},
 		});
 		this.#owners.set(shard, owner);
-		const recovery = this.#recover(owner);
-		this.#recoveries.add(recovery);
-		void recovery.finally(() => {
-			this.#recoveries.delete(recovery);
-		});
+		void this.#recover(owner);
 	}
 
 	async #recover(owner: ShardOwner): Promise<void> {
 		const {clock, random, metrics, settings: {jobs, ownership}} = this.#options;
-		const {shard, fencingToken} = owner;
-		await this.#writer.write({type: JobEntryType.Seal, shard, fencingToken}, () => !owner.isClosed);
-		while (!owner.isClosed && this.fold.getToken(shard) < fencingToken) {
-			await clock.sleep(jobs.gatherMs);
-		}
-
-		if (owner.isClosed || this.fold.getToken(shard) > fencingToken) {
+		const {shard} = owner;
+		if (!await sealStream(owner, {
+			clock, fold: this.fold, writer: this.#writer, pollMs: jobs.gatherMs,
+		})) {
 			return;
 		}
 
--- a/src/jobs/recovery.ts
+++ b/src/jobs/recovery.ts
@@ -6,7 +6,10 @@
 import {Metric, type Metrics} from '../types/metrics.ts';
 import {type Random} from '../types/random.ts';
 import {createLogger, Part} from '../utils/logger.ts';
+import {type JobFold} from './job-fold.ts';
 import {type JobLimiter} from './job-limiter.ts';
+import {JobEntryType} from './job-records.ts';
+import {type JobWriter} from './job-writer.ts';
 import {type LeaseKeeper} from './lease-keeper.ts';
 import {isMajority} from './lease-proof.ts';
 import {type ShardOwner} from './shard-owner.ts';
@@ -29,6 +32,25 @@
 	isFleetKnown(): boolean;
 };
 
+/** What sealing the stream needs. */
+export type StreamSealOptions = {
+	clock: Clock;
+	fold: JobFold;
+	writer: JobWriter;
+	pollMs: number;
+};
+
+/** Has the jobs stream refuse earlier owners, and reads up to that place; false when a newer owner came first. */
+export const sealStream = async (owner: ShardOwner, {clock, fold, writer, pollMs}: StreamSealOptions): Promise<boolean> => {
+	const {shard, fencingToken} = owner;
+	await writer.write({type: JobEntryType.Seal, shard, fencingToken}, () => !owner.isClosed);
+	while (!owner.isClosed && fold.getToken(shard) < fencingToken) {
+		await clock.sleep(pollMs);
+	}
+
+	return !owner.isClosed && fold.getToken(shard) === fencingToken;
+};
+
 /** Recovers a shard; resolves once every worker of the fleet has been sealed, or the owner is closed. */
 export const recoverShard = async (owner: ShardOwner, options: RecoveryOptions): Promise<void> => {
 	const {clock, random, metrics, retryMs, waitMs} = options;
--- a/src/plugins/entry.ts
+++ b/src/plugins/entry.ts
@@ -93,7 +93,7 @@
 	});
 	kernel.register({
 		name: ServiceName.Jobs,
-		dependsOn: [ServiceName.Log, ServiceName.Workers, ServiceName.Config],
+		dependsOn: [ServiceName.Log, ServiceName.Workers, ServiceName.Config, ServiceName.Peers, ServiceName.Moves],
 		load: async () => (await import('./jobs-service.ts')).createJobsService,
 	});
 	kernel.register({
