--- a/src/jobs/job-scheduler.ts
+++ b/src/jobs/job-scheduler.ts
@@ -3,16 +3,11 @@
 */
 import {getMessage} from '../core/errors.ts';
 import {followLog} from '../core/log-reader.ts';
-import {type Settings} from '../core/settings-schema.ts';
-import {type Clock} from '../types/clock.ts';
 import {type JobSpec, type JobStatus} from '../types/jobs.ts';
-import {Metric, type Metrics} from '../types/metrics.ts';
-import {type PlacementEngine} from '../types/placement.ts';
+import {Metric} from '../types/metrics.ts';
 import {
-	Stream, type PlatformLog, type TaskRef, type WorkerSnapshot,
+	Stream, type TaskRef, type WorkerSnapshot,
 } from '../types/platform.ts';
-import {type Random} from '../types/random.ts';
-import {type WorkerRegistry} from '../types/services.ts';
 import {createLogger, Part} from '../utils/logger.ts';
 import {createParser} from '../utils/parser.ts';
 import {JobDecisions} from './job-decisions.ts';
@@ -21,12 +16,12 @@
 import {JobLimiter} from './job-limiter.ts';
 import {jobRecordSchema} from './job-records.ts';
 import {getJobStatus, getMissing} from './job-status.ts';
+import {type JobSchedulerOptions} from './job-scheduler-options.ts';
 import {JobSubmissions} from './job-submissions.ts';
 import {keepUp} from './job-upkeep.ts';
 import {JobWriter} from './job-writer.ts';
 import {LeaseKeeper} from './lease-keeper.ts';
 import {LeaseProof} from './lease-proof.ts';
-import {type OwnerId} from './ownership-fold.ts';
 import {OwnershipKeeper} from './ownership-keeper.ts';
 import {recoverShard, sealStream} from './recovery.ts';
 import {ShardOwner} from './shard-owner.ts';
@@ -41,19 +36,6 @@
 const maxUpkeepMs = 60_000;
 const upkeepsPerRetention = 100;
 
-/** What the scheduler needs. */
-export type JobSchedulerOptions = {
-	log: PlatformLog;
-	clock: Clock;
-	random: Random;
-	metrics: Metrics;
-	self: OwnerId;
-	settings: Pick<Settings, 'jobs' | 'ownership' | 'log'>;
-	workers: Pick<WorkerRegistry, 'list' | 'getClient'>;
-	engine: PlacementEngine;
-	getRegion(service: string): string | undefined;
-};
-
 /** Schedules the jobs of the shards that this entry owns. */
 export class JobScheduler {
 	readonly fold = new JobFold();
