Align columns in one place

Cause: two functions aligned tables, one for operators' lists and one for measurements. Change: one function for both. Measured: tests of the measurements pass. Conclusion: none.

--- a/src/commands/operator-command.ts
+++ b/src/commands/operator-command.ts
@@ -2,6 +2,7 @@
 What the operators' commands that ask an entry have in common.
 */
 import {Command, Option} from 'clipanion';
+import {alignColumns} from '../utils/columns.ts';
 
 const timeoutMs = 5000;
 
@@ -23,9 +24,4 @@
 }
 
 /** Formats rows as a table with aligned columns. */
-export const formatTable = (header: string[], rows: string[][]): string => {
-	const widths = header.map((title, column) => Math.max(title.length, ...rows.map(row => row[column]?.length ?? 0)));
-	return [header, ...rows]
-		.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd())
-		.join('\n');
-};
+export const formatTable = (header: string[], rows: string[][]): string => alignColumns([header, ...rows]).join('\n');
--- a/src/measure/capacity-scale.ts
+++ b/src/measure/capacity-scale.ts
@@ -30,7 +30,7 @@
 	bytesPerSecond: 4096,
 } as const;
 
-/** What the letter leaves open and the model assumes; each is named in docs/CAPACITY.md. */
+/** What the size ahead leaves open and the model assumes; each is named in docs/CAPACITY.md. */
 export const assumed = {
 	/** Entries of one failure domain. */
 	entriesPerDomain: 3,
--- a/src/measure/table.ts
+++ b/src/measure/table.ts
@@ -1,6 +1,7 @@
 /**
 Prints rows of figures as an aligned table.
 */
+import {alignColumns} from '../utils/columns.ts';
 import {type MeasureRow} from './measure-types.ts';
 
 /** Formats a figure with three significant digits, or whole. */
@@ -23,10 +24,5 @@
 		...labelNames.map(name => labels[name] ?? ''),
 		...figureNames.map(name => figures[name] === undefined ? '-' : formatFigure(figures[name])),
 	]);
-	const all = [[...labelNames, ...figureNames], ...cells];
-	const widths = all[0]!.map((_, column) => Math.max(...all.map(line => line[column]!.length)));
-	return all.map(line => line
-		.map((cell, column) => column < labelNames.length ? cell.padEnd(widths[column]!) : cell.padStart(widths[column]!))
-		.join('  ')
-		.trimEnd());
+	return alignColumns([[...labelNames, ...figureNames], ...cells], labelNames.length);
 };
--- /dev/null
+++ b/src/utils/columns.ts
@@ -0,0 +1,12 @@
+/**
+Lines of cells as text with aligned columns.
+*/
+
+/** Aligns cells; the first columns stand left, the others right. Without a number all stand left. */
+export const alignColumns = (lines: string[][], leftCount = Number.POSITIVE_INFINITY): string[] => {
+	const widths = lines[0]!.map((_, column) => Math.max(...lines.map(line => line[column]?.length ?? 0)));
+	return lines.map(line => line
+		.map((cell, column) => column < leftCount ? cell.padEnd(widths[column]!) : cell.padStart(widths[column]!))
+		.join('  ')
+		.trimEnd());
+};
