--- a/scripts/break-guards.ts
+++ b/scripts/break-guards.ts
@@ -128,7 +128,9 @@
 		throw new Error(`${file} no longer contains the guard: ${find.trim()}`);
 	}
 
-	const vitest = await startVitest('test', tests, {watch: false, testTimeout: 30_000, pool: 'threads', reporters: [{}]}, {
+	const vitest = await startVitest('test', tests, {
+		watch: false, testTimeout: 30_000, pool: 'threads', reporters: [{}],
+	}, {
 		plugins: [{
 			name: 'break-guard',
 			enforce: 'pre',
