Tell placement what others hold of a worker apart from its capacity

Cause: the fleet lowered a worker's capacity by what tasks of other entries use; a job that fits the empty worker could then be told that it can be placed nowhere. Change: capacity and others' use are told apart; first fit heeds both. Measured: a job beside a full worker waits and starts when it is free; with first fit as before the test fails.

--- a/src/jobs/first-fit-engine.ts
+++ b/src/jobs/first-fit-engine.ts
@@ -124,8 +124,8 @@
 
 	#findRoom({spec, region}: PendingTask): Worker | undefined {
 		for (const worker of this.#workers.values()) {
-			const {isOpen, capacity, region: workerRegion} = worker.spec;
-			if (isOpen && (region === undefined || region === workerRegion) && hasRoom(add(capacity, worker.used, -1), spec.resources)) {
+			const {isOpen, capacity, foreign, region: workerRegion} = worker.spec;
+			if (isOpen && (region === undefined || region === workerRegion) && hasRoom(add(foreign ? add(capacity, foreign, -1) : capacity, worker.used, -1), spec.resources)) {
 				return worker;
 			}
 		}
--- a/src/jobs/job-fleet.ts
+++ b/src/jobs/job-fleet.ts
@@ -190,11 +190,8 @@
 			region,
 			failureDomain,
 			rack,
-			capacity: {
-				processors: Math.max(0, capacity.processors - foreign.processors),
-				memoryMb: Math.max(0, capacity.memoryMb - foreign.memoryMb),
-				accelerators: Math.max(0, capacity.accelerators - foreign.accelerators),
-			},
+			capacity,
+			foreign,
 			isOpen,
 		});
 	}
