Close the connection of a sender that stalls

Cause: after a body that did not arrive in time, the answer left the connection open for its keep-alive, 5 s more.

--- a/src/utils/http-server.ts
+++ b/src/utils/http-server.ts
@@ -246,6 +246,8 @@
 		return;
 	}
 
-	response.writeHead(status, {'content-type': 'application/json'});
+	// The rest of a body that was not read would be taken for the next request, and a stalled sender would keep its connection.
+	const isRead = response.req.complete;
+	response.writeHead(status, {'content-type': 'application/json', ...(!isRead && {connection: 'close'})});
 	response.end(JSON.stringify(body ?? {}));
 };
