--- a/src/measure/jobs-policies.ts
+++ b/src/measure/jobs-policies.ts
@@ -9,6 +9,7 @@
 
 /** Our placement without and with what it learns of harm. */
 export const blindName = 'blind';
+/** Name of the product's own placement among the policies measured. */
 export const awareName = 'harm-aware';
 
 const getFreeShare = ({free, spec}: WorkerEntry): number => getDominantShare(free, spec.capacity);
