--- a/src/standin/hosts.ts
+++ b/src/standin/hosts.ts
@@ -4,10 +4,10 @@
 import {type Clock} from '../types/clock.ts';
 import {type Resources} from '../types/platform.ts';
 import {type Random} from '../types/random.ts';
-import {type Announcer, startAnnouncer} from '../utils/announcer.ts';
+import {startAnnouncer, type Announcer, type AnnouncerOptions} from '../utils/announcer.ts';
 import {HostEventType, type HostEvent, type HostObserver} from './host-events.ts';
 import {MemoryWorker} from './memory-worker.ts';
-import {createStandinUpstream, type StandinUpstream} from './upstream-server.ts';
+import {createStandinUpstream} from './upstream-server.ts';
 import {createWorkerServer} from './worker-server.ts';
 
 /** A host that can be started and stopped. */
@@ -17,6 +17,11 @@
 	stop(): Promise<void>;
 };
 
+type Served = {
+	listen(address: string): Promise<string>;
+	close(): Promise<void>;
+};
+
 /** What all stand-in hosts need. */
 export type HostOptions = {
 	id: string;
@@ -39,47 +44,24 @@
 const defaultRunTimeMs = 50;
 
 /** Creates a stand-in upstream that announces itself. */
-export const createUpstreamHost = (options: HostOptions & {service: string; getServiceMs(path: string): number}): StandinHost & {upstream: StandinUpstream} => {
-	const {id, clock, random, entryAddresses, region, failureDomain, service} = options;
+export const createUpstreamHost = (options: HostOptions & {service: string; getServiceMs(path: string): number}): StandinHost => {
+	const {id, clock, region, failureDomain, service} = options;
 	const observe = createObserve(options);
 	const upstream = createStandinUpstream({
 		clock,
-		slots: upstreamShape.slots,
 		getServiceMs: options.getServiceMs,
 		onRan(tryId) {
 			observe({type: HostEventType.Ran, tryId});
 		},
 	});
-	let announcer: Announcer | undefined;
-	return {
-		upstream,
-		async start() {
-			const address = await upstream.listen(options.address);
-			observe({type: HostEventType.Listening, address});
-			announcer = startAnnouncer({
-				clock,
-				random,
-				entryAddresses,
-				path: 'upstreams',
-				body: {
-					upstreamId: id, service, incarnation: clock.now().getTime(), address, region, failureDomain, ...upstreamShape, isGuarded: false,
-				},
-			});
-			return address;
-		},
-		async stop() {
-			await announcer?.drain();
-			observe({type: HostEventType.Leaving});
-			await clock.sleep(options.lingerMs ?? 0);
-			announcer?.stop();
-			await upstream.close();
-		},
-	};
+	return createHost(options, upstream, 'upstreams', {
+		upstreamId: id, service, incarnation: clock.now().getTime(), region, failureDomain, ...upstreamShape, isGuarded: false,
+	});
 };
 
 /** Creates a stand-in worker that announces itself. */
-export const createWorkerHost = (options: HostOptions & {rack: string}): StandinHost & {worker: MemoryWorker} => {
-	const {id, clock, random, entryAddresses, region, failureDomain, rack} = options;
+export const createWorkerHost = (options: HostOptions & {rack: string}): StandinHost => {
+	const {id, clock, region, failureDomain, rack} = options;
 	const incarnation = clock.now().getTime();
 	const observe = createObserve(options);
 	const worker = new MemoryWorker({
@@ -92,26 +74,29 @@
 			observe({type: isRunning ? HostEventType.TaskStarted : HostEventType.TaskEnded, taskId, attempt});
 		},
 	});
-	const server = createWorkerServer(worker, clock);
+	return createHost(options, createWorkerServer(worker, clock), 'workers', {
+		workerId: id, incarnation, region, failureDomain, rack, capacity: workerShape,
+	});
+};
+
+/** Serves, announces and, when it stops, drains a host. */
+const createHost = (options: HostOptions, server: Served, path: AnnouncerOptions['path'], body: Record<string, unknown>): StandinHost => {
+	const {clock, random, entryAddresses, lingerMs = 0} = options;
+	const observe = createObserve(options);
 	let announcer: Announcer | undefined;
 	return {
-		worker,
 		async start() {
 			const address = await server.listen(options.address);
 			observe({type: HostEventType.Listening, address});
 			announcer = startAnnouncer({
-				clock,
-				random,
-				entryAddresses,
-				path: 'workers',
-				body: {
-					workerId: id, incarnation, address, region, failureDomain, rack, capacity: workerShape,
-				},
+				clock, random, entryAddresses, path, body: {...body, address},
 			});
 			return address;
 		},
 		async stop() {
 			await announcer?.drain();
+			observe({type: HostEventType.Leaving});
+			await clock.sleep(lingerMs);
 			announcer?.stop();
 			await server.close();
 		},
