Read to the end of the stream with a bound that timers take

Cause: the bound was a fraction of a ms, which the runtime's timer refuses, so that no owner finished its claim. Change: the bound goes through the clock that is passed in.

--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -32,7 +32,7 @@
 	/** Start of the last read that showed the end of the partition, on the monotonic clock. */
 	provenAtMs = Number.NEGATIVE_INFINITY;
 	readonly #options: FollowerOptions;
-	#catchUp: Promise<boolean> | undefined;
+	#catchUp: Promise<void> | undefined;
 
 	constructor(options: FollowerOptions) {
 		this.#options = options;
@@ -68,9 +68,8 @@
 		const askedAtMs = clock.monotonicMs();
 		const endAtMs = askedAtMs + timeoutMs;
 		while (this.provenAtMs < askedAtMs) {
-			const signal = AbortSignal.timeout(Math.max(1, endAtMs - clock.monotonicMs()));
 			// Many callers may ask at the same time: they share reads that begin after they asked.
-			this.#catchUp ??= this.#readOnce(signal);
+			this.#catchUp ??= this.#readOnce(endAtMs - clock.monotonicMs());
 			await this.#catchUp;
 			if (this.provenAtMs < askedAtMs && clock.monotonicMs() >= endAtMs) {
 				return false;
@@ -80,15 +79,19 @@
 		return true;
 	}
 
-	async #readOnce(signal: AbortSignal): Promise<boolean> {
+	async #readOnce(timeoutMs: number): Promise<void> {
+		const {clock} = this.#options;
+		const aborter = new AbortController();
+		const timer = clock.setTimer(() => {
+			aborter.abort();
+		}, timeoutMs);
 		try {
-			await this.#read(0, signal);
-			return true;
+			await this.#read(0, aborter.signal);
 		} catch {
 			// Told by the follower's own reads; here the time-out decides.
-			await this.#options.clock.sleep(retryMs, signal);
-			return false;
+			await clock.sleep(retryMs, aborter.signal);
 		} finally {
+			timer.cancel();
 			this.#catchUp = undefined;
 		}
 	}
