--- a/src/plugins/site-process.ts
+++ b/src/plugins/site-process.ts
@@ -1,6 +1,7 @@
 /**
 What both roles on a site share: settings, log, metrics, and an end in good order.
 */
+import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {type Clock} from '../types/clock.ts';
 import {type SiteSettings} from '../types/site.ts';
@@ -43,6 +44,7 @@
 	const log = createEventLog(clock, {role, host: site.hostName});
 	const metrics = createMetricsPage();
 	const aborter = new AbortController();
+	setMaxListeners(0, aborter.signal);
 	const life = `${clock.now().getTime().toString(36)}-${process.pid}`;
 	const note: Note = (event, fields = {}) => {
 		metrics.count(event, typeof fields.reason === 'string' ? fields.reason : (fields.refusal as string | undefined) ?? (fields.end as string | undefined));
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -143,6 +143,8 @@
 			takenEnd: 0,
 			storedEnd: 0,
 			blockedUntilMs: 0,
+			fillPercent: 100,
+			fillChangedAtMs: Number.NEGATIVE_INFINITY,
 		};
 		this.workers.set(host, worker);
 		void this.#follow(worker, signal);
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -39,6 +39,9 @@
 	storedEnd: number;
 	/** Nothing is placed before this; after refusals. */
 	blockedUntilMs: number;
+	/** Share of their speed that tasks that fill work at here, and since when. */
+	fillPercent: number;
+	fillChangedAtMs: number;
 };
 
 /** Processors that a step's tasks take of a worker's capacity: what fills takes none. */
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -37,8 +37,8 @@
 	/** Last time that `percent` rose. */
 	progressAtMs: number;
 	stopSentAtMs: number;
-	/** Share of its speed that a filling task was last told to work at. */
-	pacePercent: number;
+	/** Share of its speed that a filling task was last told to work at; undefined: an earlier owner may have told it. */
+	pacePercent?: number;
 };
 
 /** One task. */
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -2,7 +2,8 @@
 The owner of the jobs of one partition: takes them over, keeps in touch with the agents of their workers, and starts,
 restarts and stops tasks.
 */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
+import {setMaxListeners} from 'node:events';
 import {controlTopic, ControlType, encodeControl, agentsTopic} from '../agents/control-records.ts';
 import {workerClockSlowShare} from '../agents/lease-clock.ts';
 import {getMessage} from '../core/errors.ts';
@@ -17,6 +18,7 @@
 import {type FleetWorker} from './fleet-view.ts';
 import {type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
+import {decidePace} from './harm-pacing.ts';
 import {
 	getRuns, LiveModel, RunPhase, type LiveRun, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
@@ -69,6 +71,13 @@
 	[OrderRefusal.Draining]: 1000,
 };
 
+/** Many tasks wait on the signal: one for each agent and more. */
+const createAborter = (): AbortController => {
+	const aborter = new AbortController();
+	setMaxListeners(0, aborter.signal);
+	return aborter;
+};
+
 /** The owner. */
 export class Owner {
 	readonly model = new LiveModel();
@@ -76,7 +85,7 @@
 	readonly #options: OwnerOptions;
 	readonly #book: RunBook;
 	readonly #writer: ProducerWriter;
-	readonly #aborter = new AbortController();
+	readonly #aborter = createAborter();
 	#lastStore: Promise<boolean> = Promise.resolve(true);
 	#isRoundDue = false;
 	#claimOffset = Number.POSITIVE_INFINITY;
@@ -348,11 +357,52 @@
 
 		const hadRoom = worker.runs.size;
 		this.#book.take(worker, reply, nowMs);
+		this.#pace(worker, nowMs);
 		if (worker.runs.size !== hadRoom || !worker.isListed) {
 			this.#wantRound();
 		}
 	}
 
+	#pace(worker: FleetWorker, nowMs: number): void {
+		const runs = [...worker.runs].filter(run => run.phase === RunPhase.Running);
+		const fillers = runs.filter(run => run.task.step.spec.isFilling);
+		if (fillers.length === 0) {
+			worker.fillPercent = 100;
+			return;
+		}
+
+		const worstRatio = Math.max(0, ...runs.map(({recent, task: {step: {spec}}}) => spec.targetMs > 0 ? recent / spec.targetMs : 0));
+		const percent = decidePace({percent: worker.fillPercent, worstRatio, sinceChangeMs: nowMs - worker.fillChangedAtMs});
+		if (percent !== worker.fillPercent) {
+			this.#options.note('pace', {
+				host: worker.host, percent, before: worker.fillPercent, worstRatio, fillers: fillers.length,
+			});
+			worker.fillPercent = percent;
+			worker.fillChangedAtMs = nowMs;
+		}
+
+		const changed = fillers.filter(run => run.pacePercent !== percent);
+		if (changed.length > 0) {
+			for (const run of changed) {
+				run.pacePercent = percent;
+			}
+
+			void this.#sendPace(worker, changed, percent);
+		}
+	}
+
+	async #sendPace(worker: FleetWorker, runs: LiveRun[], percent: number): Promise<void> {
+		const reply = await this.links.order(worker, runs.map(({task, run}): Order => ({
+			type: OrderType.Pace, taskId: task.taskId, run, percent,
+		})));
+		for (const [index, run] of runs.entries()) {
+			if (!reply?.answers[index]?.isDone) {
+				// Told again with the next state of the agent.
+				run.pacePercent = undefined;
+			}
+		}
+	}
+
 	#noteBegun(task: LiveTask): void {
 		const {folded} = task.step.workflow;
 		if (!folded.hasBegun) {
--- a/src/workflows/run-book.ts
+++ b/src/workflows/run-book.ts
@@ -189,6 +189,7 @@
 
 		const live = this.open(task, worker, run, {nowMs, notAfterMs: 0});
 		live.isOrderOut = false;
+		live.pacePercent = undefined;
 		live.agentLife = reply.agentLife;
 		live.confirmedVersion = reply.version;
 		this.#handlers.note('run adopted', {
