Learn which images harm which, and keep them apart

Change: the product's harm model learns the effect of each image that fills on each that serves; placement foresees it, packs serving tasks together, keeps what fills within the unused processors; paces are per image.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -143,8 +143,9 @@
 			takenEnd: 0,
 			storedEnd: 0,
 			blockedUntilMs: 0,
-			fillPercent: 100,
+			paces: new Map(),
 			fillChangedAtMs: Number.NEGATIVE_INFINITY,
+			fillKey: '',
 		};
 		this.workers.set(host, worker);
 		void this.#follow(worker, signal);
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -3,6 +3,7 @@
 */
 import {type WorkerReport} from '../types/fleet.ts';
 import {type WorkflowStep} from '../types/workflows.ts';
+import {type Paces} from './fill-harm.ts';
 import {type LiveRun} from './live-model.ts';
 
 /** Room on a worker. */
@@ -39,9 +40,12 @@
 	storedEnd: number;
 	/** Nothing is placed before this; after refusals. */
 	blockedUntilMs: number;
-	/** Share of their speed that tasks that fill work at here, and since when. */
-	fillPercent: number;
+	/** Speed that tasks that fill may work at, by image. */
+	paces: Paces;
+	/** When runs or paces of tasks that fill last changed: what is measured before the next half second is of a mix. */
 	fillChangedAtMs: number;
+	/** Runs of tasks that fill, as a text to compare. */
+	fillKey: string;
 };
 
 /** Processors that a step's tasks take of a worker's capacity: what fills takes none. */
--- a/src/workflows/harm-pacing.ts
+++ b/src/workflows/harm-pacing.ts
@@ -1,44 +1,86 @@
 /**
 How fast tasks that fill may work beside tasks that serve. Harm shows only as the tail latency of the serving tasks, half
-a second late, and differs from pair to pair and by the second; so the pace follows what is measured.
+a second late, and differs from pair to pair; so the pace of each image follows what is measured and what was learned.
 */
+import {type Filler, type Server} from './fill-harm.ts';
 
-/** What a step of the control is decided on. */
-export type PaceInput = {
-	/** Present share of their speed, 0 to 100. */
-	percent: number;
-	/** Largest tail latency over its target among the serving tasks of the worker. */
-	worstRatio: number;
-	/** Time since the last change. */
-	sinceChangeMs: number;
-};
+/** Effect of one processor of an image on a serving image. */
+export type GetEffect = (server: string, filler: string) => number;
 
-/** Above this share of the target the pace goes down: a wave of load takes a few hundred ms to cross the rest. */
+/** Above this share of the target the pace goes down: a wave of load crosses the rest within a few hundred ms. */
 const lowerAboveRatio = 0.9;
-/** Below this share there is room for more. Between the two it stays. */
-const raiseBelowRatio = 0.7;
-/** Far above the target nothing but a stop brings the tail down within the time allowed. */
+/** What is aimed at when pacing down, and not passed when pacing up. */
+const aimRatio = 0.75;
+/** Far above the target there is no time to find out which image it is: all that may be the cause stop. */
 const stopAboveRatio = 1.6;
-const lowerFactor = 0.5;
-const raiseByPercent = 15;
 /** A pace shows in the tail after the worker took it up (0.1 s) and half a second was measured. */
 const settleMs = 600;
-const minPercent = 5;
+/** Slower than this is as good as stopped, and disturbs all the same. */
+const minPercent = 10;
+const raiseByPercent = 25;
+/** An image with less effect for each processor is not the cause of a tail far above the target. */
+const harmlessEffect = 0.03;
+/** Least effect that is assumed of an image beside a tail that is too long. */
+const minEffect = 0.02;
+
+/** Decides the pace of each image on one worker; images that keep theirs are left out. */
+export const decidePaces = (servers: Server[], fillers: Filler[], getEffect: GetEffect): Map<string, number> => {
+	const worst = servers.toSorted((a, b) => b.ratio - a.ratio).at(0);
+	if (!worst) {
+		return new Map(fillers.filter(({percent}) => percent < 100).map(({image}) => [image, 100]));
+	}
 
-/** Decides the next pace. */
-export const decidePace = ({percent, worstRatio, sinceChangeMs}: PaceInput): number => {
-	if (worstRatio > stopAboveRatio) {
-		return sinceChangeMs >= settleMs || percent === 100 ? 0 : percent;
+	if (worst.ratio > stopAboveRatio) {
+		return stop(worst, fillers, getEffect);
 	}
 
-	if (worstRatio > lowerAboveRatio && sinceChangeMs >= settleMs) {
-		const lower = Math.floor(percent * lowerFactor);
-		return lower < minPercent ? 0 : lower;
+	if (worst.ratio > lowerAboveRatio) {
+		return lower(worst, fillers, getEffect);
+	}
+
+	return raise(servers, fillers, getEffect);
+};
+
+const stop = (worst: Server, fillers: Filler[], getEffect: GetEffect): Map<string, number> => {
+	const suspects = fillers.filter(({image, percent}) => percent > 0 && getEffect(worst.image, image) > harmlessEffect);
+	const settled = (suspects.length > 0 ? suspects : fillers).filter(({percent, sinceChangeMs}) => percent > 0 && (percent === 100 || sinceChangeMs >= settleMs));
+	return new Map(settled.map(({image}) => [image, 0]));
+};
+
+/** Takes speed from the images with the largest part in the tail, until what is foreseen is below the aim. */
+const lower = (worst: Server, fillers: Filler[], getEffect: GetEffect): Map<string, number> => {
+	const paces = new Map<string, number>();
+	const parts = fillers
+		.filter(({percent, sinceChangeMs}) => percent > 0 && sinceChangeMs >= settleMs)
+		.map(filler => ({filler, part: Math.max(minEffect, getEffect(worst.image, filler.image)) * filler.cores * filler.percent / 100}))
+		.toSorted((a, b) => b.part - a.part);
+	let excess = worst.ratio - aimRatio;
+	for (const {filler: {image, percent}, part} of parts) {
+		if (excess <= 0) {
+			break;
+		}
+
+		const kept = Math.floor(percent * Math.max(0, 1 - (excess / part)));
+		paces.set(image, kept < minPercent ? 0 : kept);
+		excess -= part;
 	}
 
-	if (worstRatio < raiseBelowRatio && percent < 100 && sinceChangeMs >= settleMs) {
-		return Math.min(100, percent + raiseByPercent);
+	return paces;
+};
+
+/** Gives speed back to the least harmful image that all serving tasks can bear. */
+const raise = (servers: Server[], fillers: Filler[], getEffect: GetEffect): Map<string, number> => {
+	const getWorstEffect = (image: string) => Math.max(...servers.map(server => getEffect(server.image, image)));
+	const slowed = fillers
+		.filter(({percent, sinceChangeMs}) => percent < 100 && sinceChangeMs >= settleMs)
+		.toSorted((a, b) => getWorstEffect(a.image) - getWorstEffect(b.image));
+	for (const {image, cores, percent} of slowed) {
+		const next = Math.min(100, percent + raiseByPercent);
+		const added = cores * (next - percent) / 100;
+		if (servers.every(server => server.ratio + (getEffect(server.image, image) * added) <= aimRatio)) {
+			return new Map([[image, next]]);
+		}
 	}
 
-	return percent;
+	return new Map();
 };
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -15,10 +15,11 @@
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {type EndedRun} from '../types/workflows.ts';
 import {AgentLinks, type AgentClient} from './agent-links.ts';
+import {FillHarm, getFillers, getServers} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
-import {decidePace} from './harm-pacing.ts';
+import {decidePaces} from './harm-pacing.ts';
 import {
 	getRuns, LiveModel, RunPhase, type LiveRun, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
@@ -62,6 +63,8 @@
 const claimRetryMs = 150;
 /** An agent that was not heard for so long gets no orders. */
 const reachableMs = 1500;
+/** What a serving task reports is of the last half second: a mix that changed within it explains nothing. */
+const measuredMs = 550;
 /** Pauses of a worker after a refusal, by what it says of how soon things change. */
 const refusalPauseMs: Partial<Record<OrderRefusal, number>> = {
 	[OrderRefusal.NoRoom]: 300,
@@ -78,6 +81,8 @@
 	return aborter;
 };
 
+const getPace = (worker: FleetWorker, run: LiveRun): number => worker.paces.get(run.task.step.spec.image ?? '')?.percent ?? 100;
+
 /** The owner. */
 export class Owner {
 	readonly model = new LiveModel();
@@ -91,6 +96,7 @@
 	#claimOffset = Number.POSITIVE_INFINITY;
 	#claimedAtMs = 0;
 	#isSettled = false;
+	readonly #harm = new FillHarm();
 	readonly #begun = new Set<string>();
 	#begunSentAtMs = 0;
 	#scheduled: Array<{dueAtMs: number; workflow: LiveWorkflow}> = [];
@@ -157,6 +163,10 @@
 		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs());
 		follower.fold.listener = {
 			onSubmit: folded => {
+				const {workflow, offset} = folded;
+				note('job taken', {
+					id: workflow.id, offset, queue: workflow.queue, steps: workflow.steps.map(step => step.count), ageMs: clock.now().getTime() - workflow.receivedAtMs,
+				});
 				this.#schedule(this.model.add(folded, clock.now().getTime(), clock.monotonicMs()));
 				this.#wantRound();
 			},
@@ -258,7 +268,7 @@
 		const {clock} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const starts = place({
-			waiting: this.#startable(nowMs), workers: this.#openWorkers(nowMs), wallMs: clock.now().getTime(), nowMs,
+			waiting: this.#startable(nowMs), workers: this.#openWorkers(nowMs), wallMs: clock.now().getTime(), nowMs, harm: this.#harm,
 		});
 		if (starts.length === 0) {
 			return;
@@ -306,6 +316,12 @@
 	}
 
 	async #sendStarts(worker: FleetWorker, runs: LiveRun[]): Promise<void> {
+		for (const {task, run, workerId, sentAtMs} of runs) {
+			this.#options.note('start', {
+				taskId: task.taskId, run, host: worker.host, workerId, waitedMs: Math.round(sentAtMs - task.waitsSinceMs), checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
+			});
+		}
+
 		const reply = await this.links.order(worker, runs.map(({task, run}): Order => ({
 			type: OrderType.Start,
 			start: {
@@ -363,37 +379,42 @@
 		}
 	}
 
+	/** Learns from what serving tasks report, and sets the pace of what fills beside them. */
 	#pace(worker: FleetWorker, nowMs: number): void {
-		const runs = [...worker.runs].filter(run => run.phase === RunPhase.Running);
-		const fillers = runs.filter(run => run.task.step.spec.isFilling);
-		if (fillers.length === 0) {
-			worker.fillPercent = 100;
-			return;
+		const fillers = getFillers(worker.runs, worker.paces, nowMs);
+		const servers = getServers(worker.runs);
+		const key = fillers.map(({image, cores}) => `${image}:${cores}`).join(' ');
+		if (key !== worker.fillKey) {
+			worker.fillKey = key;
+			worker.fillChangedAtMs = nowMs;
 		}
 
-		const worstRatio = Math.max(0, ...runs.map(({recent, task: {step: {spec}}}) => spec.targetMs > 0 ? recent / spec.targetMs : 0));
-		const percent = decidePace({percent: worker.fillPercent, worstRatio, sinceChangeMs: nowMs - worker.fillChangedAtMs});
-		if (percent !== worker.fillPercent) {
+		if (servers.length > 0 && nowMs - worker.fillChangedAtMs >= measuredMs) {
+			this.#harm.note(servers, fillers, nowMs);
+		}
+
+		for (const [image, percent] of decidePaces(servers, fillers, (server, filler) => this.#harm.getEffect(server, filler))) {
+			const before = worker.paces.get(image)?.percent ?? 100;
 			this.#options.note('pace', {
-				host: worker.host, percent, before: worker.fillPercent, worstRatio, fillers: fillers.length,
+				host: worker.host, image, percent, before, worstRatio: Math.max(0, ...servers.map(({ratio}) => ratio)),
 			});
-			worker.fillPercent = percent;
+			worker.paces.set(image, {percent, changedAtMs: nowMs});
 			worker.fillChangedAtMs = nowMs;
 		}
 
-		const changed = fillers.filter(run => run.pacePercent !== percent);
+		const changed = [...worker.runs].filter(run => run.phase === RunPhase.Running && run.task.step.spec.isFilling && run.pacePercent !== getPace(worker, run));
 		if (changed.length > 0) {
 			for (const run of changed) {
-				run.pacePercent = percent;
+				run.pacePercent = getPace(worker, run);
 			}
 
-			void this.#sendPace(worker, changed, percent);
+			void this.#sendPaces(worker, changed);
 		}
 	}
 
-	async #sendPace(worker: FleetWorker, runs: LiveRun[], percent: number): Promise<void> {
-		const reply = await this.links.order(worker, runs.map(({task, run}): Order => ({
-			type: OrderType.Pace, taskId: task.taskId, run, percent,
+	async #sendPaces(worker: FleetWorker, runs: LiveRun[]): Promise<void> {
+		const reply = await this.links.order(worker, runs.map(({task, run, pacePercent}): Order => ({
+			type: OrderType.Pace, taskId: task.taskId, run, percent: pacePercent!,
 		})));
 		for (const [index, run] of runs.entries()) {
 			if (!reply?.answers[index]?.isDone) {
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -5,9 +5,12 @@
 import {
 	getFreeRoom, getMilliCpu, getRack, isFitting, isSuited, type FleetWorker, type Room,
 } from './fleet-view.ts';
-import {type LiveStep, type LiveTask} from './live-model.ts';
+import {getServers, type FillHarm, type Server} from './fill-harm.ts';
+import {type LiveRun, type LiveStep, type LiveTask} from './live-model.ts';
 import {createRank} from './task-order.ts';
 
+const milli = 1000;
+
 /** A start that was decided. */
 export type Start = {
 	task: LiveTask;
@@ -20,9 +23,10 @@
 	rack: string | undefined;
 	/** Tasks of each step here, by step. */
 	ofStep: Map<LiveStep, number>;
-	/** Processors that tasks that fill would share, and how many such tasks there are. */
-	fillers: number;
-	servers: number;
+	/** Processors that tasks that fill share, and those that they ask for. */
+	unusedMilliCpu: number;
+	fillMilliCpu: number;
+	servers: Server[];
 };
 
 /** What is decided with. */
@@ -31,10 +35,11 @@
 	workers: Iterable<FleetWorker>;
 	wallMs: number;
 	nowMs: number;
+	harm: FillHarm;
 };
 
 /** Decides starts, most urgent first. */
-export const place = ({waiting, workers, wallMs}: PlacementInput): Start[] => {
+export const place = ({waiting, workers, wallMs, harm}: PlacementInput): Start[] => {
 	const tasks = [...waiting];
 	if (tasks.length === 0) {
 		return [];
@@ -55,13 +60,13 @@
 
 		if (step.spec.isGang) {
 			gangs.add(step);
-			starts.push(...placeGang(step, candidates));
+			starts.push(...placeGang(step, candidates, harm));
 			continue;
 		}
 
-		const candidate = choose(step, candidates);
+		const candidate = choose(step, candidates, harm);
 		if (candidate) {
-			take(candidate, step);
+			take(candidate, step, harm);
 			starts.push({task, worker: candidate.worker});
 		} else {
 			stuck.add(step);
@@ -71,36 +76,55 @@
 	return starts;
 };
 
+/** A serving task uses about half of what it declares, on the average of its waves; the rest is left to what fills. */
+const serverUseShare = 0.5;
+/** A task that fills waits rather than start where it would get less than this share of its speed. */
+const minFillSpeed = 0.75;
+/** Nothing is set to fill where a serving task is foreseen above this share of its target. */
+const maxForeseenRatio = 0.8;
+
 const createCandidate = (worker: FleetWorker): Candidate => {
 	const ofStep = new Map<LiveStep, number>();
-	let fillers = 0;
-	let servers = 0;
+	let unusedMilliCpu = worker.report!.milliCpu;
+	let fillMilliCpu = 0;
 	for (const {task: {step}} of worker.runs) {
 		ofStep.set(step, (ofStep.get(step) ?? 0) + 1);
-		fillers += step.spec.isFilling ? 1 : 0;
-		servers += step.spec.targetMs > 0 ? 1 : 0;
+		unusedMilliCpu -= getUsedMilliCpu(step.spec);
+		fillMilliCpu += step.spec.isFilling ? step.spec.milliCpu : 0;
 	}
 
 	return {
-		worker, free: getFreeRoom(worker), rack: getRack(worker.report!), ofStep, fillers, servers,
+		worker, free: getFreeRoom(worker), rack: getRack(worker.report!), ofStep, unusedMilliCpu, fillMilliCpu, servers: getServers(worker.runs),
 	};
 };
 
-const take = (candidate: Candidate, step: LiveStep): void => {
-	candidate.free.milliCpu -= getMilliCpu(step.spec);
-	candidate.free.memoryMb -= step.spec.memoryMb;
-	candidate.free.accelerators -= step.spec.accelerators;
+const getUsedMilliCpu = (spec: WorkflowStep): number => getMilliCpu(spec) * (spec.targetMs > 0 ? serverUseShare : 1);
+
+const take = (candidate: Candidate, step: LiveStep, harm: FillHarm): void => {
+	const {spec} = step;
+	candidate.free.milliCpu -= getMilliCpu(spec);
+	candidate.free.memoryMb -= spec.memoryMb;
+	candidate.free.accelerators -= spec.accelerators;
 	candidate.ofStep.set(step, (candidate.ofStep.get(step) ?? 0) + 1);
-	candidate.fillers += step.spec.isFilling ? 1 : 0;
-	candidate.servers += step.spec.targetMs > 0 ? 1 : 0;
+	candidate.unusedMilliCpu -= getUsedMilliCpu(spec);
+	if (spec.isFilling) {
+		candidate.fillMilliCpu += spec.milliCpu;
+		candidate.servers = candidate.servers.map(server => ({...server, ratio: foresee(server, spec, harm)}));
+	} else if (spec.targetMs > 0) {
+		candidate.servers = [...candidate.servers, {image: spec.image ?? '', ratio: harm.getQuietRatio(spec.image ?? '')}];
+	}
 };
 
-const choose = (step: LiveStep, candidates: Candidate[]): Candidate | undefined => {
+/** Ratio of a server with one task more that fills beside it. */
+const foresee = ({image, ratio}: Server, spec: WorkflowStep, harm: FillHarm): number =>
+	Math.max(ratio, harm.getQuietRatio(image)) + (harm.getEffect(image, spec.image ?? '') * spec.milliCpu / milli);
+
+const choose = (step: LiveStep, candidates: Candidate[], harm: FillHarm): Candidate | undefined => {
 	let best: Candidate | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		if (canTake(step, candidate)) {
-			const cost = getCost(step, candidate);
+		if (canTake(step, candidate, harm)) {
+			const cost = getCost(step, candidate, harm);
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
@@ -111,45 +135,68 @@
 	return best;
 };
 
-const canTake = (step: LiveStep, {worker, free, ofStep}: Candidate): boolean =>
-	isFitting(step.spec, free) && isSuited(step.spec, worker.report!)
-	&& (step.spec.maxPerWorker === 0 || (ofStep.get(step) ?? 0) < step.spec.maxPerWorker);
+const canTake = (step: LiveStep, candidate: Candidate, harm: FillHarm): boolean => {
+	const {spec} = step;
+	const {worker, free, ofStep} = candidate;
+	return isFitting(spec, free) && isSuited(spec, worker.report!)
+		&& (spec.maxPerWorker === 0 || (ofStep.get(step) ?? 0) < spec.maxPerWorker)
+		&& (!spec.isFilling || canFill(spec, candidate, harm));
+};
+
+const canFill = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): boolean => {
+	const {worker, unusedMilliCpu, fillMilliCpu, servers} = candidate;
+	const isRoomy = fillMilliCpu === 0 || (fillMilliCpu + spec.milliCpu) * minFillSpeed <= unusedMilliCpu;
+	return isRoomy && (worker.paces.get(spec.image ?? '')?.percent ?? 100) === 100
+		&& servers.every(server => foresee(server, spec, harm) <= maxForeseenRatio);
+};
 
 // Far from its data a task takes `farFactor` times as long: that outweighs how well it fits.
 const farCost = 10;
-// A lasting step that loses one worker should lose few of its tasks.
-const spreadCost = 2;
-// A task that fills slows what serves beside it; another worker with room is always the better one.
-const disturbCost = 3;
+// Tasks that serve go together, so that other workers are left to what fills.
+const companyGain = 2;
+// Weight of the rise of a serving task's ratio that is foreseen.
+const harmCost = 3;
 
-const getCost = (step: LiveStep, candidate: Candidate): number => {
+const getCost = (step: LiveStep, candidate: Candidate, harm: FillHarm): number => {
 	const {spec} = step;
-	const {worker: {report}, free, rack, ofStep, fillers, servers} = candidate;
+	const {worker: {report, runs}, free, rack, servers, unusedMilliCpu, fillMilliCpu} = candidate;
 	const farness = spec.dataRack !== undefined && spec.dataRack !== rack ? farCost : 0;
 	const usedShare = 1 - (free.milliCpu / Math.max(1, report!.milliCpu));
-	if (spec.isLasting) {
-		return farness + (spreadCost * (ofStep.get(step) ?? 0)) + usedShare + (spec.targetMs > 0 ? fillers * disturbCost : 0);
+	if (spec.isFilling) {
+		const rise = Math.max(0, ...servers.map(server => foresee(server, spec, harm) - server.ratio));
+		const speed = Math.min(1, unusedMilliCpu / (fillMilliCpu + spec.milliCpu));
+		return farness + (harmCost * rise) - speed + (fillMilliCpu / report!.milliCpu);
 	}
 
-	if (spec.isFilling) {
-		// Each gets a part of what others leave unused.
-		const sharePerTask = Math.max(0, free.milliCpu) / ((fillers + 1) * Math.max(1, spec.milliCpu));
-		return farness + (servers * disturbCost) - Math.min(1, sharePerTask);
+	if (spec.targetMs > 0) {
+		return farness - (servers.length > 0 ? companyGain : 0) - usedShare + (harmCost * getHarmOf(spec, runs, harm));
+	}
+
+	// Filling up the fullest first keeps room for wide tasks elsewhere, and leaves whole workers to what fills.
+	return farness - usedShare - (servers.length > 0 ? companyGain : 0);
+};
+
+/** Rise of the ratio of a serving task beside what fills there already. */
+const getHarmOf = (spec: WorkflowStep, runs: Iterable<LiveRun>, harm: FillHarm): number => {
+	let rise = 0;
+	for (const {task: {step}} of runs) {
+		if (step.spec.isFilling) {
+			rise += harm.getEffect(spec.image ?? '', step.spec.image ?? '') * step.spec.milliCpu / milli;
+		}
 	}
 
-	// Filling up the fullest first keeps room for wide tasks elsewhere.
-	return farness - usedShare + (fillers > 0 ? 0.2 : 0);
+	return rise;
 };
 
 /** All members or none; on one rack if the step asks for it and one has the room. */
-const placeGang = (step: LiveStep, candidates: Candidate[]): Start[] => {
+const placeGang = (step: LiveStep, candidates: Candidate[], harm: FillHarm): Start[] => {
 	if (step.tasks.some(task => task.runs.length > 0)) {
 		return [];
 	}
 
 	const racks = step.spec.isSameRack ? [...new Set(candidates.map(candidate => candidate.rack))] : [];
 	for (const rack of [...racks, undefined]) {
-		const starts = tryGang(step, rack === undefined ? candidates : candidates.filter(candidate => candidate.rack === rack));
+		const starts = tryGang(step, rack === undefined ? candidates : candidates.filter(candidate => candidate.rack === rack), harm);
 		if (starts.length > 0) {
 			return starts;
 		}
@@ -158,16 +205,16 @@
 	return [];
 };
 
-const tryGang = (step: LiveStep, candidates: Candidate[]): Start[] => {
+const tryGang = (step: LiveStep, candidates: Candidate[], harm: FillHarm): Start[] => {
 	const trial = candidates.map(candidate => ({...candidate, free: {...candidate.free}, ofStep: new Map(candidate.ofStep)}));
 	const starts: Start[] = [];
 	for (const task of step.tasks) {
-		const candidate = choose(step, trial);
+		const candidate = choose(step, trial, harm);
 		if (!candidate) {
 			return [];
 		}
 
-		take(candidate, step);
+		take(candidate, step, harm);
 		starts.push({task, worker: candidate.worker});
 	}
 
