Count runs of jobs that are over until they have stopped

Change: runs of jobs that are over are taken over, counted and stopped; the agent's life is taken before its state.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -143,6 +143,7 @@
 			takenEnd: 0,
 			storedEnd: 0,
 			blockedUntilMs: 0,
+			unknownStopAtMs: Number.NEGATIVE_INFINITY,
 			paces: new Map(),
 			fillChangedAtMs: Number.NEGATIVE_INFINITY,
 			fillKey: '',
@@ -208,9 +209,9 @@
 
 		worker.report = reply.worker;
 		worker.isListed = reply.isListed;
-		onReply(worker, reply);
 		worker.agentLife = reply.agentLife;
 		worker.version = reply.version;
+		onReply(worker, reply);
 		if (!reply.isListed) {
 			// Nothing to wait for yet: the agent has not heard of its worker.
 			await clock.sleep(retryMs, signal);
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -40,6 +40,8 @@
 	storedEnd: number;
 	/** Nothing is placed before this; after refusals. */
 	blockedUntilMs: number;
+	/** When a run that no job has was last told to stop. */
+	unknownStopAtMs: number;
 	/** Speed that tasks that fill may work at, by image. */
 	paces: Paces;
 	/** When runs or paces of tasks that fill last changed: what is measured before the next half second is of a mix. */
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -37,6 +37,8 @@
 	/** Last time that `percent` rose. */
 	progressAtMs: number;
 	stopSentAtMs: number;
+	/** Another run of the task counts: this one is stopped. */
+	isUnwanted: boolean;
 	/** Share of its speed that a filling task was last told to work at; undefined: an earlier owner may have told it. */
 	pacePercent?: number;
 };
@@ -103,6 +105,13 @@
 		return workflow;
 	}
 
+	/** Takes a job that is over, for the sake of its runs that are still out. */
+	recall(folded: FoldedWorkflow, wallMs: number, nowMs: number): LiveWorkflow {
+		const workflow = this.add(folded, wallMs, nowMs);
+		workflow.isOver = true;
+		return workflow;
+	}
+
 	/** Opens the occurrences of a job that are due; gives when the next one is. */
 	openDue(workflow: LiveWorkflow, wallMs: number, nowMs: number): number | undefined {
 		const total = countOccurrences(workflow.spec);
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -17,7 +17,7 @@
 import {AgentLinks, type AgentClient} from './agent-links.ts';
 import {FillHarm, getFillers, getServers} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
-import {type FoldedWorkflow} from './fold.ts';
+import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {decidePaces} from './harm-pacing.ts';
 import {
@@ -61,6 +61,8 @@
 /** Added to the longest lease before tasks of a lost agent start elsewhere: ways and kills take some ms. */
 const lostSlackMs = 500;
 const claimRetryMs = 150;
+/** Longer than the time between two listings of a worker. */
+const unknownPauseMs = 1000;
 /** An agent that was not heard for so long gets no orders. */
 const reachableMs = 1500;
 /** What a serving task reports is of the last half second: a mix that changed within it explains nothing. */
@@ -100,7 +102,6 @@
 	readonly #begun = new Set<string>();
 	#begunSentAtMs = 0;
 	#scheduled: Array<{dueAtMs: number; workflow: LiveWorkflow}> = [];
-	readonly #unwantedSentAtMs = new Map<string, number>();
 
 	constructor(options: OwnerOptions) {
 		const {store, clock, client, partition, epoch, maxCallBytes, note, isMine, follower} = options;
@@ -138,8 +139,16 @@
 			onBegun: task => {
 				this.#noteBegun(task);
 			},
-			onUnwanted: (worker, taskId, run) => {
-				this.#stopUnwanted(worker, taskId, run);
+			recall: ref => {
+				const folded = follower.fold.workflows.get(ref.workflowId);
+				if (folded && isFinal(folded.state)) {
+					this.model.recall(folded, clock.now().getTime(), clock.monotonicMs());
+				}
+
+				return this.model.find(ref);
+			},
+			onUnknown: (worker, taskId, run) => {
+				this.#stopUnknown(worker, taskId, run);
 			},
 			onExhausted: task => {
 				note('job failed', {id: task.ref.workflowId, taskId: task.taskId, failures: task.failures});
@@ -475,7 +484,7 @@
 			for (const run of getRuns(workflow)) {
 				count++;
 				const worker = this.links.workers.get(run.host);
-				if ((workflow.isOver || run.task.isDone) && worker && run.phase !== RunPhase.Starting && nowMs - run.stopSentAtMs >= stopRetryMs) {
+				if ((workflow.isOver || run.task.isDone || run.isUnwanted) && worker && run.phase !== RunPhase.Starting && nowMs - run.stopSentAtMs >= stopRetryMs) {
 					byWorker.set(worker, [...(byWorker.get(worker) ?? []), run]);
 				}
 			}
@@ -503,16 +512,15 @@
 		}
 	}
 
-	#stopUnwanted(worker: FleetWorker, taskId: string, run: number): void {
+	/** What an unknown run takes of its worker is not known: nothing is placed there until it is gone. */
+	#stopUnknown(worker: FleetWorker, taskId: string, run: number): void {
 		const nowMs = this.#options.clock.monotonicMs();
-		const key = `${worker.host}#${taskId}#${run}`;
-		if (nowMs - (this.#unwantedSentAtMs.get(key) ?? Number.NEGATIVE_INFINITY) < stopRetryMs) {
-			return;
+		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + unknownPauseMs);
+		if (nowMs - worker.unknownStopAtMs >= stopRetryMs) {
+			worker.unknownStopAtMs = nowMs;
+			this.#options.note('run not known', {taskId, run, host: worker.host});
+			void this.links.order(worker, [{type: OrderType.Stop, taskId, run}]);
 		}
-
-		this.#unwantedSentAtMs.set(key, nowMs);
-		this.#options.note('run not wanted', {taskId, run, host: worker.host});
-		void this.links.order(worker, [{type: OrderType.Stop, taskId, run}]);
 	}
 
 	#schedule(workflow: LiveWorkflow): void {
--- a/src/workflows/run-book.ts
+++ b/src/workflows/run-book.ts
@@ -5,7 +5,7 @@
 incarnation, its leases are over, or its order came too late to start anything.
 */
 import {type EndedRow, type RunningRow, type WatchReply} from '../types/fleet.ts';
-import {parseTaskId, RunEnd, type EndedRun} from '../types/workflows.ts';
+import {parseTaskId, RunEnd, type EndedRun, type TaskRef} from '../types/workflows.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
 	RunPhase, type LiveModel, type LiveRun, type LiveTask,
@@ -17,8 +17,10 @@
 	store: (ends: EndedRun[]) => Promise<boolean>;
 	/** A job's first run was seen. */
 	onBegun: (task: LiveTask) => void;
-	/** The run should not be there: its job is over, or another run of the task counts. */
-	onUnwanted: (worker: FleetWorker, taskId: string, run: number) => void;
+	/** Finds a task of a job that is over; undefined for a job that nobody handed in. */
+	recall: (ref: TaskRef) => LiveTask | undefined;
+	/** No job has such a task. */
+	onUnknown: (worker: FleetWorker, taskId: string, run: number) => void;
 	/** A task has failed as often as it may. */
 	onExhausted: (task: LiveTask) => void;
 	/** Room came free or tasks wait: a round of placement is due. */
@@ -66,6 +68,7 @@
 			recent: 0,
 			progressAtMs: terms.nowMs,
 			stopSentAtMs: Number.NEGATIVE_INFINITY,
+			isUnwanted: false,
 			pacePercent: 100,
 		};
 		task.lastRun = Math.max(task.lastRun, run);
@@ -173,27 +176,32 @@
 		return run;
 	}
 
-	/** Finds the run that is listed, or takes over one that an earlier owner started. */
+	/**
+	Finds the run that is listed, or takes over one that an earlier owner started. A run that is not wanted any more is
+	taken over as well: until it has stopped it takes room.
+	*/
 	#adopt(worker: FleetWorker, {taskId, run}: {taskId: string; run: number}, reply: WatchReply, nowMs: number): LiveRun | undefined {
 		const ref = parseTaskId(taskId);
-		const task = ref && this.#model.find(ref);
-		const known = task?.runs.find(live => live.run === run && live.host === worker.host);
-		if (known) {
-			return known;
+		const task = ref && (this.#model.find(ref) ?? this.#handlers.recall(ref));
+		if (!task) {
+			this.#handlers.onUnknown(worker, taskId, run);
+			return undefined;
 		}
 
-		if (!task || task.step.workflow.isOver || task.isDone || (task.runs.length > 0 && !task.step.spec.isSpeculative)) {
-			this.#handlers.onUnwanted(worker, taskId, run);
-			return undefined;
+		const known = task.runs.find(live => live.run === run && live.host === worker.host);
+		if (known) {
+			return known;
 		}
 
+		const isUnwanted = task.step.workflow.isOver || task.isDone || (task.runs.length > 0 && !task.step.spec.isSpeculative);
 		const live = this.open(task, worker, run, {nowMs, notAfterMs: 0});
 		live.isOrderOut = false;
+		live.isUnwanted = isUnwanted;
 		live.pacePercent = undefined;
 		live.agentLife = reply.agentLife;
 		live.confirmedVersion = reply.version;
 		this.#handlers.note('run adopted', {
-			taskId, run, host: worker.host, workerId: live.workerId,
+			taskId, run, host: worker.host, workerId: live.workerId, isUnwanted,
 		});
 		return live;
 	}
@@ -228,7 +236,7 @@
 
 	#takeEnd(worker: FleetWorker, end: EndedRun, nowMs: number): boolean {
 		const ref = parseTaskId(end.taskId);
-		const task = ref && this.#model.find(ref);
+		const task = ref && (this.#model.find(ref) ?? this.#handlers.recall(ref));
 		if (!task) {
 			return false;
 		}
