Test a site's failures on manual time, and mend what they show

Cause: tests on a stand-in of the store and of workers showed four faults: a silent worker was given starts again and again, its leases grew with each renewal that got no answer and so were never over, a lost agent that had registered anew was removed again, and an outage of 5 s ended all tasks.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -14,6 +14,8 @@
 	forgetUpTo: number;
 	/** Set while the agent was declared lost: nothing is prolonged until the worker's clock shows this. */
 	lapseUntilMs?: number;
+	/** Whether the last renewal was answered. */
+	isAnswering: boolean;
 	/** The worker gives no answer and its leases are over. */
 	isOver: boolean;
 };
@@ -31,7 +33,7 @@
 	/** Incarnations of which nothing runs any more. */
 	readonly goneWorkerIds: string[] = [];
 	#version = 1;
-	#waiters = new Set<() => void>();
+	readonly #waiters = new Set<() => void>();
 	readonly #horizonMs: number;
 
 	constructor(life: string, horizonMs: number) {
@@ -85,7 +87,7 @@
 		}
 
 		this.worker = {
-			report, lease: new LeaseClock(this.#horizonMs), runs: new WorkerRuns(), forgetUpTo: 0, isOver: false,
+			report, lease: new LeaseClock(this.#horizonMs), runs: new WorkerRuns(), forgetUpTo: 0, isOver: false, isAnswering: true,
 		};
 		this.bump();
 		return true;
--- a/src/agents/lease-clock.ts
+++ b/src/agents/lease-clock.ts
@@ -58,6 +58,14 @@
 		this.#leaseUntilMs = Math.max(this.#leaseUntilMs, clockMs + this.#horizonMs);
 	}
 
+	/**
+	End of the lease for the next renewal. While the worker gives no answer it stays as it was: a call without an answer
+	may be carried out seconds later, and a lease that kept growing would never be over.
+	*/
+	getNextUntilMs(isAnswering: boolean): number {
+		return isAnswering ? this.#leaseUntilMs : Math.min(this.#leaseUntilMs, this.#sentUntilMs);
+	}
+
 	/** Notes that a call with this end of the lease is sent. */
 	noteSent(untilMs: number): void {
 		this.#sentUntilMs = Math.max(this.#sentUntilMs, untilMs);
--- a/src/agents/order-desk.ts
+++ b/src/agents/order-desk.ts
@@ -127,6 +127,11 @@
 			return {isDone: false, refusal: OrderRefusal.Draining};
 		}
 
+		// A start without an answer would keep the leases of a silent worker from ever being over.
+		if (!worker.isAnswering) {
+			return {isDone: false, refusal: OrderRefusal.Unhealthy};
+		}
+
 		// An agent that has not read the newest claim may be talking to an owner that was replaced.
 		if (!control.isCaughtUp || clockMs === undefined || !runs.isListed || state.mustLapse || lapseUntilMs !== undefined || lease.leaseUntilMs < clockMs + minLeaseMs) {
 			return {isDone: false, refusal: OrderRefusal.NoLease};
@@ -182,6 +187,7 @@
 			workerClockMs: worker?.lease.sampleClockMs ?? 0,
 			leaseUntilMs: worker?.lease.leaseUntilMs ?? 0,
 			isListed: worker?.runs.isListed ?? false,
+			isAnswering: worker?.isAnswering ?? false,
 			isOver: worker?.isOver ?? false,
 			running: worker?.runs.running ?? [],
 			ended: worker ? worker.runs.ended.filter(row => row.number > worker.forgetUpTo) : [],
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -55,7 +55,7 @@
 	const {state, client, clock, getFence, onFenceRefused, note} = options;
 	const {lease, report: {workerId}} = worker;
 	const askedAtMs = clock.monotonicMs();
-	const leaseUntilMs = !state.mustLapse && worker.lapseUntilMs === undefined && lease.leaseUntilMs > 0 ? lease.leaseUntilMs : undefined;
+	const leaseUntilMs = !state.mustLapse && worker.lapseUntilMs === undefined && lease.leaseUntilMs > 0 ? lease.getNextUntilMs(worker.isAnswering) : undefined;
 	if (leaseUntilMs !== undefined) {
 		lease.noteSent(leaseUntilMs);
 	}
@@ -78,6 +78,11 @@
 			note('renewal refused', {workerId, refusal: reply.refusal});
 		}
 	} catch (error) {
+		if (worker.isAnswering) {
+			worker.isAnswering = false;
+			state.bump();
+		}
+
 		note('worker unanswered', {workerId, error: getMessage(error), leaseUntilMs});
 	}
 
@@ -87,9 +92,11 @@
 
 const takeListing = (options: WorkerLoopOptions, worker: WorkerState, listing: WorkerListing, askedAtMs: number): void => {
 	const {state, clock, onLapsed} = options;
+	const wasSilent = !worker.isAnswering;
+	worker.isAnswering = true;
 	worker.lease.note(listing.clockMs, clock.monotonicMs());
 	const isChanged = worker.runs.take(listing, askedAtMs);
-	if (worker.isOver || isChanged) {
+	if (worker.isOver || isChanged || wasSilent) {
 		worker.isOver = false;
 		state.bump();
 	}
--- a/src/core/producer-writer.ts
+++ b/src/core/producer-writer.ts
@@ -145,59 +145,54 @@
 				continue;
 			}
 
-			switch (result.outcome) {
-				case AppendOutcome.Appended: {
-					this.#sequence++;
-					settle(batch, WriteOutcome.Stored);
-					return;
-				}
-
-				case AppendOutcome.Fenced: {
-					this.#isFenced = true;
-					// An attempt without an answer may have been stored before the newer writer came.
-					settle(batch, hasUnknown ? WriteOutcome.Unknown : WriteOutcome.Fenced);
-					settle(this.#queue.splice(0), WriteOutcome.Fenced);
-					return;
-				}
-
-				case AppendOutcome.WrongSequence: {
-					this.#options.onNote('sequence', `sent ${this.#sequence}, expected ${result.expected}`);
-					if (hasUnknown && result.expected > this.#sequence) {
-						// The attempt without an answer was stored, and its answer is no longer repeated.
-						this.#sequence = result.expected;
-						settle(batch, WriteOutcome.Stored);
-						return;
-					}
+			if (result.outcome === AppendOutcome.Appended) {
+				this.#sequence++;
+				settle(batch, WriteOutcome.Stored);
+				return;
+			}
 
-					if (result.expected !== this.#sequence && Number.isFinite(result.expected)) {
-						this.#sequence = result.expected;
-					}
+			if (result.outcome === AppendOutcome.Fenced) {
+				this.#isFenced = true;
+				// An attempt without an answer may have been stored before the newer writer came.
+				settle(batch, hasUnknown ? WriteOutcome.Unknown : WriteOutcome.Fenced);
+				settle(this.#queue.splice(0), WriteOutcome.Fenced);
+				return;
+			}
 
-					await this.#options.clock.sleep(backoffMs);
-					break;
+			if (result.outcome === AppendOutcome.WrongSequence) {
+				if (this.#takeSequence(result.expected, hasUnknown)) {
+					settle(batch, WriteOutcome.Stored);
+					return;
 				}
+			} else if (!hasUnknown) {
+				// Refused: nothing was done. With no attempt open, the records may be given back or regrouped.
+				this.#giveBack(batch);
+				await this.#options.clock.sleep(backoffMs);
+				return;
+			}
 
-				default: {
-					// Refused: nothing was done. With no attempt open, the records may be given back or regrouped.
-					if (!hasUnknown && this.#giveBack(batch)) {
-						await this.#options.clock.sleep(backoffMs);
-						return;
-					}
+			await this.#options.clock.sleep(backoffMs);
+		}
+	}
 
-					await this.#options.clock.sleep(backoffMs);
-				}
-			}
+	/** Takes the number that the store expects; true when it shows that the attempt without an answer was stored. */
+	#takeSequence(expected: number, hasUnknown: boolean): boolean {
+		this.#options.onNote('sequence', `sent ${this.#sequence}, expected ${expected}`);
+		const isStored = hasUnknown && expected > this.#sequence;
+		if (Number.isFinite(expected)) {
+			this.#sequence = expected;
 		}
+
+		return isStored;
 	}
 
 	/** Puts a refused batch back in front of the queue, but for records that were tried for long enough. */
-	#giveBack(batch: Pending[]): boolean {
+	#giveBack(batch: Pending[]): void {
 		const {clock, giveUpAfterMs} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const isOver = (pending: Pending) => giveUpAfterMs !== undefined && nowMs - pending.enqueuedAtMs >= giveUpAfterMs;
 		settle(batch.filter(pending => isOver(pending)), WriteOutcome.NotStored);
 		this.#queue.unshift(...batch.filter(pending => !isOver(pending)));
-		return true;
 	}
 
 	async #attempt(values: Buffer[]): Promise<AppendResult | undefined> {
--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -1,7 +1,9 @@
 /**
 Callers' requests on the wire: hand a job in, ask for its state, cancel it, count what waits.
 */
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {
 	createError, ErrorCode, getErrorCode, getMessage,
 } from '../core/errors.ts';
@@ -74,25 +76,22 @@
 			return {status: 404, reason: 'no such job'};
 		}
 
-		switch (request.method) {
-			case 'POST': {
-				const body = await readBody(request, clock, {maxBytes: config.limits.maxBodyBytes, timeoutMs: Math.min(timeoutMs, config.limits.headerTimeoutMs)});
-				return decodeSubmitReply(await desk.submit(queue, id, decodeSpec(body), timeoutMs));
-			}
-
-			case 'GET': {
-				const {outcome, state} = await desk.getState(queue, id, timeoutMs);
-				return outcome === LookupOutcome.Found ? {status: 200, body: {state}} : getLookupAnswer(outcome);
-			}
+		if (request.method === 'GET') {
+			const {outcome, state} = await desk.getState(queue, id, timeoutMs);
+			return outcome === LookupOutcome.Found ? {status: 200, body: {state}} : getLookupAnswer(outcome);
+		}
 
-			case 'DELETE': {
-				return getLookupAnswer(await desk.cancel(queue, id, timeoutMs));
-			}
+		if (request.method === 'DELETE') {
+			return getLookupAnswer(await desk.cancel(queue, id, timeoutMs));
+		}
 
-			default: {
-				return {status: 405, reason: 'no such method'};
-			}
+		if (request.method !== 'POST') {
+			return {status: 405, reason: 'no such method'};
 		}
+
+		const {maxBodyBytes, headerTimeoutMs} = config.limits;
+		const body = await readBody(request, clock, {maxBytes: maxBodyBytes, timeoutMs: Math.min(timeoutMs, headerTimeoutMs)});
+		return decodeSubmitReply(await desk.submit(queue, id, decodeSpec(body), timeoutMs));
 	};
 
 	return server;
@@ -115,24 +114,15 @@
 	return outcome === LookupOutcome.Absent ? {status: 410, reason: 'no such job'} : {status: 503, retryAfterMs: 1000, reason: 'state unknown'};
 };
 
-const getStatus = (error: unknown): number => {
-	switch (getErrorCode(error)) {
-		case ErrorCode.BadInput: {
-			return 400;
-		}
-
-		case ErrorCode.BodyTooLarge: {
-			return 413;
-		}
-
-		case ErrorCode.BodyTooSlow: {
-			return 408;
-		}
+const statusByCode: Partial<Record<ErrorCode, number>> = {
+	[ErrorCode.BadInput]: 400,
+	[ErrorCode.BodyTooSlow]: 408,
+	[ErrorCode.BodyTooLarge]: 413,
+};
 
-		default: {
-			return 500;
-		}
-	}
+const getStatus = (error: unknown): number => {
+	const code = getErrorCode(error);
+	return (code && statusByCode[code]) ?? 500;
 };
 
 const send = (response: ServerResponse, {status, body, retryAfterMs}: Answer, isClosing: boolean): void => {
--- a/src/platform/store-calls.ts
+++ b/src/platform/store-calls.ts
@@ -2,7 +2,9 @@
 The platform's store on the wire: raw records with their lengths, keyed records, conditional appends and groups.
 */
 import {Buffer} from 'node:buffer';
-import {createError, ErrorCode, getMessage, isError} from '../core/errors.ts';
+import {
+	createError, ErrorCode, getMessage, isError,
+} from '../core/errors.ts';
 import {
 	AppendOutcome, type AppendOptions, type AppendResult, type GroupShare, type KeyedRecord, type KeyedWrite, type PartitionRef, type StoreClient, type StorePage,
 } from '../types/store.ts';
--- a/src/plugins/agent-messages.ts
+++ b/src/plugins/agent-messages.ts
@@ -4,7 +4,9 @@
 */
 import {createError, ErrorCode} from '../core/errors.ts';
 import {type Agent} from '../agents/agent.ts';
-import {type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest} from '../types/fleet.ts';
+import {
+	type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest,
+} from '../types/fleet.ts';
 import {type HttpClient} from '../utils/http-calls.ts';
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AgentClient} from '../workflows/agent-links.ts';
--- a/src/plugins/site-agent.ts
+++ b/src/plugins/site-agent.ts
@@ -36,13 +36,13 @@
 		note,
 	});
 	const announcements = createAnnounceServer(clock, {
-		onReport: report => {
+		onReport(report) {
 			agent.announce(report);
 		},
-		onLeave: workerId => {
+		onLeave(workerId) {
 			agent.leave(workerId);
 		},
-		onInvalid: reason => {
+		onInvalid(reason) {
 			note('announcement not valid', {reason});
 		},
 	});
--- a/src/plugins/site-process.ts
+++ b/src/plugins/site-process.ts
@@ -54,7 +54,7 @@
 	process.on('uncaughtException', error => {
 		log.note('unexpected error', {error: error.message, stack: error.stack});
 		log.flush();
-		process.exit(1); // eslint-disable-line unicorn/no-process-exit
+		process.exit(1);
 	});
 	process.on('SIGHUP', () => {
 		// Addresses and bounds of a site do not change within the life of a process; the line tells that it was heard.
@@ -67,7 +67,9 @@
 	const [internalPort, metricsPort] = site.internalPorts;
 	await listen(metrics.server, `${site.ip}:${metricsPort}`);
 	const http = createHttpClient(maxConnections);
-	note('started', {life, ip: site.ip, failureDomain: site.failureDomain, startupMs: Math.round(process.uptime() * 1000)});
+	note('started', {
+		life, ip: site.ip, failureDomain: site.failureDomain, startupMs: Math.round(process.uptime() * 1000),
+	});
 	const finish = await start({
 		site, clock, http, metrics, note, life, internalAddress: `${site.ip}:${internalPort}`, signal: aborter.signal,
 	});
--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -41,6 +41,11 @@
 	owners: Map<number, string>;
 };
 
+const decodeKeyed = (record: Buffer): KeyedWrite => {
+	const {key, value} = JSON.parse(record.toString()) as {key: string; value?: string};
+	return value === undefined ? {key} : {key, value: Buffer.from(value, 'base64')};
+};
+
 const answerMs = 4;
 const rememberedResults = 5;
 const lateMs = 3000;
@@ -71,7 +76,7 @@
 			read: async (ref, fromOffset, waitMs, signal) => this.#read(client, ref, fromOffset, {waitMs, signal}),
 			readKeyed: async (ref, fromOffset, waitMs, signal) => {
 				const {records, endOffset} = await this.#read(client, ref, fromOffset, {waitMs, signal});
-				return {records: records.map(({offset, value}) => ({...JSON.parse(value.toString()) as {key: string; value?: string}, offset})).map(({key, value, offset}) => ({key, offset, ...(value !== undefined && {value: Buffer.from(value, 'base64')})})), endOffset};
+				return {records: records.map(({offset, value}) => ({...decodeKeyed(value), offset})), endOffset};
 			},
 			newest: async ref => {
 				await this.#answer(client, 'read', ref);
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -152,6 +152,8 @@
 	leaseUntilMs: number;
 	/** False until the worker was listed once by this life of the agent. */
 	isListed: boolean;
+	/** Whether the worker answered when it was last asked. */
+	isAnswering: boolean;
 	/** The worker gives no answer, and every lease that it ever had is over: nothing runs there. */
 	isOver: boolean;
 	running: RunningRow[];
--- a/src/utils/http-calls.ts
+++ b/src/utils/http-calls.ts
@@ -151,6 +151,8 @@
 	try {
 		return JSON.parse(body.toString('utf8')) as unknown;
 	} catch (error) {
-		throw createError(ErrorCode.BadInput, {step, peer, detail: 'the answer is not JSON', cause: error});
+		throw createError(ErrorCode.BadInput, {
+			step, peer, detail: 'the answer is not JSON', cause: error,
+		});
 	}
 };
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -135,6 +135,7 @@
 			version: 0,
 			report: undefined,
 			isListed: false,
+			isAnswering: false,
 			heardAtMs: Number.NEGATIVE_INFINITY,
 			agentClockMs: 0,
 			workerClockMs: 0,
@@ -209,6 +210,7 @@
 
 		worker.report = reply.worker;
 		worker.isListed = reply.isListed;
+		worker.isAnswering = reply.isAnswering;
 		worker.agentLife = reply.agentLife;
 		worker.version = reply.version;
 		onReply(worker, reply);
--- a/src/workflows/desk.ts
+++ b/src/workflows/desk.ts
@@ -12,7 +12,7 @@
 } from '../types/desk.ts';
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
 import {type StoreClient} from '../types/store.ts';
-import {WorkflowState, type WorkflowSpec} from '../types/workflows.ts';
+import {type WorkflowState, type WorkflowSpec} from '../types/workflows.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {encodeRecord, RecordType, workflowsTopic} from './records.ts';
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -23,6 +23,8 @@
 	version: number;
 	report: WorkerReport | undefined;
 	isListed: boolean;
+	/** Whether the worker answers its agent. */
+	isAnswering: boolean;
 	/** When the last answer came, and the agent's and the worker's clock in it. */
 	heardAtMs: number;
 	agentClockMs: number;
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -4,7 +4,9 @@
 import {
 	formatTaskId, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
-import {countOccurrences, getUnitId, isFinal, type FoldedWorkflow, type WorkflowFold} from './fold.ts';
+import {
+	countOccurrences, getUnitId, isFinal, type FoldedWorkflow, type WorkflowFold,
+} from './fold.ts';
 
 /** Phases of a run. */
 export enum RunPhase {
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -4,7 +4,9 @@
 */
 import {type Buffer} from 'node:buffer';
 import {setMaxListeners} from 'node:events';
-import {controlTopic, ControlType, encodeControl, agentsTopic} from '../agents/control-records.ts';
+import {
+	controlTopic, ControlType, encodeControl, agentsTopic,
+} from '../agents/control-records.ts';
 import {workerClockSlowShare} from '../agents/lease-clock.ts';
 import {getMessage} from '../core/errors.ts';
 import {ProducerWriter, WriteOutcome} from '../core/producer-writer.ts';
@@ -58,6 +60,8 @@
 const begunEveryMs = 400;
 /** An agent that was silent for so long is declared lost. Shorter cuts heal by themselves, and its tasks live on. */
 const lostAfterMs = 4000;
+/** An agent with nothing to run that was silent for so long is taken for gone: a later owner need not wait for it. */
+const removedAfterMs = 30_000;
 /** Added to the longest lease before tasks of a lost agent start elsewhere: ways and kills take some ms. */
 const lostSlackMs = 500;
 const claimRetryMs = 150;
@@ -150,7 +154,7 @@
 			onUnknown: (worker, taskId, run) => {
 				this.#stopUnknown(worker, taskId, run);
 			},
-			onExhausted: task => {
+			onExhausted(task) {
 				note('job failed', {id: task.ref.workflowId, taskId: task.taskId, failures: task.failures});
 				task.step.workflow.isOver = true;
 			},
@@ -307,8 +311,8 @@
 
 	* #openWorkers(nowMs: number): Generator<FleetWorker> {
 		for (const worker of this.links.workers.values()) {
-			const {report, isListed, silentSinceMs, heardAtMs, lostSession, session, blockedUntilMs} = worker;
-			if (report && !report.isDraining && isListed && silentSinceMs === undefined && nowMs - heardAtMs < reachableMs
+			const {report, isListed, isAnswering, silentSinceMs, heardAtMs, lostSession, session, blockedUntilMs} = worker;
+			if (report && !report.isDraining && isListed && isAnswering && silentSinceMs === undefined && nowMs - heardAtMs < reachableMs
 				&& lostSession !== session && blockedUntilMs <= nowMs) {
 				yield worker;
 			}
@@ -453,7 +457,7 @@
 	async #storeEnds(ends: EndedRun[]): Promise<boolean> {
 		const before = this.#lastStore;
 		const write = ends.length === 0 ? before : this.#write(encodeRecord({type: RecordType.Ends, ends}));
-		this.#lastStore = (async () => await before && await write)();
+		this.#lastStore = Promise.all([before, write]).then(stored => stored.every(Boolean));
 		return this.#lastStore;
 	}
 
@@ -566,19 +570,29 @@
 	#checkLost(): void {
 		const nowMs = this.#options.clock.monotonicMs();
 		for (const worker of this.links.workers.values()) {
-			if (worker.silentSinceMs !== undefined && worker.lostSession === undefined && nowMs - worker.silentSinceMs >= lostAfterMs) {
+			const {silentSinceMs, lostSession, lostAtMs, runs} = worker;
+			const boundMs = runs.size > 0 ? lostAfterMs : removedAfterMs;
+			if (silentSinceMs !== undefined && lostSession === undefined && nowMs - silentSinceMs >= boundMs) {
 				worker.lostSession = worker.session;
 				void this.#declareLost(worker);
-			} else if (worker.lostAtMs !== undefined && nowMs - worker.lostAtMs > this.#getLeaseOverMs()) {
-				this.#book.loseAll(worker, LossReason.AgentLost, nowMs);
-				if (worker.silentSinceMs !== undefined) {
-					this.links.workers.delete(worker.host);
-					void this.#removeRegistration(worker);
-				}
+			} else if (lostAtMs !== undefined && nowMs - lostAtMs > this.#getLeaseOverMs()) {
+				this.#takeLost(worker, nowMs);
 			}
 		}
 	}
 
+	/** The leases of a lost agent are over. It may have registered anew meanwhile, without being reached yet. */
+	#takeLost(worker: FleetWorker, nowMs: number): void {
+		this.#book.loseAll(worker, LossReason.AgentLost, nowMs);
+		if (worker.session > worker.lostSession!) {
+			worker.lostSession = undefined;
+			worker.lostAtMs = undefined;
+		} else if (worker.silentSinceMs !== undefined) {
+			this.links.workers.delete(worker.host);
+			void this.#removeRegistration(worker);
+		}
+	}
+
 	/** The declaration is in the store before the leases are waited out: the agent reads it, or proves nothing more. */
 	async #declareLost(worker: FleetWorker): Promise<void> {
 		const {store, partition, epoch, clock, note} = this.#options;
--- a/src/workflows/run-book.ts
+++ b/src/workflows/run-book.ts
@@ -5,7 +5,9 @@
 incarnation, its leases are over, or its order came too late to start anything.
 */
 import {type EndedRow, type RunningRow, type WatchReply} from '../types/fleet.ts';
-import {parseTaskId, RunEnd, type EndedRun, type TaskRef} from '../types/workflows.ts';
+import {
+	parseTaskId, RunEnd, type EndedRun, type TaskRef,
+} from '../types/workflows.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
 	RunPhase, type LiveModel, type LiveRun, type LiveTask,
--- /dev/null
+++ b/test/site-takeover.test.ts
@@ -0,0 +1,368 @@
+/**
+Owners, agents and entries of a site that fail, with the store and workers as stand-ins on manual time.
+*/
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {StoreFault} from '../src/standin/memory-store.ts';
+import {OrderFault} from '../src/standin/site-worker.ts';
+import {LookupOutcome, SubmitOutcome} from '../src/types/desk.ts';
+import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
+import {createSpec, createStep, SiteWorld} from './site-world.ts';
+
+const jobId = '00000000000000a1';
+const otherId = '00000000000000a2';
+let world: SiteWorld;
+
+const createWorld = async (hosts = 2, entries = 2): Promise<SiteWorld> => {
+	world = new SiteWorld();
+	for (let index = 0; index < hosts; index++) {
+		world.addHost(`host-${index}`);
+	}
+
+	for (let index = 0; index < entries; index++) {
+		world.startEntry(`entry-${index}`);
+	}
+
+	await world.clock.advance(2000);
+	return world;
+};
+
+afterEach(() => {
+	world.stop();
+	expect(world.violations).toEqual([]);
+});
+
+describe('a calm site', () => {
+	it('runs steps in their order and shows the job as completed at every entry', async () => {
+		await createWorld();
+		const spec = createSpec([createStep({count: 3}), createStep({count: 2, after: [0]})]);
+		expect((await world.submit(jobId, spec)).outcome).toBe(SubmitOutcome.Accepted);
+		await world.clock.advance(500);
+		expect(world.isRunning(`${jobId}.0.0.0`)).toBe(true);
+		await world.clock.advance(2500);
+		expect(await world.getState(jobId, 'entry-0')).toBe(WorkflowState.Completed);
+		expect(await world.getState(jobId, 'entry-1')).toBe(WorkflowState.Completed);
+	});
+
+	it('takes the same job handed in at two entries as one', async () => {
+		await createWorld();
+		const spec = createSpec([createStep()]);
+		await world.submit(jobId, spec, 'entry-0');
+		await world.submit(jobId, spec, 'entry-1');
+		await world.clock.advance(2000);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(1);
+	});
+
+	it('starts each occurrence of a repeated job when it is due', async () => {
+		await createWorld();
+		const spec = createSpec([createStep()], {repeatCount: 3, firstDueMs: world.clock.now().getTime() + 1000, intervalMs: 2000});
+		await world.submit(jobId, spec);
+		await world.clock.advance(500);
+		expect(world.events).toEqual([]);
+		await world.clock.advance(8000);
+		expect(world.events.filter(event => event.type === 'started').map(event => event.taskId)).toEqual([0, 1, 2].map(occurrence => `${jobId}.${occurrence}.0.0`));
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	it('stops what a cancelled job runs, and says that it is cancelled', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: undefined});
+		await world.submit(jobId, createSpec([createStep({count: 4, isLasting: true})]));
+		await world.clock.advance(500);
+		expect(await world.cancel(jobId)).toBe(LookupOutcome.Found);
+		await world.clock.advance(500);
+		expect(world.isRunning(`${jobId}.0.0.0`)).toBe(false);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Cancelled);
+	});
+
+	it('restarts a lasting task however it ends', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: undefined});
+		await world.submit(jobId, createSpec([createStep({isLasting: true})]));
+		await world.clock.advance(500);
+		for (const {worker} of world.hosts.values()) {
+			worker.end(`${jobId}.0.0.0`, RunEnd.Failed);
+		}
+
+		await world.clock.advance(500);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(2);
+	});
+
+	it('fails a job once a task failed as often as its queue allows, and not more often', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: 100, isFailing: true});
+		await world.submit(jobId, createSpec([createStep()]));
+		await world.clock.advance(3000);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(3);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Failed);
+	});
+
+	it('starts all members of a gang under one number', async () => {
+		await createWorld();
+		await world.submit(jobId, createSpec([createStep({count: 3, isGang: true})]));
+		await world.clock.advance(500);
+		const starts = world.events.filter(event => event.type === 'started');
+		expect(starts.map(event => event.run)).toEqual([1, 1, 1]);
+	});
+});
+
+describe('the owner of the jobs', () => {
+	/**
+	A job runs, the entry that owns it dies. Its end comes while nobody owns it. The next owner learns of the end from the
+	worker's agent, which kept it because no log had it. Cause: an end that only a dead process knew would be run again.
+	*/
+	it('that dies leaves running tasks alone, and the next one takes their ends', async () => {
+		await createWorld();
+		await world.submit(jobId, createSpec([createStep(), createStep({after: [0]})]));
+		await world.clock.advance(300);
+		const dead = world.getOwnerName()!;
+		world.killEntry(dead);
+		await world.clock.advance(4000);
+		expect(world.getOwnerName()).not.toBe(dead);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(1);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	/** With every agent reached, jobs that wait run on soon after their owner died: what callers notice of its death. */
+	it('is replaced within 2 s where all agents are reached', async () => {
+		await createWorld();
+		world.killEntry(world.getOwnerName()!);
+		await world.submit(jobId, createSpec([createStep()]));
+		expect(await world.waitFor(() => world.isRunning(`${jobId}.0.0.0`), 10_000)).toBeLessThan(2000);
+	});
+
+	/**
+	The owner dies while one agent is cut off from all entries. The task on it runs on. The next owner does not know of it
+	and must not start it elsewhere before its leases are over. Cause: starts are not in the log.
+	*/
+	it('that takes over without reaching an agent waits out its leases before it starts what may run there', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: 60_000});
+		await world.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+		await world.clock.advance(300);
+		const survivor = [...world.entries.keys()].find(name => name !== world.getOwnerName())!;
+		world.killEntry(world.getOwnerName()!);
+		world.cuts.add(`${survivor}>host-0`);
+		world.addHost('host-2');
+		// The agent is cut off from the store as well, so that its leases run out.
+		world.store.fault = ({client}) => client === 'host-0' ? StoreFault.Silence : StoreFault.None;
+		const tookMs = await world.waitFor(() => world.getStarts(`${jobId}.0.0.0`) + world.getStarts(`${jobId}.0.0.1`) > 2, 20_000);
+		expect(tookMs).toBeGreaterThan(5000);
+		expect(tookMs).toBeLessThan(14_000);
+	});
+
+	/**
+	The owner stands still for 4 s and is replaced. As it wakes, it goes on with what it believed: its orders have to be
+	refused. Cause: a process does not notice that it stood still.
+	*/
+	it('that stood still and was replaced starts nothing', async () => {
+		await createWorld();
+		const name = world.getOwnerName()!;
+		const frozen = world.entries.get(name)!;
+		frozen.clock.isPaused = true;
+		const other = [...world.entries.keys()].find(entry => entry !== name)!;
+		await world.clock.advance(3000);
+		await world.submit(jobId, createSpec([createStep({count: 3})]), other);
+		await world.clock.advance(1000);
+		frozen.clock.resume();
+		await world.clock.advance(3000);
+		expect(world.events.filter(event => event.type === 'started')).toHaveLength(3);
+		expect(world.notes.some(note => note.source === name && note.event === 'deposed')).toBe(true);
+	});
+
+	/** All partitions may be dealt anew at once, with no request: nothing is started twice by that. */
+	it('that changes while tasks run starts none of them again', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: 5000});
+		await world.submit(jobId, createSpec([createStep({count: 4})]));
+		await world.clock.advance(500);
+		const before = world.getOwnerName();
+		world.store.rebalance('owners');
+		await world.clock.advance(1500);
+		expect(world.getOwnerName()).not.toBe(before);
+		await world.clock.advance(6000);
+		expect(world.events.filter(event => event.type === 'started')).toHaveLength(4);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	/**
+	A job is cancelled just before its owner dies. The next owner finds runs of a job that is over: they take room until
+	they have stopped. Cause: only jobs that were not over were taken into account, and a worker was given too much.
+	*/
+	it('counts runs of a cancelled job until they have stopped', async () => {
+		await createWorld(1);
+		world.plan = () => ({workMs: undefined});
+		await world.submit(jobId, createSpec([createStep({count: 4, isLasting: true})]));
+		await world.clock.advance(500);
+		world.killEntry(world.getOwnerName()!);
+		await world.cancel(jobId);
+		await world.submit(otherId, createSpec([createStep({count: 4})]));
+		await world.clock.advance(4000);
+		expect(world.isRunning(`${otherId}.0.0.0`)).toBe(true);
+	});
+});
+
+describe('an agent', () => {
+	/** Workers go on under their lease while their agent restarts; the new life finds what runs and ends nothing. */
+	it('that restarts takes over what runs', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: 6000});
+		await world.submit(jobId, createSpec([createStep({count: 4})]));
+		await world.clock.advance(500);
+		world.killAgent('host-0');
+		await world.clock.advance(1500);
+		world.startAgent('host-0');
+		await world.clock.advance(6000);
+		expect(world.events.filter(event => event.type === 'started')).toHaveLength(4);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	/**
+	An agent is cut off from all entries but reaches the store. It prolongs leases until it reads that it was declared
+	lost, and the owner starts its tasks elsewhere only after that. Cause: two agents would otherwise run one task.
+	*/
+	it('that is declared lost lets its leases run out before the tasks start elsewhere', async () => {
+		await createWorld(2, 1);
+		world.plan = () => ({workMs: 60_000});
+		await world.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+		await world.clock.advance(500);
+		world.cuts.add('entry-0>host-0');
+		world.addHost('host-2');
+		const tookMs = await world.waitFor(() => world.events.filter(event => event.type === 'started').length > 2, 30_000);
+		expect(tookMs).toBeGreaterThan(8000);
+		world.cuts.clear();
+		await world.clock.advance(10_000);
+		await world.submit(otherId, createSpec([createStep({milliCpu: 3500})]));
+		await world.clock.advance(1000);
+		expect(world.isRunning(`${otherId}.0.0.0`)).toBe(true);
+	});
+
+	/**
+	The agent dies right after it was declared lost, and its next life starts at once. It must not prolong what the owner
+	waits to run out. Cause: a new life knows nothing of the declaration unless it reads it.
+	*/
+	it('that restarts after it was declared lost prolongs nothing', async () => {
+		await createWorld(2, 1);
+		world.plan = () => ({workMs: 60_000});
+		await world.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+		await world.clock.advance(500);
+		world.cuts.add('entry-0>host-0');
+		world.addHost('host-2');
+		await world.clock.advance(4000);
+		world.killAgent('host-0');
+		await world.clock.advance(500);
+		world.startAgent('host-0');
+		await world.clock.advance(20_000);
+		expect(world.events.filter(event => event.type === 'started')).toHaveLength(3);
+	});
+
+	/** The store is away for 5 s for everyone: nobody can be declared lost, and what runs goes on. */
+	it('keeps what runs alive through an outage of the store', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: 9000});
+		await world.submit(jobId, createSpec([createStep({count: 4})]));
+		await world.clock.advance(500);
+		world.store.fault = () => StoreFault.Silence;
+		await world.clock.advance(5000);
+		world.store.fault = () => StoreFault.None;
+		await world.clock.advance(6000);
+		expect(world.events.filter(event => event.type === 'ended').map(event => event.end)).toEqual(Array.from({length: 4}, () => RunEnd.Done));
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	/**
+	An order to start gets no answer and is carried out 4 s later. Meanwhile the task runs elsewhere. The late start has to
+	be refused. Cause: orders may overtake each other on their way to the worker.
+	*/
+	it('gives starts that are carried out late no chance', async () => {
+		await createWorld();
+		world.hosts.get('host-0')!.worker.fault = order => order === 'start' ? OrderFault.DoLate : OrderFault.None;
+		world.plan = () => ({workMs: 9000});
+		await world.submit(jobId, createSpec([createStep({count: 4})]));
+		await world.clock.advance(1000);
+		world.hosts.get('host-0')!.worker.fault = () => OrderFault.None;
+		await world.clock.advance(12_000);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	it('finds a start whose answer was lost running, and does not start it again', async () => {
+		await createWorld();
+		for (const {worker} of world.hosts.values()) {
+			worker.fault = order => order === 'start' ? OrderFault.LoseAnswer : OrderFault.None;
+		}
+
+		await world.submit(jobId, createSpec([createStep({count: 4})]));
+		await world.clock.advance(5000);
+		expect(world.events.filter(event => event.type === 'started')).toHaveLength(4);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	it('learns from a new incarnation that all that ran before is over', async () => {
+		await createWorld();
+		world.plan = () => ({workMs: 3000});
+		await world.submit(jobId, createSpec([createStep({count: 4})]));
+		await world.clock.advance(500);
+		world.hosts.get('host-0')!.worker.crash();
+		await world.clock.advance(6000);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	/** A worker that gives no answer may run on until its leases are over: only then do its tasks start elsewhere. */
+	it('waits out the leases of a silent worker', async () => {
+		await createWorld(2, 1);
+		world.plan = () => ({workMs: 60_000});
+		await world.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+		await world.clock.advance(500);
+		world.hosts.get('host-0')!.worker.isSilent = true;
+		world.addHost('host-2');
+		const tookMs = await world.waitFor(() => world.events.filter(event => event.type === 'started').length > 2, 30_000);
+		expect(tookMs).toBeGreaterThan(4000);
+		expect(tookMs).toBeLessThan(9000);
+	});
+
+	it('starts nothing on a worker that drains', async () => {
+		await createWorld(1);
+		world.hosts.get('host-0')!.worker.isDraining = true;
+		await world.clock.advance(600);
+		await world.submit(jobId, createSpec([createStep()]));
+		await world.clock.advance(2000);
+		expect(world.events).toEqual([]);
+	});
+});
+
+describe('acceptance', () => {
+	/** An answer of the store is lost after it took the record: the entry asks again and knows, and the job runs once. */
+	it('finds out what became of a record whose answer was lost', async () => {
+		await createWorld();
+		let lost = 0;
+		world.store.fault = ({kind, ref}) => kind === 'append' && ref?.topic === 'workflows' && lost++ < 1 ? StoreFault.LoseAnswer : StoreFault.None;
+		expect((await world.submit(jobId, createSpec([createStep()]))).outcome).toBe(SubmitOutcome.Accepted);
+		await world.clock.advance(3000);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(1);
+	});
+
+	it('says at once that a job is not taken while the store refuses, and it never runs', async () => {
+		await createWorld();
+		world.store.fault = ({kind}) => kind === 'append' ? StoreFault.Refuse : StoreFault.None;
+		const startMs = world.clock.monotonicMs();
+		expect((await world.submit(jobId, createSpec([createStep()]))).outcome).toBe(SubmitOutcome.NotAccepted);
+		expect(world.clock.monotonicMs() - startMs).toBeLessThan(800);
+		world.store.fault = () => StoreFault.None;
+		await world.clock.advance(5000);
+		expect(world.events).toEqual([]);
+	});
+
+	it('leaves open what it cannot know', async () => {
+		await createWorld();
+		world.store.fault = ({kind, ref}) => kind === 'append' && ref?.topic === 'workflows' ? StoreFault.DoLate : StoreFault.None;
+		expect((await world.submit(jobId, createSpec([createStep()]))).outcome).toBe(SubmitOutcome.Unknown);
+	});
+
+	it('says that a job is unknown only after it has read the stream to its end', async () => {
+		await createWorld();
+		expect(await world.getState(otherId)).toBe(LookupOutcome.Absent);
+		world.store.fault = ({kind}) => kind === 'read' ? StoreFault.Silence : StoreFault.None;
+		expect(await world.getState(otherId)).toBe(LookupOutcome.Unknown);
+	});
+});
--- /dev/null
+++ b/test/site-world.ts
@@ -0,0 +1,394 @@
+/**
+A site on manual time: a store, workers with their agents, and entries, which tests cut, stop, kill and restart. Checks
+what must always hold while it runs, from what workers see.
+*/
+import {Buffer} from 'node:buffer';
+import {Agent} from '../src/agents/agent.ts';
+import {leaseHorizonMs} from '../src/agents/lease-clock.ts';
+import {createError, ErrorCode} from '../src/core/errors.ts';
+import {getPartition} from '../src/core/partitions.ts';
+import {MemoryStore} from '../src/standin/memory-store.ts';
+import {SiteWorker, type RunPlan, type WorkerEvent} from '../src/standin/site-worker.ts';
+import {LookupOutcome, type SubmitReply} from '../src/types/desk.ts';
+import {type WorkerStart} from '../src/types/fleet.ts';
+import {type QueueConfig} from '../src/types/site.ts';
+import {
+	parseTaskId, RunEnd, type WorkflowSpec, type WorkflowState, type WorkflowStep,
+} from '../src/types/workflows.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {type AgentClient} from '../src/workflows/agent-links.ts';
+import {WorkflowDesk} from '../src/workflows/desk.ts';
+import {WorkflowFollower} from '../src/workflows/follower.ts';
+import {Owner} from '../src/workflows/owner.ts';
+import {Ownership} from '../src/workflows/ownership.ts';
+import {workflowsTopic} from '../src/workflows/records.ts';
+import {ProcessClock} from './membership-world.ts';
+
+export const service = 'desk';
+const partitions = 8;
+export const partition = getPartition(service, partitions);
+
+export const queue: QueueConfig = {
+	name: 'issue', host: 'a.example', pathPrefix: '/issue/', service, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500, timeoutMs: 3000,
+};
+
+export const createStep = (step: Partial<WorkflowStep> = {}): WorkflowStep => ({
+	count: 1,
+	milliCpu: 1000,
+	memoryMb: 100,
+	accelerators: 0,
+	estimateMs: 1000,
+	after: [],
+	isCheckpointing: false,
+	isGang: false,
+	isSameRack: false,
+	maxPerWorker: 0,
+	isSpeculative: false,
+	isLasting: false,
+	targetMs: 0,
+	isFilling: false,
+	...step,
+});
+
+export const createSpec = (steps: WorkflowStep[], spec: Partial<WorkflowSpec> = {}): WorkflowSpec => ({
+	input: 'text', steps, firstDueMs: 0, intervalMs: 0, repeatCount: 0, ...spec,
+});
+
+/** Calls of a process that stands still neither leave it nor come back to it. */
+const gate = <Client extends Record<string, (...args: never[]) => Promise<unknown>>>(clock: ProcessClock, client: Client): Client => Object.fromEntries(Object.entries(client).map(([name, call]) => [name, async (...args: never[]) => {
+	await clock.ready();
+	try {
+		return await call(...args);
+	} finally {
+		await clock.ready();
+	}
+}])) as Client;
+
+const ignore = () => undefined;
+
+type EntryProcess = {
+	name: string;
+	clock: ProcessClock;
+	aborter: AbortController;
+	desk: WorkflowDesk;
+	follower: WorkflowFollower;
+	ownership: Ownership;
+};
+
+type AgentHost = {
+	name: string;
+	worker: SiteWorker;
+	clock: ProcessClock;
+	agent: Agent | undefined;
+	aborter: AbortController;
+};
+
+type Note = {source: string; event: string; fields: Record<string, unknown>};
+
+/** The world. */
+export class SiteWorld {
+	readonly clock = new ManualClock();
+	readonly store = new MemoryStore(this.clock, partitions);
+	readonly entries = new Map<string, EntryProcess>();
+	readonly hosts = new Map<string, AgentHost>();
+	readonly notes: Note[] = [];
+	readonly violations: string[] = [];
+	readonly events: WorkerEvent[] = [];
+	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
+	/** Pairs `entry>host` between which nothing passes. */
+	readonly cuts = new Set<string>();
+	readonly specs = new Map<string, WorkflowSpec>();
+	readonly #runs = new Map<string, {workerId: string; run: number}>();
+	readonly #done = new Set<string>();
+	readonly #forgottenDone = new Set<string>();
+	#lives = 0;
+
+	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1']): AgentHost {
+		const worker = new SiteWorker(name, {
+			clock: this.clock,
+			report: {
+				service, failureDomain: 'hall', milliCpu, memoryMb: 64_000, accelerators: 0, labels,
+			},
+			plan: start => this.plan(start),
+			onEvent: event => {
+				this.#judge(event);
+			},
+			maxLeaseMs: 6000,
+			stopMs: 100,
+		});
+		const host: AgentHost = {
+			name, worker, clock: new ProcessClock(this.clock), agent: undefined, aborter: new AbortController(),
+		};
+		this.hosts.set(name, host);
+		this.startAgent(name);
+		this.#announce(host);
+		return host;
+	}
+
+	startAgent(name: string): void {
+		const host = this.hosts.get(name)!;
+		host.aborter = new AbortController();
+		host.clock = new ProcessClock(this.clock);
+		const life = `life-${++this.#lives}`;
+		const agent = new Agent({
+			registration: {
+				host: name, address: name, service, failureDomain: 'hall',
+			},
+			partition,
+			store: gate(host.clock, this.store.createClient(name)),
+			client: gate(host.clock, host.worker.createClient()),
+			clock: host.clock,
+			life,
+			leaseHorizonMs,
+			maxLeaseMs: 6000,
+			note: this.#createNote(name),
+		});
+		host.agent = agent;
+		void agent.run(host.aborter.signal);
+	}
+
+	killAgent(name: string): void {
+		const host = this.hosts.get(name)!;
+		host.aborter.abort();
+		host.clock.isPaused = true;
+		host.agent = undefined;
+	}
+
+	startEntry(name: string): EntryProcess {
+		const clock = new ProcessClock(this.clock);
+		const aborter = new AbortController();
+		const store = gate(clock, this.store.createClient(name));
+		const life = `${name}-${++this.#lives}`;
+		const note = this.#createNote(name);
+		const follower = new WorkflowFollower({
+			store, clock, ref: {topic: workflowsTopic, partition}, onStoreState: ignore, onInvalid: ignore,
+		});
+		const desk = new WorkflowDesk({
+			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, onWriterNote: ignore,
+		});
+		const ownership = new Ownership({
+			store,
+			clock,
+			note,
+			group: 'owners',
+			topic: workflowsTopic,
+			member: life,
+			minTtlMs: 1000,
+			isUsed: used => used === partition,
+			createOwner: (owned, epoch, onDeposed) => new Owner({
+				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, maxCallBytes: 2_000_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true,
+			}),
+		});
+		void follower.run(aborter.signal);
+		void ownership.run(aborter.signal);
+		const entry = {
+			name, clock, aborter, desk, follower, ownership,
+		};
+		this.entries.set(name, entry);
+		return entry;
+	}
+
+	/** Ends the process at once: nothing that it still had to do is done. */
+	killEntry(name: string): void {
+		const entry = this.entries.get(name)!;
+		entry.clock.isPaused = true;
+		this.entries.delete(name);
+	}
+
+	/** The entry that owns the partition by its own belief. */
+	getOwnerName(): string | undefined {
+		return [...this.entries.values()].find(({ownership}) => ownership.owners.has(partition))?.name;
+	}
+
+	async submit(id: string, spec: WorkflowSpec, entryName?: string): Promise<SubmitReply> {
+		this.specs.set(id, spec);
+		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
+		return this.settle(entry.desk.submit(queue, id, spec, 2500));
+	}
+
+	async cancel(id: string): Promise<LookupOutcome> {
+		return this.settle([...this.entries.values()][0]!.desk.cancel(queue, id, 2500));
+	}
+
+	async getState(id: string, entryName?: string): Promise<WorkflowState | LookupOutcome> {
+		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
+		const {outcome, state} = await this.settle(entry.desk.getState(queue, id, 2500));
+		return outcome === LookupOutcome.Found ? state! : outcome;
+	}
+
+	/** Advances time until the promise is settled. */
+	async settle<Value>(promise: Promise<Value>): Promise<Value> {
+		let result: {value: Value} | undefined;
+		void promise.then(value => {
+			result = {value};
+		});
+		for (let steps = 0; !result && steps < 2000; steps++) {
+			await this.clock.advance(5);
+		}
+
+		if (!result) {
+			throw new Error('not settled');
+		}
+
+		return result.value;
+	}
+
+	/** Advances until the condition holds; gives the time that it took, or undefined after the bound. */
+	async waitFor(isMet: () => boolean, boundMs: number): Promise<number | undefined> {
+		const startMs = this.clock.monotonicMs();
+		while (!isMet()) {
+			if (this.clock.monotonicMs() - startMs > boundMs) {
+				return undefined;
+			}
+
+			await this.clock.advance(10);
+		}
+
+		return this.clock.monotonicMs() - startMs;
+	}
+
+	/** Starts of a task so far. */
+	getStarts(taskId: string): number {
+		return this.events.filter(event => event.type === 'started' && event.taskId === taskId).length;
+	}
+
+	isRunning(taskId: string): boolean {
+		return [...this.hosts.values()].some(({worker}) => worker.running.has(taskId));
+	}
+
+	/** Ends with nothing left running. */
+	stop(): void {
+		for (const {aborter, ownership} of this.entries.values()) {
+			aborter.abort();
+			for (const owner of ownership.owners.values()) {
+				owner.stop();
+			}
+		}
+
+		for (const {aborter} of this.hosts.values()) {
+			aborter.abort();
+		}
+	}
+
+	#announce(host: AgentHost): void {
+		host.agent?.announce(host.worker.announce());
+		this.clock.setTimer(() => {
+			this.#announce(host);
+		}, 500);
+	}
+
+	#createNote(source: string): (event: string, fields?: Record<string, unknown>) => void {
+		return (event, fields = {}) => {
+			this.notes.push({source, event, fields});
+		};
+	}
+
+	#createAgentClient(entryName: string): AgentClient {
+		const call = async <Reply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
+			await this.clock.sleep(1);
+			const agent = this.hosts.get(host)?.agent;
+			if (!agent || this.cuts.has(`${entryName}>${host}`) || this.hosts.get(host)!.clock.isPaused) {
+				await this.clock.sleep(timeoutMs);
+				throw createError(ErrorCode.PeerUnavailable, {step: 'call agent', peer: host});
+			}
+
+			const reply = structuredClone(await this.#within(timeoutMs, act(agent)));
+			await this.clock.sleep(1);
+			if (this.cuts.has(`${entryName}>${host}`)) {
+				throw createError(ErrorCode.PeerUnavailable, {step: 'call agent', peer: host});
+			}
+
+			return reply;
+		};
+
+		return {
+			watch: async (host, request, timeoutMs, signal) => call(host, async agent => agent.watch(structuredClone(request), signal), timeoutMs),
+			order: async (host, request, timeoutMs) => call(host, async agent => agent.order(structuredClone(request)), timeoutMs),
+		};
+	}
+
+	/** A process that died answers never: the caller's own bound ends the call. */
+	async #within<Value>(timeoutMs: number, answer: Promise<Value>): Promise<Value> {
+		const expire = async () => {
+			await this.clock.sleep(timeoutMs);
+			throw createError(ErrorCode.PeerUnavailable, {step: 'call agent'});
+		};
+
+		return Promise.race([answer, expire()]);
+	}
+
+	#judge(event: WorkerEvent): void {
+		this.events.push(event);
+		const ref = parseTaskId(event.taskId)!;
+		const step = this.specs.get(ref.workflowId)?.steps[ref.step];
+		switch (event.type) {
+			case 'started': {
+				this.#judgeStart(event, step);
+				this.#runs.set(event.taskId, event);
+				break;
+			}
+
+			case 'ended': {
+				this.#runs.delete(event.taskId);
+				if (event.end === RunEnd.Done) {
+					this.#done.add(event.taskId);
+				}
+
+				break;
+			}
+
+			case 'forgotten': {
+				if (event.end === RunEnd.Done) {
+					this.#forgottenDone.add(event.taskId);
+				}
+
+				break;
+			}
+		}
+	}
+
+	#judgeStart({taskId, run, workerId}: {taskId: string; run: number; workerId: string}, step: WorkflowStep | undefined): void {
+		const {workflowId, occurrence} = parseTaskId(taskId)!;
+		if (!step) {
+			this.violations.push(`${taskId} was not asked for`);
+			return;
+		}
+
+		const other = this.#runs.get(taskId);
+		if (other && !step.isSpeculative) {
+			this.violations.push(`${taskId} run ${run} on ${workerId} while run ${other.run} is on ${other.workerId}`);
+		}
+
+		if (this.#forgottenDone.has(taskId)) {
+			this.violations.push(`${taskId} run ${run} after its end was taken`);
+		}
+
+		for (const earlier of step.after) {
+			const {count} = this.specs.get(workflowId)!.steps[earlier]!;
+			for (let member = 0; member < count; member++) {
+				if (!this.#done.has(`${workflowId}.${occurrence}.${earlier}.${member}`)) {
+					this.violations.push(`${taskId} before ${workflowId}.${occurrence}.${earlier}.${member} is done`);
+				}
+			}
+		}
+
+		this.#judgeRoom(workerId);
+	}
+
+	#judgeRoom(workerId: string): void {
+		const host = [...this.hosts.values()].find(({worker}) => worker.workerId === workerId)!;
+		let milliCpu = 0;
+		for (const taskId of host.worker.running.keys()) {
+			const ref = parseTaskId(taskId)!;
+			const step = this.specs.get(ref.workflowId)!.steps[ref.step]!;
+			milliCpu += step.isFilling ? 0 : step.milliCpu;
+		}
+
+		if (milliCpu > host.worker.announce().milliCpu) {
+			this.violations.push(`${workerId} is given ${milliCpu}`);
+		}
+	}
+}
+
+/** Puts a value for tests that write to the store by hand. */
+export const toValue = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
