--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -43,6 +43,7 @@
 	readonly #control: ControlWatch;
 	readonly #desk: OrderDesk;
 	readonly #wakeup = new Wakeup();
+	readonly #loopOptions: Parameters<typeof runWorkerLoop>[0];
 	/**
 	The worker refuses orders with a lower fence than it has seen. Wall time rises with each life of the agent, so orders
 	of an earlier life that are carried out late change nothing.
@@ -94,8 +95,6 @@
 		};
 	}
 
-	readonly #loopOptions: Parameters<typeof runWorkerLoop>[0];
-
 	/** Takes an announcement of the worker. */
 	announce(report: WorkerReport): void {
 		const before = this.state.worker?.report;
--- a/src/agents/order-desk.ts
+++ b/src/agents/order-desk.ts
@@ -162,14 +162,22 @@
 
 	#takeProof({proof}: WatchRequest): void {
 		const {worker, session, mustLapse} = this.#options.state;
-		if (proof && worker && proof.workerId === worker.report.workerId && proof.session === session && !mustLapse && worker.lapseUntilMs === undefined) {
+		if (!proof || !worker || mustLapse || worker.lapseUntilMs !== undefined) {
+			return;
+		}
+
+		if (proof.workerId === worker.report.workerId && proof.session === session) {
 			worker.lease.prove(proof.clockMs);
 		}
 	}
 
 	#forget({forget}: WatchRequest): void {
 		const {worker} = this.#options.state;
-		if (forget && worker && forget.workerId === worker.report.workerId && forget.upTo > worker.forgetUpTo) {
+		if (!forget || !worker) {
+			return;
+		}
+
+		if (forget.workerId === worker.report.workerId && forget.upTo > worker.forgetUpTo) {
 			worker.forgetUpTo = forget.upTo;
 			this.#options.wake();
 		}
--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -54,8 +54,6 @@
 
 /** The store. */
 export class MemoryStore {
-	/** How calls are treated; changed by tests as they go. */
-	fault: FaultPolicy = () => StoreFault.None;
 	/** Number of calls by kind, for measurements. */
 	readonly calls = {append: 0, read: 0, join: 0};
 	readonly #clock: Clock;
@@ -68,6 +66,9 @@
 		this.#partitionCount = partitionCount;
 	}
 
+	/** How calls are treated; changed by tests as they go. */
+	fault: FaultPolicy = () => StoreFault.None;
+
 	/** A client with a name, which fault policies can tell apart. */
 	createClient(client: string): StoreClient {
 		return {
@@ -181,11 +182,12 @@
 		}
 
 		const known = partition.producers.get(stamp.producer);
-		if (known && stamp.epoch < known.epoch) {
+		const knownEpoch = known?.epoch ?? 0;
+		if (stamp.epoch < knownEpoch) {
 			return {outcome: AppendOutcome.Fenced};
 		}
 
-		if (known && stamp.epoch === known.epoch) {
+		if (known && stamp.epoch === knownEpoch) {
 			const repeated = known.results.get(stamp.sequence);
 			if (repeated) {
 				return repeated;
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -57,7 +57,6 @@
 	isDraining = false;
 	/** Gives no answer and goes on with what it runs. */
 	isSilent = false;
-	fault: (order: 'start' | 'stop' | 'renew') => OrderFault = () => OrderFault.None;
 	readonly running = new Map<string, Running>();
 	recent = 0;
 	readonly #options: SiteWorkerOptions;
@@ -76,6 +75,8 @@
 		this.#expireLater();
 	}
 
+	fault: (order: 'start' | 'stop' | 'renew') => OrderFault = () => OrderFault.None;
+
 	/** What it announces. */
 	announce(): WorkerReport {
 		return {
--- a/src/utils/metrics-page.ts
+++ b/src/utils/metrics-page.ts
@@ -7,14 +7,14 @@
 
 /** Metrics of a process. */
 export type MetricsPage = {
+	/** Server of the page; the caller binds and closes it. */
+	server: Server;
 	/** Counts an event, with its reason if it has one. */
 	count(event: string, reason?: string): void;
 	/** Takes a duration of a kind of work. */
 	observe(kind: string, tookMs: number): void;
 	/** Sets what is shown of a level each time that the page is read. */
 	addGauge(name: string, help: string, read: () => number): void;
-	/** Server of the page; the caller binds and closes it. */
-	server: Server;
 };
 
 type Loaded = {
--- a/src/workflows/desk.ts
+++ b/src/workflows/desk.ts
@@ -72,19 +72,13 @@
 				receivedAtMs: this.#options.clock.now().getTime(),
 			},
 		}), timeoutMs);
-		switch (outcome) {
-			case WriteOutcome.Stored: {
-				return {outcome: SubmitOutcome.Accepted};
-			}
-
-			case WriteOutcome.NotStored: {
-				return {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'the store takes nothing'};
-			}
-
-			default: {
-				return {outcome: SubmitOutcome.Unknown, reason: 'the store gave no answer'};
-			}
+		if (outcome === WriteOutcome.Stored) {
+			return {outcome: SubmitOutcome.Accepted};
 		}
+
+		return outcome === WriteOutcome.NotStored
+			? {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'the store takes nothing'}
+			: {outcome: SubmitOutcome.Unknown, reason: 'the store gave no answer'};
 	}
 
 	async getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<{outcome: LookupOutcome; state?: WorkflowState}> {
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -130,12 +130,17 @@
 		return undefined;
 	}
 
-	/** Drops a job once nothing of it is out on a worker. */
-	drop(workflow: LiveWorkflow): void {
-		this.workflows.delete(workflow.spec.id);
+	/** Drops jobs that are over and of which nothing is out on a worker any more. */
+	dropOver(): void {
+		for (const [id, workflow] of this.workflows) {
+			if (workflow.isOver && getRuns(workflow).next().done) {
+				this.workflows.delete(id);
+			}
+		}
 	}
 
-	find(ref: TaskRef): LiveTask | undefined {
+	/** Gets a task of a job that is taken. */
+	getTask(ref: TaskRef): LiveTask | undefined {
 		return this.workflows.get(ref.workflowId)?.occurrences.get(ref.occurrence)?.[ref.step]?.tasks[ref.index];
 	}
 
@@ -161,29 +166,14 @@
 				continue;
 			}
 
-			for (const steps of workflow.occurrences.values()) {
-				for (const step of steps) {
-					if (!step.isReady || step.remaining === 0) {
-						continue;
-					}
-
-					for (const task of step.tasks) {
-						if (!task.isDone && task.runs.length === 0 && task.notBeforeMs <= nowMs) {
-							yield task;
-						}
-					}
+			for (const step of [...workflow.occurrences.values()].flat()) {
+				if (step.isReady && step.remaining > 0) {
+					yield * step.tasks.filter(task => !task.isDone && task.runs.length === 0 && task.notBeforeMs <= nowMs);
 				}
 			}
 		}
 	}
 
-	/** Runs that are out. */
-	* runs(): Generator<LiveRun> {
-		for (const workflow of this.workflows.values()) {
-			yield * getRuns(workflow);
-		}
-	}
-
 	#open(workflow: LiveWorkflow, occurrence: number, nowMs: number): void {
 		const steps = workflow.spec.steps.map((spec, index): LiveStep => {
 			const step: LiveStep = {
@@ -206,7 +196,7 @@
 	repeatCount > 0 ? firstDueMs + (occurrence * intervalMs) : 0;
 
 /** Runs of a job that are out. */
-export function * getRuns(workflow: LiveWorkflow): Generator<LiveRun> {
+function * getRuns(workflow: LiveWorkflow): Generator<LiveRun> {
 	for (const steps of workflow.occurrences.values()) {
 		for (const step of steps) {
 			for (const task of step.tasks) {
--- /dev/null
+++ b/src/workflows/order-sender.ts
@@ -0,0 +1,153 @@
+/**
+Sends the owner's orders to agents, and takes their answers: starts, and stops until the ends are listed.
+*/
+import {type Clock} from '../types/clock.ts';
+import {
+	OrderRefusal, OrderType, type Order, type WorkerAnswer,
+} from '../types/fleet.ts';
+import {type AgentLinks} from './agent-links.ts';
+import {type FleetWorker} from './fleet-view.ts';
+import {RunPhase, type LiveModel, type LiveRun} from './live-model.ts';
+import {type Start} from './placement.ts';
+import {type RunBook} from './run-book.ts';
+
+/** Options of the sender. */
+export type OrderSenderOptions = {
+	clock: Clock;
+	links: AgentLinks;
+	book: RunBook;
+	model: LiveModel;
+	/** An agent knows a newer owner. */
+	onStaleEpoch: () => void;
+	note: (event: string, fields: Record<string, unknown>) => void;
+};
+
+/** A stop takes a worker some 100 ms; without an end in the list it is ordered again. */
+const stopRetryMs = 700;
+/** Longer than the time between two listings of a worker. */
+const unknownPauseMs = 1000;
+/** Pauses of a worker after a refusal, by what it says of how soon things change. */
+const refusalPauseMs: Partial<Record<OrderRefusal, number>> = {
+	[OrderRefusal.NoRoom]: 300,
+	[OrderRefusal.Unhealthy]: 1000,
+	[OrderRefusal.NoLease]: 200,
+	[OrderRefusal.Unanswered]: 500,
+	[OrderRefusal.Draining]: 1000,
+};
+
+/** The sender. */
+export class OrderSender {
+	readonly #options: OrderSenderOptions;
+
+	constructor(options: OrderSenderOptions) {
+		this.#options = options;
+	}
+
+	/** Orders starts that were decided. */
+	start(starts: Start[]): void {
+		const {book, links, clock} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const byWorker = new Map<FleetWorker, LiveRun[]>();
+		for (const {task, worker} of starts) {
+			const {step} = task;
+			// Members of a gang share the number of their run.
+			const lastRun = step.spec.isGang ? Math.max(...step.tasks.map(member => member.runs.length > 0 ? member.lastRun - 1 : member.lastRun)) : task.lastRun;
+			const run = book.open(task, worker, lastRun + 1, {nowMs, notAfterMs: links.getNotAfterMs(worker)});
+			byWorker.set(worker, [...(byWorker.get(worker) ?? []), run]);
+		}
+
+		for (const [worker, runs] of byWorker) {
+			void this.#sendStarts(worker, runs);
+		}
+	}
+
+	/** Stops runs that nobody needs: of jobs that are over, copies of tasks that are done, and runs that do not count. */
+	stopUnneeded(): void {
+		const {links, model, clock} = this.#options;
+		const nowMs = clock.monotonicMs();
+		for (const worker of links.workers.values()) {
+			const unneeded = [...worker.runs].filter(({phase, task, isUnwanted, stopSentAtMs}) =>
+				phase !== RunPhase.Starting && nowMs - stopSentAtMs >= stopRetryMs
+				&& (phase === RunPhase.Stopping || task.step.workflow.isOver || task.isDone || isUnwanted));
+			if (unneeded.length > 0) {
+				this.stop(worker, unneeded);
+			}
+		}
+
+		model.dropOver();
+	}
+
+	/** Orders runs to stop; asked again until their ends are listed. */
+	stop(worker: FleetWorker, runs: LiveRun[]): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		for (const run of runs) {
+			run.phase = RunPhase.Stopping;
+			run.stopSentAtMs = nowMs;
+		}
+
+		if (worker.report && worker.silentSinceMs === undefined) {
+			void this.#options.links.order(worker, runs.map(({task, run}): Order => ({type: OrderType.Stop, taskId: task.taskId, run})));
+		}
+	}
+
+	/** What an unknown run takes of its worker is not known: nothing is placed there until it is gone. */
+	stopUnknown(worker: FleetWorker, taskId: string, run: number): void {
+		const {clock, links, note} = this.#options;
+		const nowMs = clock.monotonicMs();
+		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + unknownPauseMs);
+		if (nowMs - worker.unknownStopAtMs >= stopRetryMs) {
+			worker.unknownStopAtMs = nowMs;
+			note('run not known', {taskId, run, host: worker.host});
+			void links.order(worker, [{type: OrderType.Stop, taskId, run}]);
+		}
+	}
+
+	async #sendStarts(worker: FleetWorker, runs: LiveRun[]): Promise<void> {
+		const {links, clock, note} = this.#options;
+		for (const {task, run, workerId, sentAtMs} of runs) {
+			note('start', {
+				taskId: task.taskId, run, host: worker.host, workerId, waitedMs: Math.round(sentAtMs - task.waitsSinceMs), checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
+			});
+		}
+
+		const reply = await links.order(worker, runs.map(({task, run}): Order => ({
+			type: OrderType.Start,
+			start: {
+				taskId: task.taskId, run, input: task.step.workflow.spec.input, checkpoint: task.checkpoint,
+			},
+		})));
+		const nowMs = clock.monotonicMs();
+		for (const [index, run] of runs.entries()) {
+			run.isOrderOut = false;
+			const answer = reply?.answers[index];
+			if (answer) {
+				this.#takeAnswer(worker, run, answer, {version: reply.version, nowMs});
+			}
+		}
+	}
+
+	#takeAnswer(worker: FleetWorker, run: LiveRun, {isDone, refusal}: WorkerAnswer, {version, nowMs}: {version: number; nowMs: number}): void {
+		const {book, note, onStaleEpoch} = this.#options;
+		if (!run.task.runs.includes(run)) {
+			return;
+		}
+
+		if (isDone) {
+			book.confirm(run, version, nowMs);
+			return;
+		}
+
+		note('start refused', {
+			taskId: run.task.taskId, run: run.run, host: worker.host, refusal,
+		});
+		if (refusal === OrderRefusal.StaleEpoch) {
+			onStaleEpoch();
+			return;
+		}
+
+		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + (refusalPauseMs[refusal!] ?? 0));
+		if (refusal !== OrderRefusal.Unanswered) {
+			book.withdraw(run, worker, nowMs);
+		}
+	}
+}
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -34,7 +34,6 @@
 	waiting: Iterable<LiveTask>;
 	workers: Iterable<FleetWorker>;
 	wallMs: number;
-	nowMs: number;
 	harm: FillHarm;
 };
 
--- a/src/workflows/run-book.ts
+++ b/src/workflows/run-book.ts
@@ -184,7 +184,7 @@
 	*/
 	#adopt(worker: FleetWorker, {taskId, run}: {taskId: string; run: number}, reply: WatchReply, nowMs: number): LiveRun | undefined {
 		const ref = parseTaskId(taskId);
-		const task = ref && (this.#model.find(ref) ?? this.#handlers.recall(ref));
+		const task = ref && (this.#model.getTask(ref) ?? this.#handlers.recall(ref));
 		if (!task) {
 			this.#handlers.onUnknown(worker, taskId, run);
 			return undefined;
@@ -238,7 +238,7 @@
 
 	#takeEnd(worker: FleetWorker, end: EndedRun, nowMs: number): boolean {
 		const ref = parseTaskId(end.taskId);
-		const task = ref && (this.#model.find(ref) ?? this.#handlers.recall(ref));
+		const task = ref && (this.#model.getTask(ref) ?? this.#handlers.recall(ref));
 		if (!task) {
 			return false;
 		}
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -94,7 +94,6 @@
 	readonly notes: Note[] = [];
 	readonly violations: string[] = [];
 	readonly events: WorkerEvent[] = [];
-	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
 	/** Pairs `entry>host` between which nothing passes. */
 	readonly cuts = new Set<string>();
 	readonly specs = new Map<string, WorkflowSpec>();
@@ -103,6 +102,8 @@
 	readonly #forgottenDone = new Set<string>();
 	#lives = 0;
 
+	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
+
 	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1']): AgentHost {
 		const worker = new SiteWorker(name, {
 			clock: this.clock,
@@ -218,19 +219,19 @@
 
 	/** Advances time until the promise is settled. */
 	async settle<Value>(promise: Promise<Value>): Promise<Value> {
-		let result: {value: Value} | undefined;
+		const results: Value[] = [];
 		void promise.then(value => {
-			result = {value};
+			results.push(value);
 		});
-		for (let steps = 0; !result && steps < 2000; steps++) {
-			await this.clock.advance(5);
-		}
+		for (let steps = 0; steps < 2000; steps++) {
+			if (results.length > 0) {
+				return results[0]!;
+			}
 
-		if (!result) {
-			throw new Error('not settled');
+			await this.clock.advance(5);
 		}
 
-		return result.value;
+		throw new Error('not settled');
 	}
 
 	/** Advances until the condition holds; gives the time that it took, or undefined after the bound. */
