--- /dev/null
+++ b/test/caller-server.test.ts
@@ -0,0 +1,141 @@
+/**
+What callers get for what they send, with the desk behind it given by the test.
+*/
+import {Buffer} from 'node:buffer';
+import {createConnection} from 'node:net';
+import {type Server} from 'node:http';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {createCallerServer, decodeSpec} from '../src/platform/caller-server.ts';
+import {LookupOutcome, SubmitOutcome, type Desk} from '../src/types/desk.ts';
+import {type SiteConfig} from '../src/types/site.ts';
+import {WorkflowState} from '../src/types/workflows.ts';
+import {createHttpClient, type HttpAnswer} from '../src/utils/http-calls.ts';
+import {close, listen} from '../src/utils/http-server.ts';
+import {createSystemClock} from '../src/utils/system-clock.ts';
+import {findQueue} from '../src/workflows/queues.ts';
+import {queue} from './site-world.ts';
+
+const config: SiteConfig = {
+	version: 1, queues: [queue, {...queue, name: 'longer', pathPrefix: '/issue/more/'}], services: [], limits: {
+		maxBodyBytes: 2000, maxHeaderBytes: 16_384, headerTimeoutMs: 100, idleTimeoutMs: 1000,
+	},
+};
+const http = createHttpClient(2);
+const body = JSON.stringify({spec: 'x', steps: [{count: 2, cpu: 500}]});
+let server: Server;
+let address = '';
+
+const serve = async (desk: Partial<Desk>): Promise<void> => {
+	server = createCallerServer({
+		desk: {
+			getConfig: () => config,
+			submit: async () => ({outcome: SubmitOutcome.Accepted}),
+			getState: async () => ({outcome: LookupOutcome.Found, state: WorkflowState.Running}),
+			cancel: async () => LookupOutcome.Found,
+			countPending: () => 12,
+			...desk,
+		},
+		clock: createSystemClock(),
+		findQueue,
+		onAnswer: () => undefined,
+		isClosing: () => false,
+	});
+	address = await listen(server, '127.0.0.1:0');
+};
+
+const call = async (method: string, path: string, text?: string, host = 'a.example'): Promise<HttpAnswer> => http.call({
+	address, method, path, body: text, headers: {host}, timeoutMs: 2000, step: 'call',
+});
+
+afterEach(async () => {
+	server.closeAllConnections();
+	await close(server);
+});
+
+describe('callers', () => {
+	it.each([
+		[SubmitOutcome.Accepted, 200, undefined],
+		[SubmitOutcome.NotAccepted, 503, '2'],
+		[SubmitOutcome.Unknown, 504, undefined],
+	])('get for a job that is %s %d', async (outcome, status, retryAfter) => {
+		await serve({submit: async () => ({outcome, retryAfterMs: 1500})});
+		const answer = await call('POST', '/issue/00000000000000a1', body);
+		expect([answer.status, answer.headers['retry-after']]).toEqual([status, retryAfter]);
+	});
+
+	it('are told the state, that there is no such job, or that it is not known', async () => {
+		const outcomes = [LookupOutcome.Found, LookupOutcome.Absent, LookupOutcome.Unknown];
+		await serve({getState: async () => ({outcome: outcomes.shift()!, state: WorkflowState.Completed})});
+		const answers = [];
+		for (let index = 0; index < 3; index++) {
+			const {status, body: text} = await call('GET', '/issue/00000000000000a1');
+			answers.push([status, JSON.parse(text.toString())]);
+		}
+
+		expect(answers).toEqual([[200, {state: 'completed'}], [410, {}], [503, {}]]);
+	});
+
+	it.each([
+		['GET', '/issue/', 200],
+		['GET', '/elsewhere/', 404],
+		['GET', '/issue/not-an-id', 404],
+		['PUT', '/issue/00000000000000a1', 405],
+		['DELETE', '/issue/00000000000000a1', 200],
+	])('get for %s %s %d', async (method, path, status) => {
+		await serve({});
+		expect((await call(method, path)).status).toBe(status);
+	});
+
+	it('are turned away before there is a configuration', async () => {
+		await serve({getConfig: () => undefined});
+		expect((await call('GET', '/issue/')).status).toBe(503);
+	});
+
+	it('reach the queue with the longest prefix of their host', () => {
+		expect(findQueue(config.queues, 'a.example', '/issue/more/x')?.name).toBe('longer');
+		expect(findQueue(config.queues, 'b.example', '/issue/x')).toBeUndefined();
+	});
+});
+
+describe('bad senders', () => {
+	it.each([
+		['not JSON', '{'],
+		['no steps', '{"spec":"x"}'],
+		['a step after itself', '{"steps":[{"count":1,"after":[0]}]}'],
+		['a count that is none', '{"steps":[{"count":"many"}]}'],
+	])('get 400 for %s', async (_, text) => {
+		await serve({});
+		expect((await call('POST', '/issue/00000000000000a1', text)).status).toBe(400);
+	});
+
+	it('get 413 for a body that is too large', async () => {
+		await serve({});
+		expect((await call('POST', '/issue/00000000000000a1', 'x'.repeat(3000))).status).toBe(413);
+	});
+
+	/** A sender that stalls within its body would hold a connection and memory for ever. */
+	it('get 408 when they stall', async () => {
+		await serve({});
+		const [host, port] = address.split(':');
+		const socket = createConnection(Number(port), host);
+		const chunks: Buffer[] = [];
+		socket.on('data', chunk => {
+			chunks.push(chunk);
+		});
+		socket.write('POST /issue/00000000000000a1 HTTP/1.1\r\nhost: a.example\r\ncontent-length: 100\r\n\r\n{');
+		await new Promise(resolve => {
+			socket.on('close', resolve);
+		});
+		expect(Buffer.concat(chunks).toString()).toMatch(/^HTTP\/1.1 408/);
+	});
+});
+
+describe('jobs', () => {
+	it('have defaults for what is left out', () => {
+		expect(decodeSpec(Buffer.from(body)).steps[0]).toMatchObject({
+			count: 2, milliCpu: 500, memoryMb: 0, after: [], isGang: false, maxPerWorker: 0, targetMs: 0,
+		});
+	});
+});
--- /dev/null
+++ b/test/store-calls.test.ts
@@ -0,0 +1,118 @@
+/**
+The store's formats, against a server that answers as its pages say.
+*/
+import {Buffer} from 'node:buffer';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {ErrorCode, getErrorCode} from '../src/core/errors.ts';
+import {createStoreClient, getOldestOffset} from '../src/platform/store-calls.ts';
+import {AppendOutcome, type StoreClient} from '../src/types/store.ts';
+import {WireServer, type Asked, type Given} from './wire-server.ts';
+
+let server: WireServer;
+const ref = {topic: 'work', partition: 3};
+
+const createStore = async (give: (asked: Asked) => Given): Promise<StoreClient> => {
+	server = await new WireServer(give).start();
+	return createStoreClient(server.http, server.address);
+};
+
+const frame = (value: string): Buffer => {
+	const length = Buffer.alloc(4);
+	length.writeUInt32BE(Buffer.byteLength(value));
+	return Buffer.concat([length, Buffer.from(value)]);
+};
+
+const frameHead = (endOffset: number, oldestOffset: number): Buffer => {
+	const head = Buffer.alloc(16);
+	head.writeBigUInt64BE(BigInt(endOffset), 0);
+	head.writeBigUInt64BE(BigInt(oldestOffset), 8);
+	return head;
+};
+
+afterEach(async () => {
+	await server.stop();
+});
+
+describe('append', () => {
+	it('sends records with their lengths, and the writer\'s number', async () => {
+		const store = await createStore(() => ({status: 200, json: {offset: 7, end: 9}}));
+		const result = await store.append(ref, [Buffer.from('ab'), Buffer.from('c')], {stamp: {producer: 'w', epoch: 2, sequence: 5}, atOffset: 7, timeoutMs: 1000});
+		expect(result).toEqual({outcome: AppendOutcome.Appended, offset: 7, endOffset: 9});
+		const {url, body} = server.asked[0]!;
+		expect(Object.fromEntries(url.searchParams)).toEqual({
+			topic: 'work', part: '3', at: '7', producer: 'w', epoch: '2', seq: '5',
+		});
+		expect(body).toEqual(Buffer.concat([frame('ab'), frame('c')]));
+	});
+
+	it.each([
+		[{status: 412, json: {end: 4}}, {outcome: AppendOutcome.NotAtEnd, endOffset: 4}],
+		[{status: 409, json: {reason: 'fenced'}}, {outcome: AppendOutcome.Fenced}],
+		[{status: 409, json: {reason: 'seq', seq: 12}}, {outcome: AppendOutcome.WrongSequence, expected: 12}],
+		[{status: 503}, {outcome: AppendOutcome.Refused, reason: 'status 503'}],
+		[{status: 429}, {outcome: AppendOutcome.Refused, reason: 'status 429'}],
+		[{status: 507}, {outcome: AppendOutcome.Refused, reason: 'status 507'}],
+	])('tells %j apart', async (given, result) => {
+		const store = await createStore(() => given);
+		expect(await store.append(ref, [], {timeoutMs: 1000})).toEqual(result);
+	});
+
+	it('says that it is not known what became of a call without an answer', async () => {
+		const store = await createStore(() => 'reset');
+		await expect(store.append(ref, [Buffer.from('a')], {timeoutMs: 1000})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.StoreUnanswered);
+	});
+
+	it('gives a silent connection up after the time allowed', async () => {
+		const store = await createStore(() => 'silence');
+		await expect(store.append(ref, [Buffer.from('a')], {timeoutMs: 50})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.StoreUnanswered);
+	});
+
+	it('writes the key in front of the value', async () => {
+		const store = await createStore(() => ({status: 200, json: {offset: 0, end: 1}}));
+		await store.appendKeyed(ref, [{key: 'k', value: Buffer.from('v')}, {key: 'gone'}], {timeoutMs: 1000});
+		expect(server.asked[0]!.body).toEqual(Buffer.concat([frame('\u0001kv'), frame('\u0004gone')]));
+	});
+});
+
+describe('read', () => {
+	it('numbers records from where it began', async () => {
+		const store = await createStore(() => ({status: 200, raw: Buffer.concat([frameHead(12, 2), frame('x'), frame('')])}));
+		expect(await store.read(ref, 10, 500)).toEqual({
+			records: [{offset: 10, value: Buffer.from('x')}, {offset: 11, value: Buffer.from('')}], oldestOffset: 2, endOffset: 12,
+		});
+		expect(server.asked[0]!.url.searchParams.get('waitMs')).toBe('500');
+	});
+
+	it('names the oldest offset where records are gone', async () => {
+		const store = await createStore(() => ({status: 410, json: {first: 44}}));
+		await expect(store.read(ref, 10, 0)).rejects.toSatisfy(error => getOldestOffset(error) === 44);
+	});
+
+	it('takes a refusal for one that did nothing', async () => {
+		const store = await createStore(() => ({status: 503}));
+		await expect(store.read(ref, 0, 0)).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.StoreRefused);
+	});
+
+	it('gathers all pages of newest records', async () => {
+		const store = await createStore(({url}) => ({
+			status: 200,
+			json: url.searchParams.get('after') === null
+				? {items: [{key: 'a', value: 'YQ==', offset: 3}], hasMore: true, end: 9}
+				: {items: [{key: 'b', value: 'Yg==', offset: 4}], hasMore: false, end: 10},
+		}));
+		expect(await store.newest(ref)).toEqual({
+			records: [{key: 'a', value: Buffer.from('a'), offset: 3}, {key: 'b', value: Buffer.from('b'), offset: 4}], endOffset: 10,
+		});
+	});
+});
+
+describe('groups', () => {
+	it('gives the partitions that belong to the member', async () => {
+		const store = await createStore(() => ({status: 200, json: {generation: 7, ttlMs: 3000, parts: [['work', 3, 840]]}}));
+		expect(await store.join({
+			group: 'g', member: 'm', topics: ['work'], ttlMs: 1200, generation: 6,
+		})).toEqual({generation: 7, partitions: [{topic: 'work', partition: 3}]});
+	});
+});
--- /dev/null
+++ b/test/wire-server.ts
@@ -0,0 +1,50 @@
+/**
+A server that answers with what a test gives, and keeps what it was asked: for the adapter's formats.
+*/
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingHttpHeaders, type Server} from 'node:http';
+import {createHttpClient, type HttpClient} from '../src/utils/http-calls.ts';
+import {close, listen} from '../src/utils/http-server.ts';
+
+export type Asked = {method: string; url: URL; headers: IncomingHttpHeaders; body: Buffer};
+export type Given = {status: number; json?: unknown; raw?: Buffer; headers?: Record<string, string>} | 'silence' | 'reset';
+
+export class WireServer {
+	readonly asked: Asked[] = [];
+	readonly http: HttpClient = createHttpClient(4);
+	address = '';
+	readonly #server: Server;
+
+	constructor(give: (asked: Asked) => Given) {
+		this.#server = createServer((request, response) => {
+			const chunks: Buffer[] = [];
+			request.on('data', (chunk: Buffer) => {
+				chunks.push(chunk);
+			});
+			request.on('end', () => {
+				const asked = {
+					method: request.method!, url: new URL(request.url!, 'http://stand-in'), headers: request.headers, body: Buffer.concat(chunks),
+				};
+				this.asked.push(asked);
+				const given = give(asked);
+				if (given === 'reset') {
+					request.socket.destroy();
+				} else if (given !== 'silence') {
+					response.writeHead(given.status, given.headers);
+					response.end(given.raw ?? JSON.stringify(given.json ?? {}));
+				}
+			});
+		});
+	}
+
+	async start(): Promise<this> {
+		this.address = await listen(this.#server, '127.0.0.1:0');
+		return this;
+	}
+
+	async stop(): Promise<void> {
+		this.http.close();
+		this.#server.closeAllConnections();
+		await close(this.#server);
+	}
+}
--- /dev/null
+++ b/test/worker-calls.test.ts
@@ -0,0 +1,97 @@
+/**
+The worker's formats, against a server that answers as its pages say.
+*/
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {ErrorCode, getErrorCode} from '../src/core/errors.ts';
+import {createWorkerClient, decodeAnnouncement} from '../src/platform/worker-calls.ts';
+import {OrderRefusal, type WorkerClient} from '../src/types/fleet.ts';
+import {RunEnd} from '../src/types/workflows.ts';
+import {WireServer, type Given} from './wire-server.ts';
+
+let server: WireServer | undefined;
+const start = {
+	taskId: 'j.0.1.17', run: 2, input: '(text)', checkpoint: '',
+};
+
+const createClient = async (given: Given): Promise<WorkerClient> => {
+	server = await new WireServer(() => given).start();
+	return createWorkerClient(server.http, server.address);
+};
+
+afterEach(async () => {
+	await server?.stop();
+	server = undefined;
+});
+
+describe('orders', () => {
+	it('names the incarnation that is meant, the lease and the fence', async () => {
+		const client = await createClient({status: 200, json: {clockMs: 5}});
+		expect(await client.start('i-1', {...start, checkpoint: 'c', ticket: 't'}, {fence: 7, leaseUntilMs: 486_000.7})).toEqual({isDone: true, clockMs: 5});
+		const {headers, body} = server!.asked[0]!;
+		expect(headers['expect-instance']).toBe('i-1');
+		expect(JSON.parse(body.toString())).toEqual({
+			task: 'j.0.1.17', run: 2, spec: '(text)', untilMs: 486_000, fence: 7, checkpoint: 'c', ticket: 't',
+		});
+	});
+
+	it.each([
+		[409, 'fence', OrderRefusal.Fence],
+		[409, 'old', OrderRefusal.OldRun],
+		[409, 'late', OrderRefusal.Late],
+		[409, 'room', OrderRefusal.NoRoom],
+		[409, 'ticket', OrderRefusal.Ticket],
+		[421, undefined, OrderRefusal.OtherWorker],
+		[429, undefined, OrderRefusal.Unhealthy],
+		[503, undefined, OrderRefusal.Unhealthy],
+		[400, undefined, OrderRefusal.Invalid],
+	])('tells %d %s apart', async (status, reason, refusal) => {
+		const client = await createClient({status, json: {clockMs: 5, reason}});
+		expect(await client.stop('i-1', {taskId: 'j.0.1.17', run: 2}, 7)).toEqual({isDone: false, refusal, clockMs: 5});
+	});
+
+	it('throws without an answer: the order may have been carried out', async () => {
+		const client = await createClient('reset');
+		await expect(client.start('i-1', start, {fence: 7, leaseUntilMs: 1})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.PeerUnavailable);
+	});
+});
+
+describe('listing', () => {
+	it('gives what runs and what ended', async () => {
+		const client = await createClient({
+			status: 200,
+			headers: {'instance-id': 'i-1'},
+			json: {clockMs: 482_113, running: [['j.0.1.17', 2, 'c', 41, 33]], ended: [[58, 'j.0.1.9', 1, 'broken', '']]},
+		});
+		expect(await client.renew('i-1', {
+			fence: 7, forgetUpTo: 57, leaseUntilMs: 486_000, waitMs: 500,
+		})).toEqual({
+			workerId: 'i-1',
+			clockMs: 482_113,
+			running: [{
+				taskId: 'j.0.1.17', run: 2, checkpoint: 'c', percent: 41, recent: 33,
+			}],
+			ended: [{
+				number: 58, taskId: 'j.0.1.9', run: 1, end: RunEnd.Broken, checkpoint: '',
+			}],
+		});
+		expect(JSON.parse(server!.asked[0]!.body.toString())).toEqual({
+			fence: 7, seenUpto: 57, untilMs: 486_000, waitMs: 500,
+		});
+	});
+});
+
+describe('announcements', () => {
+	it('says what the worker has and whether it drains', () => {
+		expect(decodeAnnouncement('i-1', {
+			service: 's', zone: 'z', state: 'draining', remainingMs: 900, capacity: {cpu: 16_000, memMb: 32_768}, labels: ['a', 'r1-3'], seq: 4,
+		})).toEqual({
+			workerId: 'i-1', service: 's', failureDomain: 'z', isDraining: true, remainingMs: 900, milliCpu: 16_000, memoryMb: 32_768, accelerators: 0, labels: ['a', 'r1-3'], sequence: 4,
+		});
+	});
+
+	it('refuses what is none', () => {
+		expect(() => decodeAnnouncement('i-1', {})).toThrow();
+	});
+});
