Ask for advice, move what stands still, and hold workers down that fail everything

Cause: queues with a policy would never have started; tasks that stand still, or that may not work beside what serves, stayed where they were; a failing worker could use all attempts of many tasks. Change: tickets asked for early and kept while valid; runs that stand still are moved or copied; a failed task avoids its host; the product's worker health judges hosts.

--- a/src/jobs/placement-context.ts
+++ b/src/jobs/placement-context.ts
@@ -15,6 +15,7 @@
 import {SizeEstimates} from './size-estimates.ts';
 import {createEvictionCost, EvictionBudget, EvictionMemory} from './urgency-eviction.ts';
 import {UrgencyHeadroom} from './urgency-headroom.ts';
+import {type WorkerEntry} from './placement-state.ts';
 import {WorkerHealth} from './worker-health.ts';
 
 // Urgent work may evict this share of a fleet's workers a minute, or the budget of the settings when that is more.
@@ -47,7 +48,7 @@
 		reservations: new Reservations({fleet, queue, quotas}),
 		search,
 		headroom: new UrgencyHeadroom({fleet, search, halfLifeMs: settings.headroomHalfLifeMs}),
-		health: new WorkerHealth(settings),
+		health: new WorkerHealth<WorkerEntry>(settings),
 		history: new HarmHistory(),
 		urgentBudget: new EvictionBudget(() => Math.max(settings.evictionsPerMinute, urgentPerWorker * fleet.size)),
 		otherBudget: new EvictionBudget(() => settings.evictionsPerMinute),
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -32,7 +32,7 @@
 	headroom: UrgencyHeadroom;
 	search: PlacementSearch;
 	sizes: SizeEstimates;
-	health: WorkerHealth;
+	health: WorkerHealth<WorkerEntry>;
 	model: HarmModel;
 	harmCost: HarmCost;
 	history: HarmHistory;
--- a/src/jobs/worker-health.ts
+++ b/src/jobs/worker-health.ts
@@ -4,7 +4,6 @@
 Each failure is divided between its worker and its job by how often the worker fails other jobs and how often the job
 fails on other workers. A worker that bears the blame is held down and probed; a job that bears it ends.
 */
-import {type WorkerEntry} from './placement-state.ts';
 
 const priorFailures = 0.2;
 const priorEnds = 2;
@@ -25,6 +24,13 @@
 	atMs: number;
 };
 
+/** What the scores say of a worker: held down, or open for one task that shows whether it has recovered. */
+export type HealthSubject = {
+	spec: {workerId: string};
+	isHeld: boolean;
+	isProbing: boolean;
+};
+
 /** Ends of one job on one worker. */
 type PairScore = {
 	failures: number;
@@ -44,19 +50,19 @@
 };
 
 /** How a task ended, for the blame. */
-export type HealthReport = {
+export type HealthReport<Subject extends HealthSubject = HealthSubject> = {
 	jobId: string;
-	worker: WorkerEntry;
+	worker: Subject;
 	isSuccess: boolean;
 	nowMs: number;
 	fleetSize: number;
 };
 
 /** Keeps the scores of workers and jobs. */
-export class WorkerHealth {
+export class WorkerHealth<Subject extends HealthSubject = HealthSubject> {
 	readonly #jobs = new Map<string, JobScore>();
 	readonly #workers = new Map<string, WorkerScore>();
-	readonly #held = new Set<WorkerEntry>();
+	readonly #held = new Set<Subject>();
 	readonly #options: {maxTries: number; holdMs: number};
 
 	constructor(options: {maxTries: number; holdMs: number}) {
@@ -69,7 +75,7 @@
 	}
 
 	/** Learns from an end. Returns whether the worker's availability changed. */
-	note(report: HealthReport): boolean {
+	note(report: HealthReport<Subject>): boolean {
 		const {jobId, worker, isSuccess, nowMs} = report;
 		const job = this.#getJob(jobId, nowMs);
 		const score = this.#getWorker(worker.spec.workerId, nowMs);
@@ -105,8 +111,8 @@
 	}
 
 	/** Lets workers whose time is over take one task as a probe; returns them. */
-	release(nowMs: number): WorkerEntry[] {
-		const released: WorkerEntry[] = [];
+	release(nowMs: number): Subject[] {
+		const released: Subject[] = [];
 		for (const worker of this.#held) {
 			if (this.#getWorker(worker.spec.workerId, nowMs).heldUntilMs <= nowMs) {
 				this.#held.delete(worker);
@@ -120,14 +126,14 @@
 	}
 
 	/** Forgets a worker that is gone: its successor starts afresh. */
-	forget(worker: WorkerEntry): void {
+	forget(worker: Subject): void {
 		this.#held.delete(worker);
 		this.#workers.delete(worker.spec.workerId);
 		worker.isHeld = false;
 		worker.isProbing = false;
 	}
 
-	#judge({worker, nowMs, fleetSize}: HealthReport, score: WorkerScore): boolean {
+	#judge({worker, nowMs, fleetSize}: HealthReport<Subject>, score: WorkerScore): boolean {
 		const isBad = worker.isProbing
 			? score.blame > 0.5
 			: score.blame >= leastBlame && score.jobs.size > 1 && score.blame / score.ends >= badRate;
@@ -144,7 +150,7 @@
 		return true;
 	}
 
-	#endProbe(worker: WorkerEntry, score: WorkerScore): boolean {
+	#endProbe(worker: HealthSubject, score: WorkerScore): boolean {
 		if (!worker.isProbing) {
 			return false;
 		}
--- /dev/null
+++ b/src/platform/advice-calls.ts
@@ -0,0 +1,24 @@
+/**
+The advice service on the wire.
+*/
+import {createError, ErrorCode} from '../core/errors.ts';
+import {type AdviceClient} from '../types/advice.ts';
+import {type HttpClient} from '../utils/http-calls.ts';
+
+/** The service answers in turn: with all calls of this process waiting, some seconds pass. */
+const timeoutMs = 10_000;
+
+/** Creates the client of the service at the address. */
+export const createAdviceClient = (http: HttpClient, address: string): AdviceClient => ({
+	async ask(stepId, workerIds) {
+		const {status, json} = await http.callJson({
+			address, method: 'POST', path: '/advise', json: {step: stepId, workers: workerIds}, timeoutMs, step: 'ask for advice',
+		});
+		if (status !== 200) {
+			throw createError(ErrorCode.Refused, {step: 'ask for advice', peer: address, detail: `status ${status}`});
+		}
+
+		const {good, validityMs} = json as {good?: Array<[string, string]>; validityMs?: number};
+		return {tickets: (good ?? []).map(([workerId, ticket]) => ({workerId, ticket})), validMs: validityMs ?? 0};
+	},
+});
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -7,6 +7,7 @@
 import {getPartition} from '../core/partitions.ts';
 import {createCallerServer} from '../platform/caller-server.ts';
 import {configKey, decodeSiteConfig, operatorTopic} from '../platform/site-config.ts';
+import {createAdviceClient} from '../platform/advice-calls.ts';
 import {createStoreClient} from '../platform/store-calls.ts';
 import {type SiteConfig, type SiteSettings} from '../types/site.ts';
 import {close, listen} from '../utils/http-server.ts';
@@ -65,6 +66,7 @@
 	const store = createStoreClient(http, site.store.address);
 	const {partitions, maxCallBytes, minMemberTtlMs} = site.store;
 	const client = createAgentClient(http);
+	const adviceClient = site.adviceAddress === undefined ? undefined : createAdviceClient(http, site.adviceAddress);
 	const followers = new Map<number, WorkflowFollower>();
 	const getFollower = (partition: number): WorkflowFollower => {
 		let follower = followers.get(partition);
@@ -134,6 +136,7 @@
 			store,
 			clock,
 			client,
+			adviceClient,
 			partition,
 			epoch,
 			maxCallBytes,
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -42,6 +42,13 @@
 const orderGoodMs = 1500;
 const orderTimeoutMs = 1600;
 
+/** While nothing was heard of runs, their progress was not either: that is no sign that they stand still. */
+const restartProgress = (worker: FleetWorker, nowMs: number): void => {
+	for (const run of worker.runs) {
+		run.progressAtMs = nowMs;
+	}
+};
+
 /** The links of one owner. */
 export class AgentLinks {
 	readonly workers = new Map<string, FleetWorker>();
@@ -141,6 +148,7 @@
 			workerClockMs: 0,
 			silentSinceMs: this.#options.clock.monotonicMs(),
 			runs: new Set(),
+			health: {spec: {workerId: host}, isHeld: false, isProbing: false},
 			takenEnd: 0,
 			storedEnd: 0,
 			blockedUntilMs: 0,
@@ -194,8 +202,9 @@
 			return;
 		}
 
-		if (worker.silentSinceMs !== undefined) {
+		if (worker.silentSinceMs !== undefined || (reply.isAnswering && !worker.isAnswering)) {
 			worker.silentSinceMs = undefined;
+			restartProgress(worker, clock.monotonicMs());
 			note('agent answers', {host: worker.host, session: reply.session, workerId: reply.worker?.workerId});
 		}
 
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -1,6 +1,7 @@
 /**
 The owner's view of the workers of its service: what each has, what is taken, and whether it may be given more.
 */
+import {type HealthSubject} from '../jobs/worker-health.ts';
 import {type WorkerReport} from '../types/fleet.ts';
 import {type WorkflowStep} from '../types/workflows.ts';
 import {type Paces} from './fill-harm.ts';
@@ -36,6 +37,8 @@
 	/** Registration that was declared lost. */
 	lostSession?: number;
 	runs: Set<LiveRun>;
+	/** Whether the worker fails what it starts; held down and probed by what its runs come to. */
+	health: HealthSubject;
 	/** Ends up to this number were taken. */
 	takenEnd: number;
 	/** Ends up to this number are in the log. */
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -56,6 +56,8 @@
 	checkpoint: string;
 	isDone: boolean;
 	runs: LiveRun[];
+	/** Workers' hosts on which it failed, or stood still. */
+	avoidedHosts: Set<string>;
 	/** Not started again before this; after a failure. */
 	notBeforeMs: number;
 	/** Since when it waits. */
@@ -159,8 +161,16 @@
 		}
 	}
 
-	/** Tasks that may be started: ready, not done, with no run out. */
-	* waiting(nowMs: number): Generator<LiveTask> {
+	/** Steps of jobs that are not over, with tasks that have not succeeded. */
+	openSteps(): LiveStep[] {
+		return [...this.workflows.values()]
+			.filter(workflow => !workflow.isOver)
+			.flatMap(workflow => [...workflow.occurrences.values()].flat())
+			.filter(step => step.remaining > 0);
+	}
+
+	/** Tasks that may be started: ready, not done, and with no run out or one that wants a copy. */
+	* waiting(nowMs: number, wantsCopy: (task: LiveTask) => boolean): Generator<LiveTask> {
 		for (const workflow of this.workflows.values()) {
 			if (workflow.isOver) {
 				continue;
@@ -168,7 +178,7 @@
 
 			for (const step of [...workflow.occurrences.values()].flat()) {
 				if (step.isReady && step.remaining > 0) {
-					yield * step.tasks.filter(task => !task.isDone && task.runs.length === 0 && task.notBeforeMs <= nowMs);
+					yield * step.tasks.filter(task => !task.isDone && task.notBeforeMs <= nowMs && (task.runs.length === 0 || wantsCopy(task)));
 				}
 			}
 		}
@@ -220,6 +230,7 @@
 		checkpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
 		runs: [],
+		avoidedHosts: new Set(),
 		notBeforeMs: 0,
 		waitsSinceMs: nowMs,
 	};
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -7,7 +7,9 @@
 } from '../types/fleet.ts';
 import {type AgentLinks} from './agent-links.ts';
 import {type FleetWorker} from './fleet-view.ts';
-import {RunPhase, type LiveModel, type LiveRun} from './live-model.ts';
+import {
+	RunPhase, type LiveModel, type LiveRun, type LiveStep,
+} from './live-model.ts';
 import {type Start} from './placement.ts';
 import {type RunBook} from './run-book.ts';
 
@@ -17,6 +19,7 @@
 	links: AgentLinks;
 	book: RunBook;
 	model: LiveModel;
+	getTicket: (step: LiveStep, workerId: string) => string | undefined;
 	/** An agent knows a newer owner. */
 	onStaleEpoch: () => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
@@ -113,7 +116,7 @@
 		const reply = await links.order(worker, runs.map(({task, run}): Order => ({
 			type: OrderType.Start,
 			start: {
-				taskId: task.taskId, run, input: task.step.workflow.spec.input, checkpoint: task.checkpoint,
+				taskId: task.taskId, run, input: task.step.workflow.spec.input, checkpoint: task.checkpoint, ticket: this.#options.getTicket(task.step, worker.report!.workerId),
 			},
 		})));
 		const nowMs = clock.monotonicMs();
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -4,10 +4,13 @@
 */
 import {setMaxListeners} from 'node:events';
 import {agentsTopic} from '../agents/control-records.ts';
+import {WorkerHealth, type HealthSubject} from '../jobs/worker-health.ts';
+import {type AdviceClient} from '../types/advice.ts';
 import {type Clock} from '../types/clock.ts';
 import {type AgentRegistration, type WatchReply} from '../types/fleet.ts';
 import {type StoreClient} from '../types/store.ts';
 import {type TaskRef} from '../types/workflows.ts';
+import {AdviceBook} from './advice-book.ts';
 import {AgentLinks, type AgentClient} from './agent-links.ts';
 import {FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
@@ -20,7 +23,8 @@
 import {OrderSender} from './order-sender.ts';
 import {OwnerLog} from './owner-log.ts';
 import {PaceKeeper} from './pace-keeper.ts';
-import {place} from './placement.ts';
+import {hasPlace, place, type IsAllowed} from './placement.ts';
+import {chooseMoves, wantsCopy} from './relocation.ts';
 import {RunBook} from './run-book.ts';
 
 /** Options of an owner. */
@@ -28,6 +32,8 @@
 	store: StoreClient;
 	clock: Clock;
 	client: AgentClient;
+	/** Undefined: the site has no advice service. */
+	adviceClient: AdviceClient | undefined;
 	follower: WorkflowFollower;
 	partition: number;
 	/** Name of this entry. */
@@ -46,6 +52,8 @@
 const roundDelayMs = 4;
 /** Things that depend on time alone are looked at this often. */
 const tickMs = 50;
+/** A worker that fails what others do well is tried again after this, then after twice as long. */
+const heldDownMs = 1000;
 /** An agent that was not heard for so long gets no orders. */
 const reachableMs = 1500;
 
@@ -66,8 +74,11 @@
 	readonly #sender: OrderSender;
 	readonly #losses: LossWatch;
 	readonly #paces: PaceKeeper;
+	readonly #advice: AdviceBook;
+	readonly #isAllowed: IsAllowed;
 	readonly #harm = new FillHarm();
 	readonly #aborter = createAborter();
+	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
 	#isRoundDue = false;
 	#claimOffset = Number.POSITIVE_INFINITY;
 	#claimedAtMs = 0;
@@ -98,8 +109,14 @@
 		const shared = {
 			clock, note, model, links: this.links, book: this.#book,
 		};
+		this.#advice = new AdviceBook({
+			clock, note, client: options.adviceClient, onAdvice: () => {
+				this.#wantRound();
+			},
+		});
+		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
 		this.#sender = new OrderSender({
-			...shared, onStaleEpoch: () => {
+			...shared, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), onStaleEpoch: () => {
 				this.#depose('an agent refused the epoch');
 			},
 		});
@@ -158,6 +175,18 @@
 			onUnknown: (worker, taskId, run) => {
 				this.#sender.stopUnknown(worker, taskId, run);
 			},
+			onOutcome: (worker, task, isSuccess) => {
+				if (!isSuccess) {
+					task.avoidedHosts.add(worker.host);
+				}
+
+				const isChanged = this.#health.note({
+					jobId: task.ref.workflowId, worker: worker.health, isSuccess, nowMs: this.#options.clock.monotonicMs(), fleetSize: this.links.workers.size,
+				});
+				if (isChanged) {
+					note('worker health', {host: worker.host, isHeld: worker.health.isHeld, isProbing: worker.health.isProbing});
+				}
+			},
 			onExhausted(task) {
 				note('job failed', {id: task.ref.workflowId, taskId: task.taskId, failures: task.failures});
 				task.step.workflow.isOver = true;
@@ -199,6 +228,9 @@
 			this.#losses.check();
 			this.#sender.stopUnneeded();
 			this.#log.sendBegun();
+			this.#updateAdvice();
+			this.#relocate();
+			this.#health.release(clock.monotonicMs());
 			this.#wantRound();
 			await clock.sleep(tickMs, signal);
 		}
@@ -223,6 +255,7 @@
 		const nowMs = clock.monotonicMs();
 		this.#sender.start(place({
 			waiting: this.#startable(nowMs), workers: this.#openWorkers(nowMs), wallMs: clock.now().getTime(), harm: this.#harm,
+			isAllowed: this.#isAllowed,
 		}));
 	}
 
@@ -231,7 +264,7 @@
 	were taken after the claim cannot have been started by anyone else.
 	*/
 	* #startable(nowMs: number): Generator<LiveTask> {
-		for (const task of this.model.waiting(nowMs)) {
+		for (const task of this.model.waiting(nowMs, task => wantsCopy(task, nowMs))) {
 			if (this.#isSettled || task.step.workflow.folded.offset >= this.#claimOffset) {
 				yield task;
 			}
@@ -242,12 +275,43 @@
 		for (const worker of this.links.workers.values()) {
 			const {report, isListed, isAnswering, silentSinceMs, heardAtMs, lostSession, session, blockedUntilMs} = worker;
 			const isReached = silentSinceMs === undefined && nowMs - heardAtMs < reachableMs && isListed && isAnswering;
+			const {isHeld, isProbing} = worker.health;
+			if (isHeld || (isProbing && [...worker.runs].some(run => !run.task.step.spec.isLasting))) {
+				continue;
+			}
+
 			if (report && !report.isDraining && isReached && lostSession !== session && blockedUntilMs <= nowMs) {
 				yield worker;
 			}
 		}
 	}
 
+	/** Moves what stands still, and what may not work where it is. */
+	#relocate(): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		const open = [...this.#openWorkers(nowMs)];
+		const moves = chooseMoves({
+			workers: this.links.workers.values(), nowMs, hasPlace: task => hasPlace(task, open, {harm: this.#harm, isAllowed: this.#isAllowed}),
+		});
+		for (const {worker, run} of moves) {
+			this.#options.note('run moved', {
+				taskId: run.task.taskId, run: run.run, host: worker.host, percent: run.percent, pacePercent: run.pacePercent,
+			});
+			this.#sender.stop(worker, [run]);
+		}
+	}
+
+	/** Advice is on the way of a step to its first start: steps ask as soon as they are known, those whose turn is now first. */
+	#updateAdvice(): void {
+		const steps = this.model.openSteps().filter(step => step.workflow.spec.needsAdvice);
+		if (steps.length > 0) {
+			const workerIds = [...this.links.workers.values()].flatMap(({report}) => report ? [report.workerId] : []);
+			this.#advice.update(steps.toSorted((a, b) => Number(b.isReady) - Number(a.isReady)), workerIds);
+		}
+
+		this.#advice.prune();
+	}
+
 	#takeReply(worker: FleetWorker, reply: WatchReply): void {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#losses.welcome(worker);
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -29,16 +29,23 @@
 	servers: Server[];
 };
 
+/** Tells whether tasks of the step may run on the worker. */
+export type IsAllowed = (step: LiveStep, workerId: string) => boolean;
+
+type Terms = Pick<PlacementInput, 'harm' | 'isAllowed'>;
+
 /** What is decided with. */
 export type PlacementInput = {
 	waiting: Iterable<LiveTask>;
 	workers: Iterable<FleetWorker>;
 	wallMs: number;
 	harm: FillHarm;
+	/** Whether a queue's policy lets the step run on the worker. */
+	isAllowed: IsAllowed;
 };
 
 /** Decides starts, most urgent first. */
-export const place = ({waiting, workers, wallMs, harm}: PlacementInput): Start[] => {
+export const place = ({waiting, workers, wallMs, harm, isAllowed}: PlacementInput): Start[] => {
 	const tasks = [...waiting];
 	if (tasks.length === 0) {
 		return [];
@@ -59,11 +66,11 @@
 
 		if (step.spec.isGang) {
 			gangs.add(step);
-			starts.push(...placeGang(step, candidates, harm));
+			starts.push(...placeGang(step, candidates, {harm, isAllowed}));
 			continue;
 		}
 
-		const candidate = choose(step, candidates, harm);
+		const candidate = choose(task, candidates, {harm, isAllowed});
 		if (candidate) {
 			take(candidate, step, harm);
 			starts.push({task, worker: candidate.worker});
@@ -106,6 +113,11 @@
 	candidate.free.accelerators -= spec.accelerators;
 	candidate.ofStep.set(step, (candidate.ofStep.get(step) ?? 0) + 1);
 	candidate.unusedMilliCpu -= getUsedMilliCpu(spec);
+	if (candidate.worker.health.isProbing) {
+		// One task shows whether the worker has recovered.
+		candidate.free.milliCpu = -1;
+	}
+
 	if (spec.isFilling) {
 		candidate.fillMilliCpu += spec.milliCpu;
 		candidate.servers = candidate.servers.map(server => ({...server, ratio: foresee(server, spec, harm)}));
@@ -118,12 +130,13 @@
 const foresee = ({image, ratio}: Server, spec: WorkflowStep, harm: FillHarm): number =>
 	Math.max(ratio, harm.getQuietRatio(image)) + (harm.getEffect(image, spec.image ?? '') * spec.milliCpu / milli);
 
-const choose = (step: LiveStep, candidates: Candidate[], harm: FillHarm): Candidate | undefined => {
+const choose = (task: LiveTask, candidates: Candidate[], terms: Terms): Candidate | undefined => {
+	const {step} = task;
 	let best: Candidate | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		if (canTake(step, candidate, harm)) {
-			const cost = getCost(step, candidate, harm);
+		if (canTake(step, candidate, terms) && !task.runs.some(run => run.host === candidate.worker.host)) {
+			const cost = getCost(step, candidate, terms.harm) + (task.avoidedHosts.has(candidate.worker.host) ? avoidedCost : 0);
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
@@ -134,11 +147,12 @@
 	return best;
 };
 
-const canTake = (step: LiveStep, candidate: Candidate, harm: FillHarm): boolean => {
+const canTake = (step: LiveStep, candidate: Candidate, {harm, isAllowed}: Terms): boolean => {
 	const {spec} = step;
 	const {worker, free, ofStep} = candidate;
 	return isFitting(spec, free) && isSuited(spec, worker.report!)
 		&& (spec.maxPerWorker === 0 || (ofStep.get(step) ?? 0) < spec.maxPerWorker)
+		&& isAllowed(step, worker.report!.workerId)
 		&& (!spec.isFilling || canFill(spec, candidate, harm));
 };
 
@@ -149,6 +163,8 @@
 		&& servers.every(server => foresee(server, spec, harm) <= maxForeseenRatio);
 };
 
+// A worker on which the task failed or stood still is the last choice.
+const avoidedCost = 20;
 // Far from its data a task takes `farFactor` times as long: that outweighs how well it fits.
 const farCost = 10;
 // Tasks that serve go together, so that other workers are left to what fills.
@@ -187,15 +203,21 @@
 	return rise;
 };
 
+/** Whether the task would find a place on a worker that it does not avoid. */
+export const hasPlace = (task: LiveTask, workers: Iterable<FleetWorker>, terms: Terms): boolean => {
+	const candidates = [...workers].filter(worker => !task.avoidedHosts.has(worker.host)).map(worker => createCandidate(worker));
+	return choose(task, candidates, terms) !== undefined;
+};
+
 /** All members or none; on one rack if the step asks for it and one has the room. */
-const placeGang = (step: LiveStep, candidates: Candidate[], harm: FillHarm): Start[] => {
+const placeGang = (step: LiveStep, candidates: Candidate[], terms: Terms): Start[] => {
 	if (step.tasks.some(task => task.runs.length > 0)) {
 		return [];
 	}
 
 	const racks = step.spec.isSameRack ? [...new Set(candidates.map(candidate => candidate.rack))] : [];
 	for (const rack of [...racks, undefined]) {
-		const starts = tryGang(step, rack === undefined ? candidates : candidates.filter(candidate => candidate.rack === rack), harm);
+		const starts = tryGang(step, rack === undefined ? candidates : candidates.filter(candidate => candidate.rack === rack), terms);
 		if (starts.length > 0) {
 			return starts;
 		}
@@ -204,16 +226,16 @@
 	return [];
 };
 
-const tryGang = (step: LiveStep, candidates: Candidate[], harm: FillHarm): Start[] => {
+const tryGang = (step: LiveStep, candidates: Candidate[], terms: Terms): Start[] => {
 	const trial = candidates.map(candidate => ({...candidate, free: {...candidate.free}, ofStep: new Map(candidate.ofStep)}));
 	const starts: Start[] = [];
 	for (const task of step.tasks) {
-		const candidate = choose(step, trial, harm);
+		const candidate = choose(task, trial, terms);
 		if (!candidate) {
 			return [];
 		}
 
-		take(candidate, step, harm);
+		take(candidate, step, terms.harm);
 		starts.push({task, worker: candidate.worker});
 	}
 
--- a/src/workflows/run-book.ts
+++ b/src/workflows/run-book.ts
@@ -23,6 +23,8 @@
 	recall: (ref: TaskRef) => LiveTask | undefined;
 	/** No job has such a task. */
 	onUnknown: (worker: FleetWorker, taskId: string, run: number) => void;
+	/** A run of a task that does not last came to its own end. */
+	onOutcome: (worker: FleetWorker, task: LiveTask, isSuccess: boolean) => void;
 	/** A task has failed as often as it may. */
 	onExhausted: (task: LiveTask) => void;
 	/** Room came free or tasks wait: a round of placement is due. */
@@ -260,6 +262,10 @@
 			return false;
 		}
 
+		if (run && (end.end === RunEnd.Done || end.end === RunEnd.Failed)) {
+			this.#handlers.onOutcome(worker, task, end.end === RunEnd.Done);
+		}
+
 		return this.#judgeEnd(task, run, end, nowMs);
 	}
 
--- /dev/null
+++ b/test/site-decisions.test.ts
@@ -0,0 +1,305 @@
+/**
+Decisions of the owner that need no network: order, placement, paces, stalls, leases and the fold.
+*/
+import {describe, expect, it} from 'vitest';
+import {LeaseClock} from '../src/agents/lease-clock.ts';
+import {
+	RunEnd, WorkflowState, type Workflow, type WorkflowSpec,
+} from '../src/types/workflows.ts';
+import {FillHarm, type Filler, type Server} from '../src/workflows/fill-harm.ts';
+import {type FleetWorker} from '../src/workflows/fleet-view.ts';
+import {WorkflowFold} from '../src/workflows/fold.ts';
+import {decidePaces} from '../src/workflows/harm-pacing.ts';
+import {
+	LiveModel, RunPhase, type LiveRun, type LiveTask,
+} from '../src/workflows/live-model.ts';
+import {place, type Start} from '../src/workflows/placement.ts';
+import {RecordType} from '../src/workflows/records.ts';
+import {chooseMoves, wantsCopy} from '../src/workflows/relocation.ts';
+import {createSpec, createStep, queue} from './site-world.ts';
+
+const createWorkflow = (id: string, spec: WorkflowSpec, terms: Partial<Workflow> = {}): Workflow => ({
+	...spec, id, queue: queue.name, service: queue.service, priority: 0, maxAttempts: 2, stretch: 2, targetLatencyMs: 500, needsAdvice: false, receivedAtMs: 0, ...terms,
+});
+
+const createWorker = (host: string, milliCpu = 4000, labels = ['a', 'r1-1']): FleetWorker => ({
+	host,
+	address: host,
+	session: 1,
+	agentLife: 'life',
+	version: 1,
+	report: {
+		workerId: `${host}-1`, service: queue.service, failureDomain: 'hall', isDraining: false, milliCpu, memoryMb: 64_000, accelerators: 0, labels, sequence: 1,
+	},
+	isListed: true,
+	isAnswering: true,
+	heardAtMs: 0,
+	agentClockMs: 0,
+	workerClockMs: 0,
+	runs: new Set(),
+	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
+	takenEnd: 0,
+	storedEnd: 0,
+	blockedUntilMs: 0,
+	unknownStopAtMs: 0,
+	paces: new Map(),
+	fillChangedAtMs: 0,
+	fillKey: '',
+});
+
+const load = (workflows: Workflow[]): {model: LiveModel; fold: WorkflowFold} => {
+	const fold = new WorkflowFold();
+	for (const [offset, workflow] of workflows.entries()) {
+		fold.apply({type: RecordType.Submit, workflow}, offset);
+	}
+
+	const model = new LiveModel();
+	model.load(fold, 0, 0);
+	return {model, fold};
+};
+
+const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, harm = new FillHarm()} = {}): Start[] => place({
+	waiting: model.waiting(0, () => false), workers, wallMs, harm, isAllowed: () => true,
+});
+
+const run = (task: LiveTask, worker: FleetWorker, fields: Partial<LiveRun> = {}): LiveRun => {
+	const live: LiveRun = {
+		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, sentAtMs: 0, isOrderOut: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, recent: 0, progressAtMs: 0, stopSentAtMs: 0, isUnwanted: false, pacePercent: 100, ...fields,
+	};
+	task.runs.push(live);
+	worker.runs.add(live);
+	return live;
+};
+
+describe('placement', () => {
+	it('never gives a worker more than it has', () => {
+		const {model} = load([createWorkflow('a', createSpec([createStep({count: 20, milliCpu: 900})]))]);
+		expect(placeAll(model, [createWorker('x'), createWorker('y')])).toHaveLength(8);
+	});
+
+	it('counts what is being stopped', () => {
+		const {model} = load([createWorkflow('a', createSpec([createStep({count: 5, milliCpu: 1000})]))]);
+		const worker = createWorker('x');
+		const [first] = [...model.waiting(0, () => false)];
+		run(first!, worker, {phase: RunPhase.Stopping});
+		expect(placeAll(model, [worker])).toHaveLength(3);
+	});
+
+	it('keeps to the label, and to how many tasks of a step one worker may have', () => {
+		const {model} = load([createWorkflow('a', createSpec([createStep({
+			count: 4, requiredLabel: 'b', maxPerWorker: 1, milliCpu: 100,
+		})]))]);
+		const starts = placeAll(model, [createWorker('x'), createWorker('y', 4000, ['b', 'r1-1']), createWorker('z', 4000, ['b', 'r1-2'])]);
+		expect(starts.map(({worker}) => worker.host).toSorted()).toEqual(['y', 'z']);
+	});
+
+	it('prefers the rack with the data, and goes elsewhere when it is full', () => {
+		const {model} = load([createWorkflow('a', createSpec([createStep({count: 5, dataRack: 'r1-2'})]))]);
+		const starts = placeAll(model, [createWorker('x'), createWorker('y', 4000, ['a', 'r1-2'])]);
+		expect(starts.map(({worker}) => worker.host)).toEqual(['y', 'y', 'y', 'y', 'x']);
+	});
+
+	it('starts all members of a gang or none', () => {
+		const {model} = load([createWorkflow('a', createSpec([createStep({count: 5, isGang: true})]))]);
+		expect(placeAll(model, [createWorker('x')])).toHaveLength(0);
+		expect(placeAll(model, [createWorker('x'), createWorker('y')])).toHaveLength(5);
+	});
+
+	it('tries a failed task on another worker', () => {
+		const {model} = load([createWorkflow('a', createSpec([createStep()]))]);
+		const [task] = [...model.waiting(0, () => false)];
+		task!.avoidedHosts.add('x');
+		expect(placeAll(model, [createWorker('x'), createWorker('y')]).map(({worker}) => worker.host)).toEqual(['y']);
+	});
+
+	it('gives a worker under probation one task', () => {
+		const {model} = load([createWorkflow('a', createSpec([createStep({count: 3})]))]);
+		const worker = createWorker('x');
+		worker.health.isProbing = true;
+		expect(placeAll(model, [worker])).toHaveLength(1);
+	});
+
+	/**
+	On the heaviest days more is asked for than there is room. A job that has little time left goes before one with more,
+	and one that cannot meet its objective any more waits for both: callers get most jobs in time so.
+	*/
+	it('serves what has the least time to spare first, and what is too late last', () => {
+		const spec = createSpec([createStep({milliCpu: 4000, estimateMs: 1000})]);
+		const {model} = load([
+			createWorkflow('late', spec, {receivedAtMs: -9000}), createWorkflow('easy', spec, {receivedAtMs: 0}), createWorkflow('urgent', spec, {receivedAtMs: -1200}),
+		]);
+		const starts = placeAll(model, [createWorker('x'), createWorker('y')]);
+		expect(starts.map(({task}) => task.ref.workflowId)).toEqual(['urgent', 'easy']);
+	});
+
+	/** What fills was set beside serving tasks, stood still there, and jobs missed their objective. */
+	it('sets what fills away from serving tasks that it is known to harm', () => {
+		const harm = new FillHarm();
+		const {model} = load([
+			createWorkflow('s', createSpec([createStep({
+				isLasting: true, targetMs: 100, image: 'serve', milliCpu: 3000,
+			})])),
+			createWorkflow('f', createSpec([createStep({count: 2, isFilling: true, image: 'heavy'})])),
+		]);
+		const [server] = [...model.waiting(0, () => false)];
+		const worker = createWorker('x');
+		run(server!, worker, {recent: 40});
+		for (let index = 0; index < 20; index++) {
+			harm.note([{image: 'serve', ratio: 3}], [{
+				image: 'heavy', cores: 2, percent: 100, sinceChangeMs: 0,
+			}], index * 500);
+		}
+
+		expect(placeAll(model, [worker], {harm})).toHaveLength(0);
+		expect(placeAll(model, [worker, createWorker('y')], {harm}).map(start => start.worker.host)).toEqual(['y', 'y']);
+	});
+});
+
+describe('paces', () => {
+	const filler = (image: string, fields: Partial<Filler> = {}): Filler => ({
+		image, cores: 2, percent: 100, sinceChangeMs: 1000, ...fields,
+	});
+	const serving = (ratio: number): Server[] => [{image: 'serve', ratio}];
+	const effect = (_: string, image: string) => image === 'heavy' ? 1 : 0.01;
+
+	it('stop what is known to harm a tail far above its target, and leave the rest', () => {
+		expect(decidePaces(serving(5), [filler('heavy'), filler('light')], effect)).toEqual(new Map([['heavy', 0]]));
+	});
+
+	it('take from the most harmful first', () => {
+		expect([...decidePaces(serving(1.2), [filler('light'), filler('heavy')], effect).keys()]).toEqual(['heavy']);
+	});
+
+	it('wait for the last change to show before they go down again', () => {
+		expect(decidePaces(serving(1.2), [filler('heavy', {percent: 50, sinceChangeMs: 100})], effect).size).toBe(0);
+	});
+
+	it('give back only what serving tasks can bear', () => {
+		expect(decidePaces(serving(0.5), [filler('heavy', {percent: 0})], effect).size).toBe(0);
+		expect(decidePaces(serving(0.5), [filler('light', {percent: 0})], effect)).toEqual(new Map([['light', 25]]));
+	});
+
+	it('give all back where nothing serves any more', () => {
+		expect(decidePaces([], [filler('heavy', {percent: 0})], effect)).toEqual(new Map([['heavy', 100]]));
+	});
+});
+
+describe('runs that stand still', () => {
+	const createRun = (step = {}) => {
+		const {model} = load([createWorkflow('a', createSpec([createStep(step)]))]);
+		const [task] = [...model.waiting(0, () => false)];
+		const worker = createWorker('x');
+		worker.heardAtMs = 5000;
+		return {worker, task: task!, live: run(task!, worker)};
+	};
+
+	it('are moved where another worker has room', () => {
+		const {worker} = createRun();
+		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => false})).toHaveLength(0);
+		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(1);
+	});
+
+	it('are not told from others while their agent is silent', () => {
+		const {worker} = createRun();
+		worker.silentSinceMs = 4000;
+		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
+	});
+
+	it('get a copy beside them where the step allows it', () => {
+		const {worker, task, live} = createRun({isSpeculative: true});
+		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
+		expect(wantsCopy(task, 5000)).toBe(true);
+		live.progressAtMs = 4900;
+		expect(wantsCopy(task, 5000)).toBe(false);
+	});
+});
+
+describe('the lease of a worker', () => {
+	/** A process stood still between a proof and the call that uses it: the lease is dated by the worker's clock before. */
+	it('is counted from the clock that was read before its proof was asked for', () => {
+		const lease = new LeaseClock(7000);
+		lease.note(100_000, 0);
+		const dated = lease.estimate(400)!;
+		lease.note(103_500, 900);
+		lease.prove(dated);
+		expect(lease.leaseUntilMs).toBe(107_400);
+	});
+
+	it('does not grow while the worker gives no answer, so that it is over at last', () => {
+		const lease = new LeaseClock(7000);
+		lease.note(100_000, 0);
+		lease.prove(100_000);
+		lease.noteSent(lease.getNextUntilMs(true));
+		lease.prove(103_000);
+		lease.noteSent(lease.getNextUntilMs(false));
+		expect(lease.isOver(7000, 300)).toBe(false);
+		expect(lease.isOver(7500, 300)).toBe(true);
+	});
+
+	it('takes a worker\'s clock for up to 2% slow', () => {
+		const lease = new LeaseClock(7000);
+		lease.note(100_000, 0);
+		lease.noteSent(107_000);
+		expect(lease.isOver(7100, 0)).toBe(false);
+		expect(lease.isOver(7150, 0)).toBe(true);
+	});
+});
+
+describe('the fold', () => {
+	const submit = (fold: WorkflowFold, workflow: Workflow) => {
+		fold.apply({type: RecordType.Submit, workflow}, fold.offset);
+	};
+
+	const end = (fold: WorkflowFold, taskId: string, runNumber: number, how: RunEnd) => {
+		fold.apply({
+			type: RecordType.Ends, ends: [{
+				taskId, run: runNumber, end: how, checkpoint: '',
+			}],
+		}, fold.offset);
+	};
+
+	it('completes a job with the last of its tasks, and takes an end that comes twice once', () => {
+		const fold = new WorkflowFold();
+		submit(fold, createWorkflow('a', createSpec([createStep({count: 2})])));
+		end(fold, 'a.0.0.0', 1, RunEnd.Done);
+		end(fold, 'a.0.0.0', 1, RunEnd.Done);
+		expect(fold.workflows.get('a')!.state).toBe(WorkflowState.Running);
+		end(fold, 'a.0.0.1', 1, RunEnd.Done);
+		expect(fold.workflows.get('a')!.state).toBe(WorkflowState.Completed);
+	});
+
+	it('counts a failure that comes twice once', () => {
+		const fold = new WorkflowFold();
+		submit(fold, createWorkflow('a', createSpec([createStep()])));
+		end(fold, 'a.0.0.0', 1, RunEnd.Failed);
+		end(fold, 'a.0.0.0', 1, RunEnd.Failed);
+		expect(fold.workflows.get('a')!.state).toBe(WorkflowState.Running);
+		end(fold, 'a.0.0.0', 2, RunEnd.Failed);
+		expect(fold.workflows.get('a')!.state).toBe(WorkflowState.Failed);
+	});
+
+	it('takes one end of a gang for all of its members', () => {
+		const fold = new WorkflowFold();
+		submit(fold, createWorkflow('a', createSpec([createStep({count: 3, isGang: true})])));
+		end(fold, 'a.0.0.2', 1, RunEnd.Done);
+		expect(fold.workflows.get('a')!.state).toBe(WorkflowState.Completed);
+	});
+
+	it('leaves a cancelled job cancelled, and a lasting one running', () => {
+		const fold = new WorkflowFold();
+		submit(fold, createWorkflow('a', createSpec([createStep()])));
+		submit(fold, createWorkflow('b', createSpec([createStep({isLasting: true})])));
+		fold.apply({type: RecordType.Cancel, id: 'a'}, fold.offset);
+		end(fold, 'a.0.0.0', 1, RunEnd.Done);
+		end(fold, 'b.0.0.0', 1, RunEnd.Done);
+		expect([...fold.workflows.values()].map(({state}) => state)).toEqual([WorkflowState.Cancelled, WorkflowState.Running]);
+	});
+
+	it('counts jobs that have not begun', () => {
+		const fold = new WorkflowFold();
+		submit(fold, createWorkflow('a', createSpec([createStep()])));
+		submit(fold, createWorkflow('b', createSpec([createStep()])));
+		fold.apply({type: RecordType.Begun, ids: ['b']}, fold.offset);
+		expect(fold.countPending(queue.name)).toBe(1);
+	});
+});
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -9,6 +9,7 @@
 import {getPartition} from '../src/core/partitions.ts';
 import {MemoryStore} from '../src/standin/memory-store.ts';
 import {SiteWorker, type RunPlan, type WorkerEvent} from '../src/standin/site-worker.ts';
+import {type AdviceClient} from '../src/types/advice.ts';
 import {LookupOutcome, type SubmitReply} from '../src/types/desk.ts';
 import {type WorkerStart} from '../src/types/fleet.ts';
 import {type QueueConfig} from '../src/types/site.ts';
@@ -94,6 +95,7 @@
 	readonly notes: Note[] = [];
 	readonly violations: string[] = [];
 	readonly events: WorkerEvent[] = [];
+	adviceClient: AdviceClient | undefined;
 	/** Pairs `entry>host` between which nothing passes. */
 	readonly cuts = new Set<string>();
 	readonly specs = new Map<string, WorkflowSpec>();
@@ -177,7 +179,7 @@
 			minTtlMs: 1000,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, onDeposed) => new Owner({
-				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, maxCallBytes: 2_000_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true,
+				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true,
 			}),
 		});
 		void follower.run(aborter.signal);
