--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -52,7 +52,8 @@
 	step: LiveStep;
 	/** Highest run number used. */
 	lastRun: number;
-	failures: number;
+	/** Numbers of the runs that failed; of any member, for a gang. */
+	failedRuns: Set<number>;
 	checkpoint: string;
 	isDone: boolean;
 	runs: LiveRun[];
@@ -226,7 +227,7 @@
 		taskId: formatTaskId(ref),
 		step,
 		lastRun: ledger?.lastRun ?? 0,
-		failures: ledger?.failedRuns.length ?? 0,
+		failedRuns: new Set(ledger?.failedRuns),
 		checkpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
 		runs: [],
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -188,7 +188,7 @@
 				}
 			},
 			onExhausted(task) {
-				note('job failed', {id: task.ref.workflowId, taskId: task.taskId, failures: task.failures});
+				note('job failed', {id: task.ref.workflowId, taskId: task.taskId, failures: task.failedRuns.size});
 				task.step.workflow.isOver = true;
 			},
 			onChange: () => {
--- a/src/workflows/run-book.ts
+++ b/src/workflows/run-book.ts
@@ -266,10 +266,10 @@
 			this.#handlers.onOutcome(worker, task, end.end === RunEnd.Done);
 		}
 
-		return this.#judgeEnd(task, run, end, nowMs);
+		return this.#judgeEnd(task, end, nowMs);
 	}
 
-	#judgeEnd(task: LiveTask, run: LiveRun | undefined, end: EndedRun, nowMs: number): boolean {
+	#judgeEnd(task: LiveTask, end: EndedRun, nowMs: number): boolean {
 		if (end.end === RunEnd.Done) {
 			this.#handlers.onBegun(task);
 			if (!task.isDone) {
@@ -279,13 +279,14 @@
 			return true;
 		}
 
-		if (end.end === RunEnd.Failed && run) {
+		if (end.end === RunEnd.Failed) {
+			// Also of runs that an earlier owner started: it may have died before it wrote this down.
 			for (const member of task.step.spec.isGang ? task.step.tasks : [task]) {
-				member.failures++;
-				member.notBeforeMs = nowMs + (member.failures > 1 ? failurePauseMs : 0);
+				member.failedRuns.add(end.run);
+				member.notBeforeMs = nowMs + (member.failedRuns.size > 1 ? failurePauseMs : 0);
 			}
 
-			if (task.failures >= task.step.workflow.spec.maxAttempts) {
+			if (task.failedRuns.size >= task.step.workflow.spec.maxAttempts) {
 				this.#handlers.onExhausted(task);
 			}
 		}
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -124,6 +124,29 @@
 		expect(await world.getState(jobId)).toBe(WorkflowState.Completed);
 	});
 
+	/**
+	A task fails twice while the store takes nothing, and the owner dies. The next owner finds these failures in the
+	worker's list. As the third run fails, the task must not be started once more. Cause: only failures of runs that the
+	owner itself had started, or that were in the log as it took over, were counted.
+	*/
+	it('that takes over counts failures that the log does not have', async () => {
+		await createWorld(1);
+		world.plan = ({run}) => ({workMs: run === 3 ? 4000 : 100, isFailing: true});
+		await world.submit(jobId, createSpec([createStep()]));
+		const owner = world.getOwnerName()!;
+		world.store.fault = ({kind, client}) => kind === 'append' && client === owner ? StoreFault.Refuse : StoreFault.None;
+		await world.waitFor(() => world.getStarts(`${jobId}.0.0.0`) === 3, 3000);
+		world.killEntry(owner);
+		await world.clock.advance(2500);
+		expect(world.getOwnerName()).not.toBe(owner);
+		world.store.fault = ({kind}) => kind === 'append' ? StoreFault.Refuse : StoreFault.None;
+		await world.clock.advance(3000);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(3);
+		world.store.fault = () => StoreFault.None;
+		await world.clock.advance(1000);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Failed);
+	});
+
 	/** With every agent reached, jobs that wait run on soon after their owner died: what callers notice of its death. */
 	it('is replaced within 2 s where all agents are reached', async () => {
 		await createWorld();
