--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -51,6 +51,7 @@
 	#fence: number;
 	#isRegistered = false;
 	#registrations = 0;
+	#hasLeft = false;
 	/** Declarations about earlier registrations were waited out already. */
 	#lossFloor = 0;
 	#isStoreReached: boolean | undefined;
@@ -99,6 +100,7 @@
 	announce(report: WorkerReport): void {
 		const before = this.state.worker?.report;
 		if (this.state.announce(report)) {
+			this.#hasLeft = false;
 			this.#options.note('worker came', {
 				workerId: report.workerId, before: before?.workerId, milliCpu: report.milliCpu, memoryMb: report.memoryMb, labels: report.labels,
 			});
@@ -109,8 +111,9 @@
 	}
 
 	/** The worker ends. */
-	leave(workerId: string): void {
+	workerLeft(workerId: string): void {
 		this.#options.note('worker left', {workerId});
+		this.#hasLeft = true;
 		this.state.drop(workerId);
 	}
 
@@ -122,6 +125,16 @@
 		return this.#desk.watch(request, signal);
 	}
 
+	/**
+	Ends in good order. An agent whose worker has left is not coming back: without its registration, a later owner need
+	not wait for its leases. One that is only restarted keeps it.
+	*/
+	async leave(): Promise<void> {
+		if (this.state.worker === undefined && this.#hasLeft) {
+			await this.#removeRegistration();
+		}
+	}
+
 	/** Runs until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		await Promise.all([
@@ -219,6 +232,18 @@
 		}
 	}
 
+	async #removeRegistration(): Promise<void> {
+		const {store, registration, life, note} = this.#options;
+		try {
+			const {outcome} = await store.appendKeyed({topic: agentsTopic, partition: 0}, [{key: registration.host}], {
+				stamp: {producer: `agent-${registration.host}-${life}`, epoch: 1, sequence: this.#registrations}, timeoutMs: registerTimeoutMs,
+			});
+			note('registration removed', {outcome});
+		} catch (error) {
+			note('registration not removed', {error: getMessage(error)});
+		}
+	}
+
 	#noteStore(isReached: boolean, detail: string): void {
 		if (isReached !== this.#isStoreReached) {
 			this.#isStoreReached = isReached;
--- a/src/plugins/site-agent.ts
+++ b/src/plugins/site-agent.ts
@@ -40,7 +40,7 @@
 			agent.announce(report);
 		},
 		onLeave(workerId) {
-			agent.leave(workerId);
+			agent.workerLeft(workerId);
 		},
 		onInvalid(reason) {
 			note('announcement not valid', {reason});
@@ -52,6 +52,6 @@
 	await server.listen(internalAddress);
 	void agent.run(signal);
 	return async () => {
-		await Promise.all([close(announcements), server.close()]);
+		await Promise.all([agent.leave(), close(announcements), server.close()]);
 	};
 });
--- a/src/workflows/loss-watch.ts
+++ b/src/workflows/loss-watch.ts
@@ -27,7 +27,7 @@
 /** An agent that was silent for so long is declared lost. Shorter cuts heal by themselves, and its tasks live on. */
 const lostAfterMs = 4000;
 /** An agent with nothing to run that was silent for so long is taken for gone: a later owner need not wait for it. */
-const removedAfterMs = 30_000;
+const removedAfterMs = 8000;
 /** Added to the longest lease before tasks of a lost agent start elsewhere: ways and kills take some ms. */
 const lostSlackMs = 500;
 const retryMs = 150;
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -39,6 +39,7 @@
 	readonly #options: OwnershipOptions;
 	#generation = 0;
 	#isReached: boolean | undefined;
+	#isLeaving = false;
 
 	constructor(options: OwnershipOptions) {
 		this.#options = options;
@@ -47,12 +48,12 @@
 	/** Keeps the membership until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, store, group, member, topic, minTtlMs} = this.#options;
-		while (!signal.aborted) {
+		while (!signal.aborted && !this.#isLeaving) {
 			try {
 				const share = await store.join({
 					group, member, topics: [topic], ttlMs: Math.max(minTtlMs, ttlMs), generation: this.#generation,
 				});
-				if (signal.aborted) {
+				if (signal.aborted || this.#isLeaving) {
 					return;
 				}
 
@@ -66,8 +67,9 @@
 		}
 	}
 
-	/** Gives all partitions up, so that others need not wait. */
+	/** Gives all partitions up for good, so that others need not wait. A join that came after would take them back. */
 	async leave(): Promise<void> {
+		this.#isLeaving = true;
 		for (const [partition, owner] of this.owners) {
 			this.owners.delete(partition);
 			owner.stop();
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -147,6 +147,35 @@
 		expect(await world.getState(jobId)).toBe(WorkflowState.Failed);
 	});
 
+	/**
+	An entry that is told to stop serves callers for some seconds more. It must not take its partition back meanwhile, or
+	its jobs wait until it is gone. Cause: it went on to join the group after it had left.
+	*/
+	it('that leaves is not dealt the partition again', async () => {
+		await createWorld();
+		const leaving = world.getOwnerName()!;
+		await world.settle(world.entries.get(leaving)!.ownership.leave());
+		await world.clock.advance(1000);
+		expect(world.getOwnerName()).not.toBe(leaving);
+		expect(world.getOwnerName()).toBeDefined();
+		await world.clock.advance(3000);
+		expect(world.getOwnerName()).not.toBe(leaving);
+	});
+
+	/** A host is taken away for good, then its entry dies: the next owner must not wait for leases of a worker that left. */
+	it('that takes over does not wait for an agent whose worker has left', async () => {
+		await createWorld(2);
+		const {agent, worker} = world.hosts.get('host-0')!;
+		agent!.workerLeft(worker.workerId);
+		await world.settle(agent!.leave());
+		world.killAgent('host-0');
+		await world.clock.advance(500);
+		await world.submit(jobId, createSpec([createStep({count: 6})]));
+		await world.clock.advance(300);
+		world.killEntry(world.getOwnerName()!);
+		expect(await world.waitFor(() => world.events.filter(event => event.type === 'started').length === 6, 10_000)).toBeLessThan(3000);
+	});
+
 	/** With every agent reached, jobs that wait run on soon after their owner died: what callers notice of its death. */
 	it('is replaced within 2 s where all agents are reached', async () => {
 		await createWorld();
