Send callers elsewhere while this entry alone does not reach the store

Cause: the store may turn away single hosts for 9 s; callers on open connections stayed with such an entry. Change: after 0.8 s without the store an entry is not ready, and asks callers to connect anew.

--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -24,6 +24,12 @@
 /** After SIGTERM callers are served for so long: the balancer takes two misses, a second each, to send them elsewhere. */
 const leaveMs = 2300;
 
+/**
+An entry that has not reached the store for so long sends callers elsewhere: the store may turn away this host alone. If
+it is away for all, the balancer uses all entries again.
+*/
+const storeLostMs = 800;
+
 /** Runs the role until it is told to stop. */
 export const runSiteEntry = async (site: SiteSettings): Promise<void> => runSiteProcess('entry', site, async parts => {
 	const {clock, note, signal, metrics} = parts;
@@ -32,13 +38,15 @@
 		throw createError(ErrorCode.BadSettings, {step: 'start entry', detail: 'the settings name no address for callers'});
 	}
 
-	const {followers, config, desk, ownership} = createParts(parts);
+	const {followers, config, desk, ownership, isStoreLost} = createParts(parts);
 	let isLeaving = false;
+	const isReady = () => !isLeaving && config.config !== undefined && !isStoreLost() && [...followers.values()].every(follower => follower.isCaughtUp);
 	const callers = createCallerServer({
 		desk,
 		clock,
 		findQueue,
-		isClosing: () => isLeaving,
+		// A caller on an open connection stays here unless it is told to connect anew.
+		isClosing: () => !isReady(),
 		onAnswer({method, queue, id, status, reason, tookMs}) {
 			metrics.observe(`${method} ${status}`, tookMs);
 			note('answered', {
@@ -46,7 +54,6 @@
 			});
 		},
 	});
-	const isReady = () => !isLeaving && config.config !== undefined && [...followers.values()].every(follower => follower.isCaughtUp);
 	const readiness = createServer((_, response) => {
 		response.writeHead(isReady() ? 200 : 503);
 		response.end();
@@ -68,19 +75,25 @@
 	const client = createAgentClient(http);
 	const adviceClient = site.adviceAddress === undefined ? undefined : createAdviceClient(http, site.adviceAddress);
 	const followers = new Map<number, WorkflowFollower>();
+	const lostSinceMs = new Map<number, number>();
+	const isStoreLost = () => [...lostSinceMs.values()].some(sinceMs => clock.monotonicMs() - sinceMs > storeLostMs);
 	const getFollower = (partition: number): WorkflowFollower => {
 		let follower = followers.get(partition);
 		if (!follower) {
-			let isStoreReached: boolean | undefined;
 			follower = new WorkflowFollower({
 				store,
 				clock,
 				ref: {topic: workflowsTopic, partition},
 				onStoreState(isReached, detail) {
-					if (isReached !== isStoreReached) {
-						isStoreReached = isReached;
+					if (isReached === lostSinceMs.has(partition)) {
 						note(isReached ? 'store reached' : 'store lost', {partition, detail});
 					}
+
+					if (isReached) {
+						lostSinceMs.delete(partition);
+					} else if (!lostSinceMs.has(partition)) {
+						lostSinceMs.set(partition, clock.monotonicMs());
+					}
 				},
 				onInvalid(offset, detail) {
 					note('job record not valid', {partition, offset, detail});
@@ -150,6 +163,6 @@
 	});
 	metrics.addGauge('chervilworks_partitions_owned', 'Partitions that this entry owns.', () => ownership.owners.size);
 	return {
-		followers, config, desk, ownership,
+		followers, config, desk, ownership, isStoreLost,
 	};
 };
