Move what a draining worker would lose

Cause: tasks on a worker that drains ran on until it left, and were lost with it. Change: what lasts moves at once; other tasks move if they cannot end before the worker leaves.

--- a/src/workflows/relocation.ts
+++ b/src/workflows/relocation.ts
@@ -1,6 +1,6 @@
 /**
-Which runs are stopped so that their tasks go on elsewhere: those that stand still, and those that fill and may not work
-where they are. Of a step that allows copies, a second run starts beside the one that stands still.
+Which runs are stopped so that their tasks go on elsewhere: those that stand still, those that would be lost with a worker
+that drains, and those that fill and may not work where they are. Of a step that allows copies, a second run starts beside the one that stands still.
 */
 import {type FleetWorker} from './fleet-view.ts';
 import {RunPhase, type LiveRun, type LiveTask} from './live-model.ts';
@@ -18,6 +18,8 @@
 const heldPercent = 10;
 /** Harm shows within a second and may pass; a stop costs up to a second of work and 0.6 s to restore. */
 const heldMs = 1200;
+/** From here on the speed so far tells more than the caller's estimate. */
+const knownFromPercent = 20;
 /** States come every half second at the least. */
 const heardMs = 800;
 /** Stops in one look at the fleet: each changes what the others would find. */
@@ -40,7 +42,7 @@
 			const {task} = run;
 			const {spec} = task.step;
 			const isStanding = isStalled(run, nowMs);
-			if (task.isDone || spec.isGang || (!isStanding && !isHeld(worker, run, nowMs))) {
+			if (task.isDone || spec.isGang || (!isStanding && !isHeld(worker, run, nowMs) && !isLosing(worker, run, nowMs))) {
 				continue;
 			}
 
@@ -59,6 +61,20 @@
 	return phase === RunPhase.Running && spec.isFilling && pace !== undefined && pace.percent <= heldPercent && nowMs - pace.changedAtMs >= heldMs;
 };
 
+/**
+Whether the run would be lost with a worker that drains. A lasting task is better moved at once than cut off; any other
+stays if it can still end there.
+*/
+const isLosing = (worker: FleetWorker, {phase, percent, sentAtMs, task: {step: {spec}}}: LiveRun, nowMs: number): boolean => {
+	if (phase !== RunPhase.Running || !worker.report?.isDraining) {
+		return false;
+	}
+
+	const elapsedMs = nowMs - sentAtMs;
+	const remainingMs = percent >= knownFromPercent ? elapsedMs * (100 - percent) / percent : Math.max(0, spec.estimateMs - elapsedMs);
+	return spec.isLasting || remainingMs > (worker.report.remainingMs ?? 0);
+};
+
 /** Whether a second run of the task may start: of a step that allows copies, while all others stand still. */
 export const wantsCopy = ({step: {spec}, runs}: LiveTask, nowMs: number): boolean =>
 	spec.isSpeculative && runs.length === 1 && isStalled(runs[0]!, nowMs);
--- a/test/site-decisions.test.ts
+++ b/test/site-decisions.test.ts
@@ -205,6 +205,24 @@
 		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
 	});
 
+	/** A worker is emptied: what lasts moves at once, what can still end there stays. */
+	it('and those that a draining worker would lose are moved, others end there', () => {
+		const {worker, live} = createRun({estimateMs: 3000});
+		worker.report!.isDraining = true;
+		worker.report!.remainingMs = 1500;
+		live.progressAtMs = 5000;
+		live.sentAtMs = 3000;
+		live.percent = 80;
+		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
+		live.percent = 30;
+		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(1);
+		const lasting = createRun({isLasting: true});
+		lasting.worker.report!.isDraining = true;
+		lasting.live.percent = 100;
+		lasting.live.progressAtMs = 5000;
+		expect(chooseMoves({workers: [lasting.worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(1);
+	});
+
 	it('get a copy beside them where the step allows it', () => {
 		const {worker, task, live} = createRun({isSpeculative: true});
 		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
