--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -130,6 +130,7 @@
 		partitions,
 		maxCallBytes,
 		getFollower,
+		isStoreLost,
 		producer: `${site.hostName}-${life}`,
 		getConfig: () => config.config,
 		onWriterNote(event, detail) {
--- a/src/workflows/desk.ts
+++ b/src/workflows/desk.ts
@@ -27,6 +27,8 @@
 	maxCallBytes: number;
 	getConfig: () => SiteConfig | undefined;
 	getFollower: (partition: number) => WorkflowFollower;
+	/** Whether the store has not answered this entry for a while. */
+	isStoreLost: () => boolean;
 	onWriterNote: WriterNote;
 };
 
@@ -36,6 +38,8 @@
 const giveUpAfterMs = 400;
 /** Outages of the store last 3 to 6 s: with four tries so far apart a caller outlives them. */
 const retryAfterMs = 2000;
+/** Another entry may reach the store: the caller's next try goes there. */
+const elsewhereMs = 1000;
 /** The end of the stream is read in some 10 ms; without an answer after this, the caller is told that it is not known. */
 const catchUpMs = 1200;
 
@@ -58,6 +62,11 @@
 			return {outcome: SubmitOutcome.Accepted};
 		}
 
+		// Nothing is sent to a store that gives no answers: the caller would learn nothing before its deadline.
+		if (this.#options.isStoreLost()) {
+			return {outcome: SubmitOutcome.NotAccepted, retryAfterMs: elsewhereMs, reason: 'the store is not reached'};
+		}
+
 		const outcome = await this.#write(partition, encodeRecord({
 			type: RecordType.Submit,
 			workflow: {
@@ -104,6 +113,10 @@
 			return outcome;
 		}
 
+		if (this.#options.isStoreLost()) {
+			return LookupOutcome.Unknown;
+		}
+
 		const remainingMs = Math.max(1, timeoutMs - (this.#options.clock.monotonicMs() - startedAtMs));
 		const written = await this.#write(this.#getPartition(queue), encodeRecord({type: RecordType.Cancel, id}), remainingMs);
 		return written === WriteOutcome.Stored ? LookupOutcome.Found : LookupOutcome.Unknown;
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -405,6 +405,17 @@
 		expect(world.events).toEqual([]);
 	});
 
+	/** The store turns one entry away without a word. What it cannot take is said at once, not at the caller's deadline. */
+	it('turns callers away at once where the store is known to be lost, and sends nothing', async () => {
+		await createWorld();
+		world.storeLost.add('entry-0');
+		const {append} = world.store.calls;
+		const startMs = world.clock.monotonicMs();
+		expect((await world.submit(jobId, createSpec([createStep()]), 'entry-0')).outcome).toBe(SubmitOutcome.NotAccepted);
+		expect(world.clock.monotonicMs() - startMs).toBeLessThan(20);
+		expect(world.store.calls.append).toBe(append);
+	});
+
 	it('leaves open what it cannot know', async () => {
 		await createWorld();
 		world.store.fault = ({kind, ref}) => kind === 'append' && ref?.topic === 'workflows' ? StoreFault.DoLate : StoreFault.None;
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -98,6 +98,8 @@
 	adviceClient: AdviceClient | undefined;
 	/** Pairs `entry>host` between which nothing passes. */
 	readonly cuts = new Set<string>();
+	/** Entries that have not reached the store for a while. */
+	readonly storeLost = new Set<string>();
 	readonly specs = new Map<string, WorkflowSpec>();
 	readonly #runs = new Map<string, {workerId: string; run: number}>();
 	readonly #done = new Set<string>();
@@ -163,11 +165,12 @@
 		const store = gate(clock, this.store.createClient(name));
 		const life = `${name}-${++this.#lives}`;
 		const note = this.#createNote(name);
+		const {storeLost: lost} = this;
 		const follower = new WorkflowFollower({
 			store, clock, ref: {topic: workflowsTopic, partition}, onStoreState: ignore, onInvalid: ignore,
 		});
 		const desk = new WorkflowDesk({
-			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, onWriterNote: ignore,
+			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => lost.has(name), onWriterNote: ignore,
 		});
 		const ownership = new Ownership({
 			store,
