--- a/src/workflows/harm-pacing.ts
+++ b/src/workflows/harm-pacing.ts
@@ -7,17 +7,21 @@
 /** Effect of one processor of an image on a serving image. */
 export type GetEffect = (server: string, filler: string) => number;
 
-/** Above this share of the target the pace goes down: a wave of load crosses the rest within a few hundred ms. */
-const lowerAboveRatio = 0.9;
+/**
+Above this share of the target the pace goes down. Waves of their own load carry serving tasks to nine tenths of it:
+pacing at that point stopped images that did no harm.
+*/
+const lowerAboveRatio = 0.95;
 /** What is aimed at when pacing down, and not passed when pacing up. */
-const aimRatio = 0.75;
+const aimRatio = 0.8;
 /** Far above the target there is no time to find out which image it is: all that may be the cause stop. */
 const stopAboveRatio = 1.6;
 /** A pace shows in the tail after the worker took it up (0.1 s) and half a second was measured. */
 const settleMs = 600;
 /** Slower than this is as good as stopped, and disturbs all the same. */
 const minPercent = 10;
-const raiseByPercent = 25;
+/** Less than this is not worth the harm: a task that may get no more is better moved. */
+const minRaisePercent = 25;
 /** An image with less effect for each processor is not the cause of a tail far above the target. */
 const harmlessEffect = 0.03;
 /** Least effect that is assumed of an image beside a tail that is too long. */
@@ -68,16 +72,19 @@
 	return paces;
 };
 
-/** Gives speed back to the least harmful image that all serving tasks can bear. */
+/**
+Gives speed back to the least harmful image that all serving tasks can bear, as much as they can bear at once: what was
+stopped for another image's sake should not stand still for seconds.
+*/
 const raise = (servers: Server[], fillers: Filler[], getEffect: GetEffect): Map<string, number> => {
 	const getWorstEffect = (image: string) => Math.max(...servers.map(server => getEffect(server.image, image)));
 	const slowed = fillers
 		.filter(({percent, sinceChangeMs}) => percent < 100 && sinceChangeMs >= settleMs)
 		.toSorted((a, b) => getWorstEffect(a.image) - getWorstEffect(b.image));
 	for (const {image, cores, percent} of slowed) {
-		const next = Math.min(100, percent + raiseByPercent);
-		const added = cores * (next - percent) / 100;
-		if (servers.every(server => server.ratio + (getEffect(server.image, image) * added) <= aimRatio)) {
+		const borne = Math.min(...servers.map(server => (aimRatio - server.ratio) / (Math.max(minEffect, getEffect(server.image, image)) * cores)));
+		const next = Math.min(100, Math.floor(percent + (100 * borne)));
+		if (next >= percent + minRaisePercent || next === 100) {
 			return new Map([[image, next]]);
 		}
 	}
