Write jobs again before the store lets their records go

Cause: the store keeps records for some minutes, jobs that last run for hours: an entry that started later would not have known them, answered 410 and left their tasks without an owner. Change: the owner writes each live job again after a third of that time, one that is over once more; what precedes such a record in the stream is kept for it.

--- a/src/platform/site-file.ts
+++ b/src/platform/site-file.ts
@@ -64,6 +64,7 @@
 			address: requireText(store, 'address'),
 			partitions: getNumber(store, 'parts', 1),
 			minMemberTtlMs: getNumber(store, 'minTtlMs', secondMs),
+			keptMs: getNumber(store, 'keep_s', 300) * secondMs,
 			maxRecordBytes: getNumber(store, 'recordBytes', 262_144),
 			maxCallBytes: getNumber(store, 'callBytes', 2_097_152),
 		},
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -71,7 +71,7 @@
 
 const createParts = ({site, clock, http, note, life, signal, metrics}: SiteProcess) => {
 	const store = createStoreClient(http, site.store.address);
-	const {partitions, maxCallBytes, minMemberTtlMs} = site.store;
+	const {partitions, maxCallBytes, minMemberTtlMs, keptMs} = site.store;
 	const client = createAgentClient(http);
 	const adviceClient = site.adviceAddress === undefined ? undefined : createAdviceClient(http, site.adviceAddress);
 	const followers = new Map<number, WorkflowFollower>();
@@ -154,6 +154,7 @@
 			partition,
 			epoch,
 			maxCallBytes,
+			keptMs,
 			leaseHorizonMs,
 			note,
 			onDeposed,
--- a/src/plugins/site-process.ts
+++ b/src/plugins/site-process.ts
@@ -41,7 +41,7 @@
 	start: (parts: SiteProcess) => Promise<() => Promise<void>>,
 ): Promise<void> => {
 	const clock = createSystemClock();
-	const log = createEventLog(clock, {role, host: site.hostName});
+	const log = createEventLog(clock, {role, process: site.hostName});
 	const metrics = createMetricsPage();
 	const aborter = new AbortController();
 	setMaxListeners(0, aborter.signal);
--- a/src/types/site.ts
+++ b/src/types/site.ts
@@ -55,6 +55,8 @@
 		address: string;
 		partitions: number;
 		minMemberTtlMs: number;
+		/** How long records are kept. */
+		keptMs: number;
 		maxRecordBytes: number;
 		maxCallBytes: number;
 	};
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -5,17 +5,9 @@
 import {
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
-import {RecordType, type WorkflowRecord} from './records.ts';
-
-/** What is known of a task that ended at least once. A gang has one ledger for all of its members. */
-export type TaskLedger = {
-	isDone: boolean;
-	/** Numbers of the runs that failed. */
-	failedRuns: number[];
-	/** Highest number of a run that ended. */
-	lastRun: number;
-	checkpoint: string;
-};
+import {
+	RecordType, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
+} from './records.ts';
 
 /** A job as folded. */
 export type FoldedWorkflow = {
@@ -28,7 +20,10 @@
 	ledgers: Map<string, TaskLedger>;
 	/** Units that still have to succeed; undefined: it never completes by itself. */
 	remaining: number | undefined;
-	endedAtOffset?: number;
+	/** Wall clock at which the newest record of the whole job was written. */
+	writtenAtMs: number;
+	/** Whether that record has its last state. */
+	isLastWritten: boolean;
 };
 
 /** What a fold tells its owner while it runs. */
@@ -66,6 +61,11 @@
 /** Folded state of one partition. */
 export class WorkflowFold {
 	readonly workflows = new Map<string, FoldedWorkflow>();
+	/**
+	Records of jobs that are not known: their first record is gone from the store, and the whole job comes later. Without
+	them, a cancellation between the two would be missed by whoever starts to read there.
+	*/
+	readonly #early = new Map<string, WorkflowRecord[]>();
 	listener: FoldListener | undefined;
 	/** Newest claim. */
 	epoch = 0;
@@ -87,10 +87,17 @@
 				break;
 			}
 
+			case RecordType.Whole: {
+				this.#takeWhole(record.job, offset);
+				break;
+			}
+
 			case RecordType.Cancel: {
 				const folded = this.workflows.get(record.id);
 				if (folded) {
 					this.#finish(folded, WorkflowState.Cancelled);
+				} else {
+					this.#keepEarly(record.id, record);
 				}
 
 				break;
@@ -133,7 +140,7 @@
 		}
 
 		const folded: FoldedWorkflow = {
-			workflow, offset, hasBegun: false, state: WorkflowState.Queued, ledgers: new Map(), remaining: countUnits(workflow),
+			workflow, offset, hasBegun: false, state: WorkflowState.Queued, ledgers: new Map(), remaining: countUnits(workflow), writtenAtMs: workflow.receivedAtMs, isLastWritten: false,
 		};
 		this.workflows.set(workflow.id, folded);
 		this.listener?.onSubmit(folded);
@@ -142,6 +149,37 @@
 		}
 	}
 
+	/** Takes a job of which no earlier record is kept; for one that is known it only tells that it was written again. */
+	#takeWhole({workflow, state, hasBegun, remaining, ledgers, writtenAtMs}: WholeWorkflow, offset: number): void {
+		const known = this.workflows.get(workflow.id);
+		if (known) {
+			known.writtenAtMs = writtenAtMs;
+			known.isLastWritten = isFinal(state);
+			return;
+		}
+
+		const folded: FoldedWorkflow = {
+			workflow, offset, state, hasBegun, remaining, ledgers: new Map(ledgers), writtenAtMs, isLastWritten: isFinal(state),
+		};
+		this.workflows.set(workflow.id, folded);
+		const nextOffset = this.offset;
+		for (const record of this.#early.get(workflow.id) ?? []) {
+			this.apply(record, offset);
+		}
+
+		this.offset = nextOffset;
+		this.#early.delete(workflow.id);
+		if (!isFinal(folded.state)) {
+			this.listener?.onSubmit(folded);
+		}
+	}
+
+	#keepEarly(id: string, record: WorkflowRecord): void {
+		const records = this.#early.get(id) ?? [];
+		records.push(record);
+		this.#early.set(id, records);
+	}
+
 	#begin(folded: FoldedWorkflow | undefined): void {
 		if (folded && !folded.hasBegun) {
 			folded.hasBegun = true;
@@ -155,6 +193,14 @@
 		const ref = parseTaskId(taskId);
 		const folded = ref && this.workflows.get(ref.workflowId);
 		const step = folded?.workflow.steps[ref!.step];
+		if (ref && !folded) {
+			this.#keepEarly(ref.workflowId, {
+				type: RecordType.Ends, ends: [{
+					taskId, run, end, checkpoint,
+				}],
+			});
+		}
+
 		if (!ref || !folded || !step) {
 			return;
 		}
@@ -194,7 +240,6 @@
 		}
 
 		folded.state = state;
-		folded.endedAtOffset = this.offset;
 		this.listener?.onFinal(folded);
 	}
 }
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -10,6 +10,7 @@
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {type EndedRun} from '../types/workflows.ts';
 import {type WorkflowFollower} from './follower.ts';
+import {forgetOld, getRewrites} from './rewriter.ts';
 import {
 	encodeRecord, RecordType, workflowsTopic, type WorkflowRecord,
 } from './records.ts';
@@ -23,6 +24,8 @@
 	host: string;
 	epoch: number;
 	maxCallBytes: number;
+	/** How long the store keeps records. */
+	keptMs: number;
 	/** A newer owner has written to the stream. */
 	onFenced: () => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
@@ -114,6 +117,16 @@
 		}
 	}
 
+	/** Writes jobs again whose records the store will let go. */
+	rewrite(): void {
+		const {follower: {fold}, clock, keptMs} = this.#options;
+		for (const record of getRewrites(fold, clock, keptMs)) {
+			void this.#write(record);
+		}
+
+		forgetOld(fold, clock, keptMs);
+	}
+
 	/** Undefined: not known yet; false: a newer owner was there. */
 	async #tellAgents(): Promise<boolean | undefined> {
 		const {store, partition, epoch, host, note} = this.#options;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -42,6 +42,8 @@
 	epoch: number;
 	leaseHorizonMs: number;
 	maxCallBytes: number;
+	/** How long the store keeps records. */
+	keptMs: number;
 	isMine: (registration: AgentRegistration) => boolean;
 	/** A newer owner is known. */
 	onDeposed: () => void;
@@ -228,6 +230,7 @@
 			this.#losses.check();
 			this.#sender.stopUnneeded();
 			this.#log.sendBegun();
+			this.#log.rewrite();
 			this.#updateAdvice();
 			this.#relocate();
 			this.#health.release(clock.monotonicMs());
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -3,7 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {createError, ErrorCode} from '../core/errors.ts';
-import {type EndedRun, type Workflow} from '../types/workflows.ts';
+import {type EndedRun, type Workflow, type WorkflowState} from '../types/workflows.ts';
 
 /** Topic of the jobs streams; the partition is that of the service. */
 export const workflowsTopic = 'workflows';
@@ -18,15 +18,39 @@
 	Ends = 'ends',
 	/** Jobs of which a first task has started; written by the owner, some time later. */
 	Begun = 'begun',
+	/** All that is known of a job, written again by the owner before the store lets its first record go. */
+	Whole = 'whole',
 }
 
+/** A job with its ends so far. */
+export type WholeWorkflow = {
+	workflow: Workflow;
+	state: WorkflowState;
+	hasBegun: boolean;
+	remaining: number | undefined;
+	ledgers: Array<[unitId: string, ledger: TaskLedger]>;
+	/** Wall clock of the owner as it wrote this. */
+	writtenAtMs: number;
+};
+
+/** What is known of a task that ended at least once. A gang has one ledger for all of its members. */
+export type TaskLedger = {
+	isDone: boolean;
+	/** Numbers of the runs that failed. */
+	failedRuns: number[];
+	/** Highest number of a run that ended. */
+	lastRun: number;
+	checkpoint: string;
+};
+
 /** One record. */
 export type WorkflowRecord
 	= | {type: RecordType.Claim; epoch: number; owner: string}
 		| {type: RecordType.Submit; workflow: Workflow}
 		| {type: RecordType.Cancel; id: string}
 		| {type: RecordType.Ends; ends: EndedRun[]}
-		| {type: RecordType.Begun; ids: string[]};
+		| {type: RecordType.Begun; ids: string[]}
+		| {type: RecordType.Whole; job: WholeWorkflow};
 
 const types = new Set<string>(Object.values(RecordType));
 
--- a/test/site-decisions.test.ts
+++ b/test/site-decisions.test.ts
@@ -314,6 +314,23 @@
 		expect([...fold.workflows.values()].map(({state}) => state)).toEqual([WorkflowState.Cancelled, WorkflowState.Running]);
 	});
 
+	/**
+	An entry starts to read where the store's records begin. A job's first record is gone, its cancellation comes before
+	the record that the owner wrote again, from what it knew earlier. The job must not run on.
+	*/
+	it('takes a job that was written again, with what came before that record', () => {
+		const fold = new WorkflowFold();
+		const workflow = createWorkflow('a', createSpec([createStep({count: 2})]));
+		fold.apply({type: RecordType.Cancel, id: 'a'}, 7);
+		fold.apply({
+			type: RecordType.Whole, job: {
+				workflow, state: WorkflowState.Running, hasBegun: true, remaining: 1, ledgers: [], writtenAtMs: 0,
+			},
+		}, 8);
+		expect(fold.workflows.get('a')!.state).toBe(WorkflowState.Cancelled);
+		expect(fold.offset).toBe(9);
+	});
+
 	it('counts jobs that have not begun', () => {
 		const fold = new WorkflowFold();
 		submit(fold, createWorkflow('a', createSpec([createStep()])));
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -8,7 +8,9 @@
 import {OrderFault} from '../src/standin/site-worker.ts';
 import {LookupOutcome, SubmitOutcome} from '../src/types/desk.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
-import {createSpec, createStep, SiteWorld} from './site-world.ts';
+import {
+	createSpec, createStep, partition, SiteWorld,
+} from './site-world.ts';
 
 const jobId = '00000000000000a1';
 const otherId = '00000000000000a2';
@@ -176,6 +178,28 @@
 		expect(await world.waitFor(() => world.events.filter(event => event.type === 'started').length === 6, 10_000)).toBeLessThan(3000);
 	});
 
+	/**
+	A service runs for longer than the store keeps records, and its entry is replaced. The new one must still know the
+	job, also where it is cancelled while its record is being written again. Cause: the stream is no archive.
+	*/
+	it('that takes over knows jobs that are older than the records of the store', async () => {
+		await createWorld(1, 1);
+		world.plan = () => ({workMs: undefined});
+		await world.submit(jobId, createSpec([createStep({isLasting: true})]));
+		await world.submit(otherId, createSpec([createStep({isLasting: true})]));
+		const {offset} = world.entries.get('entry-0')!.follower.fold;
+		await world.clock.advance(19_900);
+		await world.cancel(otherId);
+		await world.clock.advance(10_000);
+		world.store.trim({topic: 'workflows', partition}, offset);
+		world.killEntry('entry-0');
+		world.startEntry('entry-1');
+		await world.clock.advance(3000);
+		expect(await world.getState(jobId)).toBe(WorkflowState.Running);
+		expect(await world.getState(otherId)).toBe(WorkflowState.Cancelled);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(1);
+	});
+
 	/** With every agent reached, jobs that wait run on soon after their owner died: what callers notice of its death. */
 	it('is replaced within 2 s where all agents are reached', async () => {
 		await createWorld();
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -182,7 +182,7 @@
 			minTtlMs: 1000,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, onDeposed) => new Owner({
-				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true,
+				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true,
 			}),
 		});
 		void follower.run(aborter.signal);
