--- a/src/core/producer-writer.ts
+++ b/src/core/producer-writer.ts
@@ -3,7 +3,7 @@
 same sequence number, and so knows of each record whether it is stored.
 */
 import {type Buffer} from 'node:buffer';
-import {type Clock} from '../types/clock.ts';
+import {type Clock, type Timer} from '../types/clock.ts';
 import {
 	AppendOutcome, type AppendResult, type PartitionRef, type StoreClient,
 } from '../types/store.ts';
@@ -32,7 +32,7 @@
 	epoch: number;
 	/** How long a first record waits for others; saves calls to the store. */
 	gatherMs: number;
-	/** A batch that was only refused is kept trying for so long before its records are given up; undefined: for ever. */
+	/** A record that was only refused, or never sent, is given up after this; undefined: never. */
 	giveUpAfterMs?: number;
 	maxBatchBytes: number;
 	onNote: WriterNote;
@@ -72,28 +72,36 @@
 
 	/** Appends a record; resolves once it is known what became of it, or as unknown after the time given. */
 	async write(value: Buffer, timeoutMs?: number): Promise<WriteOutcome> {
-		const {clock} = this.#options;
+		const {clock, giveUpAfterMs} = this.#options;
 		if (this.#isFenced) {
 			return WriteOutcome.Fenced;
 		}
 
 		return new Promise(resolve => {
-			const pending: Pending = {value, enqueuedAtMs: clock.monotonicMs(), resolve};
+			const timers: Timer[] = [];
+			const pending: Pending = {
+				value, enqueuedAtMs: clock.monotonicMs(), resolve(outcome) {
+					for (const timer of timers) {
+						timer.cancel();
+					}
+
+					resolve(outcome);
+				},
+			};
+			if (giveUpAfterMs !== undefined) {
+				timers.push(clock.setTimer(() => {
+					// It waits behind a batch without an answer: it never left, and will not.
+					this.#takeBack(pending);
+				}, giveUpAfterMs));
+			}
+
 			if (timeoutMs !== undefined) {
-				const timer = clock.setTimer(() => {
+				timers.push(clock.setTimer(() => {
 					// Only what never left may be taken back; the rest is being tried and stays open.
-					const index = this.#queue.indexOf(pending);
-					if (index === -1) {
-						resolve(WriteOutcome.Unknown);
-					} else {
-						this.#queue.splice(index, 1);
-						resolve(WriteOutcome.NotStored);
+					if (!this.#takeBack(pending)) {
+						pending.resolve(WriteOutcome.Unknown);
 					}
-				}, timeoutMs);
-				pending.resolve = outcome => {
-					timer.cancel();
-					resolve(outcome);
-				};
+				}, timeoutMs));
 			}
 
 			this.#queue.push(pending);
@@ -101,6 +109,17 @@
 		});
 	}
 
+	#takeBack(pending: Pending): boolean {
+		const index = this.#queue.indexOf(pending);
+		if (index === -1) {
+			return false;
+		}
+
+		this.#queue.splice(index, 1);
+		pending.resolve(WriteOutcome.NotStored);
+		return true;
+	}
+
 	async #run(): Promise<void> {
 		if (this.#isRunning) {
 			return;
--- a/src/workflows/desk.ts
+++ b/src/workflows/desk.ts
@@ -45,6 +45,8 @@
 export class WorkflowDesk implements Desk {
 	readonly #options: WorkflowDeskOptions;
 	readonly #writers = new Map<number, ProducerWriter>();
+	/** Jobs whose record was sent and is still being tried after their caller was told that it is not known. */
+	readonly #open = new Set<string>();
 
 	constructor(options: WorkflowDeskOptions) {
 		this.#options = options;
@@ -60,6 +62,11 @@
 			return {outcome: SubmitOutcome.Accepted};
 		}
 
+		// That it never runs cannot be said of a job that may still come to be stored.
+		if (this.#open.has(id)) {
+			return {outcome: SubmitOutcome.Unknown, reason: 'an earlier record of it is still open'};
+		}
+
 		// Nothing is sent to a store that gives no answers: the caller would learn nothing before its deadline.
 		if (this.#options.isStoreLost()) {
 			return {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'the store is not reached'};
@@ -84,6 +91,10 @@
 			return {outcome: SubmitOutcome.Accepted};
 		}
 
+		if (outcome === WriteOutcome.Unknown) {
+			this.#open.add(id);
+		}
+
 		return outcome === WriteOutcome.NotStored
 			? {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'the store takes nothing'}
 			: {outcome: SubmitOutcome.Unknown, reason: 'the store gave no answer'};
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -9,7 +9,7 @@
 import {LookupOutcome, SubmitOutcome} from '../src/types/desk.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {
-	createSpec, createStep, partition, SiteWorld,
+	createSpec, createStep, partition, queue, SiteWorld,
 } from './site-world.ts';
 
 const jobId = '00000000000000a1';
@@ -446,6 +446,36 @@
 		expect((await world.submit(jobId, createSpec([createStep()]))).outcome).toBe(SubmitOutcome.Unknown);
 	});
 
+	/**
+	The store gives no answer, and the caller is told that it is not known. It asks again at the same entry while the
+	first record is still being tried. "Never runs" would be a lie: the record is stored as the store answers again.
+	*/
+	it('does not say that a job never runs while an earlier record of it is open', async () => {
+		await createWorld();
+		world.store.fault = ({kind, ref}) => kind === 'append' && ref?.topic === 'workflows' ? StoreFault.Silence : StoreFault.None;
+		const spec = createSpec([createStep()]);
+		expect((await world.submit(jobId, spec, 'entry-1')).outcome).toBe(SubmitOutcome.Unknown);
+		world.storeLost.add('entry-1');
+		expect((await world.submit(jobId, spec, 'entry-1')).outcome).toBe(SubmitOutcome.Unknown);
+		world.storeLost.clear();
+		world.store.fault = () => StoreFault.None;
+		await world.clock.advance(4000);
+		expect(world.getStarts(`${jobId}.0.0.0`)).toBe(1);
+	});
+
+	/** Records wait behind one without an answer. What was never sent is told so soon, not at the caller's deadline. */
+	it('turns away soon what waits behind a record without an answer', async () => {
+		await createWorld();
+		world.store.fault = ({kind, ref}) => kind === 'append' && ref?.topic === 'workflows' ? StoreFault.Silence : StoreFault.None;
+		const {desk} = world.entries.get('entry-1')!;
+		const first = desk.submit(queue, jobId, createSpec([createStep()]), 2500);
+		await world.clock.advance(50);
+		const startMs = world.clock.monotonicMs();
+		expect((await world.submit(otherId, createSpec([createStep()]), 'entry-1')).outcome).toBe(SubmitOutcome.NotAccepted);
+		expect(world.clock.monotonicMs() - startMs).toBeLessThan(600);
+		expect((await world.settle(first)).outcome).toBe(SubmitOutcome.Unknown);
+	});
+
 	it('says that a job is unknown only after it has read the stream to its end', async () => {
 		await createWorld();
 		expect(await world.getState(otherId)).toBe(LookupOutcome.Absent);
