--- a/test/site-acceptance.test.ts
+++ b/test/site-acceptance.test.ts
@@ -7,26 +7,15 @@
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {LookupOutcome, SubmitOutcome} from '../src/types/desk.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
+import {createSite, jobId, otherId} from './site-setup.ts';
 import {
-	createSpec, createStep, queue, SiteWorld,
+	createSpec, createStep, queue, type SiteWorld,
 } from './site-world.ts';
 
-const jobId = '00000000000000a1';
-const otherId = '00000000000000a2';
 let world: SiteWorld;
 
-const createWorld = async (hosts = 2, entries = 2): Promise<SiteWorld> => {
-	world = new SiteWorld();
-	for (let index = 0; index < hosts; index++) {
-		world.addHost(`host-${index}`);
-	}
-
-	for (let index = 0; index < entries; index++) {
-		world.startEntry(`entry-${index}`);
-	}
-
-	await world.clock.advance(2000);
-	return world;
+const createWorld = async (...sizes: Parameters<typeof createSite>): Promise<void> => {
+	world = await createSite(...sizes);
 };
 
 afterEach(() => {
