Start one task of a job that would otherwise wait for ever beside free room

Change: of a job with nothing running, one task that fills starts after 1.5 s where it does least harm; paces go on.

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -136,7 +136,7 @@
 	/** Drops jobs that are over and of which nothing is out on a worker any more. */
 	dropOver(): void {
 		for (const [id, workflow] of this.workflows) {
-			if (workflow.isOver && getRuns(workflow).next().done) {
+			if (workflow.isOver && isIdle(workflow)) {
 				this.workflows.delete(id);
 			}
 		}
@@ -217,6 +217,9 @@
 	}
 }
 
+/** Whether no run of the job is out. */
+export const isIdle = (workflow: LiveWorkflow): boolean => getRuns(workflow).next().done === true;
+
 const createTask = (step: LiveStep, index: number, nowMs: number): LiveTask => {
 	const ref: TaskRef = {
 		workflowId: step.workflow.spec.id, occurrence: step.occurrence, step: step.index, index,
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -257,7 +257,7 @@
 		const {clock} = this.#options;
 		const nowMs = clock.monotonicMs();
 		this.#sender.start(place({
-			waiting: this.#startable(nowMs), workers: this.#openWorkers(nowMs), wallMs: clock.now().getTime(), harm: this.#harm,
+			waiting: this.#startable(nowMs), workers: this.#openWorkers(nowMs), wallMs: clock.now().getTime(), nowMs, harm: this.#harm,
 			isAllowed: this.#isAllowed,
 		}));
 	}
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -6,7 +6,9 @@
 	getFreeRoom, getMilliCpu, getRack, isFitting, isSuited, type FleetWorker, type Room,
 } from './fleet-view.ts';
 import {getServers, type FillHarm, type Server} from './fill-harm.ts';
-import {type LiveRun, type LiveStep, type LiveTask} from './live-model.ts';
+import {
+	isIdle, type LiveRun, type LiveStep, type LiveTask, type LiveWorkflow,
+} from './live-model.ts';
 import {createRank} from './task-order.ts';
 
 const milli = 1000;
@@ -32,20 +34,24 @@
 /** Tells whether tasks of the step may run on the worker. */
 export type IsAllowed = (step: LiveStep, workerId: string) => boolean;
 
-type Terms = Pick<PlacementInput, 'harm' | 'isAllowed'>;
+type Terms = Pick<PlacementInput, 'harm' | 'isAllowed'> & {
+	/** A task that fills starts also where it disturbs. */
+	mustRun?: boolean;
+};
 
 /** What is decided with. */
 export type PlacementInput = {
 	waiting: Iterable<LiveTask>;
 	workers: Iterable<FleetWorker>;
 	wallMs: number;
+	nowMs: number;
 	harm: FillHarm;
 	/** Whether a queue's policy lets the step run on the worker. */
 	isAllowed: IsAllowed;
 };
 
 /** Decides starts, most urgent first. */
-export const place = ({waiting, workers, wallMs, harm, isAllowed}: PlacementInput): Start[] => {
+export const place = ({waiting, workers, wallMs, nowMs, harm, isAllowed}: PlacementInput): Start[] => {
 	const tasks = [...waiting];
 	if (tasks.length === 0) {
 		return [];
@@ -58,6 +64,7 @@
 	const gangs = new Set<LiveStep>();
 	// A step of which one task found no place has none for its equals either.
 	const stuck = new Set<LiveStep>();
+	const fed = new Set<LiveWorkflow>();
 	for (const {task} of ranked) {
 		const {step} = task;
 		if (stuck.has(step) || gangs.has(step)) {
@@ -70,8 +77,10 @@
 			continue;
 		}
 
-		const candidate = choose(task, candidates, {harm, isAllowed});
+		const mustRun = !fed.has(step.workflow) && isStarving(task, nowMs);
+		const candidate = choose(task, candidates, {harm, isAllowed, mustRun});
 		if (candidate) {
+			fed.add(step.workflow);
 			take(candidate, step, harm);
 			starts.push({task, worker: candidate.worker});
 		} else {
@@ -89,6 +98,15 @@
 /** Nothing is set to fill where a serving task is foreseen above this share of its target. */
 const maxForeseenRatio = 0.8;
 
+/**
+A job of which nothing runs waits at most so long for a place where it disturbs nobody. Where serving tasks are on every
+worker there may never be one, and callers would wait for ever beside free room; the paces then decide what it gets.
+*/
+const maxWaitMs = 1500;
+
+const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number): boolean =>
+	step.spec.isFilling && nowMs - waitsSinceMs > maxWaitMs && isIdle(step.workflow);
+
 const createCandidate = (worker: FleetWorker): Candidate => {
 	const ofStep = new Map<LiveStep, number>();
 	let unusedMilliCpu = worker.report!.milliCpu;
@@ -147,13 +165,13 @@
 	return best;
 };
 
-const canTake = (step: LiveStep, candidate: Candidate, {harm, isAllowed}: Terms): boolean => {
+const canTake = (step: LiveStep, candidate: Candidate, {harm, isAllowed, mustRun}: Terms): boolean => {
 	const {spec} = step;
 	const {worker, free, ofStep} = candidate;
 	return isFitting(spec, free) && isSuited(spec, worker.report!)
 		&& (spec.maxPerWorker === 0 || (ofStep.get(step) ?? 0) < spec.maxPerWorker)
 		&& isAllowed(step, worker.report!.workerId)
-		&& (!spec.isFilling || canFill(spec, candidate, harm));
+		&& (!spec.isFilling || mustRun === true || canFill(spec, candidate, harm));
 };
 
 const canFill = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): boolean => {
--- a/test/site-decisions.test.ts
+++ b/test/site-decisions.test.ts
@@ -58,8 +58,8 @@
 	return {model, fold};
 };
 
-const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, harm = new FillHarm()} = {}): Start[] => place({
-	waiting: model.waiting(0, () => false), workers, wallMs, harm, isAllowed: () => true,
+const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, harm = new FillHarm()} = {}): Start[] => place({
+	waiting: model.waiting(0, () => false), workers, wallMs, nowMs, harm, isAllowed: () => true,
 });
 
 const run = (task: LiveTask, worker: FleetWorker, fields: Partial<LiveRun> = {}): LiveRun => {
@@ -151,6 +151,8 @@
 		}
 
 		expect(placeAll(model, [worker], {harm})).toHaveLength(0);
+		// With nothing of its job running it does not wait for ever, though most room is free: one task starts, and is paced.
+		expect(placeAll(model, [worker], {harm, nowMs: 2000})).toHaveLength(1);
 		expect(placeAll(model, [worker, createWorker('y')], {harm}).map(start => start.worker.host)).toEqual(['y', 'y']);
 	});
 });
