Parse the oldest offset in one place, and drop what nobody reads

Cause: read-through: the offset of an 'offset gone' error was parsed in three places; a function, three getters and two settings had no reader; two names were metaphors. Change: one function in the errors module, dead code gone, plain names; no behaviour changes.

--- a/src/agents/control-watch.ts
+++ b/src/agents/control-watch.ts
@@ -2,7 +2,7 @@
 Follows the control stream of one service: the newest owner's epoch, and whether this agent was declared lost. Each read
 that succeeds is a proof for the lease of the worker.
 */
-import {getMessage, isError, ErrorCode} from '../core/errors.ts';
+import {getMessage, getOldestOffset} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
 import {ControlType, decodeControl} from './control-records.ts';
@@ -78,8 +78,9 @@
 					return;
 				}
 
-				if (isError(error, ErrorCode.OffsetGone)) {
-					this.#offset = getGoneOffset(error);
+				const oldestOffset = getOldestOffset(error);
+				if (oldestOffset !== undefined) {
+					this.#offset = oldestOffset;
 					continue;
 				}
 
@@ -102,5 +103,3 @@
 		}
 	}
 }
-
-const getGoneOffset = (error: unknown): number => Number(/(\d+)$/.exec(getMessage(error))?.[1] ?? 0);
--- a/src/agents/lease-clock.ts
+++ b/src/agents/lease-clock.ts
@@ -21,11 +21,6 @@
 		this.#horizonMs = horizonMs;
 	}
 
-	/** Whether the worker's clock was read. */
-	get hasSample(): boolean {
-		return this.#sample !== undefined;
-	}
-
 	/** End of the lease on the worker's clock, as far as it is proven. */
 	get leaseUntilMs(): number {
 		return this.#leaseUntilMs;
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -79,3 +79,7 @@
 
 /** Gets the message of anything thrown. */
 export const getMessage = (error: unknown): string => error instanceof Error ? error.message : String(error);
+
+/** Gets the oldest kept offset that an `offset-gone` error names; undefined for any other error. */
+export const getOldestOffset = (error: unknown): number | undefined =>
+	isError(error, ErrorCode.OffsetGone) ? Number(/(\d+)$/.exec(getMessage(error))?.[1] ?? 0) : undefined;
--- a/src/core/producer-writer.ts
+++ b/src/core/producer-writer.ts
@@ -60,16 +60,6 @@
 		this.#options = options;
 	}
 
-	/** Whether a higher epoch is known. */
-	get isFenced(): boolean {
-		return this.#isFenced;
-	}
-
-	/** Records that wait or are on their way. */
-	get waiting(): number {
-		return this.#queue.length;
-	}
-
 	/** Appends a record; resolves once it is known what became of it, or as unknown after the time given. */
 	async write(value: Buffer, timeoutMs?: number): Promise<WriteOutcome> {
 		const {clock, giveUpAfterMs} = this.#options;
--- a/src/platform/site-file.ts
+++ b/src/platform/site-file.ts
@@ -59,13 +59,11 @@
 		workerService: getText(file, 'service'),
 		internalPorts: [ports[0] ?? 0, ports[1] ?? 0],
 		adviceAddress: getText(file, 'advice'),
-		machinesAddress: getText(getTable(file, 'cloudApi'), 'address'),
 		store: {
 			address: requireText(store, 'address'),
 			partitions: getNumber(store, 'parts', 1),
 			minMemberTtlMs: getNumber(store, 'minTtlMs', secondMs),
 			keptMs: getNumber(store, 'keep_s', 300) * secondMs,
-			maxRecordBytes: getNumber(store, 'recordBytes', 262_144),
 			maxCallBytes: getNumber(store, 'callBytes', 2_097_152),
 		},
 		bounds: decodeBounds(getTable(file, 'bounds')),
--- a/src/platform/store-calls.ts
+++ b/src/platform/store-calls.ts
@@ -3,7 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {
-	createError, ErrorCode, getMessage, isError,
+	createError, ErrorCode, getMessage,
 } from '../core/errors.ts';
 import {
 	AppendOutcome, type AppendOptions, type AppendResult, type GroupShare, type KeyedRecord, type KeyedWrite, type PartitionRef, type StoreClient, type StorePage,
@@ -107,10 +107,6 @@
 	};
 };
 
-/** Gets the oldest kept offset that an `offset-gone` error names; undefined for any other error. */
-export const getOldestOffset = (error: unknown): number | undefined =>
-	isError(error, ErrorCode.OffsetGone) ? Number(/(\d+)$/.exec(getMessage(error))?.[1] ?? 0) : undefined;
-
 const parseJson = (body: Buffer): unknown => body.length === 0 ? {} : JSON.parse(body.toString('utf8')) as unknown;
 
 const formatAppend = (ref: PartitionRef, {stamp, atOffset}: AppendOptions): string => new URLSearchParams({
--- a/src/types/site.ts
+++ b/src/types/site.ts
@@ -50,14 +50,12 @@
 	/** Ports for calls between the program's own processes. */
 	internalPorts: [number, number];
 	adviceAddress?: string;
-	machinesAddress?: string;
 	store: {
 		address: string;
 		partitions: number;
 		minMemberTtlMs: number;
 		/** How long records are kept. */
 		keptMs: number;
-		maxRecordBytes: number;
 		maxCallBytes: number;
 	};
 	bounds: SiteBounds;
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -1,9 +1,7 @@
 /**
 Keeps the fold of one partition up to date, and proves on demand that it is.
 */
-import {
-	ErrorCode, getMessage, isError,
-} from '../core/errors.ts';
+import {getMessage, getOldestOffset} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {type PartitionRef, type StoreClient, type StorePage} from '../types/store.ts';
 import {WorkflowFold} from './fold.ts';
@@ -103,8 +101,9 @@
 		try {
 			page = await store.read(ref, this.fold.offset, waitMs, signal);
 		} catch (error) {
-			if (isError(error, ErrorCode.OffsetGone)) {
-				this.fold.offset = Number(/(\d+)$/.exec(getMessage(error))?.[1] ?? 0);
+			const oldestOffset = getOldestOffset(error);
+			if (oldestOffset !== undefined) {
+				this.fold.offset = oldestOffset;
 				return;
 			}
 
--- a/src/workflows/loss-watch.ts
+++ b/src/workflows/loss-watch.ts
@@ -61,7 +61,7 @@
 	}
 
 	/** Takes an agent back that has registered anew since it was declared lost: its leases were over before. */
-	welcome(worker: FleetWorker): void {
+	readmit(worker: FleetWorker): void {
 		const {host, session, lostSession} = worker;
 		if (lostSession !== undefined && session > lostSession) {
 			this.#options.note('agent back', {host, session, lostSession});
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -317,7 +317,7 @@
 
 	#takeReply(worker: FleetWorker, reply: WatchReply): void {
 		const nowMs = this.#options.clock.monotonicMs();
-		this.#losses.welcome(worker);
+		this.#losses.readmit(worker);
 		const runsBefore = worker.runs.size;
 		this.#book.take(worker, reply, nowMs);
 		this.#paces.take(worker);
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -64,7 +64,7 @@
 	const gangs = new Set<LiveStep>();
 	// A step of which one task found no place has none for its equals either.
 	const stuck = new Set<LiveStep>();
-	const fed = new Set<LiveWorkflow>();
+	const started = new Set<LiveWorkflow>();
 	for (const {task} of ranked) {
 		const {step} = task;
 		if (stuck.has(step) || gangs.has(step)) {
@@ -77,10 +77,10 @@
 			continue;
 		}
 
-		const mustRun = !fed.has(step.workflow) && isStarving(task, nowMs);
+		const mustRun = !started.has(step.workflow) && isStarving(task, nowMs);
 		const candidate = choose(task, candidates, {harm, isAllowed, mustRun});
 		if (candidate) {
-			fed.add(step.workflow);
+			started.add(step.workflow);
 			take(candidate, step, harm);
 			starts.push({task, worker: candidate.worker});
 		} else {
@@ -263,14 +263,3 @@
 
 	return starts;
 };
-
-/** Whether any worker could ever run a task of the step. */
-export const isPlaceable = (step: WorkflowStep, workers: Iterable<FleetWorker>): boolean => {
-	for (const {report} of workers) {
-		if (report && isSuited(step, report)) {
-			return true;
-		}
-	}
-
-	return false;
-};
--- a/test/store-calls.test.ts
+++ b/test/store-calls.test.ts
@@ -5,8 +5,8 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {ErrorCode, getErrorCode} from '../src/core/errors.ts';
-import {createStoreClient, getOldestOffset} from '../src/platform/store-calls.ts';
+import {ErrorCode, getErrorCode, getOldestOffset} from '../src/core/errors.ts';
+import {createStoreClient} from '../src/platform/store-calls.ts';
 import {AppendOutcome, type StoreClient} from '../src/types/store.ts';
 import {WireServer, type Asked, type Given} from './wire-server.ts';
 
