Pace what fills by load, and learn harm in load

A tail grows with 1 / (1 - load), the harm model took it as a line: it blamed all images beside a tail that was far too long, and the wave of a job for its neighbours. An image that had been paced to 0 and whose tasks had moved away never came back to that worker.

Change: tails are turned into loads, where effects add up; the load of a serving job by itself is followed over all its workers, so that the quiet ones tell the wave from the neighbour; reports while a tail falls teach nothing; speeds are planned (most harmful first, no more than needed), and placement sets a task where the plan leaves it 0.7 of its speed. Paces of images that are gone are forgotten.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -154,8 +154,8 @@
 			blockedUntilMs: 0,
 			unknownStopAtMs: Number.NEGATIVE_INFINITY,
 			paces: new Map(),
-			fillChangedAtMs: Number.NEGATIVE_INFINITY,
-			fillKey: '',
+			fillUses: [],
+			harmNotedAtMs: Number.NEGATIVE_INFINITY,
 		};
 		this.workers.set(host, worker);
 		void this.#follow(worker, signal);
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -49,10 +49,10 @@
 	unknownStopAtMs: number;
 	/** Speed that tasks that fill may work at, by image. */
 	paces: Paces;
-	/** When runs or paces of tasks that fill last changed: what is measured before the next half second is of a mix. */
-	fillChangedAtMs: number;
-	/** Runs of tasks that fill, as a text to compare. */
-	fillKey: string;
+	/** What each image that fills used of the processors, over the last second or so. */
+	fillUses: Array<{atMs: number; used: Map<string, number>}>;
+	/** When the harm of tasks that fill was last learned from. */
+	harmNotedAtMs: number;
 };
 
 /** Processors that a step's tasks take of a worker's capacity: what fills takes none. */
--- a/src/workflows/pace-keeper.ts
+++ b/src/workflows/pace-keeper.ts
@@ -5,16 +5,59 @@
 import {OrderType, type Order} from '../types/fleet.ts';
 import {type AgentLinks} from './agent-links.ts';
 import {
-	getFillers, getServers, type FillHarm,
+	getFillers, getServers, type FillHarm, type Filler, type Server,
 } from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
-import {decidePaces} from './harm-pacing.ts';
+import {planSpeeds, type ServingTask} from './harm-pacing.ts';
 import {RunPhase, type LiveRun} from './live-model.ts';
+import {getLoadAt} from './serving-load.ts';
 
-/** What a serving task reports is of the last half second: a mix that changed within it explains nothing. */
-const measuredMs = 550;
+/** Figures of a worker are of the last half second: a report sooner than this tells little that is new. */
+const learnEveryMs = 400;
+/** A tail that was six times its target is back below it this long after its cause was stopped. */
+const fallMs = 1300;
+/** Share of a worker's processors: about one task. Less that ends at a time does not show in a tail that falls. */
+const minFall = 0.1;
+/** Loads of serving tasks rise by up to so much until a report tells, and a pace shows. */
+const riseMargin = 0.04;
+/** Paces are told in steps; a smaller change is not worth an order. */
+const paceStep = 5;
+/** Less than this is not given back at a time, and not sooner than a pace shows. */
+const minRaise = 15;
+const settleMs = 500;
+const whole = 100;
 
-const getPace = (worker: FleetWorker, run: LiveRun): number => worker.paces.get(run.task.step.spec.image ?? '')?.percent ?? 100;
+const getPace = (worker: FleetWorker, run: LiveRun): number => worker.paces.get(run.task.step.spec.image ?? '')?.percent ?? whole;
+
+/** Load of each serving task by itself: what is known of its job, or what its own tail tells if that is more. */
+export const getServingTasks = (servers: Server[], fillers: Filler[], harm: FillHarm, isFalling: boolean): ServingTask[] => servers.map(({image, job, ratio}) => {
+	const load = harm.getLoad(job) + riseMargin;
+	if (isFalling || ratio === 0) {
+		return {image, load};
+	}
+
+	let measured = getLoadAt(ratio);
+	for (const filler of fillers) {
+		measured -= harm.getEffect(image, filler.image) * filler.usedShare;
+	}
+
+	return {image, load: Math.max(load, measured)};
+});
+
+/** Decides the pace of each image on one worker; images that keep theirs are left out. */
+export const decidePaces = (servers: Server[], fillers: Filler[], harm: FillHarm, isFalling: boolean): Map<string, number> => {
+	const speeds = planSpeeds(getServingTasks(servers, fillers, harm, isFalling), fillers, (server, filler) => harm.getEffect(server, filler));
+	const paces = new Map<string, number>();
+	for (const {image, percent, sinceChangeMs} of fillers) {
+		const next = Math.floor(whole * speeds.get(image)! / paceStep) * paceStep;
+		const isRaise = next > percent && sinceChangeMs >= settleMs && (next >= percent + minRaise || next === whole);
+		if (next < percent || isRaise) {
+			paces.set(image, next);
+		}
+	}
+
+	return paces;
+};
 
 /** The keeper. */
 export class PaceKeeper {
@@ -32,34 +75,33 @@
 
 	/** Takes a worker's newest state. */
 	take(worker: FleetWorker): void {
-		this.#decide(worker, this.#clock.monotonicMs());
+		if (!worker.report) {
+			return;
+		}
+
+		this.#decide(worker, worker.report.milliCpu, this.#clock.monotonicMs());
 		const changed = [...worker.runs].filter(run => run.phase === RunPhase.Running && run.task.step.spec.isFilling && run.pacePercent !== getPace(worker, run));
 		if (changed.length > 0) {
 			void this.#send(worker, changed);
 		}
 	}
 
-	#decide(worker: FleetWorker, nowMs: number): void {
-		const fillers = getFillers(worker.runs, worker.paces, nowMs);
+	#decide(worker: FleetWorker, milliCpu: number, nowMs: number): void {
+		const fillers = getFillers(worker.runs, worker.paces, {milliCpu, nowMs});
 		const servers = getServers(worker.runs);
-		const key = fillers.map(({image, cores}) => `${image}:${cores}`).join(' ');
-		if (key !== worker.fillKey) {
-			worker.fillKey = key;
-			worker.fillChangedAtMs = nowMs;
-		}
-
-		if (servers.length > 0 && nowMs - worker.fillChangedAtMs >= measuredMs) {
-			this.#harm.note(servers, fillers, nowMs);
+		const isFalling = noteUse(worker, fillers, nowMs);
+		if (nowMs - worker.harmNotedAtMs >= learnEveryMs) {
+			worker.harmNotedAtMs = nowMs;
+			this.#harm.note(servers, fillers, {nowMs, isFalling});
 		}
 
-		const worstRatio = Math.max(0, ...servers.map(({ratio}) => ratio));
-		for (const [image, percent] of decidePaces(servers, fillers, (server, filler) => this.#harm.getEffect(server, filler))) {
-			const before = worker.paces.get(image)?.percent ?? 100;
+		forgetPaces(worker, fillers);
+		for (const [image, percent] of decidePaces(servers, fillers, this.#harm, isFalling)) {
+			const before = worker.paces.get(image)?.percent ?? whole;
 			this.#note('pace', {
-				host: worker.host, image, percent, before, worstRatio,
+				host: worker.host, image, percent, before, worstRatio: Math.max(0, ...servers.map(({ratio}) => ratio)), isFalling,
 			});
 			worker.paces.set(image, {percent, changedAtMs: nowMs});
-			worker.fillChangedAtMs = nowMs;
 		}
 	}
 
@@ -79,3 +121,19 @@
 		}
 	}
 }
+
+/** An image of which nothing is left on the worker begins anew there: its old pace would keep it away for good. */
+const forgetPaces = (worker: FleetWorker, fillers: Filler[]): void => {
+	for (const image of worker.paces.keys()) {
+		if (!fillers.some(filler => filler.image === image)) {
+			worker.paces.delete(image);
+		}
+	}
+};
+
+/** Notes what the images use; tells whether one of them uses less than shortly before, so that tails may be falling. */
+const noteUse = (worker: FleetWorker, fillers: Filler[], nowMs: number): boolean => {
+	const used = new Map(fillers.map(({image, usedShare}) => [image, usedShare]));
+	worker.fillUses = [...worker.fillUses.filter(({atMs}) => nowMs - atMs <= fallMs), {atMs: nowMs, used}];
+	return worker.fillUses.some(before => [...before.used].some(([image, share]) => share - (used.get(image) ?? 0) > minFall));
+};
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -5,14 +5,17 @@
 import {
 	getFreeRoom, getMilliCpu, getRack, isFitting, isSuited, type FleetWorker, type Room,
 } from './fleet-view.ts';
-import {getServers, type FillHarm, type Server} from './fill-harm.ts';
 import {
-	isIdle, type LiveRun, type LiveStep, type LiveTask, type LiveWorkflow,
+	getFillers, getServers, getServingJob, type FillHarm,
+} from './fill-harm.ts';
+import {
+	getWorkingShare, planSpeeds, type FillDemand, type ServingTask,
+} from './harm-pacing.ts';
+import {
+	isIdle, type LiveStep, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
 import {createRank} from './task-order.ts';
 
-const milli = 1000;
-
 /** A start that was decided. */
 export type Start = {
 	task: LiveTask;
@@ -25,10 +28,12 @@
 	rack: string | undefined;
 	/** Tasks of each step here, by step. */
 	ofStep: Map<LiveStep, number>;
-	/** Processors that tasks that fill share, and those that they ask for. */
-	unusedMilliCpu: number;
-	fillMilliCpu: number;
-	servers: Server[];
+	/** Share of the processors that is left to tasks that fill, and what they ask for. */
+	unusedShare: number;
+	demands: FillDemand[];
+	servers: ServingTask[];
+	/** What one task more of an image and size would get, as far as asked; empty after each change. */
+	fillSpeeds: Map<string, number>;
 };
 
 /** Tells whether tasks of the step may run on the worker. */
@@ -57,7 +62,7 @@
 		return [];
 	}
 
-	const candidates = [...workers].map(worker => createCandidate(worker));
+	const candidates = [...workers].map(worker => createCandidate(worker, harm));
 	const rank = createRank(wallMs);
 	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
 	const starts: Start[] = [];
@@ -81,7 +86,7 @@
 		const candidate = choose(task, candidates, {harm, isAllowed, mustRun});
 		if (candidate) {
 			started.add(step.workflow);
-			take(candidate, step, harm);
+			take(candidate, task, harm);
 			starts.push({task, worker: candidate.worker});
 		} else {
 			stuck.add(step);
@@ -91,12 +96,12 @@
 	return starts;
 };
 
-/** A serving task uses about half of what it declares, on the average of its waves; the rest is left to what fills. */
-const serverUseShare = 0.5;
-/** A task that fills waits rather than start where it would get less than this share of its speed. */
-const minFillSpeed = 0.75;
-/** Nothing is set to fill where a serving task is foreseen above this share of its target. */
-const maxForeseenRatio = 0.8;
+/** A task that fills waits rather than start where it, and what it slows down, would get less than this share of its speed. */
+const minFillSpeed = 0.7;
+/** An image that is held at less than this on a worker gets no more tasks there. */
+const minPercent = 50;
+/** Waves raise the load of serving tasks by about so much in the time that a task that fills takes. */
+const waveMargin = 0.08;
 
 /**
 A job of which nothing runs waits at most so long for a place where it disturbs nobody. Where serving tasks are on every
@@ -107,46 +112,66 @@
 const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number): boolean =>
 	step.spec.isFilling && nowMs - waitsSinceMs > maxWaitMs && isIdle(step.workflow);
 
-const createCandidate = (worker: FleetWorker): Candidate => {
+const createCandidate = (worker: FleetWorker, harm: FillHarm): Candidate => {
 	const ofStep = new Map<LiveStep, number>();
-	let unusedMilliCpu = worker.report!.milliCpu;
-	let fillMilliCpu = 0;
 	for (const {task: {step}} of worker.runs) {
 		ofStep.set(step, (ofStep.get(step) ?? 0) + 1);
-		unusedMilliCpu -= getUsedMilliCpu(step.spec);
-		fillMilliCpu += step.spec.isFilling ? step.spec.milliCpu : 0;
 	}
 
+	const {milliCpu} = worker.report!;
 	return {
-		worker, free: getFreeRoom(worker), rack: getRack(worker.report!), ofStep, unusedMilliCpu, fillMilliCpu, servers: getServers(worker.runs),
+		worker,
+		free: getFreeRoom(worker),
+		rack: getRack(worker.report!),
+		ofStep,
+		unusedShare: getUnusedShare(worker, harm),
+		demands: getFillers(worker.runs, worker.paces, {milliCpu, nowMs: 0}),
+		servers: getServers(worker.runs).map(({image, job}) => ({image, load: harm.getLoad(job) + waveMargin})),
+		fillSpeeds: new Map(),
 	};
 };
 
-const getUsedMilliCpu = (spec: WorkflowStep): number => getMilliCpu(spec) * (spec.targetMs > 0 ? serverUseShare : 1);
+/** A serving task uses its processors in the measure of its load, any other task all of them. */
+const getUnusedShare = ({report, runs}: FleetWorker, harm: FillHarm): number => {
+	let usedMilliCpu = 0;
+	for (const {task: {ref, step: {spec}}} of runs) {
+		usedMilliCpu += getMilliCpu(spec) * (spec.targetMs > 0 ? harm.getLoad(getServingJob(ref)) : 1);
+	}
+
+	return 1 - (usedMilliCpu / report!.milliCpu);
+};
 
-const take = (candidate: Candidate, step: LiveStep, harm: FillHarm): void => {
+const take = (candidate: Candidate, {ref, step}: LiveTask, harm: FillHarm): void => {
 	const {spec} = step;
+	const {milliCpu} = candidate.worker.report!;
 	candidate.free.milliCpu -= getMilliCpu(spec);
 	candidate.free.memoryMb -= spec.memoryMb;
 	candidate.free.accelerators -= spec.accelerators;
 	candidate.ofStep.set(step, (candidate.ofStep.get(step) ?? 0) + 1);
-	candidate.unusedMilliCpu -= getUsedMilliCpu(spec);
+	candidate.fillSpeeds.clear();
 	if (candidate.worker.health.isProbing) {
 		// One task shows whether the worker has recovered.
 		candidate.free.milliCpu = -1;
 	}
 
 	if (spec.isFilling) {
-		candidate.fillMilliCpu += spec.milliCpu;
-		candidate.servers = candidate.servers.map(server => ({...server, ratio: foresee(server, spec, harm)}));
+		candidate.demands = addDemand(candidate.demands, spec, milliCpu);
 	} else if (spec.targetMs > 0) {
-		candidate.servers = [...candidate.servers, {image: spec.image ?? '', ratio: harm.getQuietRatio(spec.image ?? '')}];
+		const load = harm.getLoad(getServingJob(ref));
+		candidate.unusedShare -= load * spec.milliCpu / milliCpu;
+		candidate.servers = [...candidate.servers, {image: spec.image ?? '', load: load + waveMargin}];
+	} else {
+		candidate.unusedShare -= spec.milliCpu / milliCpu;
 	}
 };
 
-/** Ratio of a server with one task more that fills beside it. */
-const foresee = ({image, ratio}: Server, spec: WorkflowStep, harm: FillHarm): number =>
-	Math.max(ratio, harm.getQuietRatio(image)) + (harm.getEffect(image, spec.image ?? '') * spec.milliCpu / milli);
+const addDemand = (demands: FillDemand[], spec: WorkflowStep, milliCpu: number): FillDemand[] => {
+	const image = spec.image ?? '';
+	const share = spec.milliCpu / milliCpu;
+	return demands.some(demand => demand.image === image)
+		? demands.map(demand => demand.image === image ? {image, share: demand.share + share} : demand)
+		: [...demands, {image, share}];
+};
 
 const choose = (task: LiveTask, candidates: Candidate[], terms: Terms): Candidate | undefined => {
 	const {step} = task;
@@ -174,48 +199,60 @@
 		&& (!spec.isFilling || mustRun === true || canFill(spec, candidate, harm));
 };
 
-const canFill = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): boolean => {
-	const {worker, unusedMilliCpu, fillMilliCpu, servers} = candidate;
-	const isRoomy = fillMilliCpu === 0 || (fillMilliCpu + spec.milliCpu) * minFillSpeed <= unusedMilliCpu;
-	return isRoomy && (worker.paces.get(spec.image ?? '')?.percent ?? 100) === 100
-		&& servers.every(server => foresee(server, spec, harm) <= maxForeseenRatio);
+const canFill = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): boolean =>
+	(candidate.worker.paces.get(spec.image ?? '')?.percent ?? 100) >= minPercent && getFillSpeed(spec, candidate, harm) >= minFillSpeed;
+
+/** Work that a task more would add on the worker, as a share of its full speed: what it would take from others is taken off. */
+const getFillSpeed = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): number => {
+	const {demands, fillSpeeds, worker: {report}} = candidate;
+	const key = `${spec.image} ${spec.milliCpu}`;
+	let speed = fillSpeeds.get(key);
+	if (speed === undefined) {
+		const more = addDemand(demands, spec, report!.milliCpu);
+		speed = (getFilledShare(candidate, more, harm) - getFilledShare(candidate, demands, harm)) * report!.milliCpu / spec.milliCpu;
+		fillSpeeds.set(key, speed);
+	}
+
+	return speed;
 };
 
+const getFilledShare = ({servers, unusedShare}: Candidate, demands: FillDemand[], harm: FillHarm): number =>
+	Math.min(unusedShare, getWorkingShare(demands, planSpeeds(servers, demands, (server, filler) => harm.getEffect(server, filler))));
+
 // A worker on which the task failed or stood still is the last choice.
 const avoidedCost = 20;
 // Far from its data a task takes `farFactor` times as long: that outweighs how well it fits.
 const farCost = 10;
 // Tasks that serve go together, so that other workers are left to what fills.
 const companyGain = 2;
-// Weight of the rise of a serving task's ratio that is foreseen.
+// Weight of the load that a task that fills adds to a serving task.
 const harmCost = 3;
+// Tasks that fill spread: a full worker leaves no room for what is harmful elsewhere.
+const crowdCost = 0.3;
 
 const getCost = (step: LiveStep, candidate: Candidate, harm: FillHarm): number => {
 	const {spec} = step;
-	const {worker: {report, runs}, free, rack, servers, unusedMilliCpu, fillMilliCpu} = candidate;
+	const {worker: {report}, free, rack, servers, demands} = candidate;
 	const farness = spec.dataRack !== undefined && spec.dataRack !== rack ? farCost : 0;
 	const usedShare = 1 - (free.milliCpu / Math.max(1, report!.milliCpu));
 	if (spec.isFilling) {
-		const rise = Math.max(0, ...servers.map(server => foresee(server, spec, harm) - server.ratio));
-		const speed = Math.min(1, unusedMilliCpu / (fillMilliCpu + spec.milliCpu));
-		return farness + (harmCost * rise) - speed + (fillMilliCpu / report!.milliCpu);
+		const rise = Math.max(0, ...servers.map(({image}) => harm.getEffect(image, spec.image ?? ''))) * spec.milliCpu / report!.milliCpu;
+		return farness + (harmCost * rise) - getFillSpeed(spec, candidate, harm) + (crowdCost * getWorkingShare(demands, new Map()));
 	}
 
 	if (spec.targetMs > 0) {
-		return farness - (servers.length > 0 ? companyGain : 0) - usedShare + (harmCost * getHarmOf(spec, runs, harm));
+		return farness - (servers.length > 0 ? companyGain : 0) - usedShare + (harmCost * getHarmOf(spec, demands, harm));
 	}
 
 	// Filling up the fullest first keeps room for wide tasks elsewhere, and leaves whole workers to what fills.
 	return farness - usedShare - (servers.length > 0 ? companyGain : 0);
 };
 
-/** Rise of the ratio of a serving task beside what fills there already. */
-const getHarmOf = (spec: WorkflowStep, runs: Iterable<LiveRun>, harm: FillHarm): number => {
+/** Load that what fills there already adds to a serving task. */
+const getHarmOf = (spec: WorkflowStep, demands: FillDemand[], harm: FillHarm): number => {
 	let rise = 0;
-	for (const {task: {step}} of runs) {
-		if (step.spec.isFilling) {
-			rise += harm.getEffect(spec.image ?? '', step.spec.image ?? '') * step.spec.milliCpu / milli;
-		}
+	for (const {image, share} of demands) {
+		rise += harm.getEffect(spec.image ?? '', image) * share;
 	}
 
 	return rise;
@@ -223,7 +260,7 @@
 
 /** Whether the task would find a place on a worker that it does not avoid. */
 export const hasPlace = (task: LiveTask, workers: Iterable<FleetWorker>, terms: Terms): boolean => {
-	const candidates = [...workers].filter(worker => !task.avoidedHosts.has(worker.host)).map(worker => createCandidate(worker));
+	const candidates = [...workers].filter(worker => !task.avoidedHosts.has(worker.host)).map(worker => createCandidate(worker, terms.harm));
 	return choose(task, candidates, terms) !== undefined;
 };
 
@@ -245,7 +282,9 @@
 };
 
 const tryGang = (step: LiveStep, candidates: Candidate[], terms: Terms): Start[] => {
-	const trial = candidates.map(candidate => ({...candidate, free: {...candidate.free}, ofStep: new Map(candidate.ofStep)}));
+	const trial = candidates.map(candidate => ({
+		...candidate, free: {...candidate.free}, ofStep: new Map(candidate.ofStep), fillSpeeds: new Map(candidate.fillSpeeds),
+	}));
 	const starts: Start[] = [];
 	for (const task of step.tasks) {
 		const candidate = choose(task, trial, terms);
@@ -253,7 +292,7 @@
 			return [];
 		}
 
-		take(candidate, step, terms.harm);
+		take(candidate, task, terms.harm);
 		starts.push({task, worker: candidate.worker});
 	}
 
--- /dev/null
+++ b/src/workflows/serving-load.ts
@@ -0,0 +1,74 @@
+/**
+The load of serving tasks, as their tail latency tells it.
+
+Near the target a tail grows with 1 / (1 - load): 0.25 of the target became 0.54 and then 6 of it as one task after the
+other was added. What neighbours add to the load is a sum, what they add to the tail is not: decisions are made in load.
+*/
+
+/**
+A tail at rest is about a sixth of its target on the users' sites (4 of 24 ms, 25 of 150 ms). Another share scales all
+loads alike and shifts where they begin; which tails are above their targets stays the same.
+*/
+const restRatio = 1 / 6;
+
+/** Load at a ratio of tail latency to target. */
+export const getLoadAt = (ratio: number): number => ratio <= restRatio ? 0 : 1 - (restRatio / ratio);
+
+/** At this load and above, the tail says only that there is too much. */
+export const saturatedLoad = 0.95;
+
+/** Before a job was measured: the mean of the users' sites. */
+const unknownLoad = 0.5;
+const unknownVariance = 0.2 ** 2;
+/** Loads of the users' jobs rise and fall by up to 0.15 a second. */
+const driftVariancePerS = 0.12 ** 2;
+/** Tails come in whole milliseconds and are rough: most reports lie within this of the load of their job. */
+const noiseVariance = 0.06 ** 2;
+const msPerS = 1000;
+/** A job that was not heard for so long is over, or somebody else's. */
+const forgetMs = 60_000;
+
+type JobLoad = {
+	load: number;
+	variance: number;
+	atMs: number;
+};
+
+/** What a task reports, and what its neighbours are expected to add, with the variance of that. */
+export type LoadReport = {
+	job: string;
+	load: number;
+	added: number;
+	addedVariance: number;
+};
+
+/**
+Follows the load that each job brings by itself. All tasks of a job see the same waves: those with quiet neighbours tell
+how much of the others' tails is their neighbours' doing.
+*/
+export class ServingLoads {
+	readonly #jobs = new Map<string, JobLoad>();
+
+	/** Load of the job's tasks without what their neighbours add. */
+	get(job: string): number {
+		return this.#jobs.get(job)?.load ?? unknownLoad;
+	}
+
+	/** Learns from a report; a job that was never heard takes its first as it is. */
+	note({job, load, added, addedVariance}: LoadReport, nowMs: number): void {
+		const own = Math.max(0, load - added);
+		const known = this.#jobs.get(job) ?? {load: unknownLoad, variance: unknownVariance, atMs: nowMs};
+		const variance = known.variance + (driftVariancePerS * (nowMs - known.atMs) / msPerS);
+		const gain = variance / (variance + addedVariance + noiseVariance);
+		this.#jobs.set(job, {load: known.load + (gain * (own - known.load)), variance: variance * (1 - gain), atMs: nowMs});
+	}
+
+	/** Forgets jobs that are not heard any more. */
+	prune(nowMs: number): void {
+		for (const [job, {atMs}] of this.#jobs) {
+			if (nowMs - atMs > forgetMs) {
+				this.#jobs.delete(job);
+			}
+		}
+	}
+}
--- a/test/site-decisions.test.ts
+++ b/test/site-decisions.test.ts
@@ -3,74 +3,16 @@
 */
 import {describe, expect, it} from 'vitest';
 import {LeaseClock} from '../src/agents/lease-clock.ts';
-import {
-	RunEnd, WorkflowState, type Workflow, type WorkflowSpec,
-} from '../src/types/workflows.ts';
-import {FillHarm, type Filler, type Server} from '../src/workflows/fill-harm.ts';
-import {type FleetWorker} from '../src/workflows/fleet-view.ts';
+import {RunEnd, WorkflowState, type Workflow} from '../src/types/workflows.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
-import {decidePaces} from '../src/workflows/harm-pacing.ts';
-import {
-	LiveModel, RunPhase, type LiveRun, type LiveTask,
-} from '../src/workflows/live-model.ts';
-import {place, type Start} from '../src/workflows/placement.ts';
+import {RunPhase} from '../src/workflows/live-model.ts';
 import {RecordType} from '../src/workflows/records.ts';
 import {chooseMoves, wantsCopy} from '../src/workflows/relocation.ts';
+import {
+	createWorker, createWorkflow, load, placeAll, run,
+} from './site-fleet.ts';
 import {createSpec, createStep, queue} from './site-world.ts';
 
-const createWorkflow = (id: string, spec: WorkflowSpec, terms: Partial<Workflow> = {}): Workflow => ({
-	...spec, id, queue: queue.name, service: queue.service, priority: 0, maxAttempts: 2, stretch: 2, targetLatencyMs: 500, needsAdvice: false, receivedAtMs: 0, ...terms,
-});
-
-const createWorker = (host: string, milliCpu = 4000, labels = ['a', 'r1-1']): FleetWorker => ({
-	host,
-	address: host,
-	session: 1,
-	agentLife: 'life',
-	version: 1,
-	report: {
-		workerId: `${host}-1`, service: queue.service, failureDomain: 'hall', isDraining: false, milliCpu, memoryMb: 64_000, accelerators: 0, labels, sequence: 1,
-	},
-	isListed: true,
-	isAnswering: true,
-	heardAtMs: 0,
-	agentClockMs: 0,
-	workerClockMs: 0,
-	runs: new Set(),
-	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
-	takenEnd: 0,
-	storedEnd: 0,
-	blockedUntilMs: 0,
-	unknownStopAtMs: 0,
-	paces: new Map(),
-	fillChangedAtMs: 0,
-	fillKey: '',
-});
-
-const load = (workflows: Workflow[]): {model: LiveModel; fold: WorkflowFold} => {
-	const fold = new WorkflowFold();
-	for (const [offset, workflow] of workflows.entries()) {
-		fold.apply({type: RecordType.Submit, workflow}, offset);
-	}
-
-	const model = new LiveModel();
-	model.load(fold, 0, 0);
-	return {model, fold};
-};
-
-const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, harm = new FillHarm()} = {}): Start[] => place({
-	waiting: model.waiting(0, () => false), workers, wallMs, nowMs, harm, isAllowed: () => true,
-});
-
-const run = (task: LiveTask, worker: FleetWorker, fields: Partial<LiveRun> = {}): LiveRun => {
-	const live: LiveRun = {
-		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, sentAtMs: 0, isOrderOut: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, recent: 0, progressAtMs: 0, stopSentAtMs: 0, isUnwanted: false, pacePercent: 100, ...fields,
-	};
-	task.runs.push(live);
-	worker.runs.add(live);
-	return live;
-};
-
 describe('placement', () => {
 	it('never gives a worker more than it has', () => {
 		const {model} = load([createWorkflow('a', createSpec([createStep({count: 20, milliCpu: 900})]))]);
@@ -131,60 +73,6 @@
 		const starts = placeAll(model, [createWorker('x'), createWorker('y')]);
 		expect(starts.map(({task}) => task.ref.workflowId)).toEqual(['urgent', 'easy']);
 	});
-
-	/** What fills was set beside serving tasks, stood still there, and jobs missed their objective. */
-	it('sets what fills away from serving tasks that it is known to harm', () => {
-		const harm = new FillHarm();
-		const {model} = load([
-			createWorkflow('s', createSpec([createStep({
-				isLasting: true, targetMs: 100, image: 'serve', milliCpu: 3000,
-			})])),
-			createWorkflow('f', createSpec([createStep({count: 2, isFilling: true, image: 'heavy'})])),
-		]);
-		const [server] = [...model.waiting(0, () => false)];
-		const worker = createWorker('x');
-		run(server!, worker, {recent: 40});
-		for (let index = 0; index < 20; index++) {
-			harm.note([{image: 'serve', ratio: 3}], [{
-				image: 'heavy', cores: 2, percent: 100, sinceChangeMs: 0,
-			}], index * 500);
-		}
-
-		expect(placeAll(model, [worker], {harm})).toHaveLength(0);
-		// With nothing of its job running it does not wait for ever, though most room is free: one task starts, and is paced.
-		expect(placeAll(model, [worker], {harm, nowMs: 2000})).toHaveLength(1);
-		expect(placeAll(model, [worker, createWorker('y')], {harm}).map(start => start.worker.host)).toEqual(['y', 'y']);
-	});
-});
-
-describe('paces', () => {
-	const filler = (image: string, fields: Partial<Filler> = {}): Filler => ({
-		image, cores: 2, percent: 100, sinceChangeMs: 1000, ...fields,
-	});
-	const serving = (ratio: number): Server[] => [{image: 'serve', ratio}];
-	const effect = (_: string, image: string) => image === 'heavy' ? 1 : 0.01;
-
-	it('stop what is known to harm a tail far above its target, and leave the rest', () => {
-		expect(decidePaces(serving(5), [filler('heavy'), filler('light')], effect)).toEqual(new Map([['heavy', 0]]));
-	});
-
-	it('take from the most harmful first', () => {
-		expect([...decidePaces(serving(1.2), [filler('light'), filler('heavy')], effect).keys()]).toEqual(['heavy']);
-	});
-
-	it('wait for the last change to show before they go down again', () => {
-		expect(decidePaces(serving(1.2), [filler('heavy', {percent: 50, sinceChangeMs: 100})], effect).size).toBe(0);
-	});
-
-	it('give back only what serving tasks can bear', () => {
-		expect(decidePaces(serving(0.5), [filler('heavy', {percent: 0})], effect).size).toBe(0);
-		expect(decidePaces(serving(0.5), [filler('light', {percent: 0})], effect)).toEqual(new Map([['light', 100]]));
-		expect(decidePaces(serving(0.5), [filler('between', {percent: 0})], () => 0.25)).toEqual(new Map([['between', 50]]));
-	});
-
-	it('give all back where nothing serves any more', () => {
-		expect(decidePaces([], [filler('heavy', {percent: 0})], effect)).toEqual(new Map([['heavy', 100]]));
-	});
 });
 
 describe('runs that stand still', () => {
--- /dev/null
+++ b/test/site-fleet.ts
@@ -0,0 +1,66 @@
+/**
+Jobs, workers and runs for tests of decisions that need no network.
+*/
+import {type Workflow, type WorkflowSpec} from '../src/types/workflows.ts';
+import {FillHarm} from '../src/workflows/fill-harm.ts';
+import {type FleetWorker} from '../src/workflows/fleet-view.ts';
+import {WorkflowFold} from '../src/workflows/fold.ts';
+import {
+	LiveModel, RunPhase, type LiveRun, type LiveTask,
+} from '../src/workflows/live-model.ts';
+import {place, type Start} from '../src/workflows/placement.ts';
+import {RecordType} from '../src/workflows/records.ts';
+import {queue} from './site-world.ts';
+
+export const createWorkflow = (id: string, spec: WorkflowSpec, terms: Partial<Workflow> = {}): Workflow => ({
+	...spec, id, queue: queue.name, service: queue.service, priority: 0, maxAttempts: 2, stretch: 2, targetLatencyMs: 500, needsAdvice: false, receivedAtMs: 0, ...terms,
+});
+
+export const createWorker = (host: string, milliCpu = 4000, labels = ['a', 'r1-1']): FleetWorker => ({
+	host,
+	address: host,
+	session: 1,
+	agentLife: 'life',
+	version: 1,
+	report: {
+		workerId: `${host}-1`, service: queue.service, failureDomain: 'hall', isDraining: false, milliCpu, memoryMb: 64_000, accelerators: 0, labels, sequence: 1,
+	},
+	isListed: true,
+	isAnswering: true,
+	heardAtMs: 0,
+	agentClockMs: 0,
+	workerClockMs: 0,
+	runs: new Set(),
+	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
+	takenEnd: 0,
+	storedEnd: 0,
+	blockedUntilMs: 0,
+	unknownStopAtMs: 0,
+	paces: new Map(),
+	fillUses: [],
+	harmNotedAtMs: Number.NEGATIVE_INFINITY,
+});
+
+export const load = (workflows: Workflow[]): {model: LiveModel; fold: WorkflowFold} => {
+	const fold = new WorkflowFold();
+	for (const [offset, workflow] of workflows.entries()) {
+		fold.apply({type: RecordType.Submit, workflow}, offset);
+	}
+
+	const model = new LiveModel();
+	model.load(fold, 0, 0);
+	return {model, fold};
+};
+
+export const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, harm = new FillHarm()} = {}): Start[] => place({
+	waiting: model.waiting(0, () => false), workers, wallMs, nowMs, harm, isAllowed: () => true,
+});
+
+export const run = (task: LiveTask, worker: FleetWorker, fields: Partial<LiveRun> = {}): LiveRun => {
+	const live: LiveRun = {
+		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, sentAtMs: 0, isOrderOut: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, recent: 0, progressAtMs: 0, stopSentAtMs: 0, isUnwanted: false, pacePercent: 100, ...fields,
+	};
+	task.runs.push(live);
+	worker.runs.add(live);
+	return live;
+};
--- /dev/null
+++ b/test/site-harm.test.ts
@@ -0,0 +1,156 @@
+/**
+What fills beside what serves: learned effects, paces, and where tasks that fill are set. No network.
+*/
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {type AgentLinks} from '../src/workflows/agent-links.ts';
+import {FillHarm, type Filler, type Server} from '../src/workflows/fill-harm.ts';
+import {planSpeeds} from '../src/workflows/harm-pacing.ts';
+import {decidePaces, PaceKeeper} from '../src/workflows/pace-keeper.ts';
+import {getLoadAt} from '../src/workflows/serving-load.ts';
+import {
+	createWorker, createWorkflow, load, placeAll, run,
+} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const filler = (image: string, fields: Partial<Filler> = {}): Filler => ({
+	image, share: 0.25, usedShare: 0.25, percent: 100, sinceChangeMs: 1000, ...fields,
+});
+
+const serving = (ratio: number, job = 's.0'): Server[] => [{image: 'serve', job, ratio}];
+
+/** Tail over target at a load, as workers measure it. */
+const getRatioAt = (load: number): number => 1 / (6 * (1 - Math.min(0.99, load)));
+
+/** Two workers report a job for ten seconds: one has quiet neighbours, the other has heavy ones now and then. */
+const teach = (heavyEffect: number): FillHarm => {
+	const harm = new FillHarm();
+	for (let nowMs = 0; nowMs < 10_000; nowMs += 500) {
+		const own = 0.45 + (0.2 * Math.sin(nowMs / 1600));
+		const heavyShare = nowMs % 2000 < 1000 ? 0.2 : 0;
+		harm.note(serving(getRatioAt(own)), [filler('light')], {nowMs, isFalling: false});
+		harm.note(serving(getRatioAt(own + (heavyEffect * heavyShare))), [filler('light'), filler('heavy', {usedShare: heavyShare})], {nowMs, isFalling: false});
+	}
+
+	return harm;
+};
+
+describe('learned harm', () => {
+	/**
+	All tasks of a job have long tails at the top of its wave, whoever is beside them. What was beside them then was
+	stopped as well, and callers' jobs stood still: the quiet worker's report tells the wave from the neighbour.
+	*/
+	it('tells the wave of a job from what its neighbours do', () => {
+		const harm = teach(1.5);
+		expect(harm.getEffect('serve', 'heavy')).toBeGreaterThan(1);
+		expect(harm.getEffect('serve', 'light')).toBeLessThan(0.3);
+	});
+
+	/** A tail falls back over a second and more after its cause was stopped: what is beside it by then is not the cause. */
+	it('blames nobody for a tail that is still falling', () => {
+		const harm = teach(1.5);
+		const before = harm.getEffect('serve', 'light');
+		for (let nowMs = 10_000; nowMs < 11_000; nowMs += 500) {
+			harm.note(serving(4), [filler('light')], {nowMs, isFalling: true});
+		}
+
+		expect(harm.getEffect('serve', 'light')).toBeLessThanOrEqual(before);
+	});
+});
+
+describe('speeds', () => {
+	const effect = (_: string, image: string) => image === 'heavy' ? 1 : 0.1;
+	const demands = [{image: 'heavy', share: 0.2}, {image: 'light', share: 0.5}];
+
+	it('are whole while every serving task stays below its target', () => {
+		expect([...planSpeeds([{image: 'serve', load: 0.5}], demands, effect).values()]).toEqual([1, 1]);
+	});
+
+	it('are taken from the most harmful image first, and no more than needed', () => {
+		const speeds = planSpeeds([{image: 'serve', load: 0.64}], demands, effect);
+		expect(speeds.get('light')).toBe(1);
+		expect(speeds.get('heavy')).toBeCloseTo((getLoadAt(0.8) - 0.64 - 0.05) / 0.2);
+	});
+
+	it('are nothing for what is harmful where a serving task has nothing to spare', () => {
+		expect([...planSpeeds([{image: 'serve', load: 0.85}], demands, effect).values()]).toEqual([0, 0]);
+	});
+
+	it('keep what harms nobody at work', () => {
+		expect([...planSpeeds([{image: 'serve', load: 0.85}], demands, () => 0.01).values()]).toEqual([1, 1]);
+	});
+});
+
+describe('paces', () => {
+	it('slow what is known to harm a tail far above its target, and leave the rest', () => {
+		const paces = decidePaces(serving(5), [filler('heavy'), filler('light')], teach(4), false);
+		expect(paces.get('heavy')).toBeLessThan(50);
+		expect(paces.has('light')).toBe(false);
+	});
+
+	it('do not go down again while the tail falls after the last change', () => {
+		const fillers = [filler('heavy', {percent: 0, usedShare: 0, sinceChangeMs: 100}), filler('light')];
+		expect(decidePaces(serving(2), fillers, teach(1.5), true)).toEqual(new Map());
+	});
+
+	it('go down with a tail that nothing known explains', () => {
+		expect(decidePaces(serving(5), [filler('new')], new FillHarm(), false).get('new')).toBeLessThan(50);
+	});
+
+	it('give back only what serving tasks can bear', () => {
+		const harm = teach(4);
+		expect(decidePaces(serving(0.3), [filler('heavy', {percent: 0, usedShare: 0})], harm, false).get('heavy') ?? 0).toBeLessThan(50);
+		expect(decidePaces(serving(0.3), [filler('light', {percent: 0, usedShare: 0})], harm, false)).toEqual(new Map([['light', 100]]));
+	});
+
+	it('wait for the last change to show before they give more back', () => {
+		expect(decidePaces(serving(0.3), [filler('light', {percent: 0, usedShare: 0, sinceChangeMs: 100})], teach(1.5), false).size).toBe(0);
+	});
+
+	it('give all back where nothing serves any more', () => {
+		expect(decidePaces([], [filler('heavy', {percent: 0, usedShare: 0})], teach(4), false)).toEqual(new Map([['heavy', 100]]));
+	});
+});
+
+describe('placement of what fills', () => {
+	const createWorld = (recentMs = 40) => {
+		const {model} = load([
+			createWorkflow('s', createSpec([createStep({
+				isLasting: true, targetMs: 100, image: 'serve', milliCpu: 3000,
+			})])),
+			createWorkflow('f', createSpec([createStep({count: 2, isFilling: true, image: 'heavy'})])),
+		]);
+		const worker = createWorker('x');
+		const [server] = [...model.waiting(0, () => false)];
+		run(server!, worker, {recent: recentMs, percent: 100});
+		return {model, worker};
+	};
+
+	/** What fills was set beside serving tasks, stood still there, and jobs missed their objective. */
+	it('sets what fills away from serving tasks that it is known to harm', () => {
+		const {model, worker} = createWorld();
+		const harm = teach(4);
+		expect(placeAll(model, [worker], {harm})).toHaveLength(0);
+		// With nothing of its job running it does not wait for ever, though most room is free: one task starts, and is paced.
+		expect(placeAll(model, [worker], {harm, nowMs: 2000})).toHaveLength(1);
+		expect(placeAll(model, [worker, createWorker('y')], {harm}).map(start => start.worker.host)).toEqual(['y', 'y']);
+	});
+
+	it('sets what harms nobody beside serving tasks, as far as they leave processors', () => {
+		const {model, worker} = createWorld();
+		expect(placeAll(model, [worker], {harm: teach(0)})).toHaveLength(2);
+	});
+
+	/** An image was held at nothing beside a serving task, its tasks moved on, and it never came back to that worker. */
+	it('knows no pace of an image of which nothing is left', () => {
+		const {model, worker} = createWorld(20);
+		worker.paces.set('heavy', {percent: 0, changedAtMs: 0});
+		const harm = teach(0);
+		expect(placeAll(model, [worker], {harm})).toHaveLength(0);
+		const keeper = new PaceKeeper({
+			harm, clock: new ManualClock(), links: undefined as unknown as AgentLinks, note: () => undefined,
+		});
+		keeper.take(worker);
+		expect(placeAll(model, [worker], {harm})).toHaveLength(2);
+	});
+});
