Read the stream in pieces that a slow link can carry

Change: a reader begins with 128 KB, halves after a read without an answer and grows again only behind the end; an entry joins the group once it has read what it would own.

Measured: a test on the stand-in (answers over 60 KB do not arrive): the job never started before, starts within 10 s now.

--- a/src/agents/control-watch.ts
+++ b/src/agents/control-watch.ts
@@ -61,7 +61,7 @@
 			const prove = this.#options.onReadSent();
 			try {
 				// The first reads do not wait: the end has to be known before orders are taken.
-				const page = await store.read(ref, this.#offset, this.#isCaughtUp ? readWaitMs : 0, signal);
+				const page = await store.read(ref, this.#offset, {waitMs: this.#isCaughtUp ? readWaitMs : 0, signal});
 				for (const {offset, value} of page.records) {
 					this.#apply(value);
 					this.#offset = offset + 1;
--- a/src/platform/store-calls.ts
+++ b/src/platform/store-calls.ts
@@ -6,7 +6,7 @@
 	createError, ErrorCode, getMessage,
 } from '../core/errors.ts';
 import {
-	AppendOutcome, type AppendOptions, type AppendResult, type GroupShare, type KeyedRecord, type KeyedWrite, type PartitionRef, type StoreClient, type StorePage,
+	AppendOutcome, type AppendOptions, type AppendResult, type GroupShare, type KeyedRecord, type KeyedWrite, type PartitionRef, type ReadOptions, type StoreClient, type StorePage,
 } from '../types/store.ts';
 import {type HttpAnswer, type HttpCall, type HttpClient} from '../utils/http-calls.ts';
 
@@ -14,7 +14,8 @@
 const readSlackMs = 700;
 /** Bound on calls that answer at once. The store answers in a few ms; a silent connection shows after this. */
 const callTimeoutMs = 1500;
-const maxReadKb = 1024;
+const bytesPerKb = 1024;
+const defaultReadBytes = 1024 * bytesPerKb;
 const lengthBytes = 4;
 const pageHeadBytes = 16;
 
@@ -54,9 +55,9 @@
 		return decodeAppend(answer);
 	};
 
-	const read = async (ref: PartitionRef, fromOffset: number, waitMs: number, signal?: AbortSignal): Promise<StorePage> => {
+	const read = async (ref: PartitionRef, fromOffset: number, {waitMs, maxBytes = defaultReadBytes, signal}: ReadOptions): Promise<StorePage> => {
 		const query = new URLSearchParams({
-			topic: ref.topic, part: String(ref.partition), from: String(fromOffset), maxKb: String(maxReadKb), ...(waitMs > 0 && {waitMs: String(Math.round(waitMs))}),
+			topic: ref.topic, part: String(ref.partition), from: String(fromOffset), maxKb: String(Math.max(1, Math.floor(maxBytes / bytesPerKb))), ...(waitMs > 0 && {waitMs: String(Math.round(waitMs))}),
 		});
 		const answer = await sendPlain({
 			method: 'GET', path: `/log-read?${query.toString()}`, timeoutMs: waitMs + readSlackMs, step: `read ${ref.topic}`, signal,
@@ -76,7 +77,7 @@
 		appendKeyed: async (ref, writes, options) => append(ref, writes.map(write => encodeKeyed(write)), options),
 		read,
 		async readKeyed(ref, fromOffset, waitMs, signal) {
-			const page = await read(ref, fromOffset, waitMs, signal);
+			const page = await read(ref, fromOffset, {waitMs, signal});
 			return {records: page.records.map(({offset, value}) => ({...decodeKeyed(value), offset})), endOffset: page.endOffset};
 		},
 		async newest(ref, signal) {
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -38,9 +38,9 @@
 		throw createError(ErrorCode.BadSettings, {step: 'start entry', detail: 'the settings name no address for callers'});
 	}
 
-	const {followers, config, desk, ownership, isStoreLost} = createParts(parts);
+	const {config, desk, ownership, isStoreLost, isCaughtUp} = createParts(parts);
 	let isLeaving = false;
-	const isReady = () => !isLeaving && config.config !== undefined && !isStoreLost() && [...followers.values()].every(follower => follower.isCaughtUp);
+	const isReady = () => !isLeaving && isCaughtUp() && !isStoreLost();
 	const callers = createCallerServer({
 		desk,
 		clock,
@@ -137,6 +137,7 @@
 			note(`store ${event}`, {detail, writer: 'desk'});
 		},
 	});
+	const isCaughtUp = () => config.config !== undefined && [...followers.values()].every(follower => follower.isCaughtUp);
 	const ownership = new Ownership({
 		store,
 		clock,
@@ -146,6 +147,7 @@
 		member: `${site.hostName}-${life}`,
 		minTtlMs: minMemberTtlMs,
 		isUsed: partition => followers.has(partition),
+		isCaughtUp,
 		createOwner: (partition, epoch, onDeposed) => new Owner({
 			store,
 			clock,
@@ -165,6 +167,6 @@
 	});
 	metrics.addGauge('chervilworks_partitions_owned', 'Partitions that this entry owns.', () => ownership.owners.size);
 	return {
-		followers, config, desk, ownership, isStoreLost,
+		config, desk, ownership, isStoreLost, isCaughtUp,
 	};
 };
--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -6,7 +6,7 @@
 import {createError, ErrorCode} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
-	AppendOutcome, type AppendOptions, type AppendResult, type GroupMember, type GroupShare, type KeyedRecord, type KeyedWrite, type PartitionRef, type StoreClient, type StorePage,
+	AppendOutcome, type AppendOptions, type AppendResult, type GroupMember, type GroupShare, type KeyedRecord, type KeyedWrite, type PartitionRef, type ReadOptions, type StoreClient, type StorePage,
 } from '../types/store.ts';
 
 /** How the store treats a call. */
@@ -68,13 +68,15 @@
 
 	/** How calls are treated; changed by tests as they go. */
 	fault: FaultPolicy = () => StoreFault.None;
+	/** Longer answers do not arrive before the reader gives up: its link is slow. */
+	maxAnswerBytes = Number.POSITIVE_INFINITY;
 
 	/** A client with a name, which fault policies can tell apart. */
 	createClient(client: string): StoreClient {
 		return {
 			append: async (ref, values, options) => this.#append(client, ref, values, options),
 			appendKeyed: async (ref, writes, options) => this.#append(client, ref, writes, options),
-			read: async (ref, fromOffset, waitMs, signal) => this.#read(client, ref, fromOffset, {waitMs, signal}),
+			read: async (ref, fromOffset, options) => this.#read(client, ref, fromOffset, options),
 			readKeyed: async (ref, fromOffset, waitMs, signal) => {
 				const {records, endOffset} = await this.#read(client, ref, fromOffset, {waitMs, signal});
 				return {records: records.map(({offset, value}) => ({...decodeKeyed(value), offset})), endOffset};
@@ -230,7 +232,7 @@
 		return {outcome: AppendOutcome.Appended, offset, endOffset: partition.oldest + partition.records.length};
 	}
 
-	async #read(client: string, ref: PartitionRef, fromOffset: number, {waitMs, signal}: {waitMs: number; signal?: AbortSignal}): Promise<StorePage> {
+	async #read(client: string, ref: PartitionRef, fromOffset: number, {waitMs, maxBytes = Number.POSITIVE_INFINITY, signal}: ReadOptions): Promise<StorePage> {
 		await this.#answer(client, 'read', ref);
 		const partition = this.#get(ref);
 		if (fromOffset < partition.oldest) {
@@ -254,8 +256,13 @@
 			throw createError(ErrorCode.StoreUnanswered, {step: 'read at stand-in', detail: 'given up'});
 		}
 
+		const values = takeBytes(partition.records.slice(fromOffset - partition.oldest), maxBytes);
+		if (sumBytes(values) > this.maxAnswerBytes) {
+			throw createError(ErrorCode.StoreUnanswered, {step: 'read at stand-in', detail: 'too slow'});
+		}
+
 		return {
-			records: partition.records.slice(fromOffset - partition.oldest).map((value, index) => ({offset: fromOffset + index, value})),
+			records: values.map((value, index) => ({offset: fromOffset + index, value})),
 			oldestOffset: partition.oldest,
 			endOffset: partition.oldest + partition.records.length,
 		};
@@ -313,3 +320,22 @@
 		}
 	}
 }
+
+const sumBytes = (values: Buffer[]): number => {
+	let sum = 0;
+	for (const {length} of values) {
+		sum += length;
+	}
+
+	return sum;
+};
+
+/** As many values as fit, and one at the least. */
+const takeBytes = (values: Buffer[], maxBytes: number): Buffer[] => {
+	let sum = 0;
+	const end = values.findIndex(({length}, index) => {
+		sum += length;
+		return index > 0 && sum > maxBytes;
+	});
+	return end === -1 ? values : values.slice(0, end);
+};
--- a/src/types/store.ts
+++ b/src/types/store.ts
@@ -70,6 +70,14 @@
 	timeoutMs: number;
 };
 
+/** Terms of a read. */
+export type ReadOptions = {
+	waitMs: number;
+	/** At least one record is given; undefined: as much as the store gives. */
+	maxBytes?: number;
+	signal?: AbortSignal;
+};
+
 /** A member's place in a group. */
 export type GroupMember = {
 	group: string;
@@ -99,8 +107,8 @@
 export type StoreClient = {
 	append(ref: PartitionRef, values: Buffer[], options: AppendOptions): Promise<AppendResult>;
 	appendKeyed(ref: PartitionRef, writes: KeyedWrite[], options: AppendOptions): Promise<AppendResult>;
-	/** Answers as soon as a record is there, at the latest after `waitMs`. */
-	read(ref: PartitionRef, fromOffset: number, waitMs: number, signal?: AbortSignal): Promise<StorePage>;
+	/** Answers as soon as a record is there, at the latest after `waitMs`, with at most about `maxBytes` of records. */
+	read(ref: PartitionRef, fromOffset: number, options: ReadOptions): Promise<StorePage>;
 	readKeyed(ref: PartitionRef, fromOffset: number, waitMs: number, signal?: AbortSignal): Promise<{records: Array<KeyedWrite & {offset: number}>; endOffset: number}>;
 	newest(ref: PartitionRef, signal?: AbortSignal): Promise<KeyedPage>;
 	join(member: GroupMember): Promise<GroupShare>;
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -1,7 +1,9 @@
 /**
 Keeps the fold of one partition up to date, and proves on demand that it is.
 */
-import {getMessage, getOldestOffset} from '../core/errors.ts';
+import {
+	ErrorCode, getErrorCode, getMessage, getOldestOffset,
+} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {type PartitionRef, type StoreClient, type StorePage} from '../types/store.ts';
 import {WorkflowFold} from './fold.ts';
@@ -23,6 +25,13 @@
 second away. Waiting for a first record costs nothing.
 */
 const gatherMs = 8;
+/**
+A read that gets no answer is tried again with half as much: on a link of 7 Mbit/s a megabyte takes longer than a reader
+waits, and asking for it again and again would never end. The first read takes 0.15 s on such a link.
+*/
+const firstReadBytes = 131_072;
+const minReadBytes = 16_384;
+const maxReadBytes = 1_048_576;
 
 /** The follower. */
 export class WorkflowFollower {
@@ -31,6 +40,8 @@
 	provenAtMs = Number.NEGATIVE_INFINITY;
 	readonly #options: FollowerOptions;
 	#catchUp: Promise<void> | undefined;
+	#readBytes = firstReadBytes;
+	#mayReadMore = true;
 
 	constructor(options: FollowerOptions) {
 		this.#options = options;
@@ -99,8 +110,13 @@
 		const sentAtMs = clock.monotonicMs();
 		let page;
 		try {
-			page = await store.read(ref, this.fold.offset, waitMs, signal);
+			page = await store.read(ref, this.fold.offset, {waitMs, maxBytes: this.#readBytes, signal});
 		} catch (error) {
+			if (getErrorCode(error) === ErrorCode.StoreUnanswered && !signal.aborted) {
+				this.#readBytes = Math.max(minReadBytes, this.#readBytes / 2);
+				this.#mayReadMore = false;
+			}
+
 			const oldestOffset = getOldestOffset(error);
 			if (oldestOffset !== undefined) {
 				this.fold.offset = oldestOffset;
@@ -113,6 +129,9 @@
 		this.#apply(page);
 		if (this.fold.offset >= page.endOffset) {
 			this.provenAtMs = Math.max(this.provenAtMs, sentAtMs);
+			this.#mayReadMore = true;
+		} else if (this.#mayReadMore) {
+			this.#readBytes = Math.min(maxReadBytes, this.#readBytes * 2);
 		}
 	}
 
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -22,6 +22,8 @@
 	/** New with each start of the process. */
 	member: string;
 	minTtlMs: number;
+	/** Whether this entry knows what it would own. */
+	isCaughtUp: () => boolean;
 	/** Whether the partition carries anything. */
 	isUsed: (partition: number) => boolean;
 	createOwner: (partition: number, epoch: number, onDeposed: () => void) => RunningOwner;
@@ -30,6 +32,8 @@
 
 /** The group deals a silent member's partitions anew after this: the time that a dead owner's jobs wait. */
 const ttlMs = 1200;
+/** Until the jobs are known. */
+const catchUpEveryMs = 20;
 /** Several calls may be lost or slow before the group takes the member for dead. */
 const joinEveryMs = 250;
 
@@ -45,9 +49,16 @@
 		this.#options = options;
 	}
 
-	/** Keeps the membership until the signal aborts. */
+	/**
+	Keeps the membership until the signal aborts. A process that has not read what it would own stays out: dealt a
+	partition, it would keep it from an entry that knows the jobs, for as long as its link takes.
+	*/
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, store, group, member, topic, minTtlMs} = this.#options;
+		const {clock, store, group, member, topic, minTtlMs, isCaughtUp} = this.#options;
+		while (!signal.aborted && !isCaughtUp()) {
+			await clock.sleep(catchUpEveryMs, signal);
+		}
+
 		while (!signal.aborted && !this.#isLeaving) {
 			try {
 				const share = await store.join({
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -321,3 +321,27 @@
 	});
 });
 
+describe('a host with a slow link', () => {
+	/**
+	All entries lose power and start anew. Each reads the whole stream of jobs; on a link of 7 Mbit/s one answer of a
+	megabyte takes longer than the reader waits. It asked for the same megabyte again and again, owned the jobs, and nothing ran.
+	*/
+	it('reads the stream in pieces that its link can carry', async () => {
+		await createWorld();
+		const spec = createSpec([createStep()], {input: 'x'.repeat(4000)});
+		for (let index = 0; index < 50; index++) {
+			const id = index.toString(16).padStart(16, '0');
+			await world.submit(id, spec);
+		}
+
+		for (const name of ['entry-0', 'entry-1']) {
+			world.killEntry(name);
+		}
+
+		world.store.maxAnswerBytes = 60_000;
+		world.startEntry('entry-2');
+		await world.submit(jobId, createSpec([createStep()]), 'entry-2');
+		const tookMs = await world.waitFor(() => world.getStarts(`${jobId}.0.0.0`) > 0, 20_000);
+		expect(tookMs).toBeLessThan(10_000);
+	});
+});
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -180,6 +180,7 @@
 			topic: workflowsTopic,
 			member: life,
 			minTtlMs: 1000,
+			isCaughtUp: () => follower.isCaughtUp,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, onDeposed) => new Owner({
 				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true,
--- a/test/store-calls.test.ts
+++ b/test/store-calls.test.ts
@@ -79,20 +79,21 @@
 describe('read', () => {
 	it('numbers records from where it began', async () => {
 		const store = await createStore(() => ({status: 200, raw: Buffer.concat([frameHead(12, 2), frame('x'), frame('')])}));
-		expect(await store.read(ref, 10, 500)).toEqual({
+		expect(await store.read(ref, 10, {waitMs: 500, maxBytes: 65_536})).toEqual({
 			records: [{offset: 10, value: Buffer.from('x')}, {offset: 11, value: Buffer.from('')}], oldestOffset: 2, endOffset: 12,
 		});
 		expect(server.asked[0]!.url.searchParams.get('waitMs')).toBe('500');
+		expect(server.asked[0]!.url.searchParams.get('maxKb')).toBe('64');
 	});
 
 	it('names the oldest offset where records are gone', async () => {
 		const store = await createStore(() => ({status: 410, json: {first: 44}}));
-		await expect(store.read(ref, 10, 0)).rejects.toSatisfy(error => getOldestOffset(error) === 44);
+		await expect(store.read(ref, 10, {waitMs: 0})).rejects.toSatisfy(error => getOldestOffset(error) === 44);
 	});
 
 	it('takes a refusal for one that did nothing', async () => {
 		const store = await createStore(() => ({status: 503}));
-		await expect(store.read(ref, 0, 0)).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.StoreRefused);
+		await expect(store.read(ref, 0, {waitMs: 0})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.StoreRefused);
 	});
 
 	it('gathers all pages of newest records', async () => {
