Let a host with a slow processor own only while no other does

The group deals the jobs to any member, so rounds of placement wait for the processor on every second owner.

Change: an entry with less than 0.25 of a core stands by. It looks once a second who owns; it joins when no member of another kind has answered for 3 s, and leaves again when one does.

Measured: a test on the stand-in (steps in, steps back, steps in again).

--- a/src/platform/site-file.ts
+++ b/src/platform/site-file.ts
@@ -47,6 +47,7 @@
 const decodeSite = (file: TomlTable): SiteSettings => {
 	const listen = getTable(file, 'listenAddrs');
 	const store = getTable(file, 'platform');
+	const limits = getTable(file, 'limits');
 	const ports = Array.isArray(file.internalPorts) ? file.internalPorts.map(Number) : [];
 	return {
 		hostName: requireText(file, 'nodeName'),
@@ -59,6 +60,7 @@
 		workerService: getText(file, 'service'),
 		internalPorts: [ports[0] ?? 0, ports[1] ?? 0],
 		adviceAddress: getText(file, 'advice'),
+		processors: getNumber(limits, 'cpuShare', 1) * getNumber(limits, 'cores', 1),
 		store: {
 			address: requireText(store, 'address'),
 			partitions: getNumber(store, 'parts', 1),
--- a/src/platform/store-calls.ts
+++ b/src/platform/store-calls.ts
@@ -102,6 +102,13 @@
 			}, 'join group') as {generation: number; parts?: Array<[string, number, number]>};
 			return {generation: reply.generation, partitions: (reply.parts ?? []).map(([topic, partition]) => ({topic, partition}))};
 		},
+		async getOwners(group) {
+			const query = new URLSearchParams({group});
+			const answer = await sendPlain({
+				method: 'GET', path: `/log-owners?${query.toString()}`, timeoutMs: callTimeoutMs, step: 'read owners of group',
+			});
+			return decodeOwners(parseJson(answer.body));
+		},
 		async leave(group, member) {
 			await postJson('/log-leave', {group, member}, 'leave group');
 		},
@@ -110,6 +117,12 @@
 
 const parseJson = (body: Buffer): unknown => body.length === 0 ? {} : JSON.parse(body.toString('utf8')) as unknown;
 
+/** Rows of topic, partition, member and offset; the page names no field for the rows. */
+const decodeOwners = (reply: unknown): string[] => {
+	const rows = Array.isArray(reply) ? reply : Object.values(reply as Record<string, unknown>).find(value => Array.isArray(value)) ?? [];
+	return [...new Set((rows as Array<[string, number, string?]>).map(row => row[2] ?? '').filter(member => member !== ''))];
+};
+
 const formatAppend = (ref: PartitionRef, {stamp, atOffset}: AppendOptions): string => new URLSearchParams({
 	topic: ref.topic,
 	part: String(ref.partition),
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -10,12 +10,14 @@
 import {createAdviceClient} from '../platform/advice-calls.ts';
 import {createStoreClient} from '../platform/store-calls.ts';
 import {type SiteConfig, type SiteSettings} from '../types/site.ts';
+import {type HttpClient} from '../utils/http-calls.ts';
 import {close, listen} from '../utils/http-server.ts';
+import {alivePath} from '../utils/metrics-page.ts';
 import {ConfigFollower} from '../workflows/config-follower.ts';
 import {WorkflowDesk} from '../workflows/desk.ts';
 import {WorkflowFollower} from '../workflows/follower.ts';
 import {Owner} from '../workflows/owner.ts';
-import {Ownership} from '../workflows/ownership.ts';
+import {Ownership, ownerProcessors, standbyPrefix} from '../workflows/ownership.ts';
 import {findQueue} from '../workflows/queues.ts';
 import {workflowsTopic} from '../workflows/records.ts';
 import {createAgentClient} from './agent-messages.ts';
@@ -69,7 +71,26 @@
 	};
 });
 
-const createParts = ({site, clock, http, note, life, signal, metrics}: SiteProcess) => {
+/** Members are named by the address at which the other entries reach them. */
+const formatMember = (address: string, life: string): string => `${address}/${life}`;
+
+const aliveTimeoutMs = 600;
+
+/** Any answer tells that the process of the member lives. */
+const isAnswering = async (http: HttpClient, member: string): Promise<boolean> => {
+	const [address] = member.split('/');
+	try {
+		await http.call({
+			address: address!, method: 'GET', path: alivePath, timeoutMs: aliveTimeoutMs, step: 'ask whether an owner lives',
+		});
+		return true;
+	} catch {
+		// No answer is the answer that was asked for.
+		return false;
+	}
+};
+
+const createParts = ({site, clock, http, note, life, signal, metrics, metricsAddress}: SiteProcess) => {
 	const store = createStoreClient(http, site.store.address);
 	const {partitions, maxCallBytes, minMemberTtlMs, keptMs} = site.store;
 	const client = createAgentClient(http);
@@ -138,13 +159,16 @@
 		},
 	});
 	const isCaughtUp = () => config.config !== undefined && [...followers.values()].every(follower => follower.isCaughtUp);
+	const isStandby = site.processors < ownerProcessors;
 	const ownership = new Ownership({
 		store,
 		clock,
 		note,
 		group: 'owners',
 		topic: workflowsTopic,
-		member: `${site.hostName}-${life}`,
+		member: `${isStandby ? standbyPrefix : ''}${formatMember(metricsAddress, life)}`,
+		isAlive: async member => isAnswering(http, member),
+		isStandby,
 		minTtlMs: minMemberTtlMs,
 		isUsed: partition => followers.has(partition),
 		isCaughtUp,
--- a/src/plugins/site-process.ts
+++ b/src/plugins/site-process.ts
@@ -21,6 +21,8 @@
 	note: Note;
 	/** Port for calls between the program's processes. */
 	internalAddress: string;
+	/** Where metrics are served, and whether the process lives. */
+	metricsAddress: string;
 	/** Aborts when the process ends. */
 	signal: AbortSignal;
 	/** New with each start of the process. */
@@ -65,13 +67,14 @@
 		process.on('SIGINT', resolve);
 	});
 	const [internalPort, metricsPort] = site.internalPorts;
-	await listen(metrics.server, `${site.ip}:${metricsPort}`);
+	const metricsAddress = `${site.ip}:${metricsPort}`;
+	await listen(metrics.server, metricsAddress);
 	const http = createHttpClient(maxConnections);
 	note('started', {
 		life, ip: site.ip, failureDomain: site.failureDomain, startupMs: Math.round(process.uptime() * 1000),
 	});
 	const finish = await start({
-		site, clock, http, metrics, note, life, internalAddress: `${site.ip}:${internalPort}`, signal: aborter.signal,
+		site, clock, http, metrics, note, life, metricsAddress, internalAddress: `${site.ip}:${internalPort}`, signal: aborter.signal,
 	});
 	await stopped;
 	note('stopping');
--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -54,6 +54,8 @@
 
 /** The store. */
 export class MemoryStore {
+	/** Longer answers do not arrive before the reader gives up: its link is slow. */
+	maxAnswerBytes = Number.POSITIVE_INFINITY;
 	/** Number of calls by kind, for measurements. */
 	readonly calls = {append: 0, read: 0, join: 0};
 	readonly #clock: Clock;
@@ -68,8 +70,6 @@
 
 	/** How calls are treated; changed by tests as they go. */
 	fault: FaultPolicy = () => StoreFault.None;
-	/** Longer answers do not arrive before the reader gives up: its link is slow. */
-	maxAnswerBytes = Number.POSITIVE_INFINITY;
 
 	/** A client with a name, which fault policies can tell apart. */
 	createClient(client: string): StoreClient {
@@ -87,6 +87,10 @@
 				return {records: [...partition.newest.values()], endOffset: partition.oldest + partition.records.length};
 			},
 			join: async member => this.#join(client, member),
+			getOwners: async group => {
+				await this.#answer(client, 'read');
+				return [...new Set(this.#groups.get(group)?.owners.values())];
+			},
 			leave: async (group, member) => {
 				await this.#answer(client, 'join');
 				const state = this.#groups.get(group);
--- a/src/types/site.ts
+++ b/src/types/site.ts
@@ -50,6 +50,8 @@
 	/** Ports for calls between the program's own processes. */
 	internalPorts: [number, number];
 	adviceAddress?: string;
+	/** Processors that this process may use. */
+	processors: number;
 	store: {
 		address: string;
 		partitions: number;
--- a/src/types/store.ts
+++ b/src/types/store.ts
@@ -113,4 +113,6 @@
 	newest(ref: PartitionRef, signal?: AbortSignal): Promise<KeyedPage>;
 	join(member: GroupMember): Promise<GroupShare>;
 	leave(group: string, member: string): Promise<void>;
+	/** Members of the group that hold a partition. */
+	getOwners(group: string): Promise<string[]>;
 };
--- a/src/utils/metrics-page.ts
+++ b/src/utils/metrics-page.ts
@@ -23,6 +23,9 @@
 	durations: Histogram<'kind'>;
 };
 
+/** Path that tells other processes that this one lives, without the cost of the page. */
+export const alivePath = '/alive';
+
 /** Upper bounds of the histogram in seconds: from an answer out of memory to the longest objective. */
 const bucketsS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
 const maxWaiting = 5000;
@@ -87,7 +90,13 @@
 		addGauge(name, help, read) {
 			gauges.push({name, help, read});
 		},
-		server: createServer(async (_, response) => {
+		server: createServer(async (request, response) => {
+			if (request.url === alivePath) {
+				response.writeHead(204);
+				response.end();
+				return;
+			}
+
 			const {registry} = await load();
 			response.writeHead(200, {'content-type': registry.contentType});
 			response.end(await registry.metrics());
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -22,6 +22,10 @@
 	/** New with each start of the process. */
 	member: string;
 	minTtlMs: number;
+	/** A host that is too slow for an owner's work: it owns only while no other host does. */
+	isStandby: boolean;
+	/** Whether the entry with this member's name answers: the group may list members that are dead. */
+	isAlive: (member: string) => Promise<boolean>;
 	/** Whether this entry knows what it would own. */
 	isCaughtUp: () => boolean;
 	/** Whether the partition carries anything. */
@@ -32,6 +36,13 @@
 
 /** The group deals a silent member's partitions anew after this: the time that a dead owner's jobs wait. */
 const ttlMs = 1200;
+/** An owner of 72 workers used up to 0.28 of a core: with less, starts and takeovers wait for the processor. */
+export const ownerProcessors = 0.25;
+/** Members of hosts that stand by are known by their names. */
+export const standbyPrefix = 'standby-';
+const standbyEveryMs = 1000;
+/** A dead owner's partitions are dealt anew within 1.2 s, and entries that start anew are there within 2 s. */
+const standbyAfterMs = 3000;
 /** Until the jobs are known. */
 const catchUpEveryMs = 20;
 /** Several calls may be lost or slow before the group takes the member for dead. */
@@ -44,9 +55,13 @@
 	#generation = 0;
 	#isReached: boolean | undefined;
 	#isLeaving = false;
+	#hasSteppedIn = false;
+	#lookedAtMs = Number.NEGATIVE_INFINITY;
+	#ownedByOthersAtMs: number;
 
 	constructor(options: OwnershipOptions) {
 		this.#options = options;
+		this.#ownedByOthersAtMs = options.clock.monotonicMs();
 	}
 
 	/**
@@ -61,6 +76,11 @@
 
 		while (!signal.aborted && !this.#isLeaving) {
 			try {
+				if (!await this.#mayOwn()) {
+					await clock.sleep(standbyEveryMs, signal);
+					continue;
+				}
+
 				const share = await store.join({
 					group, member, topics: [topic], ttlMs: Math.max(minTtlMs, ttlMs), generation: this.#generation,
 				});
@@ -81,10 +101,7 @@
 	/** Gives all partitions up for good, so that others need not wait. A join that came after would take them back. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		for (const [partition, owner] of this.owners) {
-			this.owners.delete(partition);
-			owner.stop();
-		}
+		this.#stopOwners();
 
 		const {store, group, member, note} = this.#options;
 		try {
@@ -95,6 +112,42 @@
 		}
 	}
 
+	/** A host that stands by looks now and then whether another host owns; then it gives up what it owns. */
+	async #mayOwn(): Promise<boolean> {
+		const {clock, store, group, member, isStandby, isAlive, note} = this.#options;
+		const nowMs = clock.monotonicMs();
+		if (!isStandby || nowMs - this.#lookedAtMs < standbyEveryMs) {
+			return !isStandby || this.#hasSteppedIn;
+		}
+
+		this.#lookedAtMs = nowMs;
+		const owners = await store.getOwners(group);
+		const others = owners.filter(owner => !owner.startsWith(standbyPrefix));
+		const alive = await Promise.all(others.map(async owner => isAlive(owner)));
+		if (alive.some(Boolean)) {
+			this.#ownedByOthersAtMs = nowMs;
+		}
+
+		const mustStepIn = nowMs - this.#ownedByOthersAtMs >= standbyAfterMs;
+		if (mustStepIn !== this.#hasSteppedIn) {
+			note(mustStepIn ? 'standby steps in' : 'standby steps back', {owners});
+			this.#hasSteppedIn = mustStepIn;
+			if (!mustStepIn) {
+				this.#stopOwners();
+				await store.leave(group, member);
+			}
+		}
+
+		return mustStepIn;
+	}
+
+	#stopOwners(): void {
+		for (const [partition, owner] of this.owners) {
+			this.owners.delete(partition);
+			owner.stop();
+		}
+	}
+
 	#take(generation: number, partitions: Set<number>): void {
 		const {isUsed, createOwner, note} = this.#options;
 		for (const [partition, owner] of this.owners) {
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -345,3 +345,22 @@
 		expect(tookMs).toBeLessThan(10_000);
 	});
 });
+
+describe('a host with a slow processor', () => {
+	/**
+	Entries of different sizes share the work; the group deals the jobs to any of them. On the smallest an owner's rounds
+	waited for the processor, and callers' jobs with them. It steps in only while no other entry is there.
+	*/
+	it('owns only while no other entry does', async () => {
+		await createWorld(2, 0);
+		world.startEntry('standby-0');
+		expect(await world.waitFor(() => world.getOwnerName() === 'standby-0', 10_000)).toBeDefined();
+		world.startEntry('entry-1');
+		expect(await world.waitFor(() => world.getOwnerName() === 'entry-1', 5000)).toBeDefined();
+		await world.submit(jobId, createSpec([createStep()]), 'standby-0');
+		await world.clock.advance(500);
+		expect(world.isRunning(`${jobId}.0.0.0`)).toBe(true);
+		world.killEntry('entry-1');
+		expect(await world.waitFor(() => world.getOwnerName() === 'standby-0', 10_000)).toBeDefined();
+	});
+});
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -21,7 +21,7 @@
 import {WorkflowDesk} from '../src/workflows/desk.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {Owner} from '../src/workflows/owner.ts';
-import {Ownership} from '../src/workflows/ownership.ts';
+import {Ownership, standbyPrefix} from '../src/workflows/ownership.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {ProcessClock} from './membership-world.ts';
 
@@ -69,6 +69,7 @@
 
 type EntryProcess = {
 	name: string;
+	life: string;
 	clock: ProcessClock;
 	aborter: AbortController;
 	desk: WorkflowDesk;
@@ -178,8 +179,10 @@
 			note,
 			group: 'owners',
 			topic: workflowsTopic,
-			member: life,
+			member: name.startsWith(standbyPrefix) ? `${standbyPrefix}${life}` : life,
+			isAlive: async member => [...this.entries.values()].some(entry => entry.life === member),
 			minTtlMs: 1000,
+			isStandby: name.startsWith(standbyPrefix),
 			isCaughtUp: () => follower.isCaughtUp,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, onDeposed) => new Owner({
@@ -189,7 +192,7 @@
 		void follower.run(aborter.signal);
 		void ownership.run(aborter.signal);
 		const entry = {
-			name, clock, aborter, desk, follower, ownership,
+			name, life, clock, aborter, desk, follower, ownership,
 		};
 		this.entries.set(name, entry);
 		return entry;
