Choose owners by processors, and hand learned harm on

The owner was an entry with 0.324 of a core; its log lines carry times 10 s older than the time at which it wrote them: it was that far behind its processor. A fixed bound of 0.25 of a core did not tell it from able ones.

Change: what an owner needs follows from the workers that register (0.006 of a core each); an entry with less gives way to a living one with enough. A report is passed over only where what worked shortly before explains it by what is known of the pair; decisions use that as well. The owner writes what it learned every 3 s, and the next one begins with it.

--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -2,6 +2,7 @@
 The role on hosts that callers reach: takes jobs, answers for them, and schedules those of the partitions it owns.
 */
 import {createServer} from 'node:http';
+import {agentsTopic} from '../agents/control-records.ts';
 import {leaseHorizonMs} from '../agents/lease-clock.ts';
 import {createError, ErrorCode} from '../core/errors.ts';
 import {getPartition} from '../core/partitions.ts';
@@ -17,7 +18,7 @@
 import {WorkflowDesk} from '../workflows/desk.ts';
 import {WorkflowFollower} from '../workflows/follower.ts';
 import {Owner} from '../workflows/owner.ts';
-import {Ownership, ownerProcessors, standbyPrefix} from '../workflows/ownership.ts';
+import {formatMember, Ownership} from '../workflows/ownership.ts';
 import {findQueue} from '../workflows/queues.ts';
 import {workflowsTopic} from '../workflows/records.ts';
 import {createAgentClient} from './agent-messages.ts';
@@ -71,17 +72,13 @@
 	};
 });
 
-/** Members are named by the address at which the other entries reach them. */
-const formatMember = (address: string, life: string): string => `${address}/${life}`;
-
 const aliveTimeoutMs = 600;
 
-/** Any answer tells that the process of the member lives. */
-const isAnswering = async (http: HttpClient, member: string): Promise<boolean> => {
-	const [address] = member.split('/');
+/** Any answer tells that the process lives. */
+const isAnswering = async (http: HttpClient, address: string): Promise<boolean> => {
 	try {
 		await http.call({
-			address: address!, method: 'GET', path: alivePath, timeoutMs: aliveTimeoutMs, step: 'ask whether an owner lives',
+			address, method: 'GET', path: alivePath, timeoutMs: aliveTimeoutMs, step: 'ask whether an owner lives',
 		});
 		return true;
 	} catch {
@@ -159,16 +156,19 @@
 		},
 	});
 	const isCaughtUp = () => config.config !== undefined && [...followers.values()].every(follower => follower.isCaughtUp);
-	const isStandby = site.processors < ownerProcessors;
 	const ownership = new Ownership({
 		store,
 		clock,
 		note,
 		group: 'owners',
 		topic: workflowsTopic,
-		member: `${isStandby ? standbyPrefix : ''}${formatMember(metricsAddress, life)}`,
-		isAlive: async member => isAnswering(http, member),
-		isStandby,
+		member: formatMember(metricsAddress, site.processors, life),
+		processors: site.processors,
+		async countWorkers() {
+			const {records} = await store.newest({topic: agentsTopic, partition: 0});
+			return records.length;
+		},
+		isAlive: async address => isAnswering(http, address),
 		minTtlMs: minMemberTtlMs,
 		isUsed: partition => followers.has(partition),
 		isCaughtUp,
--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -5,6 +5,7 @@
 import {TaskClass} from '../types/jobs.ts';
 import {type TaskRef} from '../types/workflows.ts';
 import {RunPhase, type LiveRun} from './live-model.ts';
+import {type HarmPair} from './records.ts';
 import {getLoadAt, saturatedLoad, ServingLoads} from './serving-load.ts';
 
 /** A serving task beside which others may fill. */
@@ -23,6 +24,8 @@
 	share: number;
 	/** Share of the worker's processors that they used over the last half second. */
 	usedShare: number;
+	/** Most that they used over the last second or so: a tail falls back as long after its cause is gone. */
+	recentShare: number;
 	/** Share of their speed that they were last told to work at, 0 to 100. */
 	percent: number;
 	sinceChangeMs: number;
@@ -41,22 +44,47 @@
 export class FillHarm {
 	readonly #model = new HarmModel(halfLifeMs);
 	readonly #loads = new ServingLoads();
+	readonly #servers = new Set<string>();
+	readonly #fillers = new Set<string>();
 	readonly #kinds = new KindTable(kindId => {
 		this.#model.forget(kindId);
 	});
 
-	/**
-	Takes what serving tasks of a worker report while the others fill. A tail falls back over a second and more after its
-	cause is gone: while it may be falling, only reports below what is expected teach anything.
-	*/
-	note(servers: Server[], fillers: Filler[], {nowMs, isFalling}: {nowMs: number; isFalling: boolean}): void {
+	/** Takes what serving tasks of a worker report while the others fill. */
+	note(servers: Server[], fillers: Filler[], nowMs: number): void {
 		this.#model.fade(nowMs);
 		this.#loads.prune(nowMs);
 		for (const server of servers) {
 			if (server.ratio > 0) {
-				this.#noteOne(server, fillers, {nowMs, isFalling});
+				this.#noteOne(server, fillers, nowMs);
+			}
+		}
+	}
+
+	/** What was learned so far, for another owner. */
+	getPairs(): HarmPair[] {
+		const pairs: HarmPair[] = [];
+		for (const server of this.#servers) {
+			for (const filler of this.#fillers) {
+				const effect = this.#model.getIdlePair(this.#kinds.get(server), this.#kinds.get(filler));
+				if (effect) {
+					pairs.push({
+						server, filler, mean: round(effect.mean), deviation: round(effect.deviation),
+					});
+				}
 			}
 		}
+
+		return pairs;
+	}
+
+	/** Takes what an earlier owner has learned: without it, each pair would do its harm once more to be known. */
+	restore(pairs: HarmPair[]): void {
+		for (const {server, filler, mean, deviation} of pairs) {
+			this.#servers.add(server);
+			this.#fillers.add(filler);
+			this.#model.setIdlePair(this.#kinds.get(server), this.#kinds.get(filler), {mean, deviation});
+		}
 	}
 
 	/** Load that the image adds to the server's, for a whole worker of its tasks. */
@@ -69,40 +97,65 @@
 		return this.#loads.get(job);
 	}
 
-	#noteOne({image, job, ratio}: Server, fillers: Filler[], {nowMs, isFalling}: {nowMs: number; isFalling: boolean}): void {
+	/**
+	What was used shortly before explains a tail that is still falling: such a report is passed over. A tail that is shorter
+	than what works now explains, or longer than all that worked shortly before does, teaches.
+	*/
+	#noteOne({image, job, ratio}: Server, fillers: Filler[], nowMs: number): void {
 		const load = getLoadAt(ratio);
 		const own = this.#loads.get(job);
-		let added = 0;
-		let addedVariance = 0;
-		for (const filler of fillers) {
-			const mean = this.#getEffect(image, filler.image, 0);
-			added += Math.max(0, mean) * filler.usedShare;
-			addedVariance += ((this.#getEffect(image, filler.image, 1) - mean) * filler.usedShare) ** 2;
-		}
-
-		const isHigher = load > own + added;
-		if ((isFalling && isHigher) || (load >= saturatedLoad && !isHigher)) {
+		const isHigher = load > own + this.#getAdded(image, fillers, ({usedShare}) => usedShare);
+		const getShare = isHigher ? ({recentShare}: Filler) => recentShare : ({usedShare}: Filler) => usedShare;
+		const added = this.#getAdded(image, fillers, getShare);
+		const isExplained = isHigher && load <= own + added && fillers.some(({usedShare, recentShare}) => recentShare > usedShare);
+		if (isExplained || (load >= saturatedLoad && load <= own + added)) {
 			return;
 		}
 
 		this.#loads.note({
-			job, load, added, addedVariance,
+			job, load, added, addedVariance: this.#getVariance(image, fillers, getShare),
 		}, nowMs);
 		const neighbours = fillers
-			.filter(({usedShare}) => usedShare > 0)
-			.map(filler => ({kindId: this.#kinds.get(filler.image), amount: filler.usedShare * amountOfWhole}));
+			.filter(filler => getShare(filler) > 0)
+			.map(filler => ({kindId: this.#kinds.get(filler.image), amount: getShare(filler) * amountOfWhole}));
 		if (neighbours.length > 0) {
+			this.#servers.add(image);
+			for (const filler of fillers) {
+				this.#fillers.add(filler.image);
+			}
+
 			this.#model.note({
 				victimId: this.#kinds.get(image), taskClass: TaskClass.LatencyCritical, neighbours, load: noOtherLoad, slowdown: 1 + load - own,
 			});
 		}
 	}
 
+	#getAdded(server: string, fillers: Filler[], getShare: (filler: Filler) => number): number {
+		let added = 0;
+		for (const filler of fillers) {
+			added += Math.max(0, this.#getEffect(server, filler.image, 0)) * getShare(filler);
+		}
+
+		return added;
+	}
+
+	#getVariance(server: string, fillers: Filler[], getShare: (filler: Filler) => number): number {
+		let variance = 0;
+		for (const filler of fillers) {
+			const deviation = this.#getEffect(server, filler.image, 1) - this.#getEffect(server, filler.image, 0);
+			variance += (deviation * getShare(filler)) ** 2;
+		}
+
+		return variance;
+	}
+
 	#getEffect(server: string, filler: string, deviations: number): number {
 		return amountOfWhole * this.#model.getIdleEffect(this.#kinds.get(server), TaskClass.LatencyCritical, this.#kinds.get(filler), deviations);
 	}
 }
 
+const round = (value: number): number => Math.round(value * 1000) / 1000;
+
 /** Job of a serving task, as loads are followed by. */
 export const getServingJob = ({workflowId, step}: TaskRef): string => `${workflowId}.${step}`;
 
@@ -134,7 +187,7 @@
 		if (!filler) {
 			const pace = paces.get(image);
 			filler = {
-				image, share: 0, usedShare: 0, percent: pace?.percent ?? 100, sinceChangeMs: nowMs - (pace?.changedAtMs ?? Number.NEGATIVE_INFINITY),
+				image, share: 0, usedShare: 0, recentShare: 0, percent: pace?.percent ?? 100, sinceChangeMs: nowMs - (pace?.changedAtMs ?? Number.NEGATIVE_INFINITY),
 			};
 			fillers.set(image, filler);
 		}
@@ -143,5 +196,9 @@
 		filler.usedShare += phase === RunPhase.Starting ? 0 : recent / milliCpu;
 	}
 
+	for (const filler of fillers.values()) {
+		filler.recentShare = filler.usedShare;
+	}
+
 	return [...fillers.values()];
 };
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -6,7 +6,7 @@
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
 import {
-	RecordType, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
+	RecordType, type HarmPair, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
 } from './records.ts';
 
 /** A job as folded. */
@@ -62,6 +62,8 @@
 export class WorkflowFold {
 	readonly workflows = new Map<string, FoldedWorkflow>();
 	listener: FoldListener | undefined;
+	/** What the newest owner wrote of images that harm each other. */
+	harm: HarmPair[] = [];
 	/** Newest claim. */
 	epoch = 0;
 	/** Offset of the next record. */
@@ -111,6 +113,11 @@
 				break;
 			}
 
+			case RecordType.Harm: {
+				this.harm = record.pairs;
+				break;
+			}
+
 			case RecordType.Begun: {
 				for (const id of record.ids) {
 					this.#begin(this.workflows.get(id));
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -12,7 +12,7 @@
 import {type WorkflowFollower} from './follower.ts';
 import {forgetOld, getRewrites} from './rewriter.ts';
 import {
-	encodeRecord, RecordType, workflowsTopic, type WorkflowRecord,
+	encodeRecord, RecordType, workflowsTopic, type HarmPair, type WorkflowRecord,
 } from './records.ts';
 
 /** Options of the log. */
@@ -36,6 +36,8 @@
 /** Ends gather for so long before they are stored: one call takes them all. */
 const gatherMs = 6;
 const begunEveryMs = 400;
+/** A record of some 3 KB; an owner that dies takes at most so much of what it learned with it. */
+const harmEveryMs = 3000;
 const retryMs = 150;
 const storeTimeoutMs = 1000;
 
@@ -45,6 +47,7 @@
 	readonly #writer: ProducerWriter;
 	readonly #begun = new Set<string>();
 	#begunSentAtMs = 0;
+	#harmSentAtMs = 0;
 	#lastEnds: Promise<boolean> = Promise.resolve(true);
 
 	constructor(options: OwnerLogOptions) {
@@ -117,6 +120,20 @@
 		}
 	}
 
+	/** Writes what was learned of harm now and then: the next owner begins with it. */
+	keepHarm(getPairs: () => HarmPair[]): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		if (nowMs - this.#harmSentAtMs < harmEveryMs) {
+			return;
+		}
+
+		this.#harmSentAtMs = nowMs;
+		const pairs = getPairs();
+		if (pairs.length > 0) {
+			void this.#write({type: RecordType.Harm, pairs});
+		}
+	}
+
 	/** Writes jobs again whose records the store will let go. */
 	rewrite(): void {
 		const {follower: {fold}, clock, keptMs} = this.#options;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -140,6 +140,7 @@
 
 		this.#claimOffset = claimOffset;
 		this.#claimedAtMs = clock.monotonicMs();
+		this.#harm.restore(follower.fold.harm);
 		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs());
 		this.#listen(follower);
 		for (const workflow of this.model.workflows.values()) {
@@ -231,6 +232,7 @@
 			this.#sender.stopUnneeded();
 			this.#log.sendBegun();
 			this.#log.rewrite();
+			this.#log.keepHarm(() => this.#harm.getPairs());
 			this.#updateAdvice();
 			this.#relocate();
 			this.#health.release(clock.monotonicMs());
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -22,10 +22,12 @@
 	/** New with each start of the process. */
 	member: string;
 	minTtlMs: number;
-	/** A host that is too slow for an owner's work: it owns only while no other host does. */
-	isStandby: boolean;
-	/** Whether the entry with this member's name answers: the group may list members that are dead. */
-	isAlive: (member: string) => Promise<boolean>;
+	/** Processors that this process may use. */
+	processors: number;
+	/** Workers that register with the site. */
+	countWorkers: () => Promise<number>;
+	/** Whether the entry at the address answers. */
+	isAlive: (address: string) => Promise<boolean>;
 	/** Whether this entry knows what it would own. */
 	isCaughtUp: () => boolean;
 	/** Whether the partition carries anything. */
@@ -36,13 +38,24 @@
 
 /** The group deals a silent member's partitions anew after this: the time that a dead owner's jobs wait. */
 const ttlMs = 1200;
-/** An owner of 72 workers used up to 0.28 of a core: with less, starts and takeovers wait for the processor. */
-export const ownerProcessors = 0.25;
-/** Members of hosts that stand by are known by their names. */
-export const standbyPrefix = 'standby-';
+/**
+An owner of 72 workers fell 10 s behind on 0.324 of a core, and used up to 0.28 of a larger one; one of 11 workers uses
+up to 0.08. Twice the mean of that, for the bursts of a takeover.
+*/
+const processorsForWorker = 0.006;
+/** How often a host looks whether it is needed, and whether it is still large enough. */
 const standbyEveryMs = 1000;
+const lookEveryMs = 2000;
 /** A dead owner's partitions are dealt anew within 1.2 s, and entries that start anew are there within 2 s. */
 const standbyAfterMs = 3000;
+/** Names a member by where its process answers, its processors and its life. */
+export const formatMember = (address: string, processors: number, life: string): string => `${address}/${processors}/${life}`;
+
+const parseMember = (member: string): {address: string; processors: number} => {
+	const [address = '', processors] = member.split('/');
+	return {address, processors: Number(processors ?? 0)};
+};
+
 /** Until the jobs are known. */
 const catchUpEveryMs = 20;
 /** Several calls may be lost or slow before the group takes the member for dead. */
@@ -55,13 +68,12 @@
 	#generation = 0;
 	#isReached: boolean | undefined;
 	#isLeaving = false;
-	#hasSteppedIn = false;
+	#isStandby = false;
 	#lookedAtMs = Number.NEGATIVE_INFINITY;
-	#ownedByOthersAtMs: number;
+	#ownedByOthersAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: OwnershipOptions) {
 		this.#options = options;
-		this.#ownedByOthersAtMs = options.clock.monotonicMs();
 	}
 
 	/**
@@ -81,6 +93,10 @@
 					continue;
 				}
 
+				if (this.#isLeaving) {
+					return;
+				}
+
 				const share = await store.join({
 					group, member, topics: [topic], ttlMs: Math.max(minTtlMs, ttlMs), generation: this.#generation,
 				});
@@ -112,33 +128,42 @@
 		}
 	}
 
-	/** A host that stands by looks now and then whether another host owns; then it gives up what it owns. */
+	/**
+	A host that is too slow for the work stays out while one that is not owns, and looks now and then whether one does. It
+	joins as it starts, if there is none yet: after a loss of all entries nobody waits.
+	*/
 	async #mayOwn(): Promise<boolean> {
-		const {clock, store, group, member, isStandby, isAlive, note} = this.#options;
+		const {clock, store, group, member, processors, note} = this.#options;
 		const nowMs = clock.monotonicMs();
-		if (!isStandby || nowMs - this.#lookedAtMs < standbyEveryMs) {
-			return !isStandby || this.#hasSteppedIn;
+		if (nowMs - this.#lookedAtMs < (this.#isStandby ? standbyEveryMs : lookEveryMs)) {
+			return !this.#isStandby;
 		}
 
 		this.#lookedAtMs = nowMs;
-		const owners = await store.getOwners(group);
-		const others = owners.filter(owner => !owner.startsWith(standbyPrefix));
-		const alive = await Promise.all(others.map(async owner => isAlive(owner)));
-		if (alive.some(Boolean)) {
+		const needed = processorsForWorker * await this.#options.countWorkers();
+		const isOthers = processors < needed && await this.#isOwnedBy(await store.getOwners(group), needed);
+		if (isOthers) {
 			this.#ownedByOthersAtMs = nowMs;
 		}
 
-		const mustStepIn = nowMs - this.#ownedByOthersAtMs >= standbyAfterMs;
-		if (mustStepIn !== this.#hasSteppedIn) {
-			note(mustStepIn ? 'standby steps in' : 'standby steps back', {owners});
-			this.#hasSteppedIn = mustStepIn;
-			if (!mustStepIn) {
+		const mustStandBy = processors < needed && (isOthers || (this.#isStandby && nowMs - this.#ownedByOthersAtMs < standbyAfterMs));
+		if (mustStandBy !== this.#isStandby) {
+			note(mustStandBy ? 'standby' : 'standby steps in', {processors, needed});
+			this.#isStandby = mustStandBy;
+			if (mustStandBy) {
 				this.#stopOwners();
 				await store.leave(group, member);
 			}
 		}
 
-		return mustStepIn;
+		return !this.#isStandby;
+	}
+
+	/** Whether an entry with enough processors owns, and lives: the group may list members that are dead. */
+	async #isOwnedBy(owners: string[], needed: number): Promise<boolean> {
+		const able = owners.filter(owner => owner !== this.#options.member && parseMember(owner).processors >= needed);
+		const alive = await Promise.all(able.map(async owner => this.#options.isAlive(parseMember(owner).address)));
+		return alive.some(Boolean);
 	}
 
 	#stopOwners(): void {
--- a/src/workflows/pace-keeper.ts
+++ b/src/workflows/pace-keeper.ts
@@ -16,8 +16,6 @@
 const learnEveryMs = 400;
 /** A tail that was six times its target is back below it this long after its cause was stopped. */
 const fallMs = 1300;
-/** Share of a worker's processors: about one task. Less that ends at a time does not show in a tail that falls. */
-const minFall = 0.1;
 /** Loads of serving tasks rise by up to so much until a report tells, and a pace shows. */
 const riseMargin = 0.04;
 /** Paces are told in steps; a smaller change is not worth an order. */
@@ -30,26 +28,22 @@
 const getPace = (worker: FleetWorker, run: LiveRun): number => worker.paces.get(run.task.step.spec.image ?? '')?.percent ?? whole;
 
 /** Load of each serving task by itself: what is known of its job, or what its own tail tells if that is more. */
-export const getServingTasks = (servers: Server[], fillers: Filler[], harm: FillHarm, isFalling: boolean): ServingTask[] => servers.map(({image, job, ratio}) => {
+export const getServingTasks = (servers: Server[], fillers: Filler[], harm: FillHarm): ServingTask[] => servers.map(({image, job, ratio}) => {
 	const load = harm.getLoad(job) + riseMargin;
-	if (isFalling || ratio === 0) {
-		return {image, load};
-	}
-
 	let measured = getLoadAt(ratio);
 	for (const filler of fillers) {
-		measured -= harm.getEffect(image, filler.image) * filler.usedShare;
+		measured -= harm.getEffect(image, filler.image) * filler.recentShare;
 	}
 
 	return {image, load: Math.max(load, measured)};
 });
 
 /** Decides the pace of each image on one worker; images that keep theirs are left out. */
-export const decidePaces = (servers: Server[], fillers: Filler[], harm: FillHarm, isFalling: boolean): Map<string, number> => {
-	const speeds = planSpeeds(getServingTasks(servers, fillers, harm, isFalling), fillers, (server, filler) => harm.getEffect(server, filler));
+export const decidePaces = (servers: Server[], fillers: Filler[], harm: FillHarm): Map<string, number> => {
+	const speeds = planSpeeds(getServingTasks(servers, fillers, harm), fillers, (server, filler) => harm.getEffect(server, filler));
 	const paces = new Map<string, number>();
 	for (const {image, percent, sinceChangeMs} of fillers) {
-		const next = Math.floor(whole * speeds.get(image)! / paceStep) * paceStep;
+		const next = Math.floor(whole * (speeds.get(image) ?? 1) / paceStep) * paceStep;
 		const isRaise = next > percent && sinceChangeMs >= settleMs && (next >= percent + minRaise || next === whole);
 		if (next < percent || isRaise) {
 			paces.set(image, next);
@@ -88,18 +82,18 @@
 
 	#decide(worker: FleetWorker, milliCpu: number, nowMs: number): void {
 		const fillers = getFillers(worker.runs, worker.paces, {milliCpu, nowMs});
+		const recent = noteUse(worker, fillers, nowMs);
 		const servers = getServers(worker.runs);
-		const isFalling = noteUse(worker, fillers, nowMs);
 		if (nowMs - worker.harmNotedAtMs >= learnEveryMs) {
 			worker.harmNotedAtMs = nowMs;
-			this.#harm.note(servers, fillers, {nowMs, isFalling});
+			this.#harm.note(servers, recent, nowMs);
 		}
 
 		forgetPaces(worker, fillers);
-		for (const [image, percent] of decidePaces(servers, fillers, this.#harm, isFalling)) {
+		for (const [image, percent] of decidePaces(servers, recent, this.#harm)) {
 			const before = worker.paces.get(image)?.percent ?? whole;
 			this.#note('pace', {
-				host: worker.host, image, percent, before, worstRatio: Math.max(0, ...servers.map(({ratio}) => ratio)), isFalling,
+				host: worker.host, image, percent, before, worstRatio: Math.max(0, ...servers.map(({ratio}) => ratio)),
 			});
 			worker.paces.set(image, {percent, changedAtMs: nowMs});
 		}
@@ -131,9 +125,19 @@
 	}
 };
 
-/** Notes what the images use; tells whether one of them uses less than shortly before, so that tails may be falling. */
-const noteUse = (worker: FleetWorker, fillers: Filler[], nowMs: number): boolean => {
+/** Notes what the images use; gives them with the most of the last second, also those of which nothing is left. */
+const noteUse = (worker: FleetWorker, fillers: Filler[], nowMs: number): Filler[] => {
 	const used = new Map(fillers.map(({image, usedShare}) => [image, usedShare]));
 	worker.fillUses = [...worker.fillUses.filter(({atMs}) => nowMs - atMs <= fallMs), {atMs: nowMs, used}];
-	return worker.fillUses.some(before => [...before.used].some(([image, share]) => share - (used.get(image) ?? 0) > minFall));
+	const recent = new Map<string, number>();
+	for (const before of worker.fillUses) {
+		for (const [image, share] of before.used) {
+			recent.set(image, Math.max(share, recent.get(image) ?? 0));
+		}
+	}
+
+	const gone = [...recent.keys()].filter(image => !used.has(image)).map((image): Filler => ({
+		image, share: 0, usedShare: 0, recentShare: 0, percent: whole, sinceChangeMs: 0,
+	}));
+	return [...fillers, ...gone].map(filler => ({...filler, recentShare: recent.get(filler.image)!}));
 };
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -20,8 +20,19 @@
 	Begun = 'begun',
 	/** All that is known of a job, written again by the owner before the store lets its first record go. */
 	Whole = 'whole',
+	/** What the owner has learned of images that harm each other, for the next owner. */
+	Harm = 'harm',
 }
 
+/** Learned effect of an image that fills on one that serves. */
+export type HarmPair = {
+	server: string;
+	filler: string;
+	/** Of a tenth of a worker, and how far it may be off. */
+	mean: number;
+	deviation: number;
+};
+
 /** A job with its ends so far. */
 export type WholeWorkflow = {
 	workflow: Workflow;
@@ -50,7 +61,8 @@
 		| {type: RecordType.Cancel; id: string}
 		| {type: RecordType.Ends; ends: EndedRun[]}
 		| {type: RecordType.Begun; ids: string[]}
-		| {type: RecordType.Whole; job: WholeWorkflow};
+		| {type: RecordType.Whole; job: WholeWorkflow}
+		| {type: RecordType.Harm; pairs: HarmPair[]};
 
 const types = new Set<string>(Object.values(RecordType));
 
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -5,8 +5,10 @@
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {type AgentLinks} from '../src/workflows/agent-links.ts';
 import {FillHarm, type Filler, type Server} from '../src/workflows/fill-harm.ts';
+import {WorkflowFold} from '../src/workflows/fold.ts';
 import {planSpeeds} from '../src/workflows/harm-pacing.ts';
 import {decidePaces, PaceKeeper} from '../src/workflows/pace-keeper.ts';
+import {decodeRecord, encodeRecord, RecordType} from '../src/workflows/records.ts';
 import {getLoadAt} from '../src/workflows/serving-load.ts';
 import {
 	createWorker, createWorkflow, load, placeAll, run,
@@ -14,7 +16,7 @@
 import {createSpec, createStep} from './site-world.ts';
 
 const filler = (image: string, fields: Partial<Filler> = {}): Filler => ({
-	image, share: 0.25, usedShare: 0.25, percent: 100, sinceChangeMs: 1000, ...fields,
+	image, share: 0.25, usedShare: 0.25, recentShare: fields.usedShare ?? 0.25, percent: 100, sinceChangeMs: 1000, ...fields,
 });
 
 const serving = (ratio: number, job = 's.0'): Server[] => [{image: 'serve', job, ratio}];
@@ -28,8 +30,8 @@
 	for (let nowMs = 0; nowMs < 10_000; nowMs += 500) {
 		const own = 0.45 + (0.2 * Math.sin(nowMs / 1600));
 		const heavyShare = nowMs % 2000 < 1000 ? 0.2 : 0;
-		harm.note(serving(getRatioAt(own)), [filler('light')], {nowMs, isFalling: false});
-		harm.note(serving(getRatioAt(own + (heavyEffect * heavyShare))), [filler('light'), filler('heavy', {usedShare: heavyShare})], {nowMs, isFalling: false});
+		harm.note(serving(getRatioAt(own)), [filler('light')], nowMs);
+		harm.note(serving(getRatioAt(own + (heavyEffect * heavyShare))), [filler('light'), filler('heavy', {usedShare: heavyShare})], nowMs);
 	}
 
 	return harm;
@@ -51,13 +53,25 @@
 		const harm = teach(1.5);
 		const before = harm.getEffect('serve', 'light');
 		for (let nowMs = 10_000; nowMs < 11_000; nowMs += 500) {
-			harm.note(serving(4), [filler('light')], {nowMs, isFalling: true});
+			harm.note(serving(4), [filler('light'), filler('heavy', {usedShare: 0, recentShare: 0.4})], nowMs);
 		}
 
 		expect(harm.getEffect('serve', 'light')).toBeLessThanOrEqual(before);
 	});
 });
 
+describe('what was learned', () => {
+	/** An owner died; the next one knew nothing, and each image did its harm once more before it was slowed. */
+	it('is taken over by the next owner', () => {
+		const fold = new WorkflowFold();
+		fold.apply(decodeRecord(encodeRecord({type: RecordType.Harm, pairs: teach(1.5).getPairs()})), 0);
+		const next = new FillHarm();
+		next.restore(fold.harm);
+		expect(next.getEffect('serve', 'heavy')).toBeCloseTo(teach(1.5).getEffect('serve', 'heavy'), 1);
+		expect(next.getPairs()).toEqual(teach(1.5).getPairs());
+	});
+});
+
 describe('speeds', () => {
 	const effect = (_: string, image: string) => image === 'heavy' ? 1 : 0.1;
 	const demands = [{image: 'heavy', share: 0.2}, {image: 'light', share: 0.5}];
@@ -83,32 +97,34 @@
 
 describe('paces', () => {
 	it('slow what is known to harm a tail far above its target, and leave the rest', () => {
-		const paces = decidePaces(serving(5), [filler('heavy'), filler('light')], teach(4), false);
+		const paces = decidePaces(serving(5), [filler('heavy'), filler('light')], teach(4));
 		expect(paces.get('heavy')).toBeLessThan(50);
 		expect(paces.has('light')).toBe(false);
 	});
 
 	it('do not go down again while the tail falls after the last change', () => {
-		const fillers = [filler('heavy', {percent: 0, usedShare: 0, sinceChangeMs: 100}), filler('light')];
-		expect(decidePaces(serving(2), fillers, teach(1.5), true)).toEqual(new Map());
+		const fillers = [filler('heavy', {
+			percent: 0, usedShare: 0, recentShare: 0.4, sinceChangeMs: 100,
+		}), filler('light')];
+		expect(decidePaces(serving(2), fillers, teach(1.5))).toEqual(new Map());
 	});
 
 	it('go down with a tail that nothing known explains', () => {
-		expect(decidePaces(serving(5), [filler('new')], new FillHarm(), false).get('new')).toBeLessThan(50);
+		expect(decidePaces(serving(5), [filler('new')], new FillHarm()).get('new')).toBeLessThan(50);
 	});
 
 	it('give back only what serving tasks can bear', () => {
 		const harm = teach(4);
-		expect(decidePaces(serving(0.3), [filler('heavy', {percent: 0, usedShare: 0})], harm, false).get('heavy') ?? 0).toBeLessThan(50);
-		expect(decidePaces(serving(0.3), [filler('light', {percent: 0, usedShare: 0})], harm, false)).toEqual(new Map([['light', 100]]));
+		expect(decidePaces(serving(0.3), [filler('heavy', {percent: 0, usedShare: 0})], harm).get('heavy') ?? 0).toBeLessThan(50);
+		expect(decidePaces(serving(0.3), [filler('light', {percent: 0, usedShare: 0})], harm)).toEqual(new Map([['light', 100]]));
 	});
 
 	it('wait for the last change to show before they give more back', () => {
-		expect(decidePaces(serving(0.3), [filler('light', {percent: 0, usedShare: 0, sinceChangeMs: 100})], teach(1.5), false).size).toBe(0);
+		expect(decidePaces(serving(0.3), [filler('light', {percent: 0, usedShare: 0, sinceChangeMs: 100})], teach(1.5)).size).toBe(0);
 	});
 
 	it('give all back where nothing serves any more', () => {
-		expect(decidePaces([], [filler('heavy', {percent: 0, usedShare: 0})], teach(4), false)).toEqual(new Map([['heavy', 100]]));
+		expect(decidePaces([], [filler('heavy', {percent: 0, usedShare: 0})], teach(4))).toEqual(new Map([['heavy', 100]]));
 	});
 });
 
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -353,14 +353,14 @@
 	*/
 	it('owns only while no other entry does', async () => {
 		await createWorld(2, 0);
-		world.startEntry('standby-0');
-		expect(await world.waitFor(() => world.getOwnerName() === 'standby-0', 10_000)).toBeDefined();
+		world.startEntry('small', 0.001);
+		expect(await world.waitFor(() => world.getOwnerName() === 'small', 1000)).toBeDefined();
 		world.startEntry('entry-1');
 		expect(await world.waitFor(() => world.getOwnerName() === 'entry-1', 5000)).toBeDefined();
-		await world.submit(jobId, createSpec([createStep()]), 'standby-0');
+		await world.submit(jobId, createSpec([createStep()]), 'small');
 		await world.clock.advance(500);
 		expect(world.isRunning(`${jobId}.0.0.0`)).toBe(true);
 		world.killEntry('entry-1');
-		expect(await world.waitFor(() => world.getOwnerName() === 'standby-0', 10_000)).toBeDefined();
+		expect(await world.waitFor(() => world.getOwnerName() === 'small', 10_000)).toBeDefined();
 	});
 });
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -21,7 +21,7 @@
 import {WorkflowDesk} from '../src/workflows/desk.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {Owner} from '../src/workflows/owner.ts';
-import {Ownership, standbyPrefix} from '../src/workflows/ownership.ts';
+import {formatMember, Ownership} from '../src/workflows/ownership.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {ProcessClock} from './membership-world.ts';
 
@@ -69,7 +69,6 @@
 
 type EntryProcess = {
 	name: string;
-	life: string;
 	clock: ProcessClock;
 	aborter: AbortController;
 	desk: WorkflowDesk;
@@ -160,7 +159,7 @@
 		host.agent = undefined;
 	}
 
-	startEntry(name: string): EntryProcess {
+	startEntry(name: string, processors = 1): EntryProcess {
 		const clock = new ProcessClock(this.clock);
 		const aborter = new AbortController();
 		const store = gate(clock, this.store.createClient(name));
@@ -179,10 +178,11 @@
 			note,
 			group: 'owners',
 			topic: workflowsTopic,
-			member: name.startsWith(standbyPrefix) ? `${standbyPrefix}${life}` : life,
-			isAlive: async member => [...this.entries.values()].some(entry => entry.life === member),
+			member: formatMember(name, processors, life),
+			processors,
+			countWorkers: async () => this.hosts.size,
+			isAlive: async address => this.entries.has(address),
 			minTtlMs: 1000,
-			isStandby: name.startsWith(standbyPrefix),
 			isCaughtUp: () => follower.isCaughtUp,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, onDeposed) => new Owner({
@@ -192,7 +192,7 @@
 		void follower.run(aborter.signal);
 		void ownership.run(aborter.signal);
 		const entry = {
-			name, life, clock, aborter, desk, follower, ownership,
+			name, clock, aborter, desk, follower, ownership,
 		};
 		this.entries.set(name, entry);
 		return entry;
