--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -13,7 +13,7 @@
 import {AgentState} from './agent-state.ts';
 import {agentsTopic, controlTopic} from './control-records.ts';
 import {ControlWatch} from './control-watch.ts';
-import {OrderDesk, type AgentNote} from './order-desk.ts';
+import {OrderHandler, type AgentNote} from './order-handler.ts';
 import {runWorkerLoop} from './worker-loop.ts';
 
 /** Options of an agent. */
@@ -41,7 +41,7 @@
 	readonly state: AgentState;
 	readonly #options: AgentOptions;
 	readonly #control: ControlWatch;
-	readonly #desk: OrderDesk;
+	readonly #orders: OrderHandler;
 	readonly #wakeup = new Wakeup();
 	readonly #loopOptions: Parameters<typeof runWorkerLoop>[0];
 	/**
@@ -83,7 +83,7 @@
 				note('fence raised', {fence: this.#fence});
 			},
 		};
-		this.#desk = new OrderDesk({
+		this.#orders = new OrderHandler({
 			...shared, control: this.#control, wake: () => {
 				this.#wakeup.wake();
 			},
@@ -118,11 +118,11 @@
 	}
 
 	async order(request: OrdersRequest): Promise<OrdersReply> {
-		return this.#desk.order(request);
+		return this.#orders.order(request);
 	}
 
 	async watch(request: WatchRequest, signal: AbortSignal): Promise<WatchReply> {
-		return this.#desk.watch(request, signal);
+		return this.#orders.watch(request, signal);
 	}
 
 	/**
--- a/src/agents/order-desk.ts
+++ b/src/agents/order-handler.ts
@@ -15,8 +15,8 @@
 /** Events worth a line of log. */
 export type AgentNote = (event: string, fields: Record<string, unknown>) => void;
 
-/** Options of the desk. */
-export type OrderDeskOptions = {
+/** Options of the handler. */
+export type OrderHandlerOptions = {
 	state: AgentState;
 	control: ControlWatch;
 	client: WorkerClient;
@@ -36,11 +36,11 @@
 /** Less lease than this left: the task would be killed before the next renewal. */
 const minLeaseMs = 400;
 
-/** The desk. */
-export class OrderDesk {
-	readonly #options: OrderDeskOptions;
+/** The handler. */
+export class OrderHandler {
+	readonly #options: OrderHandlerOptions;
 
-	constructor(options: OrderDeskOptions) {
+	constructor(options: OrderHandlerOptions) {
 		this.#options = options;
 	}
 
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -7,7 +7,7 @@
 import {OrderRefusal, type WorkerClient, type WorkerListing} from '../types/fleet.ts';
 import {type Wakeup} from '../utils/wakeup.ts';
 import {type AgentState, type WorkerState} from './agent-state.ts';
-import {type AgentNote} from './order-desk.ts';
+import {type AgentNote} from './order-handler.ts';
 
 /** Options of the loop. */
 export type WorkerLoopOptions = {
--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -8,7 +8,7 @@
 	createError, ErrorCode, getErrorCode, getMessage,
 } from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
-import {LookupOutcome, SubmitOutcome, type Desk} from '../types/desk.ts';
+import {LookupOutcome, SubmitOutcome, type JobApi} from '../types/job-api.ts';
 import {type QueueConfig} from '../types/site.ts';
 import {type WorkflowSpec, type WorkflowStep} from '../types/workflows.ts';
 import {readBody} from '../utils/http-server.ts';
@@ -28,7 +28,7 @@
 
 /** Options of the server. */
 export type CallerServerOptions = {
-	desk: Desk;
+	jobs: JobApi;
 	clock: Clock;
 	findQueue: (queues: QueueConfig[], host: string, path: string) => QueueConfig | undefined;
 	onAnswer: AnswerNote;
@@ -37,12 +37,12 @@
 };
 
 /** Creates the server; the caller of this function binds and closes it. */
-export const createCallerServer = ({desk, clock, findQueue, onAnswer, isClosing}: CallerServerOptions): Server => {
+export const createCallerServer = ({jobs, clock, findQueue, onAnswer, isClosing}: CallerServerOptions): Server => {
 	const server = createServer(async (request, response) => {
 		const startedAtMs = clock.monotonicMs();
 		const url = request.url ?? '/';
 		const path = url.split('?', 1)[0]!;
-		const queue = findQueue(desk.getConfig()?.queues ?? [], (request.headers.host ?? '').replace(/:\d+$/, ''), path);
+		const queue = findQueue(jobs.getConfig()?.queues ?? [], (request.headers.host ?? '').replace(/:\d+$/, ''), path);
 		const id = queue && path.slice(queue.pathPrefix.length);
 		let answer: Answer & {reason?: string};
 		try {
@@ -58,7 +58,7 @@
 	});
 
 	const serve = async (request: IncomingMessage, queue: QueueConfig | undefined, id: string): Promise<Answer & {reason?: string}> => {
-		const config = desk.getConfig();
+		const config = jobs.getConfig();
 		if (!config) {
 			return {status: 503, retryAfterMs: 1000, reason: 'no configuration yet'};
 		}
@@ -69,7 +69,7 @@
 
 		const timeoutMs = Math.max(answerReserveMs, Number(request.headers['deadline-ms'] ?? defaultDeadlineMs) - answerReserveMs);
 		if (id === '' && request.method === 'GET') {
-			return {status: 200, body: {pendingCount: desk.countPending(queue)}};
+			return {status: 200, body: {pendingCount: jobs.countPending(queue)}};
 		}
 
 		if (!idPattern.test(id)) {
@@ -77,12 +77,12 @@
 		}
 
 		if (request.method === 'GET') {
-			const {outcome, state} = await desk.getState(queue, id, timeoutMs);
+			const {outcome, state} = await jobs.getState(queue, id, timeoutMs);
 			return outcome === LookupOutcome.Found ? {status: 200, body: {state}} : getLookupAnswer(outcome);
 		}
 
 		if (request.method === 'DELETE') {
-			return getLookupAnswer(await desk.cancel(queue, id, timeoutMs));
+			return getLookupAnswer(await jobs.cancel(queue, id, timeoutMs));
 		}
 
 		if (request.method !== 'POST') {
@@ -91,7 +91,7 @@
 
 		const {maxBodyBytes, headerTimeoutMs} = config.limits;
 		const body = await readBody(request, clock, {maxBytes: maxBodyBytes, timeoutMs: Math.min(timeoutMs, headerTimeoutMs)});
-		return decodeSubmitReply(await desk.submit(queue, id, decodeSpec(body), timeoutMs));
+		return decodeSubmitReply(await jobs.submit(queue, id, decodeSpec(body), timeoutMs));
 	};
 
 	return server;
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -15,7 +15,7 @@
 import {close, listen} from '../utils/http-server.ts';
 import {alivePath} from '../utils/metrics-page.ts';
 import {ConfigFollower} from '../workflows/config-follower.ts';
-import {WorkflowDesk} from '../workflows/desk.ts';
+import {WorkflowApi} from '../workflows/workflow-api.ts';
 import {WorkflowFollower} from '../workflows/follower.ts';
 import {Owner} from '../workflows/owner.ts';
 import {formatMember, Ownership} from '../workflows/ownership.ts';
@@ -41,11 +41,11 @@
 		throw createError(ErrorCode.BadSettings, {step: 'start entry', detail: 'the settings name no address for callers'});
 	}
 
-	const {config, desk, ownership, isStoreLost, isCaughtUp} = createParts(parts);
+	const {config, jobs, ownership, isStoreLost, isCaughtUp} = createParts(parts);
 	let isLeaving = false;
 	const isReady = () => !isLeaving && isCaughtUp() && !isStoreLost();
 	const callers = createCallerServer({
-		desk,
+		jobs,
 		clock,
 		findQueue,
 		// A caller on an open connection stays here unless it is told to connect anew.
@@ -142,7 +142,7 @@
 			follow(siteConfig);
 		},
 	});
-	const desk = new WorkflowDesk({
+	const jobs = new WorkflowApi({
 		store,
 		clock,
 		partitions,
@@ -152,7 +152,7 @@
 		producer: `${site.hostName}-${life}`,
 		getConfig: () => config.config,
 		onWriterNote(event, detail) {
-			note(`store ${event}`, {detail, writer: 'desk'});
+			note(`store ${event}`, {detail, writer: 'jobs'});
 		},
 	});
 	const isCaughtUp = () => config.config !== undefined && [...followers.values()].every(follower => follower.isCaughtUp);
@@ -191,6 +191,6 @@
 	});
 	metrics.addGauge('chervilworks_partitions_owned', 'Partitions that this entry owns.', () => ownership.owners.size);
 	return {
-		config, desk, ownership, isStoreLost, isCaughtUp,
+		config, jobs, ownership, isStoreLost, isCaughtUp,
 	};
 };
--- a/src/types/desk.ts
+++ b/src/types/job-api.ts
@@ -32,7 +32,7 @@
 }
 
 /** Jobs as an entry offers them to callers. */
-export type Desk = {
+export type JobApi = {
 	getConfig(): SiteConfig | undefined;
 	/** Resolves within the time given. */
 	submit(queue: QueueConfig, id: string, spec: WorkflowSpec, timeoutMs: number): Promise<SubmitReply>;
--- a/src/workflows/advice-book.ts
+++ b/src/workflows/advice-cache.ts
@@ -6,8 +6,8 @@
 import {type Clock} from '../types/clock.ts';
 import {type LiveStep} from './live-model.ts';
 
-/** Options of the book. */
-export type AdviceBookOptions = {
+/** Options of the cache. */
+export type AdviceCacheOptions = {
 	/** Undefined: the site has no such service. */
 	client: AdviceClient | undefined;
 	clock: Clock;
@@ -32,13 +32,13 @@
 /** A ticket this close to its end may be too old as the start arrives. */
 const marginMs = 400;
 
-/** The book. */
-export class AdviceBook {
-	readonly #options: AdviceBookOptions;
+/** The cache. */
+export class AdviceCache {
+	readonly #options: AdviceCacheOptions;
 	readonly #entries = new Map<LiveStep, Entry>();
 	#calls = 0;
 
-	constructor(options: AdviceBookOptions) {
+	constructor(options: AdviceCacheOptions) {
 		this.#options = options;
 	}
 
--- a/src/workflows/loss-watch.ts
+++ b/src/workflows/loss-watch.ts
@@ -9,7 +9,7 @@
 import {type Clock} from '../types/clock.ts';
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {type FleetWorker} from './fleet-view.ts';
-import {LossReason, type RunBook} from './run-book.ts';
+import {LossReason, type RunTracker} from './run-tracker.ts';
 
 /** Options of the watch. */
 export type LossWatchOptions = {
@@ -19,7 +19,7 @@
 	epoch: number;
 	leaseHorizonMs: number;
 	workers: Map<string, FleetWorker>;
-	book: RunBook;
+	tracker: RunTracker;
 	signal: AbortSignal;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
@@ -72,7 +72,7 @@
 
 	/** The leases of a lost agent are over. It may have registered anew meanwhile, without being reached yet. */
 	#takeLost(worker: FleetWorker, nowMs: number): void {
-		this.#options.book.loseAll(worker, LossReason.AgentLost, nowMs);
+		this.#options.tracker.loseAll(worker, LossReason.AgentLost, nowMs);
 		if (worker.session > worker.lostSession!) {
 			worker.lostSession = undefined;
 			worker.lostAtMs = undefined;
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -11,13 +11,13 @@
 	RunPhase, type LiveModel, type LiveRun, type LiveStep,
 } from './live-model.ts';
 import {type Start} from './placement.ts';
-import {type RunBook} from './run-book.ts';
+import {type RunTracker} from './run-tracker.ts';
 
 /** Options of the sender. */
 export type OrderSenderOptions = {
 	clock: Clock;
 	links: AgentLinks;
-	book: RunBook;
+	tracker: RunTracker;
 	model: LiveModel;
 	getTicket: (step: LiveStep, workerId: string) => string | undefined;
 	/** An agent knows a newer owner. */
@@ -48,14 +48,14 @@
 
 	/** Orders starts that were decided. */
 	start(starts: Start[]): void {
-		const {book, links, clock} = this.#options;
+		const {tracker, links, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const byWorker = new Map<FleetWorker, LiveRun[]>();
 		for (const {task, worker} of starts) {
 			const {step} = task;
 			// Members of a gang share the number of their run.
 			const lastRun = step.spec.isGang ? Math.max(...step.tasks.map(member => member.runs.length > 0 ? member.lastRun - 1 : member.lastRun)) : task.lastRun;
-			const run = book.open(task, worker, lastRun + 1, {nowMs, notAfterMs: links.getNotAfterMs(worker)});
+			const run = tracker.open(task, worker, lastRun + 1, {nowMs, notAfterMs: links.getNotAfterMs(worker)});
 			byWorker.set(worker, [...(byWorker.get(worker) ?? []), run]);
 		}
 
@@ -130,13 +130,13 @@
 	}
 
 	#takeAnswer(worker: FleetWorker, run: LiveRun, {isDone, refusal}: WorkerAnswer, {version, nowMs}: {version: number; nowMs: number}): void {
-		const {book, note, onStaleEpoch} = this.#options;
+		const {tracker, note, onStaleEpoch} = this.#options;
 		if (!run.task.runs.includes(run)) {
 			return;
 		}
 
 		if (isDone) {
-			book.confirm(run, version, nowMs);
+			tracker.confirm(run, version, nowMs);
 			return;
 		}
 
@@ -150,7 +150,7 @@
 
 		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + (refusalPauseMs[refusal!] ?? 0));
 		if (refusal !== OrderRefusal.Unanswered) {
-			book.withdraw(run, worker, nowMs);
+			tracker.withdraw(run, worker, nowMs);
 		}
 	}
 }
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -10,7 +10,7 @@
 import {type AgentRegistration, type WatchReply} from '../types/fleet.ts';
 import {type StoreClient} from '../types/store.ts';
 import {type TaskRef} from '../types/workflows.ts';
-import {AdviceBook} from './advice-book.ts';
+import {AdviceCache} from './advice-cache.ts';
 import {AgentLinks, type AgentClient} from './agent-links.ts';
 import {FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
@@ -25,7 +25,7 @@
 import {PaceKeeper} from './pace-keeper.ts';
 import {hasPlace, place, type IsAllowed} from './placement.ts';
 import {chooseMoves, wantsCopy} from './relocation.ts';
-import {RunBook} from './run-book.ts';
+import {RunTracker} from './run-tracker.ts';
 
 /** Options of an owner. */
 export type OwnerOptions = {
@@ -71,12 +71,12 @@
 	readonly model = new LiveModel();
 	readonly links: AgentLinks;
 	readonly #options: OwnerOptions;
-	readonly #book: RunBook;
+	readonly #runs: RunTracker;
 	readonly #log: OwnerLog;
 	readonly #sender: OrderSender;
 	readonly #losses: LossWatch;
 	readonly #paces: PaceKeeper;
-	readonly #advice: AdviceBook;
+	readonly #advice: AdviceCache;
 	readonly #isAllowed: IsAllowed;
 	readonly #harm = new FillHarm();
 	readonly #aborter = createAborter();
@@ -107,11 +107,11 @@
 				this.#depose(`an agent knows epoch ${newerEpoch}`);
 			},
 		});
-		this.#book = this.#createBook();
+		this.#runs = this.#createRunTracker();
 		const shared = {
-			clock, note, model, links: this.links, book: this.#book,
+			clock, note, model, links: this.links, tracker: this.#runs,
 		};
-		this.#advice = new AdviceBook({
+		this.#advice = new AdviceCache({
 			clock, note, client: options.adviceClient, onAdvice: () => {
 				this.#wantRound();
 			},
@@ -123,7 +123,7 @@
 			},
 		});
 		this.#losses = new LossWatch({
-			...options, book: this.#book, workers: this.links.workers, signal: this.#aborter.signal,
+			...options, tracker: this.#runs, workers: this.links.workers, signal: this.#aborter.signal,
 		});
 		this.#paces = new PaceKeeper({...shared, harm: this.#harm});
 	}
@@ -165,9 +165,9 @@
 		}
 	}
 
-	#createBook(): RunBook {
+	#createRunTracker(): RunTracker {
 		const {note} = this.#options;
-		return new RunBook(this.model, {
+		return new RunTracker(this.model, {
 			store: async ends => this.#log.storeEnds(ends),
 			onBegun: ({step: {workflow: {folded}}}) => {
 				if (!folded.hasBegun) {
@@ -321,7 +321,7 @@
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#losses.readmit(worker);
 		const runsBefore = worker.runs.size;
-		this.#book.take(worker, reply, nowMs);
+		this.#runs.take(worker, reply, nowMs);
 		this.#paces.take(worker);
 		if (worker.runs.size !== runsBefore || !worker.isListed) {
 			this.#wantRound();
--- a/src/workflows/run-book.ts
+++ b/src/workflows/run-tracker.ts
@@ -13,8 +13,8 @@
 	RunPhase, type LiveModel, type LiveRun, type LiveTask,
 } from './live-model.ts';
 
-/** What the book tells its owner. */
-export type RunBookHandlers = {
+/** What the tracker tells its owner. */
+export type RunTrackerHandlers = {
 	/** Writes ends to the log; resolves to whether they are stored. */
 	store: (ends: EndedRun[]) => Promise<boolean>;
 	/** A job's first run was seen. */
@@ -45,12 +45,12 @@
 // at its start does not take all starts.
 const failurePauseMs = 100;
 
-/** The book. */
-export class RunBook {
+/** The tracker. */
+export class RunTracker {
 	readonly #model: LiveModel;
-	readonly #handlers: RunBookHandlers;
+	readonly #handlers: RunTrackerHandlers;
 
-	constructor(model: LiveModel, handlers: RunBookHandlers) {
+	constructor(model: LiveModel, handlers: RunTrackerHandlers) {
 		this.#model = model;
 		this.#handlers = handlers;
 	}
--- a/src/workflows/desk.ts
+++ b/src/workflows/workflow-api.ts
@@ -8,8 +8,8 @@
 import {getPartition} from '../core/partitions.ts';
 import {type Clock} from '../types/clock.ts';
 import {
-	LookupOutcome, SubmitOutcome, type Desk, type SubmitReply,
-} from '../types/desk.ts';
+	LookupOutcome, SubmitOutcome, type JobApi, type SubmitReply,
+} from '../types/job-api.ts';
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
 import {type StoreClient} from '../types/store.ts';
 import {type WorkflowState, type WorkflowSpec} from '../types/workflows.ts';
@@ -17,8 +17,8 @@
 import {type WorkflowFollower} from './follower.ts';
 import {encodeRecord, RecordType, workflowsTopic} from './records.ts';
 
-/** Options of the desk. */
-export type WorkflowDeskOptions = {
+/** Options of the API. */
+export type WorkflowApiOptions = {
 	store: StoreClient;
 	clock: Clock;
 	partitions: number;
@@ -41,14 +41,14 @@
 /** The end of the stream is read in some 10 ms; without an answer after this, the caller is told that it is not known. */
 const catchUpMs = 1200;
 
-/** The desk. */
-export class WorkflowDesk implements Desk {
-	readonly #options: WorkflowDeskOptions;
+/** The API. */
+export class WorkflowApi implements JobApi {
+	readonly #options: WorkflowApiOptions;
 	readonly #writers = new Map<number, ProducerWriter>();
 	/** Jobs whose record was sent and is still being tried after their caller was told that it is not known. */
 	readonly #open = new Set<string>();
 
-	constructor(options: WorkflowDeskOptions) {
+	constructor(options: WorkflowApiOptions) {
 		this.#options = options;
 	}
 
--- a/test/caller-server.test.ts
+++ b/test/caller-server.test.ts
@@ -1,5 +1,5 @@
 /**
-What callers get for what they send, with the desk behind it given by the test.
+What callers get for what they send, with the jobs behind it given by the test.
 */
 import {Buffer} from 'node:buffer';
 import {createConnection} from 'node:net';
@@ -8,7 +8,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {createCallerServer, decodeSpec} from '../src/platform/caller-server.ts';
-import {LookupOutcome, SubmitOutcome, type Desk} from '../src/types/desk.ts';
+import {LookupOutcome, SubmitOutcome, type JobApi} from '../src/types/job-api.ts';
 import {type SiteConfig} from '../src/types/site.ts';
 import {WorkflowState} from '../src/types/workflows.ts';
 import {createHttpClient, type HttpAnswer} from '../src/utils/http-calls.ts';
@@ -27,15 +27,15 @@
 let server: Server;
 let address = '';
 
-const serve = async (desk: Partial<Desk>): Promise<void> => {
+const serve = async (jobs: Partial<JobApi>): Promise<void> => {
 	server = createCallerServer({
-		desk: {
+		jobs: {
 			getConfig: () => config,
 			submit: async () => ({outcome: SubmitOutcome.Accepted}),
 			getState: async () => ({outcome: LookupOutcome.Found, state: WorkflowState.Running}),
 			cancel: async () => LookupOutcome.Found,
 			countPending: () => 12,
-			...desk,
+			...jobs,
 		},
 		clock: createSystemClock(),
 		findQueue,
--- a/test/site-acceptance.test.ts
+++ b/test/site-acceptance.test.ts
@@ -5,7 +5,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
-import {LookupOutcome, SubmitOutcome} from '../src/types/desk.ts';
+import {LookupOutcome, SubmitOutcome} from '../src/types/job-api.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {createSite, jobId, otherId} from './site-setup.ts';
 import {
@@ -157,8 +157,8 @@
 	it('turns away soon what waits behind a record without an answer', async () => {
 		await createWorld();
 		world.store.fault = ({kind, ref}) => kind === 'append' && ref?.topic === 'workflows' ? StoreFault.Silence : StoreFault.None;
-		const {desk} = world.entries.get('entry-1')!;
-		const first = desk.submit(queue, jobId, createSpec([createStep()]), 2500);
+		const {jobs} = world.entries.get('entry-1')!;
+		const first = jobs.submit(queue, jobId, createSpec([createStep()]), 2500);
 		await world.clock.advance(50);
 		const startMs = world.clock.monotonicMs();
 		expect((await world.submit(otherId, createSpec([createStep()]), 'entry-1')).outcome).toBe(SubmitOutcome.NotAccepted);
--- a/test/site-property.test.ts
+++ b/test/site-property.test.ts
@@ -7,7 +7,7 @@
 import {expect, it} from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {OrderFault} from '../src/standin/site-worker.ts';
-import {SubmitOutcome} from '../src/types/desk.ts';
+import {SubmitOutcome} from '../src/types/job-api.ts';
 import {WorkflowState} from '../src/types/workflows.ts';
 import {createSpec, createStep, SiteWorld} from './site-world.ts';
 
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -10,7 +10,7 @@
 import {MemoryStore} from '../src/standin/memory-store.ts';
 import {SiteWorker, type RunPlan, type WorkerEvent} from '../src/standin/site-worker.ts';
 import {type AdviceClient} from '../src/types/advice.ts';
-import {LookupOutcome, type SubmitReply} from '../src/types/desk.ts';
+import {LookupOutcome, type SubmitReply} from '../src/types/job-api.ts';
 import {type WorkerStart} from '../src/types/fleet.ts';
 import {type QueueConfig} from '../src/types/site.ts';
 import {
@@ -18,7 +18,7 @@
 } from '../src/types/workflows.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {type AgentClient} from '../src/workflows/agent-links.ts';
-import {WorkflowDesk} from '../src/workflows/desk.ts';
+import {WorkflowApi} from '../src/workflows/workflow-api.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {Owner} from '../src/workflows/owner.ts';
 import {formatMember, Ownership} from '../src/workflows/ownership.ts';
@@ -71,7 +71,7 @@
 	name: string;
 	clock: ProcessClock;
 	aborter: AbortController;
-	desk: WorkflowDesk;
+	jobs: WorkflowApi;
 	follower: WorkflowFollower;
 	ownership: Ownership;
 };
@@ -169,7 +169,7 @@
 		const follower = new WorkflowFollower({
 			store, clock, ref: {topic: workflowsTopic, partition}, onStoreState: ignore, onInvalid: ignore,
 		});
-		const desk = new WorkflowDesk({
+		const jobs = new WorkflowApi({
 			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => lost.has(name), onWriterNote: ignore,
 		});
 		const ownership = new Ownership({
@@ -192,7 +192,7 @@
 		void follower.run(aborter.signal);
 		void ownership.run(aborter.signal);
 		const entry = {
-			name, clock, aborter, desk, follower, ownership,
+			name, clock, aborter, jobs, follower, ownership,
 		};
 		this.entries.set(name, entry);
 		return entry;
@@ -213,16 +213,16 @@
 	async submit(id: string, spec: WorkflowSpec, entryName?: string): Promise<SubmitReply> {
 		this.specs.set(id, spec);
 		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
-		return this.settle(entry.desk.submit(queue, id, spec, 2500));
+		return this.settle(entry.jobs.submit(queue, id, spec, 2500));
 	}
 
 	async cancel(id: string): Promise<LookupOutcome> {
-		return this.settle([...this.entries.values()][0]!.desk.cancel(queue, id, 2500));
+		return this.settle([...this.entries.values()][0]!.jobs.cancel(queue, id, 2500));
 	}
 
 	async getState(id: string, entryName?: string): Promise<WorkflowState | LookupOutcome> {
 		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
-		const {outcome, state} = await this.settle(entry.desk.getState(queue, id, 2500));
+		const {outcome, state} = await this.settle(entry.jobs.getState(queue, id, 2500));
 		return outcome === LookupOutcome.Found ? state! : outcome;
 	}
 
