Bound what is handed on of learned harm to images that are still there

Cause: read through of the change: images were kept for ever, so the record for the next owner would grow with all that ever ran beside each other. Change: an image that was not measured for five minutes is left out. Measured: a test that fails without it.

--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -35,6 +35,8 @@
 const amountOfWhole = 10;
 // Harm changes within seconds: what was learned fades over a minute.
 const halfLifeMs = 60_000;
+/** What was learned has faded by then; images come and go, and what is handed on must not grow with all that ever were. */
+const forgetMs = 5 * halfLifeMs;
 // The effect on a load is taken as a line without a part that depends on the worker's other work.
 const noOtherLoad = 0;
 // A pair that was not seen yet is taken for somewhat harmful: one task shows what it does before more follow.
@@ -44,8 +46,9 @@
 export class FillHarm {
 	readonly #model = new HarmModel(halfLifeMs);
 	readonly #loads = new ServingLoads();
-	readonly #servers = new Set<string>();
-	readonly #fillers = new Set<string>();
+	/** Images that were measured beside each other, with the last time. */
+	readonly #servers = new Map<string, number>();
+	readonly #fillers = new Map<string, number>();
 	readonly #kinds = new KindTable(kindId => {
 		this.#model.forget(kindId);
 	});
@@ -54,6 +57,8 @@
 	note(servers: Server[], fillers: Filler[], nowMs: number): void {
 		this.#model.fade(nowMs);
 		this.#loads.prune(nowMs);
+		prune(this.#servers, nowMs);
+		prune(this.#fillers, nowMs);
 		for (const server of servers) {
 			if (server.ratio > 0) {
 				this.#noteOne(server, fillers, nowMs);
@@ -64,8 +69,8 @@
 	/** What was learned so far, for another owner. */
 	getPairs(): HarmPair[] {
 		const pairs: HarmPair[] = [];
-		for (const server of this.#servers) {
-			for (const filler of this.#fillers) {
+		for (const server of this.#servers.keys()) {
+			for (const filler of this.#fillers.keys()) {
 				const effect = this.#model.getIdlePair(this.#kinds.get(server), this.#kinds.get(filler));
 				if (effect) {
 					pairs.push({
@@ -79,10 +84,10 @@
 	}
 
 	/** Takes what an earlier owner has learned: without it, each pair would do its harm once more to be known. */
-	restore(pairs: HarmPair[]): void {
+	restore(pairs: HarmPair[], nowMs: number): void {
 		for (const {server, filler, mean, deviation} of pairs) {
-			this.#servers.add(server);
-			this.#fillers.add(filler);
+			this.#servers.set(server, nowMs);
+			this.#fillers.set(filler, nowMs);
 			this.#model.setIdlePair(this.#kinds.get(server), this.#kinds.get(filler), {mean, deviation});
 		}
 	}
@@ -119,9 +124,9 @@
 			.filter(filler => getShare(filler) > 0)
 			.map(filler => ({kindId: this.#kinds.get(filler.image), amount: getShare(filler) * amountOfWhole}));
 		if (neighbours.length > 0) {
-			this.#servers.add(image);
+			this.#servers.set(image, nowMs);
 			for (const filler of fillers) {
-				this.#fillers.add(filler.image);
+				this.#fillers.set(filler.image, nowMs);
 			}
 
 			this.#model.note({
@@ -154,6 +159,14 @@
 	}
 }
 
+const prune = (images: Map<string, number>, nowMs: number): void => {
+	for (const [image, seenAtMs] of images) {
+		if (nowMs - seenAtMs > forgetMs) {
+			images.delete(image);
+		}
+	}
+};
+
 const round = (value: number): number => Math.round(value * 1000) / 1000;
 
 /** Job of a serving task, as loads are followed by. */
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -140,7 +140,7 @@
 
 		this.#claimOffset = claimOffset;
 		this.#claimedAtMs = clock.monotonicMs();
-		this.#harm.restore(follower.fold.harm);
+		this.#harm.restore(follower.fold.harm, clock.monotonicMs());
 		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs());
 		this.#listen(follower);
 		for (const workflow of this.model.workflows.values()) {
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -66,12 +66,22 @@
 		const fold = new WorkflowFold();
 		fold.apply(decodeRecord(encodeRecord({type: RecordType.Harm, pairs: teach(1.5).getPairs()})), 0);
 		const next = new FillHarm();
-		next.restore(fold.harm);
+		next.restore(fold.harm, 0);
 		expect(next.getEffect('serve', 'heavy')).toBeCloseTo(teach(1.5).getEffect('serve', 'heavy'), 1);
 		expect(next.getPairs()).toEqual(teach(1.5).getPairs());
 	});
 });
 
+describe('images that are gone', () => {
+	/** Images come and go for months: the record for the next owner grew with all that ever were, and with it each takeover. */
+	it('are not handed on', () => {
+		const harm = teach(1.5);
+		expect(harm.getPairs()).toHaveLength(2);
+		harm.note([], [], 1_000_000);
+		expect(harm.getPairs()).toEqual([]);
+	});
+});
+
 describe('speeds', () => {
 	const effect = (_: string, image: string) => image === 'heavy' ? 1 : 0.1;
 	const demands = [{image: 'heavy', share: 0.2}, {image: 'light', share: 0.5}];
