--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -24,6 +24,7 @@
 import {formatMember, Ownership} from '../src/workflows/ownership.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {ProcessClock} from './membership-world.ts';
+import {gate} from './process-gate.ts';
 
 export const service = 'desk';
 const partitions = 8;
@@ -55,16 +56,6 @@
 	input: 'text', steps, firstDueMs: 0, intervalMs: 0, repeatCount: 0, ...spec,
 });
 
-/** Calls of a process that stands still neither leave it nor come back to it. */
-const gate = <Client extends Record<string, (...args: never[]) => Promise<unknown>>>(clock: ProcessClock, client: Client): Client => Object.fromEntries(Object.entries(client).map(([name, call]) => [name, async (...args: never[]) => {
-	await clock.ready();
-	try {
-		return await call(...args);
-	} finally {
-		await clock.ready();
-	}
-}])) as Client;
-
 const ignore = () => undefined;
 
 type EntryProcess = {
