Stop all that fills beside a tail that stays over its target

The plan of speeds trusts what was learned; a pair that was learned as harmless and is not (harm changes within seconds) is slowed only as fast as that is unlearned.

Change: a serving task that is over its target for 1.5 s on end stops all that fills on its worker, and nothing more is set there, until its tail is back, whatever is known of its neighbours.

Measured: a test that fails without the guard.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -154,6 +154,7 @@
 			blockedUntilMs: 0,
 			unknownStopAtMs: Number.NEGATIVE_INFINITY,
 			paces: new Map(),
+			isFillStopped: false,
 			fillUses: [],
 			harmNotedAtMs: Number.NEGATIVE_INFINITY,
 		};
--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -15,6 +15,8 @@
 	job: string;
 	/** Tail latency over its target, as last reported; 0 before the first report. */
 	ratio: number;
+	/** Since when it is over its target on end; undefined: it is not. */
+	overSinceMs?: number;
 };
 
 /** Tasks of one image that fill on one worker. */
@@ -175,9 +177,12 @@
 /** Serving tasks among the runs of a worker, with what was last reported of them. */
 export const getServers = (runs: Iterable<LiveRun>): Server[] => {
 	const servers: Server[] = [];
-	for (const {phase, percent, recent, task: {ref, step: {spec}}} of runs) {
+	for (const {phase, percent, recent, overSinceMs, task: {ref, step: {spec}}} of runs) {
 		if (spec.targetMs > 0 && phase === RunPhase.Running) {
-			servers.push({image: spec.image ?? '', job: getServingJob(ref), ratio: percent === 100 ? recent / spec.targetMs : 0});
+			const ratio = percent === 100 ? recent / spec.targetMs : 0;
+			servers.push({
+				image: spec.image ?? '', job: getServingJob(ref), ratio, overSinceMs,
+			});
 		}
 	}
 
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -49,6 +49,8 @@
 	unknownStopAtMs: number;
 	/** Speed that tasks that fill may work at, by image. */
 	paces: Paces;
+	/** Nothing may fill: a serving task has been over its target for too long. */
+	isFillStopped: boolean;
 	/** What each image that fills used of the processors, over the last second or so. */
 	fillUses: Array<{atMs: number; used: Map<string, number>}>;
 	/** When the harm of tasks that fill was last learned from. */
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -36,6 +36,8 @@
 	confirmedVersion: number;
 	percent: number;
 	recent: number;
+	/** Since when a serving task is over its target on end; undefined: it is not. */
+	overSinceMs?: number;
 	/** Last time that `percent` rose. */
 	progressAtMs: number;
 	stopSentAtMs: number;
--- a/src/workflows/pace-keeper.ts
+++ b/src/workflows/pace-keeper.ts
@@ -24,6 +24,11 @@
 const minRaise = 15;
 const settleMs = 500;
 const whole = 100;
+/**
+A serving task that is over its target for so long on end is left alone with what it needs, whatever is known of its
+neighbours: what is known may be wrong. Users bear 4 s; a stop shows after 0.1 s, and the tail falls for 1.3 s more.
+*/
+const stopAfterMs = 1500;
 
 const getPace = (worker: FleetWorker, run: LiveRun): number => worker.paces.get(run.task.step.spec.image ?? '')?.percent ?? whole;
 
@@ -38,8 +43,16 @@
 	return {image, load: Math.max(load, measured)};
 });
 
+/** Whether a serving task has been over its target for so long that nothing may fill beside it. */
+export const mustStopFilling = (servers: Server[], nowMs: number): boolean =>
+	servers.some(({overSinceMs}) => overSinceMs !== undefined && nowMs - overSinceMs >= stopAfterMs);
+
 /** Decides the pace of each image on one worker; images that keep theirs are left out. */
-export const decidePaces = (servers: Server[], fillers: Filler[], harm: FillHarm): Map<string, number> => {
+export const decidePaces = (servers: Server[], fillers: Filler[], harm: FillHarm, isStopped = false): Map<string, number> => {
+	if (isStopped) {
+		return new Map(fillers.filter(({percent}) => percent > 0).map(({image}) => [image, 0]));
+	}
+
 	const speeds = planSpeeds(getServingTasks(servers, fillers, harm), fillers, (server, filler) => harm.getEffect(server, filler));
 	const paces = new Map<string, number>();
 	for (const {image, percent, sinceChangeMs} of fillers) {
@@ -83,14 +96,16 @@
 	#decide(worker: FleetWorker, milliCpu: number, nowMs: number): void {
 		const fillers = getFillers(worker.runs, worker.paces, {milliCpu, nowMs});
 		const recent = noteUse(worker, fillers, nowMs);
+		noteOver(worker.runs, nowMs);
 		const servers = getServers(worker.runs);
+		worker.isFillStopped = mustStopFilling(servers, nowMs);
 		if (nowMs - worker.harmNotedAtMs >= learnEveryMs) {
 			worker.harmNotedAtMs = nowMs;
 			this.#harm.note(servers, recent, nowMs);
 		}
 
 		forgetPaces(worker, fillers);
-		for (const [image, percent] of decidePaces(servers, recent, this.#harm)) {
+		for (const [image, percent] of decidePaces(servers, recent, this.#harm, worker.isFillStopped)) {
 			const before = worker.paces.get(image)?.percent ?? whole;
 			this.#note('pace', {
 				host: worker.host, image, percent, before, worstRatio: Math.max(0, ...servers.map(({ratio}) => ratio)),
@@ -116,6 +131,14 @@
 	}
 }
 
+const noteOver = (runs: Iterable<LiveRun>, nowMs: number): void => {
+	for (const run of runs) {
+		const {targetMs} = run.task.step.spec;
+		const isOver = targetMs > 0 && run.recent > targetMs;
+		run.overSinceMs = isOver ? run.overSinceMs ?? nowMs : undefined;
+	}
+};
+
 /** An image of which nothing is left on the worker begins anew there: its old pace would keep it away for good. */
 const forgetPaces = (worker: FleetWorker, fillers: Filler[]): void => {
 	for (const image of worker.paces.keys()) {
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -196,7 +196,7 @@
 	return isFitting(spec, free) && isSuited(spec, worker.report!)
 		&& (spec.maxPerWorker === 0 || (ofStep.get(step) ?? 0) < spec.maxPerWorker)
 		&& isAllowed(step, worker.report!.workerId)
-		&& (!spec.isFilling || mustRun === true || canFill(spec, candidate, harm));
+		&& (!spec.isFilling || (!worker.isFillStopped && (mustRun === true || canFill(spec, candidate, harm))));
 };
 
 const canFill = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): boolean =>
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -37,6 +37,7 @@
 	blockedUntilMs: 0,
 	unknownStopAtMs: 0,
 	paces: new Map(),
+	isFillStopped: false,
 	fillUses: [],
 	harmNotedAtMs: Number.NEGATIVE_INFINITY,
 });
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -37,6 +37,19 @@
 	return harm;
 };
 
+const createWorld = (recentMs = 40) => {
+	const {model} = load([
+		createWorkflow('s', createSpec([createStep({
+			isLasting: true, targetMs: 100, image: 'serve', milliCpu: 3000,
+		})])),
+		createWorkflow('f', createSpec([createStep({count: 2, isFilling: true, image: 'heavy'})])),
+	]);
+	const worker = createWorker('x');
+	const [server] = [...model.waiting(0, () => false)];
+	run(server!, worker, {recent: recentMs, percent: 100});
+	return {model, worker};
+};
+
 describe('learned harm', () => {
 	/**
 	All tasks of a job have long tails at the top of its wave, whoever is beside them. What was beside them then was
@@ -123,6 +136,36 @@
 		expect(decidePaces(serving(5), [filler('new')], new FillHarm()).get('new')).toBeLessThan(50);
 	});
 
+	/**
+	A user's tail was over its target for four seconds, beside work that was not known to harm it. What is known may be wrong:
+	after a while nothing fills there, and nothing is set there, until the tail is back.
+	*/
+	it('stop whatever fills beside a tail that stays too long, and nothing more is set there', async () => {
+		const harm = new FillHarm();
+		harm.restore([{
+			server: 'serve', filler: 'heavy', mean: 0, deviation: 0.001,
+		}], 0);
+		const {model, worker} = createWorld(30);
+		const {runs} = worker;
+		const [server] = [...runs];
+		const [task] = [...model.waiting(0, () => false)];
+		run(task!, worker, {recent: 500});
+		const clock = new ManualClock();
+		const keeper = new PaceKeeper({
+			harm, clock, links: {order: async () => undefined} as unknown as AgentLinks, note: () => undefined,
+		});
+		server!.recent = 110;
+		keeper.take(worker);
+		expect(worker.isFillStopped).toBe(false);
+		await clock.advance(1600);
+		keeper.take(worker);
+		expect(worker.paces.get('heavy')?.percent).toBe(0);
+		expect(placeAll(model, [worker], {harm, nowMs: 10_000})).toHaveLength(0);
+		server!.recent = 20;
+		keeper.take(worker);
+		expect(worker.isFillStopped).toBe(false);
+	});
+
 	it('give back only what serving tasks can bear', () => {
 		const harm = teach(4);
 		expect(decidePaces(serving(0.3), [filler('heavy', {percent: 0, usedShare: 0})], harm).get('heavy') ?? 0).toBeLessThan(50);
@@ -139,19 +182,6 @@
 });
 
 describe('placement of what fills', () => {
-	const createWorld = (recentMs = 40) => {
-		const {model} = load([
-			createWorkflow('s', createSpec([createStep({
-				isLasting: true, targetMs: 100, image: 'serve', milliCpu: 3000,
-			})])),
-			createWorkflow('f', createSpec([createStep({count: 2, isFilling: true, image: 'heavy'})])),
-		]);
-		const worker = createWorker('x');
-		const [server] = [...model.waiting(0, () => false)];
-		run(server!, worker, {recent: recentMs, percent: 100});
-		return {model, worker};
-	};
-
 	/** What fills was set beside serving tasks, stood still there, and jobs missed their objective. */
 	it('sets what fills away from serving tasks that it is known to harm', () => {
 		const {model, worker} = createWorld();
