--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -39,7 +39,7 @@
 /** The group deals a silent member's partitions anew after this: the time that a dead owner's jobs wait. */
 const ttlMs = 1200;
 /**
-An owner of 72 workers fell 10 s behind on 0.324 of a core, and used 0.75 and 0.78 of 1.35 over a day; one of 11 workers
+An owner of 72 workers fell 10 s behind on 0.324 of a core, and 0.75 and 0.78 were used on larger hosts at the most; one of 11 workers
 uses 0.1.
 */
 const processorsForWorker = 0.01;
--- a/src/workflows/pace-keeper.ts
+++ b/src/workflows/pace-keeper.ts
@@ -33,7 +33,7 @@
 const getPace = (worker: FleetWorker, run: LiveRun): number => worker.paces.get(run.task.step.spec.image ?? '')?.percent ?? whole;
 
 /** Load of each serving task by itself: what is known of its job, or what its own tail tells if that is more. */
-export const getServingTasks = (servers: Server[], fillers: Filler[], harm: FillHarm): ServingTask[] => servers.map(({image, job, ratio}) => {
+const getServingTasks = (servers: Server[], fillers: Filler[], harm: FillHarm): ServingTask[] => servers.map(({image, job, ratio}) => {
 	const load = harm.getLoad(job) + riseMargin;
 	let measured = getLoadAt(ratio);
 	for (const filler of fillers) {
@@ -44,7 +44,7 @@
 });
 
 /** Whether a serving task has been over its target for so long that nothing may fill beside it. */
-export const mustStopFilling = (servers: Server[], nowMs: number): boolean =>
+const mustStopFilling = (servers: Server[], nowMs: number): boolean =>
 	servers.some(({overSinceMs}) => overSinceMs !== undefined && nowMs - overSinceMs >= stopAfterMs);
 
 /** Decides the pace of each image on one worker; images that keep theirs are left out. */
