Check what comes from outside where it is decoded, and let a late announcement replace no living worker

Cause: announcements, jobs, configurations, answers and records were parsed and cast. An announcement without a capacity or in an unknown state was taken for a worker; one registration that could not be read made the owner read all registrations from the start again and again, so it never settled. And an announcement of a crashed incarnation that a cut had held up made a restarted agent count the living incarnation as gone: the owner would have started all that runs there elsewhere as well.

A second incarnation waits until the worker itself says that the first is gone.

Tests that failed before: announcements with fields missing or of another type, bytes of any kind to all decoders and between the records of a stream, registrations that cannot be read, a held-up announcement.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -32,6 +32,8 @@
 	mustLapse = false;
 	/** Incarnations of which nothing runs any more. */
 	readonly goneWorkerIds: string[] = [];
+	/** Announced while another incarnation was known and not yet known to be gone. */
+	#successor: WorkerReport | undefined;
 	#version = 1;
 	readonly #waiters = new Set<() => void>();
 	readonly #horizonMs: number;
@@ -62,7 +64,13 @@
 		};
 	}
 
-	/** Takes an announcement. True for a new incarnation of the worker. */
+	/**
+	Takes an announcement. True for a new incarnation of the worker.
+
+	An announcement that was held up may come from an incarnation that has crashed since, also one that this life of the
+	agent never met. Taken for the newest, it would make the owner believe that nothing runs on the one that lives, and
+	start all of that elsewhere. So a second incarnation waits until the worker itself says that the first is gone.
+	*/
 	announce(report: WorkerReport): boolean {
 		const known = this.worker?.report;
 		if (known?.workerId === report.workerId) {
@@ -83,13 +91,11 @@
 		}
 
 		if (known) {
-			this.noteGone(known.workerId);
+			this.#successor = report;
+			return false;
 		}
 
-		this.worker = {
-			report, lease: new LeaseClock(this.#horizonMs), runs: new WorkerRuns(), forgetUpTo: 0, isOver: false, isAnswering: true,
-		};
-		this.bump();
+		this.#begin(report);
 		return true;
 	}
 
@@ -102,12 +108,24 @@
 		}
 	}
 
-	/** Drops the worker: it ended, or another incarnation answers at its address. */
+	/** Drops the worker: it ended, or another incarnation answers at its address. That one may have announced itself. */
 	drop(workerId: string): void {
 		if (this.worker?.report.workerId === workerId) {
 			this.worker = undefined;
 		}
 
 		this.noteGone(workerId);
+		const successor = this.#successor;
+		if (!this.worker && successor && successor.workerId !== workerId) {
+			this.#begin(successor);
+		}
+	}
+
+	#begin(report: WorkerReport): void {
+		this.#successor = undefined;
+		this.worker = {
+			report, lease: new LeaseClock(this.#horizonMs), runs: new WorkerRuns(), forgetUpTo: 0, isOver: false, isAnswering: true,
+		};
+		this.bump();
 	}
 }
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -105,7 +105,7 @@
 				workerId: report.workerId, before: before?.workerId, milliCpu: report.milliCpu, memoryMb: report.memoryMb, labels: report.labels,
 			});
 			this.#wakeup.wake();
-		} else if (before?.isDraining === false && report.isDraining) {
+		} else if (before?.workerId === report.workerId && !before.isDraining && report.isDraining) {
 			this.#options.note('worker drains', {workerId: report.workerId, remainingMs: report.remainingMs});
 		}
 	}
--- a/src/agents/control-records.ts
+++ b/src/agents/control-records.ts
@@ -2,7 +2,8 @@
 Records of the control stream of a service: who owns it, and which agents were declared lost.
 */
 import {Buffer} from 'node:buffer';
-import {createError, ErrorCode} from '../core/errors.ts';
+import {type AgentRegistration} from '../types/fleet.ts';
+import {parseFields} from '../utils/fields.ts';
 
 /** Topic of the control streams; the partition is that of the service. */
 export const controlTopic = 'control';
@@ -26,10 +27,20 @@
 
 /** Decodes a record. Throws `bad-input`. */
 export const decodeControl = (value: Buffer): ControlRecord => {
-	const record = JSON.parse(value.toString('utf8')) as ControlRecord;
-	if (record.type !== ControlType.Claim && record.type !== ControlType.Lost) {
-		throw createError(ErrorCode.BadInput, {step: 'read control record'});
-	}
+	const fields = parseFields(value, 'read control record');
+	const type = fields.oneOf('type', Object.values(ControlType));
+	const epoch = fields.count('epoch');
+	return type === ControlType.Claim
+		? {type, epoch, owner: fields.text('owner')}
+		: {
+			type, epoch, host: fields.text('host'), session: fields.count('session'),
+		};
+};
 
-	return record;
+/** Decodes an agent's registration. Throws `bad-input`. */
+export const decodeRegistration = (value: Buffer): AgentRegistration => {
+	const fields = parseFields(value, 'read agent registration');
+	return {
+		host: fields.text('host'), address: fields.text('address'), service: fields.text('service'), failureDomain: fields.text('failureDomain'),
+	};
 };
--- a/src/platform/advice-calls.ts
+++ b/src/platform/advice-calls.ts
@@ -3,6 +3,7 @@
 */
 import {createError, ErrorCode} from '../core/errors.ts';
 import {type AdviceClient} from '../types/advice.ts';
+import {Fields} from '../utils/fields.ts';
 import {type HttpClient} from '../utils/http-calls.ts';
 
 /** The service answers in turn: with all calls of this process waiting, some seconds pass. */
@@ -18,7 +19,13 @@
 			throw createError(ErrorCode.Refused, {step: 'ask for advice', peer: address, detail: `status ${status}`});
 		}
 
-		const {good, validityMs} = json as {good?: Array<[string, string]>; validityMs?: number};
-		return {tickets: (good ?? []).map(([workerId, ticket]) => ({workerId, ticket})), validMs: validityMs ?? 0};
+		const fields = new Fields(json, 'read advice');
+		return {
+			tickets: fields.list('good', value => {
+				const row = new Fields(value, 'read advice');
+				return {workerId: row.text(0), ticket: row.text(1)};
+			}),
+			validMs: fields.amount('validityMs', 0),
+		};
 	},
 });
--- a/src/platform/announce-server.ts
+++ b/src/platform/announce-server.ts
@@ -13,7 +13,8 @@
 	onReport: (report: WorkerReport) => void;
 	/** The worker says that it ends now. */
 	onLeave: (workerId: string) => void;
-	onInvalid: (reason: string) => void;
+	/** Something that cannot be read, with the name under which it was sent. */
+	onInvalid: (writer: string, reason: string) => void;
 };
 
 const pathPattern = /^\/instances\/([^/?]+)$/;
@@ -38,12 +39,12 @@
 		if (request.method === 'DELETE') {
 			onLeave(workerId);
 		} else {
-			onReport(decodeAnnouncement(workerId, JSON.parse(body.toString('utf8'))));
+			onReport(decodeAnnouncement(workerId, body));
 		}
 
 		answer(200, '{}');
 	} catch (error) {
-		onInvalid(getMessage(error));
+		onInvalid(workerId ?? '', getMessage(error));
 		answer(400, '{}');
 	}
 });
--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -11,6 +11,7 @@
 import {LookupOutcome, SubmitOutcome, type JobApi} from '../types/job-api.ts';
 import {type QueueConfig} from '../types/site.ts';
 import {type WorkflowSpec, type WorkflowStep} from '../types/workflows.ts';
+import {Fields, parseFields} from '../utils/fields.ts';
 import {readBody} from '../utils/http-server.ts';
 
 /** Callers that name no deadline wait this long. */
@@ -142,57 +143,47 @@
 	response.end(text);
 };
 
-type WireStep = {
-	count?: number; cpu?: number; memMb?: number; gpu?: number; estimateMs?: number; after?: number[]; checkpointing?: boolean; gang?: boolean;
-	sameRack?: boolean; requirements?: string; affinity?: string; antiAffinity?: number; speculative?: boolean; longRunning?: boolean; image?: string;
-	targetMs?: number; fills?: boolean; mayMiss?: number;
-};
-
 /** Decodes a job as callers send it. Throws `bad-input`. */
 export const decodeSpec = (body: Buffer): WorkflowSpec => {
-	let json: {spec?: string; steps?: WireStep[]; firstMs?: number; intervalMs?: number; repeatCount?: number};
-	try {
-		json = JSON.parse(body.toString('utf8')) as typeof json;
-	} catch (error) {
-		throw createError(ErrorCode.BadInput, {step: 'read job', detail: 'not JSON', cause: error});
-	}
-
-	const steps = json?.steps;
-	if (!Array.isArray(steps) || steps.length === 0 || steps.length > maxSteps || !steps.every((step, index) => isStep(step, index))) {
-		throw createError(ErrorCode.BadInput, {step: 'read job', detail: 'steps are missing or not valid'});
+	const fields = parseFields(body, 'read job');
+	const steps = fields.list('steps', value => new Fields(value, 'read step')).map((step, index) => decodeStep(step, index));
+	if (steps.length === 0 || steps.length > maxSteps) {
+		throw createError(ErrorCode.BadInput, {step: 'read job', detail: `${steps.length} steps`});
 	}
 
 	return {
-		input: typeof json.spec === 'string' ? json.spec : '',
-		steps: steps.map(step => decodeStep(step)),
-		firstDueMs: json.firstMs ?? 0,
-		intervalMs: json.intervalMs ?? 0,
-		repeatCount: json.repeatCount ?? 0,
+		input: fields.text('spec', ''),
+		steps,
+		firstDueMs: fields.amount('firstMs', 0),
+		intervalMs: fields.amount('intervalMs', 0),
+		repeatCount: fields.count('repeatCount', 0),
 	};
 };
 
-const isStep = (step: WireStep | undefined, index: number): boolean =>
-	typeof step === 'object' && step !== null
-	&& Number.isInteger(step.count ?? 0) && (step.count ?? 0) >= 0 && (step.count ?? 0) <= maxTasksPerStep
-	&& (step.after ?? []).every(earlier => Number.isInteger(earlier) && earlier >= 0 && earlier < index);
-
-const decodeStep = (step: WireStep): WorkflowStep => ({
-	count: step.count ?? 0,
-	milliCpu: step.cpu ?? 0,
-	memoryMb: step.memMb ?? 0,
-	accelerators: step.gpu ?? 0,
-	estimateMs: step.estimateMs ?? 0,
-	after: step.after ?? [],
-	isCheckpointing: step.checkpointing ?? false,
-	isGang: step.gang ?? false,
-	isSameRack: step.sameRack ?? false,
-	requiredLabel: step.requirements === '' ? undefined : step.requirements,
-	dataRack: step.affinity === '' ? undefined : step.affinity,
-	maxPerWorker: step.antiAffinity ?? 0,
-	isSpeculative: step.speculative ?? false,
-	isLasting: step.longRunning ?? false,
-	image: step.image === '' ? undefined : step.image,
-	targetMs: step.targetMs ?? 0,
-	isFilling: step.fills ?? false,
-	maxAway: step.mayMiss,
-});
+const decodeStep = (fields: Fields, index: number): WorkflowStep => {
+	const step: WorkflowStep = {
+		count: fields.count('count', 0),
+		milliCpu: fields.amount('cpu', 0),
+		memoryMb: fields.amount('memMb', 0),
+		accelerators: fields.amount('gpu', 0),
+		estimateMs: fields.amount('estimateMs', 0),
+		after: fields.counts('after'),
+		isCheckpointing: fields.flag('checkpointing', false),
+		isGang: fields.flag('gang', false),
+		isSameRack: fields.flag('sameRack', false),
+		requiredLabel: fields.text('requirements', '') || undefined,
+		dataRack: fields.text('affinity', '') || undefined,
+		maxPerWorker: fields.count('antiAffinity', 0),
+		isSpeculative: fields.flag('speculative', false),
+		isLasting: fields.flag('longRunning', false),
+		image: fields.text('image', '') || undefined,
+		targetMs: fields.amount('targetMs', 0),
+		isFilling: fields.flag('fills', false),
+		maxAway: fields.has('mayMiss') ? fields.count('mayMiss') : undefined,
+	};
+	if (step.count > maxTasksPerStep || step.after.some(earlier => earlier >= index)) {
+		throw createError(ErrorCode.BadInput, {step: 'read job', detail: `step ${index}: too many tasks, or it waits for a later step`});
+	}
+
+	return step;
+};
--- a/src/platform/site-config.ts
+++ b/src/platform/site-config.ts
@@ -1,67 +1,52 @@
 /**
 Decodes what operators declare for the site.
 */
-import {createError, ErrorCode} from '../core/errors.ts';
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
+import {Fields, parseFields} from '../utils/fields.ts';
 
 /** Topic and key under which operators keep the configuration. */
 export const operatorTopic = 'keyed.op';
 /** Key of the configuration in the operators' topic. */
 export const configKey = 'config';
 
-type WireRoute = {
-	name?: string; host?: string; pathPrefix?: string; service?: string; priority?: number; maxAttempts?: number; stretch?: number;
-	targetLatencyMs?: number; timeoutMs?: number; advice?: {decisionMs?: number; periodMs?: number; validityMs?: number};
-};
-
-type WireConfig = {
-	version?: number;
-	routes?: WireRoute[];
-	services?: Array<{name: string; enforcesCapacity?: boolean; spare?: boolean}>;
-	limits?: {maxHeaderBytes?: number; maxBodyBytes?: number; headerTimeoutMs?: number; idleTimeoutMs?: number};
-};
-
 /** Decodes the configuration. Throws `bad-input`. */
 export const decodeSiteConfig = (text: string): SiteConfig => {
-	let config: WireConfig;
-	try {
-		config = JSON.parse(text) as WireConfig;
-	} catch (error) {
-		throw createError(ErrorCode.BadInput, {step: 'read configuration', cause: error});
-	}
-
-	if (typeof config.version !== 'number') {
-		throw createError(ErrorCode.BadInput, {step: 'read configuration', detail: 'no version'});
-	}
-
-	const {limits} = config;
+	const fields = parseFields(text, 'read configuration');
+	const limits = fields.optionalFields('limits') ?? new Fields({}, 'read configuration');
 	return {
-		version: config.version,
-		queues: (config.routes ?? []).map(route => decodeQueue(route)),
-		services: (config.services ?? []).map(({name, enforcesCapacity, spare}) => ({
-			name, guardsCapacity: enforcesCapacity ?? false, isSpare: spare ?? false,
-		})),
+		version: fields.number('version'),
+		queues: fields.list('routes', decodeQueue),
+		services: fields.list('services', decodeService),
 		// Fields that are 0 are left out on the wire; a bound of 0 would refuse all.
 		limits: {
-			maxBodyBytes: limits?.maxBodyBytes ?? 262_144,
-			maxHeaderBytes: limits?.maxHeaderBytes ?? 16_384,
-			headerTimeoutMs: limits?.headerTimeoutMs ?? 3000,
-			idleTimeoutMs: limits?.idleTimeoutMs ?? 15_000,
+			maxBodyBytes: limits.amount('maxBodyBytes', 262_144),
+			maxHeaderBytes: limits.amount('maxHeaderBytes', 16_384),
+			headerTimeoutMs: limits.amount('headerTimeoutMs', 3000),
+			idleTimeoutMs: limits.amount('idleTimeoutMs', 15_000),
 		},
 	};
 };
 
-const decodeQueue = ({
-	name, host, pathPrefix, service, priority, maxAttempts, stretch, targetLatencyMs, timeoutMs, advice,
-}: WireRoute): QueueConfig => ({
-	name: name ?? '',
-	host: host ?? '',
-	pathPrefix: pathPrefix ?? '/',
-	service: service ?? '',
-	priority: priority ?? 0,
-	maxAttempts: maxAttempts ?? 1,
-	stretch: stretch ?? 1,
-	targetLatencyMs: targetLatencyMs ?? 0,
-	timeoutMs: timeoutMs ?? 0,
-	...(advice && {advice: {decisionMs: advice.decisionMs ?? 0, perWorkerMs: advice.periodMs ?? 0, validMs: advice.validityMs ?? 0}}),
-});
+const decodeService = (value: unknown): SiteConfig['services'][number] => {
+	const service = new Fields(value, 'read service');
+	return {
+		name: service.text('name'), guardsCapacity: service.flag('enforcesCapacity', false), isSpare: service.flag('spare', false),
+	};
+};
+
+const decodeQueue = (value: unknown): QueueConfig => {
+	const route = new Fields(value, 'read route');
+	const advice = route.optionalFields('advice');
+	return {
+		name: route.text('name', ''),
+		host: route.text('host', ''),
+		pathPrefix: route.text('pathPrefix', '/'),
+		service: route.text('service', ''),
+		priority: route.number('priority', 0),
+		maxAttempts: route.count('maxAttempts', 1),
+		stretch: route.amount('stretch', 1),
+		targetLatencyMs: route.amount('targetLatencyMs', 0),
+		timeoutMs: route.amount('timeoutMs', 0),
+		...(advice && {advice: {decisionMs: advice.amount('decisionMs', 0), perWorkerMs: advice.amount('periodMs', 0), validMs: advice.amount('validityMs', 0)}}),
+	};
+};
--- a/src/platform/store-calls.ts
+++ b/src/platform/store-calls.ts
@@ -8,6 +8,7 @@
 import {
 	AppendOutcome, type AppendOptions, type AppendResult, type GroupShare, type KeyedRecord, type KeyedWrite, type PartitionRef, type ReadOptions, type StoreClient, type StorePage,
 } from '../types/store.ts';
+import {Fields, parseFields} from '../utils/fields.ts';
 import {type HttpAnswer, type HttpCall, type HttpClient} from '../utils/http-calls.ts';
 
 /** A read that finds nothing is answered after its wait; so much later it counts as lost. Half a second covers a slow store. */
@@ -32,8 +33,7 @@
 		}
 
 		if (answer.status === 410) {
-			const {first} = parseJson(answer.body) as {first?: number};
-			throw createError(ErrorCode.OffsetGone, {step: call.step, peer: address, detail: String(first ?? 0)});
+			throw createError(ErrorCode.OffsetGone, {step: call.step, peer: address, detail: String(parseReply(answer.body).count('first', 0))});
 		}
 
 		return answer;
@@ -65,11 +65,11 @@
 		return decodePage(answer.body, fromOffset);
 	};
 
-	const postJson = async (path: string, json: unknown, step: string): Promise<unknown> => {
+	const postJson = async (path: string, json: unknown, step: string): Promise<Fields> => {
 		const answer = await sendPlain({
 			method: 'POST', path, body: JSON.stringify(json), headers: {'content-type': 'application/json'}, timeoutMs: callTimeoutMs, step,
 		});
-		return parseJson(answer.body);
+		return parseReply(answer.body);
 	};
 
 	return {
@@ -87,27 +87,27 @@
 				const answer = await sendPlain({
 					method: 'GET', path: `/log-newest?${query.toString()}`, timeoutMs: callTimeoutMs, step: `read newest of ${ref.topic}`, signal,
 				});
-				const page = parseJson(answer.body) as {items?: Array<{key: string; value: string; offset: number}>; hasMore?: boolean; end?: number};
-				const items = page.items ?? [];
-				records.push(...items.map(({key, value, offset}) => ({key, value: Buffer.from(value, 'base64'), offset})));
+				const page = parseReply(answer.body);
+				const items = page.list('items', decodeNewest);
+				records.push(...items);
 				after = items.at(-1)?.key;
-				if (!page.hasMore || after === undefined) {
-					return {records, endOffset: page.end ?? 0};
+				if (!page.flag('hasMore', false) || after === undefined) {
+					return {records, endOffset: page.count('end', 0)};
 				}
 			}
 		},
 		async join({group, member, topics, ttlMs, generation}): Promise<GroupShare> {
 			const reply = await postJson('/log-join', {
 				group, member, topics, ttlMs, generation,
-			}, 'join group') as {generation: number; parts?: Array<[string, number, number]>};
-			return {generation: reply.generation, partitions: (reply.parts ?? []).map(([topic, partition]) => ({topic, partition}))};
+			}, 'join group');
+			return {generation: reply.count('generation'), partitions: reply.list('parts', decodePartition)};
 		},
 		async getOwners(group) {
 			const query = new URLSearchParams({group});
 			const answer = await sendPlain({
 				method: 'GET', path: `/log-owners?${query.toString()}`, timeoutMs: callTimeoutMs, step: 'read owners of group',
 			});
-			return decodeOwners(parseJson(answer.body));
+			return decodeOwners(answer.body);
 		},
 		async leave(group, member) {
 			await postJson('/log-leave', {group, member}, 'leave group');
@@ -115,12 +115,25 @@
 	};
 };
 
-const parseJson = (body: Buffer): unknown => body.length === 0 ? {} : JSON.parse(body.toString('utf8')) as unknown;
+const parseReply = (body: Buffer): Fields => body.length === 0 ? new Fields({}, 'read store answer') : parseFields(body, 'read store answer');
+
+const decodeNewest = (value: unknown): KeyedRecord => {
+	const item = new Fields(value, 'read newest record');
+	return {key: item.text('key'), value: Buffer.from(item.text('value', ''), 'base64'), offset: item.count('offset')};
+};
+
+/** Rows of topic, partition and committed offset. */
+const decodePartition = (value: unknown): PartitionRef => {
+	const row = new Fields(value, 'read group share');
+	return {topic: row.text(0), partition: row.count(1)};
+};
 
 /** Rows of topic, partition, member and offset; the page names no field for the rows. */
-const decodeOwners = (reply: unknown): string[] => {
-	const rows = Array.isArray(reply) ? reply : Object.values(reply as Record<string, unknown>).find(value => Array.isArray(value)) ?? [];
-	return [...new Set((rows as Array<[string, number, string?]>).map(row => row[2] ?? '').filter(member => member !== ''))];
+const decodeOwners = (body: Buffer): string[] => {
+	const reply = JSON.parse(body.toString('utf8')) as unknown;
+	const rows: unknown[] = Array.isArray(reply) ? reply : Object.values((reply ?? {}) as Record<string, unknown>).find(value => Array.isArray(value)) ?? [];
+	const members = rows.map(row => new Fields(row, 'read group owners').text(2, ''));
+	return [...new Set(members.filter(member => member !== ''))];
 };
 
 const formatAppend = (ref: PartitionRef, {stamp, atOffset}: AppendOptions): string => new URLSearchParams({
@@ -142,18 +155,19 @@
 };
 
 const decodeAppend = ({status, body}: HttpAnswer): AppendResult => {
-	const reply = parseJson(body) as Record<string, unknown>;
 	switch (status) {
 		case 200: {
-			return {outcome: AppendOutcome.Appended, offset: Number(reply.offset ?? 0), endOffset: Number(reply.end ?? 0)};
+			const reply = parseReply(body);
+			return {outcome: AppendOutcome.Appended, offset: reply.count('offset', 0), endOffset: reply.count('end', 0)};
 		}
 
 		case 412: {
-			return {outcome: AppendOutcome.NotAtEnd, endOffset: Number(reply.end ?? 0)};
+			return {outcome: AppendOutcome.NotAtEnd, endOffset: parseReply(body).count('end', 0)};
 		}
 
 		case 409: {
-			return reply.reason === 'fenced' ? {outcome: AppendOutcome.Fenced} : {outcome: AppendOutcome.WrongSequence, expected: getExpected(reply)};
+			const reply = parseReply(body);
+			return reply.text('reason', '') === 'fenced' ? {outcome: AppendOutcome.Fenced} : {outcome: AppendOutcome.WrongSequence, expected: getExpected(reply)};
 		}
 
 		default: {
@@ -163,7 +177,7 @@
 };
 
 /** The page names the expected number without a name for its field; what is spoken is `seq`. */
-const getExpected = (reply: Record<string, unknown>): number => Number(reply.seq ?? reply.expected ?? Number.NaN);
+const getExpected = (reply: Fields): number => reply.number('seq', Number.NaN);
 
 const decodePage = (body: Buffer, fromOffset: number): StorePage => {
 	const endOffset = Number(body.readBigUInt64BE(0));
--- a/src/platform/worker-calls.ts
+++ b/src/platform/worker-calls.ts
@@ -1,11 +1,11 @@
 /**
 Calls to the worker on this host, and its announcements, on the wire.
 */
-import {createError, ErrorCode} from '../core/errors.ts';
 import {
 	OrderRefusal, type EndedRow, type RunningRow, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerReport,
 } from '../types/fleet.ts';
 import {RunEnd} from '../types/workflows.ts';
+import {Fields, parseFields} from '../utils/fields.ts';
 import {type HttpClient} from '../utils/http-calls.ts';
 
 /** The worker is on this host and answers in a few ms; no answer after this long is taken as none. */
@@ -27,15 +27,6 @@
 	503: OrderRefusal.Unhealthy,
 };
 
-const endByName: Record<string, RunEnd> = {
-	done: RunEnd.Done,
-	failed: RunEnd.Failed,
-	stopped: RunEnd.Stopped,
-	lapsed: RunEnd.Lapsed,
-	broken: RunEnd.Broken,
-	alone: RunEnd.Alone,
-};
-
 type Reply = {status: number; json: unknown; instanceId?: string};
 
 /** Creates the client of the worker at the address. */
@@ -77,60 +68,65 @@
 };
 
 const decodeAnswer = ({status, json}: Reply): WorkerAnswer => {
-	const {clockMs, reason} = (json ?? {}) as {clockMs?: number; reason?: string};
+	const fields = new Fields(json ?? {}, 'read worker answer');
+	const clockMs = fields.has('clockMs') ? fields.number('clockMs') : undefined;
 	if (status === 200) {
 		return {isDone: true, clockMs};
 	}
 
-	const refusal = status === 409 ? refusalByReason[reason ?? ''] : refusalByStatus[status];
+	const refusal = status === 409 ? refusalByReason[fields.text('reason', '')] : refusalByStatus[status];
 	return {isDone: false, refusal: refusal ?? OrderRefusal.Invalid, clockMs};
 };
 
 const decodeListing = ({json, instanceId}: Reply): WorkerListing => {
-	const {clockMs, running, ended} = json as {
-		clockMs: number; running?: Array<[string, number, string, number, number?]>; ended?: Array<[number, string, number, string, string]>;
-	};
+	const fields = new Fields(json, 'read worker listing');
 	return {
 		workerId: instanceId,
-		clockMs,
-		running: (running ?? []).map(([taskId, run, checkpoint, percent, recent]): RunningRow => ({
-			taskId, run, checkpoint, percent, recent: recent ?? 0,
-		})),
-		ended: (ended ?? []).map(([number, taskId, run, how, checkpoint]): EndedRow => ({
-			number, taskId, run, end: decodeEnd(how), checkpoint,
-		})),
+		clockMs: fields.number('clockMs'),
+		running: fields.list('running', decodeRunning),
+		ended: fields.list('ended', decodeEnded),
 	};
 };
 
-const decodeEnd = (how: string): RunEnd => {
-	const end = endByName[how];
-	if (end === undefined) {
-		throw createError(ErrorCode.BadInput, {step: 'read ended run', detail: how});
-	}
-
-	return end;
+/** Rows of task, run, checkpoint, percent and what was used or measured lately. */
+const decodeRunning = (value: unknown): RunningRow => {
+	const row = new Fields(value, 'read running run');
+	return {
+		taskId: row.text(0), run: row.count(1), checkpoint: row.text(2, ''), percent: row.amount(3, 0), recent: row.amount(4, 0),
+	};
 };
 
-/** Decodes a worker's announcement. Throws `bad-input`. */
-export const decodeAnnouncement = (workerId: string, body: unknown): WorkerReport => {
-	const {service, zone, state, remainingMs, capacity, labels, seq} = (body ?? {}) as {
-		service?: string; zone?: string; state?: string; remainingMs?: number; seq?: number; labels?: string[];
-		capacity?: {cpu?: number; memMb?: number; gpu?: number};
+/** Rows of number, task, run, how it ended and checkpoint. */
+const decodeEnded = (value: unknown): EndedRow => {
+	const row = new Fields(value, 'read ended run');
+	return {
+		number: row.count(0), taskId: row.text(1), run: row.count(2), end: row.oneOf(3, Object.values(RunEnd)), checkpoint: row.text(4, ''),
 	};
-	if (typeof service !== 'string' || typeof seq !== 'number') {
-		throw createError(ErrorCode.BadInput, {step: 'read announcement', peer: workerId});
-	}
+};
 
+/** States of a worker on the wire. */
+enum WireState {
+	Ready = 'ready',
+	Draining = 'draining',
+}
+
+/**
+Decodes a worker's announcement. Another writer may send one: with fields missing or of another type, or with a state that
+is not known, it names no worker. Throws `bad-input`.
+*/
+export const decodeAnnouncement = (workerId: string, body: Buffer | string): WorkerReport => {
+	const fields = parseFields(body, 'read announcement');
+	const capacity = fields.fields('capacity');
 	return {
 		workerId,
-		service,
-		failureDomain: zone ?? '',
-		isDraining: state === 'draining',
-		remainingMs,
-		milliCpu: capacity?.cpu ?? 0,
-		memoryMb: capacity?.memMb ?? 0,
-		accelerators: capacity?.gpu ?? 0,
-		labels: labels ?? [],
-		sequence: seq,
+		service: fields.text('service'),
+		failureDomain: fields.text('zone'),
+		isDraining: fields.oneOf('state', Object.values(WireState)) === WireState.Draining,
+		remainingMs: fields.has('remainingMs') ? fields.amount('remainingMs') : undefined,
+		milliCpu: capacity.amount('cpu'),
+		memoryMb: capacity.amount('memMb'),
+		accelerators: capacity.amount('gpu', 0),
+		labels: fields.texts('labels'),
+		sequence: fields.count('seq'),
 	};
 };
--- a/src/plugins/site-agent.ts
+++ b/src/plugins/site-agent.ts
@@ -13,9 +13,28 @@
 import {serveAgent} from './agent-messages.ts';
 import {runSiteProcess} from './site-process.ts';
 
+const maxWriters = 100;
+
+/** Tells of each writer of something that cannot be read once: a worker announces itself every second. */
+class InvalidWriters {
+	readonly #writers = new Set<string>();
+	readonly #onFirst: (writer: string, reason: string) => void;
+
+	constructor(onFirst: (writer: string, reason: string) => void) {
+		this.#onFirst = onFirst;
+	}
+
+	note(writer: string, reason: string): void {
+		if (!this.#writers.has(writer) && this.#writers.size < maxWriters) {
+			this.#writers.add(writer);
+			this.#onFirst(writer, reason);
+		}
+	}
+}
+
 /** Runs the role until it is told to stop. */
 export const runSiteAgent = async (site: SiteSettings): Promise<void> => runSiteProcess('agent', site, async ({
-	clock, http, note, life, internalAddress, signal,
+	clock, http, note, metrics, life, internalAddress, signal,
 }) => {
 	const {announceAddress, workerAddress, workerService} = site;
 	if (announceAddress === undefined || workerAddress === undefined || workerService === undefined) {
@@ -35,15 +54,24 @@
 		maxLeaseMs: site.bounds.maxLeaseMs,
 		note,
 	});
+	const invalid = new InvalidWriters((writer, reason) => {
+		note('announcement not valid', {writer, reason});
+	});
 	const announcements = createAnnounceServer(clock, {
 		onReport(report) {
-			agent.announce(report);
+			if (report.service === workerService) {
+				agent.announce(report);
+			} else {
+				metrics.count('announcement not valid', 'service');
+				invalid.note(report.workerId, `service ${report.service}`);
+			}
 		},
 		onLeave(workerId) {
 			agent.workerLeft(workerId);
 		},
-		onInvalid(reason) {
-			note('announcement not valid', {reason});
+		onInvalid(writer, reason) {
+			metrics.count('announcement not valid', 'unreadable');
+			invalid.note(writer, reason);
 		},
 	});
 	const server = createJsonServer(clock);
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -2,6 +2,7 @@
 The owner's connections to the agents of its service: finds them by their registrations, keeps one task for each that
 waits for news, and sends orders.
 */
+import {decodeRegistration} from '../agents/control-records.ts';
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
@@ -122,8 +123,8 @@
 			return;
 		}
 
-		const registration = JSON.parse(value.toString('utf8')) as AgentRegistration;
-		if (!this.#options.isMine(registration)) {
+		const registration = this.#decode(host, value);
+		if (!registration || !this.#options.isMine(registration)) {
 			return;
 		}
 
@@ -162,6 +163,16 @@
 		void this.#follow(worker, signal);
 	}
 
+	/** A record that cannot be read names no agent; the others hold. */
+	#decode(host: string, value: Buffer): AgentRegistration | undefined {
+		try {
+			return decodeRegistration(value);
+		} catch (error) {
+			this.#options.note('registration not valid', {host, error: getMessage(error)});
+			return undefined;
+		}
+	}
+
 	async #follow(worker: FleetWorker, signal: AbortSignal): Promise<void> {
 		const {clock, note} = this.#options;
 		while (!signal.aborted && this.workers.get(worker.host) === worker) {
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -2,8 +2,13 @@
 Records of the jobs stream of a service. One partition orders acceptance, cancellation, ends of runs and ownership.
 */
 import {Buffer} from 'node:buffer';
-import {createError, ErrorCode} from '../core/errors.ts';
-import {type EndedRun, type Workflow, type WorkflowState} from '../types/workflows.ts';
+import {
+	RunEnd, WorkflowState, type EndedRun, type Workflow, type WorkflowStep,
+} from '../types/workflows.ts';
+import {Fields, parseFields} from '../utils/fields.ts';
+
+/** What is being done, for errors. */
+const step = 'read job record';
 
 /** Topic of the jobs streams; the partition is that of the service. */
 export const workflowsTopic = 'workflows';
@@ -64,17 +69,111 @@
 		| {type: RecordType.Whole; job: WholeWorkflow}
 		| {type: RecordType.Harm; pairs: HarmPair[]};
 
-const types = new Set<string>(Object.values(RecordType));
-
 /** Encodes a record. */
 export const encodeRecord = (record: WorkflowRecord): Buffer => Buffer.from(JSON.stringify(record));
 
 /** Decodes a record. Throws `bad-input`. */
 export const decodeRecord = (value: Buffer): WorkflowRecord => {
-	const record = JSON.parse(value.toString('utf8')) as WorkflowRecord;
-	if (!types.has(record.type)) {
-		throw createError(ErrorCode.BadInput, {step: 'read job record', detail: String(record.type)});
+	const fields = parseFields(value, step);
+	const type = fields.oneOf('type', Object.values(RecordType));
+	switch (type) {
+		case RecordType.Claim: {
+			return {type, epoch: fields.count('epoch'), owner: fields.text('owner')};
+		}
+
+		case RecordType.Submit: {
+			return {type, workflow: decodeWorkflow(fields.fields('workflow'))};
+		}
+
+		case RecordType.Cancel: {
+			return {type, id: fields.text('id')};
+		}
+
+		case RecordType.Ends: {
+			return {type, ends: fields.list('ends', decodeEnd)};
+		}
+
+		case RecordType.Begun: {
+			return {type, ids: fields.texts('ids')};
+		}
+
+		case RecordType.Whole: {
+			return {type, job: decodeWhole(fields.fields('job'))};
+		}
+
+		case RecordType.Harm: {
+			return {type, pairs: fields.list('pairs', decodePair)};
+		}
 	}
+};
+
+const decodeWorkflow = (fields: Fields): Workflow => ({
+	id: fields.text('id'),
+	queue: fields.text('queue'),
+	service: fields.text('service'),
+	priority: fields.number('priority'),
+	maxAttempts: fields.count('maxAttempts'),
+	stretch: fields.amount('stretch'),
+	targetLatencyMs: fields.amount('targetLatencyMs'),
+	needsAdvice: fields.flag('needsAdvice'),
+	receivedAtMs: fields.number('receivedAtMs'),
+	input: fields.text('input'),
+	steps: fields.list('steps', value => decodeStep(new Fields(value, step))),
+	firstDueMs: fields.amount('firstDueMs'),
+	intervalMs: fields.amount('intervalMs'),
+	repeatCount: fields.count('repeatCount'),
+});
+
+const decodeStep = (fields: Fields): WorkflowStep => ({
+	count: fields.count('count'),
+	milliCpu: fields.amount('milliCpu'),
+	memoryMb: fields.amount('memoryMb'),
+	accelerators: fields.amount('accelerators'),
+	estimateMs: fields.amount('estimateMs'),
+	after: fields.counts('after'),
+	isCheckpointing: fields.flag('isCheckpointing'),
+	isGang: fields.flag('isGang'),
+	isSameRack: fields.flag('isSameRack'),
+	requiredLabel: getOptionalText(fields, 'requiredLabel'),
+	dataRack: getOptionalText(fields, 'dataRack'),
+	maxPerWorker: fields.count('maxPerWorker'),
+	isSpeculative: fields.flag('isSpeculative'),
+	isLasting: fields.flag('isLasting'),
+	image: getOptionalText(fields, 'image'),
+	targetMs: fields.amount('targetMs'),
+	isFilling: fields.flag('isFilling'),
+	maxAway: fields.has('maxAway') ? fields.count('maxAway') : undefined,
+});
+
+const getOptionalText = (fields: Fields, key: string): string | undefined => fields.has(key) ? fields.text(key) : undefined;
+
+const decodeEnd = (value: unknown): EndedRun => {
+	const fields = new Fields(value, step);
+	return {
+		taskId: fields.text('taskId'), run: fields.count('run'), end: fields.oneOf('end', Object.values(RunEnd)), checkpoint: fields.text('checkpoint'),
+	};
+};
+
+const decodeWhole = (fields: Fields): WholeWorkflow => ({
+	workflow: decodeWorkflow(fields.fields('workflow')),
+	state: fields.oneOf('state', Object.values(WorkflowState)),
+	hasBegun: fields.flag('hasBegun'),
+	remaining: fields.has('remaining') ? fields.count('remaining') : undefined,
+	ledgers: fields.list('ledgers', decodeLedger),
+	writtenAtMs: fields.number('writtenAtMs'),
+});
+
+const decodeLedger = (value: unknown): [string, TaskLedger] => {
+	const row = new Fields(value, step);
+	const ledger = row.fields(1);
+	return [row.text(0), {
+		isDone: ledger.flag('isDone'), failedRuns: ledger.counts('failedRuns'), lastRun: ledger.count('lastRun'), checkpoint: ledger.text('checkpoint'),
+	}];
+};
 
-	return record;
+const decodePair = (value: unknown): HarmPair => {
+	const fields = new Fields(value, step);
+	return {
+		server: fields.text('server'), filler: fields.text('filler'), mean: fields.number('mean'), deviation: fields.amount('deviation'),
+	};
 };
--- /dev/null
+++ b/test/site-inputs.test.ts
@@ -0,0 +1,166 @@
+/**
+What comes from outside in a form that nobody expected: records, answers and announcements of another writer.
+*/
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	agentsTopic, ControlType, decodeControl, decodeRegistration, encodeControl,
+} from '../src/agents/control-records.ts';
+import {AgentState} from '../src/agents/agent-state.ts';
+import {ErrorCode, getErrorCode} from '../src/core/errors.ts';
+import {decodeSpec} from '../src/platform/caller-server.ts';
+import {decodeSiteConfig} from '../src/platform/site-config.ts';
+import {decodeAnnouncement} from '../src/platform/worker-calls.ts';
+import {AppendOutcome} from '../src/types/store.ts';
+import {type WorkerReport} from '../src/types/fleet.ts';
+import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
+import {WorkflowFollower} from '../src/workflows/follower.ts';
+import {
+	decodeRecord, encodeRecord, RecordType, workflowsTopic, type WorkflowRecord,
+} from '../src/workflows/records.ts';
+import {createWorkflow} from './site-fleet.ts';
+import {
+	createSpec, createStep, partition, SiteWorld,
+} from './site-world.ts';
+
+const step = createStep({
+	image: 'x', requiredLabel: 'a', dataRack: 'r1-1', maxAway: 1, after: [],
+});
+const workflow = createWorkflow('0123456789abcdef', createSpec([step, createStep({after: [0]})]));
+const records: WorkflowRecord[] = [
+	{type: RecordType.Claim, epoch: 3, owner: 'entry-1'},
+	{type: RecordType.Submit, workflow},
+	{type: RecordType.Cancel, id: workflow.id},
+	{
+		type: RecordType.Ends, ends: [{
+			taskId: `${workflow.id}.0.0.0`, run: 1, end: RunEnd.Done, checkpoint: '',
+		}],
+	},
+	{type: RecordType.Begun, ids: [workflow.id]},
+	{
+		type: RecordType.Whole, job: {
+			workflow, state: WorkflowState.Running, hasBegun: true, remaining: 1, writtenAtMs: 5, ledgers: [[`${workflow.id}.0.0.0`, {
+				isDone: true, failedRuns: [1], lastRun: 2, checkpoint: 'c',
+			}]],
+		},
+	},
+	{
+		type: RecordType.Harm, pairs: [{
+			server: 'a', filler: 'b', mean: -0.1, deviation: 0.2,
+		}],
+	},
+];
+
+const decoders: Record<string, (bytes: Buffer) => unknown> = {
+	announcement: bytes => decodeAnnouncement('i-1', bytes),
+	'job of a caller': decodeSpec,
+	configuration: bytes => decodeSiteConfig(bytes.toString('utf8')),
+	'control record': decodeControl,
+	registration: decodeRegistration,
+	'job record': decodeRecord,
+};
+
+const decode = (decoder: (bytes: Buffer) => unknown, bytes: Buffer): ErrorCode | undefined => {
+	try {
+		decoder(bytes);
+		return undefined;
+	} catch (error) {
+		return getErrorCode(error) ?? ErrorCode.StartFailed;
+	}
+};
+
+describe('decoders', () => {
+	it.each(records)('read back what was written: $type', record => {
+		expect(decodeRecord(encodeRecord(record))).toEqual(record);
+	});
+
+	it('read back control records', () => {
+		const lost = {
+			type: ControlType.Lost as const, host: 'h', session: 4, epoch: 2,
+		};
+		expect(decodeControl(encodeControl(lost))).toEqual(lost);
+	});
+
+	/** A value of another writer either is what its type says, or is refused in one way that every reader knows. */
+	it.each(Object.entries(decoders))('refuse whatever is not theirs: %s', (_, decoder) => {
+		const known = [step, workflow, ...records, {
+			host: 'h', address: 'a', service: 's', failureDomain: 'f',
+		}, {version: 3, routes: [{name: 'q'}]}];
+		const bytes = fc.oneof(
+			fc.uint8Array({maxLength: 200}).map(array => Buffer.from(array)),
+			fc.json().map(text => Buffer.from(text)),
+			// One field of something sound is replaced, or left out.
+			fc.tuple(fc.constantFrom(...known), fc.nat(), fc.option(fc.jsonValue(), {nil: undefined})).map(([value, index, other]) => {
+				const keys = Object.keys(value);
+				return Buffer.from(JSON.stringify({...value, [keys[index % keys.length]!]: other}));
+			}),
+		);
+		fc.assert(fc.property(bytes, value => {
+			expect([undefined, ErrorCode.BadInput]).toContain(decode(decoder, value));
+		}), {seed: 7, numRuns: 400});
+	});
+});
+
+describe('readers of the store', () => {
+	/** Records that nobody can read lie between those of jobs: each of them is passed over, and every job is known. */
+	it('pass over what they cannot read', async () => {
+		const world = new SiteWorld();
+		const store = world.store.createClient('x');
+		const invalid: number[] = [];
+		const junk = fc.sample(fc.oneof(fc.uint8Array({minLength: 1, maxLength: 80}).map(array => Buffer.from(array)), fc.json().map(text => Buffer.from(text))), {seed: 11, numRuns: 60});
+		const values = junk.flatMap((bytes, index) => [bytes, encodeRecord({type: RecordType.Submit, workflow: {...workflow, id: `job-${index}`}})]);
+		const {outcome} = await world.settle(store.append({topic: workflowsTopic, partition}, values, {timeoutMs: 1000}));
+		expect(outcome).toBe(AppendOutcome.Appended);
+		const follower = new WorkflowFollower({
+			store, clock: world.clock, ref: {topic: workflowsTopic, partition}, onStoreState: () => undefined, onInvalid: offset => invalid.push(offset),
+		});
+		expect(await world.settle(follower.catchUp(1000))).toBe(true);
+		expect(follower.fold.workflows.size).toBe(junk.length);
+		expect(invalid).toHaveLength(junk.length);
+	});
+
+	/** One registration cannot be read. The owner must not begin to read from the start for ever: it would never settle. */
+	it('find the other agents beside a registration that cannot be read', async () => {
+		const world = new SiteWorld();
+		const store = world.store.createClient('x');
+		await world.settle(store.appendKeyed({topic: agentsTopic, partition: 0}, [
+			{key: 'stray', value: Buffer.from('{"host":7}')}, {key: 'bytes', value: Buffer.from([0xFF, 0])},
+		], {timeoutMs: 1000}));
+		world.addHost('x');
+		world.startEntry('a');
+		await world.clock.advance(4000);
+		await world.submit('0123456789abcdef', createSpec([createStep()]));
+		expect(await world.waitFor(() => world.getStarts('0123456789abcdef.0.0.0') > 0, 3000)).toBeDefined();
+		expect(world.notes.filter(({event}) => event === 'registration not valid')).toHaveLength(2);
+		expect(world.notes.some(({event}) => event === 'registrations not read')).toBe(false);
+		world.stop();
+	});
+});
+
+describe('an announcement that was held up', () => {
+	const report = (workerId: string, sequence: number): WorkerReport => ({
+		workerId, service: 's', failureDomain: 'f', isDraining: false, milliCpu: 1000, memoryMb: 1000, accelerators: 0, labels: [], sequence,
+	});
+
+	/**
+	The agent is restarted and hears its worker. Then an announcement arrives that a cut had held up, sent by an incarnation
+	that crashed before. If it counted as the newest, all that runs on the living one would be started elsewhere as well.
+	*/
+	it('does not make the living incarnation count as gone', () => {
+		const state = new AgentState('life', 7000);
+		expect(state.announce(report('i-2', 1))).toBe(true);
+		expect(state.announce(report('i-1', 90))).toBe(false);
+		expect(state.worker?.report.workerId).toBe('i-2');
+		expect(state.goneWorkerIds).toEqual([]);
+	});
+
+	it('counts once the worker says that the incarnation before is gone', () => {
+		const state = new AgentState('life', 7000);
+		state.announce(report('i-1', 5));
+		state.announce(report('i-2', 1));
+		state.drop('i-1');
+		expect(state.worker?.report.workerId).toBe('i-2');
+		expect(state.goneWorkerIds).toEqual(['i-1']);
+	});
+});
--- a/test/worker-calls.test.ts
+++ b/test/worker-calls.test.ts
@@ -83,15 +83,43 @@
 });
 
 describe('announcements', () => {
+	const announcement = {
+		service: 's', zone: 'z', state: 'draining', remainingMs: 900, capacity: {cpu: 16_000, memMb: 32_768}, labels: ['a', 'r1-3'], seq: 4,
+	};
+	const decode = (fields: Record<string, unknown>) => decodeAnnouncement('i-1', JSON.stringify({...announcement, ...fields}));
+
 	it('says what the worker has and whether it drains', () => {
-		expect(decodeAnnouncement('i-1', {
-			service: 's', zone: 'z', state: 'draining', remainingMs: 900, capacity: {cpu: 16_000, memMb: 32_768}, labels: ['a', 'r1-3'], seq: 4,
-		})).toEqual({
+		expect(decode({})).toEqual({
 			workerId: 'i-1', service: 's', failureDomain: 'z', isDraining: true, remainingMs: 900, milliCpu: 16_000, memoryMb: 32_768, accelerators: 0, labels: ['a', 'r1-3'], sequence: 4,
 		});
+		expect(decode({state: 'ready'}).isDraining).toBe(false);
+	});
+
+	/**
+	Another writer may announce something too. A worker of which the capacity is not known, or that is in a state that is
+	not known, would be given work that it cannot hold; the worker that was known before has to stay known.
+	*/
+	it.each([
+		{service: undefined},
+		{service: 7},
+		{state: undefined},
+		{state: 'resting'},
+		{capacity: undefined},
+		{capacity: null},
+		{capacity: {cpu: '16000', memMb: 1}},
+		{capacity: {cpu: 1}},
+		{capacity: {cpu: -1, memMb: 1}},
+		{labels: 'a'},
+		{labels: [1]},
+		{seq: '4'},
+		{seq: undefined},
+		{zone: []},
+		{remainingMs: 'soon'},
+	])('names no worker with %j', fields => {
+		expect(() => decode(fields)).toThrow();
 	});
 
-	it('refuses what is none', () => {
-		expect(() => decodeAnnouncement('i-1', {})).toThrow();
+	it.each(['', '[]', 'null', '7', '{', '"x"', '\u0000'])('names no worker in %j', text => {
+		expect(() => decodeAnnouncement('i-1', text)).toThrow();
 	});
 });
