--- a/scripts/build-site.js
+++ b/scripts/build-site.js
@@ -1,9 +1,14 @@
 /**
-Bundles the program for a site into one file under `target/`.
+Bundles the program for a site into one file under `target/`. For trials, mechanisms of the decisions can be left out:
+`node scripts/build-site.js --without value-order,quiet-room` (names: src/workflows/policy.ts).
 */
 import {mkdirSync} from 'node:fs';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
 import {build} from 'esbuild';
 
+const {values: {without}} = parseArgs({args: process.argv.slice(2), options: {without: {type: 'string', default: ''}}});
+
 mkdirSync('target', {recursive: true});
 await build({
 	entryPoints: ['src/chervilworks-site.ts'],
@@ -13,4 +18,5 @@
 	target: 'node20',
 	format: 'cjs',
 	logLevel: 'warning',
+	define: {LEFT_OUT: JSON.stringify(without)},
 });
--- /dev/null
+++ b/scripts/measure-deciding.ts
@@ -0,0 +1,32 @@
+/**
+Plays the loads of `src/measure/deciding-load.ts` against the owner as it is: `tsx scripts/measure-deciding.ts --seeds 5
+--load heavy --without value-order`.
+*/
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {decidingLoads} from '../src/measure/deciding-load.ts';
+import {playDeciding} from '../src/measure/deciding-run.ts';
+import {createPolicy} from '../src/workflows/policy.ts';
+
+const {values} = parseArgs({
+	options: {
+		seeds: {type: 'string', default: '3'}, first: {type: 'string', default: '1'}, load: {type: 'string'}, without: {type: 'string', default: ''}, json: {type: 'boolean', default: false},
+	},
+});
+for (const load of decidingLoads.filter(({name}) => values.load === undefined || values.load === name)) {
+	for (let seed = Number(values.first); seed < Number(values.first) + Number(values.seeds); seed++) {
+		const startMs = performance.now();
+		const {credit, counts, lostCoreS, harmS, fillingCores} = await playDeciding(load, seed, createPolicy(values.without));
+		let earned = 0;
+		let owed = 0;
+		for (const sum of credit.values()) {
+			earned += sum.earned;
+			owed += sum.owed;
+		}
+
+		const kinds = Object.fromEntries([...credit].map(([name, sum]) => [name, Number((sum.earned / sum.owed).toFixed(3))]));
+		process.stdout.write(`${JSON.stringify({
+			load: load.name, seed, without: values.without, worth: Number((earned / owed).toFixed(4)), kinds, counts: Object.fromEntries(counts), lostCoreS: Math.round(lostCoreS), harmS: Math.round(harmS), fillingCores: Math.round(fillingCores), tookMs: Math.round(performance.now() - startMs),
+		})}\n`);
+	}
+}
--- /dev/null
+++ b/src/measure/deciding-load.ts
@@ -0,0 +1,195 @@
+/**
+Loads for measuring the owner's decisions: kinds of jobs with their sizes, run times, estimates and arrivals, and what they do
+to each other. The figures are those that the users' sheets give for their sites.
+*/
+import {type Random} from '../types/random.ts';
+import {type WorkflowSpec, type WorkflowStep} from '../types/workflows.ts';
+
+/** A quantity that is spread around its mean, in logarithms, and bounded. */
+export type Spread = {mean: number; spread: number; max: number};
+
+/** A kind of job. */
+export type JobKind = {
+	name: string;
+	perS: number;
+	/** Jobs that are handed in before the load begins. */
+	early: number;
+	worth: number;
+	priority: number;
+	stretch: number;
+	targetLatencyMs: number;
+	maxAttempts: number;
+	steps: Spread;
+	width: Spread;
+	workMs: Spread;
+	milliCpu: Spread;
+	memoryMb: number;
+	/** Spread of estimates around the work, in logarithms. */
+	estimateSpread: number;
+	/** Spread of the tasks of a step. */
+	unevenness: number;
+	errorShare: number;
+	isCheckpointing: boolean;
+	/** Fills beside what serves. */
+	isFilling: boolean;
+	/** Serves until it is cancelled, after so long on the mean. */
+	serving?: {stayS: Spread; targetMs: number; load: number; swing: number; periodS: number; apartShare: number};
+	images: number;
+};
+
+/** A time of higher arrivals of one kind. */
+export type Burst = {kind: string; atS: number; forS: number; times: number};
+
+/** A load. */
+export type DecidingLoad = {
+	name: string;
+	workers: number[];
+	restMs: number;
+	/** Effects of whole workers of filling images on serving ones: one is drawn for each pair. */
+	effects: number[];
+	kinds: JobKind[];
+	bursts: Burst[];
+	lengthS: number;
+	/** All workers and the owner lose what they have at this time; undefined: never. */
+	darkAtS?: number;
+};
+
+/** A job as it is handed in, with what its tasks really are. */
+export type OfferedJob = {
+	id: string;
+	kind: JobKind;
+	atMs: number;
+	spec: WorkflowSpec;
+	/** By step and index. */
+	workMs: number[][];
+	/** Longest chain at full speed. */
+	chainMs: number;
+	coreMs: number;
+	/** When it is cancelled; for what lasts. */
+	cancelAtMs: number;
+	/** Phase of its load, 0 to 1. */
+	phase: number;
+};
+
+const secondMs = 1000;
+
+const gauss = (random: Random): number => Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+
+/** Draws around the mean; the mean of what is drawn is the mean. */
+const draw = (random: Random, {mean, spread, max}: Spread): number =>
+	Math.min(max, mean * Math.exp((spread * gauss(random)) - (spread * spread / 2)));
+
+const createJob = (random: Random, kind: JobKind, atMs: number): OfferedJob => {
+	const {serving} = kind;
+	const steps: WorkflowStep[] = [];
+	const workMs: number[][] = [];
+	let chainMs = 0;
+	let coreMs = 0;
+	const stepCount = Math.max(1, Math.round(draw(random, kind.steps)));
+	for (let index = 0; index < stepCount; index++) {
+		const count = Math.max(1, Math.round(draw(random, kind.width)));
+		const milliCpu = Math.max(50, Math.round(draw(random, kind.milliCpu) / 50) * 50);
+		const stepMs = draw(random, kind.workMs);
+		const works = Array.from({length: count}, () => stepMs * Math.exp(kind.unevenness * gauss(random)));
+		steps.push({
+			count,
+			milliCpu,
+			memoryMb: kind.memoryMb,
+			accelerators: 0,
+			estimateMs: Math.round(stepMs * Math.exp(kind.estimateSpread * gauss(random))),
+			after: index === 0 ? [] : [index - 1],
+			isCheckpointing: kind.isCheckpointing,
+			isGang: false,
+			isSameRack: false,
+			maxPerWorker: serving && random.next() < serving.apartShare ? 3 : 0,
+			isSpeculative: false,
+			isLasting: serving !== undefined,
+			...(kind.images > 0 && {image: `${kind.name}-${random.below(kind.images)}`}),
+			targetMs: serving?.targetMs ?? 0,
+			isFilling: kind.isFilling,
+		});
+		workMs.push(works);
+		chainMs += Math.max(...works);
+		for (const work of works) {
+			coreMs += work * milliCpu / 1000;
+		}
+	}
+
+	return {
+		id: random.id(),
+		kind,
+		atMs,
+		spec: {
+			input: '', steps, firstDueMs: 0, intervalMs: 0, repeatCount: 0,
+		},
+		workMs,
+		chainMs,
+		coreMs,
+		cancelAtMs: serving ? atMs + (draw(random, serving.stayS) * secondMs) : Number.POSITIVE_INFINITY,
+		phase: random.next(),
+	};
+};
+
+/** Draws all jobs of a load, in the order of their arrival. */
+export const offerJobs = ({kinds, bursts, lengthS}: DecidingLoad, random: Random): OfferedJob[] => {
+	const jobs: OfferedJob[] = [];
+	for (const kind of kinds) {
+		for (let index = 0; index < kind.early; index++) {
+			jobs.push(createJob(random, kind, 0));
+		}
+
+		const ofKind = bursts.filter(burst => burst.kind === kind.name);
+		const peak = Math.max(1, ...ofKind.map(({times}) => times));
+		for (let atS = 0; ;) {
+			atS -= Math.log(1 - random.next()) / (kind.perS * peak);
+			if (atS >= lengthS) {
+				break;
+			}
+
+			const now = atS;
+			const times = ofKind.find(({atS: fromS, forS}) => now >= fromS && now < fromS + forS)?.times ?? 1;
+			if (random.next() < times / peak) {
+				jobs.push(createJob(random, kind, atS * secondMs));
+			}
+		}
+	}
+
+	return jobs.toSorted((a, b) => a.atMs - b.atMs);
+};
+
+const match: JobKind = {
+	name: 'match', perS: 3.8, early: 0, worth: 0.33, priority: 0, stretch: 1.5, targetLatencyMs: 250, maxAttempts: 3, steps: {mean: 1.6, spread: 0.4, max: 4}, width: {mean: 6, spread: 0.8, max: 36}, workMs: {mean: 1429, spread: 0.5, max: 3570}, milliCpu: {mean: 240, spread: 0.45, max: 720}, memoryMb: 480, estimateSpread: 0.9, unevenness: 0.3, errorShare: 0.05, isCheckpointing: false, isFilling: false, images: 0,
+};
+
+const build: JobKind = {
+	name: 'build', perS: 0.8, early: 3, worth: 7.73, priority: 2, stretch: 2, targetLatencyMs: 1000, maxAttempts: 4, steps: {mean: 2, spread: 0.4, max: 5}, width: {mean: 8, spread: 0.6, max: 32}, workMs: {mean: 3857, spread: 0.5, max: 9700}, milliCpu: {mean: 1800, spread: 0.3, max: 3500}, memoryMb: 1600, estimateSpread: 0.9, unevenness: 0.15, errorShare: 0.05, isCheckpointing: true, isFilling: true, images: 9,
+};
+
+const relay: JobKind = {
+	name: 'relay', perS: 0.06, early: 9, worth: 1.31, priority: 0, stretch: 2.2, targetLatencyMs: 2500, maxAttempts: 2, steps: {mean: 1, spread: 0, max: 1}, width: {mean: 5.2, spread: 0.3, max: 12}, workMs: {mean: 400, spread: 0, max: 400}, milliCpu: {mean: 3200, spread: 0.25, max: 5100}, memoryMb: 4000, estimateSpread: 0, unevenness: 0, errorShare: 0, isCheckpointing: false, isFilling: false, images: 5, serving: {
+		stayS: {mean: 70, spread: 0.5, max: 210}, targetMs: 18, load: 0.42, swing: 0.5, periodS: 10, apartShare: 0.15,
+	},
+};
+
+// A third of the pairs hardly disturbs, a third somewhat, a third severely: as learned on the users' sites.
+const effects = [0, 0, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 1.1, 1.4, 1.8, 2.2, 2.6, 3];
+const workers = [16_000, 16_000, 24_000, 16_000, 16_000, 24_000, 16_000, 16_000, 24_000, 16_000, 16_000];
+
+/** A calm day, a day of more than there is room for, and the same with all hosts dark for a second. */
+export const decidingLoads: DecidingLoad[] = [
+	{
+		name: 'calm', workers, restMs: 4, effects, kinds: [match, {...build, perS: 0.4}, relay], bursts: [{
+			kind: 'build', atS: 12, forS: 6, times: 1.4,
+		}], lengthS: 34,
+	},
+	{
+		name: 'heavy', workers, restMs: 4, effects, kinds: [match, build, relay], bursts: [{
+			kind: 'build', atS: 9, forS: 6, times: 1.5,
+		}], lengthS: 45,
+	},
+	{
+		name: 'dark', workers, restMs: 4, effects, kinds: [match, build, relay], bursts: [{
+			kind: 'build', atS: 9, forS: 6, times: 1.5,
+		}], lengthS: 45, darkAtS: 30,
+	},
+];
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -19,6 +19,7 @@
 import {WorkflowFollower} from '../workflows/follower.ts';
 import {Owner} from '../workflows/owner.ts';
 import {formatMember, Ownership} from '../workflows/ownership.ts';
+import {createPolicy} from '../workflows/policy.ts';
 import {findQueue} from '../workflows/queues.ts';
 import {workflowsTopic} from '../workflows/records.ts';
 import {createAgentClient} from './agent-messages.ts';
@@ -72,6 +73,10 @@
 	};
 });
 
+/** Set by a build for trials; what ships leaves nothing out. */
+declare const LEFT_OUT: string | undefined;
+const policy = createPolicy(typeof LEFT_OUT === 'string' ? LEFT_OUT : '');
+
 const aliveTimeoutMs = 600;
 
 /** Any answer tells that the process lives. */
@@ -184,6 +189,7 @@
 			leaseHorizonMs,
 			note,
 			onDeposed,
+			policy,
 			host: site.hostName,
 			follower: getFollower(partition),
 			isMine: ({service}) => getPartition(service, partitions) === partition,
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -35,6 +35,12 @@
 	/** State of the agent that is known to include the run. */
 	confirmedVersion: number;
 	percent: number;
+	/** Progress from which on its speed is measured: what was saved before, or done unseen, does not count. */
+	basePercent: number;
+	/** Time at work since then, as at full speed. */
+	workedMs: number;
+	/** Until when `workedMs` is counted; undefined: not before the next listing. */
+	workedUntilMs: number | undefined;
 	recent: number;
 	/** Since when a serving task is over its target on end; undefined: it is not. */
 	overSinceMs?: number;
@@ -87,6 +93,8 @@
 	nextOccurrence: number;
 	/** Completed, failed or cancelled: nothing of it is started any more. */
 	isOver: boolean;
+	/** When it was handed in, on the owner's monotonic clock: time of day may jump. */
+	receivedAtMs: number;
 };
 
 /** The jobs of one service that are not over. */
@@ -102,10 +110,15 @@
 		}
 	}
 
-	/** Takes a job. */
-	add(folded: FoldedWorkflow, wallMs: number, nowMs: number): LiveWorkflow {
+	/** Takes a job. Clocks of hosts differ and may jump: a job that cannot be older than `maxAgeMs` is not taken for older. */
+	add(folded: FoldedWorkflow, wallMs: number, nowMs: number, maxAgeMs = Number.POSITIVE_INFINITY): LiveWorkflow {
 		const workflow: LiveWorkflow = {
-			folded, spec: folded.workflow, occurrences: new Map(), nextOccurrence: 0, isOver: false,
+			folded,
+			spec: folded.workflow,
+			occurrences: new Map(),
+			nextOccurrence: 0,
+			isOver: false,
+			receivedAtMs: nowMs - Math.min(maxAgeMs, Math.max(0, wallMs - folded.workflow.receivedAtMs)),
 		};
 		this.workflows.set(folded.workflow.id, workflow);
 		this.openDue(workflow, wallMs, nowMs);
@@ -164,6 +177,14 @@
 		}
 	}
 
+	/** Occurrences of jobs that end by themselves and are not over, with tasks that have not succeeded. */
+	openOccurrences(): LiveStep[][] {
+		return [...this.workflows.values()]
+			.filter(({isOver, spec}) => !isOver && spec.steps.every(step => !step.isLasting))
+			.flatMap(workflow => [...workflow.occurrences.values()])
+			.filter(steps => steps.some(step => step.remaining > 0));
+	}
+
 	/** Steps of jobs that are not over, with tasks that have not succeeded. */
 	openSteps(): LiveStep[] {
 		return [...this.workflows.values()]
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -23,9 +23,13 @@
 import {OrderSender} from './order-sender.ts';
 import {OwnerLog} from './owner-log.ts';
 import {PaceKeeper} from './pace-keeper.ts';
-import {createPlaceFinder, place, type IsAllowed} from './placement.ts';
+import {createPlaceFinder, type IsAllowed} from './placement.ts';
+import {Mechanism, type Policy} from './policy.ts';
 import {chooseMoves, wantsCopy} from './relocation.ts';
+import {Rounds} from './rounds.ts';
+import {RunTimes} from './run-times.ts';
 import {RunTracker} from './run-tracker.ts';
+import {describeEnd} from './task-order.ts';
 
 /** Options of an owner. */
 export type OwnerOptions = {
@@ -45,13 +49,12 @@
 	/** How long the store keeps records. */
 	keptMs: number;
 	isMine: (registration: AgentRegistration) => boolean;
+	policy: Policy;
 	/** A newer owner is known. */
 	onDeposed: () => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** Changes gather for so long before a round of placement. */
-const roundDelayMs = 4;
 /** Things that depend on time alone are looked at this often. */
 const tickMs = 50;
 /** A worker that fails what others do well is tried again after this, then after twice as long. */
@@ -78,19 +81,21 @@
 	readonly #paces: PaceKeeper;
 	readonly #advice: AdviceCache;
 	readonly #isAllowed: IsAllowed;
+	readonly #rounds: Rounds;
 	readonly #harm = new FillHarm();
+	readonly #times: RunTimes;
 	readonly #aborter = createAborter();
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
-	#isRoundDue = false;
 	#claimOffset = Number.POSITIVE_INFINITY;
 	#claimedAtMs = 0;
 	#isSettled = false;
 	#scheduled: Array<{dueAtMs: number; workflow: LiveWorkflow}> = [];
 
 	constructor(options: OwnerOptions) {
-		const {clock, epoch, note, follower} = options;
+		const {clock, epoch, note, follower, policy} = options;
 		const {model} = this;
 		this.#options = options;
+		this.#times = new RunTimes(policy[Mechanism.RunTimes]);
 		this.#log = new OwnerLog({
 			...options, onFenced: () => {
 				this.#depose('the stream has a newer owner');
@@ -113,10 +118,26 @@
 		};
 		this.#advice = new AdviceCache({
 			clock, note, client: options.adviceClient, onAdvice: () => {
-				this.#wantRound();
+				this.#rounds.want();
 			},
 		});
 		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
+		this.#rounds = new Rounds({
+			clock,
+			note,
+			policy,
+			signal: this.#aborter.signal,
+			model: this.model,
+			harm: this.#harm,
+			times: this.#times,
+			isAllowed: this.#isAllowed,
+			getWaiting: nowMs => this.#startable(nowMs),
+			getWorkers: nowMs => this.#openWorkers(nowMs),
+			getRuns: () => [...this.links.workers.values()].flatMap(worker => [...worker.runs]),
+			onStarts: starts => {
+				this.#sender.start(starts);
+			},
+		});
 		this.#sender = new OrderSender({
 			...shared, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), onStaleEpoch: () => {
 				this.#depose('an agent refused the epoch');
@@ -131,7 +152,7 @@
 	/** Takes the partition over and runs it until stopped or deposed. */
 	async run(): Promise<void> {
 		const {signal} = this.#aborter;
-		const {follower, clock, note, epoch, partition} = this.#options;
+		const {follower, clock, note, epoch, partition, policy} = this.#options;
 		const claimOffset = await this.#log.claim(signal);
 		if (claimOffset === undefined || signal.aborted) {
 			this.#depose('the claim is fenced');
@@ -140,7 +161,10 @@
 
 		this.#claimOffset = claimOffset;
 		this.#claimedAtMs = clock.monotonicMs();
-		this.#harm.restore(follower.fold.harm, clock.monotonicMs());
+		if (policy[Mechanism.HarmHandover]) {
+			this.#harm.restore(follower.fold.harm, clock.monotonicMs());
+		}
+
 		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs());
 		this.#listen(follower);
 		for (const workflow of this.model.workflows.values()) {
@@ -178,8 +202,14 @@
 			onUnknown: (worker, taskId, run) => {
 				this.#sender.stopUnknown(worker, taskId, run);
 			},
-			onOutcome: (worker, task, isSuccess) => {
-				if (!isSuccess) {
+			onProgress: run => {
+				this.#times.note(run, {isDone: false});
+			},
+			onOutcome: (worker, run, isSuccess) => {
+				const {task} = run;
+				if (isSuccess) {
+					this.#times.note(run, {isDone: true});
+				} else {
 					task.avoidedHosts.add(worker.host);
 				}
 
@@ -195,7 +225,7 @@
 				task.step.workflow.isOver = true;
 			},
 			onChange: () => {
-				this.#wantRound();
+				this.#rounds.want();
 			},
 			note,
 		});
@@ -209,8 +239,10 @@
 				note('job taken', {
 					id: workflow.id, offset, queue: workflow.queue, steps: workflow.steps.map(step => step.count), ageMs: clock.now().getTime() - workflow.receivedAtMs,
 				});
-				this.#schedule(this.model.add(folded, clock.now().getTime(), clock.monotonicMs()));
-				this.#wantRound();
+				const nowMs = clock.monotonicMs();
+				// It came after the last read that showed the end of the stream.
+				this.#schedule(this.model.add(folded, clock.now().getTime(), nowMs, nowMs - follower.provenAtMs));
+				this.#rounds.want();
 			},
 			onFinal: folded => {
 				this.#finish(folded);
@@ -236,40 +268,17 @@
 			this.#updateAdvice();
 			this.#relocate();
 			this.#health.release(clock.monotonicMs());
-			this.#wantRound();
+			this.#rounds.want();
 			await clock.sleep(tickMs, signal);
 		}
 	}
 
-	#wantRound(): void {
-		if (this.#isRoundDue) {
-			return;
-		}
-
-		this.#isRoundDue = true;
-		this.#options.clock.setTimer(() => {
-			this.#isRoundDue = false;
-			if (!this.#aborter.signal.aborted) {
-				this.#round();
-			}
-		}, roundDelayMs);
-	}
-
-	#round(): void {
-		const {clock} = this.#options;
-		const nowMs = clock.monotonicMs();
-		this.#sender.start(place({
-			waiting: this.#startable(nowMs), workers: this.#openWorkers(nowMs), wallMs: clock.now().getTime(), nowMs, harm: this.#harm,
-			isAllowed: this.#isAllowed,
-		}));
-	}
-
 	/**
 	A task that an earlier owner may have started waits until every agent was heard, or their leases are over. Jobs that
 	were taken after the claim cannot have been started by anyone else.
 	*/
 	* #startable(nowMs: number): Generator<LiveTask> {
-		for (const task of this.model.waiting(nowMs, task => wantsCopy(task, nowMs))) {
+		for (const task of this.model.waiting(nowMs, task => this.#options.policy[Mechanism.StallMoves] && wantsCopy(task, nowMs))) {
 			if (this.#isSettled || task.step.workflow.folded.offset >= this.#claimOffset) {
 				yield task;
 			}
@@ -277,11 +286,12 @@
 	}
 
 	* #openWorkers(nowMs: number): Generator<FleetWorker> {
+		const {policy} = this.#options;
 		for (const worker of this.links.workers.values()) {
 			const {report, isListed, isAnswering, silentSinceMs, heardAtMs, lostSession, session, blockedUntilMs} = worker;
 			const isReached = silentSinceMs === undefined && nowMs - heardAtMs < reachableMs && isListed && isAnswering;
 			const {isHeld, isProbing} = worker.health;
-			if (isHeld || (isProbing && [...worker.runs].some(run => !run.task.step.spec.isLasting))) {
+			if (policy[Mechanism.WorkerHealth] && (isHeld || (isProbing && [...worker.runs].some(run => !run.task.step.spec.isLasting)))) {
 				continue;
 			}
 
@@ -293,9 +303,10 @@
 
 	/** Moves what stands still, and what may not work where it is. */
 	#relocate(): void {
-		const nowMs = this.#options.clock.monotonicMs();
+		const {clock, policy} = this.#options;
+		const nowMs = clock.monotonicMs();
 		const moves = chooseMoves({
-			workers: this.links.workers.values(), nowMs, hasPlace: createPlaceFinder(this.#openWorkers(nowMs), {harm: this.#harm, isAllowed: this.#isAllowed}),
+			workers: this.links.workers.values(), nowMs, policy, hasPlace: createPlaceFinder(this.#openWorkers(nowMs), {harm: this.#harm, isAllowed: this.#isAllowed, policy}),
 		});
 		for (const {worker, run} of moves) {
 			this.#options.note('run moved', {
@@ -323,7 +334,7 @@
 		this.#runs.take(worker, reply, nowMs);
 		this.#paces.take(worker);
 		if (worker.runs.size !== runsBefore || !worker.isListed) {
-			this.#wantRound();
+			this.#rounds.want();
 		}
 	}
 
@@ -341,9 +352,10 @@
 	#finish(folded: FoldedWorkflow): void {
 		const workflow = this.model.workflows.get(folded.workflow.id);
 		if (workflow) {
+			this.#options.note('job over', describeEnd(workflow, this.#times, this.#options.clock.monotonicMs()));
 			workflow.isOver = true;
 			this.#sender.stopUnneeded();
-			this.#wantRound();
+			this.#rounds.want();
 		}
 	}
 
@@ -376,7 +388,7 @@
 		if (missing.length === 0 || tookMs > getLeaseOverMs(this.#options.leaseHorizonMs)) {
 			this.#isSettled = true;
 			this.#options.note('settled', {tookMs: Math.round(tookMs), agents: this.links.workers.size, missing: missing.map(worker => worker.host)});
-			this.#wantRound();
+			this.#rounds.want();
 		}
 	}
 }
--- /dev/null
+++ b/src/workflows/placement-candidates.ts
@@ -0,0 +1,116 @@
+/**
+Workers as a round of placement sees them: what is free and what runs there, with what the round has decided so far.
+*/
+import {type WorkflowStep} from '../types/workflows.ts';
+import {
+	getFillers, getServers, getServingJob, type FillHarm,
+} from './fill-harm.ts';
+import {
+	getFreeRoom, getMilliCpu, getRack, type FleetWorker, type Room,
+} from './fleet-view.ts';
+import {type FillDemand, type ServingTask} from './harm-pacing.ts';
+import {type LiveStep, type LiveTask} from './live-model.ts';
+
+/** One worker in a round. */
+export type Candidate = {
+	worker: FleetWorker;
+	free: Room;
+	rack: string | undefined;
+	/** Tasks of each step here, by step. */
+	ofStep: Map<LiveStep, number>;
+	/** Share of the processors that is left to tasks that fill, and what they ask for. */
+	unusedShare: number;
+	demands: FillDemand[];
+	servers: ServingTask[];
+	/** What one task more of an image and size would get, as far as asked; empty after each change. */
+	fillSpeeds: Map<string, number>;
+};
+
+/** Waves raise the load of serving tasks by about so much in the time that a task that fills takes. */
+const waveMargin = 0.08;
+
+/** Takes a worker as it is. */
+export const createCandidate = (worker: FleetWorker, harm: FillHarm): Candidate => {
+	const ofStep = new Map<LiveStep, number>();
+	for (const {task: {step}} of worker.runs) {
+		ofStep.set(step, (ofStep.get(step) ?? 0) + 1);
+	}
+
+	const {milliCpu} = worker.report!;
+	return {
+		worker,
+		free: getFreeRoom(worker),
+		rack: getRack(worker.report!),
+		ofStep,
+		unusedShare: getUnusedShare(worker, harm),
+		demands: getFillers(worker.runs, worker.paces, {milliCpu, nowMs: 0}),
+		servers: getServers(worker.runs).map(({image, job}) => ({image, load: harm.getLoad(job) + waveMargin})),
+		fillSpeeds: new Map(),
+	};
+};
+
+/** A serving task uses its processors in the measure of its load, any other task all of them. */
+const getUnusedShare = ({report, runs}: FleetWorker, harm: FillHarm): number => {
+	let usedMilliCpu = 0;
+	for (const {task: {ref, step: {spec}}} of runs) {
+		usedMilliCpu += getMilliCpu(spec) * (spec.targetMs > 0 ? harm.getLoad(getServingJob(ref)) : 1);
+	}
+
+	return 1 - (usedMilliCpu / report!.milliCpu);
+};
+
+/** Processors that nothing but filling tasks uses, in thousandths of a core. */
+export const getSpareMilliCpu = (candidates: Candidate[]): number => {
+	let spareMilliCpu = 0;
+	for (const {unusedShare, worker: {report}} of candidates) {
+		spareMilliCpu += Math.max(0, unusedShare) * report!.milliCpu;
+	}
+
+	return spareMilliCpu;
+};
+
+/** Share of the processors that tasks reserve; what fills reserves none. */
+export const getReservedShare = (candidates: Candidate[]): number => {
+	let milliCpu = 0;
+	let freeMilliCpu = 0;
+	for (const {free, worker: {report}} of candidates) {
+		milliCpu += report!.milliCpu;
+		freeMilliCpu += Math.max(0, free.milliCpu);
+	}
+
+	return 1 - (freeMilliCpu / Math.max(1, milliCpu));
+};
+
+/** Notes that a task starts there. */
+export const take = (candidate: Candidate, {ref, step}: LiveTask, harm: FillHarm): void => {
+	const {spec} = step;
+	const {milliCpu} = candidate.worker.report!;
+	candidate.free.milliCpu -= getMilliCpu(spec);
+	candidate.free.memoryMb -= spec.memoryMb;
+	candidate.free.accelerators -= spec.accelerators;
+	candidate.ofStep.set(step, (candidate.ofStep.get(step) ?? 0) + 1);
+	candidate.fillSpeeds.clear();
+	if (candidate.worker.health.isProbing) {
+		// One task shows whether the worker has recovered.
+		candidate.free.milliCpu = -1;
+	}
+
+	if (spec.isFilling) {
+		candidate.demands = addDemand(candidate.demands, spec, milliCpu);
+	} else if (spec.targetMs > 0) {
+		const load = harm.getLoad(getServingJob(ref));
+		candidate.unusedShare -= load * spec.milliCpu / milliCpu;
+		candidate.servers = [...candidate.servers, {image: spec.image ?? '', load: load + waveMargin}];
+	} else {
+		candidate.unusedShare -= spec.milliCpu / milliCpu;
+	}
+};
+
+/** Demands with one task more. */
+export const addDemand = (demands: FillDemand[], spec: WorkflowStep, milliCpu: number): FillDemand[] => {
+	const image = spec.image ?? '';
+	const share = spec.milliCpu / milliCpu;
+	return demands.some(demand => demand.image === image)
+		? demands.map(demand => demand.image === image ? {image, share: demand.share + share} : demand)
+		: [...demands, {image, share}];
+};
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -2,19 +2,17 @@
 Decides which waiting tasks start now, and where. Pure: it is given the tasks, the workers and the time.
 */
 import {type WorkflowStep} from '../types/workflows.ts';
-import {
-	getFreeRoom, getMilliCpu, getRack, isFitting, isSuited, type FleetWorker, type Room,
-} from './fleet-view.ts';
-import {
-	getFillers, getServers, getServingJob, type FillHarm,
-} from './fill-harm.ts';
-import {
-	getWorkingShare, planSpeeds, type FillDemand, type ServingTask,
-} from './harm-pacing.ts';
+import {isFitting, isSuited, type FleetWorker} from './fleet-view.ts';
+import {type FillHarm} from './fill-harm.ts';
+import {getWorkingShare, planSpeeds, type FillDemand} from './harm-pacing.ts';
 import {
 	isIdle, type LiveStep, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
-import {createRank} from './task-order.ts';
+import {
+	addDemand, createCandidate, getReservedShare, getSpareMilliCpu, take, type Candidate,
+} from './placement-candidates.ts';
+import {Mechanism, type Policy} from './policy.ts';
+import {type RankTask} from './task-order.ts';
 
 /** A start that was decided. */
 export type Start = {
@@ -22,24 +20,10 @@
 	worker: FleetWorker;
 };
 
-type Candidate = {
-	worker: FleetWorker;
-	free: Room;
-	rack: string | undefined;
-	/** Tasks of each step here, by step. */
-	ofStep: Map<LiveStep, number>;
-	/** Share of the processors that is left to tasks that fill, and what they ask for. */
-	unusedShare: number;
-	demands: FillDemand[];
-	servers: ServingTask[];
-	/** What one task more of an image and size would get, as far as asked; empty after each change. */
-	fillSpeeds: Map<string, number>;
-};
-
 /** Tells whether tasks of the step may run on the worker. */
 export type IsAllowed = (step: LiveStep, workerId: string) => boolean;
 
-type Terms = Pick<PlacementInput, 'harm' | 'isAllowed'> & {
+type Terms = Pick<PlacementInput, 'harm' | 'isAllowed' | 'policy'> & {
 	/** A task that fills starts also where it disturbs. */
 	mustRun?: boolean;
 };
@@ -48,138 +32,135 @@
 export type PlacementInput = {
 	waiting: Iterable<LiveTask>;
 	workers: Iterable<FleetWorker>;
-	wallMs: number;
 	nowMs: number;
 	harm: FillHarm;
+	/** In which order tasks are served, given the processors that nothing else uses, in thousandths of a core. */
+	createRank: (spareMilliCpu: number) => RankTask;
 	/** Whether a queue's policy lets the step run on the worker. */
 	isAllowed: IsAllowed;
+	policy: Policy;
+};
+
+/** What keeps a task that waits from starting; the last one is the nearest to a start. */
+export enum WaitReason {
+	/** No worker has the label, the size or the advice that it needs, or none is open. */
+	NoWorker = 'no-worker',
+	Room = 'room',
+	/** As many of its step as may be are on every worker with room. */
+	Spread = 'spread',
+	/** A serving task there was over its target for too long: nothing may fill. */
+	FillStopped = 'fill-stopped',
+	/** Its image is paced down there. */
+	Paced = 'paced',
+	/** It would disturb, or get too little. */
+	Harm = 'harm',
+	/** Whatever failed on all of the above would be possible, but for a run of it there. */
+	Other = 'other',
+}
+
+/** What was decided in a round. */
+export type Round = {
+	starts: Start[];
+	/** Tasks that wait on, by reason. */
+	waits: Map<WaitReason, number>;
+	/** Processors that nothing but filling tasks uses, in thousandths of a core. */
+	spareMilliCpu: number;
 };
 
 /** Decides starts, most urgent first. */
-export const place = ({waiting, workers, wallMs, nowMs, harm, isAllowed}: PlacementInput): Start[] => {
+export const place = ({waiting, workers, nowMs, harm, createRank, isAllowed, policy}: PlacementInput): Round => {
 	const tasks = [...waiting];
+	const waits = new Map<WaitReason, number>();
 	if (tasks.length === 0) {
-		return [];
+		return {starts: [], waits, spareMilliCpu: 0};
 	}
 
 	const candidates = [...workers].map(worker => createCandidate(worker, harm));
-	const rank = createRank(wallMs);
+	const spareMilliCpu = getSpareMilliCpu(candidates);
+	const rank = createRank(spareMilliCpu);
 	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
+	const terms: Terms = {harm, isAllowed, policy};
+	const bearableMs = getReservedShare(candidates) < reservedEnough ? maxWaitMs : maxWaitInCrowdMs;
 	const starts: Start[] = [];
 	const gangs = new Set<LiveStep>();
 	// A step of which one task found no place has none for its equals either.
-	const stuck = new Set<LiveStep>();
+	const stuck = new Map<LiveStep, WaitReason>();
+	const noteWait = (reason: WaitReason) => {
+		waits.set(reason, (waits.get(reason) ?? 0) + 1);
+	};
+
 	const started = new Set<LiveWorkflow>();
 	for (const {task} of ranked) {
 		const {step} = task;
-		if (stuck.has(step) || gangs.has(step)) {
+		const stuckBy = stuck.get(step);
+		if (stuckBy !== undefined) {
+			noteWait(stuckBy);
+			continue;
+		}
+
+		if (gangs.has(step)) {
 			continue;
 		}
 
 		if (step.spec.isGang) {
 			gangs.add(step);
-			starts.push(...placeGang(step, candidates, {harm, isAllowed}));
+			starts.push(...placeGang(step, candidates, terms));
 			continue;
 		}
 
-		const mustRun = !started.has(step.workflow) && isStarving(task, nowMs);
-		const candidate = choose(task, candidates, {harm, isAllowed, mustRun});
+		const mustRun = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(task, nowMs, bearableMs);
+		const candidate = choose(task, candidates, {...terms, mustRun});
 		if (candidate) {
 			started.add(step.workflow);
 			take(candidate, task, harm);
 			starts.push({task, worker: candidate.worker});
 		} else {
-			stuck.add(step);
+			const reason = getWaitReason(step, candidates, {...terms, mustRun});
+			stuck.set(step, reason);
+			noteWait(reason);
 		}
 	}
 
-	return starts;
+	return {starts, waits, spareMilliCpu};
+};
+
+const waitReasons = Object.values(WaitReason);
+
+/** Of all workers, the reason of the one that came nearest to taking the task. */
+const getWaitReason = (step: LiveStep, candidates: Candidate[], terms: Terms): WaitReason => {
+	let nearest = 0;
+	for (const candidate of candidates) {
+		nearest = Math.max(nearest, waitReasons.indexOf(getObstacle(step, candidate, terms) ?? WaitReason.Other));
+	}
+
+	return waitReasons[nearest]!;
 };
 
 /** A task that fills waits rather than start where it, and what it slows down, would get less than this share of its speed. */
 const minFillSpeed = 0.7;
 /** An image that is held at less than this on a worker gets no more tasks there. */
 const minPercent = 50;
-/** Waves raise the load of serving tasks by about so much in the time that a task that fills takes. */
-const waveMargin = 0.08;
 
 /**
-A job of which nothing runs waits at most so long for a place where it disturbs nobody. Where serving tasks are on every
-worker there may never be one, and callers would wait for ever beside free room; the paces then decide what it gets.
+A job of which nothing runs waits at most so long for a place where it disturbs nobody: where serving tasks are on every
+worker there may never be one, and callers would wait for ever beside free room; the paces then decide what it gets. While
+more than this share of the processors is reserved, there is hardly free room, and every job that is opened at a bad place
+takes from those that could end in time.
 */
 const maxWaitMs = 1500;
+const reservedEnough = 0.55;
+const maxWaitInCrowdMs = 10_000;
 
-const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number): boolean =>
-	step.spec.isFilling && nowMs - waitsSinceMs > maxWaitMs && isIdle(step.workflow);
-
-const createCandidate = (worker: FleetWorker, harm: FillHarm): Candidate => {
-	const ofStep = new Map<LiveStep, number>();
-	for (const {task: {step}} of worker.runs) {
-		ofStep.set(step, (ofStep.get(step) ?? 0) + 1);
-	}
-
-	const {milliCpu} = worker.report!;
-	return {
-		worker,
-		free: getFreeRoom(worker),
-		rack: getRack(worker.report!),
-		ofStep,
-		unusedShare: getUnusedShare(worker, harm),
-		demands: getFillers(worker.runs, worker.paces, {milliCpu, nowMs: 0}),
-		servers: getServers(worker.runs).map(({image, job}) => ({image, load: harm.getLoad(job) + waveMargin})),
-		fillSpeeds: new Map(),
-	};
-};
-
-/** A serving task uses its processors in the measure of its load, any other task all of them. */
-const getUnusedShare = ({report, runs}: FleetWorker, harm: FillHarm): number => {
-	let usedMilliCpu = 0;
-	for (const {task: {ref, step: {spec}}} of runs) {
-		usedMilliCpu += getMilliCpu(spec) * (spec.targetMs > 0 ? harm.getLoad(getServingJob(ref)) : 1);
-	}
-
-	return 1 - (usedMilliCpu / report!.milliCpu);
-};
-
-const take = (candidate: Candidate, {ref, step}: LiveTask, harm: FillHarm): void => {
-	const {spec} = step;
-	const {milliCpu} = candidate.worker.report!;
-	candidate.free.milliCpu -= getMilliCpu(spec);
-	candidate.free.memoryMb -= spec.memoryMb;
-	candidate.free.accelerators -= spec.accelerators;
-	candidate.ofStep.set(step, (candidate.ofStep.get(step) ?? 0) + 1);
-	candidate.fillSpeeds.clear();
-	if (candidate.worker.health.isProbing) {
-		// One task shows whether the worker has recovered.
-		candidate.free.milliCpu = -1;
-	}
-
-	if (spec.isFilling) {
-		candidate.demands = addDemand(candidate.demands, spec, milliCpu);
-	} else if (spec.targetMs > 0) {
-		const load = harm.getLoad(getServingJob(ref));
-		candidate.unusedShare -= load * spec.milliCpu / milliCpu;
-		candidate.servers = [...candidate.servers, {image: spec.image ?? '', load: load + waveMargin}];
-	} else {
-		candidate.unusedShare -= spec.milliCpu / milliCpu;
-	}
-};
-
-const addDemand = (demands: FillDemand[], spec: WorkflowStep, milliCpu: number): FillDemand[] => {
-	const image = spec.image ?? '';
-	const share = spec.milliCpu / milliCpu;
-	return demands.some(demand => demand.image === image)
-		? demands.map(demand => demand.image === image ? {image, share: demand.share + share} : demand)
-		: [...demands, {image, share}];
-};
+const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number, bearableMs: number): boolean =>
+	step.spec.isFilling && nowMs - waitsSinceMs > bearableMs && isIdle(step.workflow);
 
 const choose = (task: LiveTask, candidates: Candidate[], terms: Terms): Candidate | undefined => {
 	const {step} = task;
 	let best: Candidate | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		if (canTake(step, candidate, terms) && !task.runs.some(run => run.host === candidate.worker.host)) {
-			const cost = getCost(step, candidate, terms.harm) + (task.avoidedHosts.has(candidate.worker.host) ? avoidedCost : 0);
+		if (getObstacle(step, candidate, terms) === undefined && !task.runs.some(run => run.host === candidate.worker.host)) {
+			const cost = getCost(step, candidate, terms) + (task.avoidedHosts.has(candidate.worker.host) ? avoidedCost : 0);
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
@@ -190,17 +171,41 @@
 	return best;
 };
 
-const canTake = (step: LiveStep, candidate: Candidate, {harm, isAllowed, mustRun}: Terms): boolean => {
+/** What keeps a task of the step off the worker; undefined: nothing. */
+const getObstacle = (step: LiveStep, candidate: Candidate, {harm, isAllowed, mustRun, policy}: Terms): WaitReason | undefined => {
 	const {spec} = step;
 	const {worker, free, ofStep} = candidate;
-	return isFitting(spec, free) && isSuited(spec, worker.report!)
-		&& (spec.maxPerWorker === 0 || (ofStep.get(step) ?? 0) < spec.maxPerWorker)
-		&& isAllowed(step, worker.report!.workerId)
-		&& (!spec.isFilling || (!worker.isFillStopped && (mustRun === true || canFill(spec, candidate, harm))));
+	if (!isSuited(spec, worker.report!) || !isAllowed(step, worker.report!.workerId)) {
+		return WaitReason.NoWorker;
+	}
+
+	if (!isFitting(spec, free)) {
+		return WaitReason.Room;
+	}
+
+	if (spec.maxPerWorker > 0 && (ofStep.get(step) ?? 0) >= spec.maxPerWorker) {
+		return WaitReason.Spread;
+	}
+
+	return spec.isFilling ? getFillObstacle(spec, candidate, {harm, mustRun: mustRun ?? !policy[Mechanism.FillWait]}) : undefined;
 };
 
-const canFill = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): boolean =>
-	(candidate.worker.paces.get(spec.image ?? '')?.percent ?? 100) >= minPercent && getFillSpeed(spec, candidate, harm) >= minFillSpeed;
+const getFillObstacle = (spec: WorkflowStep, candidate: Candidate, {harm, mustRun}: Pick<Terms, 'harm' | 'mustRun'>): WaitReason | undefined => {
+	const {worker} = candidate;
+	if (worker.isFillStopped) {
+		return WaitReason.FillStopped;
+	}
+
+	if (mustRun) {
+		return undefined;
+	}
+
+	if ((worker.paces.get(spec.image ?? '')?.percent ?? 100) < minPercent) {
+		return WaitReason.Paced;
+	}
+
+	return getFillSpeed(spec, candidate, harm) < minFillSpeed ? WaitReason.Harm : undefined;
+};
 
 /** Work that a task more would add on the worker, as a share of its full speed: what it would take from others is taken off. */
 const getFillSpeed = (spec: WorkflowStep, candidate: Candidate, harm: FillHarm): number => {
@@ -227,25 +232,32 @@
 const companyGain = 2;
 // Weight of the load that a task that fills adds to a serving task.
 const harmCost = 3;
+// Room on workers where nobody serves is kept for images that would disturb elsewhere.
+const quietCost = 0.5;
+// Serving tasks of another image bring other sensitivities: what fills finds a place more easily where all are alike.
+const strangerCost = 3;
 // Tasks that fill spread: a full worker leaves no room for what is harmful elsewhere.
 const crowdCost = 0.3;
 
-const getCost = (step: LiveStep, candidate: Candidate, harm: FillHarm): number => {
+const getCost = (step: LiveStep, candidate: Candidate, {harm, policy}: Terms): number => {
 	const {spec} = step;
 	const {worker: {report}, free, rack, servers, demands} = candidate;
 	const farness = spec.dataRack !== undefined && spec.dataRack !== rack ? farCost : 0;
 	const usedShare = 1 - (free.milliCpu / Math.max(1, report!.milliCpu));
 	if (spec.isFilling) {
 		const rise = Math.max(0, ...servers.map(({image}) => harm.getEffect(image, spec.image ?? ''))) * spec.milliCpu / report!.milliCpu;
-		return farness + (harmCost * rise) - getFillSpeed(spec, candidate, harm) + (crowdCost * getWorkingShare(demands, new Map()));
+		const quiet = policy[Mechanism.QuietRoom] && servers.length === 0 ? quietCost : 0;
+		return farness + (harmCost * rise) - getFillSpeed(spec, candidate, harm) + (crowdCost * getWorkingShare(demands, new Map())) + quiet;
 	}
 
+	const company = servers.length > 0 && policy[Mechanism.ServerCompany] ? companyGain : 0;
 	if (spec.targetMs > 0) {
-		return farness - (servers.length > 0 ? companyGain : 0) - usedShare + (harmCost * getHarmOf(spec, demands, harm));
+		const strangers = policy[Mechanism.ServerGroups] && servers.some(({image}) => image !== (spec.image ?? '')) ? strangerCost : 0;
+		return farness - company - usedShare + (harmCost * getHarmOf(spec, demands, harm)) + strangers;
 	}
 
 	// Filling up the fullest first keeps room for wide tasks elsewhere, and leaves whole workers to what fills.
-	return farness - usedShare - (servers.length > 0 ? companyGain : 0);
+	return farness - usedShare - company;
 };
 
 /** Load that what fills there already adds to a serving task. */
--- a/src/workflows/relocation.ts
+++ b/src/workflows/relocation.ts
@@ -4,6 +4,7 @@
 */
 import {type FleetWorker} from './fleet-view.ts';
 import {RunPhase, type LiveRun, type LiveTask} from './live-model.ts';
+import {Mechanism, type Policy} from './policy.ts';
 import {isStalled} from './stalls.ts';
 
 /** What is decided with. */
@@ -12,6 +13,7 @@
 	nowMs: number;
 	/** Whether a worker with room for the task is open, other than those that it avoids. */
 	hasPlace: (task: LiveTask) => boolean;
+	policy: Policy;
 };
 
 /** A task that fills and was held at this pace or below does not move on. */
@@ -26,7 +28,7 @@
 const maxMoves = 4;
 
 /** Chooses runs to stop. Each task is told to avoid the worker that it leaves. */
-export const chooseMoves = ({workers, nowMs, hasPlace}: RelocationInput): Array<{worker: FleetWorker; run: LiveRun}> => {
+export const chooseMoves = ({workers, nowMs, hasPlace, policy}: RelocationInput): Array<{worker: FleetWorker; run: LiveRun}> => {
 	const moves: Array<{worker: FleetWorker; run: LiveRun}> = [];
 	for (const worker of workers) {
 		// What is not heard says nothing about progress.
@@ -41,8 +43,10 @@
 
 			const {task} = run;
 			const {spec} = task.step;
-			const isStanding = isStalled(run, nowMs);
-			if (task.isDone || spec.isGang || (!isStanding && !isHeld(worker, run, nowMs) && !isLosing(worker, run, nowMs))) {
+			const mustMove = (policy[Mechanism.StallMoves] && isStalled(run, nowMs))
+				|| (policy[Mechanism.HeldMoves] && isHeld(worker, run, nowMs))
+				|| (policy[Mechanism.DrainMoves] && isLosing(worker, run, nowMs));
+			if (task.isDone || spec.isGang || !mustMove) {
 				continue;
 			}
 
--- /dev/null
+++ b/src/workflows/rounds.ts
@@ -0,0 +1,124 @@
+/**
+Rounds of placement: gathers what has changed, decides starts in order, and tells what keeps the others waiting.
+*/
+import {type Clock} from '../types/clock.ts';
+import {type FillHarm} from './fill-harm.ts';
+import {type FleetWorker} from './fleet-view.ts';
+import {
+	type LiveModel, type LiveRun, type LiveStep, type LiveTask,
+} from './live-model.ts';
+import {
+	place, type IsAllowed, type Start, type WaitReason,
+} from './placement.ts';
+import {type Policy} from './policy.ts';
+import {type RunTimes} from './run-times.ts';
+import {createRank, getRemainder, type Remainder} from './task-order.ts';
+
+/** What rounds are decided with. */
+export type RoundsOptions = {
+	clock: Clock;
+	signal: AbortSignal;
+	model: LiveModel;
+	harm: FillHarm;
+	times: RunTimes;
+	policy: Policy;
+	isAllowed: IsAllowed;
+	/** Tasks that may start now. */
+	getWaiting: (nowMs: number) => Iterable<LiveTask>;
+	/** Workers that may be given something. */
+	getWorkers: (nowMs: number) => Iterable<FleetWorker>;
+	/** Runs that are out on any worker. */
+	getRuns: () => LiveRun[];
+	onStarts: (starts: Start[]) => void;
+	note: (event: string, fields: Record<string, unknown>) => void;
+};
+
+/** Changes gather for so long before a round. */
+const roundDelayMs = 4;
+/** What is left of jobs changes by the second; rounds come many times a second. */
+const remainderEveryMs = 100;
+/** What waits is told this often at most. */
+const noteEveryMs = 1000;
+
+/** The rounds of one owner. */
+export class Rounds {
+	readonly #options: RoundsOptions;
+	#isDue = false;
+	#remainders = new Map<LiveStep[], Remainder>();
+	#remaindersAtMs = Number.NEGATIVE_INFINITY;
+	#notedAtMs = Number.NEGATIVE_INFINITY;
+
+	constructor(options: RoundsOptions) {
+		this.#options = options;
+	}
+
+	/** Something has changed: a round is due. */
+	want(): void {
+		if (this.#isDue) {
+			return;
+		}
+
+		this.#isDue = true;
+		this.#options.clock.setTimer(() => {
+			this.#isDue = false;
+			if (!this.#options.signal.aborted) {
+				this.#run();
+			}
+		}, roundDelayMs);
+	}
+
+	#run(): void {
+		const {clock, harm, times, policy, isAllowed, getWaiting, getWorkers, onStarts} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const {starts, waits, spareMilliCpu} = place({
+			waiting: getWaiting(nowMs),
+			workers: getWorkers(nowMs),
+			nowMs,
+			harm,
+			isAllowed,
+			policy,
+			createRank: spareMilliCpu => createRank({
+				nowMs, spareMilliCpu, policy, times, wallMs: clock.now().getTime(), remainders: this.#getRemainders(nowMs),
+			}),
+		});
+		onStarts(starts);
+		if (waits.size > 0 && nowMs - this.#notedAtMs >= noteEveryMs) {
+			this.#notedAtMs = nowMs;
+			this.#noteWaits(waits, spareMilliCpu);
+		}
+	}
+
+	#noteWaits(waits: Map<WaitReason, number>, spareMilliCpu: number): void {
+		const {model, getRuns, note} = this.#options;
+		const runs = getRuns();
+		const filling = runs.filter(run => run.task.step.spec.isFilling);
+		note('tasks wait', {
+			waits: Object.fromEntries(waits),
+			jobs: model.workflows.size,
+			running: runs.length,
+			filling: filling.length,
+			fillingMilliCpu: Math.round(sum(filling.map(({recent}) => recent))),
+			spareMilliCpu: Math.round(spareMilliCpu),
+			backlogCoreMs: Math.round(sum([...this.#remainders.values()].map(({leftCoreMs}) => leftCoreMs))),
+		});
+	}
+
+	#getRemainders(nowMs: number): Map<LiveStep[], Remainder> {
+		if (nowMs - this.#remaindersAtMs >= remainderEveryMs) {
+			const {model, times} = this.#options;
+			this.#remaindersAtMs = nowMs;
+			this.#remainders = new Map(model.openOccurrences().map(steps => [steps, getRemainder(steps, times)]));
+		}
+
+		return this.#remainders;
+	}
+}
+
+const sum = (values: number[]): number => {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+};
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -24,7 +24,9 @@
 	/** No job has such a task. */
 	onUnknown: (worker: FleetWorker, taskId: string, run: number) => void;
 	/** A run of a task that does not last came to its own end. */
-	onOutcome: (worker: FleetWorker, task: LiveTask, isSuccess: boolean) => void;
+	onOutcome: (worker: FleetWorker, run: LiveRun, isSuccess: boolean) => void;
+	/** A run was listed again. */
+	onProgress: (run: LiveRun) => void;
 	/** A task has failed as often as it may. */
 	onExhausted: (task: LiveTask) => void;
 	/** Room came free or tasks wait: a round of placement is due. */
@@ -45,6 +47,25 @@
 // at its start does not take all starts.
 const failurePauseMs = 100;
 
+/** Between two listings of a worker that is heard lies half a second; over a longer gap nothing is known of the speed. */
+const maxGapMs = 1500;
+/** A task that fills works at least at this share of its speed, as far as its worker can tell. */
+const minShare = 0.05;
+
+/** Counts the time at work since the last listing; what fills works at the share of the processors that it got. */
+const countWork = (run: LiveRun, nowMs: number): void => {
+	const {workedUntilMs, recent, task: {step: {spec}}} = run;
+	run.workedUntilMs = nowMs;
+	if (workedUntilMs === undefined || nowMs - workedUntilMs > maxGapMs) {
+		run.basePercent = run.percent;
+		run.workedMs = 0;
+		return;
+	}
+
+	const share = spec.isFilling && run.percent > 0 ? Math.min(1, Math.max(minShare, recent / spec.milliCpu)) : 1;
+	run.workedMs += (nowMs - workedUntilMs) * share;
+};
+
 /** The tracker. */
 export class RunTracker {
 	readonly #model: LiveModel;
@@ -69,6 +90,10 @@
 			notAfterMs: terms.notAfterMs,
 			confirmedVersion: 0,
 			percent: 0,
+			basePercent: 0,
+			workedMs: 0,
+			// What is resumed begins somewhere: its first listing tells where.
+			workedUntilMs: task.checkpoint === '' ? terms.nowMs : undefined,
 			recent: 0,
 			progressAtMs: terms.nowMs,
 			stopSentAtMs: Number.NEGATIVE_INFINITY,
@@ -88,6 +113,7 @@
 		if (run.phase === RunPhase.Starting) {
 			run.phase = RunPhase.Running;
 			run.progressAtMs = nowMs;
+			run.workedUntilMs &&= nowMs;
 			this.#handlers.onBegun(run.task);
 		}
 	}
@@ -169,6 +195,8 @@
 		}
 
 		run.recent = row.recent;
+		countWork(run, nowMs);
+		this.#handlers.onProgress(run);
 		if (row.checkpoint !== '') {
 			run.task.checkpoint = row.checkpoint;
 		}
@@ -201,6 +229,7 @@
 		const live = this.open(task, worker, run, {nowMs, notAfterMs: 0});
 		live.isOrderOut = false;
 		live.isUnwanted = isUnwanted;
+		live.workedUntilMs = undefined;
 		live.pacePercent = undefined;
 		live.agentLife = reply.agentLife;
 		live.confirmedVersion = reply.version;
@@ -263,7 +292,8 @@
 		}
 
 		if (run && (end.end === RunEnd.Done || end.end === RunEnd.Failed)) {
-			this.#handlers.onOutcome(worker, task, end.end === RunEnd.Done);
+			countWork(run, nowMs);
+			this.#handlers.onOutcome(worker, run, end.end === RunEnd.Done);
 		}
 
 		return this.#judgeEnd(task, end, nowMs);
--- a/test/perf/measure-filling.ts
+++ b/test/perf/measure-filling.ts
@@ -7,6 +7,7 @@
 import {FillHarm} from '../../src/workflows/fill-harm.ts';
 import {type LiveTask} from '../../src/workflows/live-model.ts';
 import {createPlaceFinder} from '../../src/workflows/placement.ts';
+import {createPolicy} from '../../src/workflows/policy.ts';
 import {
 	createWorker, createWorkflow, load, placeAll, run,
 } from '../site-fleet.ts';
@@ -50,7 +51,7 @@
 const rows = [11, 72, 300].map(size => {
 	const {model, workers, held} = createFleet(size);
 	const harm = new FillHarm();
-	const terms = {harm, isAllowed: () => true};
+	const terms = {harm, isAllowed: () => true, policy: createPolicy()};
 	const askAnew = (task: LiveTask) => createPlaceFinder(workers, terms)(task);
 	const round = measureMs(() => placeAll(model, workers, {harm}));
 	const before = measureMs(() => held.filter(task => askAnew(task)));
--- a/test/site-decisions.test.ts
+++ b/test/site-decisions.test.ts
@@ -6,6 +6,7 @@
 import {RunEnd, WorkflowState, type Workflow} from '../src/types/workflows.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
 import {RunPhase} from '../src/workflows/live-model.ts';
+import {createPolicy} from '../src/workflows/policy.ts';
 import {RecordType} from '../src/workflows/records.ts';
 import {chooseMoves, wantsCopy} from '../src/workflows/relocation.ts';
 import {
@@ -86,14 +87,20 @@
 
 	it('are moved where another worker has room', () => {
 		const {worker} = createRun();
-		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => false})).toHaveLength(0);
-		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(1);
+		expect(chooseMoves({
+			policy: createPolicy(), workers: [worker], nowMs: 5000, hasPlace: () => false,
+		})).toHaveLength(0);
+		expect(chooseMoves({
+			policy: createPolicy(), workers: [worker], nowMs: 5000, hasPlace: () => true,
+		})).toHaveLength(1);
 	});
 
 	it('are not told from others while their agent is silent', () => {
 		const {worker} = createRun();
 		worker.silentSinceMs = 4000;
-		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
+		expect(chooseMoves({
+			policy: createPolicy(), workers: [worker], nowMs: 5000, hasPlace: () => true,
+		})).toHaveLength(0);
 	});
 
 	/** A worker is emptied: what lasts moves at once, what can still end there stays. */
@@ -104,19 +111,27 @@
 		live.progressAtMs = 5000;
 		live.sentAtMs = 3000;
 		live.percent = 80;
-		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
+		expect(chooseMoves({
+			policy: createPolicy(), workers: [worker], nowMs: 5000, hasPlace: () => true,
+		})).toHaveLength(0);
 		live.percent = 30;
-		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(1);
+		expect(chooseMoves({
+			policy: createPolicy(), workers: [worker], nowMs: 5000, hasPlace: () => true,
+		})).toHaveLength(1);
 		const lasting = createRun({isLasting: true});
 		lasting.worker.report!.isDraining = true;
 		lasting.live.percent = 100;
 		lasting.live.progressAtMs = 5000;
-		expect(chooseMoves({workers: [lasting.worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(1);
+		expect(chooseMoves({
+			policy: createPolicy(), workers: [lasting.worker], nowMs: 5000, hasPlace: () => true,
+		})).toHaveLength(1);
 	});
 
 	it('get a copy beside them where the step allows it', () => {
 		const {worker, task, live} = createRun({isSpeculative: true});
-		expect(chooseMoves({workers: [worker], nowMs: 5000, hasPlace: () => true})).toHaveLength(0);
+		expect(chooseMoves({
+			policy: createPolicy(), workers: [worker], nowMs: 5000, hasPlace: () => true,
+		})).toHaveLength(0);
 		expect(wantsCopy(task, 5000)).toBe(true);
 		live.progressAtMs = 4900;
 		expect(wantsCopy(task, 5000)).toBe(false);
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -9,7 +9,10 @@
 	LiveModel, RunPhase, type LiveRun, type LiveTask,
 } from '../src/workflows/live-model.ts';
 import {place, type Start} from '../src/workflows/placement.ts';
+import {createPolicy} from '../src/workflows/policy.ts';
 import {RecordType} from '../src/workflows/records.ts';
+import {RunTimes} from '../src/workflows/run-times.ts';
+import {createRank, getRemainder} from '../src/workflows/task-order.ts';
 import {queue} from './site-world.ts';
 
 export const createWorkflow = (id: string, spec: WorkflowSpec, terms: Partial<Workflow> = {}): Workflow => ({
@@ -53,13 +56,21 @@
 	return {model, fold};
 };
 
-export const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, harm = new FillHarm()} = {}): Start[] => place({
-	waiting: model.waiting(0, () => false), workers, wallMs, nowMs, harm, isAllowed: () => true,
-});
+export const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, harm = new FillHarm(), times = new RunTimes(), policy = createPolicy()} = {}): Start[] => place({
+	waiting: model.waiting(0, () => false),
+	workers,
+	nowMs,
+	harm,
+	isAllowed: () => true,
+	policy,
+	createRank: spareMilliCpu => createRank({
+		nowMs, wallMs, spareMilliCpu, times, policy, remainders: new Map(model.openOccurrences().map(steps => [steps, getRemainder(steps, times)])),
+	}),
+}).starts;
 
 export const run = (task: LiveTask, worker: FleetWorker, fields: Partial<LiveRun> = {}): LiveRun => {
 	const live: LiveRun = {
-		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, sentAtMs: 0, isOrderOut: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, recent: 0, progressAtMs: 0, stopSentAtMs: 0, isUnwanted: false, pacePercent: 100, ...fields,
+		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, sentAtMs: 0, isOrderOut: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, basePercent: 0, workedMs: 0, workedUntilMs: 0, recent: 0, progressAtMs: 0, stopSentAtMs: 0, isUnwanted: false, pacePercent: 100, ...fields,
 	};
 	task.runs.push(live);
 	worker.runs.add(live);
--- /dev/null
+++ b/test/site-order.test.ts
@@ -0,0 +1,157 @@
+/**
+Which jobs are served first, and where, when there is not room for all: run times that are learned, order, and company.
+*/
+import {describe, expect, it} from 'vitest';
+import {type Workflow} from '../src/types/workflows.ts';
+import {FillHarm} from '../src/workflows/fill-harm.ts';
+import {type LiveModel, type LiveTask} from '../src/workflows/live-model.ts';
+import {createPolicy, Mechanism} from '../src/workflows/policy.ts';
+import {RunTimes} from '../src/workflows/run-times.ts';
+import {getRemainder} from '../src/workflows/task-order.ts';
+import {
+	createWorker, createWorkflow, load, placeAll, run,
+} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const getTasks = (model: LiveModel): LiveTask[] => [...model.waiting(0, () => false)];
+
+/** Notes that one task of each job ran for so long at full speed. */
+const learn = (times: RunTimes, rows: Array<{estimateMs: number; workedMs: number}>): void => {
+	for (const [index, {estimateMs, workedMs}] of rows.entries()) {
+		const {model} = load([createWorkflow(`done-${index}`, createSpec([createStep({estimateMs})]))]);
+		const [task] = getTasks(model);
+		times.note(run(task!, createWorker('x'), {percent: 100, workedMs}), {isDone: true});
+	}
+};
+
+const getTaskMs = (times: RunTimes, estimateMs: number): number => {
+	const {model} = load([createWorkflow('next', createSpec([createStep({estimateMs})]))]);
+	return times.getTaskMs(getTasks(model)[0]!.step);
+};
+
+describe('run times', () => {
+	it('are taken from estimates until some were measured', () => {
+		expect(getTaskMs(new RunTimes(), 700)).toBe(700);
+	});
+
+	/**
+	Callers' estimates are off by a factor of two and more, either way, while the jobs of a queue differ by half of
+	themselves: an estimate of ten seconds hardly ever means ten seconds.
+	*/
+	it('come from what ran rather than from estimates that are far off', () => {
+		const times = new RunTimes();
+		learn(times, [[8000, 2100], [500, 1900], [9000, 2000], [300, 2200], [2000, 1800], [700, 2000]].map(([estimateMs, workedMs]) => ({estimateMs: estimateMs!, workedMs: workedMs!})));
+		expect(getTaskMs(times, 10_000)).toBeGreaterThan(1500);
+		expect(getTaskMs(times, 10_000)).toBeLessThan(4000);
+		expect(getTaskMs(times, 200)).toBeGreaterThan(1000);
+	});
+
+	it('follow estimates that have been right', () => {
+		const times = new RunTimes();
+		learn(times, [300, 500, 900, 2000, 4000, 8000, 400, 6000, 1000, 3000, 250, 7000].map(workedMs => ({estimateMs: workedMs, workedMs})));
+		expect(getTaskMs(times, 5000)).toBeGreaterThan(3500);
+		expect(getTaskMs(times, 400)).toBeLessThan(700);
+	});
+
+	it('of a step are those of its tasks, once one of them is known', () => {
+		const times = new RunTimes();
+		const {model} = load([createWorkflow('a', createSpec([createStep({count: 2, estimateMs: 9000})]))]);
+		const [first, second] = getTasks(model);
+		times.note(run(first!, createWorker('x'), {percent: 40, workedMs: 400}), {isDone: false});
+		expect(times.getTaskMs(second!.step)).toBeCloseTo(1000);
+	});
+
+	it('count the part that was done since a run was first heard', () => {
+		const times = new RunTimes();
+		const {model} = load([createWorkflow('a', createSpec([createStep({estimateMs: 9000})]))]);
+		const [task] = getTasks(model);
+		times.note(run(task!, createWorker('x'), {percent: 70, basePercent: 20, workedMs: 1000}), {isDone: false});
+		expect(times.getTaskMs(task!.step)).toBeCloseTo(2000);
+	});
+});
+
+describe('order', () => {
+	const build = (id: string, terms: Partial<Workflow> = {}, count = 4) =>
+		createWorkflow(id, createSpec([createStep({count, milliCpu: 1000, estimateMs: 4000})]), {stretch: 2, targetLatencyMs: 1000, ...terms});
+
+	/**
+	Far more is asked for than there is room. Served by the least time to spare, each job gets a share of the room, and all of
+	them are late. Jobs of which most is done end in time if they go first.
+	*/
+	it('finishes what is begun before it opens more, when there is not room for all', () => {
+		const others = Array.from({length: 12}, (_, index) => build(`other-${index}`, {receivedAtMs: -200}));
+		const {model} = load([...others, build('begun', {receivedAtMs: 0})]);
+		const begun = model.workflows.get('begun')!.occurrences.get(0)![0]!;
+		for (const task of begun.tasks.slice(1)) {
+			task.isDone = true;
+		}
+
+		begun.remaining = 1;
+		expect(placeAll(model, [createWorker('x', 1000)]).map(({task}) => task.ref.workflowId)).toEqual(['begun']);
+		const policy = {...createPolicy(), [Mechanism.ValueOrder]: false};
+		expect(placeAll(model, [createWorker('x', 1000)], {policy})[0]!.task.ref.workflowId).not.toBe('begun');
+	});
+
+	it('serves what has the least time to spare while there is room for all', () => {
+		const {model} = load([build('easy', {receivedAtMs: 0}, 1), build('urgent', {receivedAtMs: -4000}, 1)]);
+		expect(placeAll(model, [createWorker('x', 1000)]).map(({task}) => task.ref.workflowId)).toEqual(['urgent']);
+	});
+
+	it('serves a queue of higher priority first', () => {
+		const {model} = load([build('bulk', {priority: 2, receivedAtMs: -4000}, 1), build('quick', {priority: 0}, 1)]);
+		expect(placeAll(model, [createWorker('x', 1000)]).map(({task}) => task.ref.workflowId)).toEqual(['quick']);
+	});
+
+	/** The time of day jumps: the age of a job that has just come must not be taken from it. */
+	it('does not take a job for old because a clock was set', () => {
+		const {model, fold} = load([build('a', {receivedAtMs: -60_000})]);
+		const workflow = model.add(fold.workflows.get('a')!, 0, 5000, 30);
+		expect(workflow.receivedAtMs).toBe(4970);
+	});
+
+	it('knows what is left of a job with steps that wait for others', () => {
+		const {model} = load([createWorkflow('a', createSpec([
+			createStep({count: 2, estimateMs: 1000, milliCpu: 500}), createStep({estimateMs: 3000, after: [0]}), createStep({estimateMs: 500}),
+		]))]);
+		const steps = model.workflows.get('a')!.occurrences.get(0)!;
+		expect(getRemainder(steps, new RunTimes())).toEqual({
+			totalCoreMs: 4500, leftCoreMs: 4500, chainMs: 4000, leftChainMs: 4000,
+		});
+		steps[0]!.tasks[0]!.isDone = true;
+		run(steps[0]!.tasks[1]!, createWorker('x'), {percent: 40});
+		expect(getRemainder(steps, new RunTimes())).toMatchObject({leftCoreMs: 3800, leftChainMs: 3600});
+	});
+});
+
+describe('company', () => {
+	const serve = (id: string, image: string) => createWorkflow(id, createSpec([createStep({
+		isLasting: true, targetMs: 20, image, milliCpu: 1000,
+	})]));
+
+	/**
+	Serving tasks of three images stood on each worker. Most images that fill harm one of the three, so hardly any long work
+	found a place, and half of the processors stood idle. With one image on a worker, a third of them harms nobody there.
+	*/
+	it('keeps serving tasks of one image together', () => {
+		const {model} = load([serve('a', 'one'), serve('b', 'two'), serve('c', 'one')]);
+		const [a, b] = getTasks(model);
+		const workers = [createWorker('x'), createWorker('y'), createWorker('z')];
+		run(a!, workers[0]!, {percent: 100, recent: 5});
+		run(b!, workers[1]!, {percent: 100, recent: 5});
+		expect(placeAll(model, workers).map(({worker}) => worker.host)).toEqual(['x']);
+		const {model: other} = load([serve('d', 'three')]);
+		expect(placeAll(other, workers).map(({worker}) => worker.host)).toEqual(['z']);
+	});
+
+	it('keeps room where nobody serves for what would harm elsewhere', () => {
+		const {model} = load([serve('a', 'one'), createWorkflow('f', createSpec([createStep({isFilling: true, image: 'light', milliCpu: 500})]))]);
+		const [server] = getTasks(model);
+		const workers = [createWorker('quiet'), createWorker('served')];
+		run(server!, workers[1]!, {percent: 100, recent: 5});
+		const harm = new FillHarm();
+		harm.restore([{
+			server: 'one', filler: 'light', mean: 0, deviation: 0.001,
+		}], 0);
+		expect(placeAll(model, workers, {harm}).map(({worker}) => worker.host)).toEqual(['served']);
+	});
+});
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -22,6 +22,7 @@
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {Owner} from '../src/workflows/owner.ts';
 import {formatMember, Ownership} from '../src/workflows/ownership.ts';
+import {createPolicy} from '../src/workflows/policy.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {ProcessClock} from './membership-world.ts';
 import {gate} from './process-gate.ts';
@@ -177,7 +178,7 @@
 			isCaughtUp: () => follower.isCaughtUp,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, onDeposed) => new Owner({
-				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true,
+				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true, policy: createPolicy(),
 			}),
 		});
 		void follower.run(aborter.signal);
