--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -6,7 +6,7 @@
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
 import {
-	RecordType, type HarmPair, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
+	RecordType, type HarmPair, type SavedRun, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
 } from './records.ts';
 
 /** A job as folded. */
@@ -58,6 +58,14 @@
 export const isFinal = (state: WorkflowState): boolean =>
 	state === WorkflowState.Completed || state === WorkflowState.Failed || state === WorkflowState.Cancelled;
 
+const getLedger = ({ledgers}: FoldedWorkflow, unitId: string): TaskLedger => {
+	const ledger = ledgers.get(unitId) ?? {
+		isDone: false, failedRuns: [], lastRun: 0, checkpoint: '',
+	};
+	ledgers.set(unitId, ledger);
+	return ledger;
+};
+
 /** Folded state of one partition. */
 export class WorkflowFold {
 	readonly workflows = new Map<string, FoldedWorkflow>();
@@ -113,6 +121,14 @@
 				break;
 			}
 
+			case RecordType.Saved: {
+				for (const saved of record.runs) {
+					this.#save(saved);
+				}
+
+				break;
+			}
+
 			case RecordType.Harm: {
 				this.harm = record.pairs;
 				break;
@@ -213,11 +229,7 @@
 		}
 
 		this.#begin(folded);
-		const unitId = getUnitId(ref, step);
-		const ledger = folded.ledgers.get(unitId) ?? {
-			isDone: false, failedRuns: [], lastRun: 0, checkpoint: '',
-		};
-		folded.ledgers.set(unitId, ledger);
+		const ledger = getLedger(folded, getUnitId(ref, step));
 		ledger.lastRun = Math.max(ledger.lastRun, run);
 		if (checkpoint !== '') {
 			ledger.checkpoint = checkpoint;
@@ -241,6 +253,20 @@
 		}
 	}
 
+	/** What is known of a run that goes on, for an owner that finds its worker gone. */
+	#save({taskId, run, checkpoint}: SavedRun): void {
+		const ref = parseTaskId(taskId);
+		const folded = ref && this.workflows.get(ref.workflowId);
+		const step = folded?.workflow.steps[ref!.step];
+		if (!ref || !folded || !step || isFinal(folded.state)) {
+			return;
+		}
+
+		const ledger = getLedger(folded, getUnitId(ref, step));
+		ledger.lastRun = Math.max(ledger.lastRun, run);
+		ledger.checkpoint = checkpoint;
+	}
+
 	#finish(folded: FoldedWorkflow, state: WorkflowState): void {
 		if (isFinal(folded.state)) {
 			return;
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -7,6 +7,7 @@
 import {
 	countOccurrences, getUnitId, isFinal, type FoldedWorkflow, type WorkflowFold,
 } from './fold.ts';
+import {type SavedRun} from './records.ts';
 
 /** Phases of a run. */
 export enum RunPhase {
@@ -63,6 +64,8 @@
 	/** Numbers of the runs that failed; of any member, for a gang. */
 	failedRuns: Set<number>;
 	checkpoint: string;
+	/** The checkpoint that is in the stream. */
+	storedCheckpoint: string;
 	isDone: boolean;
 	runs: LiveRun[];
 	/** Workers' hosts on which it failed, or stood still. */
@@ -177,6 +180,21 @@
 		}
 	}
 
+	/** Checkpoints of running tasks that the stream does not have; they count as stored from now on. */
+	takeUnstored(): SavedRun[] {
+		const saved: SavedRun[] = [];
+		for (const workflow of this.workflows.values()) {
+			for (const {task, run} of workflow.isOver ? [] : getRuns(workflow)) {
+				if (task.checkpoint !== task.storedCheckpoint && !task.isDone) {
+					task.storedCheckpoint = task.checkpoint;
+					saved.push({taskId: task.taskId, run, checkpoint: task.checkpoint});
+				}
+			}
+		}
+
+		return saved;
+	}
+
 	/** Occurrences of jobs that end by themselves and are not over, with tasks that have not succeeded. */
 	openOccurrences(): LiveStep[][] {
 		return [...this.workflows.values()]
@@ -255,6 +273,7 @@
 		lastRun: ledger?.lastRun ?? 0,
 		failedRuns: new Set(ledger?.failedRuns),
 		checkpoint: ledger?.checkpoint ?? '',
+		storedCheckpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
 		runs: [],
 		avoidedHosts: new Set(),
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -12,7 +12,7 @@
 import {type WorkflowFollower} from './follower.ts';
 import {forgetOld, getRewrites} from './rewriter.ts';
 import {
-	encodeRecord, RecordType, workflowsTopic, type HarmPair, type WorkflowRecord,
+	encodeRecord, RecordType, workflowsTopic, type HarmPair, type SavedRun, type WorkflowRecord,
 } from './records.ts';
 
 /** Options of the log. */
@@ -38,6 +38,8 @@
 const begunEveryMs = 400;
 /** A record of some 3 KB; an owner that dies takes at most so much of what it learned with it. */
 const harmEveryMs = 3000;
+/** Workers save each second of work; a record of 60 tasks takes some 5 KB. */
+const savedEveryMs = 1000;
 const retryMs = 150;
 const storeTimeoutMs = 1000;
 
@@ -48,6 +50,7 @@
 	readonly #begun = new Set<string>();
 	#begunSentAtMs = 0;
 	#harmSentAtMs = 0;
+	#savedSentAtMs = 0;
 	#lastEnds: Promise<boolean> = Promise.resolve(true);
 
 	constructor(options: OwnerLogOptions) {
@@ -120,6 +123,20 @@
 		}
 	}
 
+	/** Writes how far runs are now and then: when hosts lose power together, nobody else knows. */
+	keepSaved(getSaved: () => SavedRun[]): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		if (nowMs - this.#savedSentAtMs < savedEveryMs) {
+			return;
+		}
+
+		this.#savedSentAtMs = nowMs;
+		const runs = getSaved();
+		if (runs.length > 0) {
+			void this.#write({type: RecordType.Saved, runs});
+		}
+	}
+
 	/** Writes what was learned of harm now and then: the next owner begins with it. */
 	keepHarm(getPairs: () => HarmPair[]): void {
 		const nowMs = this.#options.clock.monotonicMs();
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -256,7 +256,7 @@
 	}
 
 	async #tick(signal: AbortSignal): Promise<void> {
-		const {clock} = this.#options;
+		const {clock, policy} = this.#options;
 		while (!signal.aborted) {
 			this.#openDue();
 			this.#checkSettled();
@@ -264,6 +264,10 @@
 			this.#sender.stopUnneeded();
 			this.#log.sendBegun();
 			this.#log.rewrite();
+			if (policy[Mechanism.SavedRuns]) {
+				this.#log.keepSaved(() => this.model.takeUnstored());
+			}
+
 			this.#log.keepHarm(() => this.#harm.getPairs());
 			this.#updateAdvice();
 			this.#relocate();
--- a/src/workflows/policy.ts
+++ b/src/workflows/policy.ts
@@ -27,6 +27,8 @@
 	DrainMoves = 'drain-moves',
 	/** Harm that earlier owners learned is taken over. */
 	HarmHandover = 'harm-handover',
+	/** How far runs are is kept in the stream. */
+	SavedRuns = 'saved-runs',
 	/** Workers that fail what others do well are held down and probed. */
 	WorkerHealth = 'worker-health',
 }
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -25,10 +25,19 @@
 	Begun = 'begun',
 	/** All that is known of a job, written again by the owner before the store lets its first record go. */
 	Whole = 'whole',
+	/** How far runs are that go on, as their workers have saved it; written by the owner, some time later. */
+	Saved = 'saved',
 	/** What the owner has learned of images that harm each other, for the next owner. */
 	Harm = 'harm',
 }
 
+/** Newest checkpoint of a run that goes on. */
+export type SavedRun = {
+	taskId: string;
+	run: number;
+	checkpoint: string;
+};
+
 /** Learned effect of an image that fills on one that serves. */
 export type HarmPair = {
 	server: string;
@@ -67,6 +76,7 @@
 		| {type: RecordType.Ends; ends: EndedRun[]}
 		| {type: RecordType.Begun; ids: string[]}
 		| {type: RecordType.Whole; job: WholeWorkflow}
+		| {type: RecordType.Saved; runs: SavedRun[]}
 		| {type: RecordType.Harm; pairs: HarmPair[]};
 
 /** Encodes a record. */
@@ -101,6 +111,10 @@
 			return {type, job: decodeWhole(fields.fields('job'))};
 		}
 
+		case RecordType.Saved: {
+			return {type, runs: fields.list('runs', decodeSaved)};
+		}
+
 		case RecordType.Harm: {
 			return {type, pairs: fields.list('pairs', decodePair)};
 		}
@@ -154,6 +168,11 @@
 	};
 };
 
+const decodeSaved = (value: unknown): SavedRun => {
+	const fields = new Fields(value, step);
+	return {taskId: fields.text('taskId'), run: fields.count('run'), checkpoint: fields.text('checkpoint')};
+};
+
 const decodeWhole = (fields: Fields): WholeWorkflow => ({
 	workflow: decodeWorkflow(fields.fields('workflow')),
 	state: fields.oneOf('state', Object.values(WorkflowState)),
--- /dev/null
+++ b/test/site-saved.test.ts
@@ -0,0 +1,57 @@
+/**
+What is kept of runs that go on, for the time when owner and workers are gone together.
+*/
+import {describe, expect, it} from 'vitest';
+import {RunEnd} from '../src/types/workflows.ts';
+import {LiveModel} from '../src/workflows/live-model.ts';
+import {RecordType} from '../src/workflows/records.ts';
+import {
+	createWorker, createWorkflow, load, run,
+} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const create = () => {
+	const {model, fold} = load([createWorkflow('a', createSpec([createStep({count: 2, isCheckpointing: true})]))]);
+	const [task, other] = [...model.waiting(0, () => false)];
+	const worker = createWorker('x');
+	run(task!, worker, {run: 3});
+	run(other!, worker);
+	return {model, fold, task: task!};
+};
+
+describe('checkpoints of runs that go on', () => {
+	it('are handed to the stream once each', () => {
+		const {model, task} = create();
+		task.checkpoint = 'first';
+		expect(model.takeUnstored()).toEqual([{taskId: 'a.0.0.0', run: 3, checkpoint: 'first'}]);
+		expect(model.takeUnstored()).toEqual([]);
+		task.checkpoint = 'second';
+		expect(model.takeUnstored()).toHaveLength(1);
+	});
+
+	/**
+	All hosts lose power within a second. The next owner finds no worker that still has the runs, and nobody told it how far
+	they were: a minute of work of every worker was done again.
+	*/
+	it('are where the next owner resumes from, with a number that no run has had', () => {
+		const {fold} = create();
+		fold.apply({type: RecordType.Saved, runs: [{taskId: 'a.0.0.0', run: 3, checkpoint: 'saved'}]}, 1);
+		const next = new LiveModel();
+		next.load(fold, 0, 0);
+		const [task, other] = [...next.waiting(0, () => false)];
+		expect(task).toMatchObject({checkpoint: 'saved', lastRun: 3});
+		expect(other).toMatchObject({checkpoint: '', lastRun: 0});
+	});
+
+	it('change nothing of a task that has ended meanwhile, or of a job that is not known', () => {
+		const {fold} = create();
+		fold.apply({
+			type: RecordType.Ends, ends: [{
+				taskId: 'a.0.0.0', run: 4, end: RunEnd.Done, checkpoint: '',
+			}],
+		}, 1);
+		fold.apply({type: RecordType.Saved, runs: [{taskId: 'a.0.0.0', run: 3, checkpoint: 'late'}, {taskId: 'b.0.0.0', run: 1, checkpoint: 'stray'}]}, 2);
+		expect(fold.workflows.get('a')!.ledgers.get('a.0.0.0')).toMatchObject({isDone: true, lastRun: 4});
+		expect(fold.workflows.has('b')).toBe(false);
+	});
+});
