--- /dev/null
+++ b/scripts/explain-day.ts
@@ -0,0 +1,12 @@
+/**
+Tells from the logs of entries where the time of jobs went: `tsx scripts/explain-day.ts LOG...`
+*/
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {formatDay} from '../src/measure/day-report.ts';
+import {parseLogLine, readDay} from '../src/measure/day-story.ts';
+
+const lines = process.argv.slice(2)
+	.flatMap(path => readFileSync(path, 'utf8').split('\n'))
+	.flatMap(text => parseLogLine(text) ?? []);
+process.stdout.write(`${formatDay(readDay(lines)).join('\n')}\n`);
--- /dev/null
+++ b/src/measure/day-report.ts
@@ -0,0 +1,92 @@
+/**
+Prints the story of a day.
+*/
+import {type DayStory, type JobStory} from './day-story.ts';
+import {type MeasureRow} from './measure-types.ts';
+import {formatTable} from './table.ts';
+
+const secondMs = 1000;
+const bucketMs = 5000;
+const worstCount = 10;
+
+const mean = (values: number[]): number => {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return values.length === 0 ? 0 : sum / values.length;
+};
+
+const isInTime = ({tookMs, allowedMs}: JobStory): boolean => tookMs !== undefined && tookMs <= allowedMs!;
+
+const getWasted = (jobs: JobStory[]): string => {
+	const sums = new Map<string, number>();
+	for (const {wastedMs} of jobs) {
+		for (const [end, ms] of wastedMs) {
+			sums.set(end, (sums.get(end) ?? 0) + ms);
+		}
+	}
+
+	return [...sums].toSorted((a, b) => b[1] - a[1]).map(([end, ms]) => `${end} ${Math.round(ms / secondMs)} s`).join(', ') || 'none';
+};
+
+const createQueueRow = (queue: string, jobs: JobStory[]): MeasureRow => {
+	const ended = jobs.filter(({end}) => end === 'completed');
+	return {
+		labels: {queue},
+		figures: {
+			jobs: jobs.length,
+			inTime: ended.filter(job => isInTime(job)).length,
+			late: ended.filter(job => !isInTime(job)).length,
+			open: jobs.filter(({end}) => end === undefined).length,
+			acceptMs: mean(jobs.map(({acceptedAfterMs}) => acceptedAfterMs)),
+			firstStartMs: mean(jobs.flatMap(({firstStartAtMs, takenAtMs}) => firstStartAtMs === undefined ? [] : [firstStartAtMs - takenAtMs])),
+			taskWaitMs: mean(jobs.map(({waitedMs, starts}) => waitedMs / Math.max(1, starts))),
+			taskRunMs: mean(ended.map(({ranMs, starts}) => ranMs / Math.max(1, starts))),
+		},
+	};
+};
+
+const createWaitRows = ({waits}: DayStory): MeasureRow[] => {
+	const startMs = waits[0]?.atMs ?? 0;
+	const buckets = groupBy(waits, ({atMs}) => Math.floor((atMs - startMs) / bucketMs));
+	return [...buckets].map(([index, rows]) => {
+		const reasons = new Set(rows.flatMap(row => Object.keys(row.reasons)));
+		return {
+			labels: {
+				fromS: String(index * bucketMs / secondMs), waiting: [...reasons].map(reason => `${reason} ${Math.round(mean(rows.map(row => row.reasons[reason] ?? 0)))}`).join(', '),
+			},
+			figures: {fillingCores: mean(rows.map(row => row.fillingMilliCpu)) / 1000, spareCores: mean(rows.map(row => row.spareMilliCpu)) / 1000},
+		};
+	});
+};
+
+const groupBy = <Key, Item>(items: Item[], getKey: (item: Item) => Key): Map<Key, Item[]> => {
+	const groups = new Map<Key, Item[]>();
+	for (const item of items) {
+		const key = getKey(item);
+		groups.set(key, [...(groups.get(key) ?? []), item]);
+	}
+
+	return groups;
+};
+
+/** Formats a day: by queue, by time, and the jobs that were latest, in full. */
+export const formatDay = (day: DayStory): string[] => {
+	const queues = groupBy([...day.jobs.values()], ({queue}) => queue);
+	const rows = [...queues].map(([queue, jobs]) => createQueueRow(queue, jobs));
+	const worst = [...day.jobs.values()]
+		.filter(job => job.end === 'completed' && !isInTime(job))
+		.toSorted((a, b) => (b.tookMs! / b.allowedMs!) - (a.tookMs! / a.allowedMs!))
+		.slice(0, worstCount);
+	return [
+		...formatTable(rows),
+		'',
+		...[...queues].map(([queue, jobs]) => `${queue}: runs that ended in no success: ${getWasted(jobs)}`),
+		`answers: ${[...day.answers].map(([key, count]) => `${key}: ${count}`).join('; ')}`,
+		'',
+		...formatTable(createWaitRows(day)),
+		...worst.flatMap(({id, queue, events}) => ['', `${id} (${queue})`, ...events.map(event => `  ${event}`)]),
+	];
+};
--- a/src/utils/fields.ts
+++ b/src/utils/fields.ts
@@ -85,6 +85,11 @@
 		return this.has(key) ? this.fields(key) : undefined;
 	}
 
+	/** All fields that are numbers. */
+	toNumbers(): Record<string, number> {
+		return Object.fromEntries(Object.entries(this.#values).filter((entry): entry is [string, number] => Number.isFinite(entry[1])));
+	}
+
 	/** Whether the field is there; `null` counts as missing. */
 	has(key: string | number): boolean {
 		return Object.hasOwn(this.#values, key) && this.#values[key] !== null && this.#values[key] !== undefined;
