Open a waiting job at a bad place after 1.5 s again, however much is reserved

The guard that it weakened once mended a broken rule (a job that fills waited for ever).

Conclusion: taken back, with the test as it was before.

--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -9,7 +9,7 @@
 	isIdle, type LiveStep, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
 import {
-	addDemand, createCandidate, getReservedShare, getSpareMilliCpu, take, type Candidate,
+	addDemand, createCandidate, getSpareMilliCpu, take, type Candidate,
 } from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
 import {type RankTask} from './task-order.ts';
@@ -80,7 +80,6 @@
 	const rank = createRank(spareMilliCpu);
 	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
 	const terms: Terms = {harm, isAllowed, policy};
-	const bearableMs = getReservedShare(candidates) < reservedEnough ? maxWaitMs : maxWaitInCrowdMs;
 	const starts: Start[] = [];
 	const gangs = new Set<LiveStep>();
 	// A step of which one task found no place has none for its equals either.
@@ -108,7 +107,7 @@
 			continue;
 		}
 
-		const mustRun = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(task, nowMs, bearableMs);
+		const mustRun = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(task, nowMs);
 		const candidate = choose(task, candidates, {...terms, mustRun});
 		if (candidate) {
 			started.add(step.workflow);
@@ -142,17 +141,13 @@
 const minPercent = 50;
 
 /**
-A job of which nothing runs waits at most so long for a place where it disturbs nobody: where serving tasks are on every
-worker there may never be one, and callers would wait for ever beside free room; the paces then decide what it gets. While
-more than this share of the processors is reserved, there is hardly free room, and every job that is opened at a bad place
-takes from those that could end in time.
+A job of which nothing runs waits at most so long for a place where it disturbs nobody. Where serving tasks are on every
+worker there may never be one, and callers would wait for ever beside free room; the paces then decide what it gets.
 */
 const maxWaitMs = 1500;
-const reservedEnough = 0.55;
-const maxWaitInCrowdMs = 10_000;
 
-const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number, bearableMs: number): boolean =>
-	step.spec.isFilling && nowMs - waitsSinceMs > bearableMs && isIdle(step.workflow);
+const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number): boolean =>
+	step.spec.isFilling && nowMs - waitsSinceMs > maxWaitMs && isIdle(step.workflow);
 
 const choose = (task: LiveTask, candidates: Candidate[], terms: Terms): Candidate | undefined => {
 	const {step} = task;
--- a/src/workflows/policy.ts
+++ b/src/workflows/policy.ts
@@ -13,7 +13,7 @@
 	QuietRoom = 'quiet-room',
 	/** Serving tasks of one image go together. */
 	ServerGroups = 'server-groups',
-	/** A job of which nothing runs starts one task where it disturbs, if hardly anything else is in use. */
+	/** A job of which nothing runs starts one task where it disturbs. */
 	IdleStart = 'idle-start',
 	/** A task that fills waits for a place where it gets most of its speed; without it, any place with room. */
 	FillWait = 'fill-wait',
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -37,10 +37,10 @@
 	return harm;
 };
 
-const createWorld = (recentMs = 40, servingMilliCpu = 3000) => {
+const createWorld = (recentMs = 40) => {
 	const {model} = load([
 		createWorkflow('s', createSpec([createStep({
-			isLasting: true, targetMs: 100, image: 'serve', milliCpu: servingMilliCpu,
+			isLasting: true, targetMs: 100, image: 'serve', milliCpu: 3000,
 		})])),
 		createWorkflow('f', createSpec([createStep({count: 2, isFilling: true, image: 'heavy'})])),
 	]);
@@ -187,27 +187,8 @@
 		const {model, worker} = createWorld();
 		const harm = teach(4);
 		expect(placeAll(model, [worker], {harm})).toHaveLength(0);
-		expect(placeAll(model, [worker, createWorker('y')], {harm}).map(start => start.worker.host)).toEqual(['y', 'y']);
-	});
-
-	/**
-	Serving tasks are on every worker, and what fills harms all of them: its job would wait as long as they last, beside room
-	that nobody uses. While little is reserved one task of it starts soon, and is paced. While most is reserved every job that
-	is opened at a bad place takes from those that could end in time: it waits longer, and still not for ever.
-	*/
-	it('starts one task of a job that would otherwise wait for ever, soon while little is reserved', () => {
-		const {model, worker} = createWorld();
-		const harm = teach(4);
-		expect(placeAll(model, [worker], {harm, nowMs: 2000})).toHaveLength(0);
-		expect(placeAll(model, [worker], {harm, nowMs: 10_100})).toHaveLength(1);
-		const free = createWorld(40, 1000);
-		expect(placeAll(free.model, [free.worker], {harm, nowMs: 1000})).toHaveLength(0);
-		expect(placeAll(free.model, [free.worker], {harm, nowMs: 2000})).toHaveLength(1);
-	});
-
-	it('sets what fills where nobody serves if it would harm elsewhere', () => {
-		const {model, worker} = createWorld();
-		const harm = teach(4);
+		// With nothing of its job running it does not wait for ever, though most room is free: one task starts, and is paced.
+		expect(placeAll(model, [worker], {harm, nowMs: 2000})).toHaveLength(1);
 		expect(placeAll(model, [worker, createWorker('y')], {harm}).map(start => start.worker.host)).toEqual(['y', 'y']);
 	});
 
