Keep quiet room and like company only where they are short

Change: room where nobody serves is kept only while what waits asks for more than is free there; serving tasks go to others of their image at the price of a free worker only while more than 0.65 of the processors is reserved.

--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -9,7 +9,7 @@
 	isIdle, type LiveStep, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
 import {
-	addDemand, createCandidate, getSpareMilliCpu, take, type Candidate,
+	addDemand, createCandidate, getReservedShare, getSpareMilliCpu, take, type Candidate,
 } from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
 import {type RankTask} from './task-order.ts';
@@ -26,6 +26,10 @@
 type Terms = Pick<PlacementInput, 'harm' | 'isAllowed' | 'policy'> & {
 	/** A task that fills starts also where it disturbs. */
 	mustRun?: boolean;
+	/** What fills and waits asks for more than is free where nobody serves. */
+	isQuietShort: boolean;
+	/** Share of the processors that tasks reserve. */
+	reservedShare: number;
 };
 
 /** What is decided with. */
@@ -79,7 +83,9 @@
 	const spareMilliCpu = getSpareMilliCpu(candidates);
 	const rank = createRank(spareMilliCpu);
 	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
-	const terms: Terms = {harm, isAllowed, policy};
+	const terms: Terms = {
+		harm, isAllowed, policy, isQuietShort: isQuietShort(tasks, candidates), reservedShare: getReservedShare(candidates),
+	};
 	const starts: Start[] = [];
 	const gangs = new Set<LiveStep>();
 	// A step of which one task found no place has none for its equals either.
@@ -146,6 +152,23 @@
 */
 const maxWaitMs = 1500;
 
+/** Whether tasks that fill ask for more processors than are free on workers where nobody serves. */
+const isQuietShort = (tasks: LiveTask[], candidates: Candidate[]): boolean => {
+	let askedMilliCpu = 0;
+	for (const {step: {spec}} of tasks) {
+		askedMilliCpu += spec.isFilling ? spec.milliCpu : 0;
+	}
+
+	let freeMilliCpu = 0;
+	for (const {servers, unusedShare, demands, worker: {report}} of candidates) {
+		if (servers.length === 0) {
+			freeMilliCpu += Math.max(0, unusedShare - getWorkingShare(demands, new Map())) * report!.milliCpu;
+		}
+	}
+
+	return askedMilliCpu > freeMilliCpu;
+};
+
 const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number): boolean =>
 	step.spec.isFilling && nowMs - waitsSinceMs > maxWaitMs && isIdle(step.workflow);
 
@@ -227,27 +250,30 @@
 const companyGain = 2;
 // Weight of the load that a task that fills adds to a serving task.
 const harmCost = 3;
-// Room on workers where nobody serves is kept for images that would disturb elsewhere.
+// Room on workers where nobody serves is kept for images that would disturb elsewhere, while it is short.
 const quietCost = 0.5;
 // Serving tasks of another image bring other sensitivities: what fills finds a place more easily where all are alike.
 const strangerCost = 3;
+// As long as less than this is reserved, whole workers can be left to what fills: that is worth more than likeness.
+const crowdedShare = 0.65;
 // Tasks that fill spread: a full worker leaves no room for what is harmful elsewhere.
 const crowdCost = 0.3;
 
-const getCost = (step: LiveStep, candidate: Candidate, {harm, policy}: Terms): number => {
+const getCost = (step: LiveStep, candidate: Candidate, {harm, policy, isQuietShort: isShort, reservedShare}: Terms): number => {
 	const {spec} = step;
 	const {worker: {report}, free, rack, servers, demands} = candidate;
 	const farness = spec.dataRack !== undefined && spec.dataRack !== rack ? farCost : 0;
 	const usedShare = 1 - (free.milliCpu / Math.max(1, report!.milliCpu));
 	if (spec.isFilling) {
 		const rise = Math.max(0, ...servers.map(({image}) => harm.getEffect(image, spec.image ?? ''))) * spec.milliCpu / report!.milliCpu;
-		const quiet = policy[Mechanism.QuietRoom] && servers.length === 0 ? quietCost : 0;
+		const quiet = policy[Mechanism.QuietRoom] && isShort && servers.length === 0 ? quietCost : 0;
 		return farness + (harmCost * rise) - getFillSpeed(spec, candidate, harm) + (crowdCost * getWorkingShare(demands, new Map())) + quiet;
 	}
 
 	const company = servers.length > 0 && policy[Mechanism.ServerCompany] ? companyGain : 0;
 	if (spec.targetMs > 0) {
-		const strangers = policy[Mechanism.ServerGroups] && servers.some(({image}) => image !== (spec.image ?? '')) ? strangerCost : 0;
+		const isCrowded = policy[Mechanism.ServerGroups] && reservedShare > crowdedShare;
+		const strangers = isCrowded && servers.some(({image}) => image !== (spec.image ?? '')) ? strangerCost : 0;
 		return farness - company - usedShare + (harmCost * getHarmOf(spec, demands, harm)) + strangers;
 	}
 
@@ -269,7 +295,11 @@
 Creates the question whether a task would find a place on a worker that it does not avoid. The workers are looked at once,
 for all tasks that are asked about: with 72 workers each look takes about as long as a round of placement.
 */
-export const createPlaceFinder = (workers: Iterable<FleetWorker>, terms: Terms): ((task: LiveTask) => boolean) => {
+export const createPlaceFinder = (workers: Iterable<FleetWorker>, {harm, isAllowed, policy}: Pick<PlacementInput, 'harm' | 'isAllowed' | 'policy'>): ((task: LiveTask) => boolean) => {
+	// Whether there is a place does not depend on which one would be best.
+	const terms: Terms = {
+		harm, isAllowed, policy, isQuietShort: false, reservedShare: 0,
+	};
 	let candidates: Candidate[] | undefined;
 	return task => {
 		candidates ??= [...workers].map(worker => createCandidate(worker, terms.harm));
