--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -27,7 +27,7 @@
 	/** A task that fills starts also where it disturbs. */
 	mustRun?: boolean;
 	/** What fills and waits asks for more than is free where nobody serves. */
-	isQuietShort: boolean;
+	isUnservedShort: boolean;
 	/** Share of the processors that tasks reserve. */
 	reservedShare: number;
 };
@@ -84,7 +84,7 @@
 	const rank = createRank(spareMilliCpu);
 	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
 	const terms: Terms = {
-		harm, isAllowed, policy, isQuietShort: isQuietShort(tasks, candidates), reservedShare: getReservedShare(candidates),
+		harm, isAllowed, policy, isUnservedShort: isUnservedShort(tasks, candidates), reservedShare: getReservedShare(candidates),
 	};
 	const starts: Start[] = [];
 	const gangs = new Set<LiveStep>();
@@ -153,7 +153,7 @@
 const maxWaitMs = 1500;
 
 /** Whether tasks that fill ask for more processors than are free on workers where nobody serves. */
-const isQuietShort = (tasks: LiveTask[], candidates: Candidate[]): boolean => {
+const isUnservedShort = (tasks: LiveTask[], candidates: Candidate[]): boolean => {
 	let askedMilliCpu = 0;
 	for (const {step: {spec}} of tasks) {
 		askedMilliCpu += spec.isFilling ? spec.milliCpu : 0;
@@ -251,30 +251,30 @@
 // Weight of the load that a task that fills adds to a serving task.
 const harmCost = 3;
 // Room on workers where nobody serves is kept for images that would disturb elsewhere, while it is short.
-const quietCost = 0.5;
+const unservedCost = 0.5;
 // Serving tasks of another image bring other sensitivities: what fills finds a place more easily where all are alike.
-const strangerCost = 3;
+const otherImageCost = 3;
 // As long as less than this is reserved, whole workers can be left to what fills: that is worth more than likeness.
-const crowdedShare = 0.65;
+const mostlyReservedShare = 0.65;
 // Tasks that fill spread: a full worker leaves no room for what is harmful elsewhere.
 const crowdCost = 0.3;
 
-const getCost = (step: LiveStep, candidate: Candidate, {harm, policy, isQuietShort: isShort, reservedShare}: Terms): number => {
+const getCost = (step: LiveStep, candidate: Candidate, {harm, policy, isUnservedShort, reservedShare}: Terms): number => {
 	const {spec} = step;
 	const {worker: {report}, free, rack, servers, demands} = candidate;
 	const farness = spec.dataRack !== undefined && spec.dataRack !== rack ? farCost : 0;
 	const usedShare = 1 - (free.milliCpu / Math.max(1, report!.milliCpu));
 	if (spec.isFilling) {
 		const rise = Math.max(0, ...servers.map(({image}) => harm.getEffect(image, spec.image ?? ''))) * spec.milliCpu / report!.milliCpu;
-		const quiet = policy[Mechanism.QuietRoom] && isShort && servers.length === 0 ? quietCost : 0;
-		return farness + (harmCost * rise) - getFillSpeed(spec, candidate, harm) + (crowdCost * getWorkingShare(demands, new Map())) + quiet;
+		const unserved = policy[Mechanism.UnservedRoom] && isUnservedShort && servers.length === 0 ? unservedCost : 0;
+		return farness + (harmCost * rise) - getFillSpeed(spec, candidate, harm) + (crowdCost * getWorkingShare(demands, new Map())) + unserved;
 	}
 
 	const company = servers.length > 0 && policy[Mechanism.ServerCompany] ? companyGain : 0;
 	if (spec.targetMs > 0) {
-		const isCrowded = policy[Mechanism.ServerGroups] && reservedShare > crowdedShare;
-		const strangers = isCrowded && servers.some(({image}) => image !== (spec.image ?? '')) ? strangerCost : 0;
-		return farness - company - usedShare + (harmCost * getHarmOf(spec, demands, harm)) + strangers;
+		const isMostlyReserved = policy[Mechanism.ServerGroups] && reservedShare > mostlyReservedShare;
+		const otherImages = isMostlyReserved && servers.some(({image}) => image !== (spec.image ?? '')) ? otherImageCost : 0;
+		return farness - company - usedShare + (harmCost * getHarmOf(spec, demands, harm)) + otherImages;
 	}
 
 	// Filling up the fullest first keeps room for wide tasks elsewhere, and leaves whole workers to what fills.
@@ -298,7 +298,7 @@
 export const createPlaceFinder = (workers: Iterable<FleetWorker>, {harm, isAllowed, policy}: Pick<PlacementInput, 'harm' | 'isAllowed' | 'policy'>): ((task: LiveTask) => boolean) => {
 	// Whether there is a place does not depend on which one would be best.
 	const terms: Terms = {
-		harm, isAllowed, policy, isQuietShort: false, reservedShare: 0,
+		harm, isAllowed, policy, isUnservedShort: false, reservedShare: 0,
 	};
 	let candidates: Candidate[] | undefined;
 	return task => {
--- a/src/workflows/policy.ts
+++ b/src/workflows/policy.ts
@@ -10,7 +10,7 @@
 	/** Order by value in prospect for each core-second left; without it, by the least time to spare. */
 	ValueOrder = 'value-order',
 	/** Room where nobody serves is kept for images that would disturb elsewhere. */
-	QuietRoom = 'quiet-room',
+	UnservedRoom = 'unserved-room',
 	/** Serving tasks of one image go together. */
 	ServerGroups = 'server-groups',
 	/** A job of which nothing runs starts one task where it disturbs. */
