--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -205,7 +205,7 @@
 		return WaitReason.Spread;
 	}
 
-	return spec.isFilling ? getFillObstacle(spec, candidate, {harm, mustRun: mustRun ?? !policy[Mechanism.FillWait]}) : undefined;
+	return spec.isFilling ? getFillObstacle(spec, candidate, {harm, mustRun: mustRun === true || !policy[Mechanism.FillWait]}) : undefined;
 };
 
 const getFillObstacle = (spec: WorkflowStep, candidate: Candidate, {harm, mustRun}: Pick<Terms, 'harm' | 'mustRun'>): WaitReason | undefined => {
