Keep serving tasks by image from the first one on

Likeness was asked for only while more than 0.65 of the processors is reserved, and most serving tasks are placed before that.

Change: the bound on the reserved share is gone; room where nobody serves is still kept only while it is short.

--- a/src/workflows/placement-candidates.ts
+++ b/src/workflows/placement-candidates.ts
@@ -69,18 +69,6 @@
 	return spareMilliCpu;
 };
 
-/** Share of the processors that tasks reserve; what fills reserves none. */
-export const getReservedShare = (candidates: Candidate[]): number => {
-	let milliCpu = 0;
-	let freeMilliCpu = 0;
-	for (const {free, worker: {report}} of candidates) {
-		milliCpu += report!.milliCpu;
-		freeMilliCpu += Math.max(0, free.milliCpu);
-	}
-
-	return 1 - (freeMilliCpu / Math.max(1, milliCpu));
-};
-
 /** Notes that a task starts there. */
 export const take = (candidate: Candidate, {ref, step}: LiveTask, harm: FillHarm): void => {
 	const {spec} = step;
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -9,7 +9,7 @@
 	isIdle, type LiveStep, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
 import {
-	addDemand, createCandidate, getReservedShare, getSpareMilliCpu, take, type Candidate,
+	addDemand, createCandidate, getSpareMilliCpu, take, type Candidate,
 } from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
 import {type RankTask} from './task-order.ts';
@@ -28,8 +28,6 @@
 	mustRun?: boolean;
 	/** What fills and waits asks for more than is free where nobody serves. */
 	isUnservedShort: boolean;
-	/** Share of the processors that tasks reserve. */
-	reservedShare: number;
 };
 
 /** What is decided with. */
@@ -84,7 +82,7 @@
 	const rank = createRank(spareMilliCpu);
 	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
 	const terms: Terms = {
-		harm, isAllowed, policy, isUnservedShort: isUnservedShort(tasks, candidates), reservedShare: getReservedShare(candidates),
+		harm, isAllowed, policy, isUnservedShort: isUnservedShort(tasks, candidates),
 	};
 	const starts: Start[] = [];
 	const gangs = new Set<LiveStep>();
@@ -254,12 +252,10 @@
 const unservedCost = 0.5;
 // Serving tasks of another image bring other sensitivities: what fills finds a place more easily where all are alike.
 const otherImageCost = 3;
-// As long as less than this is reserved, whole workers can be left to what fills: that is worth more than likeness.
-const mostlyReservedShare = 0.65;
 // Tasks that fill spread: a full worker leaves no room for what is harmful elsewhere.
 const crowdCost = 0.3;
 
-const getCost = (step: LiveStep, candidate: Candidate, {harm, policy, isUnservedShort, reservedShare}: Terms): number => {
+const getCost = (step: LiveStep, candidate: Candidate, {harm, policy, isUnservedShort}: Terms): number => {
 	const {spec} = step;
 	const {worker: {report}, free, rack, servers, demands} = candidate;
 	const farness = spec.dataRack !== undefined && spec.dataRack !== rack ? farCost : 0;
@@ -272,8 +268,7 @@
 
 	const company = servers.length > 0 && policy[Mechanism.ServerCompany] ? companyGain : 0;
 	if (spec.targetMs > 0) {
-		const isMostlyReserved = policy[Mechanism.ServerGroups] && reservedShare > mostlyReservedShare;
-		const otherImages = isMostlyReserved && servers.some(({image}) => image !== (spec.image ?? '')) ? otherImageCost : 0;
+		const otherImages = policy[Mechanism.ServerGroups] && servers.some(({image}) => image !== (spec.image ?? '')) ? otherImageCost : 0;
 		return farness - company - usedShare + (harmCost * getHarmOf(spec, demands, harm)) + otherImages;
 	}
 
@@ -298,7 +293,7 @@
 export const createPlaceFinder = (workers: Iterable<FleetWorker>, {harm, isAllowed, policy}: Pick<PlacementInput, 'harm' | 'isAllowed' | 'policy'>): ((task: LiveTask) => boolean) => {
 	// Whether there is a place does not depend on which one would be best.
 	const terms: Terms = {
-		harm, isAllowed, policy, isUnservedShort: false, reservedShare: 0,
+		harm, isAllowed, policy, isUnservedShort: false,
 	};
 	let candidates: Candidate[] | undefined;
 	return task => {
