Say in two comments what they stand beside

Cause: one comment did not say when the reason occurs, another named a share where times are kept.

Change: comments only. Left for later: waiting for an end stands twice, in the two stand-ins of a worker.

--- a/src/measure/deciding-run.ts
+++ b/src/measure/deciding-run.ts
@@ -53,7 +53,7 @@
 	agents: Map<string, {agent: Agent; aborter: AbortController}>;
 	result: DecidingResult;
 	policy: Policy;
-	/** Share of time that tasks of serving jobs were at work, by job, in the present window. */
+	/** Time that tasks of serving jobs were well at work, and were harmed, by job, in the present window. */
 	served: Map<string, {goodMs: number; harmMs: number}>;
 	/** Jobs that were seen to be completed. */
 	ended: Set<string>;
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -56,7 +56,7 @@
 	Paced = 'paced',
 	/** It would disturb, or get too little. */
 	Harm = 'harm',
-	/** Whatever failed on all of the above would be possible, but for a run of it there. */
+	/** A worker would take it, but another run of the task is there already. */
 	Other = 'other',
 }
 
