Tell where an owner's time goes, and what keeps a heartbeat back

Cause: logs could not tell why the group deals a living owner's jobs to another: heartbeats behind a long look, slow calls, or a process without its processor.

Change: three lines. 'join late' when half of the group's time has passed since the last heartbeat, with the time of the look before it and of the call; 'timers late' when timers of a process fire a quarter of a second late or more; 'owner work' each second with count, total and longest time of an owner's rounds, ticks and replies.

--- a/src/plugins/site-process.ts
+++ b/src/plugins/site-process.ts
@@ -1,15 +1,16 @@
 /**
 What both roles on a site share: settings, log, metrics, and an end in good order.
 */
-import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {type Clock} from '../types/clock.ts';
 import {type SiteSettings} from '../types/site.ts';
+import {createAborter} from '../utils/aborter.ts';
 import {createEventLog, type Note} from '../utils/event-log.ts';
 import {createHttpClient, type HttpClient} from '../utils/http-calls.ts';
 import {close, listen} from '../utils/http-server.ts';
 import {createMetricsPage, type MetricsPage} from '../utils/metrics-page.ts';
 import {createSystemClock} from '../utils/system-clock.ts';
+import {watchTimers} from '../utils/work-meter.ts';
 
 /** Parts of a process on a site. */
 export type SiteProcess = {
@@ -45,8 +46,7 @@
 	const clock = createSystemClock();
 	const log = createEventLog(clock, {role, process: site.hostName});
 	const metrics = createMetricsPage();
-	const aborter = new AbortController();
-	setMaxListeners(0, aborter.signal);
+	const aborter = createAborter();
 	const life = `${clock.now().getTime().toString(36)}-${process.pid}`;
 	const note: Note = (event, fields = {}) => {
 		metrics.count(event, typeof fields.reason === 'string' ? fields.reason : (fields.refusal as string | undefined) ?? (fields.end as string | undefined));
@@ -73,6 +73,7 @@
 	note('started', {
 		life, ip: site.ip, failureDomain: site.failureDomain, startupMs: Math.round(process.uptime() * 1000),
 	});
+	void watchTimers(clock, note, aborter.signal);
 	const finish = await start({
 		site, clock, http, metrics, note, life, metricsAddress, internalAddress: `${site.ip}:${internalPort}`, signal: aborter.signal,
 	});
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -2,7 +2,6 @@
 The owner of the jobs of one partition: takes them over, keeps in touch with the agents of their workers, and starts,
 restarts and stops tasks.
 */
-import {setMaxListeners} from 'node:events';
 import {agentsTopic} from '../agents/control-records.ts';
 import {WorkerHealth, type HealthSubject} from '../jobs/worker-health.ts';
 import {type AdviceClient} from '../types/advice.ts';
@@ -10,6 +9,8 @@
 import {type AgentRegistration, type WatchReply} from '../types/fleet.ts';
 import {type StoreClient} from '../types/store.ts';
 import {type TaskRef} from '../types/workflows.ts';
+import {createAborter} from '../utils/aborter.ts';
+import {WorkMeter} from '../utils/work-meter.ts';
 import {AdviceCache} from './advice-cache.ts';
 import {AgentLinks, type AgentClient} from './agent-links.ts';
 import {FillHarm} from './fill-harm.ts';
@@ -62,13 +63,6 @@
 /** An agent that was not heard for so long gets no orders. */
 const reachableMs = 1500;
 
-/** Many tasks wait on the signal: one for each agent and more. */
-const createAborter = (): AbortController => {
-	const aborter = new AbortController();
-	setMaxListeners(0, aborter.signal);
-	return aborter;
-};
-
 /** The owner. */
 export class Owner {
 	readonly model = new LiveModel();
@@ -85,6 +79,7 @@
 	readonly #harm = new FillHarm();
 	readonly #times: RunTimes;
 	readonly #aborter = createAborter();
+	readonly #meter: WorkMeter;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
 	#claimOffset = Number.POSITIVE_INFINITY;
 	#claimedAtMs = 0;
@@ -95,6 +90,9 @@
 		const {clock, epoch, note, follower, policy} = options;
 		const {model} = this;
 		this.#options = options;
+		this.#meter = new WorkMeter(clock, times => {
+			note('owner work', {jobs: model.workflows.size, ...times});
+		});
 		this.#times = new RunTimes(policy[Mechanism.RunTimes]);
 		this.#log = new OwnerLog({
 			...options, onFenced: () => {
@@ -106,7 +104,9 @@
 			registrations: {topic: agentsTopic, partition: 0},
 			getProvenAtMs: () => follower.fold.epoch === epoch ? follower.provenAtMs : Number.NEGATIVE_INFINITY,
 			onReply: (worker, reply) => {
-				this.#takeReply(worker, reply);
+				this.#meter.measure('reply', () => {
+					this.#takeReply(worker, reply);
+				});
 			},
 			onDeposed: newerEpoch => {
 				this.#depose(`an agent knows epoch ${newerEpoch}`);
@@ -126,6 +126,7 @@
 			clock,
 			note,
 			policy,
+			meter: this.#meter,
 			signal: this.#aborter.signal,
 			model: this.model,
 			harm: this.#harm,
@@ -256,27 +257,34 @@
 	}
 
 	async #tick(signal: AbortSignal): Promise<void> {
-		const {clock, policy} = this.#options;
+		const {clock} = this.#options;
 		while (!signal.aborted) {
-			this.#openDue();
-			this.#checkSettled();
-			this.#losses.check();
-			this.#sender.stopUnneeded();
-			this.#log.sendBegun();
-			this.#log.rewrite();
-			if (policy[Mechanism.SavedRuns]) {
-				this.#log.keepSaved(() => this.model.takeUnstored());
-			}
-
-			this.#log.keepHarm(() => this.#harm.getPairs());
-			this.#updateAdvice();
-			this.#relocate();
-			this.#health.release(clock.monotonicMs());
-			this.#rounds.want();
+			this.#meter.measure('tick', () => {
+				this.#look();
+			});
 			await clock.sleep(tickMs, signal);
 		}
 	}
 
+	#look(): void {
+		const {clock, policy} = this.#options;
+		this.#openDue();
+		this.#checkSettled();
+		this.#losses.check();
+		this.#sender.stopUnneeded();
+		this.#log.sendBegun();
+		this.#log.rewrite();
+		if (policy[Mechanism.SavedRuns]) {
+			this.#log.keepSaved(() => this.model.takeUnstored());
+		}
+
+		this.#log.keepHarm(() => this.#harm.getPairs());
+		this.#updateAdvice();
+		this.#relocate();
+		this.#health.release(clock.monotonicMs());
+		this.#rounds.want();
+	}
+
 	/**
 	A task that an earlier owner may have started waits until every agent was heard, or their leases are over. Jobs that
 	were taken after the claim cannot have been started by anyone else.
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -60,6 +60,8 @@
 const catchUpEveryMs = 20;
 /** Several calls may be lost or slow before the group takes the member for dead. */
 const joinEveryMs = 250;
+/** Half of the time after which the group takes the member for dead. */
+const lateJoinMs = ttlMs / 2;
 
 /** Ownership of one entry. */
 export class Ownership {
@@ -71,6 +73,7 @@
 	#isStandby = false;
 	#lookedAtMs = Number.NEGATIVE_INFINITY;
 	#ownedByOthersAtMs = Number.NEGATIVE_INFINITY;
+	#joinedAtMs = Number.POSITIVE_INFINITY;
 
 	constructor(options: OwnershipOptions) {
 		this.#options = options;
@@ -88,6 +91,7 @@
 
 		while (!signal.aborted && !this.#isLeaving) {
 			try {
+				const startedAtMs = clock.monotonicMs();
 				if (!await this.#mayOwn()) {
 					await clock.sleep(standbyEveryMs, signal);
 					continue;
@@ -97,6 +101,7 @@
 					return;
 				}
 
+				const sentAtMs = clock.monotonicMs();
 				const share = await store.join({
 					group, member, topics: [topic], ttlMs: Math.max(minTtlMs, ttlMs), generation: this.#generation,
 				});
@@ -105,6 +110,7 @@
 				}
 
 				this.#noteReached(true, '');
+				this.#noteLate(startedAtMs, sentAtMs);
 				this.#take(share.generation, new Set(share.partitions.map(({partition}) => partition)));
 			} catch (error) {
 				this.#noteReached(false, getMessage(error));
@@ -196,6 +202,20 @@
 		}
 	}
 
+	/** Tells what kept a heartbeat back: what came before it, or its own call. */
+	#noteLate(startedAtMs: number, sentAtMs: number): void {
+		const {clock, note} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const sinceMs = sentAtMs - this.#joinedAtMs;
+		if (sinceMs > lateJoinMs || nowMs - sentAtMs > lateJoinMs) {
+			note('join late', {
+				sinceMs: Math.round(sinceMs), lookMs: Math.round(sentAtMs - startedAtMs), callMs: Math.round(nowMs - sentAtMs), owned: [...this.owners.keys()],
+			});
+		}
+
+		this.#joinedAtMs = sentAtMs;
+	}
+
 	#noteReached(isReached: boolean, detail: string): void {
 		if (isReached !== this.#isReached) {
 			this.#isReached = isReached;
--- a/src/workflows/rounds.ts
+++ b/src/workflows/rounds.ts
@@ -2,6 +2,7 @@
 Rounds of placement: gathers what has changed, decides starts in order, and tells what keeps the others waiting.
 */
 import {type Clock} from '../types/clock.ts';
+import {type WorkMeter} from '../utils/work-meter.ts';
 import {type FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
@@ -22,6 +23,7 @@
 	harm: FillHarm;
 	times: RunTimes;
 	policy: Policy;
+	meter: WorkMeter;
 	isAllowed: IsAllowed;
 	/** Tasks that may start now. */
 	getWaiting: (nowMs: number) => Iterable<LiveTask>;
@@ -62,7 +64,9 @@
 		this.#options.clock.setTimer(() => {
 			this.#isDue = false;
 			if (!this.#options.signal.aborted) {
-				this.#run();
+				this.#options.meter.measure('round', () => {
+					this.#run();
+				});
 			}
 		}, roundDelayMs);
 	}
