--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -22,8 +22,11 @@
 	DoLate = 'do-late',
 }
 
+/** A call as fault policies see it. */
+export type StoreCall = {kind: 'append' | 'read' | 'join'; ref?: PartitionRef; client: string};
+
 /** Decides how a call of a client is treated. */
-export type FaultPolicy = (call: {kind: 'append' | 'read' | 'join'; ref?: PartitionRef; client: string}) => StoreFault;
+export type FaultPolicy = (call: StoreCall) => StoreFault;
 
 type ProducerState = {epoch: number; sequence: number; results: Map<number, AppendResult>};
 
@@ -71,6 +74,9 @@
 	/** How calls are treated; changed by tests as they go. */
 	fault: FaultPolicy = () => StoreFault.None;
 
+	/** How much longer than usual a call takes to arrive: its sender is busy, or its link is slow. */
+	getDelayMs: (call: StoreCall) => number = () => 0;
+
 	/** A client with a name, which fault policies can tell apart. */
 	createClient(client: string): StoreClient {
 		return {
@@ -143,6 +149,11 @@
 	async #answer(client: string, kind: 'append' | 'read' | 'join', ref?: PartitionRef): Promise<StoreFault> {
 		this.calls[kind]++;
 		const fault = this.fault({kind, ref, client});
+		const delayMs = this.getDelayMs({kind, ref, client});
+		if (delayMs > 0) {
+			await this.#clock.sleep(delayMs);
+		}
+
 		if (fault === StoreFault.Refuse) {
 			await this.#clock.sleep(answerMs);
 			throw createError(ErrorCode.StoreRefused, {step: `${kind} at stand-in`});
@@ -280,17 +291,10 @@
 			this.#groups.set(group, state);
 		}
 
-		const nowMs = this.#clock.monotonicMs();
-		let isChanged = !state.members.has(member);
-		for (const [name, {lastSeenMs, ttlMs: memberTtlMs}] of state.members) {
-			if (name !== member && nowMs - lastSeenMs > memberTtlMs) {
-				state.members.delete(name);
-				isChanged = true;
-			}
-		}
-
-		state.members.set(member, {lastSeenMs: nowMs, ttlMs, seenGeneration: generation});
-		if (isChanged) {
+		this.#expire(state);
+		const isNew = !state.members.has(member);
+		state.members.set(member, {lastSeenMs: this.#clock.monotonicMs(), ttlMs, seenGeneration: generation});
+		if (isNew) {
 			this.#deal(state);
 		}
 
@@ -300,6 +304,19 @@
 		};
 	}
 
+	/** Also the member that joins may have been silent for too long: its partitions went to others before it came back. */
+	#expire(state: Group): void {
+		const nowMs = this.#clock.monotonicMs();
+		const silent = [...state.members].filter(([, {lastSeenMs, ttlMs}]) => nowMs - lastSeenMs > ttlMs);
+		for (const [name] of silent) {
+			state.members.delete(name);
+		}
+
+		if (silent.length > 0) {
+			this.#deal(state);
+		}
+	}
+
 	/** Partitions stay where they are as far as the shares stay even. */
 	#deal(state: Group): void {
 		state.generation++;
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -4,6 +4,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {Agent} from '../src/agents/agent.ts';
+import {agentsTopic} from '../src/agents/control-records.ts';
 import {leaseHorizonMs} from '../src/agents/lease-clock.ts';
 import {createError, ErrorCode} from '../src/core/errors.ts';
 import {getPartition} from '../src/core/partitions.ts';
@@ -172,7 +173,10 @@
 			topic: workflowsTopic,
 			member: formatMember(name, processors, life),
 			processors,
-			countWorkers: async () => this.hosts.size,
+			async countWorkers() {
+				const {records} = await store.newest({topic: agentsTopic, partition: 0});
+				return records.length;
+			},
 			isAlive: async address => this.entries.has(address),
 			minTtlMs: 1000,
 			isCaughtUp: () => follower.isCaughtUp,
