--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -32,6 +32,9 @@
 const partitions = 8;
 export const partition = getPartition(service, partitions);
 
+/** A cancelled job starts nothing after this. */
+export const cancelMs = 3000;
+
 export const queue: QueueConfig = {
 	name: 'issue', host: 'a.example', pathPrefix: '/issue/', service, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500, timeoutMs: 3000,
 };
@@ -212,8 +215,9 @@
 		return this.settle(entry.jobs.submit(queue, id, spec, 2500));
 	}
 
-	async cancel(id: string): Promise<LookupOutcome> {
-		return this.settle([...this.entries.values()][0]!.jobs.cancel(queue, id, 2500));
+	async cancel(id: string, entryName?: string): Promise<LookupOutcome> {
+		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
+		return this.settle(entry.jobs.cancel(queue, id, 2500));
 	}
 
 	async getState(id: string, entryName?: string): Promise<WorkflowState | LookupOutcome> {
