--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -166,6 +166,35 @@
 		expect(worker.isFillStopped).toBe(false);
 	});
 
+	/**
+	A user's tail was over its target for four seconds, beside work that was not known to harm it, and what fills there worked
+	on. Workers tell a rough figure twice a second: one reading just below the target within those seconds began the count of
+	1.5 s anew each time. The figure of a tail that is really back stays below.
+	*/
+	it('stop whatever fills beside a tail that stays too long but for single readings', async () => {
+		const harm = new FillHarm();
+		harm.restore([{
+			server: 'serve', filler: 'heavy', mean: 0, deviation: 0.001,
+		}], 0);
+		const {model, worker} = createWorld(30);
+		const [server] = [...worker.runs];
+		const [task] = [...model.waiting(0, () => false)];
+		run(task!, worker, {recent: 500});
+		const clock = new ManualClock();
+		const keeper = new PaceKeeper({
+			harm, clock, links: {order: async () => undefined} as unknown as AgentLinks, note: () => undefined,
+		});
+		// Users bear 4 s; a stop shows after 0.1 s, and the tail falls for 1.3 s more.
+		const boundMs = 4000 - 100 - 1300;
+		for (let nowMs = 0; nowMs < boundMs; nowMs += 100) {
+			server!.recent = nowMs % 1500 >= 1400 ? 98 : 104;
+			keeper.take(worker);
+			await clock.advance(100);
+		}
+
+		expect(worker.paces.get('heavy')?.percent).toBe(0);
+	});
+
 	it('give back only what serving tasks can bear', () => {
 		const harm = teach(4);
 		expect(decidePaces(serving(0.3), [filler('heavy', {percent: 0, usedShare: 0})], harm).get('heavy') ?? 0).toBeLessThan(50);
