Do not take a single reading below the target for a tail that is back

Symptom: what fills works on beside a serving task that is over its target for 4 s.

Cause: workers tell a rough figure twice a second; one reading below the target began the count of 1.5 s anew, and only learned harm stopped what fills, after 3.2 s.

Change: the count goes on through readings below the target of less than 0.6 s; while the figure is below, nothing is stopped.

Conclusion: a fault of the guard is mended.

--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -181,7 +181,7 @@
 		if (spec.targetMs > 0 && phase === RunPhase.Running) {
 			const ratio = percent === 100 ? recent / spec.targetMs : 0;
 			servers.push({
-				image: spec.image ?? '', job: getServingJob(ref), ratio, overSinceMs,
+				image: spec.image ?? '', job: getServingJob(ref), ratio, overSinceMs: recent > spec.targetMs ? overSinceMs : undefined,
 			});
 		}
 	}
--- a/src/workflows/pace-keeper.ts
+++ b/src/workflows/pace-keeper.ts
@@ -29,6 +29,8 @@
 neighbours: what is known may be wrong. Users bear 4 s; a stop shows after 0.1 s, and the tail falls for 1.3 s more.
 */
 const stopAfterMs = 1500;
+/** A tail that stayed below its target for so long is back: workers tell figures of the last half second. */
+const backAfterMs = 600;
 
 const getPace = (worker: FleetWorker, run: LiveRun): number => worker.paces.get(run.task.step.spec.image ?? '')?.percent ?? whole;
 
@@ -131,11 +133,17 @@
 	}
 }
 
+/** Workers tell a rough figure: a single one below the target does not tell that the tail is back. */
 const noteOver = (runs: Iterable<LiveRun>, nowMs: number): void => {
 	for (const run of runs) {
 		const {targetMs} = run.task.step.spec;
-		const isOver = targetMs > 0 && run.recent > targetMs;
-		run.overSinceMs = isOver ? run.overSinceMs ?? nowMs : undefined;
+		if (targetMs > 0 && run.recent > targetMs) {
+			run.overSinceMs ??= nowMs;
+			run.overAtMs = nowMs;
+		} else if (run.overAtMs !== undefined && nowMs - run.overAtMs >= backAfterMs) {
+			run.overSinceMs = undefined;
+			run.overAtMs = undefined;
+		}
 	}
 };
 
