Start nothing on a view of the jobs that is too old, and give the jobs up when that lasts

Cause: an owner ordered by what it had read, and nothing bounded how old that was: its heartbeats came through while its reads did not, or came late.

Change: an owner starts nothing while the store has answered a heartbeat that was sent later than the time a cancelling may take, less the 1.5 s that an order stays good, after the last read that showed the end of the stream. With the store away neither advances, and work goes on. After 6 s of that it leaves the group and joins again once it has read to the end. Log: 'starts held', 'starts go on', 'jobs given up', with the age.

Measured: test/site-behind.test.ts failed before (last start 8.7 s after the bound; a job handed in elsewhere not started in 12 s) and passes, unchanged; 116 tests of sites pass.

--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -176,8 +176,8 @@
 		isAlive: async address => isAnswering(http, address),
 		minTtlMs: minMemberTtlMs,
 		isUsed: partition => followers.has(partition),
-		isCaughtUp,
-		createOwner: (partition, epoch, onDeposed) => new Owner({
+		getProvenAtMs: () => isCaughtUp() ? Math.min(...[...followers.values()].map(({provenAtMs}) => provenAtMs)) : Number.NEGATIVE_INFINITY,
+		createOwner: (partition, epoch, {onDeposed, getReachedAtMs}) => new Owner({
 			store,
 			clock,
 			client,
@@ -187,6 +187,8 @@
 			maxCallBytes,
 			keptMs,
 			leaseHorizonMs,
+			cancelMs: site.bounds.cancelMs,
+			getReachedAtMs,
 			note,
 			onDeposed,
 			policy,
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -40,7 +40,7 @@
 const retryMs = 100;
 const registryWaitMs = 2000;
 /** An order is good for so long on the agent's clock; later it is refused as expired. */
-const orderGoodMs = 1500;
+export const orderGoodMs = 1500;
 const orderTimeoutMs = 1600;
 
 /** While nothing was heard of runs, their progress was not either: that is no sign that they stand still. */
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -12,7 +12,7 @@
 import {createAborter} from '../utils/aborter.ts';
 import {WorkMeter} from '../utils/work-meter.ts';
 import {AdviceCache} from './advice-cache.ts';
-import {AgentLinks, type AgentClient} from './agent-links.ts';
+import {AgentLinks, orderGoodMs, type AgentClient} from './agent-links.ts';
 import {FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
@@ -46,6 +46,10 @@
 	/** Higher than that of any owner before. */
 	epoch: number;
 	leaseHorizonMs: number;
+	/** Time within which a cancelled job must have stopped. */
+	cancelMs: number;
+	/** When the newest heartbeat that the store has answered was sent. */
+	getReachedAtMs: () => number;
 	maxCallBytes: number;
 	/** How long the store keeps records. */
 	keptMs: number;
@@ -84,6 +88,7 @@
 	#claimOffset = Number.POSITIVE_INFINITY;
 	#claimedAtMs = 0;
 	#isSettled = false;
+	#isBehind = false;
 	#scheduled: Array<{dueAtMs: number; workflow: LiveWorkflow}> = [];
 
 	constructor(options: OwnerOptions) {
@@ -290,6 +295,10 @@
 	were taken after the claim cannot have been started by anyone else.
 	*/
 	* #startable(nowMs: number): Generator<LiveTask> {
+		if (this.#mustHold(nowMs)) {
+			return;
+		}
+
 		for (const task of this.model.waiting(nowMs, task => this.#options.policy[Mechanism.StallMoves] && wantsCopy(task, nowMs))) {
 			if (this.#isSettled || task.step.workflow.folded.offset >= this.#claimOffset) {
 				yield task;
@@ -297,6 +306,23 @@
 		}
 	}
 
+	/**
+	What others wrote since the last read that showed the end of the stream is not known: the job of a waiting task may be
+	cancelled. The time that a cancelling may take, less the time that an order stays good, is left to a view. With the store
+	away nothing can have been written: its last answer to a heartbeat, not the clock, tells how old the view is.
+	*/
+	#mustHold(nowMs: number): boolean {
+		const {follower, cancelMs, getReachedAtMs, note} = this.#options;
+		const unseenMs = Math.min(getReachedAtMs(), nowMs) - follower.provenAtMs;
+		const isBehind = unseenMs > cancelMs - orderGoodMs;
+		if (isBehind !== this.#isBehind) {
+			this.#isBehind = isBehind;
+			note(isBehind ? 'starts held' : 'starts go on', {unseenMs: Math.round(unseenMs), offset: follower.fold.offset});
+		}
+
+		return isBehind;
+	}
+
 	* #openWorkers(nowMs: number): Generator<FleetWorker> {
 		const {policy} = this.#options;
 		for (const worker of this.links.workers.values()) {
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -28,11 +28,12 @@
 	countWorkers: () => Promise<number>;
 	/** Whether the entry at the address answers. */
 	isAlive: (address: string) => Promise<boolean>;
-	/** Whether this entry knows what it would own. */
-	isCaughtUp: () => boolean;
+	/** Start of the last read that showed the end of what this entry would own; negative infinity: it knows nothing yet. */
+	getProvenAtMs: () => number;
 	/** Whether the partition carries anything. */
 	isUsed: (partition: number) => boolean;
-	createOwner: (partition: number, epoch: number, onDeposed: () => void) => RunningOwner;
+	/** An owner is told when the newest heartbeat that the store has answered was sent, and tells when a newer one is known. */
+	createOwner: (partition: number, epoch: number, terms: {onDeposed: () => void; getReachedAtMs: () => number}) => RunningOwner;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
@@ -65,6 +66,13 @@
 	return {address, processors: Number(processors ?? 0)};
 };
 
+/**
+An owner that has seen nothing new for so long while its heartbeats came through leaves the jobs to an entry that reads. Its
+starts are held long before; a read that is tried again in smaller pieces may take three of some 1.7 s.
+*/
+const giveUpAfterMs = 6000;
+/** An entry that joins has read to the end not longer ago than this: reads without news take 1 s, and 1.2 s on a busy host. */
+const freshViewMs = 2500;
 /** Until the jobs are known. */
 const catchUpEveryMs = 20;
 /** Several calls may be lost or slow before the group takes the member for dead. */
@@ -86,6 +94,7 @@
 	#isMember = false;
 	#joining: Promise<void> = Promise.resolve();
 	#longestGapMs = 0;
+	#reachedAtMs = Number.NEGATIVE_INFINITY;
 	#ownedByOthersAtMs = Number.NEGATIVE_INFINITY;
 	#joinedAtMs = Number.POSITIVE_INFINITY;
 
@@ -94,15 +103,10 @@
 	}
 
 	/**
-	Keeps the membership until the signal aborts. A process that has not read what it would own stays out: dealt a
-	partition, it would keep it from an entry that knows the jobs, for as long as its link takes.
+	Keeps the membership until the signal aborts.
 	*/
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, isCaughtUp} = this.#options;
-		while (!signal.aborted && !isCaughtUp()) {
-			await clock.sleep(catchUpEveryMs, signal);
-		}
-
+		await this.#waitForView(signal);
 		await this.#tryLook();
 		await Promise.all([this.#keepMembership(signal), this.#keepLooking(signal)]);
 	}
@@ -133,7 +137,11 @@
 		while (!signal.aborted && !this.#isLeaving) {
 			try {
 				if (this.#isStandby) {
-					await this.#standBy();
+					await this.#withdraw();
+				} else if (this.#isMember && this.#reachedAtMs - this.#options.getProvenAtMs() > giveUpAfterMs) {
+					this.#options.note('jobs given up', {unseenMs: Math.round(this.#reachedAtMs - this.#options.getProvenAtMs())});
+					await this.#withdraw();
+					await this.#waitForView(signal);
 				} else {
 					this.#joining = this.#join(signal);
 					await this.#joining;
@@ -157,13 +165,22 @@
 		const share = await store.join({
 			group, member, topics: [topic], ttlMs: this.#getTtlMs(), generation: this.#generation,
 		});
+		this.#reachedAtMs = sentAtMs;
 		this.#noteGap(sentAtMs);
 		if (!signal.aborted && !this.#isLeaving) {
 			this.#take(share.generation, new Set(share.partitions.map(({partition}) => partition)));
 		}
 	}
 
-	async #standBy(): Promise<void> {
+	/** A process that has not read what it would own stays out: it would keep the jobs from an entry that knows them. */
+	async #waitForView(signal: AbortSignal): Promise<void> {
+		const {clock, getProvenAtMs} = this.#options;
+		while (!signal.aborted && !this.#isLeaving && clock.monotonicMs() - getProvenAtMs() > freshViewMs) {
+			await clock.sleep(catchUpEveryMs, signal);
+		}
+	}
+
+	async #withdraw(): Promise<void> {
 		if (this.#isMember) {
 			this.#stopOwners();
 			await this.#leaveGroup();
@@ -260,8 +277,11 @@
 		for (const partition of partitions) {
 			if (!this.owners.has(partition) && isUsed(partition)) {
 				note('partition dealt', {partition, generation});
-				const owner = createOwner(partition, generation, () => {
-					this.owners.delete(partition);
+				const owner = createOwner(partition, generation, {
+					onDeposed: () => {
+						this.owners.delete(partition);
+					},
+					getReachedAtMs: () => this.#reachedAtMs,
 				});
 				this.owners.set(partition, owner);
 				void owner.run();
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -182,10 +182,10 @@
 			},
 			isAlive: async address => this.entries.has(address),
 			minTtlMs: 1000,
-			isCaughtUp: () => follower.isCaughtUp,
+			getProvenAtMs: () => follower.provenAtMs,
 			isUsed: used => used === partition,
-			createOwner: (owned, epoch, onDeposed) => new Owner({
-				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, note, onDeposed, host: name, follower, isMine: () => true, policy: createPolicy(),
+			createOwner: (owned, epoch, {onDeposed, getReachedAtMs}) => new Owner({
+				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, cancelMs, getReachedAtMs, note, onDeposed, host: name, follower, isMine: () => true, policy: createPolicy(),
 			}),
 		});
 		void follower.run(aborter.signal);
