--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -12,14 +12,13 @@
 import {createAborter} from '../utils/aborter.ts';
 import {WorkMeter} from '../utils/work-meter.ts';
 import {AdviceCache} from './advice-cache.ts';
-import {AgentLinks, orderGoodMs, type AgentClient} from './agent-links.ts';
+import {AgentLinks, type AgentClient} from './agent-links.ts';
+import {DueOccurrences} from './due-occurrences.ts';
 import {FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
-import {
-	LiveModel, type LiveTask, type LiveWorkflow,
-} from './live-model.ts';
+import {LiveModel, type LiveTask} from './live-model.ts';
 import {getLeaseOverMs, LossWatch} from './loss-watch.ts';
 import {OrderSender} from './order-sender.ts';
 import {OwnerLog} from './owner-log.ts';
@@ -31,6 +30,7 @@
 import {RunTimes} from './run-times.ts';
 import {RunTracker} from './run-tracker.ts';
 import {describeEnd} from './task-order.ts';
+import {ViewAge} from './view-age.ts';
 
 /** Options of an owner. */
 export type OwnerOptions = {
@@ -84,12 +84,12 @@
 	readonly #times: RunTimes;
 	readonly #aborter = createAborter();
 	readonly #meter: WorkMeter;
+	readonly #view: ViewAge;
+	readonly #due: DueOccurrences;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
 	#claimOffset = Number.POSITIVE_INFINITY;
 	#claimedAtMs = 0;
 	#isSettled = false;
-	#isBehind = false;
-	#scheduled: Array<{dueAtMs: number; workflow: LiveWorkflow}> = [];
 
 	constructor(options: OwnerOptions) {
 		const {clock, epoch, note, follower, policy} = options;
@@ -98,6 +98,8 @@
 		this.#meter = new WorkMeter(clock, times => {
 			note('owner work', {jobs: model.workflows.size, ...times});
 		});
+		this.#view = new ViewAge(options);
+		this.#due = new DueOccurrences(model, clock);
 		this.#times = new RunTimes(policy[Mechanism.RunTimes]);
 		this.#log = new OwnerLog({
 			...options, onFenced: () => {
@@ -174,7 +176,7 @@
 		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs());
 		this.#listen(follower);
 		for (const workflow of this.model.workflows.values()) {
-			this.#schedule(workflow);
+			this.#due.schedule(workflow);
 		}
 
 		note('took over', {partition, epoch, jobs: this.model.workflows.size});
@@ -247,7 +249,7 @@
 				});
 				const nowMs = clock.monotonicMs();
 				// It came after the last read that showed the end of the stream.
-				this.#schedule(this.model.add(folded, clock.now().getTime(), nowMs, nowMs - follower.provenAtMs));
+				this.#due.schedule(this.model.add(folded, clock.now().getTime(), nowMs, nowMs - follower.provenAtMs));
 				this.#rounds.want();
 			},
 			onFinal: folded => {
@@ -273,7 +275,7 @@
 
 	#look(): void {
 		const {clock, policy} = this.#options;
-		this.#openDue();
+		this.#due.open();
 		this.#checkSettled();
 		this.#losses.check();
 		this.#sender.stopUnneeded();
@@ -295,7 +297,7 @@
 	were taken after the claim cannot have been started by anyone else.
 	*/
 	* #startable(nowMs: number): Generator<LiveTask> {
-		if (this.#mustHold(nowMs)) {
+		if (this.#view.isTooOld(nowMs)) {
 			return;
 		}
 
@@ -306,23 +308,6 @@
 		}
 	}
 
-	/**
-	What others wrote since the last read that showed the end of the stream is not known: the job of a waiting task may be
-	cancelled. The time that a cancelling may take, less the time that an order stays good, is left to a view. With the store
-	away nothing can have been written: its last answer to a heartbeat, not the clock, tells how old the view is.
-	*/
-	#mustHold(nowMs: number): boolean {
-		const {follower, cancelMs, getReachedAtMs, note} = this.#options;
-		const unseenMs = Math.min(getReachedAtMs(), nowMs) - follower.provenAtMs;
-		const isBehind = unseenMs > cancelMs - orderGoodMs;
-		if (isBehind !== this.#isBehind) {
-			this.#isBehind = isBehind;
-			note(isBehind ? 'starts held' : 'starts go on', {unseenMs: Math.round(unseenMs), offset: follower.fold.offset});
-		}
-
-		return isBehind;
-	}
-
 	* #openWorkers(nowMs: number): Generator<FleetWorker> {
 		const {policy} = this.#options;
 		for (const worker of this.links.workers.values()) {
@@ -397,25 +382,6 @@
 		}
 	}
 
-	#schedule(workflow: LiveWorkflow): void {
-		const {clock} = this.#options;
-		const dueAtMs = this.model.openDue(workflow, clock.now().getTime(), clock.monotonicMs());
-		if (dueAtMs !== undefined) {
-			this.#scheduled.push({dueAtMs, workflow});
-		}
-	}
-
-	#openDue(): void {
-		const wallMs = this.#options.clock.now().getTime();
-		const due = this.#scheduled.filter(({dueAtMs}) => dueAtMs <= wallMs);
-		if (due.length > 0) {
-			this.#scheduled = this.#scheduled.filter(({dueAtMs}) => dueAtMs > wallMs);
-			for (const {workflow} of due) {
-				this.#schedule(workflow);
-			}
-		}
-	}
-
 	#checkSettled(): void {
 		if (this.#isSettled || !this.links.isRegistryRead) {
 			return;
