--- a/src/utils/process-load.ts
+++ b/src/utils/process-load.ts
@@ -9,13 +9,15 @@
 const noteEveryMs = 1000;
 /** Later than this a heartbeat that is due every quarter of a second is one behind. */
 const lateFromMs = 250;
-/** Weight of the newest look: half of the figure is of the last 0.2 s and more. */
+/** Weight of the newest look in the average. */
 const newestWeight = 0.2;
 /**
 Later than this on average, what a caller asks takes a second: its connection, its request and the store's answer each wait
 for the thread. An owner on 0.069 of a core was 100 to 400 ms late, entries beside it 5.
 */
 const overloadedFromMs = 80;
+/** One long stall, as after a freeze, is over when it is seen. */
+const overloadedForMs = 1000;
 /** On time again for so long, it takes callers again. */
 const keepsUpMs = 30;
 const keepsUpForMs = 3000;
@@ -27,6 +29,7 @@
 	#lateMs = 0;
 	#isOverloaded = false;
 	#lateAtMs = Number.NEGATIVE_INFINITY;
+	#lateSinceMs: number | undefined;
 	#latestMs = 0;
 	#notedAtMs: number;
 
@@ -51,9 +54,7 @@
 	}
 
 	#take(lateMs: number): void {
-		// A long stall shows in one look only: it counts by its length.
-		const weight = 1 - ((1 - newestWeight) ** (1 + (Math.max(0, lateMs) / lookEveryMs)));
-		this.#lateMs += weight * (Math.max(0, lateMs) - this.#lateMs);
+		this.#lateMs += newestWeight * (Math.max(0, lateMs) - this.#lateMs);
 		this.#latestMs = Math.max(this.#latestMs, lateMs);
 		const nowMs = this.#clock.monotonicMs();
 		this.#judge(nowMs);
@@ -69,7 +70,10 @@
 			this.#lateAtMs = nowMs;
 		}
 
-		const isOverloaded = this.#lateMs > overloadedFromMs || (this.#isOverloaded && nowMs - this.#lateAtMs < keepsUpForMs);
+		this.#lateSinceMs = this.#lateMs > overloadedFromMs ? this.#lateSinceMs ?? nowMs : undefined;
+		const isOverloaded = this.#isOverloaded
+			? nowMs - this.#lateAtMs < keepsUpForMs
+			: this.#lateSinceMs !== undefined && nowMs - this.#lateSinceMs >= overloadedForMs;
 		if (isOverloaded !== this.#isOverloaded) {
 			this.#isOverloaded = isOverloaded;
 			this.#note(isOverloaded ? 'overloaded' : 'keeps up', {lateMs: Math.round(this.#lateMs)});
