Test that an order says the very time that its run is judged by (fails)

Cause: see the story of the test; found while bounding starts by the age of the view.

Measured: the call names no time of its own; it is computed again after the lines of log.

Conclusion: fails until mended.

--- /dev/null
+++ b/test/site-orders.test.ts
@@ -0,0 +1,48 @@
+/**
+Orders of an owner, and until when each is good.
+*/
+import {expect, it} from 'vitest';
+import {type Order} from '../src/types/fleet.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {type AgentLinks} from '../src/workflows/agent-links.ts';
+import {type FleetWorker} from '../src/workflows/fleet-view.ts';
+import {type LiveModel} from '../src/workflows/live-model.ts';
+import {OrderSender} from '../src/workflows/order-sender.ts';
+import {RunTracker} from '../src/workflows/run-tracker.ts';
+import {createWorker, createWorkflow, load} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const ignore = () => undefined;
+
+const createTracker = (model: LiveModel): RunTracker => new RunTracker(model, {
+	store: async () => true, onBegun: ignore, recall: ignore, onUnknown: ignore, onProgress: ignore, onOutcome: ignore, onExhausted: ignore, onChange: ignore, note: ignore,
+});
+
+/**
+A start without an answer is taken for never begun once the agent's clock has passed the time that the order was good for. On
+a slow host the lines of log between the decision and the call take some milliseconds; the call then said a later time than
+the run was judged by, and the agent might begin what was already started elsewhere.
+*/
+it('tells the agent the very time that the run is judged by', async () => {
+	const {model} = load([createWorkflow('0000000000000001', createSpec([createStep({count: 3})]))]);
+	const worker = createWorker('host-0');
+	const clock = new ManualClock();
+	const sent: Array<number | undefined> = [];
+	const links = {
+		workers: new Map([[worker.host, worker]]),
+		getNotAfterMs: (_: FleetWorker) => clock.monotonicMs() + 1500,
+		async order(_worker: FleetWorker, _orders: Order[], notAfterMs?: number) {
+			sent.push(notAfterMs);
+		},
+	} as unknown as AgentLinks;
+	const sender = new OrderSender({
+		clock, model, links, tracker: createTracker(model), getTicket: ignore, getStartGoodMs: () => 1500, onStaleEpoch: ignore, note() {
+			clock.advanceSync(5);
+		},
+	});
+	const tasks = [...model.waiting(0, () => false)];
+	sender.start(tasks.map(task => ({task, worker})));
+	await clock.advance(1);
+	expect(tasks).toHaveLength(3);
+	expect(sent).toEqual([tasks[0]!.runs[0]!.notAfterMs]);
+});
