Let an order say the very time that its run is judged by, and be good only as long as the view of the jobs is

Cause: the time until when an order is good was computed once for the run and again for the call, after the lines of log. And holding starts by 1.5 s less than a cancelling may take would hold them on an idle stream, where a view is up to two reads old.

Change: one time for both. A start is good until the time that a cancelling may take has passed since the last read that showed the end; none is ordered with less than 0.4 s of that left. A read without news ends after 0.7 s.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -101,11 +101,11 @@
 	}
 
 	/** Sends orders; undefined without an answer: they may have been carried out. */
-	async order(worker: FleetWorker, orders: Order[]): Promise<OrdersReply | undefined> {
+	async order(worker: FleetWorker, orders: Order[], notAfterMs = this.getNotAfterMs(worker, orderGoodMs)): Promise<OrdersReply | undefined> {
 		const {client, epoch, note} = this.#options;
 		try {
 			return await client.order(worker.address, {
-				epoch, workerId: worker.report!.workerId, agentLife: worker.agentLife, notAfterMs: this.getNotAfterMs(worker), orders,
+				epoch, workerId: worker.report!.workerId, agentLife: worker.agentLife, notAfterMs, orders,
 			}, orderTimeoutMs);
 		} catch (error) {
 			note('orders unanswered', {host: worker.host, orders: orders.length, error: getMessage(error)});
@@ -113,9 +113,9 @@
 		}
 	}
 
-	/** Until when an order that is sent now is good, on the agent's clock. */
-	getNotAfterMs(worker: FleetWorker): number {
-		return worker.agentClockMs + (this.#options.clock.monotonicMs() - worker.heardAtMs) + orderGoodMs;
+	/** Until when an order that is good for so long from now is good on the agent's clock. */
+	getNotAfterMs(worker: FleetWorker, goodMs: number): number {
+		return worker.agentClockMs + (this.#options.clock.monotonicMs() - worker.heardAtMs) + goodMs;
 	}
 
 	#take(host: string, value: Buffer | undefined, offset: number, signal: AbortSignal): void {
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -18,8 +18,8 @@
 	onInvalid: (offset: number, detail: string) => void;
 };
 
-/** A read without news ends after this: a view is at most so much older than what the store has, while it answers. */
-const readWaitMs = 1000;
+/** A read without news ends after this: a view is at most two such reads old while the store answers. */
+const readWaitMs = 700;
 const retryMs = 150;
 /**
 Records gather for so long between two reads: each read is a call that is paid for, and a job's objective is over a
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -20,6 +20,8 @@
 	tracker: RunTracker;
 	model: LiveModel;
 	getTicket: (step: LiveStep, workerId: string) => string | undefined;
+	/** How long a start that is ordered now may stay good. */
+	getStartGoodMs: () => number;
 	/** An agent knows a newer owner. */
 	onStaleEpoch: () => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
@@ -48,19 +50,22 @@
 
 	/** Orders starts that were decided. */
 	start(starts: Start[]): void {
-		const {tracker, links, clock} = this.#options;
+		const {tracker, links, clock, getStartGoodMs} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const byWorker = new Map<FleetWorker, LiveRun[]>();
+		const goodMs = getStartGoodMs();
+		const byWorker = new Map<FleetWorker, {runs: LiveRun[]; notAfterMs: number}>();
 		for (const {task, worker} of starts) {
 			const {step} = task;
 			// Members of a gang share the number of their run.
 			const lastRun = step.spec.isGang ? Math.max(...step.tasks.map(member => member.runs.length > 0 ? member.lastRun - 1 : member.lastRun)) : task.lastRun;
-			const run = tracker.open(task, worker, lastRun + 1, {nowMs, notAfterMs: links.getNotAfterMs(worker)});
-			byWorker.set(worker, [...(byWorker.get(worker) ?? []), run]);
+			// A run is judged by the very time that its order says: a later one would let it begin after it was given up.
+			const orders = byWorker.get(worker) ?? {runs: [], notAfterMs: links.getNotAfterMs(worker, goodMs)};
+			byWorker.set(worker, orders);
+			orders.runs.push(tracker.open(task, worker, lastRun + 1, {nowMs, notAfterMs: orders.notAfterMs}));
 		}
 
-		for (const [worker, runs] of byWorker) {
-			void this.#sendStarts(worker, runs);
+		for (const [worker, {runs, notAfterMs}] of byWorker) {
+			void this.#sendStarts(worker, runs, notAfterMs);
 		}
 	}
 
@@ -105,7 +110,7 @@
 		}
 	}
 
-	async #sendStarts(worker: FleetWorker, runs: LiveRun[]): Promise<void> {
+	async #sendStarts(worker: FleetWorker, runs: LiveRun[], notAfterMs: number): Promise<void> {
 		const {links, clock, note} = this.#options;
 		for (const {task, run, workerId, sentAtMs} of runs) {
 			note('start', {
@@ -118,7 +123,7 @@
 			start: {
 				taskId: task.taskId, run, input: task.step.workflow.spec.input, checkpoint: task.checkpoint, ticket: this.#options.getTicket(task.step, worker.report!.workerId),
 			},
-		})));
+		})), notAfterMs);
 		const nowMs = clock.monotonicMs();
 		for (const [index, run] of runs.entries()) {
 			run.isOrderOut = false;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -147,7 +147,7 @@
 			},
 		});
 		this.#sender = new OrderSender({
-			...shared, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), onStaleEpoch: () => {
+			...shared, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), getStartGoodMs: () => this.#view.getStartGoodMs(), onStaleEpoch: () => {
 				this.#depose('an agent refused the epoch');
 			},
 		});
@@ -297,7 +297,7 @@
 	were taken after the claim cannot have been started by anyone else.
 	*/
 	* #startable(nowMs: number): Generator<LiveTask> {
-		if (this.#view.isTooOld(nowMs)) {
+		if (this.#view.isTooOld()) {
 			return;
 		}
 
--- a/src/workflows/view-age.ts
+++ b/src/workflows/view-age.ts
@@ -14,10 +14,13 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
+/** A start that is good for less than this is not worth its order: answers of agents take some 100 ms on busy hosts. */
+const minGoodMs = 400;
+
 /**
 What others wrote since the last read that showed the end of the stream is not known: the job of a waiting task may be
-cancelled. The time that a cancelling may take, less the time that an order stays good, is left to a view. With the store
-away nothing can have been written: its last answer to a heartbeat, not the clock, tells how old the view is.
+cancelled. A start is good for no longer than the time that a cancelling may take from then on. With the store away nothing
+can have been written: its last answer to a heartbeat, not the clock, tells how old the view is.
 */
 export class ViewAge {
 	readonly #options: ViewAgeOptions;
@@ -27,16 +30,25 @@
 		this.#options = options;
 	}
 
+	/** How long a start that is ordered now may stay good. */
+	getStartGoodMs(): number {
+		return Math.min(orderGoodMs, this.#options.cancelMs - this.#getUnseenMs());
+	}
+
 	/** Whether nothing may be started now. */
-	isTooOld(nowMs: number): boolean {
-		const {follower, cancelMs, getReachedAtMs, note} = this.#options;
-		const unseenMs = Math.min(getReachedAtMs(), nowMs) - follower.provenAtMs;
-		const isTooOld = unseenMs > cancelMs - orderGoodMs;
+	isTooOld(): boolean {
+		const isTooOld = this.getStartGoodMs() < minGoodMs;
 		if (isTooOld !== this.#isTooOld) {
+			const {follower, note} = this.#options;
 			this.#isTooOld = isTooOld;
-			note(isTooOld ? 'starts held' : 'starts go on', {unseenMs: Math.round(unseenMs), offset: follower.fold.offset});
+			note(isTooOld ? 'starts held' : 'starts go on', {unseenMs: Math.round(this.#getUnseenMs()), offset: follower.fold.offset});
 		}
 
 		return isTooOld;
 	}
+
+	#getUnseenMs(): number {
+		const {follower, getReachedAtMs} = this.#options;
+		return getReachedAtMs() - follower.provenAtMs;
+	}
 }
