Say that the group is reached only when it answered

Cause: an entry that stands by said that it reached the group without asking it.

Change: told after a join is answered.

--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -58,6 +58,7 @@
 const lookEveryMs = 2000;
 /** A dead owner's partitions are dealt anew within 1.2 s, and entries that start anew are there within 2 s. */
 const standbyAfterMs = 3000;
+
 /** Names a member by where its process answers, its processors and its life. */
 export const formatMember = (address: string, processors: number, life: string): string => `${address}/${processors}/${life}`;
 
@@ -68,10 +69,10 @@
 
 /**
 An owner that has seen nothing new for so long while its heartbeats came through leaves the jobs to an entry that reads. Its
-starts are held long before; a read that is tried again in smaller pieces may take three of some 1.7 s.
+starts are held long before; a read that is tried again in smaller pieces may take four of 1.4 s.
 */
 const giveUpAfterMs = 6000;
-/** An entry that joins has read to the end not longer ago than this: reads without news take 1 s, and 1.2 s on a busy host. */
+/** An entry that joins has read to the end not longer ago than this: reads without news take 0.7 s, and are given up after 1.4 s. */
 const freshViewMs = 2500;
 /** Until the jobs are known. */
 const catchUpEveryMs = 20;
@@ -102,9 +103,7 @@
 		this.#options = options;
 	}
 
-	/**
-	Keeps the membership until the signal aborts.
-	*/
+	/** Keeps the membership until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		await this.#waitForView(signal);
 		await this.#tryLook();
@@ -146,8 +145,6 @@
 					this.#joining = this.#join(signal);
 					await this.#joining;
 				}
-
-				this.#noteReached(true, '');
 			} catch (error) {
 				this.#noteReached(false, getMessage(error));
 				// A store that is away says nothing about how late this host is.
@@ -166,6 +163,7 @@
 			group, member, topics: [topic], ttlMs: this.#getTtlMs(), generation: this.#generation,
 		});
 		this.#reachedAtMs = sentAtMs;
+		this.#noteReached(true, '');
 		this.#noteGap(sentAtMs);
 		if (!signal.aborted && !this.#isLeaving) {
 			this.#take(share.generation, new Set(share.partitions.map(({partition}) => partition)));
