Tell an overloaded entry by the share of its time that it waits for the processor

Cause: 'late by 80 ms for a second on end' was hardly ever true of an owner that is late in turns; callers stayed with it.

Change: the share of time spent waiting, averaged over 2 s; a stall counts as half a second at most. Overloaded from 0.4, keeps up below 0.25: owners short of processors show 0.7 to 0.9, entries beside them 0.1.

--- a/src/utils/process-load.ts
+++ b/src/utils/process-load.ts
@@ -9,27 +9,26 @@
 const noteEveryMs = 1000;
 /** Later than this a heartbeat that is due every quarter of a second is one behind. */
 const lateFromMs = 250;
-/** Weight of the newest look in the average. */
-const newestWeight = 0.2;
+/** Time over which the share of waiting is averaged. */
+const averageMs = 2000;
+/** A longer stall, as after a freeze, is over when it is seen: it counts as so much. */
+const maxStallMs = 500;
 /**
-Later than this on average, what a caller asks takes a second: its connection, its request and the store's answer each wait
-for the thread. An owner on 0.069 of a core was 100 to 400 ms late, entries beside it 5.
+More of its time than this spent waiting for the processor, what a caller asks takes a second: its connection, its request and
+the store's answer each wait for the thread. An owner on 0.069 of a core was 0.1 to 0.4 s late at each look (0.7 to 0.9 of
+its time), entries beside it 5 ms (0.1).
 */
-const overloadedFromMs = 80;
-/** One long stall, as after a freeze, is over when it is seen. */
-const overloadedForMs = 1000;
-/** On time again for so long, it takes callers again. */
-const keepsUpMs = 30;
-const keepsUpForMs = 3000;
+const overloadedShare = 0.4;
+/** Below this it takes callers again. */
+const keepsUpShare = 0.25;
 
 /** Load of this process. */
 export class ProcessLoad {
 	readonly #clock: Clock;
 	readonly #note: (event: string, fields: Record<string, unknown>) => void;
-	#lateMs = 0;
+	/** Share of its time that the process waited, of late. */
+	#lateShare = 0;
 	#isOverloaded = false;
-	#lateAtMs = Number.NEGATIVE_INFINITY;
-	#lateSinceMs: number | undefined;
 	#latestMs = 0;
 	#notedAtMs: number;
 
@@ -49,34 +48,30 @@
 		while (!signal.aborted) {
 			const startedAtMs = this.#clock.monotonicMs();
 			await this.#clock.sleep(lookEveryMs, signal);
-			this.#take(this.#clock.monotonicMs() - startedAtMs - lookEveryMs);
+			const lateMs = Math.max(0, this.#clock.monotonicMs() - startedAtMs - lookEveryMs);
+			this.#judge(Math.min(maxStallMs, lateMs));
+			this.#tellLate(lateMs);
 		}
 	}
 
-	#take(lateMs: number): void {
-		this.#lateMs += newestWeight * (Math.max(0, lateMs) - this.#lateMs);
+	#judge(lateMs: number): void {
+		const spentMs = lateMs + lookEveryMs;
+		const weight = 1 - Math.exp(-spentMs / averageMs);
+		this.#lateShare += weight * ((lateMs / spentMs) - this.#lateShare);
+		const isOverloaded = this.#lateShare > (this.#isOverloaded ? keepsUpShare : overloadedShare);
+		if (isOverloaded !== this.#isOverloaded) {
+			this.#isOverloaded = isOverloaded;
+			this.#note(isOverloaded ? 'overloaded' : 'keeps up', {lateShare: Number(this.#lateShare.toFixed(2))});
+		}
+	}
+
+	#tellLate(lateMs: number): void {
 		this.#latestMs = Math.max(this.#latestMs, lateMs);
 		const nowMs = this.#clock.monotonicMs();
-		this.#judge(nowMs);
 		if (this.#latestMs >= lateFromMs && nowMs - this.#notedAtMs >= noteEveryMs) {
-			this.#note('timers late', {latestMs: Math.round(this.#latestMs), lateMs: Math.round(this.#lateMs)});
+			this.#note('timers late', {latestMs: Math.round(this.#latestMs), lateShare: Number(this.#lateShare.toFixed(2))});
 			this.#notedAtMs = nowMs;
 			this.#latestMs = 0;
 		}
 	}
-
-	#judge(nowMs: number): void {
-		if (this.#lateMs > keepsUpMs) {
-			this.#lateAtMs = nowMs;
-		}
-
-		this.#lateSinceMs = this.#lateMs > overloadedFromMs ? this.#lateSinceMs ?? nowMs : undefined;
-		const isOverloaded = this.#isOverloaded
-			? nowMs - this.#lateAtMs < keepsUpForMs
-			: this.#lateSinceMs !== undefined && nowMs - this.#lateSinceMs >= overloadedForMs;
-		if (isOverloaded !== this.#isOverloaded) {
-			this.#isOverloaded = isOverloaded;
-			this.#note(isOverloaded ? 'overloaded' : 'keeps up', {lateMs: Math.round(this.#lateMs)});
-		}
-	}
 }
