--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -2,7 +2,6 @@
 A site on manual time: a store, workers with their agents, and entries, which tests cut, stop, kill and restart. Checks
 what must always hold while it runs, from what workers see.
 */
-import {Buffer} from 'node:buffer';
 import {Agent} from '../src/agents/agent.ts';
 import {agentsTopic} from '../src/agents/control-records.ts';
 import {leaseHorizonMs} from '../src/agents/lease-clock.ts';
@@ -211,18 +210,15 @@
 
 	async submit(id: string, spec: WorkflowSpec, entryName?: string): Promise<SubmitReply> {
 		this.specs.set(id, spec);
-		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
-		return this.settle(entry.jobs.submit(queue, id, spec, 2500));
+		return this.settle(this.#getEntry(entryName).jobs.submit(queue, id, spec, 2500));
 	}
 
 	async cancel(id: string, entryName?: string): Promise<LookupOutcome> {
-		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
-		return this.settle(entry.jobs.cancel(queue, id, 2500));
+		return this.settle(this.#getEntry(entryName).jobs.cancel(queue, id, 2500));
 	}
 
 	async getState(id: string, entryName?: string): Promise<WorkflowState | LookupOutcome> {
-		const entry = entryName === undefined ? [...this.entries.values()][0]! : this.entries.get(entryName)!;
-		const {outcome, state} = await this.settle(entry.jobs.getState(queue, id, 2500));
+		const {outcome, state} = await this.settle(this.#getEntry(entryName).jobs.getState(queue, id, 2500));
 		return outcome === LookupOutcome.Found ? state! : outcome;
 	}
 
@@ -280,6 +276,10 @@
 		}
 	}
 
+	#getEntry(name = [...this.entries.keys()][0]!): EntryProcess {
+		return this.entries.get(name)!;
+	}
+
 	#announce(host: AgentHost): void {
 		host.agent?.announce(host.worker.announce());
 		this.clock.setTimer(() => {
@@ -399,6 +399,3 @@
 		}
 	}
 }
-
-/** Puts a value for tests that write to the store by hand. */
-export const toValue = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
