--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -30,7 +30,6 @@
 export const service = 'desk';
 const partitions = 8;
 export const partition = getPartition(service, partitions);
-
 /** A cancelled job starts nothing after this. */
 export const cancelMs = 3000;
 
