--- a/scripts/measure-deciding.ts
+++ b/scripts/measure-deciding.ts
@@ -1,6 +1,6 @@
 /**
 Plays the loads of `src/measure/deciding-load.ts` against the owner as it is: `tsx scripts/measure-deciding.ts --seeds 5
---load heavy --without value-order`.
+--load heavy --without value-order`; `--known` lets the owner begin with the true harm of all pairs.
 */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -10,13 +10,13 @@
 
 const {values} = parseArgs({
 	options: {
-		seeds: {type: 'string', default: '3'}, first: {type: 'string', default: '1'}, load: {type: 'string'}, without: {type: 'string', default: ''}, json: {type: 'boolean', default: false},
+		seeds: {type: 'string', default: '3'}, first: {type: 'string', default: '1'}, load: {type: 'string'}, without: {type: 'string', default: ''}, known: {type: 'boolean', default: false},
 	},
 });
 for (const load of decidingLoads.filter(({name}) => values.load === undefined || values.load === name)) {
 	for (let seed = Number(values.first); seed < Number(values.first) + Number(values.seeds); seed++) {
 		const startMs = performance.now();
-		const {credit, counts, lostCoreS, harmS, fillingCores} = await playDeciding(load, seed, createPolicy(values.without));
+		const {credit, counts, lostCoreS, harmS, fillingCores} = await playDeciding(load, seed, {policy: createPolicy(values.without), isHarmKnown: values.known});
 		let earned = 0;
 		let owed = 0;
 		for (const sum of credit.values()) {
@@ -26,7 +26,7 @@
 
 		const kinds = Object.fromEntries([...credit].map(([name, sum]) => [name, Number((sum.earned / sum.owed).toFixed(3))]));
 		process.stdout.write(`${JSON.stringify({
-			load: load.name, seed, without: values.without, worth: Number((earned / owed).toFixed(4)), kinds, counts: Object.fromEntries(counts), lostCoreS: Math.round(lostCoreS), harmS: Math.round(harmS), fillingCores: Math.round(fillingCores), tookMs: Math.round(performance.now() - startMs),
+			load: load.name, seed, without: values.without, known: values.known, worth: Number((earned / owed).toFixed(4)), kinds, counts: Object.fromEntries(counts), lostCoreS: Math.round(lostCoreS), harmS: Math.round(harmS), fillingCores: Math.round(fillingCores), tookMs: Math.round(performance.now() - startMs),
 		})}\n`);
 	}
 }
--- a/src/measure/deciding-load.ts
+++ b/src/measure/deciding-load.ts
@@ -175,7 +175,32 @@
 const effects = [0, 0, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 1.1, 1.4, 1.8, 2.2, 2.6, 3];
 const workers = [16_000, 16_000, 24_000, 16_000, 16_000, 24_000, 16_000, 16_000, 24_000, 16_000, 16_000];
 
-/** A day with room for all, a day of more than there is room for, and the same with all hosts dark for a second. */
+/** A service of many workers: wide jobs of many images fill beside as many that serve. */
+const large: DecidingLoad = {
+	name: 'large',
+	workers: Array.from({length: 160}, (_, index) => index % 3 === 2 ? 24_000 : 16_000),
+	restMs: 4,
+	effects,
+	kinds: [
+		{
+			...match, perS: 7.3, width: {mean: 9, spread: 0.8, max: 56}, milliCpu: {mean: 950, spread: 0.45, max: 2900}, memoryMb: 1900, unevenness: 0.15,
+		},
+		{
+			...build, perS: 3.2, early: 8, worth: 4.18, width: {mean: 39, spread: 0.6, max: 160}, workMs: {mean: 2429, spread: 0.5, max: 6100}, memoryMb: 3200, unevenness: 0.3, images: 30,
+		},
+		{
+			...relay, perS: 0.12, early: 31, worth: 1, width: {mean: 24, spread: 0.4, max: 48}, memoryMb: 6400, images: 16, serving: {
+				stayS: {mean: 70, spread: 0.5, max: 210}, targetMs: 25, load: 0.48, swing: 0.5, periodS: 20, apartShare: 0.5,
+			},
+		},
+	],
+	bursts: [{
+		kind: 'build', atS: 9, forS: 6, times: 1.4,
+	}],
+	lengthS: 30,
+};
+
+/** A day with room for all, a day of more than there is room for, the same with all hosts dark for a second, and a large service. */
 export const decidingLoads: DecidingLoad[] = [
 	{
 		name: 'light', workers, restMs: 4, effects, kinds: [match, {...build, perS: 0.25, early: 1}, {...relay, early: 7}], bursts: [{
@@ -192,4 +217,5 @@
 			kind: 'build', atS: 9, forS: 6, times: 1.5,
 		}], lengthS: 45, darkAtS: 30,
 	},
+	large,
 ];
--- a/src/measure/deciding-run.ts
+++ b/src/measure/deciding-run.ts
@@ -15,7 +15,9 @@
 import {Owner} from '../workflows/owner.ts';
 import {type Policy} from '../workflows/policy.ts';
 import {encodeRecord, RecordType, workflowsTopic} from '../workflows/records.ts';
-import {offerJobs, type DecidingLoad, type OfferedJob} from './deciding-load.ts';
+import {
+	offerJobs, type DecidingLoad, type JobKind, type OfferedJob,
+} from './deciding-load.ts';
 
 /** What callers got. */
 export type DecidingResult = {
@@ -31,6 +33,14 @@
 	fillingCores: number;
 };
 
+/** How a load is played. */
+export type DecidingOptions = {
+	policy: Policy;
+	/** The owner begins with the true harm of all pairs: what there is to gain by learning better. */
+	isHarmKnown?: boolean;
+	note?: (event: string, fields: Record<string, unknown>) => void;
+};
+
 const stepMs = 50;
 const partition = 0;
 const ref = {topic: workflowsTopic, partition};
@@ -44,6 +54,9 @@
 const checkpointEveryMs = 1000;
 const restoreMs = 100;
 const secondMs = 1000;
+/** Effects are handed on for a tenth of a worker. */
+const tenths = 10;
+const knownDeviation = 0.01;
 
 type World = {
 	clock: ManualClock;
@@ -53,6 +66,8 @@
 	agents: Map<string, {agent: Agent; aborter: AbortController}>;
 	result: DecidingResult;
 	policy: Policy;
+	/** Load that a whole worker of the filling image adds to the serving one's. */
+	getEffect: (server: string, filler: string) => number;
 	/** Time that tasks of serving jobs were well at work, and were harmed, by job, in the present window. */
 	served: Map<string, {goodMs: number; harmMs: number}>;
 	/** Jobs that were seen to be completed. */
@@ -60,7 +75,7 @@
 };
 
 /** Plays the load once. */
-export const playDeciding = async (load: DecidingLoad, seed: number, policy: Policy, note: (event: string, fields: Record<string, unknown>) => void = () => undefined): Promise<DecidingResult> => {
+export const playDeciding = async (load: DecidingLoad, seed: number, {policy, isHarmKnown = false, note = () => undefined}: DecidingOptions): Promise<DecidingResult> => {
 	const random = createRandom(seed);
 	const offered = offerJobs(load, random);
 	const world = createWorld(load, random, policy);
@@ -68,6 +83,10 @@
 		startAgent(world, host);
 	}
 
+	if (isHarmKnown) {
+		await writeHarm(world, load);
+	}
+
 	let entry = startEntry(world, 1, note);
 	await advance(world, settleMs);
 	const startMs = world.clock.monotonicMs();
@@ -127,8 +146,10 @@
 const createWorld = (load: DecidingLoad, random: Random, policy: Policy): World => {
 	const clock = new ManualClock();
 	const salt = random.below(1e6);
+	const getEffect = (server: string, filler: string) =>
+		load.effects[Math.floor(getChance(`${salt} ${server} ${filler}`) * load.effects.length)]!;
 	const world: World = {
-		clock, store: new MemoryStore(clock, 1), jobs: new Map(), workers: new Map(), agents: new Map(), policy, served: new Map(), ended: new Set(), result: {
+		clock, store: new MemoryStore(clock, 1), jobs: new Map(), workers: new Map(), agents: new Map(), policy, getEffect, served: new Map(), ended: new Set(), result: {
 			credit: new Map(), lostCoreS: 0, harmS: 0, counts: new Map(), fillingCores: 0,
 		},
 	};
@@ -139,8 +160,7 @@
 			const {phase, kind: {serving}} = getJob(taskId);
 			return serving!.load * (1 + (serving!.swing * Math.sin(2 * Math.PI * ((nowMs / (serving!.periodS * secondMs)) + phase))));
 		},
-		getEffect: (server: string, filler: string) =>
-			load.effects[Math.floor(getChance(`${salt} ${server} ${filler}`) * load.effects.length)]!,
+		getEffect,
 	};
 	for (const [index, milliCpu] of load.workers.entries()) {
 		const host = `host-${String(index).padStart(2, '0')}`;
@@ -279,6 +299,18 @@
 	void store.createClient('callers').append(ref, [encodeRecord(record)], {timeoutMs: secondMs});
 };
 
+/** Writes the harm of all pairs as an owner before would have learned it. */
+const writeHarm = async (world: World, {kinds}: DecidingLoad): Promise<void> => {
+	const getImages = (isMeant: (kind: JobKind) => boolean) => kinds.filter(kind => isMeant(kind)).flatMap(({name, images}) => Array.from({length: images}, (_, index) => `${name}-${index}`));
+	const servers = getImages(({serving}) => serving !== undefined);
+	const fillers = getImages(({isFilling}) => isFilling);
+	await write(world, {
+		type: RecordType.Harm, pairs: servers.flatMap(server => fillers.map(filler => ({
+			server, filler, mean: world.getEffect(server, filler) / tenths, deviation: knownDeviation,
+		}))),
+	});
+};
+
 const submit = async (world: World, {id, kind, spec}: OfferedJob): Promise<void> => write(world, {
 	type: RecordType.Submit, workflow: {
 		...spec, id, queue: kind.name, service: 'desk', priority: kind.priority, maxAttempts: kind.maxAttempts, stretch: kind.stretch, targetLatencyMs: kind.targetLatencyMs, needsAdvice: false, receivedAtMs: world.clock.now().getTime(),
