Try what is not known to harm on two workers at once, not on all

Hypothesis: a wide job of a new image starts on every worker in the same moment and does its harm on all of them, where one report, half a second later, would have told.

Change: while the effect of a filling image on a serving one is in doubt, at most two workers have both (src/workflows/ trials.ts, mechanism few-trials). Other tasks go where the image is known, or wait for the verdict.

--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -45,6 +45,8 @@
 const noOtherLoad = 0;
 // A pair that was not seen yet is taken for somewhat harmful: one task shows what it does before more follow.
 const cautionDeviations = 0.5;
+/** Half of the doubt about a pair that was never seen. */
+const knownDeviation = 0.1;
 
 /** Learned harm. */
 export class FillHarm {
@@ -101,6 +103,12 @@
 		return Math.max(0, this.#getEffect(server, filler, cautionDeviations));
 	}
 
+	/** Whether it was measured of late what the image does to the server's. */
+	isKnown(server: string, filler: string): boolean {
+		const pair = this.#model.getIdlePair(this.#kinds.get(server), this.#kinds.get(filler));
+		return pair !== undefined && pair.deviation <= knownDeviation;
+	}
+
 	/** Load of a server by itself. */
 	getLoad(job: string): number {
 		return this.#loads.get(job);
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -13,6 +13,7 @@
 	StepPlaces, type IsAllowed, type PlaceTerms, type WaitReason,
 } from './step-places.ts';
 import {type RankTask} from './task-order.ts';
+import {Trials} from './trials.ts';
 
 /** A start that was decided. */
 export type Start = {
@@ -55,7 +56,7 @@
 	const rank = createRank(spareMilliCpu);
 	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
 	const terms: PlaceTerms = {
-		harm, isAllowed, policy, mustRun: false, isUnservedShort: isUnservedShort(tasks, candidates),
+		harm, isAllowed, policy, trials: new Trials(harm, candidates), mustRun: false, isUnservedShort: isUnservedShort(tasks, candidates),
 	};
 	const findPlaces = createPlacesFinder(candidates, terms);
 	const starts: Start[] = [];
@@ -144,14 +145,15 @@
 */
 export const createPlaceFinder = (workers: Iterable<FleetWorker>, {harm, isAllowed, policy}: Pick<PlacementInput, 'harm' | 'isAllowed' | 'policy'>): ((task: LiveTask) => boolean) => {
 	// Whether there is a place does not depend on which one would be best.
-	const terms: PlaceTerms = {
-		harm, isAllowed, policy, mustRun: false, isUnservedShort: false,
-	};
 	const known = new Map<LiveStep, StepPlaces>();
 	let candidates: Candidate[] | undefined;
+	let trials: Trials | undefined;
 	return task => {
 		candidates ??= [...workers].map(worker => createCandidate(worker, harm));
-		const places = known.get(task.step) ?? new StepPlaces(task.step, candidates, terms);
+		trials ??= new Trials(harm, candidates);
+		const places = known.get(task.step) ?? new StepPlaces(task.step, candidates, {
+			harm, isAllowed, policy, trials, mustRun: false, isUnservedShort: false,
+		});
 		known.set(task.step, places);
 		return places.hasPlace(task);
 	};
--- a/src/workflows/policy.ts
+++ b/src/workflows/policy.ts
@@ -17,6 +17,8 @@
 	IdleStart = 'idle-start',
 	/** A task that fills waits for a place where it gets most of its speed; without it, any place with room. */
 	FillWait = 'fill-wait',
+	/** An image whose harm is not known is tried on few workers at once. */
+	FewTrials = 'few-trials',
 	/** Serving tasks stand close together, so that other workers are left to what fills. */
 	ServerCompany = 'server-company',
 	/** Runs that stand still are moved, or get a copy. */
--- a/src/workflows/step-places.ts
+++ b/src/workflows/step-places.ts
@@ -12,6 +12,7 @@
 import {type LiveStep, type LiveTask} from './live-model.ts';
 import {addDemand, take, type Candidate} from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
+import {type Trials} from './trials.ts';
 
 /** Tells whether tasks of the step may run on the worker. */
 export type IsAllowed = (step: LiveStep, workerId: string) => boolean;
@@ -22,6 +23,7 @@
 	/** Whether a queue's policy lets the step run on the worker. */
 	isAllowed: IsAllowed;
 	policy: Policy;
+	trials: Trials;
 	/** A task that fills starts also where it disturbs. */
 	mustRun: boolean;
 	/** What fills and waits asks for more than is free where nobody serves. */
@@ -41,6 +43,8 @@
 	Paced = 'paced',
 	/** It would disturb, or get too little. */
 	Harm = 'harm',
+	/** Other workers are trying what its image does to what serves there. */
+	Trial = 'trial',
 	/** A worker would take it, but another run of the task is there already. */
 	Other = 'other',
 }
@@ -76,15 +80,29 @@
 
 	/** Takes the best place for the task; undefined: there is none. */
 	take(task: LiveTask): Candidate | undefined {
-		const index = this.#findBest(task);
-		if (index === -1) {
-			return undefined;
-		}
+		const {harm, trials} = this.#terms;
+		const {spec} = this.#step;
+		for (;;) {
+			const index = this.#findBest(task);
+			if (index === -1) {
+				return undefined;
+			}
 
-		const candidate = this.#candidates[index]!;
-		take(candidate, task, this.#terms.harm);
-		this.#weigh(index);
-		return candidate;
+			const candidate = this.#candidates[index]!;
+			// Trials that began since the place was weighed may have closed it.
+			const isOpen = !spec.isFilling || getFillObstacle(spec, candidate, this.#terms) === undefined;
+			if (isOpen) {
+				take(candidate, task, harm);
+				if (spec.isFilling) {
+					trials.note(candidate, spec.image ?? '');
+				}
+			}
+
+			this.#weigh(index);
+			if (isOpen) {
+				return candidate;
+			}
+		}
 	}
 
 	/** Of all workers, the reason of the one that came nearest to taking a task. */
@@ -131,10 +149,10 @@
 const minPercent = 50;
 
 /** What keeps a task of the step off the worker; undefined: nothing. */
-const getObstacle = (step: LiveStep, candidate: Candidate, {harm, isAllowed, mustRun, policy}: PlaceTerms): WaitReason | undefined => {
+const getObstacle = (step: LiveStep, candidate: Candidate, terms: PlaceTerms): WaitReason | undefined => {
 	const {spec} = step;
 	const {worker, free, ofStep} = candidate;
-	if (!isSuited(spec, worker.report!) || !isAllowed(step, worker.report!.workerId)) {
+	if (!isSuited(spec, worker.report!) || !terms.isAllowed(step, worker.report!.workerId)) {
 		return WaitReason.NoWorker;
 	}
 
@@ -146,16 +164,16 @@
 		return WaitReason.Spread;
 	}
 
-	return spec.isFilling ? getFillObstacle(spec, candidate, {harm, mustRun: mustRun || !policy[Mechanism.FillWait]}) : undefined;
+	return spec.isFilling ? getFillObstacle(spec, candidate, terms) : undefined;
 };
 
-const getFillObstacle = (spec: WorkflowStep, candidate: Candidate, {harm, mustRun}: Pick<PlaceTerms, 'harm' | 'mustRun'>): WaitReason | undefined => {
+const getFillObstacle = (spec: WorkflowStep, candidate: Candidate, {harm, mustRun, policy, trials}: PlaceTerms): WaitReason | undefined => {
 	const {worker} = candidate;
 	if (worker.isFillStopped) {
 		return WaitReason.FillStopped;
 	}
 
-	if (mustRun) {
+	if (mustRun || !policy[Mechanism.FillWait]) {
 		return undefined;
 	}
 
@@ -163,7 +181,11 @@
 		return WaitReason.Paced;
 	}
 
-	return getFillSpeed(spec, candidate, harm) < minFillSpeed ? WaitReason.Harm : undefined;
+	if (getFillSpeed(spec, candidate, harm) < minFillSpeed) {
+		return WaitReason.Harm;
+	}
+
+	return policy[Mechanism.FewTrials] && !trials.mayStart(candidate, spec.image ?? '') ? WaitReason.Trial : undefined;
 };
 
 /** Work that a task more would add on the worker, as a share of its full speed: what it would take from others is taken off. */
--- a/test/site-places.test.ts
+++ b/test/site-places.test.ts
@@ -6,9 +6,10 @@
 import {FillHarm} from '../src/workflows/fill-harm.ts';
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
 import {type LiveTask} from '../src/workflows/live-model.ts';
-import {createCandidate} from '../src/workflows/placement-candidates.ts';
+import {createCandidate, type Candidate} from '../src/workflows/placement-candidates.ts';
 import {createPolicy} from '../src/workflows/policy.ts';
 import {StepPlaces} from '../src/workflows/step-places.ts';
+import {Trials} from '../src/workflows/trials.ts';
 import {
 	createWorker, createWorkflow, load, placeAll, run,
 } from './site-fleet.ts';
@@ -67,11 +68,13 @@
 	it('are the same whether they are weighed once or anew for each task', () => {
 		fc.assert(fc.property(drawn, draw => {
 			const {workers, tasks, harm} = createFleet(draw);
-			const terms = {
-				harm, policy: createPolicy(), isAllowed: () => true, mustRun: false, isUnservedShort: true,
-			};
-			const kept = new StepPlaces(tasks[0]!.step, workers.map(worker => createCandidate(worker, harm)), terms);
+			const createTerms = (candidates: Candidate[]) => ({
+				harm, policy: createPolicy(), trials: new Trials(harm, candidates), isAllowed: () => true, mustRun: false, isUnservedShort: true,
+			});
+			const candidates = workers.map(worker => createCandidate(worker, harm));
+			const kept = new StepPlaces(tasks[0]!.step, candidates, createTerms(candidates));
 			const anew = workers.map(worker => createCandidate(worker, harm));
+			const terms = createTerms(anew);
 			for (const task of tasks) {
 				const places = new StepPlaces(task.step, anew, terms);
 				expect(kept.take(task)?.worker.host).toBe(places.take(task)?.worker.host);
@@ -94,8 +97,9 @@
 		const task = [...model.waiting(0, () => false)][0]!;
 		run(task, worker);
 		const harm = new FillHarm();
-		const places = new StepPlaces(task.step, [createCandidate(worker, harm)], {
-			harm, policy: createPolicy(), isAllowed: () => true, mustRun: false, isUnservedShort: false,
+		const candidates = [createCandidate(worker, harm)];
+		const places = new StepPlaces(task.step, candidates, {
+			harm, policy: createPolicy(), trials: new Trials(harm, candidates), isAllowed: () => true, mustRun: false, isUnservedShort: false,
 		});
 		expect(places.take(task)).toBeUndefined();
 	});
--- /dev/null
+++ b/test/site-trials.test.ts
@@ -0,0 +1,93 @@
+/**
+What fills beside serving tasks while it is not known what it does to them.
+*/
+import {describe, expect, it} from 'vitest';
+import {FillHarm} from '../src/workflows/fill-harm.ts';
+import {createPolicy} from '../src/workflows/policy.ts';
+import {
+	createWorker, createWorkflow, load, placeAll, run,
+} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const size = 20;
+
+/** One serving task on each worker, of two images by turns; a wide job waits. */
+const createFleet = (waiting: number) => {
+	const {model} = load([
+		...['even', 'odd'].map(image => createWorkflow(image, createSpec([createStep({
+			count: size / 2, isLasting: true, targetMs: 24, image, milliCpu: 3500,
+		})]))),
+		createWorkflow('wide', createSpec([createStep({
+			count: waiting, isFilling: true, image: 'new', milliCpu: 1800,
+		})])),
+	]);
+	const workers = Array.from({length: size}, (_, index) => createWorker(`host-${index}`, 16_000));
+	for (const [index, worker] of workers.entries()) {
+		run(model.getTask({
+			workflowId: index % 2 === 0 ? 'even' : 'odd', occurrence: 0, step: 0, index: Math.floor(index / 2),
+		})!, worker, {recent: 8, percent: 100});
+	}
+
+	return {model, workers};
+};
+
+const getTasks = (starts: ReturnType<typeof placeAll>) => starts.filter(({task}) => task.step.spec.isFilling);
+
+describe('a wide job of an image that was never seen', () => {
+	/**
+	On a large service the serving tasks of all workers stood over their targets at once, 331 s of serving tasks in a measured
+	load of 30 s, 13 s where all harm was known from the start. A job of forty tasks started one on each worker in the same moment,
+	and every other worker learned by doing harm what two would have shown.
+	*/
+	it('is tried on two workers beside each image that serves', () => {
+		const {model, workers} = createFleet(size);
+		const starts = getTasks(placeAll(model, workers));
+		expect(starts).toHaveLength(4);
+		expect(starts.filter(({worker}) => workers.indexOf(worker) % 2 === 0)).toHaveLength(2);
+	});
+
+	it('counts the trials that run already', () => {
+		const {model, workers} = createFleet(size);
+		const {tasks} = model.workflows.get('wide')!.occurrences.get(0)![0]!;
+		run(tasks[0]!, workers[0]!, {recent: 1800});
+		run(tasks[1]!, workers[2]!, {recent: 1800});
+		const starts = getTasks(placeAll(model, workers));
+		expect(starts).toHaveLength(2);
+		expect(starts.every(({worker}) => workers.indexOf(worker) % 2 === 1)).toBe(true);
+	});
+
+	it('goes everywhere once it is known to harm nobody', () => {
+		const {model, workers} = createFleet(size);
+		const harm = new FillHarm();
+		harm.restore(['even', 'odd'].map(server => ({
+			server, filler: 'new', mean: 0, deviation: 0.02,
+		})), 0);
+		expect(getTasks(placeAll(model, workers, {harm}))).toHaveLength(size);
+	});
+
+	it('goes on to where it is known while it is tried elsewhere', () => {
+		const {model, workers} = createFleet(size);
+		const harm = new FillHarm();
+		harm.restore([{
+			server: 'even', filler: 'new', mean: 0, deviation: 0.02,
+		}], 0);
+		const starts = getTasks(placeAll(model, workers, {harm}));
+		expect(starts.filter(({worker}) => workers.indexOf(worker) % 2 === 1).length).toBeLessThanOrEqual(2);
+		expect(starts).toHaveLength(size);
+	});
+
+	it('starts one task beside users in any case when it has waited too long', () => {
+		const {model, workers} = createFleet(1);
+		const harm = new FillHarm();
+		harm.restore(['even', 'odd'].map(server => ({
+			server, filler: 'new', mean: 0.5, deviation: 0.02,
+		})), 0);
+		expect(getTasks(placeAll(model, workers, {harm}))).toHaveLength(0);
+		expect(getTasks(placeAll(model, workers, {harm, nowMs: 2000}))).toHaveLength(1);
+	});
+
+	it('goes wherever it fits without the bound, as in a trial build', () => {
+		const {model, workers} = createFleet(size);
+		expect(getTasks(placeAll(model, workers, {policy: createPolicy('few-trials')})).length).toBeGreaterThan(4);
+	});
+});
