--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -3,7 +3,6 @@
 */
 import {HarmModel, KindTable} from '../jobs/harm-model.ts';
 import {TaskClass} from '../types/jobs.ts';
-import {type TaskRef} from '../types/workflows.ts';
 import {RunPhase, type LiveRun} from './live-model.ts';
 import {type HarmPair} from './records.ts';
 import {getLoadAt, saturatedLoad, ServingLoads} from './serving-load.ts';
@@ -181,17 +180,14 @@
 
 const round = (value: number): number => Math.round(value * 1000) / 1000;
 
-/** Job of a serving task, as loads are followed by. */
-export const getServingJob = ({workflowId, step}: TaskRef): string => `${workflowId}.${step}`;
-
 /** Serving tasks among the runs of a worker, with what was last reported of them. */
 export const getServers = (runs: Iterable<LiveRun>): Server[] => {
 	const servers: Server[] = [];
-	for (const {phase, percent, recent, overSinceMs, mostlyOverSinceMs, task: {ref, step: {spec}}} of runs) {
+	for (const {phase, percent, recent, overSinceMs, mostlyOverSinceMs, task: {step: {spec, servingName}}} of runs) {
 		if (spec.targetMs > 0 && phase === RunPhase.Running) {
 			const ratio = percent === 100 ? recent / spec.targetMs : 0;
 			servers.push({
-				image: spec.image ?? '', job: getServingJob(ref), ratio, overSinceMs, mostlyOverSinceMs,
+				image: spec.image ?? '', job: servingName, ratio, overSinceMs, mostlyOverSinceMs,
 			});
 		}
 	}
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -85,6 +85,8 @@
 	occurrence: number;
 	index: number;
 	spec: WorkflowStep;
+	/** Tasks of a job that serve have one load: it is followed under this name. */
+	servingName: string;
 	tasks: LiveTask[];
 	remaining: number;
 	isReady: boolean;
@@ -232,7 +234,7 @@
 	#open(workflow: LiveWorkflow, occurrence: number, nowMs: number): void {
 		const steps = workflow.spec.steps.map((spec, index): LiveStep => {
 			const step: LiveStep = {
-				workflow, occurrence, index, spec, tasks: [], remaining: 0, isReady: false,
+				workflow, occurrence, index, spec, servingName: `${workflow.spec.id}.${index}`, tasks: [], remaining: 0, isReady: false,
 			};
 			for (let taskIndex = 0; taskIndex < spec.count; taskIndex++) {
 				step.tasks.push(createTask(step, taskIndex, nowMs));
--- a/src/workflows/placement-candidates.ts
+++ b/src/workflows/placement-candidates.ts
@@ -2,9 +2,7 @@
 Workers as a round of placement sees them: what is free and what runs there, with what the round has decided so far.
 */
 import {type WorkflowStep} from '../types/workflows.ts';
-import {
-	getFillers, getServers, getServingJob, type FillHarm,
-} from './fill-harm.ts';
+import {getFillers, getServers, type FillHarm} from './fill-harm.ts';
 import {
 	getFreeRoom, getMilliCpu, getRack, type FleetWorker, type Room,
 } from './fleet-view.ts';
@@ -54,8 +52,8 @@
 /** A serving task uses its processors in the measure of its load, any other task all of them. */
 const getUnusedShare = ({report, runs}: FleetWorker, harm: FillHarm): number => {
 	let usedMilliCpu = 0;
-	for (const {task: {ref, step: {spec}}} of runs) {
-		usedMilliCpu += getMilliCpu(spec) * (spec.targetMs > 0 ? harm.getLoad(getServingJob(ref)) : 1);
+	for (const {task: {step: {spec, servingName}}} of runs) {
+		usedMilliCpu += getMilliCpu(spec) * (spec.targetMs > 0 ? harm.getLoad(servingName) : 1);
 	}
 
 	return 1 - (usedMilliCpu / report!.milliCpu);
@@ -72,7 +70,7 @@
 };
 
 /** Notes that a task starts there. */
-export const take = (candidate: Candidate, {ref, step}: LiveTask, harm: FillHarm): void => {
+export const take = (candidate: Candidate, {step}: LiveTask, harm: FillHarm): void => {
 	const {spec} = step;
 	const {milliCpu} = candidate.worker.report!;
 	candidate.free.milliCpu -= getMilliCpu(spec);
@@ -89,7 +87,7 @@
 	if (spec.isFilling) {
 		candidate.demands = addDemand(candidate.demands, spec, milliCpu);
 	} else if (spec.targetMs > 0) {
-		const load = harm.getLoad(getServingJob(ref));
+		const load = harm.getLoad(step.servingName);
 		candidate.unusedShare -= load * spec.milliCpu / milliCpu;
 		candidate.servers = [...candidate.servers, {image: spec.image ?? '', load: load + waveMargin}];
 	} else {
