--- a/src/agents/control-watch.ts
+++ b/src/agents/control-watch.ts
@@ -21,7 +21,7 @@
 };
 
 /**
-A read without news ends after this, so a proof is at most this old while the store answers: an outage of 5 s and the
+A read without news ends after this, so a proof is at most this old while the store answers: an outage of some seconds and the
 time to notice its end still fit into the lease.
 */
 const readWaitMs = 1000;
--- a/src/agents/lease-clock.ts
+++ b/src/agents/lease-clock.ts
@@ -79,7 +79,6 @@
 
 /**
 Leases go on so long after the last proof. Long: an outage of the store or the loss of all entries leaves running work
-alone. Short: tasks of a lost worker start elsewhere sooner. Outages of the users' days last 3 to 6 s, and a successor
-may take 8 s where a worker is not reached.
+alone. Short: tasks of a lost worker start elsewhere sooner, and so do those of a successor that does not reach one.
 */
 export const leaseHorizonMs = 7000;
--- a/src/core/producer-writer.ts
+++ b/src/core/producer-writer.ts
@@ -44,7 +44,7 @@
 	resolve: (outcome: WriteOutcome) => void;
 };
 
-// A call without an answer is repeated after this; the store answers in a few ms, slow days take some 300 ms.
+// A call without an answer is repeated after this: longer than a slow store takes.
 const attemptTimeoutMs = 900;
 const backoffMs = 60;
 
--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -16,7 +16,7 @@
 
 /** Callers that name no deadline wait this long. */
 const defaultDeadlineMs = 3000;
-/** Kept back from a caller's deadline for the way to it: links take 3 ms, a busy process some ten. */
+/** Kept back from a caller's deadline for the way to it. */
 const answerReserveMs = 150;
 const maxSteps = 1000;
 const maxTasksPerStep = 100_000;
--- a/src/platform/site-file.ts
+++ b/src/platform/site-file.ts
@@ -72,7 +72,7 @@
 	};
 };
 
-// The fallbacks are those of the users' present sites; each site names its own.
+// Each site names its own; the fallbacks are for a site that leaves one out.
 const decodeBounds = (bounds: TomlTable): SiteBounds => ({
 	configApplyMs: getNumber(bounds, 'configApplyMs', 2000),
 	drainMs: getNumber(bounds, 'drainMs', 2000),
--- a/src/utils/process-load.ts
+++ b/src/utils/process-load.ts
@@ -15,8 +15,7 @@
 const maxStallMs = 500;
 /**
 More of its time than this spent waiting for the processor, what a caller asks takes a second: its connection, its request and
-the store's answer each wait for the thread. An owner on 0.069 of a core was 0.1 to 0.4 s late at each look (0.7 to 0.9 of
-its time), entries beside it 5 ms (0.1).
+the store's answer each wait for the thread.
 */
 const overloadedShare = 0.4;
 /** Below this it takes callers again. */
--- a/src/utils/turns.ts
+++ b/src/utils/turns.ts
@@ -7,7 +7,7 @@
 
 /**
 Work goes on in a turn until this is used up; one piece at the least. One piece a turn alone would be too little: what else
-belongs to a turn takes its time each time, and answers of peers then waited for 3.5 s.
+belongs to a turn takes its time each time, and answers of peers would wait for seconds.
 */
 const turnMs = 10;
 
--- a/src/workflows/config-follower.ts
+++ b/src/workflows/config-follower.ts
@@ -19,7 +19,7 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** A wait without news ends after this: a silent connection shows soon enough for a change to be in force in 2 s. */
+/** A wait without news ends after this: a silent connection shows soon enough for a change to be in force in time. */
 const readWaitMs = 1000;
 const retryMs = 100;
 
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -26,8 +26,8 @@
 /** The same where callers only ask: all entries read the stream, and each read is a call to the store that is paid for. */
 const readerGatherMs = 40;
 /**
-A read that gets no answer is tried again with half as much: on a link of 7 Mbit/s a megabyte takes longer than a reader
-waits, and asking for it again and again would never end. The first read takes 0.15 s on such a link.
+A read that gets no answer is tried again with half as much: on a slow link a megabyte takes longer than a reader waits, and
+asking for it again and again would never end.
 */
 const firstReadBytes = 131_072;
 const minReadBytes = 16_384;
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -27,7 +27,7 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** A stop takes a worker some 100 ms; without an end in the list it is ordered again. */
+/** Longer than a worker takes to stop a run; without an end in the list it is ordered again. */
 const stopRetryMs = 700;
 /** Longer than the time between two listings of a worker. */
 const unknownPauseMs = 1000;
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -36,9 +36,9 @@
 /** Ends gather for so long before they are stored: one call takes them all, and wakes all readers once. */
 const gatherMs = 15;
 const begunEveryMs = 400;
-/** A record of some 3 KB; an owner that dies takes at most so much of what it learned with it. */
+/** An owner that dies takes at most so much of what it learned with it. */
 const harmEveryMs = 3000;
-/** Workers save each second of work; a record of 60 tasks takes some 5 KB. */
+/** Workers save each second of work. */
 const savedEveryMs = 1000;
 const retryMs = 150;
 const storeTimeoutMs = 1000;
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -43,7 +43,7 @@
 const busyTtlMs = 4000;
 /** The group waits for so many of the longest gaps between heartbeats seen of late. */
 const gapsAllowed = 3;
-/** A long gap counts half after 70 heartbeats, some 20 s. */
+/** A long gap is forgotten within a minute. */
 const gapDecay = 0.99;
 /** What an owner uses grows with the workers that it keeps in touch with. */
 const processorsForWorker = 0.01;
@@ -67,10 +67,10 @@
 
 /**
 An owner that has seen nothing new for so long while its heartbeats came through leaves the jobs to an entry that reads. Its
-starts are held long before; a read that is tried again in smaller pieces may take four of 1.4 s.
+starts are held long before; a read that is tried again in smaller pieces takes several time-outs.
 */
 const giveUpAfterMs = 6000;
-/** An entry that joins has read to the end not longer ago than this: reads without news take 0.7 s, and are given up after 1.4 s. */
+/** An entry that joins has read to the end not longer ago than this: longer than a read without news may take. */
 const freshViewMs = 2500;
 /** Until the jobs are known. */
 const catchUpEveryMs = 20;
--- a/src/workflows/relocation.ts
+++ b/src/workflows/relocation.ts
@@ -18,7 +18,7 @@
 
 /** A task that fills and was held at this pace or below does not move on. */
 const heldPercent = 10;
-/** Harm shows within a second and may pass; a stop costs up to a second of work and 0.6 s to restore. */
+/** Harm shows within a second and may pass; a stop costs work that was not saved, and the time to restore. */
 const heldMs = 1200;
 /** From here on the speed so far tells more than the caller's estimate. */
 const knownFromPercent = 20;
--- a/src/workflows/rounds.ts
+++ b/src/workflows/rounds.ts
@@ -36,10 +36,7 @@
 
 /** Changes gather for so long before a round. */
 const roundDelayMs = 4;
-/**
-After a round comes a rest of so many times its length: rounds took 0.25 to 0.6 s of each second on 0.069 of a core. A round
-of 1 ms, as on a whole core, rests for 3 ms.
-*/
+/** After a round comes a rest of so many times its length: on a small host rounds would else take all of the processor. */
 const roundRest = 3;
 /** What is left of jobs changes by the second; rounds come many times a second. */
 const remainderEveryMs = 100;
--- a/src/workflows/run-times.ts
+++ b/src/workflows/run-times.ts
@@ -18,7 +18,7 @@
 	errorSpread: number;
 };
 
-/** Before steps were measured: jobs of a queue differ by half of themselves, estimates by 0.9 (users' sheets say "rough"). */
+/** In logarithms, before steps were seen: jobs of a queue differ by half of themselves, and callers' estimates are rough. */
 const assumedVariance = 0.5 ** 2;
 const assumedErrorVariance = 0.9 ** 2;
 /** Assumed variances count like this many steps. */
--- a/src/workflows/stalls.ts
+++ b/src/workflows/stalls.ts
@@ -3,7 +3,7 @@
 */
 import {RunPhase, type LiveRun} from './live-model.ts';
 
-/** A sound task shows progress many times a second; restoring a checkpoint takes up to 0.6 s on the users' sites. */
+/** A sound task shows progress many times a second; restoring a checkpoint takes less than this. */
 const stallMs = 1500;
 /** Progress is told in hundredths: of a long task each takes longer. */
 const stallShareOfEstimate = 0.1;
--- a/src/workflows/task-order.ts
+++ b/src/workflows/task-order.ts
@@ -29,7 +29,7 @@
 	leftChainMs: number;
 };
 
-/** A late answer earns this share on the users' sheets, up to three times the objective. */
+/** Worth of a late answer, up to so many times the objective: callers can still use it. */
 const lateShare = 0.15;
 const lateTimes = 3;
 /** What earns nothing any more is still worked on where nothing else is. */
@@ -37,7 +37,7 @@
 /** How far the time that is left may be off: a share of it, and a part for all that happens between tasks. */
 const doubtShare = 0.25;
 const doubtMs = 500;
-/** A job is worth a part for being done at all and a part for its work: 0.3 and 0.7 of the mean of its queue. */
+/** A job is worth a part for being done at all, beside its work: this share of the mean work of its queue. */
 const fixedShare = 0.3 / 0.7;
 /** With less of a backlog than this, the time to spare decides. */
 const minLookaheadMs = 1000;
--- a/src/workflows/view-age.ts
+++ b/src/workflows/view-age.ts
@@ -14,7 +14,7 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** A start that is good for less than this is not worth its order: answers of agents take some 100 ms on busy hosts. */
+/** A start that is good for less than this is not worth its order: answers of agents take a while on busy hosts. */
 const minGoodMs = 400;
 
 /**
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -36,9 +36,9 @@
 const gatherMs = 2;
 /** A store that turned a record away for so long is away: the caller does better at another entry. */
 const giveUpAfterMs = 400;
-/** Outages of the store last 3 to 6 s: with four tries so far apart a caller outlives them. */
+/** With a few tries so far apart a caller outlives an outage of the store. */
 const retryAfterMs = 2000;
-/** The end of the stream is read in some 10 ms; without an answer after this, the caller is told that it is not known. */
+/** Without an answer after this, the caller is told that it is not known. */
 const catchUpMs = 1200;
 
 /** The API. */
