Look at a worker's serving jobs once each in a round

Tasks of one job have one load and one image: five or ten of them on a worker are one bound on what fills. Counts by step are kept only of steps that bound them.

--- a/src/workflows/placement-candidates.ts
+++ b/src/workflows/placement-candidates.ts
@@ -14,11 +14,12 @@
 	worker: FleetWorker;
 	free: Room;
 	rack: string | undefined;
-	/** Tasks of each step here, by step. */
+	/** Tasks here of each step that bounds them, by step. */
 	ofStep: Map<LiveStep, number>;
 	/** Share of the processors that is left to tasks that fill, and what they ask for. */
 	unusedShare: number;
 	demands: FillDemand[];
+	/** One for each job that serves here: its tasks have one load. */
 	servers: ServingTask[];
 	/** Share at work of what fills there, and what one task more of an image and size would get: as far as asked since the last change. */
 	filledShare: number | undefined;
@@ -32,7 +33,9 @@
 export const createCandidate = (worker: FleetWorker, harm: FillHarm): Candidate => {
 	const ofStep = new Map<LiveStep, number>();
 	for (const {task: {step}} of worker.runs) {
-		ofStep.set(step, (ofStep.get(step) ?? 0) + 1);
+		if (step.spec.maxPerWorker > 0) {
+			ofStep.set(step, (ofStep.get(step) ?? 0) + 1);
+		}
 	}
 
 	const {milliCpu} = worker.report!;
@@ -43,12 +46,17 @@
 		ofStep,
 		unusedShare: getUnusedShare(worker, harm),
 		demands: getFillers(worker.runs, worker.paces, {milliCpu, nowMs: 0}),
-		servers: getServers(worker.runs).map(({image, job}) => ({image, load: harm.getRisenLoad(job, waveMargin)})),
+		servers: getServingJobs(worker, harm),
 		filledShare: undefined,
 		fillSpeeds: new Map(),
 	};
 };
 
+const getServingJobs = ({runs}: FleetWorker, harm: FillHarm): ServingTask[] => {
+	const jobs = new Map(getServers(runs).map(({image, job}) => [job, image]));
+	return [...jobs].map(([job, image]) => ({image, load: harm.getRisenLoad(job, waveMargin)}));
+};
+
 /** A serving task uses its processors in the measure of its load, any other task all of them. */
 const getUnusedShare = ({report, runs}: FleetWorker, harm: FillHarm): number => {
 	let usedMilliCpu = 0;
