--- a/src/workflows/step-places.ts
+++ b/src/workflows/step-places.ts
@@ -80,22 +80,11 @@
 
 	/** Takes the best place for the task; undefined: there is none. */
 	take(task: LiveTask): Candidate | undefined {
-		const {harm, trials} = this.#terms;
-		const {spec} = this.#step;
-		for (;;) {
-			const index = this.#findBest(task);
-			if (index === -1) {
-				return undefined;
-			}
-
+		for (let index = this.#findBest(task); index !== -1; index = this.#findBest(task)) {
 			const candidate = this.#candidates[index]!;
-			// Trials that began since the place was weighed may have closed it.
-			const isOpen = !spec.isFilling || getFillObstacle(spec, candidate, this.#terms) === undefined;
+			const isOpen = this.#isOpen(candidate);
 			if (isOpen) {
-				take(candidate, task, harm);
-				if (spec.isFilling) {
-					trials.note(candidate, spec.image ?? '');
-				}
+				this.#give(candidate, task);
 			}
 
 			this.#weigh(index);
@@ -103,6 +92,8 @@
 				return candidate;
 			}
 		}
+
+		return undefined;
 	}
 
 	/** Of all workers, the reason of the one that came nearest to taking a task. */
@@ -110,6 +101,21 @@
 		return waitReasons[Math.max(0, ...this.#nearness)]!;
 	}
 
+	/** Trials that began since the place was weighed may have closed it. */
+	#isOpen(candidate: Candidate): boolean {
+		const {spec} = this.#step;
+		return !spec.isFilling || getFillObstacle(spec, candidate, this.#terms) === undefined;
+	}
+
+	#give(candidate: Candidate, task: LiveTask): void {
+		const {spec} = this.#step;
+		const {harm, trials} = this.#terms;
+		take(candidate, task, harm);
+		if (spec.isFilling) {
+			trials.note(candidate, spec.image ?? '');
+		}
+	}
+
 	#weigh(index: number): void {
 		const candidate = this.#candidates[index]!;
 		const obstacle = getObstacle(this.#step, candidate, this.#terms);
