Leave a load that goes beyond its known waves the whole margin again

Cause: once a load was seen to fall from a peak, its margin ended at that peak for good; users who come in a second, higher wave would find what fills beside them placed up to the old one.

Change: a load that goes beyond its highest by more than estimates are off counts as unknown until it turns again. Test failed first (0.02 in place of 0.08).

--- a/src/workflows/serving-load.ts
+++ b/src/workflows/serving-load.ts
@@ -37,7 +37,7 @@
 	atMs: number;
 	/** Highest load so far. */
 	peak: number;
-	/** Whether the load has fallen from a peak: it is known how far its waves go. */
+	/** Whether the load has fallen from that peak, and not gone beyond it since: it is known how far its waves go. */
 	hasTurned: boolean;
 };
 
@@ -77,8 +77,9 @@
 		const gain = variance / (variance + addedVariance + noiseVariance);
 		const newLoad = known.load + (gain * (own - known.load));
 		const peak = Math.max(known.peak, newLoad);
+		const isBeyond = newLoad > known.peak + peakSlack;
 		this.#jobs.set(job, {
-			load: newLoad, variance: variance * (1 - gain), atMs: nowMs, peak, hasTurned: known.hasTurned || newLoad < peak - turnedBy,
+			load: newLoad, variance: variance * (1 - gain), atMs: nowMs, peak, hasTurned: !isBeyond && (known.hasTurned || newLoad < peak - turnedBy),
 		});
 	}
 
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -274,4 +274,21 @@
 		expect(loads.getRise(job, 0.08)).toBe(0.08);
 		expect(loads.getRise('other', 0.08)).toBe(0.08);
 	});
+
+	/** Users came in a second wave that went far above the first: what was filled up to the old peak stood over its target. */
+	it('may rise by as much again once it goes beyond all waves before', () => {
+		const loads = new ServingLoads();
+		follow(loads, 0, 17);
+		for (let atS = 17; atS < 23; atS++) {
+			loads.note({
+				job, load: 0.35 + (0.08 * (atS - 17)), added: 0, addedVariance: 0,
+			}, atS * 1000);
+		}
+
+		expect(loads.getRise(job, 0.08)).toBeLessThanOrEqual(0.08);
+		loads.note({
+			job, load: 0.9, added: 0, addedVariance: 0,
+		}, 23_000);
+		expect(loads.getRise(job, 0.08)).toBe(0.08);
+	});
 });
