Tell which runs were on a worker as it fell silent, newest first, and for how long

Cause: the lines of a lost run do not tell a culprit from what ran beside it. On the incident each crash took 9 to 18 runs along, and `worker replaced` named the worker alone. Change: an agent dates the starts that it sends (and first listings of runs it did not start); `worker replaced` tells how long the worker was silent, how many runs were there and the three newest with their ages. The stand-in of a worker can be away after a crash, refuses connections meanwhile, and may be taken down by a run. Before: no such fields. No decision changes.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -16,6 +16,8 @@
 	lapseUntilMs?: number;
 	/** Whether the last renewal was answered. */
 	isAnswering: boolean;
+	/** When the first renewal without an answer failed; undefined while it answers. */
+	silentSinceMs?: number;
 	/** The worker gives no answer and its leases are over. */
 	isOver: boolean;
 };
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -139,7 +139,7 @@
 
 		const leaseUntilMs = Math.floor(Math.min(lease.leaseUntilMs, clockMs + startGoodMs));
 		lease.noteSent(leaseUntilMs);
-		runs.noteSent(start.taskId, start.run, leaseUntilMs);
+		runs.noteSent(start.taskId, start.run, {goodUntilMs: leaseUntilMs, nowMs: clock.monotonicMs()});
 		try {
 			const answer = await client.start(report.workerId, start, {fence: getFence(), leaseUntilMs});
 			runs.noteAnswered(start.taskId, start.run, answer.isDone, clock.monotonicMs());
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -33,6 +33,8 @@
 const idleMs = 250;
 /** Added to the computed end of a lease before its tasks count as killed: a kill takes the worker some ms. */
 const overSlackMs = 300;
+/** Runs that a line of log names. */
+const maxNamedRuns = 3;
 
 /** Runs until the signal aborts. */
 export const runWorkerLoop = async (options: WorkerLoopOptions, signal: AbortSignal): Promise<void> => {
@@ -72,7 +74,7 @@
 		}
 
 		if (reply.refusal === OrderRefusal.OtherWorker) {
-			note('worker replaced', {workerId});
+			note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
 			state.drop(workerId);
 		} else if (reply.refusal === OrderRefusal.Fence) {
 			onFenceRefused();
@@ -82,6 +84,7 @@
 	} catch (error) {
 		if (worker.isAnswering) {
 			worker.isAnswering = false;
+			worker.silentSinceMs = clock.monotonicMs();
 			state.bump();
 		}
 
@@ -92,10 +95,23 @@
 	return false;
 };
 
+/** What ran as the worker fell silent: the newest runs first, as a run that takes its worker down has not been there for long. */
+const describeReplaced = ({report, runs, silentSinceMs}: WorkerState, nowMs: number): Record<string, unknown> => {
+	const aboard = runs.getAboard(silentSinceMs ?? nowMs).toSorted((a, b) => a.ageMs - b.ageMs);
+	return {
+		workerId: report.workerId,
+		wasDraining: report.isDraining,
+		silentMs: silentSinceMs === undefined ? undefined : Math.round(nowMs - silentSinceMs),
+		runs: aboard.length,
+		newest: aboard.slice(0, maxNamedRuns).map(({taskId, run, ageMs}) => ({taskId, run, ageMs: Math.round(ageMs)})),
+	};
+};
+
 const takeListing = (options: WorkerLoopOptions, worker: WorkerState, listing: WorkerListing, askedAtMs: number): void => {
 	const {state, clock, onLapsed} = options;
 	const wasSilent = !worker.isAnswering;
 	worker.isAnswering = true;
+	worker.silentSinceMs = undefined;
 	worker.lease.note(listing.clockMs, clock.monotonicMs());
 	const isChanged = worker.runs.take(listing, askedAtMs);
 	if (worker.isOver || isChanged || wasSilent) {
--- a/src/agents/worker-runs.ts
+++ b/src/agents/worker-runs.ts
@@ -3,6 +3,14 @@
 */
 import {type EndedRow, type RunningRow, type WorkerListing} from '../types/fleet.ts';
 
+/** A run that may have been on the worker at a time. */
+export type AboardRun = {
+	taskId: string;
+	run: number;
+	/** Time since its start was sent; of a run that this life of the agent did not start, since it was first listed. */
+	ageMs: number;
+};
+
 type Starting = {
 	taskId: string;
 	run: number;
@@ -20,6 +28,8 @@
 	readonly #starting = new Map<string, Starting>();
 	/** Starts that were answered, with the time; a listing that was asked for earlier may lack them. */
 	readonly #answered = new Map<string, {row: RunningRow; atMs: number}>();
+	/** When starts were sent, or runs of an earlier life of the agent first listed. */
+	readonly #sinceMs = new Map<string, number>();
 	#isListed = false;
 
 	/** Whether the worker was listed once. */
@@ -47,8 +57,16 @@
 		return this.#ended.at(-1)?.number ?? 0;
 	}
 
-	noteSent(taskId: string, run: number, goodUntilMs: number): void {
-		this.#starting.set(getKey(taskId, run), {
+	/** Runs that are there, or may be, with their ages at the time. */
+	getAboard(atMs: number): AboardRun[] {
+		const aboard = new Map<string, {taskId: string; run: number}>([...this.#running, ...this.#starting]);
+		return [...aboard].map(([key, {taskId, run}]) => ({taskId, run, ageMs: Math.max(0, atMs - (this.#sinceMs.get(key) ?? atMs))}));
+	}
+
+	noteSent(taskId: string, run: number, {goodUntilMs, nowMs}: {goodUntilMs: number; nowMs: number}): void {
+		const key = getKey(taskId, run);
+		this.#sinceMs.set(key, nowMs);
+		this.#starting.set(key, {
 			taskId, run, goodUntilMs, isInFlight: true,
 		});
 	}
@@ -93,6 +111,7 @@
 			}
 		}
 
+		this.#dateRuns(running, askedAtMs);
 		const isChanged = !this.#isListed || hadStarting !== this.#starting.size || running.size !== this.#running.size
 			|| (listing.ended.at(-1)?.number ?? 0) !== this.lastEnd || listing.ended.length !== this.#ended.length
 			|| [...running.keys()].some(key => !this.#running.has(key));
@@ -101,4 +120,18 @@
 		this.#isListed = true;
 		return isChanged;
 	}
+
+	#dateRuns(running: Map<string, RunningRow>, atMs: number): void {
+		for (const key of this.#sinceMs.keys()) {
+			if (!running.has(key) && !this.#starting.has(key)) {
+				this.#sinceMs.delete(key);
+			}
+		}
+
+		for (const key of running.keys()) {
+			if (!this.#sinceMs.has(key)) {
+				this.#sinceMs.set(key, atMs);
+			}
+		}
+	}
 }
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -14,6 +14,8 @@
 	/** Time of work; undefined: it goes on until it is stopped. */
 	workMs: number | undefined;
 	isFailing?: boolean;
+	/** The run takes the whole worker down after this. */
+	crashAfterMs?: number;
 };
 
 /** What is seen of runs, for checks. */
@@ -48,6 +50,9 @@
 const answerMs = 1;
 const lateMs = 4000;
 const lostMs = 700;
+const refusedMs = 1;
+/** How long it is away after a run has taken it down. */
+const awayMs = 2500;
 // Its clock starts anywhere.
 const clockOffsetMs = 1_000_000;
 
@@ -59,6 +64,8 @@
 	isSilent = false;
 	readonly running = new Map<string, Running>();
 	recent = 0;
+	/** Its process is gone: connections are refused and nothing is announced. */
+	isAway = false;
 	readonly #options: SiteWorkerOptions;
 	#life = 1;
 	#fence = 0;
@@ -84,8 +91,8 @@
 		};
 	}
 
-	/** Crashes and comes back as a new incarnation that has seen nothing. */
-	crash(): void {
+	/** Crashes and comes back, after a time, as a new incarnation that has seen nothing. */
+	crash(forMs = 0): void {
 		for (const {start} of this.running.values()) {
 			this.#note(start, 'lost');
 		}
@@ -102,6 +109,16 @@
 		this.#lastRuns = new Map();
 		this.#life++;
 		this.workerId = this.workerId.replace(/\d+$/, String(this.#life));
+		for (const wake of this.#waiters) {
+			wake();
+		}
+
+		if (forMs > 0) {
+			this.isAway = true;
+			this.#options.clock.setTimer(() => {
+				this.isAway = false;
+			}, forMs);
+		}
 	}
 
 	/** The client by which its agent calls it. */
@@ -118,7 +135,12 @@
 
 				this.#prolong(terms.leaseUntilMs);
 				this.#forget(terms.forgetUpTo);
+				const life = this.#life;
 				await this.#waitForEnd(terms.waitMs);
+				if (this.#life !== life) {
+					throw createError(ErrorCode.PeerUnavailable, {step: 'renew at stand-in', detail: 'the connection broke'});
+				}
+
 				return this.#list();
 			},
 		};
@@ -138,6 +160,11 @@
 
 	async #call(order: 'start' | 'stop' | 'renew', workerId: string | undefined, act: () => WorkerAnswer): Promise<WorkerAnswer> {
 		const {clock} = this.#options;
+		if (this.isAway) {
+			await clock.sleep(refusedMs);
+			throw createError(ErrorCode.PeerUnavailable, {step: `${order} at stand-in`, detail: 'the connection was refused'});
+		}
+
 		const fault = this.isSilent ? OrderFault.Drop : this.fault(order);
 		const life = this.#life;
 		if (fault !== OrderFault.None) {
@@ -200,7 +227,13 @@
 		onEvent({
 			type: 'started', taskId: start.taskId, run: start.run, workerId: this.workerId, atMs: clock.monotonicMs(),
 		});
-		if (run.plan.workMs !== undefined) {
+		if (run.plan.crashAfterMs !== undefined) {
+			run.timer = clock.setTimer(() => {
+				if (this.running.get(start.taskId) === run) {
+					this.crash(awayMs);
+				}
+			}, run.plan.crashAfterMs);
+		} else if (run.plan.workMs !== undefined) {
 			run.timer = clock.setTimer(() => {
 				this.#end(run, run.plan.isFailing ? RunEnd.Failed : RunEnd.Done);
 			}, run.plan.workMs);
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -78,15 +78,13 @@
 	aborter: AbortController;
 };
 
-type Note = {source: string; event: string; fields: Record<string, unknown>};
-
 /** The world. */
 export class SiteWorld {
 	readonly clock = new ManualClock();
 	readonly store = new MemoryStore(this.clock, partitions);
 	readonly entries = new Map<string, EntryProcess>();
 	readonly hosts = new Map<string, AgentHost>();
-	readonly notes: Note[] = [];
+	readonly notes: Array<{source: string; event: string; fields: Record<string, unknown>}> = [];
 	readonly violations: string[] = [];
 	readonly events: WorkerEvent[] = [];
 	adviceClient: AdviceClient | undefined;
@@ -159,12 +157,11 @@
 		const store = gate(clock, this.store.createClient(name));
 		const life = `${name}-${++this.#lives}`;
 		const note = this.#createNote(name);
-		const {storeLost: lost} = this;
 		const follower = new WorkflowFollower({
 			store, clock, ref: {topic: workflowsTopic, partition}, onStoreState: ignore, onInvalid: ignore,
 		});
 		const jobs = new WorkflowApi({
-			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => lost.has(name), onWriterNote: ignore,
+			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => this.storeLost.has(name), onWriterNote: ignore,
 		});
 		const ownership = new Ownership({
 			store,
@@ -280,7 +277,10 @@
 	}
 
 	#announce(host: AgentHost): void {
-		host.agent?.announce(host.worker.announce());
+		if (!host.worker.isAway) {
+			host.agent?.announce(host.worker.announce());
+		}
+
 		this.clock.setTimer(() => {
 			this.#announce(host);
 		}, 500);
