Move out of the owner when it is settled and which workers are open

Change: settling.ts tells when tasks of older jobs may start, open-workers.ts which workers may be given something; the owner asks both. No behaviour changes. Tests of takeover, decisions and busy owners pass.

--- /dev/null
+++ b/src/workflows/open-workers.ts
@@ -0,0 +1,20 @@
+/**
+Which workers may be given something: those that are heard, do not drain, and do not fail what others do well.
+*/
+import {type FleetWorker} from './fleet-view.ts';
+import {Mechanism, type Policy} from './policy.ts';
+
+/** An agent that was not heard for so long gets no orders. */
+const reachableMs = 1500;
+
+const isReached = ({isListed, isAnswering, silentSinceMs, heardAtMs, lostSession, session, blockedUntilMs}: FleetWorker, nowMs: number): boolean =>
+	isListed && isAnswering && silentSinceMs === undefined && nowMs - heardAtMs < reachableMs && lostSession !== session && blockedUntilMs <= nowMs;
+
+/** Whether the worker failed what others did well, and is held down, or has its one task already that shows whether it recovered. */
+const isHeldDown = ({health: {isHeld, isProbing}, runs}: FleetWorker): boolean =>
+	isHeld || (isProbing && [...runs].some(run => !run.task.step.spec.isLasting));
+
+/** Gets the workers that may be given something. */
+export const getOpenWorkers = (workers: Iterable<FleetWorker>, nowMs: number, policy: Policy): FleetWorker[] =>
+	[...workers].filter(worker => worker.report !== undefined && !worker.report.isDraining && isReached(worker, nowMs)
+		&& !(policy[Mechanism.WorkerHealth] && isHeldDown(worker)));
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -19,7 +19,8 @@
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {LiveModel, type LiveTask} from './live-model.ts';
-import {getLeaseOverMs, LossWatch} from './loss-watch.ts';
+import {LossWatch} from './loss-watch.ts';
+import {getOpenWorkers} from './open-workers.ts';
 import {OrderSender} from './order-sender.ts';
 import {OwnerLog} from './owner-log.ts';
 import {PaceKeeper} from './pace-keeper.ts';
@@ -29,6 +30,7 @@
 import {Rounds} from './rounds.ts';
 import {RunTimes} from './run-times.ts';
 import {RunTracker} from './run-tracker.ts';
+import {Settling} from './settling.ts';
 import {type IsAllowed} from './step-places.ts';
 import {describeEnd} from './task-order.ts';
 import {ViewAge} from './view-age.ts';
@@ -65,8 +67,6 @@
 const tickMs = 50;
 /** A worker that fails what others do well is tried again after this, then after twice as long. */
 const heldDownMs = 1000;
-/** An agent that was not heard for so long gets no orders. */
-const reachableMs = 1500;
 
 /** The owner. */
 export class Owner {
@@ -87,10 +87,9 @@
 	readonly #meter: WorkMeter;
 	readonly #view: ViewAge;
 	readonly #due: DueOccurrences;
+	readonly #settling: Settling;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
 	#claimOffset = Number.POSITIVE_INFINITY;
-	#claimedAtMs = 0;
-	#isSettled = false;
 
 	constructor(options: OwnerOptions) {
 		const {clock, epoch, note, follower, policy} = options;
@@ -120,6 +119,11 @@
 				this.#depose(`an agent knows epoch ${newerEpoch}`);
 			},
 		});
+		this.#settling = new Settling({
+			...options, links: this.links, onSettled: () => {
+				this.#rounds.want();
+			},
+		});
 		this.#runs = this.#createRunTracker();
 		const shared = {
 			clock, note, model, links: this.links, tracker: this.#runs,
@@ -141,7 +145,7 @@
 			times: this.#times,
 			isAllowed: this.#isAllowed,
 			getWaiting: nowMs => this.#startable(nowMs),
-			getWorkers: nowMs => this.#openWorkers(nowMs),
+			getWorkers: nowMs => this.#getOpenWorkers(nowMs),
 			getRuns: () => [...this.links.workers.values()].flatMap(worker => [...worker.runs]),
 			onStarts: starts => {
 				this.#sender.start(starts);
@@ -169,7 +173,7 @@
 		}
 
 		this.#claimOffset = claimOffset;
-		this.#claimedAtMs = clock.monotonicMs();
+		this.#settling.begin();
 		if (policy[Mechanism.HarmHandover]) {
 			this.#harm.restore(follower.fold.harm, clock.monotonicMs());
 		}
@@ -277,7 +281,7 @@
 	#look(): void {
 		const {clock, policy} = this.#options;
 		this.#due.open();
-		this.#checkSettled();
+		this.#settling.check();
 		this.#losses.check();
 		this.#sender.stopUnneeded();
 		this.#log.sendBegun();
@@ -293,36 +297,21 @@
 		this.#rounds.want();
 	}
 
-	/**
-	A task that an earlier owner may have started waits until every agent was heard, or their leases are over. Jobs that
-	were taken after the claim cannot have been started by anyone else.
-	*/
+	/** Jobs that were taken after the claim cannot have been started by anyone else. */
 	* #startable(nowMs: number): Generator<LiveTask> {
 		if (this.#view.isTooOld()) {
 			return;
 		}
 
 		for (const task of this.model.waiting(nowMs, task => this.#options.policy[Mechanism.StallMoves] && wantsCopy(task, nowMs))) {
-			if (this.#isSettled || task.step.workflow.folded.offset >= this.#claimOffset) {
+			if (this.#settling.isSettled || task.step.workflow.folded.offset >= this.#claimOffset) {
 				yield task;
 			}
 		}
 	}
 
-	* #openWorkers(nowMs: number): Generator<FleetWorker> {
-		const {policy} = this.#options;
-		for (const worker of this.links.workers.values()) {
-			const {report, isListed, isAnswering, silentSinceMs, heardAtMs, lostSession, session, blockedUntilMs} = worker;
-			const isReached = silentSinceMs === undefined && nowMs - heardAtMs < reachableMs && isListed && isAnswering;
-			const {isHeld, isProbing} = worker.health;
-			if (policy[Mechanism.WorkerHealth] && (isHeld || (isProbing && [...worker.runs].some(run => !run.task.step.spec.isLasting)))) {
-				continue;
-			}
-
-			if (report && !report.isDraining && isReached && lostSession !== session && blockedUntilMs <= nowMs) {
-				yield worker;
-			}
-		}
+	#getOpenWorkers(nowMs: number): FleetWorker[] {
+		return getOpenWorkers(this.links.workers.values(), nowMs, this.#options.policy);
 	}
 
 	/** Moves what stands still, and what may not work where it is. */
@@ -330,7 +319,7 @@
 		const {clock, policy} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const moves = chooseMoves({
-			workers: this.links.workers.values(), nowMs, policy, hasPlace: createPlaceFinder(this.#openWorkers(nowMs), {harm: this.#harm, isAllowed: this.#isAllowed, policy}),
+			workers: this.links.workers.values(), nowMs, policy, hasPlace: createPlaceFinder(this.#getOpenWorkers(nowMs), {harm: this.#harm, isAllowed: this.#isAllowed, policy}),
 		});
 		for (const {worker, run} of moves) {
 			this.#options.note('run moved', {
@@ -382,18 +371,4 @@
 			this.#rounds.want();
 		}
 	}
-
-	#checkSettled(): void {
-		if (this.#isSettled || !this.links.isRegistryRead) {
-			return;
-		}
-
-		const tookMs = this.#options.clock.monotonicMs() - this.#claimedAtMs;
-		const missing = [...this.links.workers.values()].filter(worker => !worker.isListed);
-		if (missing.length === 0 || tookMs > getLeaseOverMs(this.#options.leaseHorizonMs)) {
-			this.#isSettled = true;
-			this.#options.note('settled', {tookMs: Math.round(tookMs), agents: this.links.workers.size, missing: missing.map(worker => worker.host)});
-			this.#rounds.want();
-		}
-	}
 }
