Give a task up that takes down each worker that starts it, and keep suspects apart until they are cleared

Cause: a run that was lost with its worker counted for nobody. The owner put the task back at once, with no count, no pause and nothing in the log, and the next worker took it 6 ms later. Class: a query of death, retried without a limit because the failure of its host was taken for nobody's fault. Change: an agent that was there while its worker crashed keeps the runs that were aboard, with their ages, until an owner has stored them. The owner counts a crash for the run in quarantine if there is one, else for all that was young; the counts are records of the stream, numbered by run, so that the next owner has them, none counts twice, and their order does not matter. A suspect starts again only in quarantine: on the worker where a crash takes least along, with no other start beside it, suspects and workers that are away together at most a tenth of the workers. A run that lives clears it; two crashes in quarantine give it up, and its job is shown as failed. A loss of power takes the agent along and counts for nobody, as does a worker that drains. Why it holds: an innocent task would have to be the newest run on two workers in turn that crash by coincidence within half a second of its start, in quarantine, after a first crash.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -1,7 +1,7 @@
 /**
 State of an agent: its worker, the lease it holds for it, the runs there, and the version that owners wait on.
 */
-import {type WorkerReport} from '../types/fleet.ts';
+import {type CrashedRun, type WorkerReport} from '../types/fleet.ts';
 import {LeaseClock} from './lease-clock.ts';
 import {WorkerRuns} from './worker-runs.ts';
 
@@ -23,6 +23,8 @@
 };
 
 const maxGone = 20;
+/** Beyond this the oldest are dropped: no owner has been there for long. */
+const maxCrashed = 1000;
 
 /** State of an agent. */
 export class AgentState {
@@ -36,6 +38,9 @@
 	mustLapse = false;
 	/** Incarnations of which nothing runs any more. */
 	readonly goneWorkerIds: string[] = [];
+	/** Runs that were there as workers crashed, and are not known to be in the log. */
+	#crashed: CrashedRun[] = [];
+	#lastCrashed = 0;
 	/** Announced while another incarnation was known and not yet known to be gone. */
 	#successor: WorkerReport | undefined;
 	#version = 1;
@@ -52,6 +57,11 @@
 		return this.#version;
 	}
 
+	/** Runs that were there as workers crashed, and are not known to be in the log. */
+	get crashed(): readonly CrashedRun[] {
+		return this.#crashed;
+	}
+
 	/** Notes a change that the owner knows already. */
 	advance(): void {
 		this.#version++;
@@ -122,6 +132,27 @@
 		}
 	}
 
+	/**
+	The worker is gone without a word, and this process was there all the while: it crashed, where a host that loses power
+	takes its agent along. One that drains was about to end.
+	*/
+	noteCrash({report, runs, silentSinceMs}: WorkerState, nowMs: number): void {
+		if (report.isDraining) {
+			return;
+		}
+
+		for (const aboard of runs.getAboard(silentSinceMs ?? nowMs)) {
+			this.#crashed.push({...aboard, number: ++this.#lastCrashed, workerId: report.workerId});
+		}
+
+		this.#crashed.splice(0, Math.max(0, this.#crashed.length - maxCrashed));
+	}
+
+	/** Drops crashed runs that are in the log. */
+	forgetCrashed(upTo: number): void {
+		this.#crashed = this.#crashed.filter(({number}) => number > upTo);
+	}
+
 	/** Drops the worker: it ended, or another incarnation answers at its address. That one may have announced itself. */
 	drop(workerId: string): void {
 		if (this.worker?.report.workerId === workerId) {
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -172,8 +172,13 @@
 		}
 	}
 
-	#forget({forget}: WatchRequest): void {
-		const {worker} = this.#options.state;
+	#forget({forget, agentLife, crashesStored}: WatchRequest): void {
+		const {state} = this.#options;
+		const {worker} = state;
+		if (agentLife === state.life) {
+			state.forgetCrashed(crashesStored);
+		}
+
 		if (!forget || !worker) {
 			return;
 		}
@@ -202,6 +207,7 @@
 			running: worker?.runs.running ?? [],
 			ended: worker ? worker.runs.ended.filter(row => row.number > worker.forgetUpTo) : [],
 			starting: worker?.runs.starting ?? [],
+			crashed: [...state.crashed],
 			goneWorkerIds: state.goneWorkerIds,
 		};
 	}
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -75,6 +75,7 @@
 
 		if (reply.refusal === OrderRefusal.OtherWorker) {
 			note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
+			state.noteCrash(worker, clock.monotonicMs());
 			state.drop(workerId);
 		} else if (reply.refusal === OrderRefusal.Fence) {
 			onFenceRefused();
--- a/src/plugins/agent-messages.ts
+++ b/src/plugins/agent-messages.ts
@@ -11,6 +11,9 @@
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AgentClient} from '../workflows/agent-links.ts';
 
+/** A message that a process of the version before may send: it knows no crashes. */
+type BeforeCrashes<Message, Key extends keyof Message> = Omit<Message, Key> & Partial<Pick<Message, Key>>;
+
 const watchPath = '/v1/agent/watch';
 const ordersPath = '/v1/agent/orders';
 
@@ -28,13 +31,19 @@
 	};
 
 	return {
-		watch: async (address, request, timeoutMs, signal) => await post(address, watchPath, request, {timeoutMs, signal}) as WatchReply,
+		async watch(address, request, timeoutMs, signal) {
+			const reply = await post(address, watchPath, request, {timeoutMs, signal}) as BeforeCrashes<WatchReply, 'crashed'>;
+			return {...reply, crashed: reply.crashed ?? []};
+		},
 		order: async (address, request, timeoutMs) => await post(address, ordersPath, request, {timeoutMs}) as OrdersReply,
 	};
 };
 
 /** Adds the agent's side to a server. */
 export const serveAgent = (server: JsonServer, agent: Agent): void => {
-	server.route('POST', watchPath, async ({body, signal}) => ({body: await agent.watch(body as WatchRequest, signal)}));
+	server.route('POST', watchPath, async ({body, signal}) => {
+		const request = body as BeforeCrashes<WatchRequest, 'crashesStored'>;
+		return {body: await agent.watch({...request, crashesStored: request.crashesStored ?? 0}, signal)};
+	});
 	server.route('POST', ordersPath, async ({body}) => ({body: await agent.order(body as OrdersRequest)}));
 };
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -45,6 +45,17 @@
 	ended: EndedRow[];
 };
 
+/** A run that was there as its worker crashed. The agent keeps it until an owner has stored it. */
+export type CrashedRun = {
+	/** Rises by one with each such run in a life of the agent. */
+	number: number;
+	workerId: string;
+	taskId: string;
+	run: number;
+	/** Time from its start until the worker fell silent. */
+	ageMs: number;
+};
+
 /** Why an order changed nothing. */
 export enum OrderRefusal {
 	/** A newer owner is known. */
@@ -133,6 +144,8 @@
 	waitMs: number;
 	/** Ends that are in the log. */
 	forget?: {workerId: string; upTo: number};
+	/** Crashed runs up to this number of the agent's life are in the log. */
+	crashesStored: number;
 	/** Reading of the worker's clock after which the store still showed this owner as the newest and the agent as not lost. */
 	proof?: {workerId: string; clockMs: number; session: number};
 };
@@ -160,6 +173,8 @@
 	ended: EndedRow[];
 	/** Ordered and not yet resolved: may still begin. */
 	starting: Array<{taskId: string; run: number}>;
+	/** Runs that were there as the worker crashed, as far as the agent does not know that they are in the log. */
+	crashed: CrashedRun[];
 	/** A worker that was there before: all of its runs are over. */
 	goneWorkerIds: string[];
 };
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -106,6 +106,15 @@
 	checkpoint: string;
 };
 
+/** A crash of the worker that a run was on. */
+export type TaskCrash = {
+	run: number;
+	/** Time from the run's start until the worker fell silent. */
+	ageMs: number;
+	/** Nothing on the worker had started later. */
+	isNewest: boolean;
+};
+
 /** Formats the name of a task. */
 export const formatTaskId = ({workflowId, occurrence, step, index}: TaskRef): string =>
 	`${workflowId}.${occurrence}.${step}.${index}`;
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -152,6 +152,8 @@
 			health: {spec: {workerId: host}, isHeld: false, isProbing: false},
 			takenEnd: 0,
 			storedEnd: 0,
+			takenCrash: 0,
+			storedCrash: 0,
 			blockedUntilMs: 0,
 			unknownStopAtMs: Number.NEGATIVE_INFINITY,
 			paces: new Map(),
@@ -202,6 +204,7 @@
 			agentLife: worker.agentLife,
 			knownVersion: worker.version,
 			waitMs: watchWaitMs,
+			crashesStored: worker.storedCrash,
 			...(workerId !== undefined && {forget: {workerId, upTo: worker.storedEnd}}),
 			...(hasProof && {proof: {workerId, clockMs: worker.workerClockMs, session: worker.session}}),
 		}, watchWaitMs + watchSlackMs, signal);
@@ -229,6 +232,11 @@
 			worker.storedEnd = 0;
 		}
 
+		if (reply.agentLife !== worker.agentLife) {
+			worker.takenCrash = 0;
+			worker.storedCrash = 0;
+		}
+
 		worker.report = reply.worker;
 		worker.isListed = reply.isListed;
 		worker.isAnswering = reply.isAnswering;
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -43,6 +43,9 @@
 	takenEnd: number;
 	/** Ends up to this number are in the log. */
 	storedEnd: number;
+	/** Crashed runs up to this number of the agent's life were taken, and are in the log. */
+	takenCrash: number;
+	storedCrash: number;
 	/** Nothing is placed before this; after refusals. */
 	blockedUntilMs: number;
 	/** When a run that no job has was last told to stop. */
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -5,8 +5,9 @@
 import {
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
+import {isGivenUp} from './crash-blame.ts';
 import {
-	RecordType, type HarmPair, type SavedRun, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
+	RecordType, type CrashedTask, type HarmPair, type SavedRun, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
 } from './records.ts';
 
 /** A job as folded. */
@@ -60,7 +61,7 @@
 
 const getLedger = ({ledgers}: FoldedWorkflow, unitId: string): TaskLedger => {
 	const ledger = ledgers.get(unitId) ?? {
-		isDone: false, failedRuns: [], lastRun: 0, checkpoint: '',
+		isDone: false, failedRuns: [], crashes: [], lastRun: 0, checkpoint: '',
 	};
 	ledgers.set(unitId, ledger);
 	return ledger;
@@ -121,6 +122,14 @@
 				break;
 			}
 
+			case RecordType.Crashes: {
+				for (const crash of record.crashes) {
+					this.#crash(crash);
+				}
+
+				break;
+			}
+
 			case RecordType.Saved: {
 				for (const saved of record.runs) {
 					this.#save(saved);
@@ -253,6 +262,31 @@
 		}
 	}
 
+	#crash({taskId, ...crash}: CrashedTask): void {
+		const ref = parseTaskId(taskId);
+		const folded = ref && this.workflows.get(ref.workflowId);
+		const step = folded?.workflow.steps[ref!.step];
+		if (ref && !folded) {
+			this.#keepEarly(ref.workflowId, {type: RecordType.Crashes, crashes: [{taskId, ...crash}]});
+		}
+
+		if (!ref || !folded || !step) {
+			return;
+		}
+
+		this.#begin(folded);
+		const ledger = getLedger(folded, getUnitId(ref, step));
+		ledger.lastRun = Math.max(ledger.lastRun, crash.run);
+		if (ledger.isDone || isFinal(folded.state) || ledger.crashes.some(({run}) => run === crash.run)) {
+			return;
+		}
+
+		ledger.crashes.push(crash);
+		if (isGivenUp(ledger.crashes)) {
+			this.#finish(folded, WorkflowState.Failed);
+		}
+	}
+
 	/** What is known of a run that goes on, for an owner that finds its worker gone. */
 	#save({taskId, run, checkpoint}: SavedRun): void {
 		const ref = parseTaskId(taskId);
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -2,7 +2,7 @@
 The owner's view of the jobs it runs: which steps are ready, which tasks wait, and which runs are out on workers.
 */
 import {
-	formatTaskId, type TaskRef, type Workflow, type WorkflowStep,
+	formatTaskId, type TaskCrash, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
 import {
 	countOccurrences, getUnitId, isFinal, type FoldedWorkflow, type WorkflowFold,
@@ -66,6 +66,10 @@
 	lastRun: number;
 	/** Numbers of the runs that failed; of any member, for a gang. */
 	failedRuns: Set<number>;
+	/** Crashes of workers that count for it; of any member, for a gang. */
+	crashes: TaskCrash[];
+	/** So many of them count no more: a later run has lived. */
+	clearedCrashes: number;
 	checkpoint: string;
 	/** The checkpoint that is in the stream. */
 	storedCheckpoint: string;
@@ -277,6 +281,8 @@
 		step,
 		lastRun: ledger?.lastRun ?? 0,
 		failedRuns: new Set(ledger?.failedRuns),
+		crashes: [...ledger?.crashes ?? []],
+		clearedCrashes: 0,
 		checkpoint: ledger?.checkpoint ?? '',
 		storedCheckpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -12,7 +12,7 @@
 import {type WorkflowFollower} from './follower.ts';
 import {forgetOld, getRewrites} from './rewriter.ts';
 import {
-	encodeRecord, RecordType, workflowsTopic, type HarmPair, type SavedRun, type WorkflowRecord,
+	encodeRecord, RecordType, workflowsTopic, type CrashedTask, type HarmPair, type SavedRun, type WorkflowRecord,
 } from './records.ts';
 
 /** Options of the log. */
@@ -107,6 +107,11 @@
 		return this.#lastEnds;
 	}
 
+	/** Stores crashes that count for tasks; resolves to whether they are stored. */
+	async storeCrashes(crashes: CrashedTask[]): Promise<boolean> {
+		return crashes.length === 0 || this.#write({type: RecordType.Crashes, crashes});
+	}
+
 	/** Notes that a first task of the job has started; stored with the next ones. */
 	noteBegun(id: string): void {
 		this.#begun.add(id);
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -13,6 +13,7 @@
 import {WorkMeter} from '../utils/work-meter.ts';
 import {AdviceCache} from './advice-cache.ts';
 import {AgentLinks, type AgentClient} from './agent-links.ts';
+import {CrashWatch} from './crash-watch.ts';
 import {DueOccurrences} from './due-occurrences.ts';
 import {FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
@@ -26,6 +27,7 @@
 import {PaceKeeper} from './pace-keeper.ts';
 import {createPlaceFinder} from './placement.ts';
 import {Mechanism, type Policy} from './policy.ts';
+import {isKeptApart, Quarantine} from './quarantine.ts';
 import {chooseMoves, wantsCopy} from './relocation.ts';
 import {Rounds} from './rounds.ts';
 import {RunTimes} from './run-times.ts';
@@ -77,6 +79,8 @@
 	readonly #log: OwnerLog;
 	readonly #sender: OrderSender;
 	readonly #losses: LossWatch;
+	readonly #crashes: CrashWatch;
+	readonly #quarantine: Quarantine;
 	readonly #paces: PaceKeeper;
 	readonly #advice: AdviceCache;
 	readonly #isAllowed: IsAllowed;
@@ -134,6 +138,12 @@
 			},
 		});
 		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
+		this.#quarantine = new Quarantine({workers: this.links.workers, note});
+		this.#crashes = new CrashWatch({
+			note, tracker: this.#runs, getTask: ref => this.#recall(ref), store: async crashes => this.#log.storeCrashes(crashes), onGivenUp: task => {
+				this.#giveUp(task);
+			},
+		});
 		this.#rounds = new Rounds({
 			clock,
 			note,
@@ -144,6 +154,7 @@
 			harm: this.#harm,
 			times: this.#times,
 			isAllowed: this.#isAllowed,
+			quarantine: this.#quarantine,
 			getWaiting: nowMs => this.#startable(nowMs),
 			getWorkers: nowMs => this.#getOpenWorkers(nowMs),
 			getRuns: () => [...this.links.workers.values()].flatMap(worker => [...worker.runs]),
@@ -233,9 +244,8 @@
 					note('worker health', {host: worker.host, isHeld: worker.health.isHeld, isProbing: worker.health.isProbing});
 				}
 			},
-			onExhausted(task) {
-				note('job failed', {id: task.ref.workflowId, taskId: task.taskId, failures: task.failedRuns.size});
-				task.step.workflow.isOver = true;
+			onExhausted: task => {
+				this.#giveUp(task);
 			},
 			onChange: () => {
 				this.#rounds.want();
@@ -244,6 +254,13 @@
 		});
 	}
 
+	#giveUp({ref, taskId, failedRuns, crashes, step: {workflow}}: LiveTask): void {
+		this.#options.note('job failed', {
+			id: ref.workflowId, taskId, failures: failedRuns.size, crashes: crashes.length,
+		});
+		workflow.isOver = true;
+	}
+
 	#listen(follower: WorkflowFollower): void {
 		const {clock, note, epoch} = this.#options;
 		follower.fold.listener = {
@@ -303,7 +320,7 @@
 			return;
 		}
 
-		for (const task of this.model.waiting(nowMs, task => this.#options.policy[Mechanism.StallMoves] && wantsCopy(task, nowMs))) {
+		for (const task of this.model.waiting(nowMs, task => this.#options.policy[Mechanism.StallMoves] && !isKeptApart(task) && wantsCopy(task, nowMs))) {
 			if (this.#settling.isSettled || task.step.workflow.folded.offset >= this.#claimOffset) {
 				yield task;
 			}
@@ -319,7 +336,7 @@
 		const {clock, policy} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const moves = chooseMoves({
-			workers: this.links.workers.values(), nowMs, policy, hasPlace: createPlaceFinder(this.#getOpenWorkers(nowMs), {harm: this.#harm, isAllowed: this.#isAllowed, policy}),
+			workers: this.links.workers.values(), nowMs, policy, hasPlace: createPlaceFinder(this.#getOpenWorkers(nowMs).filter(worker => !this.#quarantine.isClosed(worker)), {harm: this.#harm, isAllowed: this.#isAllowed, policy}),
 		});
 		for (const {worker, run} of moves) {
 			this.#options.note('run moved', {
@@ -343,6 +360,7 @@
 	#takeReply(worker: FleetWorker, reply: WatchReply): void {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#losses.readmit(worker);
+		this.#crashes.take(worker, reply, nowMs);
 		const runsBefore = worker.runs.size;
 		this.#runs.take(worker, reply, nowMs);
 		this.#paces.take(worker);
--- /dev/null
+++ b/src/workflows/quarantine.ts
@@ -0,0 +1,223 @@
+/**
+Keeps tasks under which workers have crashed apart: from each other, and from tasks that start meanwhile. So a further crash
+names its culprit, takes little along, and suspects never hold more than a share of the workers at a time.
+*/
+import {getQuarantineMs, isSuspect} from './crash-blame.ts';
+import {
+	getFreeRoom, isFitting, isSuited, type FleetWorker,
+} from './fleet-view.ts';
+import {RunPhase, type LiveRun, type LiveTask} from './live-model.ts';
+import {type Start} from './placement.ts';
+
+/** Options of the quarantine. */
+export type QuarantineOptions = {
+	/** All workers by host, also those that are not open. */
+	workers: ReadonlyMap<string, FleetWorker>;
+	note: (event: string, fields: Record<string, unknown>) => void;
+};
+
+/** What a round decides with. */
+export type QuarantineRound = {
+	waiting: LiveTask[];
+	/** Workers that may be given something. */
+	open: FleetWorker[];
+	nowMs: number;
+	/** Places the tasks of one unit on the workers, all or none. */
+	place: (tasks: LiveTask[], workers: FleetWorker[]) => Start[];
+};
+
+/** What is left to ordinary placement, and what starts in quarantine. */
+export type QuarantineResult = {
+	starts: Start[];
+	waiting: LiveTask[];
+	open: FleetWorker[];
+};
+
+/** Share of the workers that suspects may hold at a time, with those that are away. */
+const maxHeldShare = 0.1;
+/** No suspect starts beside a run that is younger than this: a crash would name two. */
+const quietMs = 500;
+/** Beyond the time that a run has to live: its agent tells within this that the worker fell silent. */
+const tellMs = 150;
+/** Workers that are tried for a suspect in a round. */
+const maxTries = 4;
+
+/** Whether the next run of the task has to be kept apart. */
+export const isKeptApart = ({crashes, clearedCrashes}: LiveTask): boolean => crashes.length > clearedCrashes && isSuspect(crashes);
+
+const getUnit = (task: LiveTask): LiveTask[] => task.step.spec.isGang ? task.step.tasks : [task];
+
+/** The quarantine of one owner. */
+export class Quarantine {
+	readonly #options: QuarantineOptions;
+	/** Runs of suspects, by unit: its first task. */
+	readonly #suspects = new Set<LiveTask>();
+	/** Workers that are kept for a suspect until nothing on them is young. */
+	readonly #reserved = new Map<LiveTask, FleetWorker[]>();
+	#closed = new Set<string>();
+
+	constructor(options: QuarantineOptions) {
+		this.#options = options;
+	}
+
+	/** Whether a suspect has the worker for itself, as far as starts go. */
+	isClosed({host}: FleetWorker): boolean {
+		return this.#closed.has(host);
+	}
+
+	/** Takes the suspects out of a round. */
+	arrange(round: QuarantineRound): QuarantineResult {
+		for (const task of round.waiting) {
+			if (isKeptApart(task)) {
+				this.#suspects.add(getUnit(task)[0]!);
+			}
+		}
+
+		if (this.#suspects.size === 0) {
+			return {starts: [], waiting: round.waiting, open: round.open};
+		}
+
+		this.#release(round);
+		this.#close();
+		const starts = this.#start(round);
+		return {
+			starts,
+			waiting: round.waiting.filter(task => !isKeptApart(task)),
+			open: round.open.filter(worker => !this.isClosed(worker)),
+		};
+	}
+
+	/** Lets go of suspects that are over, or of which a run has lived. */
+	#release({waiting, open, nowMs}: QuarantineRound): void {
+		const waitingTasks = new Set(waiting);
+		for (const suspect of this.#suspects) {
+			if (suspect.runs.length > 0 && suspect.runs.every(run => this.#hasLived(run, nowMs))) {
+				this.#options.note('task cleared', {taskId: suspect.taskId, run: suspect.lastRun, crashes: suspect.crashes.length});
+				for (const member of getUnit(suspect)) {
+					member.clearedCrashes = member.crashes.length;
+				}
+			}
+
+			if (suspect.isDone || suspect.step.workflow.isOver || !isKeptApart(suspect)) {
+				this.#suspects.delete(suspect);
+			}
+		}
+
+		for (const [suspect, workers] of this.#reserved) {
+			if (!this.#suspects.has(suspect) || !waitingTasks.has(suspect) || workers.some(worker => !open.includes(worker))) {
+				this.#reserved.delete(suspect);
+			}
+		}
+	}
+
+	#hasLived({phase, host, sentAtMs, task}: LiveRun, nowMs: number): boolean {
+		const worker = this.#options.workers.get(host);
+		return phase !== RunPhase.Starting && worker !== undefined && worker.isAnswering && worker.silentSinceMs === undefined
+			&& nowMs - sentAtMs >= getQuarantineMs(task.crashes) + tellMs;
+	}
+
+	#close(): void {
+		this.#closed = new Set([...this.#reserved.values()].flat().map(({host}) => host));
+		for (const suspect of this.#suspects) {
+			for (const {runs} of getUnit(suspect)) {
+				for (const {host} of runs) {
+					this.#closed.add(host);
+				}
+			}
+		}
+	}
+
+	/** Workers that suspects may still take. */
+	#countFree(): number {
+		const {workers} = this.#options;
+		let held = this.#closed.size;
+		for (const worker of workers.values()) {
+			if (!worker.isAnswering && !this.isClosed(worker)) {
+				held++;
+			}
+		}
+
+		const free = Math.ceil(maxHeldShare * workers.size) - held;
+		return this.#closed.size === 0 ? Math.max(1, free) : free;
+	}
+
+	#start(round: QuarantineRound): Start[] {
+		const {open, nowMs, place} = round;
+		const starts: Start[] = [];
+		for (const suspect of this.#getNext(round)) {
+			const free = this.#countFree();
+			if (free <= 0) {
+				break;
+			}
+
+			const workers = this.#choose(suspect, open, {most: free, place});
+			if (workers.length > 0) {
+				this.#reserve(suspect, workers);
+			}
+		}
+
+		for (const [suspect, workers] of this.#reserved) {
+			if (workers.every(worker => isQuiet(worker, nowMs))) {
+				starts.push(...place(getUnit(suspect), workers));
+				this.#reserved.delete(suspect);
+			}
+		}
+
+		return starts;
+	}
+
+	/** Suspects that wait, those first that are most likely innocent: few crashes, and their like have succeeded. */
+	#getNext({waiting}: QuarantineRound): LiveTask[] {
+		const waitingTasks = new Set(waiting);
+		return [...this.#suspects]
+			.filter(suspect => waitingTasks.has(suspect) && !this.#reserved.has(suspect))
+			.toSorted((a, b) => a.crashes.length - b.crashes.length || getOpenShare(a) - getOpenShare(b));
+	}
+
+	#reserve(suspect: LiveTask, workers: FleetWorker[]): void {
+		this.#reserved.set(suspect, workers);
+		for (const {host} of workers) {
+			this.#closed.add(host);
+		}
+	}
+
+	/** Workers on which the unit would be placed now, those first on which a crash takes least along. */
+	#choose(suspect: LiveTask, open: FleetWorker[], {most, place}: {most: number; place: QuarantineRound['place']}): FleetWorker[] {
+		const {spec} = suspect.step;
+		const unit = getUnit(suspect);
+		const fitting = open
+			.filter(worker => !this.isClosed(worker) && isSuited(spec, worker.report!) && isFitting(spec, getFreeRoom(worker)))
+			.map(worker => ({worker, load: getLoad(worker)}))
+			.toSorted((a, b) => a.load - b.load)
+			.map(({worker}) => worker);
+		if (unit.length === 1) {
+			const chosen = fitting.slice(0, maxTries).find(worker => place(unit, [worker]).length > 0);
+			return chosen ? [chosen] : [];
+		}
+
+		// A gang that needs more workers than the share has them when no other suspect holds any.
+		for (let count = 1; count <= fitting.length; count++) {
+			const workers = fitting.slice(0, count);
+			if (place(unit, workers).length > 0) {
+				return count <= most || this.#closed.size === 0 ? workers : [];
+			}
+		}
+
+		return [];
+	}
+}
+
+const getOpenShare = ({step: {remaining, spec}}: LiveTask): number => remaining / spec.count;
+
+/** Processors at work that a crash would take along. */
+const getLoad = ({runs}: FleetWorker): number => {
+	let milliCpu = 0;
+	for (const {task: {step: {spec}}} of runs) {
+		milliCpu += spec.milliCpu;
+	}
+
+	return milliCpu;
+};
+
+const isQuiet = ({runs}: FleetWorker, nowMs: number): boolean =>
+	[...runs].every(({phase, sentAtMs}) => phase !== RunPhase.Starting && nowMs - sentAtMs >= quietMs);
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -3,7 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {
-	RunEnd, WorkflowState, type EndedRun, type Workflow, type WorkflowStep,
+	RunEnd, WorkflowState, type EndedRun, type TaskCrash, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
 
@@ -21,6 +21,8 @@
 	Cancel = 'cancel',
 	/** Runs that ended; written by the owner. */
 	Ends = 'ends',
+	/** Workers that crashed under runs; written by the owner. */
+	Crashes = 'crashes',
 	/** Jobs of which a first task has started; written by the owner, some time later. */
 	Begun = 'begun',
 	/** All that is known of a job, written again by the owner before the store lets its first record go. */
@@ -31,6 +33,9 @@
 	Harm = 'harm',
 }
 
+/** A crash that counts for a task. */
+export type CrashedTask = TaskCrash & {taskId: string};
+
 /** Newest checkpoint of a run that goes on. */
 export type SavedRun = {
 	taskId: string;
@@ -63,6 +68,8 @@
 	isDone: boolean;
 	/** Numbers of the runs that failed. */
 	failedRuns: number[];
+	/** Crashes of workers that count for it. */
+	crashes: TaskCrash[];
 	/** Highest number of a run that ended. */
 	lastRun: number;
 	checkpoint: string;
@@ -74,6 +81,7 @@
 		| {type: RecordType.Submit; workflow: Workflow}
 		| {type: RecordType.Cancel; id: string}
 		| {type: RecordType.Ends; ends: EndedRun[]}
+		| {type: RecordType.Crashes; crashes: CrashedTask[]}
 		| {type: RecordType.Begun; ids: string[]}
 		| {type: RecordType.Whole; job: WholeWorkflow}
 		| {type: RecordType.Saved; runs: SavedRun[]}
@@ -103,6 +111,10 @@
 			return {type, ends: fields.list('ends', decodeEnd)};
 		}
 
+		case RecordType.Crashes: {
+			return {type, crashes: fields.list('crashes', value => ({taskId: new Fields(value, step).text('taskId'), ...decodeCrash(value)}))};
+		}
+
 		case RecordType.Begun: {
 			return {type, ids: fields.texts('ids')};
 		}
@@ -168,6 +180,11 @@
 	};
 };
 
+const decodeCrash = (value: unknown): TaskCrash => {
+	const fields = new Fields(value, step);
+	return {run: fields.count('run'), ageMs: fields.amount('ageMs'), isNewest: fields.flag('isNewest')};
+};
+
 const decodeSaved = (value: unknown): SavedRun => {
 	const fields = new Fields(value, step);
 	return {taskId: fields.text('taskId'), run: fields.count('run'), checkpoint: fields.text('checkpoint')};
@@ -186,7 +203,7 @@
 	const row = new Fields(value, step);
 	const ledger = row.fields(1);
 	return [row.text(0), {
-		isDone: ledger.flag('isDone'), failedRuns: ledger.counts('failedRuns'), lastRun: ledger.count('lastRun'), checkpoint: ledger.text('checkpoint'),
+		isDone: ledger.flag('isDone'), failedRuns: ledger.counts('failedRuns'), crashes: ledger.has('crashes') ? ledger.list('crashes', decodeCrash) : [], lastRun: ledger.count('lastRun'), checkpoint: ledger.text('checkpoint'),
 	}];
 };
 
--- a/src/workflows/rounds.ts
+++ b/src/workflows/rounds.ts
@@ -8,8 +8,9 @@
 import {
 	type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
-import {place, type Start} from './placement.ts';
+import {place, type Round, type Start} from './placement.ts';
 import {type Policy} from './policy.ts';
+import {type Quarantine} from './quarantine.ts';
 import {type RunTimes} from './run-times.ts';
 import {type IsAllowed, type WaitReason} from './step-places.ts';
 import {createRank, getRemainder, type Remainder} from './task-order.ts';
@@ -24,10 +25,11 @@
 	policy: Policy;
 	meter: WorkMeter;
 	isAllowed: IsAllowed;
+	quarantine: Quarantine;
 	/** Tasks that may start now. */
 	getWaiting: (nowMs: number) => Iterable<LiveTask>;
 	/** Workers that may be given something. */
-	getWorkers: (nowMs: number) => Iterable<FleetWorker>;
+	getWorkers: (nowMs: number) => FleetWorker[];
 	/** Runs that are out on any worker. */
 	getRuns: () => LiveRun[];
 	onStarts: (starts: Start[]) => void;
@@ -80,11 +82,24 @@
 	}
 
 	#run(): void {
-		const {clock, harm, times, policy, isAllowed, getWaiting, getWorkers, onStarts} = this.#options;
+		const {clock, quarantine, getWaiting, getWorkers, onStarts} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const {starts, waits, spareMilliCpu} = place({
-			waiting: getWaiting(nowMs),
-			workers: getWorkers(nowMs),
+		const apart = quarantine.arrange({
+			nowMs, waiting: [...getWaiting(nowMs)], open: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, nowMs).starts,
+		});
+		const {starts, waits, spareMilliCpu} = this.#place(apart.waiting, apart.open, nowMs);
+		onStarts([...apart.starts, ...starts]);
+		if (waits.size > 0 && nowMs - this.#notedAtMs >= noteEveryMs) {
+			this.#notedAtMs = nowMs;
+			this.#noteWaits(waits, spareMilliCpu);
+		}
+	}
+
+	#place(waiting: LiveTask[], workers: FleetWorker[], nowMs: number): Round {
+		const {clock, harm, times, policy, isAllowed} = this.#options;
+		return place({
+			waiting,
+			workers,
 			nowMs,
 			harm,
 			isAllowed,
@@ -93,11 +108,6 @@
 				nowMs, spareMilliCpu, policy, times, wallMs: clock.now().getTime(), remainders: this.#getRemainders(nowMs),
 			}),
 		});
-		onStarts(starts);
-		if (waits.size > 0 && nowMs - this.#notedAtMs >= noteEveryMs) {
-			this.#notedAtMs = nowMs;
-			this.#noteWaits(waits, spareMilliCpu);
-		}
 	}
 
 	#noteWaits(waits: Map<WaitReason, number>, spareMilliCpu: number): void {
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -37,6 +37,7 @@
 /** Why a run was taken as over without a listed end. */
 export enum LossReason {
 	WorkerReplaced = 'worker-replaced',
+	WorkerCrashed = 'worker-crashed',
 	LeasesOver = 'leases-over',
 	AgentLost = 'agent-lost',
 	NotListed = 'not-listed',
--- a/test/site-inputs.test.ts
+++ b/test/site-inputs.test.ts
@@ -41,7 +41,7 @@
 	{
 		type: RecordType.Whole, job: {
 			workflow, state: WorkflowState.Running, hasBegun: true, remaining: 1, writtenAtMs: 5, ledgers: [[`${workflow.id}.0.0.0`, {
-				isDone: true, failedRuns: [1], lastRun: 2, checkpoint: 'c',
+				isDone: true, crashes: [], failedRuns: [1], lastRun: 2, checkpoint: 'c',
 			}]],
 		},
 	},
