Tell owners at once when a worker's capacity changes, and start nothing that was decided on more

What users would see: LIMIT, for up to half a second after a worker said that it has less; and work that waits as long after it has grown. Cause: an announcement with another capacity took the place of the old one without a new version, so that the owner heard of it with the next listing, and the agent carried out whatever was ordered until then. Change: a changed capacity is a change of state that wakes the owner; an order names the capacity it was decided on, and an agent whose worker has less refuses the start (`shrunk`, counted like each refusal). Before: test/site-capacity.test.ts, 4 of 4 fail (given 2,000 to 4,000 of 1,000; grown room taken after 500 ms). After: 4 of 4 pass, grown room is taken within 100 ms. What is being stopped counts until its end is listed, as before; now tested.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -1,7 +1,7 @@
 /**
 State of an agent: its worker, the lease it holds for it, the runs there, and the version that owners wait on.
 */
-import {type CrashedRun, type WorkerReport} from '../types/fleet.ts';
+import {isWithin, type CrashedRun, type WorkerReport} from '../types/fleet.ts';
 import {LeaseClock} from './lease-clock.ts';
 import {WorkerRuns} from './worker-runs.ts';
 
@@ -101,7 +101,7 @@
 			// Announcements may overtake each other; the sequence tells which is newer.
 			if (report.sequence > known.sequence) {
 				this.worker!.report = report;
-				if (known.isDraining !== report.isDraining) {
+				if (known.isDraining !== report.isDraining || !isWithin(known, report) || !isWithin(report, known)) {
 					this.bump();
 				}
 			}
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -7,7 +7,7 @@
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
-	OrderRefusal, OrderType, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest, type WorkerAnswer, type WorkerClient, type WorkerStart,
+	isWithin, OrderRefusal, OrderType, type Capacity, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest, type WorkerAnswer, type WorkerClient, type WorkerStart,
 } from '../types/fleet.ts';
 import {type AgentState, type WorkerState} from './agent-state.ts';
 import {type ControlWatch} from './control-watch.ts';
@@ -49,7 +49,7 @@
 		const {state} = this.#options;
 		const refusal = this.#judge(request);
 		const answers = refusal === undefined
-			? await Promise.all(request.orders.map(async order => this.#carryOut(order, state.worker!)))
+			? await Promise.all(request.orders.map(async order => this.#carryOut(order, state.worker!, request.capacity)))
 			: request.orders.map((): WorkerAnswer => ({isDone: false, refusal}));
 		if (refusal !== undefined) {
 			this.#options.note('orders refused', {
@@ -94,12 +94,16 @@
 		return state.worker?.report.workerId === workerId ? undefined : OrderRefusal.OtherWorker;
 	}
 
-	async #carryOut(order: Order, worker: WorkerState): Promise<WorkerAnswer> {
+	async #carryOut(order: Order, worker: WorkerState, capacity: Capacity | undefined): Promise<WorkerAnswer> {
 		const {client, getFence} = this.#options;
 		const {workerId} = worker.report;
 		try {
 			switch (order.type) {
 				case OrderType.Start: {
+					if (capacity && !isWithin(capacity, worker.report)) {
+						return {isDone: false, refusal: OrderRefusal.Shrunk};
+					}
+
 					return await this.#start(order.start, worker);
 				}
 
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -73,21 +73,28 @@
 	#ended: EndedRow[] = [];
 	#endNumber = 0;
 	#sequence = 0;
+	#milliCpu: number;
 	#lastRuns = new Map<string, number>();
 	readonly #waiters = new Set<() => void>();
 
 	constructor(name: string, options: SiteWorkerOptions) {
 		this.workerId = `${name}-1`;
 		this.#options = options;
+		this.#milliCpu = options.report.milliCpu;
 		this.#expireLater();
 	}
 
 	fault: (order: 'start' | 'stop' | 'renew') => OrderFault = () => OrderFault.None;
 
+	/** Its processors change while it runs on. */
+	setMilliCpu(milliCpu: number): void {
+		this.#milliCpu = milliCpu;
+	}
+
 	/** What it announces. */
 	announce(): WorkerReport {
 		return {
-			...this.#options.report, workerId: this.workerId, isDraining: this.isDraining, sequence: ++this.#sequence,
+			...this.#options.report, milliCpu: this.#milliCpu, workerId: this.workerId, isDraining: this.isDraining, sequence: ++this.#sequence,
 		};
 	}
 
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -3,8 +3,16 @@
 */
 import {type EndedRun} from './workflows.ts';
 
+/** What a worker has for tasks, or what is left of it. */
+export type Capacity = {
+	/** Processors in thousandths of a core. */
+	milliCpu: number;
+	memoryMb: number;
+	accelerators: number;
+};
+
 /** What a worker says of itself. */
-export type WorkerReport = {
+export type WorkerReport = Capacity & {
 	/** New with each incarnation of the worker. */
 	workerId: string;
 	service: string;
@@ -12,9 +20,6 @@
 	isDraining: boolean;
 	/** Least time left while it drains; undefined otherwise. */
 	remainingMs?: number;
-	milliCpu: number;
-	memoryMb: number;
-	accelerators: number;
 	labels: string[];
 	sequence: number;
 };
@@ -56,6 +61,10 @@
 	ageMs: number;
 };
 
+/** Whether there is as much of everything. */
+export const isWithin = (asked: Capacity, available: Capacity): boolean =>
+	asked.milliCpu <= available.milliCpu && asked.memoryMb <= available.memoryMb && asked.accelerators <= available.accelerators;
+
 /** Why an order changed nothing. */
 export enum OrderRefusal {
 	/** A newer owner is known. */
@@ -71,6 +80,8 @@
 	OldRun = 'old-run',
 	Late = 'late',
 	NoRoom = 'no-room',
+	/** The worker has less than the owner counted with. */
+	Shrunk = 'shrunk',
 	Ticket = 'ticket',
 	Unhealthy = 'unhealthy',
 	Invalid = 'invalid',
@@ -126,6 +137,8 @@
 	/** Agent's life and clock after which the orders must not be carried out. */
 	agentLife: string;
 	notAfterMs: number;
+	/** What the owner took the worker to have as it decided; undefined from an owner of the version before. */
+	capacity?: Capacity;
 	orders: Order[];
 };
 
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -103,9 +103,10 @@
 	/** Sends orders; undefined without an answer: they may have been carried out. */
 	async order(worker: FleetWorker, orders: Order[], notAfterMs = this.getNotAfterMs(worker, orderGoodMs)): Promise<OrdersReply | undefined> {
 		const {client, epoch, note} = this.#options;
+		const {workerId, milliCpu, memoryMb, accelerators} = worker.report!;
 		try {
 			return await client.order(worker.address, {
-				epoch, workerId: worker.report!.workerId, agentLife: worker.agentLife, notAfterMs, orders,
+				epoch, workerId, agentLife: worker.agentLife, notAfterMs, capacity: {milliCpu, memoryMb, accelerators}, orders,
 			}, orderTimeoutMs);
 		} catch (error) {
 			note('orders unanswered', {host: worker.host, orders: orders.length, error: getMessage(error)});
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -2,18 +2,11 @@
 The owner's view of the workers of its service: what each has, what is taken, and whether it may be given more.
 */
 import {type HealthSubject} from '../jobs/worker-health.ts';
-import {type WorkerReport} from '../types/fleet.ts';
+import {type Capacity, type WorkerReport} from '../types/fleet.ts';
 import {type WorkflowStep} from '../types/workflows.ts';
 import {type Paces} from './fill-harm.ts';
 import {type LiveRun} from './live-model.ts';
 
-/** Room on a worker. */
-export type Room = {
-	milliCpu: number;
-	memoryMb: number;
-	accelerators: number;
-};
-
 /** One worker with its agent, as last heard. */
 export type FleetWorker = {
 	host: string;
@@ -64,7 +57,7 @@
 export const getMilliCpu = (step: WorkflowStep): number => step.isFilling ? 0 : step.milliCpu;
 
 /** Room that is free. */
-export const getFreeRoom = (worker: FleetWorker): Room => {
+export const getFreeRoom = (worker: FleetWorker): Capacity => {
 	const free = {milliCpu: 0, memoryMb: 0, accelerators: 0};
 	if (worker.report) {
 		free.milliCpu = worker.report.milliCpu;
@@ -90,5 +83,5 @@
 	&& getMilliCpu(step) <= report.milliCpu && step.memoryMb <= report.memoryMb && step.accelerators <= report.accelerators;
 
 /** Whether the task fits into the room. */
-export const isFitting = (step: WorkflowStep, free: Room): boolean =>
+export const isFitting = (step: WorkflowStep, free: Capacity): boolean =>
 	getMilliCpu(step) <= free.milliCpu && step.memoryMb <= free.memoryMb && step.accelerators <= free.accelerators;
--- a/src/workflows/placement-candidates.ts
+++ b/src/workflows/placement-candidates.ts
@@ -1,10 +1,11 @@
 /**
 Workers as a round of placement sees them: what is free and what runs there, with what the round has decided so far.
 */
+import {type Capacity} from '../types/fleet.ts';
 import {type WorkflowStep} from '../types/workflows.ts';
 import {getFillers, getServers, type FillHarm} from './fill-harm.ts';
 import {
-	getFreeRoom, getMilliCpu, getRack, type FleetWorker, type Room,
+	getFreeRoom, getMilliCpu, getRack, type FleetWorker,
 } from './fleet-view.ts';
 import {type FillDemand, type ServingTask} from './harm-pacing.ts';
 import {type LiveStep, type LiveTask} from './live-model.ts';
@@ -12,7 +13,7 @@
 /** One worker in a round. */
 export type Candidate = {
 	worker: FleetWorker;
-	free: Room;
+	free: Capacity;
 	rack: string | undefined;
 	/** Tasks here of each step that bounds them, by step. */
 	ofStep: Map<LiveStep, number>;
--- /dev/null
+++ b/test/site-capacity.test.ts
@@ -0,0 +1,85 @@
+/**
+Workers whose capacity shrinks and grows again while they run.
+*/
+import {afterEach, expect, it} from 'vitest';
+import {OrderRefusal, OrderType} from '../src/types/fleet.ts';
+import {createSite, jobId, otherId} from './site-setup.ts';
+import {createSpec, createStep, type SiteWorld} from './site-world.ts';
+
+let world: SiteWorld;
+
+afterEach(() => {
+	world.stop();
+	expect(world.violations).toEqual([]);
+});
+
+/** A call to the worker is on its way for so long. */
+const callMs = 5;
+
+/** The worker says that it changes, and does so once calls of before have arrived. */
+const setCapacity = async (host: string, milliCpu: number): Promise<void> => {
+	const {worker, agent} = world.hosts.get(host)!;
+	agent!.announce({...worker.announce(), milliCpu});
+	await world.clock.advance(callMs);
+	worker.setMilliCpu(milliCpu);
+};
+
+const isAnyRunning = (host: string): boolean => world.hosts.get(host)!.worker.running.size > 0;
+
+it('are not brought over what is left while their owner has not heard of it', async () => {
+	world = await createSite(1);
+	world.plan = () => ({workMs: 300});
+	for (let round = 0; round < 20; round++) {
+		const id = (round + 1).toString(16).padStart(16, '0');
+		await setCapacity('host-0', 1000);
+		await world.submit(id, createSpec([createStep({count: 4})]));
+		await world.clock.advance(400);
+		await setCapacity('host-0', 4000);
+		await world.clock.advance(700);
+	}
+
+	expect(world.events.filter(event => event.type === 'ended').length).toBe(80);
+});
+
+it('refuse an order that was decided when there was more', async () => {
+	world = await createSite(1);
+	await setCapacity('host-0', 1000);
+	const {agent, worker, clock} = world.hosts.get('host-0')!;
+	const {answers} = await world.settle(agent!.order({
+		epoch: world.entries.get('entry-0')!.follower.fold.epoch,
+		workerId: worker.workerId,
+		agentLife: agent!.state.life,
+		notAfterMs: clock.monotonicMs() + 1000,
+		capacity: {milliCpu: 4000, memoryMb: 64_000, accelerators: 0},
+		orders: [{
+			type: OrderType.Start, start: {
+				taskId: `${jobId}.0.0.0`, run: 1, input: '', checkpoint: '',
+			},
+		}],
+	}));
+	expect(answers).toEqual([{isDone: false, refusal: OrderRefusal.Shrunk}]);
+	expect(isAnyRunning('host-0')).toBe(false);
+});
+
+it('are given nothing more while what runs is stopped or takes all that is left', async () => {
+	world = await createSite(1);
+	world.plan = () => ({workMs: 3000});
+	await world.submit(jobId, createSpec([createStep({count: 2})]));
+	await world.waitFor(() => isAnyRunning('host-0'), 2000);
+	await setCapacity('host-0', 2000);
+	await world.submit(otherId, createSpec([createStep()]));
+	await world.cancel(jobId);
+	await world.waitFor(() => world.isRunning(`${otherId}.0.0.0`), 5000);
+	expect(world.isRunning(`${jobId}.0.0.0`)).toBe(false);
+});
+
+it('take work again as soon as they have grown', async () => {
+	world = await createSite(1);
+	await setCapacity('host-0', 500);
+	await world.clock.advance(1000);
+	await world.submit(jobId, createSpec([createStep()]));
+	await world.clock.advance(2000);
+	expect(world.getStarts(`${jobId}.0.0.0`)).toBe(0);
+	await setCapacity('host-0', 4000);
+	expect(await world.waitFor(() => world.isRunning(`${jobId}.0.0.0`), 5000)).toBeLessThan(100);
+});
