Give nothing to a worker that has no processors left, and learn nothing from it

What users would see: a worker whose capacity shrinks to nothing brings its owner to a standstill: a job handed in gets no answer. Cause: shares of the processors were divided by zero; a task that fills takes no counted processors, so it suited a worker with none. Change: a worker without processors is not open, and paces learn nothing there while it lasts.

--- a/src/workflows/open-workers.ts
+++ b/src/workflows/open-workers.ts
@@ -16,5 +16,5 @@
 
 /** Gets the workers that may be given something. */
 export const getOpenWorkers = (workers: Iterable<FleetWorker>, nowMs: number, policy: Policy): FleetWorker[] =>
-	[...workers].filter(worker => worker.report !== undefined && !worker.report.isDraining && isReached(worker, nowMs)
+	[...workers].filter(worker => worker.report !== undefined && worker.report.milliCpu > 0 && !worker.report.isDraining && isReached(worker, nowMs)
 		&& !(policy[Mechanism.WorkerHealth] && isHeldDown(worker)));
--- a/src/workflows/pace-keeper.ts
+++ b/src/workflows/pace-keeper.ts
@@ -87,7 +87,8 @@
 
 	/** Takes a worker's newest state. */
 	take(worker: FleetWorker): void {
-		if (!worker.report) {
+		// With no processors there are no shares to learn from.
+		if (!worker.report || worker.report.milliCpu === 0) {
 			return;
 		}
 
--- a/test/site-capacity.test.ts
+++ b/test/site-capacity.test.ts
@@ -3,6 +3,7 @@
 */
 import {afterEach, expect, it} from 'vitest';
 import {OrderRefusal, OrderType} from '../src/types/fleet.ts';
+import {WorkflowState} from '../src/types/workflows.ts';
 import {createSite, jobId, otherId} from './site-setup.ts';
 import {createSpec, createStep, type SiteWorld} from './site-world.ts';
 
@@ -24,13 +25,15 @@
 	worker.setMilliCpu(milliCpu);
 };
 
+const createId = (number: number): string => number.toString(16).padStart(16, '0');
+
 const isAnyRunning = (host: string): boolean => world.hosts.get(host)!.worker.running.size > 0;
 
 it('are not brought over what is left while their owner has not heard of it', async () => {
 	world = await createSite(1);
 	world.plan = () => ({workMs: 300});
 	for (let round = 0; round < 20; round++) {
-		const id = (round + 1).toString(16).padStart(16, '0');
+		const id = createId(round + 1);
 		await setCapacity('host-0', 1000);
 		await world.submit(id, createSpec([createStep({count: 4})]));
 		await world.clock.advance(400);
@@ -83,3 +86,27 @@
 	await setCapacity('host-0', 4000);
 	expect(await world.waitFor(() => world.isRunning(`${jobId}.0.0.0`), 5000)).toBeLessThan(100);
 });
+
+it('may have nothing left for a while, also for what fills and for what serves', async () => {
+	world = await createSite(2);
+	world.plan = ({taskId}) => ({workMs: taskId.startsWith(otherId) ? undefined : 1000});
+	await world.submit(otherId, createSpec([createStep({
+		count: 2, maxPerWorker: 1, isLasting: true, image: 'serve', targetMs: 100,
+	})]));
+	await world.clock.advance(500);
+	const steps = [createStep({count: 6, isFilling: true, image: 'fill'}), createStep({count: 4})];
+	await world.submit(createId(1), createSpec(steps));
+	await world.clock.advance(100);
+	await setCapacity('host-0', 0);
+	await world.clock.advance(1500);
+	await world.submit(createId(2), createSpec(steps));
+	await world.clock.advance(800);
+	expect([...world.hosts.get('host-0')!.worker.running.keys()]).not.toContainEqual(expect.stringContaining(createId(2)));
+	await world.clock.advance(9000);
+	expect(await world.getState(createId(1))).toBe(WorkflowState.Completed);
+	expect(await world.getState(createId(2))).toBe(WorkflowState.Completed);
+	await setCapacity('host-0', 4000);
+	await world.submit(createId(3), createSpec([createStep({count: 8, isFilling: true, image: 'fill'})]));
+	await world.clock.advance(500);
+	expect([...world.hosts.get('host-0')!.worker.running.keys()]).toContainEqual(expect.stringContaining(createId(3)));
+});
