--- a/test/site-troubles.ts
+++ b/test/site-troubles.ts
@@ -4,16 +4,14 @@
 import fc from 'fast-check';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {OrderFault} from '../src/standin/site-worker.ts';
-import {type SubmitOutcome} from '../src/types/job-api.ts';
-import {createSpec, createStep, type SiteWorld} from './site-world.ts';
+import {SubmitOutcome} from '../src/types/job-api.ts';
+import {WorkflowState} from '../src/types/workflows.ts';
+import {createSpec, createStep, SiteWorld} from './site-world.ts';
 
-/** Hosts with workers. */
-export const hosts = ['host-0', 'host-1', 'host-2'];
-/** Hosts of entries. */
-export const entries = ['entry-0', 'entry-1', 'entry-2'];
+const hosts = ['host-0', 'host-1', 'host-2'];
+const entries = ['entry-0', 'entry-1', 'entry-2'];
 
-/** What a step does. */
-export enum Trouble {
+enum Trouble {
 	KillEntry = 'kill-entry',
 	FreezeEntry = 'freeze-entry',
 	KillAgent = 'kill-agent',
@@ -36,7 +34,7 @@
 const isAway = (fault: StoreFault, until: number) => ({fault, until});
 
 /** Plays one step; whatever it breaks is whole again after `forMs`. */
-export const play = async (world: SiteWorld, {trouble, target, forMs}: Step, jobs: Map<string, SubmitOutcome>): Promise<void> => {
+const play = async (world: SiteWorld, {trouble, target, forMs}: Step, jobs: Map<string, SubmitOutcome>): Promise<void> => {
 	const host = world.hosts.get(hosts[target % hosts.length]!)!;
 	const entryName = entries[target % entries.length]!;
 	const entry = world.entries.get(entryName);
@@ -155,10 +153,51 @@
 	}
 };
 
-/** Any step. */
-export const step = fc.record({
+const step = fc.record({
 	trouble: fc.constantFrom(...Object.values(Trouble), Trouble.Submit, Trouble.Submit, Trouble.Submit),
 	target: fc.nat(11),
 	forMs: fc.integer({min: 200, max: 9000}),
 	pauseMs: fc.integer({min: 10, max: 2500}),
 });
+
+/** Any series. */
+export const anySeries = fc.array(step, {minLength: 4, maxLength: 24});
+
+const calmMs = 45_000;
+
+/** A site on which series are played. */
+export const createTroubledSite = async (plan: SiteWorld['plan']): Promise<SiteWorld> => {
+	const world = new SiteWorld();
+	world.plan = plan;
+	for (const name of hosts) {
+		world.addHost(name);
+	}
+
+	for (const name of entries) {
+		world.startEntry(name);
+	}
+
+	await world.clock.advance(1500);
+	return world;
+};
+
+/** Plays a series and some calm after it, and ends the site; gives the accepted jobs that have not completed, with their states. */
+export const playSeries = async (world: SiteWorld, steps: Step[], beforeStep: (index: number) => Promise<void>): Promise<Array<[string, string]>> => {
+	const jobs = new Map<string, SubmitOutcome>();
+	for (const [index, each] of steps.entries()) {
+		await beforeStep(index);
+		await play(world, each, jobs);
+		await world.clock.advance(each.pauseMs);
+	}
+
+	await world.clock.advance(calmMs);
+	const states: Array<[string, string]> = [];
+	for (const [id, outcome] of jobs) {
+		if (outcome === SubmitOutcome.Accepted) {
+			states.push([id, await world.getState(id)]);
+		}
+	}
+
+	world.stop();
+	return states.filter(([, state]) => state !== (WorkflowState.Completed as string));
+};
