Hold a worker that crashes whatever it starts to blame, and no task that was started on it

What users would see: a job shown as failed without cause. A task that may run on one worker only (spread over all of them) is started again and again on a worker that crashes after each start; in quarantine it was the newest run each time, and was given up. Cause: crashes in quarantine convicted a task also where they were all on one host. Found by reading the rule against a broken worker. Change: a crash names its host and whether another task had succeeded there since the crash before; two crashes in quarantine count on sound hosts only, three on any hosts if they are not all one. Suspects go first to hosts that have not crashed under them. Each crash counts for the worker as a failed run of its newest task, so that the health of workers holds a broken one down and probes it. Before: the new test in test/site-crashes.test.ts fails (failed, expected running). After: 11 of 11, the property (40 series) and the tests of blame pass; lasting tasks come back when the worker is mended.

--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -113,6 +113,9 @@
 	ageMs: number;
 	/** Nothing on the worker had started later. */
 	isNewest: boolean;
+	host: string;
+	/** Another task had succeeded on the host since its last crash. */
+	isHostProven: boolean;
 };
 
 /** Formats the name of a task. */
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -153,6 +153,7 @@
 			health: {spec: {workerId: host}, isHeld: false, isProbing: false},
 			takenEnd: 0,
 			storedEnd: 0,
+			isProven: false,
 			takenCrash: 0,
 			storedCrash: 0,
 			blockedUntilMs: 0,
--- a/src/workflows/crash-blame.ts
+++ b/src/workflows/crash-blame.ts
@@ -21,8 +21,10 @@
 const slowCrashes = 3;
 /** A run has lived when it outlasts the longest of its crashes by this. */
 const outlastTimes = 1.5;
-/** Crashes in quarantine after which a task is given up. One may be a coincidence. */
-const maxQuarantineCrashes = 2;
+/** Crashes in quarantine, each on a host that is sound, after which a task is given up. One may be a coincidence. */
+const maxSoundCrashes = 2;
+/** The same on any hosts, as long as they are not all one. */
+const maxQuarantineCrashes = 3;
 
 /** Whether the next run has to be kept apart. */
 export const isSuspect = (crashes: TaskCrash[]): boolean =>
@@ -38,18 +40,35 @@
 	return Math.max(promptMs, outlastTimes * longestMs);
 };
 
+/** A host that crashes whatever it starts tells nothing of a task. */
+const isHostSound = ({host, isHostProven}: TaskCrash, earlier: TaskCrash[]): boolean =>
+	isHostProven || earlier.every(crash => crash.host !== host);
+
 /** Whether the crash came in quarantine, with nothing newer on the worker. */
-const isConvicting = ({ageMs, isNewest}: TaskCrash, earlier: TaskCrash[]): boolean =>
+const isInQuarantine = ({ageMs, isNewest}: TaskCrash, earlier: TaskCrash[]): boolean =>
 	isNewest && isSuspect(earlier) && ageMs <= getQuarantineMs(earlier);
 
 /** Whether the task is given up. Runs are numbered, so that it does not matter in which order crashes are heard of. */
 export const isGivenUp = (crashes: TaskCrash[]): boolean => {
-	const ordered = crashes.toSorted((a, b) => a.run - b.run);
-	return ordered.filter((crash, index) => isConvicting(crash, ordered.slice(0, index))).length >= maxQuarantineCrashes;
+	const hosts = new Set<string>();
+	const earlier: TaskCrash[] = [];
+	let quarantineCrashes = 0;
+	let soundCrashes = 0;
+	for (const crash of crashes.toSorted((a, b) => a.run - b.run)) {
+		if (isInQuarantine(crash, earlier)) {
+			quarantineCrashes++;
+			soundCrashes += isHostSound(crash, earlier) ? 1 : 0;
+		}
+
+		earlier.push(crash);
+		hosts.add(crash.host);
+	}
+
+	return soundCrashes >= maxSoundCrashes || (quarantineCrashes >= maxQuarantineCrashes && hosts.size > 1);
 };
 
 /** Chooses whom a crash counts for. A run in quarantine explains it; what ran beside that one is innocent. */
 export const chooseSuspects = <Aboard extends AboardTask>(aboard: Aboard[]): Aboard[] => {
-	const culprit = aboard.find(({crash, earlier}) => isConvicting(crash, earlier));
+	const culprit = aboard.find(({crash, earlier}) => isInQuarantine(crash, earlier));
 	return culprit ? [culprit] : aboard.filter(({crash}) => crash.ageMs <= countedMs);
 };
--- a/src/workflows/crash-watch.ts
+++ b/src/workflows/crash-watch.ts
@@ -16,6 +16,8 @@
 	getTask: (ref: TaskRef) => LiveTask | undefined;
 	/** Writes crashes to the log; resolves to whether they are stored. */
 	store: (crashes: CrashedTask[]) => Promise<boolean>;
+	/** The worker crashed, and the task is the likeliest cause, if it is not the worker itself. */
+	onCulprit: (worker: FleetWorker, task: LiveTask) => void;
 	/** Workers have crashed under the task as often as they may. */
 	onGivenUp: (task: LiveTask) => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
@@ -57,7 +59,8 @@
 
 	/** Takes the runs of one crash; gives the tasks that it counts for. */
 	#judge(worker: FleetWorker, rows: CrashedRun[], nowMs: number): CrashedTask[] {
-		const aboard = this.#findTasks(rows);
+		const aboard = this.#findTasks(worker, rows);
+		worker.isProven = false;
 		const suspects = chooseSuspects(aboard.filter(({task}) => !task.isDone && !task.step.workflow.isOver));
 		this.#options.note('worker crashed', {
 			host: worker.host, workerId: rows[0]!.workerId, runs: rows.length, suspects: suspects.length,
@@ -73,7 +76,7 @@
 		return suspects.flatMap(suspect => this.#count(worker, suspect));
 	}
 
-	#findTasks(rows: CrashedRun[]): Aboard[] {
+	#findTasks({host, isProven}: FleetWorker, rows: CrashedRun[]): Aboard[] {
 		const aboard: Aboard[] = [];
 		for (const {taskId, run, ageMs} of rows) {
 			const ref = parseTaskId(taskId);
@@ -82,7 +85,11 @@
 				// Members of a gang are one unit: none of them is newer than the others.
 				const isNewest = rows.every(row => row.ageMs > ageMs || row.taskId === taskId || isSameUnit(row.taskId, task));
 				aboard.push({
-					task, crash: {run, ageMs: Math.round(ageMs), isNewest}, earlier: task.crashes.filter(crash => crash.run < run),
+					task,
+					crash: {
+						run, ageMs: Math.round(ageMs), isNewest, host, isHostProven: isProven,
+					},
+					earlier: task.crashes.filter(crash => crash.run < run),
 				});
 			}
 		}
@@ -96,15 +103,20 @@
 		}
 
 		const {step, taskId} = task;
+		const {onCulprit, onGivenUp, note} = this.#options;
 		for (const member of step.spec.isGang ? step.tasks : [task]) {
 			member.crashes.push(crash);
 		}
 
-		this.#options.note('crash counted', {
-			taskId, ...crash, host: worker.host, crashes: task.crashes.length,
+		note('crash counted', {
+			taskId, ...crash, crashes: task.crashes.length,
 		});
+		if (crash.isNewest) {
+			onCulprit(worker, task);
+		}
+
 		if (isGivenUp(task.crashes)) {
-			this.#options.onGivenUp(task);
+			onGivenUp(task);
 		}
 
 		return [{taskId, ...crash}];
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -36,6 +36,8 @@
 	takenEnd: number;
 	/** Ends up to this number are in the log. */
 	storedEnd: number;
+	/** A task has succeeded there since the last crash that this owner heard of. */
+	isProven: boolean;
 	/** Crashed runs up to this number of the agent's life were taken, and are in the log. */
 	takenCrash: number;
 	storedCrash: number;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -123,24 +123,27 @@
 				this.#depose(`an agent knows epoch ${newerEpoch}`);
 			},
 		});
-		this.#settling = new Settling({
-			...options, links: this.links, onSettled: () => {
-				this.#rounds.want();
-			},
-		});
-		this.#runs = this.#createRunTracker();
+		const wantRound = () => {
+			this.#rounds.want();
+		};
+
+		this.#settling = new Settling({...options, links: this.links, onSettled: wantRound});
+		this.#runs = this.#createRunTracker(wantRound);
 		const shared = {
 			clock, note, model, links: this.links, tracker: this.#runs,
 		};
-		this.#advice = new AdviceCache({
-			clock, note, client: options.adviceClient, onAdvice: () => {
-				this.#rounds.want();
-			},
-		});
+		this.#advice = new AdviceCache({...options, client: options.adviceClient, onAdvice: wantRound});
 		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
 		this.#quarantine = new Quarantine({workers: this.links.workers, note});
 		this.#crashes = new CrashWatch({
-			note, tracker: this.#runs, getTask: ref => this.#recall(ref), store: async crashes => this.#log.storeCrashes(crashes), onGivenUp: task => {
+			note,
+			tracker: this.#runs,
+			getTask: ref => this.#recall(ref),
+			store: async crashes => this.#log.storeCrashes(crashes),
+			onCulprit: (worker, task) => {
+				this.#noteHealth(worker, task, false);
+			},
+			onGivenUp: task => {
 				this.#giveUp(task);
 			},
 		});
@@ -213,7 +216,7 @@
 		}
 	}
 
-	#createRunTracker(): RunTracker {
+	#createRunTracker(onChange: () => void): RunTracker {
 		const {note} = this.#options;
 		return new RunTracker(this.model, {
 			store: async ends => this.#log.storeEnds(ends),
@@ -232,28 +235,32 @@
 			onOutcome: (worker, run, isSuccess) => {
 				const {task} = run;
 				if (isSuccess) {
+					worker.isProven = true;
 					this.#times.note(run, {isDone: true});
 				} else {
 					task.avoidedHosts.add(worker.host);
 				}
 
-				const isChanged = this.#health.note({
-					jobId: task.ref.workflowId, worker: worker.health, isSuccess, nowMs: this.#options.clock.monotonicMs(), fleetSize: this.links.workers.size,
-				});
-				if (isChanged) {
-					note('worker health', {host: worker.host, isHeld: worker.health.isHeld, isProbing: worker.health.isProbing});
-				}
+				this.#noteHealth(worker, task, isSuccess);
 			},
 			onExhausted: task => {
 				this.#giveUp(task);
 			},
-			onChange: () => {
-				this.#rounds.want();
-			},
+			onChange,
 			note,
 		});
 	}
 
+	#noteHealth({host, health}: FleetWorker, {ref}: LiveTask, isSuccess: boolean): void {
+		const {clock, note} = this.#options;
+		const isChanged = this.#health.note({
+			jobId: ref.workflowId, worker: health, isSuccess, nowMs: clock.monotonicMs(), fleetSize: this.links.workers.size,
+		});
+		if (isChanged) {
+			note('worker health', {host, isHeld: health.isHeld, isProbing: health.isProbing});
+		}
+	}
+
 	#giveUp({ref, taskId, failedRuns, crashes, step: {workflow}}: LiveTask): void {
 		this.#options.note('job failed', {
 			id: ref.workflowId, taskId, failures: failedRuns.size, crashes: crashes.length,
--- a/src/workflows/quarantine.ts
+++ b/src/workflows/quarantine.ts
@@ -181,14 +181,14 @@
 		}
 	}
 
-	/** Workers on which the unit would be placed now, those first on which a crash takes least along. */
+	/** Workers on which the unit would be placed now: those that have not crashed under it first, then where a crash takes least along. */
 	#choose(suspect: LiveTask, open: FleetWorker[], {most, place}: {most: number; place: QuarantineRound['place']}): FleetWorker[] {
 		const {spec} = suspect.step;
 		const unit = getUnit(suspect);
 		const fitting = open
 			.filter(worker => !this.isClosed(worker) && isSuited(spec, worker.report!) && isFitting(spec, getFreeRoom(worker)))
-			.map(worker => ({worker, load: getLoad(worker)}))
-			.toSorted((a, b) => a.load - b.load)
+			.map(worker => ({worker, hasCrashed: suspect.crashes.some(({host}) => host === worker.host), load: getLoad(worker)}))
+			.toSorted((a, b) => Number(a.hasCrashed) - Number(b.hasCrashed) || a.load - b.load)
 			.map(({worker}) => worker);
 		if (unit.length === 1) {
 			const chosen = fitting.slice(0, maxTries).find(worker => place(unit, [worker]).length > 0);
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -182,7 +182,9 @@
 
 const decodeCrash = (value: unknown): TaskCrash => {
 	const fields = new Fields(value, step);
-	return {run: fields.count('run'), ageMs: fields.amount('ageMs'), isNewest: fields.flag('isNewest')};
+	return {
+		run: fields.count('run'), ageMs: fields.amount('ageMs'), isNewest: fields.flag('isNewest'), host: fields.text('host'), isHostProven: fields.flag('isHostProven'),
+	};
 };
 
 const decodeSaved = (value: unknown): SavedRun => {
--- a/test/site-crashes.test.ts
+++ b/test/site-crashes.test.ts
@@ -214,6 +214,31 @@
 		}
 	});
 
+	it('is not given up for a worker that crashes whatever it starts', async () => {
+		world = await createSite(4);
+		const ids = Array.from({length: 40}, (_, index) => createName(index + 1));
+		world.plan = ({taskId}) => ({workMs: taskId.startsWith(otherId) ? undefined : 1000});
+		await createTasks(otherId, {count: 4, isLasting: true, maxPerWorker: 1});
+		await world.clock.advance(500);
+		const {worker} = world.hosts.get('host-1')!;
+		worker.isBroken = true;
+		worker.crash(500);
+		for (const id of ids) {
+			await createTasks(id, {milliCpu: 500});
+			await world.clock.advance(150);
+		}
+
+		await waitUntilOver(ids, 60_000);
+		for (const id of ids) {
+			expect(await world.getState(id)).toBe(WorkflowState.Completed);
+		}
+
+		await world.clock.advance(20_000);
+		expect(await world.getState(otherId)).toBe(WorkflowState.Running);
+		worker.isBroken = false;
+		expect(await world.waitFor(() => [0, 1, 2, 3].every(index => world.isRunning(`${otherId}.0.0.${index}`)), 20_000)).toBeDefined();
+	});
+
 	it('is not given up where hosts lose power under it', async () => {
 		world = await createSite(3);
 		crashUnder([], 3000);
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -37,6 +37,7 @@
 	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
 	takenEnd: 0,
 	storedEnd: 0,
+	isProven: false,
 	takenCrash: 0,
 	storedCrash: 0,
 	blockedUntilMs: 0,
