Date a crash by the worker's last answer, and wait for a worker that has not crashed under a suspect

Change: a crash is dated at most 250 ms after the worker's last answer; a suspect with more than one crash waits up to 10 s for a worker that has not crashed under it, if one suits.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -18,14 +18,22 @@
 	isAnswering: boolean;
 	/** When the first renewal without an answer failed; undefined while it answers. */
 	silentSinceMs?: number;
+	/** When the worker last answered a listing or a start. */
+	answeredAtMs: number;
 	/** The worker gives no answer and its leases are over. */
 	isOver: boolean;
 };
 
 const maxGone = 20;
+/** An agent that stood still notices late that its worker crashed: not later than this after the last answer, as far as ages go. */
+const noticeMs = 250;
 /** Beyond this the oldest are dropped: no owner has been there for long. */
 const maxCrashed = 1000;
 
+/** About when a worker that is gone crashed. */
+export const getCrashedAtMs = ({silentSinceMs, answeredAtMs}: WorkerState, nowMs: number): number =>
+	Math.min(silentSinceMs ?? nowMs, answeredAtMs + noticeMs);
+
 /** State of an agent. */
 export class AgentState {
 	readonly life: string;
@@ -95,7 +103,7 @@
 	agent never met. Taken for the newest, it would make the owner believe that nothing runs on the one that lives, and
 	start all of that elsewhere. So a second incarnation waits until the worker itself says that the first is gone.
 	*/
-	announce(report: WorkerReport): boolean {
+	announce(report: WorkerReport, nowMs: number): boolean {
 		const known = this.worker?.report;
 		if (known?.workerId === report.workerId) {
 			// Announcements may overtake each other; the sequence tells which is newer.
@@ -119,7 +127,7 @@
 			return false;
 		}
 
-		this.#begin(report);
+		this.#begin(report, nowMs);
 		return true;
 	}
 
@@ -136,12 +144,13 @@
 	The worker is gone without a word, and this process was there all the while: it crashed, where a host that loses power
 	takes its agent along. One that drains was about to end.
 	*/
-	noteCrash({report, runs, silentSinceMs}: WorkerState, nowMs: number): void {
+	noteCrash(worker: WorkerState, nowMs: number): void {
+		const {report, runs} = worker;
 		if (report.isDraining) {
 			return;
 		}
 
-		for (const aboard of runs.getAboard(silentSinceMs ?? nowMs)) {
+		for (const aboard of runs.getAboard(getCrashedAtMs(worker, nowMs))) {
 			this.#crashed.push({...aboard, number: ++this.#lastCrashed, workerId: report.workerId});
 		}
 
@@ -154,7 +163,7 @@
 	}
 
 	/** Drops the worker: it ended, or another incarnation answers at its address. That one may have announced itself. */
-	drop(workerId: string): void {
+	drop(workerId: string, nowMs: number): void {
 		if (this.worker?.report.workerId === workerId) {
 			this.worker = undefined;
 		}
@@ -162,14 +171,14 @@
 		this.noteGone(workerId);
 		const successor = this.#successor;
 		if (!this.worker && successor && successor.workerId !== workerId) {
-			this.#begin(successor);
+			this.#begin(successor, nowMs);
 		}
 	}
 
-	#begin(report: WorkerReport): void {
+	#begin(report: WorkerReport, nowMs: number): void {
 		this.#successor = undefined;
 		this.worker = {
-			report, lease: new LeaseClock(this.#horizonMs), runs: new WorkerRuns(), forgetUpTo: 0, isOver: false, isAnswering: true,
+			report, lease: new LeaseClock(this.#horizonMs), runs: new WorkerRuns(), forgetUpTo: 0, isOver: false, isAnswering: true, answeredAtMs: nowMs,
 		};
 		this.bump();
 	}
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -99,7 +99,7 @@
 	/** Takes an announcement of the worker. */
 	announce(report: WorkerReport): void {
 		const before = this.state.worker?.report;
-		if (this.state.announce(report)) {
+		if (this.state.announce(report, this.#options.clock.monotonicMs())) {
 			this.#hasLeft = false;
 			this.#options.note('worker came', {
 				workerId: report.workerId, before: before?.workerId, milliCpu: report.milliCpu, memoryMb: report.memoryMb, labels: report.labels,
@@ -114,7 +114,7 @@
 	workerLeft(workerId: string): void {
 		this.#options.note('worker left', {workerId});
 		this.#hasLeft = true;
-		this.state.drop(workerId);
+		this.state.drop(workerId, this.#options.clock.monotonicMs());
 	}
 
 	async order(request: OrdersRequest): Promise<OrdersReply> {
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -146,6 +146,7 @@
 		runs.noteSent(start.taskId, start.run, {goodUntilMs: leaseUntilMs, nowMs: clock.monotonicMs()});
 		try {
 			const answer = await client.start(report.workerId, start, {fence: getFence(), leaseUntilMs});
+			worker.answeredAtMs = clock.monotonicMs();
 			runs.noteAnswered(start.taskId, start.run, answer.isDone, clock.monotonicMs());
 			// The owner learns it from this answer: to tell it once more doubles the messages of a large service.
 			state.advance();
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -6,7 +6,7 @@
 import {type Clock} from '../types/clock.ts';
 import {OrderRefusal, type WorkerClient, type WorkerListing} from '../types/fleet.ts';
 import {type Wakeup} from '../utils/wakeup.ts';
-import {type AgentState, type WorkerState} from './agent-state.ts';
+import {getCrashedAtMs, type AgentState, type WorkerState} from './agent-state.ts';
 import {type AgentNote} from './order-handler.ts';
 
 /** Options of the loop. */
@@ -76,7 +76,7 @@
 		if (reply.refusal === OrderRefusal.OtherWorker) {
 			note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
 			state.noteCrash(worker, clock.monotonicMs());
-			state.drop(workerId);
+			state.drop(workerId, clock.monotonicMs());
 		} else if (reply.refusal === OrderRefusal.Fence) {
 			onFenceRefused();
 		} else {
@@ -97,8 +97,9 @@
 };
 
 /** What ran as the worker fell silent: the newest runs first, as a run that takes its worker down has not been there for long. */
-const describeReplaced = ({report, runs, silentSinceMs}: WorkerState, nowMs: number): Record<string, unknown> => {
-	const aboard = runs.getAboard(silentSinceMs ?? nowMs).toSorted((a, b) => a.ageMs - b.ageMs);
+const describeReplaced = (worker: WorkerState, nowMs: number): Record<string, unknown> => {
+	const {report, runs, silentSinceMs} = worker;
+	const aboard = runs.getAboard(getCrashedAtMs(worker, nowMs)).toSorted((a, b) => a.ageMs - b.ageMs);
 	return {
 		workerId: report.workerId,
 		wasDraining: report.isDraining,
@@ -113,6 +114,7 @@
 	const wasSilent = !worker.isAnswering;
 	worker.isAnswering = true;
 	worker.silentSinceMs = undefined;
+	worker.answeredAtMs = clock.monotonicMs();
 	worker.lease.note(listing.clockMs, clock.monotonicMs());
 	const isChanged = worker.runs.take(listing, askedAtMs);
 	if (worker.isOver || isChanged || wasSilent) {
--- a/src/workflows/quarantine.ts
+++ b/src/workflows/quarantine.ts
@@ -39,6 +39,8 @@
 const quietMs = 500;
 /** Beyond the time that a run has to live: its agent tells within this that the worker fell silent. */
 const tellMs = 150;
+/** A suspect with several crashes waits so long for a worker that has not crashed under it. */
+const otherHostMs = 10_000;
 /** Workers that are tried for a suspect in a round. */
 const maxTries = 4;
 
@@ -150,7 +152,7 @@
 				break;
 			}
 
-			const workers = this.#choose(suspect, open, {most: free, place});
+			const workers = this.#choose(suspect, this.#getCandidates(suspect, open, nowMs), {most: free, place});
 			if (workers.length > 0) {
 				this.#reserve(suspect, workers);
 			}
@@ -181,23 +183,29 @@
 		}
 	}
 
-	/** Workers on which the unit would be placed now: those that have not crashed under it first, then where a crash takes least along. */
-	#choose(suspect: LiveTask, open: FleetWorker[], {most, place}: {most: number; place: QuarantineRound['place']}): FleetWorker[] {
-		const {spec} = suspect.step;
-		const unit = getUnit(suspect);
-		const fitting = open
-			.filter(worker => !this.isClosed(worker) && isSuited(spec, worker.report!) && isFitting(spec, getFreeRoom(worker)))
-			.map(worker => ({worker, hasCrashed: suspect.crashes.some(({host}) => host === worker.host), load: getLoad(worker)}))
-			.toSorted((a, b) => Number(a.hasCrashed) - Number(b.hasCrashed) || a.load - b.load)
+	/** Workers with room for the suspect: those that have not crashed under it first, then where a crash takes least along. */
+	#getCandidates({step: {spec}, crashes, waitsSinceMs}: LiveTask, open: FleetWorker[], nowMs: number): FleetWorker[] {
+		const hasCrashed = ({host}: FleetWorker): boolean => crashes.some(crash => crash.host === host);
+		const mustBeOther = crashes.length > 1 && nowMs - waitsSinceMs < otherHostMs
+			&& [...this.#options.workers.values()].some(worker => worker.report && isSuited(spec, worker.report) && !hasCrashed(worker));
+		return open
+			.filter(worker => !this.isClosed(worker) && isSuited(spec, worker.report!) && isFitting(spec, getFreeRoom(worker)) && !(mustBeOther && hasCrashed(worker)))
+			.map(worker => ({worker, isLast: hasCrashed(worker), load: getLoad(worker)}))
+			.toSorted((a, b) => Number(a.isLast) - Number(b.isLast) || a.load - b.load)
 			.map(({worker}) => worker);
+	}
+
+	/** Workers among the candidates on which the unit would be placed now. */
+	#choose(suspect: LiveTask, candidates: FleetWorker[], {most, place}: {most: number; place: QuarantineRound['place']}): FleetWorker[] {
+		const unit = getUnit(suspect);
 		if (unit.length === 1) {
-			const chosen = fitting.slice(0, maxTries).find(worker => place(unit, [worker]).length > 0);
+			const chosen = candidates.slice(0, maxTries).find(worker => place(unit, [worker]).length > 0);
 			return chosen ? [chosen] : [];
 		}
 
 		// A gang that needs more workers than the share has them when no other suspect holds any.
-		for (let count = 1; count <= fitting.length; count++) {
-			const workers = fitting.slice(0, count);
+		for (let count = 1; count <= candidates.length; count++) {
+			const workers = candidates.slice(0, count);
 			if (place(unit, workers).length > 0) {
 				return count <= most || this.#closed.size === 0 ? workers : [];
 			}
--- a/test/site-crash-property.test.ts
+++ b/test/site-crash-property.test.ts
@@ -12,7 +12,7 @@
 const culprits = ['00000000000000c1', '00000000000000c2'];
 const crashAfterMs = 10;
 
-it('take no more than a few down, and no ordinary job with them', async () => {
+it.each([30, 41])('take no more than a few down, and no ordinary job with them, seed %i', async seed => {
 	await fc.assert(fc.asyncProperty(anySeries, fc.nat(20), async (steps, submitAt) => {
 		const world = await createTroubledSite(({taskId}) => culprits.includes(taskId.split('.')[0]!)
 			? {workMs: undefined, crashAfterMs}
@@ -27,5 +27,5 @@
 		for (const id of culprits) {
 			expect(world.getStarts(`${id}.0.0.0`)).toBeLessThanOrEqual(maxStarts);
 		}
-	}), {seed: 30, numRuns: 40, endOnFailure: true});
+	}), {seed, numRuns: 41, endOnFailure: true});
 });
--- a/test/site-inputs.test.ts
+++ b/test/site-inputs.test.ts
@@ -149,17 +149,17 @@
 	*/
 	it('does not make the living incarnation count as gone', () => {
 		const state = new AgentState('life', 7000);
-		expect(state.announce(report('i-2', 1))).toBe(true);
-		expect(state.announce(report('i-1', 90))).toBe(false);
+		expect(state.announce(report('i-2', 1), 0)).toBe(true);
+		expect(state.announce(report('i-1', 90), 0)).toBe(false);
 		expect(state.worker?.report.workerId).toBe('i-2');
 		expect(state.goneWorkerIds).toEqual([]);
 	});
 
 	it('counts once the worker says that the incarnation before is gone', () => {
 		const state = new AgentState('life', 7000);
-		state.announce(report('i-1', 5));
-		state.announce(report('i-2', 1));
-		state.drop('i-1');
+		state.announce(report('i-1', 5), 0);
+		state.announce(report('i-2', 1), 0);
+		state.drop('i-1', 0);
 		expect(state.worker?.report.workerId).toBe('i-2');
 		expect(state.goneWorkerIds).toEqual(['i-1']);
 	});
