Try every worker for a suspect, not the four with least to lose alone

What users would see: LOST. A task that a plain crash made a suspect, and that only few workers may take (advice of its queue, spread, harm), is never started again where the four least loaded ones refuse it. Cause: quarantine looked for a place on four workers only, to spare work on large sites. Found in reading the diff. Change: after these, one look at all of them; a gang tries twice as many each time in place of one more. Before: test/quarantine.test.ts, 1 of 3 fails (no start). After: 3 of 3, and all tests of crashes pass.

--- a/src/workflows/quarantine.ts
+++ b/src/workflows/quarantine.ts
@@ -41,7 +41,7 @@
 const tellMs = 150;
 /** A suspect with several crashes waits so long for a worker that has not crashed under it. */
 const otherHostMs = 10_000;
-/** Workers that are tried for a suspect in a round. */
+/** Workers with least to lose that are tried for a suspect one by one, before any that takes it. */
 const maxTries = 4;
 
 /** Whether the next run of the task has to be kept apart. */
@@ -52,22 +52,23 @@
 /** The quarantine of one owner. */
 export class Quarantine {
 	readonly #options: QuarantineOptions;
-	/** Runs of suspects, by unit: its first task. */
+	/** Suspects that are not cleared yet: tasks, or the first task of a gang. */
 	readonly #suspects = new Set<LiveTask>();
 	/** Workers that are kept for a suspect until nothing on them is young. */
 	readonly #reserved = new Map<LiveTask, FleetWorker[]>();
+	/** Hosts of workers on which nothing else starts. */
 	#closed = new Set<string>();
 
 	constructor(options: QuarantineOptions) {
 		this.#options = options;
 	}
 
-	/** Whether a suspect has the worker for itself, as far as starts go. */
+	/** Whether nothing but a suspect may start on the worker. */
 	isClosed({host}: FleetWorker): boolean {
 		return this.#closed.has(host);
 	}
 
-	/** Takes the suspects out of a round. */
+	/** Starts suspects, and gives what is left for ordinary placement. */
 	arrange(round: QuarantineRound): QuarantineResult {
 		for (const task of round.waiting) {
 			if (isKeptApart(task)) {
@@ -199,15 +200,15 @@
 	#choose(suspect: LiveTask, candidates: FleetWorker[], {most, place}: {most: number; place: QuarantineRound['place']}): FleetWorker[] {
 		const unit = getUnit(suspect);
 		if (unit.length === 1) {
-			const chosen = candidates.slice(0, maxTries).find(worker => place(unit, [worker]).length > 0);
+			const chosen = candidates.slice(0, maxTries).find(worker => place(unit, [worker]).length > 0) ?? place(unit, candidates)[0]?.worker;
 			return chosen ? [chosen] : [];
 		}
 
-		// A gang that needs more workers than the share has them when no other suspect holds any.
-		for (let count = 1; count <= candidates.length; count++) {
-			const workers = candidates.slice(0, count);
-			if (place(unit, workers).length > 0) {
-				return count <= most || this.#closed.size === 0 ? workers : [];
+		for (let count = 1; count < 2 * candidates.length; count *= 2) {
+			const workers = [...new Set(place(unit, candidates.slice(0, count)).map(({worker}) => worker))];
+			if (workers.length > 0) {
+				// A gang that needs more workers than the share has them when no other suspect holds any.
+				return workers.length <= most || this.#closed.size === 0 ? workers : [];
 			}
 		}
 
--- /dev/null
+++ b/test/quarantine.test.ts
@@ -0,0 +1,61 @@
+import {expect, it} from 'vitest';
+import {type FleetWorker} from '../src/workflows/fleet-view.ts';
+import {type LiveTask} from '../src/workflows/live-model.ts';
+import {type Start} from '../src/workflows/placement.ts';
+import {Quarantine} from '../src/workflows/quarantine.ts';
+import {createWorker, createWorkflow, load} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const createFleet = (size: number): FleetWorker[] =>
+	Array.from({length: size}, (_, index) => ({...createWorker(`host-${index}`), isAnswering: true, silentSinceMs: undefined}));
+
+/** Tasks that wait, under each of which a worker has crashed. */
+const createSuspects = (count: number, isGang = false): LiveTask[] => {
+	const {model} = load([createWorkflow('0000000000000001', createSpec([createStep({count, isGang})]))]);
+	const tasks = [...model.waiting(0, () => false)];
+	for (const task of tasks) {
+		task.crashes.push({
+			run: 1, ageMs: 10, isNewest: false, host: 'gone', isHostProven: false,
+		});
+	}
+
+	return tasks;
+};
+
+const createQuarantine = (workers: FleetWorker[]): Quarantine => new Quarantine({
+	workers: new Map(workers.map(worker => [worker.host, worker])), note: () => undefined,
+});
+
+/** Places where a worker is let take tasks, one each. */
+const placeOn = (mayTake: (worker: FleetWorker) => boolean) => (tasks: LiveTask[], workers: FleetWorker[]): Start[] => {
+	const open = workers.filter(worker => mayTake(worker));
+	return open.length < tasks.length ? [] : tasks.map((task, index) => ({task, worker: open[index]!}));
+};
+
+it('finds the one worker that may take a suspect', () => {
+	const open = createFleet(12);
+	const {starts} = createQuarantine(open).arrange({
+		waiting: createSuspects(1), open, nowMs: 1000, place: placeOn(({host}) => host === 'host-11'),
+	});
+	expect(starts.map(({worker}) => worker.host)).toEqual(['host-11']);
+});
+
+it('finds the workers for a gang under suspicion', () => {
+	const open = createFleet(12);
+	const {starts} = createQuarantine(open).arrange({
+		waiting: createSuspects(3, true), open, nowMs: 1000, place: placeOn(({host}) => ['host-7', 'host-9', 'host-11'].includes(host)),
+	});
+	expect(starts).toHaveLength(3);
+});
+
+it('holds no more than a tenth of the workers, each for one suspect and closed to others', () => {
+	const open = createFleet(40);
+	const quarantine = createQuarantine(open);
+	const {starts, waiting, open: left} = quarantine.arrange({
+		waiting: createSuspects(20), open, nowMs: 1000, place: placeOn(() => true),
+	});
+	expect(new Set(starts.map(({worker}) => worker.host)).size).toBe(4);
+	expect(starts).toHaveLength(4);
+	expect(waiting).toEqual([]);
+	expect(left).toHaveLength(36);
+});
