Forget crashes under a task after ten minutes

What users would see: a service that has run for months is shown as failed: its tasks met some crashes, far apart, and two of them soon after a start. Cause: crashes were counted for as long as the job lived. Change: a crash carries the time at which it was counted, and one that comes later than ten minutes after drops it; a task is apart only for crashes since its last run that lived. The list of crashes of a task is bounded that way, too. Before: nine crashes a year apart give the task up.

--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -116,6 +116,8 @@
 	host: string;
 	/** Another task had succeeded on the host since its last crash. */
 	isHostProven: boolean;
+	/** Wall clock of the owner that counted it. */
+	atMs: number;
 };
 
 /** Formats the name of a task. */
--- a/src/workflows/crash-blame.ts
+++ b/src/workflows/crash-blame.ts
@@ -26,6 +26,13 @@
 /** The same on any hosts, as long as they are not all one. */
 const maxQuarantineCrashes = 3;
 
+/** Crashes are forgotten after this: over months every task that lasts meets some. */
+const countedForMs = 600_000;
+
+/** Adds a crash to those of a task. */
+export const addCrash = (crashes: TaskCrash[], crash: TaskCrash): TaskCrash[] =>
+	[...crashes.filter(({atMs}) => crash.atMs - atMs <= countedForMs), crash];
+
 /** Whether the next run has to be kept apart. */
 export const isSuspect = (crashes: TaskCrash[]): boolean =>
 	crashes.length >= slowCrashes || crashes.some(({ageMs}) => ageMs <= promptMs);
--- a/src/workflows/crash-watch.ts
+++ b/src/workflows/crash-watch.ts
@@ -1,9 +1,12 @@
 /**
 Workers that crash under their tasks: takes what agents tell of them, decides which tasks each crash counts for, and stores it.
 */
+import {type Clock} from '../types/clock.ts';
 import {type CrashedRun, type WatchReply} from '../types/fleet.ts';
 import {parseTaskId, type TaskRef} from '../types/workflows.ts';
-import {chooseSuspects, isGivenUp, type AboardTask} from './crash-blame.ts';
+import {
+	addCrash, chooseSuspects, isGivenUp, type AboardTask,
+} from './crash-blame.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {type LiveTask} from './live-model.ts';
 import {type CrashedTask} from './records.ts';
@@ -11,6 +14,7 @@
 
 /** Options of the watch. */
 export type CrashWatchOptions = {
+	clock: Clock;
 	tracker: RunTracker;
 	/** Finds a task, also of a job that is over. */
 	getTask: (ref: TaskRef) => LiveTask | undefined;
@@ -87,7 +91,7 @@
 				aboard.push({
 					task,
 					crash: {
-						run, ageMs: Math.round(ageMs), isNewest, host, isHostProven: isProven,
+						run, ageMs: Math.round(ageMs), isNewest, host, isHostProven: isProven, atMs: this.#options.clock.now().getTime(),
 					},
 					earlier: task.crashes.filter(crash => crash.run < run),
 				});
@@ -105,7 +109,7 @@
 		const {step, taskId} = task;
 		const {onCulprit, onGivenUp, note} = this.#options;
 		for (const member of step.spec.isGang ? step.tasks : [task]) {
-			member.crashes.push(crash);
+			member.crashes = addCrash(member.crashes, crash);
 		}
 
 		note('crash counted', {
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -5,7 +5,7 @@
 import {
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
-import {isGivenUp} from './crash-blame.ts';
+import {addCrash, isGivenUp} from './crash-blame.ts';
 import {
 	RecordType, type CrashedTask, type HarmPair, type SavedRun, type TaskLedger, type WholeWorkflow, type WorkflowRecord,
 } from './records.ts';
@@ -281,7 +281,7 @@
 			return;
 		}
 
-		ledger.crashes.push(crash);
+		ledger.crashes = addCrash(ledger.crashes, crash);
 		if (isGivenUp(ledger.crashes)) {
 			this.#finish(folded, WorkflowState.Failed);
 		}
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -68,8 +68,8 @@
 	failedRuns: Set<number>;
 	/** Crashes of workers that count for it; of any member, for a gang. */
 	crashes: TaskCrash[];
-	/** So many of them count no more: a later run has lived. */
-	clearedCrashes: number;
+	/** Crashes up to this run are no reason to keep it apart: a later run has lived. */
+	clearedRun: number;
 	checkpoint: string;
 	/** The checkpoint that is in the stream. */
 	storedCheckpoint: string;
@@ -282,7 +282,7 @@
 		lastRun: ledger?.lastRun ?? 0,
 		failedRuns: new Set(ledger?.failedRuns),
 		crashes: [...ledger?.crashes ?? []],
-		clearedCrashes: 0,
+		clearedRun: 0,
 		checkpoint: ledger?.checkpoint ?? '',
 		storedCheckpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -136,6 +136,7 @@
 		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
 		this.#quarantine = new Quarantine({workers: this.links.workers, note});
 		this.#crashes = new CrashWatch({
+			clock,
 			note,
 			tracker: this.#runs,
 			getTask: ref => this.#recall(ref),
--- a/src/workflows/quarantine.ts
+++ b/src/workflows/quarantine.ts
@@ -45,7 +45,7 @@
 const maxTries = 4;
 
 /** Whether the next run of the task has to be kept apart. */
-export const isKeptApart = ({crashes, clearedCrashes}: LiveTask): boolean => crashes.length > clearedCrashes && isSuspect(crashes);
+export const isKeptApart = ({crashes, clearedRun}: LiveTask): boolean => crashes.some(({run}) => run > clearedRun) && isSuspect(crashes);
 
 const getUnit = (task: LiveTask): LiveTask[] => task.step.spec.isGang ? task.step.tasks : [task];
 
@@ -97,7 +97,7 @@
 			if (suspect.runs.length > 0 && suspect.runs.every(run => this.#hasLived(run, nowMs))) {
 				this.#options.note('task cleared', {taskId: suspect.taskId, run: suspect.lastRun, crashes: suspect.crashes.length});
 				for (const member of getUnit(suspect)) {
-					member.clearedCrashes = member.crashes.length;
+					member.clearedRun = suspect.lastRun;
 				}
 			}
 
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -183,7 +183,7 @@
 const decodeCrash = (value: unknown): TaskCrash => {
 	const fields = new Fields(value, step);
 	return {
-		run: fields.count('run'), ageMs: fields.amount('ageMs'), isNewest: fields.flag('isNewest'), host: fields.text('host'), isHostProven: fields.flag('isHostProven'),
+		run: fields.count('run'), ageMs: fields.amount('ageMs'), isNewest: fields.flag('isNewest'), host: fields.text('host'), isHostProven: fields.flag('isHostProven'), atMs: fields.number('atMs'),
 	};
 };
 
