Give nothing to a worker whose agent was declared lost until its loss is settled

The owner read the registration before it heard the agent under it, took the worker for open (its session was not the lost one any more) and started run 2 at 69.66 s; 36 ms later the leases of the loss were over, and all runs there were taken for lost with it, run 2 too. Run 3 started at 69.81 s beside it. Class: two readers of one fact, of which one acts on half of it. Change: a worker is open only when no loss of it is pending: it is heard under its new registration, or the wait for its leases is over.

--- a/src/workflows/open-workers.ts
+++ b/src/workflows/open-workers.ts
@@ -7,8 +7,8 @@
 /** An agent that was not heard for so long gets no orders. */
 const reachableMs = 1500;
 
-const isReached = ({isListed, isAnswering, silentSinceMs, heardAtMs, lostSession, session, blockedUntilMs}: FleetWorker, nowMs: number): boolean =>
-	isListed && isAnswering && silentSinceMs === undefined && nowMs - heardAtMs < reachableMs && lostSession !== session && blockedUntilMs <= nowMs;
+const isReached = ({isListed, isAnswering, silentSinceMs, heardAtMs, lostSession, blockedUntilMs}: FleetWorker, nowMs: number): boolean =>
+	isListed && isAnswering && silentSinceMs === undefined && nowMs - heardAtMs < reachableMs && lostSession === undefined && blockedUntilMs <= nowMs;
 
 /** Whether the worker failed what others did well, and is held down, or has its one task already that shows whether it recovered. */
 const isHeldDown = ({health: {isHeld, isProbing}, runs}: FleetWorker): boolean =>
