Take only the runs of the crashed incarnation for lost

A new owner may number a run as one before it that no log has; when the agent then tells of the crash under the earlier run, the living one with its number on the same host would be taken for lost and started elsewhere. Cause: a crashed run was matched by its number and host. Change: it is matched by its number and the incarnation of the worker. Before: test/crash-watch.test.ts, 1 of 2 fails. After: both pass, and the tests of crashes and takeover.

--- a/src/workflows/crash-watch.ts
+++ b/src/workflows/crash-watch.ts
@@ -65,13 +65,14 @@
 	#judge(worker: FleetWorker, rows: CrashedRun[], nowMs: number): CrashedTask[] {
 		const aboard = this.#findTasks(worker, rows);
 		worker.isProven = false;
+		const {workerId} = rows[0]!;
 		const suspects = chooseSuspects(aboard.filter(({task}) => !task.isDone && !task.step.workflow.isOver));
 		this.#options.note('worker crashed', {
-			host: worker.host, workerId: rows[0]!.workerId, runs: rows.length, suspects: suspects.length,
+			host: worker.host, workerId, runs: rows.length, suspects: suspects.length,
 		});
 		for (const {task, crash} of aboard) {
 			task.lastRun = Math.max(task.lastRun, crash.run);
-			const live = task.runs.find(({run, host}) => run === crash.run && host === worker.host);
+			const live = task.runs.find(known => known.run === crash.run && known.workerId === workerId);
 			if (live) {
 				this.#options.tracker.lose(live, worker, LossReason.WorkerCrashed, nowMs);
 			}
--- /dev/null
+++ b/test/crash-watch.test.ts
@@ -0,0 +1,61 @@
+import {expect, it} from 'vitest';
+import {type WatchReply} from '../src/types/fleet.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {CrashWatch} from '../src/workflows/crash-watch.ts';
+import {type LiveRun} from '../src/workflows/live-model.ts';
+import {type CrashedTask} from '../src/workflows/records.ts';
+import {type RunTracker} from '../src/workflows/run-tracker.ts';
+import {
+	createWorker, createWorkflow, load, run,
+} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const id = '0000000000000001';
+
+const createWatch = () => {
+	const {model} = load([createWorkflow(id, createSpec([createStep()]))]);
+	const [task] = [...model.waiting(0, () => false)];
+	const lost: LiveRun[] = [];
+	const stored: CrashedTask[] = [];
+	const watch = new CrashWatch({
+		clock: new ManualClock(),
+		tracker: {lose: (live: LiveRun) => lost.push(live)} as unknown as RunTracker,
+		getTask: () => task,
+		async store(crashes) {
+			stored.push(...crashes);
+			return true;
+		},
+		onCulprit: () => undefined,
+		onGivenUp: () => undefined,
+		note: () => undefined,
+	});
+	return {
+		watch, task: task!, lost, stored,
+	};
+};
+
+const createReply = (workerId: string): WatchReply => ({
+	agentLife: 'life',
+	crashed: [{
+		number: 1, workerId, taskId: `${id}.0.0.0`, run: 1, ageMs: 10,
+	}],
+} as unknown as WatchReply);
+
+it('takes a run for lost whose worker crashed, and counts the crash once', () => {
+	const {watch, task, lost, stored} = createWatch();
+	const worker = createWorker('host');
+	const live = run(task, worker);
+	watch.take(worker, createReply(live.workerId), 1000);
+	watch.take(worker, createReply(live.workerId), 2000);
+	expect(lost).toEqual([live]);
+	expect(stored).toHaveLength(1);
+});
+
+it('leaves a run of the same number alone that is on the next incarnation of the worker', () => {
+	const {watch, task, lost, stored} = createWatch();
+	const worker = createWorker('host');
+	run(task, worker, {workerId: 'host-2'});
+	watch.take(worker, createReply('host-1'), 1000);
+	expect(lost).toEqual([]);
+	expect(stored).toHaveLength(1);
+});
