Name the tasks that succeed, fail and start as one in one place

Cause: four modules wrote out that a gang stands for its tasks, one of them a second time for names. Change: getUnit in live-model.ts. No behaviour changes. Before: five places.

--- a/src/workflows/crash-watch.ts
+++ b/src/workflows/crash-watch.ts
@@ -8,7 +8,7 @@
 	addCrash, chooseSuspects, isGivenUp, type AboardTask,
 } from './crash-blame.ts';
 import {type FleetWorker} from './fleet-view.ts';
-import {type LiveTask} from './live-model.ts';
+import {getUnit, type LiveTask} from './live-model.ts';
 import {type CrashedTask} from './records.ts';
 import {LossReason, type RunTracker} from './run-tracker.ts';
 
@@ -88,7 +88,7 @@
 			const task = ref && this.#options.getTask(ref);
 			if (task) {
 				// Members of a gang are one unit: none of them is newer than the others.
-				const isNewest = rows.every(row => row.ageMs > ageMs || row.taskId === taskId || isSameUnit(row.taskId, task));
+				const isNewest = rows.every(row => row.ageMs > ageMs || getUnit(task).some(member => member.taskId === row.taskId));
 				aboard.push({
 					task,
 					crash: {
@@ -107,9 +107,9 @@
 			return [];
 		}
 
-		const {step, taskId} = task;
+		const {taskId} = task;
 		const {onCulprit, onGivenUp, note} = this.#options;
-		for (const member of step.spec.isGang ? step.tasks : [task]) {
+		for (const member of getUnit(task)) {
 			member.crashes = addCrash(member.crashes, crash);
 		}
 
@@ -127,5 +127,3 @@
 		return [{taskId, ...crash}];
 	}
 }
-
-const isSameUnit = (taskId: string, {step}: LiveTask): boolean => step.spec.isGang && step.tasks.some(member => member.taskId === taskId);
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -177,7 +177,7 @@
 	/** Notes that the unit of the task has succeeded; opens the steps that waited for it. */
 	finish(task: LiveTask, nowMs: number): void {
 		const {step} = task;
-		for (const member of step.spec.isGang ? step.tasks : [task]) {
+		for (const member of getUnit(task)) {
 			if (!member.isDone) {
 				member.isDone = true;
 				step.remaining--;
@@ -252,6 +252,9 @@
 	}
 }
 
+/** Tasks that succeed, fail and start as one: the task alone, or its gang. */
+export const getUnit = (task: LiveTask): LiveTask[] => task.step.spec.isGang ? task.step.tasks : [task];
+
 /** When an occurrence is due, in ms since 1970; 0 for a job without times. */
 export const getDueAtMs = ({repeatCount, firstDueMs, intervalMs}: Workflow, occurrence: number): number =>
 	repeatCount > 0 ? firstDueMs + (occurrence * intervalMs) : 0;
--- a/src/workflows/quarantine.ts
+++ b/src/workflows/quarantine.ts
@@ -6,7 +6,9 @@
 import {
 	getFreeRoom, isFitting, isSuited, type FleetWorker,
 } from './fleet-view.ts';
-import {RunPhase, type LiveRun, type LiveTask} from './live-model.ts';
+import {
+	getUnit, RunPhase, type LiveRun, type LiveTask,
+} from './live-model.ts';
 import {type Start} from './placement.ts';
 
 /** Options of the quarantine. */
@@ -47,8 +49,6 @@
 /** Whether the next run of the task has to be kept apart. */
 export const isKeptApart = ({crashes, clearedRun}: LiveTask): boolean => crashes.some(({run}) => run > clearedRun) && isSuspect(crashes);
 
-const getUnit = (task: LiveTask): LiveTask[] => task.step.spec.isGang ? task.step.tasks : [task];
-
 /** The quarantine of one owner. */
 export class Quarantine {
 	readonly #options: QuarantineOptions;
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -10,7 +10,7 @@
 } from '../types/workflows.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
-	RunPhase, type LiveModel, type LiveRun, type LiveTask,
+	getUnit, RunPhase, type LiveModel, type LiveRun, type LiveTask,
 } from './live-model.ts';
 
 /** What the tracker tells its owner. */
@@ -312,7 +312,7 @@
 
 		if (end.end === RunEnd.Failed) {
 			// Also of runs that an earlier owner started: it may have died before it wrote this down.
-			for (const member of task.step.spec.isGang ? task.step.tasks : [task]) {
+			for (const member of getUnit(task)) {
 				member.failedRuns.add(end.run);
 				member.notBeforeMs = nowMs + (member.failedRuns.size > 1 ? failurePauseMs : 0);
 			}
