Start nothing in a failure domain that operators evacuate

Cause: operators ask to empty a failure domain under a key of their stream that nothing read, so workers there were given tasks all the same.

Change: entries fold the requests beside the configuration (by offset, also when a removal's record is gone); owners leave the workers of such a domain out of placement, moves and quarantine; they tell agents by the control stream, which agents follow anyway, and agents refuse starts themselves, so an owner that is cut off from the store starts nothing there either. Told again after a third of the time that the store keeps records, and by each new owner. What runs there ends in peace: the request is that nothing more is sent, and stopping what lasts would take it away from its users.

Tests: test/site-evacuation.test.ts, written before the change: nothing in the code knew the request, so starts there went on.

--- a/src/agents/control-watch.ts
+++ b/src/agents/control-watch.ts
@@ -1,9 +1,10 @@
 /**
-Follows the control stream of one service: the newest owner's epoch, and whether this agent was declared lost. Each read
-that succeeds is a proof for the lease of the worker.
+Follows the control stream of one service: the newest owner's epoch, whether this agent was declared lost, and which failure
+domains are evacuated. Each read that succeeds is a proof for the lease of the worker.
 */
 import {getMessage, getOldestOffset} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
+import {type Evacuations} from '../types/site.ts';
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
 import {ControlType, decodeControl} from './control-records.ts';
 
@@ -33,6 +34,7 @@
 	#offset = 0;
 	#epoch = 0;
 	#isCaughtUp = false;
+	#evacuations: Evacuations = {asOf: -1, failureDomains: []};
 
 	constructor(options: ControlWatchOptions) {
 		this.#options = options;
@@ -48,6 +50,11 @@
 		return this.#isCaughtUp;
 	}
 
+	/** Whether operators have asked to empty the failure domain. */
+	isEvacuated(failureDomain: string): boolean {
+		return this.#evacuations.failureDomains.includes(failureDomain);
+	}
+
 	/** Takes an owner's epoch; false when a newer one is known. */
 	meet(epoch: number): boolean {
 		this.#epoch = Math.max(this.#epoch, epoch);
@@ -93,10 +100,27 @@
 	#apply(value: Parameters<typeof decodeControl>[0]): void {
 		try {
 			const record = decodeControl(value);
-			if (record.type === ControlType.Claim) {
-				this.meet(record.epoch);
-			} else if (record.host === this.#options.host) {
-				this.#options.onLost(record.session);
+			switch (record.type) {
+				case ControlType.Claim: {
+					this.meet(record.epoch);
+					break;
+				}
+
+				case ControlType.Lost: {
+					if (record.host === this.#options.host) {
+						this.#options.onLost(record.session);
+					}
+
+					break;
+				}
+
+				case ControlType.Evacuations: {
+					if (record.asOf >= this.#evacuations.asOf) {
+						this.#evacuations = {asOf: record.asOf, failureDomains: record.failureDomains};
+					}
+
+					break;
+				}
 			}
 		} catch (error) {
 			this.#options.onInvalid(getMessage(error));
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -131,6 +131,11 @@
 			return {isDone: false, refusal: OrderRefusal.Draining};
 		}
 
+		// An owner that was cut off from the store may not know it.
+		if (control.isEvacuated(report.failureDomain)) {
+			return {isDone: false, refusal: OrderRefusal.Evacuated};
+		}
+
 		// A start without an answer would keep the leases of a silent worker from ever being over.
 		if (!worker.isAnswering) {
 			return {isDone: false, refusal: OrderRefusal.Unhealthy};
--- a/src/measure/deciding-run.ts
+++ b/src/measure/deciding-run.ts
@@ -263,7 +263,7 @@
 		order: async (host, request) => call(host, async agent => agent.order(structuredClone(request))),
 	};
 	const owner = new Owner({
-		store, clock, client, adviceClient: undefined, follower, partition, host: 'entry', epoch, leaseHorizonMs, cancelMs: 3000, getReachedAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, keptMs: 300_000, isMine: () => true, policy, onDeposed: () => undefined, note,
+		store, clock, client, adviceClient: undefined, follower, partition, host: 'entry', epoch, leaseHorizonMs, cancelMs: 3000, getEvacuations: () => ({asOf: 0, failureDomains: []}), getReachedAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, keptMs: 300_000, isMine: () => true, policy, onDeposed: () => undefined, note,
 	});
 	const run = async () => {
 		await follower.catchUp(secondMs);
--- a/src/platform/site-config.ts
+++ b/src/platform/site-config.ts
@@ -9,6 +9,12 @@
 /** Key of the configuration in the operators' topic. */
 export const configKey = 'config';
 
+const evacuationPrefix = 'evacuate/';
+
+/** Gets the failure domain that a key in the operators' topic asks to evacuate; undefined: it says something else. */
+export const getEvacuatedDomain = (key: string): string | undefined =>
+	key.startsWith(evacuationPrefix) ? key.slice(evacuationPrefix.length) : undefined;
+
 /** Decodes the configuration. Throws `bad-input`. */
 export const decodeSiteConfig = (text: string): SiteConfig => {
 	const fields = parseFields(text, 'read configuration');
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -7,7 +7,9 @@
 import {createError, ErrorCode} from '../core/errors.ts';
 import {getPartition} from '../core/partitions.ts';
 import {createCallerServer} from '../platform/caller-server.ts';
-import {configKey, decodeSiteConfig, operatorTopic} from '../platform/site-config.ts';
+import {
+	configKey, decodeSiteConfig, getEvacuatedDomain, operatorTopic,
+} from '../platform/site-config.ts';
 import {createAdviceClient} from '../platform/advice-calls.ts';
 import {createStoreClient} from '../platform/store-calls.ts';
 import {type SiteConfig, type SiteSettings} from '../types/site.ts';
@@ -141,6 +143,7 @@
 		note,
 		ref: {topic: operatorTopic, partition: 0},
 		key: configKey,
+		getEvacuatedDomain,
 		decode: decodeSiteConfig,
 		onConfig(siteConfig, offset) {
 			note('configuration in force', {version: siteConfig.version, offset, queues: siteConfig.queues.length});
@@ -188,6 +191,7 @@
 			keptMs,
 			leaseHorizonMs,
 			cancelMs: site.bounds.cancelMs,
+			getEvacuations: () => config.evacuations,
 			getReachedAtMs,
 			note,
 			onDeposed,
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -72,6 +72,8 @@
 	/** It came later than it was good for. */
 	Expired = 'expired',
 	Draining = 'draining',
+	/** Operators have asked to empty the worker's failure domain. */
+	Evacuated = 'evacuated',
 	/** The agent cannot prove that it still has its worker. */
 	NoLease = 'no-lease',
 	/** Another incarnation of the worker is there, or none. */
--- a/src/types/site.ts
+++ b/src/types/site.ts
@@ -79,6 +79,13 @@
 	advice?: {decisionMs: number; perWorkerMs: number; validMs: number};
 };
 
+/** Failure domains that operators have asked to empty: nothing more is started there until they take the request back. */
+export type Evacuations = {
+	/** Offset in the operators' stream up to which this holds: of two, the one with the higher offset is newer. */
+	asOf: number;
+	failureDomains: string[];
+};
+
 /** What the operators last declared for a site. */
 export type SiteConfig = {
 	version: number;
--- a/src/workflows/advice-cache.ts
+++ b/src/workflows/advice-cache.ts
@@ -4,6 +4,7 @@
 import {getMessage} from '../core/errors.ts';
 import {type AdviceClient} from '../types/advice.ts';
 import {type Clock} from '../types/clock.ts';
+import {type FleetWorker} from './fleet-view.ts';
 import {type LiveStep} from './live-model.ts';
 
 /** Options of the cache. */
@@ -48,8 +49,18 @@
 		return ticket && ticket.validUntilMs > this.#options.clock.monotonicMs() + marginMs ? ticket.ticket : undefined;
 	}
 
-	/** Asks for what the steps lack, in the order given, as far as calls are free. */
-	update(steps: Iterable<LiveStep>, workerIds: string[]): void {
+	/**
+	Asks for what steps lack, as far as calls are free. Advice is on the way of a step to its first start: steps ask as soon as
+	they are known, those whose turn is now first. Forgets steps of jobs that are over.
+	*/
+	update(openSteps: LiveStep[], workers: Iterable<FleetWorker>): void {
+		this.#prune();
+		const steps = openSteps.filter(step => step.workflow.spec.needsAdvice).toSorted((a, b) => Number(b.isReady) - Number(a.isReady));
+		if (steps.length === 0) {
+			return;
+		}
+
+		const workerIds = [...workers].flatMap(({report}) => report ? [report.workerId] : []);
 		const nowMs = this.#options.clock.monotonicMs();
 		for (const step of steps) {
 			if (this.#calls >= maxCalls) {
@@ -64,8 +75,7 @@
 		}
 	}
 
-	/** Forgets steps of jobs that are over. */
-	prune(): void {
+	#prune(): void {
 		for (const step of this.#entries.keys()) {
 			if (step.workflow.isOver || step.remaining === 0) {
 				this.#entries.delete(step);
--- a/src/workflows/config-follower.ts
+++ b/src/workflows/config-follower.ts
@@ -1,18 +1,21 @@
 /**
-Keeps the newest configuration of the operators. Within one life of the process it never goes back: offsets decide, not
-the order in which answers arrive.
+Keeps what the operators last declared: the configuration, and which failure domains are evacuated. Within one life of the
+process it never goes back: offsets decide, not the order in which answers arrive.
 */
 import {type Buffer} from 'node:buffer';
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
-import {type SiteConfig} from '../types/site.ts';
+import {type Evacuations, type SiteConfig} from '../types/site.ts';
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
+import {EvacuationFold} from './evacuations.ts';
 
 /** Options of the follower. */
 export type ConfigFollowerOptions = {
 	store: StoreClient;
 	ref: PartitionRef;
 	key: string;
+	/** Failure domain that a key asks to evacuate; undefined: the key says something else. */
+	getEvacuatedDomain: (key: string) => string | undefined;
 	decode: (text: string) => SiteConfig;
 	clock: Clock;
 	onConfig: (config: SiteConfig, offset: number) => void;
@@ -30,27 +33,39 @@
 	readonly #options: ConfigFollowerOptions;
 	#configOffset = -1;
 	#nextOffset: number | undefined;
+	readonly #evacuations = new EvacuationFold();
 
 	constructor(options: ConfigFollowerOptions) {
 		this.#options = options;
 	}
 
+	/** Evacuations in force. */
+	get evacuations(): Evacuations {
+		return this.#evacuations.current;
+	}
+
 	/** Follows until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {store, ref, clock, note} = this.#options;
+		const {store, ref, clock, getEvacuatedDomain, note} = this.#options;
 		while (!signal.aborted) {
 			try {
 				if (this.#nextOffset === undefined) {
 					const {records, endOffset} = await store.newest(ref, signal);
 					for (const {key, value, offset} of records) {
-						this.#take(key, value, offset);
+						this.#takeConfig(key, value, offset);
 					}
 
+					this.#evacuations.takeAll(records.flatMap(({key}) => getEvacuatedDomain(key) ?? []), endOffset);
 					this.#nextOffset = endOffset;
 				} else {
 					const {records} = await store.readKeyed(ref, this.#nextOffset, readWaitMs, signal);
 					for (const {key, value, offset} of records) {
-						this.#take(key, value, offset);
+						this.#takeConfig(key, value, offset);
+						const failureDomain = getEvacuatedDomain(key);
+						if (failureDomain !== undefined) {
+							this.#evacuations.take(failureDomain, value !== undefined, offset);
+						}
+
 						this.#nextOffset = offset + 1;
 					}
 				}
@@ -67,7 +82,7 @@
 		}
 	}
 
-	#take(key: string, value: Buffer | undefined, offset: number): void {
+	#takeConfig(key: string, value: Buffer | undefined, offset: number): void {
 		const {key: configKey, decode, onConfig, note} = this.#options;
 		if (key !== configKey || value === undefined || offset <= this.#configOffset) {
 			return;
--- a/src/workflows/open-workers.ts
+++ b/src/workflows/open-workers.ts
@@ -1,5 +1,6 @@
 /**
-Which workers may be given something: those that are heard, do not drain, and do not fail what others do well.
+Which workers may be given something: those that are heard, do not drain, are not evacuated, and do not fail what others do
+well.
 */
 import {type FleetWorker} from './fleet-view.ts';
 import {Mechanism, type Policy} from './policy.ts';
@@ -14,7 +15,16 @@
 const isHeldDown = ({health: {isHeld, isProbing}, runs}: FleetWorker): boolean =>
 	isHeld || (isProbing && [...runs].some(run => !run.task.step.spec.isLasting));
 
+/** What workers are judged by. */
+export type OpenTerms = {
+	nowMs: number;
+	policy: Policy;
+	/** Failure domains in which nothing may start. */
+	evacuated: readonly string[];
+};
+
 /** Gets the workers that may be given something. */
-export const getOpenWorkers = (workers: Iterable<FleetWorker>, nowMs: number, policy: Policy): FleetWorker[] =>
-	[...workers].filter(worker => worker.report !== undefined && worker.report.milliCpu > 0 && !worker.report.isDraining && isReached(worker, nowMs)
+export const getOpenWorkers = (workers: Iterable<FleetWorker>, {nowMs, policy, evacuated}: OpenTerms): FleetWorker[] =>
+	[...workers].filter(worker => worker.report !== undefined && worker.report.milliCpu > 0 && !worker.report.isDraining
+		&& !evacuated.includes(worker.report.failureDomain) && isReached(worker, nowMs)
 		&& !(policy[Mechanism.WorkerHealth] && isHeldDown(worker)));
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -38,6 +38,7 @@
 	[OrderRefusal.NoLease]: 200,
 	[OrderRefusal.Unanswered]: 500,
 	[OrderRefusal.Draining]: 1000,
+	[OrderRefusal.Evacuated]: 500,
 };
 
 /** The sender. */
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -7,6 +7,7 @@
 import {type AdviceClient} from '../types/advice.ts';
 import {type Clock} from '../types/clock.ts';
 import {type AgentRegistration, type WatchReply} from '../types/fleet.ts';
+import {type Evacuations} from '../types/site.ts';
 import {type StoreClient} from '../types/store.ts';
 import {type TaskRef} from '../types/workflows.ts';
 import {createAborter} from '../utils/aborter.ts';
@@ -15,6 +16,7 @@
 import {AgentLinks, type AgentClient} from './agent-links.ts';
 import {CrashWatch} from './crash-watch.ts';
 import {DueOccurrences} from './due-occurrences.ts';
+import {EvacuationNotice} from './evacuation-notice.ts';
 import {FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
@@ -53,6 +55,7 @@
 	leaseHorizonMs: number;
 	/** Time within which a cancelled job must have stopped. */
 	cancelMs: number;
+	getEvacuations: () => Evacuations;
 	/** When the newest heartbeat that the store has answered was sent. */
 	getReachedAtMs: () => number;
 	maxCallBytes: number;
@@ -92,6 +95,7 @@
 	readonly #view: ViewAge;
 	readonly #due: DueOccurrences;
 	readonly #settling: Settling;
+	readonly #evacuationNotice: EvacuationNotice;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
 	#claimOffset = Number.POSITIVE_INFINITY;
 
@@ -104,6 +108,7 @@
 		});
 		this.#view = new ViewAge(options);
 		this.#due = new DueOccurrences(model, clock);
+		this.#evacuationNotice = new EvacuationNotice(options);
 		this.#times = new RunTimes(policy[Mechanism.RunTimes]);
 		this.#log = new OwnerLog({
 			...options, onFenced: () => {
@@ -308,6 +313,7 @@
 		this.#due.open();
 		this.#settling.check();
 		this.#losses.check();
+		this.#evacuationNotice.update(this.links.workers.values());
 		this.#sender.stopUnneeded();
 		this.#log.sendBegun();
 		this.#log.rewrite();
@@ -316,7 +322,7 @@
 		}
 
 		this.#log.keepHarm(() => this.#harm.getPairs());
-		this.#updateAdvice();
+		this.#advice.update(this.model.openSteps(), this.links.workers.values());
 		this.#relocate();
 		this.#health.release(clock.monotonicMs());
 		this.#rounds.want();
@@ -336,7 +342,8 @@
 	}
 
 	#getOpenWorkers(nowMs: number): FleetWorker[] {
-		return getOpenWorkers(this.links.workers.values(), nowMs, this.#options.policy);
+		const {policy, getEvacuations} = this.#options;
+		return getOpenWorkers(this.links.workers.values(), {nowMs, policy, evacuated: getEvacuations().failureDomains});
 	}
 
 	/** Moves what stands still, and what may not work where it is. */
@@ -354,17 +361,6 @@
 		}
 	}
 
-	/** Advice is on the way of a step to its first start: steps ask as soon as they are known, those whose turn is now first. */
-	#updateAdvice(): void {
-		const steps = this.model.openSteps().filter(step => step.workflow.spec.needsAdvice);
-		if (steps.length > 0) {
-			const workerIds = [...this.links.workers.values()].flatMap(({report}) => report ? [report.workerId] : []);
-			this.#advice.update(steps.toSorted((a, b) => Number(b.isReady) - Number(a.isReady)), workerIds);
-		}
-
-		this.#advice.prune();
-	}
-
 	#takeReply(worker: FleetWorker, reply: WatchReply): void {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#losses.readmit(worker);
--- a/test/site-config.test.ts
+++ b/test/site-config.test.ts
@@ -29,6 +29,7 @@
 		clock,
 		ref: {topic: 'operators', partition: 0},
 		key: 'config',
+		getEvacuatedDomain: () => undefined,
 		decode: text => ({version: Number(text)}) as unknown as SiteConfig,
 		onConfig: config => versions.push(Number(config.version)),
 		note: () => undefined,
--- /dev/null
+++ b/test/site-evacuation.test.ts
@@ -0,0 +1,201 @@
+/**
+Failure domains that operators have asked to empty.
+*/
+import {Buffer} from 'node:buffer';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {OrderRefusal, OrderType, type WorkerStart} from '../src/types/fleet.ts';
+import {type Evacuations} from '../src/types/site.ts';
+import {MemoryStore} from '../src/standin/memory-store.ts';
+import {decodeSiteConfig, getEvacuatedDomain} from '../src/platform/site-config.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {ConfigFollower} from '../src/workflows/config-follower.ts';
+import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
+import {jobId, otherId} from './site-setup.ts';
+import {createSpec, createStep, SiteWorld} from './site-world.ts';
+
+let world: SiteWorld;
+
+const createSite = async (domains: string[]): Promise<void> => {
+	world = new SiteWorld();
+	for (const [index, domain] of domains.entries()) {
+		world.addHost(`host-${index}`, 4000, ['a', 'r1-1'], domain);
+	}
+
+	world.startEntry('entry-0');
+	world.startEntry('entry-1');
+	await world.clock.advance(2000);
+};
+
+const declare = (asOf: number, ...failureDomains: string[]): void => {
+	const evacuations: Evacuations = {asOf, failureDomains};
+	world.getEvacuations = () => evacuations;
+};
+
+const getStartsOn = (host: string, sinceIndex = 0): number => {
+	const {workerId} = world.hosts.get(host)!.worker;
+	return world.events.slice(sinceIndex).filter(event => event.type === 'started' && event.workerId === workerId).length;
+};
+
+const createId = (number: number): string => number.toString(16).padStart(16, '0');
+
+const submitMany = async (count: number, from = 1): Promise<string[]> => {
+	const ids = Array.from({length: count}, (_, index) => createId(from + index));
+	for (const id of ids) {
+		await world.submit(id, createSpec([createStep({count: 2})]));
+	}
+
+	return ids;
+};
+
+const start: WorkerStart = {
+	taskId: `${jobId}.0.0.0`, run: 1, input: '', checkpoint: '',
+};
+
+/** An order of the newest owner known, as one that was cut off from the store would send it. */
+const orderStart = async (host: string) => {
+	const {agent, worker, clock} = world.hosts.get(host)!;
+	return world.settle(agent!.order({
+		epoch: world.entries.get('entry-0')!.follower.fold.epoch,
+		workerId: worker.workerId,
+		agentLife: agent!.state.life,
+		notAfterMs: clock.monotonicMs() + 1000,
+		orders: [{type: OrderType.Start, start}],
+	}));
+};
+
+const ref = {topic: 'keyed.op', partition: 0};
+const follow = async () => {
+	const clock = new ManualClock();
+	const store = new MemoryStore(clock);
+	const aborter = new AbortController();
+	const follower = new ConfigFollower({
+		store: store.createClient('entry'), clock, ref, key: 'config', getEvacuatedDomain, decode: decodeSiteConfig, onConfig: () => undefined, note: () => undefined,
+	});
+	void follower.run(aborter.signal);
+	await clock.advance(100);
+	const request = (domain: string) => {
+		store.put(ref, `evacuate/${domain}`, Buffer.from('{}'));
+	};
+
+	const takeBack = async (domain: string) => {
+		await store.createClient('operator').appendKeyed(ref, [{key: `evacuate/${domain}`}], {timeoutMs: 1000});
+	};
+
+	return {
+		clock, store, follower, aborter, request, takeBack,
+	};
+};
+
+describe('hosts of an evacuated failure domain', () => {
+	afterEach(() => {
+		world.stop();
+		expect(world.violations).toEqual([]);
+	});
+
+	it('get no start, and what runs there ends in peace', async () => {
+		await createSite(['hall-a', 'hall-b']);
+		world.plan = () => ({workMs: 3000});
+		await world.submit(jobId, createSpec([createStep({count: 8})]));
+		await world.waitFor(() => getStartsOn('host-0') === 4 && getStartsOn('host-1') === 4, 2000);
+		declare(5, 'hall-a');
+		const since = world.events.length;
+		const ids = await submitMany(4);
+		await world.clock.advance(12_000);
+		expect(getStartsOn('host-0', since)).toBe(0);
+		expect(world.events.filter(event => event.type === 'ended' && event.end !== RunEnd.Done)).toEqual([]);
+		for (const id of [jobId, ...ids]) {
+			expect(await world.getState(id)).toBe(WorkflowState.Completed);
+		}
+	});
+
+	it('get starts again once the request is taken back', async () => {
+		await createSite(['hall-a']);
+		declare(5, 'hall-a');
+		await world.clock.advance(1000);
+		await submitMany(2);
+		await world.clock.advance(3000);
+		expect(world.events).toEqual([]);
+		declare(6);
+		expect(await world.waitFor(() => getStartsOn('host-0') === 4, 1500)).toBeDefined();
+	});
+
+	it('get starts again when the request is taken back while their owner dies', async () => {
+		await createSite(['hall-a']);
+		declare(5, 'hall-a');
+		await world.clock.advance(1000);
+		await submitMany(1);
+		world.killEntry(world.getOwnerName()!);
+		declare(6);
+		expect(await world.waitFor(() => getStartsOn('host-0') === 2, 8000)).toBeDefined();
+	});
+
+	it('refuse the start of an owner that does not know of the request', async () => {
+		await createSite(['hall-a', 'hall-b']);
+		declare(5, 'hall-a');
+		await world.clock.advance(1000);
+		expect(await orderStart('host-0')).toMatchObject({answers: [{isDone: false, refusal: OrderRefusal.Evacuated}]});
+	});
+
+	it('stay evacuated for an agent that starts after the store has let the request go', async () => {
+		await createSite(['hall-a', 'hall-b']);
+		declare(5, 'hall-a');
+		await world.clock.advance(45_000);
+		world.store.trim({topic: 'control', partition: world.controlPartition}, 3);
+		world.killAgent('host-0');
+		world.startAgent('host-0');
+		await world.clock.advance(8000);
+		expect(await orderStart('host-0')).toMatchObject({answers: [{isDone: false, refusal: OrderRefusal.Evacuated}]});
+	});
+
+	it('are none when an older request is told after its removal', async () => {
+		await createSite(['hall-a']);
+		declare(7);
+		await world.clock.advance(500);
+		declare(5, 'hall-a');
+		await world.clock.advance(500);
+		declare(7);
+		await world.submit(otherId, createSpec([createStep()]));
+		expect(await world.waitFor(() => getStartsOn('host-0') === 1, 1500)).toBeDefined();
+	});
+
+	it('may be all at once: what waits starts when one is taken back', async () => {
+		await createSite(['hall-a', 'hall-b']);
+		declare(5, 'hall-a', 'hall-b');
+		await submitMany(2);
+		await world.clock.advance(2000);
+		expect(world.events).toEqual([]);
+		declare(6, 'hall-a');
+		expect(await world.waitFor(() => getStartsOn('host-1') === 4, 1500)).toBeDefined();
+		expect(getStartsOn('host-0')).toBe(0);
+	});
+});
+
+describe('requests to evacuate', () => {
+	it('are read from the operators\' stream, and their removal too', async () => {
+		const {clock, follower, aborter, request, takeBack} = await follow();
+		request('hall-a');
+		request('hall-b');
+		await clock.advance(50);
+		expect(follower.evacuations.failureDomains).toEqual(['hall-a', 'hall-b']);
+		void takeBack('hall-a');
+		await clock.advance(50);
+		expect(follower.evacuations.failureDomains).toEqual(['hall-b']);
+		aborter.abort();
+	});
+
+	it('end also when the record of the removal is gone before it was read', async () => {
+		const {clock, store, follower, aborter, request, takeBack} = await follow();
+		request('hall-a');
+		await clock.advance(50);
+		store.getDelayMs = ({client}) => client === 'entry' ? 500 : 0;
+		await clock.advance(1100);
+		void takeBack('hall-a');
+		await clock.advance(20);
+		store.trim(ref, 2);
+		await clock.advance(3000);
+		expect(follower.evacuations.failureDomains).toEqual([]);
+		aborter.abort();
+	});
+});
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -12,7 +12,7 @@
 import {type AdviceClient} from '../src/types/advice.ts';
 import {LookupOutcome, type SubmitReply} from '../src/types/job-api.ts';
 import {type WorkerStart} from '../src/types/fleet.ts';
-import {type QueueConfig} from '../src/types/site.ts';
+import {type Evacuations, type QueueConfig} from '../src/types/site.ts';
 import {
 	parseTaskId, RunEnd, type WorkflowSpec, type WorkflowState, type WorkflowStep,
 } from '../src/types/workflows.ts';
@@ -80,6 +80,7 @@
 
 /** The world. */
 export class SiteWorld {
+	readonly controlPartition = partition;
 	readonly clock = new ManualClock();
 	readonly store = new MemoryStore(this.clock, partitions);
 	readonly entries = new Map<string, EntryProcess>();
@@ -98,13 +99,16 @@
 	readonly #forgottenDone = new Set<string>();
 	#lives = 0;
 
+	/** What an entry knows of evacuations; changed by tests as they go. */
+	getEvacuations: (entry: string) => Evacuations = () => ({asOf: 0, failureDomains: []});
+
 	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
 
-	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1']): AgentHost {
+	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1'], failureDomain = 'hall'): AgentHost {
 		const worker = new SiteWorker(name, {
 			clock: this.clock,
 			report: {
-				service, failureDomain: 'hall', milliCpu, memoryMb: 64_000, accelerators: 0, labels,
+				service, failureDomain, milliCpu, memoryMb: 64_000, accelerators: 0, labels,
 			},
 			plan: start => this.plan(start),
 			onEvent: event => {
@@ -180,7 +184,7 @@
 			getProvenAtMs: () => follower.provenAtMs,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, {onDeposed, getReachedAtMs}) => new Owner({
-				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, cancelMs, getReachedAtMs, note, onDeposed, host: name, follower, isMine: () => true, policy: createPolicy(),
+				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getReachedAtMs, note, onDeposed, host: name, follower, isMine: () => true, policy: createPolicy(),
 			}),
 		});
 		void follower.run(aborter.signal);
