--- a/src/measure/deciding-load.ts
+++ b/src/measure/deciding-load.ts
@@ -202,7 +202,32 @@
 	lengthS: 30,
 };
 
-/** A day with room for all, a day of more than there is room for, the same with all hosts dark for a second, and a large service. */
+/** A service of large workers: each wide task that fills takes a ninth of one, and serving tasks use half of what they reserve. */
+const shifted: DecidingLoad = {
+	name: 'shifted',
+	workers: Array.from({length: 73}, (_, index) => index % 3 === 2 ? 96_000 : 64_000),
+	restMs: 25,
+	effects,
+	kinds: [
+		{
+			...match, perS: 6.9, worth: 0.27, targetLatencyMs: 305, width: {mean: 9.5, spread: 0.8, max: 57}, milliCpu: {mean: 1500, spread: 0.45, max: 4600}, memoryMb: 3000, estimateSpread: 0.2, unevenness: 0.15,
+		},
+		{
+			...build, perS: 2.7, early: 6, worth: 6.03, width: {mean: 20, spread: 0.6, max: 80}, workMs: {mean: 3143, spread: 0.5, max: 7714}, milliCpu: {mean: 7000, spread: 0.3, max: 14_000}, memoryMb: 13_000, estimateSpread: 0.5, errorShare: 0.02, images: 18,
+		},
+		{
+			...relay, perS: 0.08, early: 24, worth: 1.08, width: {mean: 14, spread: 0.4, max: 28}, milliCpu: {mean: 13_000, spread: 0.25, max: 20_000}, memoryMb: 26_000, images: 10, serving: {
+				stayS: {mean: 70, spread: 0.5, max: 210}, targetMs: 150, load: 0.48, swing: 0.6, periodS: 20, apartShare: 0.5, apartMost: [1, 2, 3],
+			},
+		},
+	],
+	bursts: [{
+		kind: 'build', atS: 10, forS: 6, times: 1.5,
+	}],
+	lengthS: 34,
+};
+
+/** A day with room for all, a day of more than there is room for, the same with all hosts dark for a second, a large service, and one of large workers. */
 export const decidingLoads: DecidingLoad[] = [
 	{
 		name: 'light', workers, restMs: 4, effects, kinds: [match, {...build, perS: 0.25, early: 1}, {...relay, early: 7}], bursts: [{
@@ -220,4 +245,5 @@
 		}], lengthS: 45, darkAtS: 30,
 	},
 	large,
+	shifted,
 ];
