Let an entry that the store turns away serve its callers through others

Cause: an entry that does not reach the store refused every job and showed the state that it last read, beside entries that the store serves.

Change: entries register in the store and know each other (src/workflows/entry-directory.ts). One that cannot write a job, does not know a state for certain, or cannot cancel asks another (src/workflows/relaying-api.ts), which answers by itself and asks nobody else. That a job never runs is said only if no entry that was asked can have taken it. Refusals stay quick: one other is asked while the store may be away for all, three once it is known to be lost here, and those that could not help are passed over for a second. It stays out of the balancer's rotation meanwhile, as before.

--- /dev/null
+++ b/src/plugins/entry-messages.ts
@@ -0,0 +1,65 @@
+/**
+Calls between entries: JSON over HTTP, as between an owner and its agents.
+*/
+import {createError, ErrorCode} from '../core/errors.ts';
+import {
+	type EntryClient, type RelayedJob, type StateReply,
+} from '../types/entries.ts';
+import {
+	LookupOutcome, SubmitOutcome, type JobApi, type SubmitReply,
+} from '../types/job-api.ts';
+import {type QueueConfig} from '../types/site.ts';
+import {type WorkflowSpec} from '../types/workflows.ts';
+import {type HttpClient} from '../utils/http-calls.ts';
+import {type JsonServer} from '../utils/http-server.ts';
+
+const submitPath = '/v1/entry/submit';
+const statePath = '/v1/entry/state';
+const cancelPath = '/v1/entry/cancel';
+
+/** Creates the side of the entry that asks. */
+export const createEntryClient = (http: HttpClient): EntryClient => {
+	const post = async (address: string, path: string, json: Record<string, unknown>, timeoutMs: number): Promise<unknown> => {
+		const answer = await http.callJson({
+			address, method: 'POST', path, json: {...json, timeoutMs}, timeoutMs, step: `call entry ${path}`,
+		});
+		if (answer.status !== 200) {
+			throw createError(ErrorCode.PeerUnavailable, {step: `call entry ${path}`, peer: address, detail: `status ${answer.status}`});
+		}
+
+		return answer.json;
+	};
+
+	return {
+		submit: async (address, job, timeoutMs) => await post(address, submitPath, job, timeoutMs) as SubmitReply,
+		getState: async (address, job, timeoutMs) => await post(address, statePath, job, timeoutMs) as StateReply,
+		async cancel(address, job, timeoutMs) {
+			const {outcome} = await post(address, cancelPath, job, timeoutMs) as {outcome: LookupOutcome};
+			return outcome;
+		},
+	};
+};
+
+/** Adds the side of the entry that is asked to a server: it answers by itself, and asks nobody else. */
+export const serveEntry = (server: JsonServer, jobs: JobApi, isStoreLost: () => boolean): void => {
+	const find = (name: string): QueueConfig | undefined => jobs.getConfig()?.queues.find(queue => queue.name === name);
+	server.route('POST', submitPath, async ({body}) => {
+		const {queue, id, spec, timeoutMs} = body as RelayedJob & {spec: WorkflowSpec; timeoutMs: number};
+		const config = find(queue);
+		const reply: SubmitReply = config
+			? await jobs.submit(config, id, spec, timeoutMs)
+			: {outcome: SubmitOutcome.NotAccepted, reason: 'no such queue'};
+		return {body: reply};
+	});
+	server.route('POST', statePath, async ({body}) => {
+		const {queue, id, timeoutMs} = body as RelayedJob & {timeoutMs: number};
+		const config = find(queue);
+		const reply: StateReply = config && !isStoreLost() ? await jobs.getState(config, id, timeoutMs) : {outcome: LookupOutcome.Unknown};
+		return {body: reply};
+	});
+	server.route('POST', cancelPath, async ({body}) => {
+		const {queue, id, timeoutMs} = body as RelayedJob & {timeoutMs: number};
+		const config = find(queue);
+		return {body: {outcome: config ? await jobs.cancel(config, id, timeoutMs) : LookupOutcome.Unknown}};
+	});
+};
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -12,19 +12,23 @@
 } from '../platform/site-config.ts';
 import {createAdviceClient} from '../platform/advice-calls.ts';
 import {createStoreClient} from '../platform/store-calls.ts';
+import {type JobApi} from '../types/job-api.ts';
 import {type SiteConfig, type SiteSettings} from '../types/site.ts';
 import {type HttpClient} from '../utils/http-calls.ts';
-import {close, listen} from '../utils/http-server.ts';
+import {close, createJsonServer, listen} from '../utils/http-server.ts';
 import {alivePath} from '../utils/metrics-page.ts';
 import {ConfigFollower} from '../workflows/config-follower.ts';
+import {EntryDirectory} from '../workflows/entry-directory.ts';
 import {WorkflowApi} from '../workflows/workflow-api.ts';
 import {WorkflowFollower} from '../workflows/follower.ts';
 import {Owner} from '../workflows/owner.ts';
 import {formatMember, Ownership} from '../workflows/ownership.ts';
 import {createPolicy} from '../workflows/policy.ts';
 import {findQueue} from '../workflows/queues.ts';
+import {RelayingApi} from '../workflows/relaying-api.ts';
 import {workflowsTopic} from '../workflows/records.ts';
 import {createAgentClient} from './agent-messages.ts';
+import {createEntryClient, serveEntry} from './entry-messages.ts';
 import {runSiteProcess, type SiteProcess} from './site-process.ts';
 
 /** After SIGTERM callers are served for so long: the balancer takes two misses, a second each, to send them elsewhere. */
@@ -38,17 +42,17 @@
 
 /** Runs the role until it is told to stop. */
 export const runSiteEntry = async (site: SiteSettings): Promise<void> => runSiteProcess('entry', site, async parts => {
-	const {clock, note, signal, metrics, load} = parts;
+	const {clock, note, signal, metrics, load, internalAddress} = parts;
 	const {callersAddress, readinessAddress} = site;
 	if (callersAddress === undefined || readinessAddress === undefined) {
 		throw createError(ErrorCode.BadSettings, {step: 'start entry', detail: 'the settings name no address for callers'});
 	}
 
-	const {config, jobs, ownership, isStoreLost, isCaughtUp} = createParts(parts);
+	const {config, jobs, ownership, directory, isStoreLost, isCaughtUp} = createParts(parts);
 	let isLeaving = false;
 	const isReady = () => !isLeaving && isCaughtUp() && !isStoreLost() && !load.isOverloaded;
 	const callers = createCallerServer({
-		jobs,
+		jobs: createRelay(parts, {jobs, directory, isStoreLost}),
 		clock,
 		findQueue,
 		// A caller on an open connection stays here unless it is told to connect anew.
@@ -64,14 +68,18 @@
 		response.writeHead(isReady() ? 200 : 503);
 		response.end();
 	});
+	const peers = createJsonServer(clock);
+	serveEntry(peers, jobs, isStoreLost);
+	await peers.listen(internalAddress);
 	await listen(readiness, readinessAddress);
 	await listen(callers, callersAddress);
 	void config.run(signal);
 	void ownership.run(signal);
+	void directory.run(signal);
 	return async () => {
 		isLeaving = true;
-		await Promise.all([ownership.leave(), clock.sleep(leaveMs)]);
-		await Promise.all([close(callers), close(readiness)]);
+		await Promise.all([ownership.leave(), directory.leave(), clock.sleep(leaveMs)]);
+		await Promise.all([close(callers), close(readiness), peers.close()]);
 	};
 });
 
@@ -94,7 +102,11 @@
 	}
 };
 
-const createParts = ({site, clock, http, note, life, signal, metrics, metricsAddress}: SiteProcess) => {
+const createRelay = ({clock, http, note}: SiteProcess, {jobs, directory, isStoreLost}: {jobs: JobApi; directory: EntryDirectory; isStoreLost: () => boolean}): JobApi => new RelayingApi({
+	local: jobs, client: createEntryClient(http), clock, getOthers: () => directory.others, isStoreLost, note,
+});
+
+const createParts = ({site, clock, http, note, life, signal, metrics, metricsAddress, internalAddress}: SiteProcess) => {
 	const store = createStoreClient(http, site.store.address);
 	const {partitions, maxCallBytes, minMemberTtlMs, keptMs} = site.store;
 	const client = createAgentClient(http);
@@ -202,7 +214,10 @@
 		}),
 	});
 	metrics.addGauge('chervilworks_partitions_owned', 'Partitions that this entry owns.', () => ownership.owners.size);
+	const directory = new EntryDirectory({
+		store, clock, life, note, registration: {host: site.hostName, address: internalAddress},
+	});
 	return {
-		config, jobs, ownership, isStoreLost, isCaughtUp,
+		config, jobs, ownership, directory, isStoreLost, isCaughtUp,
 	};
 };
--- /dev/null
+++ b/src/workflows/entry-directory.ts
@@ -0,0 +1,109 @@
+/**
+Which other entries there are: each registers under its host's name, and reads the others' registrations now and then. What it
+has read holds while the store turns it away.
+*/
+import {Buffer} from 'node:buffer';
+import {getMessage} from '../core/errors.ts';
+import {type Clock} from '../types/clock.ts';
+import {type EntryRegistration} from '../types/entries.ts';
+import {AppendOutcome, type PartitionRef, type StoreClient} from '../types/store.ts';
+import {parseFields} from '../utils/fields.ts';
+
+/** Options of the directory. */
+export type EntryDirectoryOptions = {
+	store: StoreClient;
+	clock: Clock;
+	registration: EntryRegistration;
+	/** New with each start of the process. */
+	life: string;
+	note: (event: string, fields: Record<string, unknown>) => void;
+};
+
+const ref: PartitionRef = {topic: 'keyed.entries', partition: 0};
+const refreshMs = 10_000;
+const retryMs = 500;
+const storeTimeoutMs = 1000;
+
+/** Decodes a registration. Throws `bad-input`. */
+export const decodeEntry = (value: Buffer): EntryRegistration => {
+	const fields = parseFields(value, 'read entry registration');
+	return {host: fields.text('host'), address: fields.text('address')};
+};
+
+/** The directory of one entry. */
+export class EntryDirectory {
+	readonly #options: EntryDirectoryOptions;
+	#others: EntryRegistration[] = [];
+	#writes = 0;
+
+	constructor(options: EntryDirectoryOptions) {
+		this.#options = options;
+	}
+
+	/** The other entries, as last read. */
+	get others(): readonly EntryRegistration[] {
+		return this.#others;
+	}
+
+	/** Registers and reads until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, registration} = this.#options;
+		while (!signal.aborted && !await this.#write(Buffer.from(JSON.stringify(registration)))) {
+			await clock.sleep(retryMs, signal);
+		}
+
+		while (!signal.aborted) {
+			const isRead = await this.#read(signal);
+			await clock.sleep(isRead ? refreshMs : retryMs, signal);
+		}
+	}
+
+	/** Takes the registration back. */
+	async leave(): Promise<void> {
+		await this.#write();
+	}
+
+	async #write(value?: Buffer): Promise<boolean> {
+		const {store, registration: {host}, life, note} = this.#options;
+		try {
+			const {outcome} = await store.appendKeyed(ref, [{key: host, ...(value && {value})}], {
+				stamp: {producer: `entry-${host}-${life}`, epoch: 1, sequence: this.#writes}, timeoutMs: storeTimeoutMs,
+			});
+			if (outcome === AppendOutcome.Appended) {
+				this.#writes++;
+				return true;
+			}
+
+			note('entry not registered', {outcome});
+		} catch (error) {
+			note('entry not registered', {error: getMessage(error)});
+		}
+
+		return false;
+	}
+
+	async #read(signal: AbortSignal): Promise<boolean> {
+		const {store, registration, note} = this.#options;
+		try {
+			const {records} = await store.newest(ref, signal);
+			this.#others = records.flatMap(({key, value}) => key === registration.host ? [] : this.#decode(key, value));
+			return true;
+		} catch (error) {
+			if (!signal.aborted) {
+				note('entries not read', {error: getMessage(error)});
+			}
+
+			return false;
+		}
+	}
+
+	/** A record that cannot be read names no entry; the others hold. */
+	#decode(host: string, value: Buffer): EntryRegistration[] {
+		try {
+			return [decodeEntry(value)];
+		} catch (error) {
+			this.#options.note('entry registration not valid', {host, error: getMessage(error)});
+			return [];
+		}
+	}
+}
--- /dev/null
+++ b/src/workflows/relaying-api.ts
@@ -0,0 +1,190 @@
+/**
+Jobs at an entry that the store turns away while it serves others: what this entry cannot do, it asks of another one. Callers on
+an open connection would else be refused, or shown an old state, beside entries that can serve them.
+*/
+import {getMessage} from '../core/errors.ts';
+import {type Clock} from '../types/clock.ts';
+import {type EntryClient, type EntryRegistration, type StateReply} from '../types/entries.ts';
+import {
+	LookupOutcome, SubmitOutcome, type JobApi, type SubmitReply,
+} from '../types/job-api.ts';
+import {type QueueConfig, type SiteConfig} from '../types/site.ts';
+import {type WorkflowSpec} from '../types/workflows.ts';
+import {isFinal} from './fold.ts';
+
+/** Options of the API. */
+export type RelayingApiOptions = {
+	/** Jobs as this entry offers them by itself. */
+	local: JobApi;
+	client: EntryClient;
+	clock: Clock;
+	getOthers: () => readonly EntryRegistration[];
+	/** Whether the store has not answered this entry for a while. */
+	isStoreLost: () => boolean;
+	note: (event: string, fields: Record<string, unknown>) => void;
+};
+
+/** The store answers within some ms; an entry that has had no answer for so long asks others beside its own try. */
+const relayAfterMs = 250;
+const maxTries = 3;
+/** Until it is known that the store is lost here, it may be away for all: each entry asked would be one more delay of a refusal. */
+const maxEarlyTries = 1;
+/** Another entry writes to the store for it; one that cannot says so at once. */
+const submitTimeoutMs = 800;
+const lookupTimeoutMs = 300;
+/** An entry that could not help is not asked again for so long. */
+const passOverMs = 1000;
+
+/** Asks one entry; undefined: it cannot help. */
+type Ask<Reply> = (address: string, timeoutMs: number) => Promise<Reply | undefined>;
+
+/** The API. */
+export class RelayingApi implements JobApi {
+	readonly #options: RelayingApiOptions;
+	/** Until when entries that could not help are passed over, by address. */
+	readonly #passedOverUntilMs = new Map<string, number>();
+	#next = 0;
+
+	constructor(options: RelayingApiOptions) {
+		this.#options = options;
+	}
+
+	getConfig(): SiteConfig | undefined {
+		return this.#options.local.getConfig();
+	}
+
+	/** A job that two entries have written is one job: it is safe to ask another while the own try is open. */
+	async submit(queue: QueueConfig, id: string, spec: WorkflowSpec, timeoutMs: number): Promise<SubmitReply> {
+		const {local, clock} = this.#options;
+		const endAtMs = clock.monotonicMs() + timeoutMs;
+		const own = local.submit(queue, id, spec, timeoutMs);
+		const early = await this.#within(own, relayAfterMs);
+		if (early?.outcome === SubmitOutcome.Accepted) {
+			return early;
+		}
+
+		const relayed = this.#submitElsewhere(queue, id, spec, endAtMs);
+		try {
+			return await Promise.any([requireAccepted(own), requireAccepted(relayed)]);
+		} catch {
+			const replies = await Promise.all([own, relayed]);
+			return replies.find(({outcome}) => outcome === SubmitOutcome.Unknown) ?? replies[0];
+		}
+	}
+
+	async getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<StateReply> {
+		const {local, client, isStoreLost} = this.#options;
+		if (!isStoreLost()) {
+			return local.getState(queue, id, timeoutMs);
+		}
+
+		const known = await local.getState(queue, id, 0);
+		if (known.outcome === LookupOutcome.Found && isFinal(known.state!)) {
+			return known;
+		}
+
+		const found = await this.#ask('state', id, {timeoutMs: lookupTimeoutMs, endAtMs: this.#options.clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
+			const reply = await client.getState(address, {queue: queue.name, id}, askMs);
+			return reply.outcome === LookupOutcome.Unknown ? undefined : reply;
+		});
+		return found.reply?.outcome === LookupOutcome.Found || known.outcome !== LookupOutcome.Found ? found.reply ?? known : known;
+	}
+
+	async cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome> {
+		const {local, client, clock, isStoreLost} = this.#options;
+		if (!isStoreLost()) {
+			return local.cancel(queue, id, timeoutMs);
+		}
+
+		const {reply} = await this.#ask('cancel', id, {timeoutMs: submitTimeoutMs, endAtMs: clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
+			const outcome = await client.cancel(address, {queue: queue.name, id}, askMs);
+			return outcome === LookupOutcome.Unknown ? undefined : outcome;
+		});
+		return reply ?? LookupOutcome.Unknown;
+	}
+
+	countPending(queue: QueueConfig): number {
+		return this.#options.local.countPending(queue);
+	}
+
+	/** That the job never runs is said only if no entry that was asked can have taken it. */
+	async #submitElsewhere(queue: QueueConfig, id: string, spec: WorkflowSpec, endAtMs: number): Promise<SubmitReply> {
+		const {client} = this.#options;
+		let isOpen = false;
+		const {reply, isUnanswered} = await this.#ask('submit', id, {timeoutMs: submitTimeoutMs, endAtMs}, async (address, askMs) => {
+			const {outcome} = await client.submit(address, {queue: queue.name, id, spec}, askMs);
+			isOpen ||= outcome === SubmitOutcome.Unknown;
+			return outcome === SubmitOutcome.Accepted ? outcome : undefined;
+		});
+		if (reply !== undefined) {
+			return {outcome: reply};
+		}
+
+		return isOpen || isUnanswered
+			? {outcome: SubmitOutcome.Unknown, reason: 'another entry was asked and gave no answer'}
+			: {outcome: SubmitOutcome.NotAccepted, reason: 'no other entry reaches the store'};
+	}
+
+	/** Asks entries one after the other until one can help. */
+	async #ask<Reply>(kind: string, id: string, {timeoutMs, endAtMs}: {timeoutMs: number; endAtMs: number}, ask: Ask<Reply>): Promise<{reply?: Reply; isUnanswered: boolean}> {
+		const {clock, note} = this.#options;
+		let isUnanswered = false;
+		for (const {host, address} of this.#choose()) {
+			const startedAtMs = clock.monotonicMs();
+			const leftMs = endAtMs - startedAtMs;
+			if (leftMs <= 0) {
+				break;
+			}
+
+			try {
+				const reply = await ask(address, Math.min(timeoutMs, leftMs));
+				note('relayed', {
+					kind, id, host, reason: reply === undefined ? 'cannot help' : 'done', tookMs: Math.round(clock.monotonicMs() - startedAtMs),
+				});
+				if (reply !== undefined) {
+					return {reply, isUnanswered};
+				}
+			} catch (error) {
+				isUnanswered = true;
+				note('relayed', {
+					kind, id, host, reason: 'unanswered', error: getMessage(error),
+				});
+			}
+
+			this.#passedOverUntilMs.set(address, clock.monotonicMs() + passOverMs);
+			this.#next++;
+		}
+
+		return {isUnanswered};
+	}
+
+	/** The one that helped last goes first. */
+	#choose(): EntryRegistration[] {
+		const nowMs = this.#options.clock.monotonicMs();
+		const others = this.#options.getOthers();
+		return others
+			.map((_, index) => others[(this.#next + index) % others.length]!)
+			.filter(({address}) => (this.#passedOverUntilMs.get(address) ?? 0) <= nowMs)
+			.slice(0, this.#options.isStoreLost() ? maxTries : maxEarlyTries);
+	}
+
+	async #within<Value>(promise: Promise<Value>, boundMs: number): Promise<Value | undefined> {
+		const aborter = new AbortController();
+		const expire = async (): Promise<undefined> => {
+			await this.#options.clock.sleep(boundMs, aborter.signal);
+		};
+
+		const value = await Promise.race([promise, expire()]);
+		aborter.abort();
+		return value;
+	}
+}
+
+const requireAccepted = async (reply: Promise<SubmitReply>): Promise<SubmitReply> => {
+	const known = await reply;
+	if (known.outcome !== SubmitOutcome.Accepted) {
+		throw new Error(known.reason ?? known.outcome);
+	}
+
+	return known;
+};
--- /dev/null
+++ b/test/site-calls.ts
@@ -0,0 +1,59 @@
+/**
+Calls between the processes of a site on manual time, over paths that tests cut.
+*/
+import {type Agent} from '../src/agents/agent.ts';
+import {createError, ErrorCode} from '../src/core/errors.ts';
+import {type Clock} from '../src/types/clock.ts';
+import {type EntryClient, type StateReply} from '../src/types/entries.ts';
+import {LookupOutcome} from '../src/types/job-api.ts';
+import {type AgentClient} from '../src/workflows/agent-links.ts';
+import {queue, type EntryProcess, type SiteWorld} from './site-world.ts';
+
+const fail = async (clock: Clock, step: string, peer: string, timeoutMs: number): Promise<never> => {
+	await clock.sleep(timeoutMs);
+	throw createError(ErrorCode.PeerUnavailable, {step, peer});
+};
+
+/** What an entry calls agents with. */
+export const createAgentClient = (world: SiteWorld, entryName: string): AgentClient => {
+	const {clock, hosts, cuts} = world;
+	const call = async <Reply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
+		await clock.sleep(1);
+		const agent = hosts.get(host)?.agent;
+		if (!agent || cuts.has(`${entryName}>${host}`) || hosts.get(host)!.clock.isPaused) {
+			return fail(clock, 'call agent', host, timeoutMs);
+		}
+
+		// A process that died answers never: the caller's own bound ends the call.
+		const reply = structuredClone(await Promise.race([act(agent), fail(clock, 'call agent', host, timeoutMs)]));
+		await clock.sleep(1);
+		return cuts.has(`${entryName}>${host}`) ? fail(clock, 'call agent', host, 0) : reply;
+	};
+
+	return {
+		watch: async (host, request, timeoutMs, signal) => call(host, async agent => agent.watch(structuredClone(request), signal), timeoutMs),
+		order: async (host, request, timeoutMs) => call(host, async agent => agent.order(structuredClone(request)), timeoutMs),
+	};
+};
+
+/** What an entry calls other entries with. */
+export const createEntryClient = (world: SiteWorld, entryName: string): EntryClient => {
+	const {clock, entries, cuts, lostAnswers, storeLost} = world;
+	const call = async <Reply>(address: string, act: (entry: EntryProcess) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
+		await clock.sleep(1);
+		const entry = entries.get(address);
+		if (!entry || cuts.has(`${entryName}>${address}`) || entry.clock.isPaused) {
+			return fail(clock, 'call entry', address, timeoutMs);
+		}
+
+		const reply = await Promise.race([act(entry), fail(clock, 'call entry', address, timeoutMs)]);
+		return lostAnswers.has(`${entryName}>${address}`) ? fail(clock, 'call entry', address, timeoutMs) : reply;
+	};
+
+	return {
+		submit: async (address, {id, spec}, timeoutMs) => call(address, async ({jobs}) => jobs.submit(queue, id, spec, timeoutMs), timeoutMs),
+		getState: async (address, {id}, timeoutMs) => call(address, async ({jobs}): Promise<StateReply> =>
+			storeLost.has(address) ? {outcome: LookupOutcome.Unknown} : jobs.getState(queue, id, timeoutMs), timeoutMs),
+		cancel: async (address, {id}, timeoutMs) => call(address, async ({jobs}) => jobs.cancel(queue, id, timeoutMs), timeoutMs),
+	};
+};
--- a/test/site-troubles.ts
+++ b/test/site-troubles.ts
@@ -168,6 +168,7 @@
 /** A site on which series are played. */
 export const createTroubledSite = async (plan: SiteWorld['plan']): Promise<SiteWorld> => {
 	const world = new SiteWorld();
+	world.isRelaying = true;
 	world.plan = plan;
 	for (const name of hosts) {
 		world.addHost(name);
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -5,26 +5,26 @@
 import {Agent} from '../src/agents/agent.ts';
 import {agentsTopic} from '../src/agents/control-records.ts';
 import {leaseHorizonMs} from '../src/agents/lease-clock.ts';
-import {createError, ErrorCode} from '../src/core/errors.ts';
 import {getPartition} from '../src/core/partitions.ts';
 import {MemoryStore} from '../src/standin/memory-store.ts';
 import {SiteWorker, type RunPlan, type WorkerEvent} from '../src/standin/site-worker.ts';
 import {type AdviceClient} from '../src/types/advice.ts';
-import {LookupOutcome, type SubmitReply} from '../src/types/job-api.ts';
+import {LookupOutcome, type JobApi, type SubmitReply} from '../src/types/job-api.ts';
 import {type WorkerStart} from '../src/types/fleet.ts';
 import {type Evacuations, type QueueConfig} from '../src/types/site.ts';
 import {
 	parseTaskId, RunEnd, type WorkflowSpec, type WorkflowState, type WorkflowStep,
 } from '../src/types/workflows.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
-import {type AgentClient} from '../src/workflows/agent-links.ts';
 import {WorkflowApi} from '../src/workflows/workflow-api.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {Owner} from '../src/workflows/owner.ts';
 import {formatMember, Ownership} from '../src/workflows/ownership.ts';
 import {createPolicy} from '../src/workflows/policy.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
+import {RelayingApi} from '../src/workflows/relaying-api.ts';
 import {ProcessClock} from './membership-world.ts';
+import {createAgentClient, createEntryClient} from './site-calls.ts';
 import {gate} from './process-gate.ts';
 
 export const service = 'desk';
@@ -61,16 +61,20 @@
 
 const ignore = () => undefined;
 
-type EntryProcess = {
+/** An entry that runs. */
+export type EntryProcess = {
 	name: string;
 	clock: ProcessClock;
 	aborter: AbortController;
 	jobs: WorkflowApi;
+	/** The same with the help of other entries. */
+	relay: RelayingApi;
 	follower: WorkflowFollower;
 	ownership: Ownership;
 };
 
-type AgentHost = {
+/** A worker's host with its agent. */
+export type AgentHost = {
 	name: string;
 	worker: SiteWorker;
 	clock: ProcessClock;
@@ -91,6 +95,10 @@
 	adviceClient: AdviceClient | undefined;
 	/** Pairs `entry>host` between which nothing passes. */
 	readonly cuts = new Set<string>();
+	/** Callers are served with the help of other entries. */
+	isRelaying = false;
+	/** Pairs `entry>entry` whose calls are done and not answered. */
+	readonly lostAnswers = new Set<string>();
 	/** Entries that have not reached the store for a while. */
 	readonly storeLost = new Set<string>();
 	readonly specs = new Map<string, WorkflowSpec>();
@@ -167,6 +175,9 @@
 		const jobs = new WorkflowApi({
 			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => this.storeLost.has(name), onWriterNote: ignore,
 		});
+		const relay = new RelayingApi({
+			local: jobs, clock, note, client: createEntryClient(this, name), isStoreLost: () => this.storeLost.has(name), getOthers: () => [...this.entries.keys()].filter(other => other !== name).map(other => ({host: other, address: other})),
+		});
 		const ownership = new Ownership({
 			store,
 			clock,
@@ -184,13 +195,13 @@
 			getProvenAtMs: () => follower.provenAtMs,
 			isUsed: used => used === partition,
 			createOwner: (owned, epoch, {onDeposed, getReachedAtMs}) => new Owner({
-				store, clock, client: gate(clock, this.#createAgentClient(name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getReachedAtMs, note, onDeposed, host: name, follower, isMine: () => true, policy: createPolicy(),
+				store, clock, client: gate(clock, createAgentClient(this, name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, keptMs: 60_000, leaseHorizonMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getReachedAtMs, note, onDeposed, host: name, follower, isMine: () => true, policy: createPolicy(),
 			}),
 		});
 		void follower.run(aborter.signal);
 		void ownership.run(aborter.signal);
 		const entry = {
-			name, clock, aborter, jobs, follower, ownership,
+			name, clock, aborter, jobs, relay, follower, ownership,
 		};
 		this.entries.set(name, entry);
 		return entry;
@@ -210,15 +221,15 @@
 
 	async submit(id: string, spec: WorkflowSpec, entryName?: string): Promise<SubmitReply> {
 		this.specs.set(id, spec);
-		return this.settle(this.#getEntry(entryName).jobs.submit(queue, id, spec, 2500));
+		return this.settle(this.#getJobs(entryName).submit(queue, id, spec, 2500));
 	}
 
 	async cancel(id: string, entryName?: string): Promise<LookupOutcome> {
-		return this.settle(this.#getEntry(entryName).jobs.cancel(queue, id, 2500));
+		return this.settle(this.#getJobs(entryName).cancel(queue, id, 2500));
 	}
 
 	async getState(id: string, entryName?: string): Promise<WorkflowState | LookupOutcome> {
-		const {outcome, state} = await this.settle(this.#getEntry(entryName).jobs.getState(queue, id, 2500));
+		const {outcome, state} = await this.settle(this.#getJobs(entryName).getState(queue, id, 2500));
 		return outcome === LookupOutcome.Found ? state! : outcome;
 	}
 
@@ -276,8 +287,9 @@
 		}
 	}
 
-	#getEntry(name = [...this.entries.keys()][0]!): EntryProcess {
-		return this.entries.get(name)!;
+	#getJobs(name = [...this.entries.keys()][0]!): JobApi {
+		const {jobs, relay} = this.entries.get(name)!;
+		return this.isRelaying ? relay : jobs;
 	}
 
 	#announce(host: AgentHost): void {
@@ -296,40 +308,6 @@
 		};
 	}
 
-	#createAgentClient(entryName: string): AgentClient {
-		const call = async <Reply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
-			await this.clock.sleep(1);
-			const agent = this.hosts.get(host)?.agent;
-			if (!agent || this.cuts.has(`${entryName}>${host}`) || this.hosts.get(host)!.clock.isPaused) {
-				await this.clock.sleep(timeoutMs);
-				throw createError(ErrorCode.PeerUnavailable, {step: 'call agent', peer: host});
-			}
-
-			const reply = structuredClone(await this.#within(timeoutMs, act(agent)));
-			await this.clock.sleep(1);
-			if (this.cuts.has(`${entryName}>${host}`)) {
-				throw createError(ErrorCode.PeerUnavailable, {step: 'call agent', peer: host});
-			}
-
-			return reply;
-		};
-
-		return {
-			watch: async (host, request, timeoutMs, signal) => call(host, async agent => agent.watch(structuredClone(request), signal), timeoutMs),
-			order: async (host, request, timeoutMs) => call(host, async agent => agent.order(structuredClone(request)), timeoutMs),
-		};
-	}
-
-	/** A process that died answers never: the caller's own bound ends the call. */
-	async #within<Value>(timeoutMs: number, answer: Promise<Value>): Promise<Value> {
-		const expire = async () => {
-			await this.clock.sleep(timeoutMs);
-			throw createError(ErrorCode.PeerUnavailable, {step: 'call agent'});
-		};
-
-		return Promise.race([answer, expire()]);
-	}
-
 	#judge(event: WorkerEvent): void {
 		this.events.push(event);
 		const ref = parseTaskId(event.taskId)!;
