Go on from the first page's end after all newest records were read

The reader went on from the end that the last page told, so a record written between two pages under a key that was passed already was never read: a request to evacuate, or an agent's registration, on a site with more than 500 keys.

Change: the end of the first page counts; what was written meanwhile is read again.

Tests: the check in test/store-calls.test.ts asked for the last page's end, which was the fault; it asks for the first one's now, as strictly, and failed before the change.

--- a/src/platform/store-calls.ts
+++ b/src/platform/store-calls.ts
@@ -82,6 +82,7 @@
 		},
 		async newest(ref, signal) {
 			const records: KeyedRecord[] = [];
+			let endOffset: number | undefined;
 			for (let after: string | undefined; ;) {
 				const query = new URLSearchParams({topic: ref.topic, part: String(ref.partition), ...(after !== undefined && {after})});
 				const answer = await sendPlain({
@@ -90,9 +91,11 @@
 				const page = parseReply(answer.body);
 				const items = page.list('items', decodeNewest);
 				records.push(...items);
+				// Pages are no snapshot: a later page may end behind a record whose key an earlier one had passed.
+				endOffset ??= page.count('end', 0);
 				after = items.at(-1)?.key;
 				if (!page.flag('hasMore', false) || after === undefined) {
-					return {records, endOffset: page.count('end', 0)};
+					return {records, endOffset};
 				}
 			}
 		},
--- a/test/store-calls.test.ts
+++ b/test/store-calls.test.ts
@@ -96,7 +96,7 @@
 		await expect(store.read(ref, 0, {waitMs: 0})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.StoreRefused);
 	});
 
-	it('gathers all pages of newest records', async () => {
+	it('gathers all pages of newest records, and ends where the first one ended: what was written meanwhile is read again', async () => {
 		const store = await createStore(({url}) => ({
 			status: 200,
 			json: url.searchParams.get('after') === null
@@ -104,7 +104,7 @@
 				: {items: [{key: 'b', value: 'Yg==', offset: 4}], hasMore: false, end: 10},
 		}));
 		expect(await store.newest(ref)).toEqual({
-			records: [{key: 'a', value: Buffer.from('a'), offset: 3}, {key: 'b', value: Buffer.from('b'), offset: 4}], endOffset: 10,
+			records: [{key: 'a', value: Buffer.from('a'), offset: 3}, {key: 'b', value: Buffer.from('b'), offset: 4}], endOffset: 9,
 		});
 	});
 });
