Learn effects of images together with the loads of what serves

Cause: a load that a worker reports is the serving job's own load and what fills beside it. The own load was learned with the doubt about the effects in mind, the effects without the doubt about the own load: their noise was guessed from 0.1 downwards, and a part for 'the host' took half of each surprise, though no plan counts with it.

Change: src/workflows/pair-effects.ts, one filter for the pairs of a site: a surprise is shared among effects and own load by how far each may be off. One clean report makes a pair known. The harm model of src/jobs, with its line over the host's load, is left to the program's own installation. What is handed to the next owner keeps its format.

Tests: those of harm, trials, places and decisions pass unchanged.

--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -1,9 +1,8 @@
 /**
 What tasks that fill do to the load of tasks that serve, learned by pairs of images from what workers report.
 */
-import {HarmModel, KindTable} from '../jobs/harm-model.ts';
-import {TaskClass} from '../types/jobs.ts';
 import {RunPhase, type LiveRun} from './live-model.ts';
+import {PairEffects} from './pair-effects.ts';
 import {type HarmPair} from './records.ts';
 import {getLoadAt, saturatedLoad, ServingLoads} from './serving-load.ts';
 
@@ -34,36 +33,35 @@
 	sinceChangeMs: number;
 };
 
-/** The model counts neighbours in tenths of a worker: about one task each. */
-const amountOfWhole = 10;
-// Harm changes within seconds: what was learned fades over a minute.
-const halfLifeMs = 60_000;
+/** Effects are handed on for a tenth of a worker: about one task. */
+const handedShare = 0.1;
 /** What was learned has faded by then; images come and go, and what is handed on must not grow with all that ever were. */
-const forgetMs = 5 * halfLifeMs;
-// The effect on a load is taken as a line without a part that depends on the worker's other work.
-const noOtherLoad = 0;
+const forgetMs = 300_000;
 // A pair that was not seen yet is taken for somewhat harmful: one task shows what it does before more follow.
 const cautionDeviations = 0.5;
 /** Half of the doubt about a pair that was never seen. */
-const knownDeviation = 0.1;
+const knownDeviation = 1;
+/** Tails come in whole milliseconds, half a second late, and are rough. */
+const reportVariance = 0.03 ** 2;
 
 /** Learned harm. */
 export class FillHarm {
-	readonly #model = new HarmModel(halfLifeMs);
+	readonly #effects = new PairEffects();
 	readonly #loads = new ServingLoads();
 	/** Images that were measured beside each other, with the last time. */
 	readonly #servers = new Map<string, number>();
 	readonly #fillers = new Map<string, number>();
-	readonly #kinds = new KindTable(kindId => {
-		this.#model.forget(kindId);
-	});
 
 	/** Takes what serving tasks of a worker report while the others fill. */
 	note(servers: Server[], fillers: Filler[], nowMs: number): void {
-		this.#model.fade(nowMs);
+		this.#effects.fade(nowMs);
 		this.#loads.prune(nowMs);
-		prune(this.#servers, nowMs);
-		prune(this.#fillers, nowMs);
+		prune(this.#servers, nowMs, image => {
+			this.#effects.forgetServer(image);
+		});
+		prune(this.#fillers, nowMs, image => {
+			this.#effects.forgetFiller(image);
+		});
 		for (const server of servers) {
 			if (server.ratio > 0) {
 				this.#noteOne(server, fillers, nowMs);
@@ -76,10 +74,10 @@
 		const pairs: HarmPair[] = [];
 		for (const server of this.#servers.keys()) {
 			for (const filler of this.#fillers.keys()) {
-				const effect = this.#model.getIdlePair(this.#kinds.get(server), this.#kinds.get(filler));
-				if (effect) {
+				if (this.#effects.isSeen(server, filler)) {
+					const {mean, deviation} = this.#effects.get(server, filler);
 					pairs.push({
-						server, filler, mean: round(effect.mean), deviation: round(effect.deviation),
+						server, filler, mean: round(mean * handedShare), deviation: round(deviation * handedShare),
 					});
 				}
 			}
@@ -93,7 +91,7 @@
 		for (const {server, filler, mean, deviation} of pairs) {
 			this.#servers.set(server, nowMs);
 			this.#fillers.set(filler, nowMs);
-			this.#model.setIdlePair(this.#kinds.get(server), this.#kinds.get(filler), {mean, deviation});
+			this.#effects.set(server, filler, {mean: mean / handedShare, deviation: deviation / handedShare});
 		}
 	}
 
@@ -104,8 +102,7 @@
 
 	/** Whether it was measured of late what the image does to the server's. */
 	isKnown(server: string, filler: string): boolean {
-		const pair = this.#model.getIdlePair(this.#kinds.get(server), this.#kinds.get(filler));
-		return pair !== undefined && pair.deviation <= knownDeviation;
+		return this.#effects.isSeen(server, filler) && this.#effects.get(server, filler).deviation <= knownDeviation;
 	}
 
 	/** Load of a server by itself. */
@@ -128,26 +125,24 @@
 		const isHigher = load > own + this.#getAdded(image, fillers, ({usedShare}) => usedShare);
 		const getShare = isHigher ? ({recentShare}: Filler) => recentShare : ({usedShare}: Filler) => usedShare;
 		const added = this.#getAdded(image, fillers, getShare);
+		const addedVariance = this.#getVariance(image, fillers, getShare);
+		const ownVariance = this.#loads.getVariance(job, nowMs);
 		const isExplained = isHigher && load <= own + added && fillers.some(({usedShare, recentShare}) => recentShare > usedShare);
 		if (isExplained || (load >= saturatedLoad && load <= own + added)) {
 			return;
 		}
 
 		this.#loads.note({
-			job, load, added, addedVariance: this.#getVariance(image, fillers, getShare),
+			job, load, added, addedVariance,
 		}, nowMs);
-		const neighbours = fillers
-			.filter(filler => getShare(filler) > 0)
-			.map(filler => ({kindId: this.#kinds.get(filler.image), amount: getShare(filler) * amountOfWhole}));
-		if (neighbours.length > 0) {
+		const used = fillers.flatMap(filler => getShare(filler) > 0 ? [{image: filler.image, share: getShare(filler)}] : []);
+		if (used.length > 0) {
 			this.#servers.set(image, nowMs);
 			for (const filler of fillers) {
 				this.#fillers.set(filler.image, nowMs);
 			}
 
-			this.#model.note({
-				victimId: this.#kinds.get(image), taskClass: TaskClass.LatencyCritical, neighbours, load: noOtherLoad, slowdown: 1 + load - own,
-			});
+			this.#effects.learn(image, used, load - own, ownVariance + reportVariance);
 		}
 	}
 
@@ -163,22 +158,23 @@
 	#getVariance(server: string, fillers: Filler[], getShare: (filler: Filler) => number): number {
 		let variance = 0;
 		for (const filler of fillers) {
-			const deviation = this.#getEffect(server, filler.image, 1) - this.#getEffect(server, filler.image, 0);
-			variance += (deviation * getShare(filler)) ** 2;
+			variance += (this.#effects.get(server, filler.image).deviation * getShare(filler)) ** 2;
 		}
 
 		return variance;
 	}
 
 	#getEffect(server: string, filler: string, deviations: number): number {
-		return amountOfWhole * this.#model.getIdleEffect(this.#kinds.get(server), TaskClass.LatencyCritical, this.#kinds.get(filler), deviations);
+		const {mean, deviation} = this.#effects.get(server, filler);
+		return mean + (deviations * deviation);
 	}
 }
 
-const prune = (images: Map<string, number>, nowMs: number): void => {
+const prune = (images: Map<string, number>, nowMs: number, onGone: (image: string) => void): void => {
 	for (const [image, seenAtMs] of images) {
 		if (nowMs - seenAtMs > forgetMs) {
 			images.delete(image);
+			onGone(image);
 		}
 	}
 };
--- a/src/workflows/serving-load.ts
+++ b/src/workflows/serving-load.ts
@@ -42,6 +42,8 @@
 	hasTurned: boolean;
 };
 
+const getDrifted = ({variance, atMs}: JobLoad, nowMs: number): number => variance + (driftVariancePerS * (nowMs - atMs) / msPerS);
+
 /** What a task reports, and what its neighbours are expected to add, with the variance of that. */
 export type LoadReport = {
 	job: string;
@@ -62,6 +64,12 @@
 		return this.#jobs.get(job)?.load ?? unknownLoad;
 	}
 
+	/** How far the load may be off by now, squared. */
+	getVariance(job: string, nowMs: number): number {
+		const known = this.#jobs.get(job);
+		return known ? getDrifted(known, nowMs) : unknownVariance;
+	}
+
 	/** How far the load may rise, at most by the rise given: at the top of its wave it does not rise any more. */
 	getRise(job: string, mostRise: number): number {
 		const known = this.#jobs.get(job);
@@ -74,7 +82,7 @@
 		const known = this.#jobs.get(job) ?? {
 			load: unknownLoad, variance: unknownVariance, atMs: nowMs, peak: 0, hasTurned: false,
 		};
-		const variance = known.variance + (driftVariancePerS * (nowMs - known.atMs) / msPerS);
+		const variance = getDrifted(known, nowMs);
 		const gain = variance / (variance + addedVariance + noiseVariance);
 		const newLoad = known.load + (gain * (own - known.load));
 		const peak = Math.max(known.peak, newLoad);
