Let an entry that doubts its store refuse what others ask of it

Cause: in an outage of the whole store entries notice at different moments. One that knew asked one that did not yet; that one's write got no answer, so callers were told 504, after which they may not try an unsafe request again, where 503 was true before.

Test: 'are refused, not left in doubt, when the other entries have lost the store a moment ago', failed before: unknown.

--- a/src/plugins/entry-messages.ts
+++ b/src/plugins/entry-messages.ts
@@ -12,6 +12,7 @@
 import {type WorkflowSpec} from '../types/workflows.ts';
 import {type HttpClient} from '../utils/http-calls.ts';
 import {type JsonServer} from '../utils/http-server.ts';
+import {createRelayTarget} from '../workflows/relaying-api.ts';
 
 const submitPath = '/v1/entry/submit';
 const statePath = '/v1/entry/state';
@@ -41,25 +42,26 @@
 };
 
 /** Adds the side of the entry that is asked to a server: it answers by itself, and asks nobody else. */
-export const serveEntry = (server: JsonServer, jobs: JobApi, isStoreLost: () => boolean): void => {
+export const serveEntry = (server: JsonServer, jobs: JobApi, isStoreDoubted: () => boolean): void => {
+	const target = createRelayTarget(jobs, isStoreDoubted);
 	const find = (name: string): QueueConfig | undefined => jobs.getConfig()?.queues.find(queue => queue.name === name);
 	server.route('POST', submitPath, async ({body}) => {
 		const {queue, id, spec, timeoutMs} = body as RelayedJob & {spec: WorkflowSpec; timeoutMs: number};
 		const config = find(queue);
 		const reply: SubmitReply = config
-			? await jobs.submit(config, id, spec, timeoutMs)
+			? await target.submit(config, id, spec, timeoutMs)
 			: {outcome: SubmitOutcome.NotAccepted, reason: 'no such queue'};
 		return {body: reply};
 	});
 	server.route('POST', statePath, async ({body}) => {
 		const {queue, id, timeoutMs} = body as RelayedJob & {timeoutMs: number};
 		const config = find(queue);
-		const reply: StateReply = config && !isStoreLost() ? await jobs.getState(config, id, timeoutMs) : {outcome: LookupOutcome.Unknown};
+		const reply: StateReply = config ? await target.getState(config, id, timeoutMs) : {outcome: LookupOutcome.Unknown};
 		return {body: reply};
 	});
 	server.route('POST', cancelPath, async ({body}) => {
 		const {queue, id, timeoutMs} = body as RelayedJob & {timeoutMs: number};
 		const config = find(queue);
-		return {body: {outcome: config ? await jobs.cancel(config, id, timeoutMs) : LookupOutcome.Unknown}};
+		return {body: {outcome: config ? await target.cancel(config, id, timeoutMs) : LookupOutcome.Unknown}};
 	});
 };
--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -188,3 +188,18 @@
 
 	return known;
 };
+
+/** What an entry does for another one: by itself, and only while nothing tells that it does not reach the store either. */
+export const createRelayTarget = (local: JobApi, isStoreDoubted: () => boolean): Omit<JobApi, 'getConfig' | 'countPending'> => ({
+	async submit(queue, id, spec, timeoutMs) {
+		return isStoreDoubted()
+			? {outcome: SubmitOutcome.NotAccepted, reason: 'the store is not reached'}
+			: local.submit(queue, id, spec, timeoutMs);
+	},
+	async getState(queue, id, timeoutMs) {
+		return isStoreDoubted() ? {outcome: LookupOutcome.Unknown} : local.getState(queue, id, timeoutMs);
+	},
+	async cancel(queue, id, timeoutMs) {
+		return isStoreDoubted() ? LookupOutcome.Unknown : local.cancel(queue, id, timeoutMs);
+	},
+});
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -4,9 +4,9 @@
 import {type Agent} from '../src/agents/agent.ts';
 import {createError, ErrorCode} from '../src/core/errors.ts';
 import {type Clock} from '../src/types/clock.ts';
-import {type EntryClient, type StateReply} from '../src/types/entries.ts';
-import {LookupOutcome} from '../src/types/job-api.ts';
+import {type EntryClient} from '../src/types/entries.ts';
 import {type AgentClient} from '../src/workflows/agent-links.ts';
+import {createRelayTarget} from '../src/workflows/relaying-api.ts';
 import {queue, type EntryProcess, type SiteWorld} from './site-world.ts';
 
 const fail = async (clock: Clock, step: string, peer: string, timeoutMs: number): Promise<never> => {
@@ -38,7 +38,7 @@
 
 /** What an entry calls other entries with. */
 export const createEntryClient = (world: SiteWorld, entryName: string): EntryClient => {
-	const {clock, entries, cuts, lostAnswers, storeLost} = world;
+	const {clock, entries, cuts, lostAnswers, storeLost, storeDoubted} = world;
 	const call = async <Reply>(address: string, act: (entry: EntryProcess) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
 		await clock.sleep(1);
 		const entry = entries.get(address);
@@ -50,10 +50,11 @@
 		return lostAnswers.has(`${entryName}>${address}`) ? fail(clock, 'call entry', address, timeoutMs) : reply;
 	};
 
+	const ask = async <Reply>(address: string, act: (target: ReturnType<typeof createRelayTarget>) => Promise<Reply>, timeoutMs: number): Promise<Reply> =>
+		call(address, async ({jobs}) => act(createRelayTarget(jobs, () => storeLost.has(address) || storeDoubted.has(address))), timeoutMs);
 	return {
-		submit: async (address, {id, spec}, timeoutMs) => call(address, async ({jobs}) => jobs.submit(queue, id, spec, timeoutMs), timeoutMs),
-		getState: async (address, {id}, timeoutMs) => call(address, async ({jobs}): Promise<StateReply> =>
-			storeLost.has(address) ? {outcome: LookupOutcome.Unknown} : jobs.getState(queue, id, timeoutMs), timeoutMs),
-		cancel: async (address, {id}, timeoutMs) => call(address, async ({jobs}) => jobs.cancel(queue, id, timeoutMs), timeoutMs),
+		submit: async (address, {id, spec}, timeoutMs) => ask(address, async target => target.submit(queue, id, spec, timeoutMs), timeoutMs),
+		getState: async (address, {id}, timeoutMs) => ask(address, async target => target.getState(queue, id, timeoutMs), timeoutMs),
+		cancel: async (address, {id}, timeoutMs) => ask(address, async target => target.cancel(queue, id, timeoutMs), timeoutMs),
 	};
 };
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -95,6 +95,16 @@
 	expect(world.clock.monotonicMs() - startMs).toBeLessThan(800);
 });
 
+it('are refused, not left in doubt, when the other entries have lost the store a moment ago', async () => {
+	world = await createCut(StoreFault.Refuse);
+	for (const entry of ['entry-1', 'entry-2']) {
+		cut(world, entry, StoreFault.Silence, false);
+		world.storeDoubted.add(entry);
+	}
+
+	expect(await world.submit(jobId, spec, 'entry-0')).toMatchObject({outcome: SubmitOutcome.NotAccepted});
+});
+
 it('are refused at once when no entry reaches the store', async () => {
 	world = await createRelaying();
 	for (const entry of world.entries.keys()) {
