--- a/src/jobs/harm-model.ts
+++ b/src/jobs/harm-model.ts
@@ -71,9 +71,6 @@
 	slowdown: number;
 };
 
-/** Effect of one neighbour, and how far it may be off. */
-export type PairEffect = {mean: number; deviation: number};
-
 /** Learned effects between kinds. */
 export class HarmModel {
 	/** Changes every few seconds: what was worked out from the model before is to be worked out again. */
@@ -164,20 +161,6 @@
 		return mean + (deviations * this.#idleDeviation[pair]!);
 	}
 
-	/** What was learned of a pair on an idle host; undefined before any report. */
-	getIdlePair(victimId: number, neighbourId: number): PairEffect | undefined {
-		const pair = (victimId * maxKinds) + neighbourId;
-		return this.#isSeen[pair] ? {mean: this.#idle[pair]!, deviation: this.#idleDeviation[pair]!} : undefined;
-	}
-
-	/** Takes what another process has learned of a pair. */
-	setIdlePair(victimId: number, neighbourId: number, {mean, deviation}: PairEffect): void {
-		const pair = (victimId * maxKinds) + neighbourId;
-		this.#isSeen[pair] = 1;
-		this.#idle[pair] = mean;
-		this.#idleDeviation[pair] = Math.min(priorDeviation, deviation);
-	}
-
 	/** The same on a full host; between the two the effect is a line over the load. */
 	getFullEffect(victimId: number, taskClass: TaskClass, neighbourId: number, deviations: number): number {
 		const pair = (victimId * maxKinds) + neighbourId;
--- /dev/null
+++ b/test/pair-effects.test.ts
@@ -0,0 +1,83 @@
+import {
+	describe, expect, it,
+} from 'vitest';
+import {FillHarm, type Filler, type Server} from '../src/workflows/fill-harm.ts';
+import {PairEffects} from '../src/workflows/pair-effects.ts';
+import {getLoadAt} from '../src/workflows/serving-load.ts';
+
+const quietVariance = 0.03 ** 2;
+const share = 0.11;
+
+describe('effects of pairs', () => {
+	it('are known to a part of what is at stake after one report beside a known load', () => {
+		const effects = new PairEffects();
+		effects.learn('server', [{image: 'filler', share}], 1.5 * share, quietVariance);
+		expect(effects.get('server', 'filler').mean).toBeCloseTo(1.5, 0);
+		expect(effects.get('server', 'filler').deviation).toBeLessThan(0.5);
+	});
+
+	it('stay in doubt beside a load that is in doubt itself', () => {
+		const effects = new PairEffects();
+		effects.learn('server', [{image: 'filler', share}], 1.5 * share, 0.2 ** 2);
+		expect(effects.get('server', 'filler').deviation).toBeGreaterThan(1);
+	});
+
+	it('are told apart by reports in which they take other shares', () => {
+		const effects = new PairEffects();
+		for (let index = 0; index < 20; index++) {
+			const first = index % 2 === 0 ? 0.3 : 0.1;
+			const second = 0.4 - first;
+			effects.learn('server', [{image: 'harmful', share: first}, {image: 'harmless', share: second}], 2 * first, quietVariance);
+		}
+
+		expect(effects.get('server', 'harmful').mean).toBeCloseTo(2, 0);
+		expect(effects.get('server', 'harmless').mean).toBeCloseTo(0, 0);
+	});
+
+	it('do not wander below nothing: a load that fell meanwhile would make a harmful image look harmless for long', () => {
+		const effects = new PairEffects();
+		for (let index = 0; index < 50; index++) {
+			effects.learn('server', [{image: 'filler', share}], index % 2 === 0 ? 0.05 : -0.05, quietVariance);
+		}
+
+		expect(effects.get('server', 'filler').mean).toBeGreaterThan(-0.2);
+	});
+
+	it('fade back to doubt', () => {
+		const effects = new PairEffects();
+		effects.fade(0);
+		effects.learn('server', [{image: 'filler', share}], 1.5 * share, quietVariance);
+		const {deviation} = effects.get('server', 'filler');
+		for (let nowMs = 0; nowMs <= 60_000; nowMs += 3000) {
+			effects.fade(nowMs);
+		}
+
+		expect(effects.get('server', 'filler').deviation).toBeGreaterThan(2 * deviation);
+	});
+
+	it('of a pair that was not seen are those that the image has on others', () => {
+		const effects = new PairEffects();
+		const before = effects.get('other', 'filler').mean;
+		for (let index = 0; index < 30; index++) {
+			effects.learn('server', [{image: 'filler', share}], 2 * share, quietVariance);
+		}
+
+		expect(effects.get('other', 'filler').mean).toBeGreaterThan(before + 0.5);
+	});
+});
+
+it('lets a wide job of a new image go on after the first reports of what it does', () => {
+	const harm = new FillHarm();
+	const server: Server = {image: 'server', job: 'job.0', ratio: 0.3};
+	for (let nowMs = 0; nowMs <= 3000; nowMs += 400) {
+		harm.note([server], [], nowMs);
+	}
+
+	const filler: Filler = {
+		image: 'filler', share, usedShare: share, recentShare: share, percent: 100, sinceChangeMs: 1000,
+	};
+	const ratio = (1 / 6) / (1 - (getLoadAt(0.3) + (0.5 * share)));
+	harm.note([{...server, ratio}], [filler], 3400);
+	harm.note([{...server, ratio}], [filler], 3800);
+	expect(harm.isKnown('server', 'filler')).toBe(true);
+});
