--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -48,7 +48,7 @@
 		throw createError(ErrorCode.BadSettings, {step: 'start entry', detail: 'the settings name no address for callers'});
 	}
 
-	const {config, jobs, ownership, directory, isStoreLost, isStoreDoubted, isCaughtUp} = createParts(parts);
+	const {config, jobs, ownership, directory, isStoreLost, isStoreFailing, isCaughtUp} = createParts(parts);
 	let isLeaving = false;
 	const isReady = () => !isLeaving && isCaughtUp() && !isStoreLost() && !load.isOverloaded;
 	const callers = createCallerServer({
@@ -69,7 +69,7 @@
 		response.end();
 	});
 	const peers = createJsonServer(clock);
-	serveEntry(peers, jobs, isStoreDoubted);
+	serveEntry(peers, jobs, isStoreFailing);
 	await peers.listen(internalAddress);
 	await listen(readiness, readinessAddress);
 	await listen(callers, callersAddress);
@@ -218,6 +218,6 @@
 		store, clock, life, note, registration: {host: site.hostName, address: internalAddress},
 	});
 	return {
-		config, jobs, ownership, directory, isStoreLost, isCaughtUp, isStoreDoubted: () => lostSinceMs.size > 0,
+		config, jobs, ownership, directory, isStoreLost, isCaughtUp, isStoreFailing: () => lostSinceMs.size > 0,
 	};
 };
--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -33,8 +33,8 @@
 	sinceChangeMs: number;
 };
 
-/** Effects are handed on for a tenth of a worker: about one task. */
-const handedShare = 0.1;
+/** Effects are recorded for a tenth of a worker: about one task. */
+const recordedShare = 0.1;
 /** What was learned has faded by then; images come and go, and what is handed on must not grow with all that ever were. */
 const forgetMs = 300_000;
 // A pair that was not seen yet is taken for somewhat harmful: one task shows what it does before more follow.
@@ -77,7 +77,7 @@
 				if (this.#effects.isSeen(server, filler)) {
 					const {mean, deviation} = this.#effects.get(server, filler);
 					pairs.push({
-						server, filler, mean: round(mean * handedShare), deviation: round(deviation * handedShare),
+						server, filler, mean: round(mean * recordedShare), deviation: round(deviation * recordedShare),
 					});
 				}
 			}
@@ -91,7 +91,7 @@
 		for (const {server, filler, mean, deviation} of pairs) {
 			this.#servers.set(server, nowMs);
 			this.#fillers.set(filler, nowMs);
-			this.#effects.set(server, filler, {mean: mean / handedShare, deviation: deviation / handedShare});
+			this.#effects.set(server, filler, {mean: mean / recordedShare, deviation: deviation / recordedShare});
 		}
 	}
 
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -16,7 +16,7 @@
 import {AgentLinks, type AgentClient} from './agent-links.ts';
 import {CrashWatch} from './crash-watch.ts';
 import {DueOccurrences} from './due-occurrences.ts';
-import {EvacuationNotice} from './evacuation-notice.ts';
+import {EvacuationPublisher} from './evacuation-publisher.ts';
 import {FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
@@ -95,7 +95,7 @@
 	readonly #view: ViewAge;
 	readonly #due: DueOccurrences;
 	readonly #settling: Settling;
-	readonly #evacuationNotice: EvacuationNotice;
+	readonly #evacuationPublisher: EvacuationPublisher;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
 	#claimOffset = Number.POSITIVE_INFINITY;
 
@@ -108,7 +108,7 @@
 		});
 		this.#view = new ViewAge(options);
 		this.#due = new DueOccurrences(model, clock);
-		this.#evacuationNotice = new EvacuationNotice(options);
+		this.#evacuationPublisher = new EvacuationPublisher(options);
 		this.#times = new RunTimes(policy[Mechanism.RunTimes]);
 		this.#log = new OwnerLog({
 			...options, onFenced: () => {
@@ -313,7 +313,7 @@
 		this.#due.open();
 		this.#settling.check();
 		this.#losses.check();
-		this.#evacuationNotice.update(this.links.workers.values());
+		this.#evacuationPublisher.update(this.links.workers.values());
 		this.#sender.stopUnneeded();
 		this.#log.sendBegun();
 		this.#log.rewrite();
--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -33,7 +33,7 @@
 const submitTimeoutMs = 800;
 const lookupTimeoutMs = 300;
 /** An entry that could not help is not asked again for so long. */
-const passOverMs = 1000;
+const skipMs = 1000;
 
 /** Asks one entry; undefined: it cannot help. */
 type Ask<Reply> = (address: string, timeoutMs: number) => Promise<Reply | undefined>;
@@ -41,8 +41,8 @@
 /** The API. */
 export class RelayingApi implements JobApi {
 	readonly #options: RelayingApiOptions;
-	/** Until when entries that could not help are passed over, by address. */
-	readonly #passedOverUntilMs = new Map<string, number>();
+	/** Until when entries that could not help are skipped, by address. */
+	readonly #skippedUntilMs = new Map<string, number>();
 	#next = 0;
 
 	constructor(options: RelayingApiOptions) {
@@ -151,7 +151,7 @@
 				});
 			}
 
-			this.#passedOverUntilMs.set(address, clock.monotonicMs() + passOverMs);
+			this.#skippedUntilMs.set(address, clock.monotonicMs() + skipMs);
 			this.#next++;
 		}
 
@@ -164,7 +164,7 @@
 		const others = this.#options.getOthers();
 		return others
 			.map((_, index) => others[(this.#next + index) % others.length]!)
-			.filter(({address}) => (this.#passedOverUntilMs.get(address) ?? 0) <= nowMs)
+			.filter(({address}) => (this.#skippedUntilMs.get(address) ?? 0) <= nowMs)
 			.slice(0, this.#options.isStoreLost() ? maxTries : maxEarlyTries);
 	}
 
@@ -189,17 +189,17 @@
 	return known;
 };
 
-/** What an entry does for another one: by itself, and only while nothing tells that it does not reach the store either. */
-export const createRelayTarget = (local: JobApi, isStoreDoubted: () => boolean): Omit<JobApi, 'getConfig' | 'countPending'> => ({
+/** What an entry does for another one: by itself, and only while its own calls to the store succeed. */
+export const createRelayTarget = (local: JobApi, isStoreFailing: () => boolean): Omit<JobApi, 'getConfig' | 'countPending'> => ({
 	async submit(queue, id, spec, timeoutMs) {
-		return isStoreDoubted()
+		return isStoreFailing()
 			? {outcome: SubmitOutcome.NotAccepted, reason: 'the store is not reached'}
 			: local.submit(queue, id, spec, timeoutMs);
 	},
 	async getState(queue, id, timeoutMs) {
-		return isStoreDoubted() ? {outcome: LookupOutcome.Unknown} : local.getState(queue, id, timeoutMs);
+		return isStoreFailing() ? {outcome: LookupOutcome.Unknown} : local.getState(queue, id, timeoutMs);
 	},
 	async cancel(queue, id, timeoutMs) {
-		return isStoreDoubted() ? LookupOutcome.Unknown : local.cancel(queue, id, timeoutMs);
+		return isStoreFailing() ? LookupOutcome.Unknown : local.cancel(queue, id, timeoutMs);
 	},
 });
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -38,7 +38,7 @@
 
 /** What an entry calls other entries with. */
 export const createEntryClient = (world: SiteWorld, entryName: string): EntryClient => {
-	const {clock, entries, cuts, lostAnswers, storeLost, storeDoubted} = world;
+	const {clock, entries, cuts, lostAnswers, storeLost, storeFailing} = world;
 	const call = async <Reply>(address: string, act: (entry: EntryProcess) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
 		await clock.sleep(1);
 		const entry = entries.get(address);
@@ -51,7 +51,7 @@
 	};
 
 	const ask = async <Reply>(address: string, act: (target: ReturnType<typeof createRelayTarget>) => Promise<Reply>, timeoutMs: number): Promise<Reply> =>
-		call(address, async ({jobs}) => act(createRelayTarget(jobs, () => storeLost.has(address) || storeDoubted.has(address))), timeoutMs);
+		call(address, async ({jobs}) => act(createRelayTarget(jobs, () => storeLost.has(address) || storeFailing.has(address))), timeoutMs);
 	return {
 		submit: async (address, {id, spec}, timeoutMs) => ask(address, async target => target.submit(queue, id, spec, timeoutMs), timeoutMs),
 		getState: async (address, {id}, timeoutMs) => ask(address, async target => target.getState(queue, id, timeoutMs), timeoutMs),
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -99,7 +99,7 @@
 	world = await createCut(StoreFault.Refuse);
 	for (const entry of ['entry-1', 'entry-2']) {
 		cut(world, entry, StoreFault.Silence, false);
-		world.storeDoubted.add(entry);
+		world.storeFailing.add(entry);
 	}
 
 	expect(await world.submit(jobId, spec, 'entry-0')).toMatchObject({outcome: SubmitOutcome.NotAccepted});
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -100,7 +100,7 @@
 	/** Pairs `entry>entry` whose calls are done and not answered. */
 	readonly lostAnswers = new Set<string>();
 	/** Entries whose last call to the store failed. */
-	readonly storeDoubted = new Set<string>();
+	readonly storeFailing = new Set<string>();
 	/** Entries that have not reached the store for a while. */
 	readonly storeLost = new Set<string>();
 	readonly specs = new Map<string, WorkflowSpec>();
