Remember jobs that another entry may have taken

Cause: a job was relayed and no answer came: the caller was told 504. It handed the job in again while no entry reached the store, and was told 503, which says that the job never runs; the first relay may have stored it.

Change: an entry remembers the ids of relays that are open, and answers 504 for them until one is known to be taken.

Test: 'are not told that it never runs when they hand in again what another entry may have taken', failed before: not-accepted.

--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -35,6 +35,9 @@
 /** An entry that could not help is not asked again for so long. */
 const skipMs = 1000;
 
+/** Callers give up long before so many more have come. */
+const maxOpen = 10_000;
+
 /** Asks one entry; undefined: it cannot help. */
 type Ask<Reply> = (address: string, timeoutMs: number) => Promise<Reply | undefined>;
 
@@ -43,6 +46,8 @@
 	readonly #options: RelayingApiOptions;
 	/** Until when entries that could not help are skipped, by address. */
 	readonly #skippedUntilMs = new Map<string, number>();
+	/** Jobs that another entry may have taken without an answer. */
+	readonly #open = new Set<string>();
 	#next = 0;
 
 	constructor(options: RelayingApiOptions) {
@@ -117,14 +122,26 @@
 			return outcome === SubmitOutcome.Accepted ? outcome : undefined;
 		});
 		if (reply !== undefined) {
+			this.#open.delete(id);
 			return {outcome: reply};
 		}
 
-		return isOpen || isUnanswered
+		if (isOpen || isUnanswered) {
+			this.#noteOpen(id);
+		}
+
+		return this.#open.has(id)
 			? {outcome: SubmitOutcome.Unknown, reason: 'another entry was asked and gave no answer'}
 			: {outcome: SubmitOutcome.NotAccepted, reason: 'no other entry reaches the store'};
 	}
 
+	#noteOpen(id: string): void {
+		this.#open.add(id);
+		if (this.#open.size > maxOpen) {
+			this.#open.delete(this.#open.values().next().value!);
+		}
+	}
+
 	/** Asks entries one after the other until one can help. */
 	async #ask<Reply>(kind: string, id: string, {timeoutMs, endAtMs}: {timeoutMs: number; endAtMs: number}, ask: Ask<Reply>): Promise<{reply?: Reply; isUnanswered: boolean}> {
 		const {clock, note} = this.#options;
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -87,6 +87,20 @@
 	expect(await world.getState(jobId, 'entry-1')).toBe(WorkflowState.Completed);
 });
 
+it('are not told that it never runs when they hand in again what another entry may have taken', async () => {
+	world = await createCut(StoreFault.Refuse);
+	world.lostAnswers.add('entry-0>entry-1');
+	world.lostAnswers.add('entry-0>entry-2');
+	await world.submit(jobId, spec, 'entry-0');
+	for (const entry of ['entry-1', 'entry-2']) {
+		world.storeFailing.add(entry);
+	}
+
+	world.lostAnswers.clear();
+	await world.clock.advance(2000);
+	expect(await world.submit(jobId, spec, 'entry-0')).toMatchObject({outcome: SubmitOutcome.Unknown});
+});
+
 it('are refused soon when the store refuses all and it is not known yet', async () => {
 	world = await createRelaying();
 	world.store.fault = () => StoreFault.Refuse;
