--- a/src/plugins/entry-messages.ts
+++ b/src/plugins/entry-messages.ts
@@ -44,7 +44,8 @@
 /** Adds the side of the entry that is asked to a server: it answers by itself, and asks nobody else. */
 export const serveEntry = (server: JsonServer, jobs: JobApi, isStoreFailing: () => boolean): void => {
 	const target = createRelayTarget(jobs, isStoreFailing);
-	const find = (name: string): QueueConfig | undefined => jobs.getConfig()?.queues.find(queue => queue.name === name);
+	// Queues without a name cannot be told apart here.
+	const find = (name: string): QueueConfig | undefined => name === '' ? undefined : jobs.getConfig()?.queues.find(queue => queue.name === name);
 	server.route('POST', submitPath, async ({body}) => {
 		const {queue, id, spec, timeoutMs} = body as RelayedJob & {spec: WorkflowSpec; timeoutMs: number};
 		const config = find(queue);
