Tell calls that were never sent from calls without an answer

Cause: the directory of entries holds hosts that lost power; asking one of them for a job counted as a call without an answer, so the caller was told 504 where 503 with a time to come back was true.

Change: the HTTP client throws 'peer-unreached' when there never was a connection; relaying counts only what was sent as open.

--- a/src/types/entries.ts
+++ b/src/types/entries.ts
@@ -22,7 +22,7 @@
 	state?: WorkflowState;
 };
 
-/** Calls to another entry. Throw `peer-unavailable` without an answer: the call may have been done, or may be done later. */
+/** Calls to another entry. Throw `peer-unavailable` without an answer: the call may have been done, or may be done later; `peer-unreached` if nothing was sent. */
 export type EntryClient = {
 	submit(address: string, job: RelayedJob & {spec: WorkflowSpec}, timeoutMs: number): Promise<SubmitReply>;
 	getState(address: string, job: RelayedJob, timeoutMs: number): Promise<StateReply>;
--- a/src/utils/http-calls.ts
+++ b/src/utils/http-calls.ts
@@ -28,7 +28,7 @@
 	body: Buffer;
 };
 
-/** Sends calls. Throws `peer-unavailable` without a whole answer: the call may have been carried out. */
+/** Sends calls. Throws `peer-unavailable` without a whole answer: the call may have been carried out; `peer-unreached` if nothing was sent. */
 export type HttpClient = {
 	call(call: HttpCall): Promise<HttpAnswer>;
 	/** Parses a JSON answer; undefined for an empty one. */
@@ -71,6 +71,17 @@
 			headers: {...headers, ...(body !== undefined && {'content-length': String(Buffer.byteLength(body))})},
 		});
 		let isSettled = false;
+		let isConnected = false;
+		request.on('socket', socket => {
+			if (!socket.connecting) {
+				isConnected = true;
+				return;
+			}
+
+			socket.once('connect', () => {
+				isConnected = true;
+			});
+		});
 		const fail = (detail: string) => {
 			if (isSettled) {
 				return;
@@ -79,7 +90,7 @@
 			isSettled = true;
 			finish();
 			request.destroy();
-			reject(createError(ErrorCode.PeerUnavailable, {step, peer: address, detail}));
+			reject(createError(isConnected ? ErrorCode.PeerUnavailable : ErrorCode.PeerUnreached, {step, peer: address, detail}));
 		};
 
 		const onAbort = () => {
--- a/src/utils/http-server.ts
+++ b/src/utils/http-server.ts
@@ -61,6 +61,7 @@
 	[ErrorCode.Refused]: 409,
 	[ErrorCode.LogUnavailable]: 503,
 	[ErrorCode.PeerUnavailable]: 503,
+	[ErrorCode.PeerUnreached]: 503,
 };
 
 /** Creates a server of JSON routes. */
--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -2,7 +2,7 @@
 Jobs at an entry that the store turns away while it serves others: what this entry cannot do, it asks of another one. Callers on
 an open connection would else be refused, or shown an old state, beside entries that can serve them.
 */
-import {getMessage} from '../core/errors.ts';
+import {ErrorCode, getMessage, isError} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {type EntryClient, type EntryRegistration, type StateReply} from '../types/entries.ts';
 import {
@@ -162,9 +162,10 @@
 					return {reply, isUnanswered};
 				}
 			} catch (error) {
-				isUnanswered = true;
+				const isUnsent = isError(error, ErrorCode.PeerUnreached);
+				isUnanswered ||= !isUnsent;
 				note('relayed', {
-					kind, id, host, reason: 'unanswered', error: getMessage(error),
+					kind, id, host, reason: isUnsent ? 'unreached' : 'unanswered', error: getMessage(error),
 				});
 			}
 
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -9,9 +9,9 @@
 import {createRelayTarget} from '../src/workflows/relaying-api.ts';
 import {queue, type EntryProcess, type SiteWorld} from './site-world.ts';
 
-const fail = async (clock: Clock, step: string, peer: string, timeoutMs: number): Promise<never> => {
+const fail = async (clock: Clock, step: string, peer: string, timeoutMs: number, code = ErrorCode.PeerUnavailable): Promise<never> => {
 	await clock.sleep(timeoutMs);
-	throw createError(ErrorCode.PeerUnavailable, {step, peer});
+	throw createError(code, {step, peer});
 };
 
 /** What an entry calls agents with. */
@@ -42,7 +42,11 @@
 	const call = async <Reply>(address: string, act: (entry: EntryProcess) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
 		await clock.sleep(1);
 		const entry = entries.get(address);
-		if (!entry || cuts.has(`${entryName}>${address}`) || entry.clock.isPaused) {
+		if (!entry) {
+			return fail(clock, 'call entry', address, timeoutMs, ErrorCode.PeerUnreached);
+		}
+
+		if (cuts.has(`${entryName}>${address}`) || entry.clock.isPaused) {
 			return fail(clock, 'call entry', address, timeoutMs);
 		}
 
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -7,8 +7,12 @@
 import {WorkflowState} from '../src/types/workflows.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {EntryDirectory} from '../src/workflows/entry-directory.ts';
+import {RelayingApi} from '../src/workflows/relaying-api.ts';
 import {createSite, jobId, otherId} from './site-setup.ts';
-import {createSpec, createStep, type SiteWorld} from './site-world.ts';
+import {createEntryClient} from './site-calls.ts';
+import {
+	createSpec, createStep, queue, type SiteWorld,
+} from './site-world.ts';
 
 let world: SiteWorld | undefined;
 
@@ -142,6 +146,20 @@
 	expect(await world.getState(jobId, owner)).toBe(WorkflowState.Completed);
 });
 
+it('are refused, not left in doubt, when the other entries have lost power', async () => {
+	world = await createCut(StoreFault.Refuse);
+	const {clock} = world;
+	const relay = new RelayingApi({
+		local: world.entries.get('entry-0')!.jobs,
+		client: createEntryClient(world, 'entry-0'),
+		clock,
+		getOthers: () => [{host: 'entry-8', address: 'entry-8'}, {host: 'entry-9', address: 'entry-9'}],
+		isStoreLost: () => true,
+		note: () => undefined,
+	});
+	expect(await world.settle(relay.submit(queue, jobId, spec, 2500))).toMatchObject({outcome: SubmitOutcome.NotAccepted});
+});
+
 it('are not sent to an entry that has left', async () => {
 	const clock = new ManualClock();
 	const store = new MemoryStore(clock);
