Register an entry again whose registration is gone

Cause: an entry that ends takes its registration back; carried out late, that call removed the registration of the next life on the same host, and no other entry relayed to it any more.

Change: an entry that does not find itself among the registrations writes its own again, unless it is leaving.

Test: 'are sent to an entry whose registration a late call of its earlier life has removed', failed before: nobody.

--- a/src/workflows/entry-directory.ts
+++ b/src/workflows/entry-directory.ts
@@ -35,6 +35,7 @@
 	readonly #options: EntryDirectoryOptions;
 	#others: EntryRegistration[] = [];
 	#writes = 0;
+	#isLeaving = false;
 
 	constructor(options: EntryDirectoryOptions) {
 		this.#options = options;
@@ -47,8 +48,8 @@
 
 	/** Registers and reads until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, registration} = this.#options;
-		while (!signal.aborted && !await this.#write(Buffer.from(JSON.stringify(registration)))) {
+		const {clock} = this.#options;
+		while (!signal.aborted && !await this.#register()) {
 			await clock.sleep(retryMs, signal);
 		}
 
@@ -60,9 +61,14 @@
 
 	/** Takes the registration back. */
 	async leave(): Promise<void> {
+		this.#isLeaving = true;
 		await this.#write();
 	}
 
+	async #register(): Promise<boolean> {
+		return this.#isLeaving || this.#write(Buffer.from(JSON.stringify(this.#options.registration)));
+	}
+
 	async #write(value?: Buffer): Promise<boolean> {
 		const {store, registration: {host}, life, note} = this.#options;
 		try {
@@ -87,7 +93,8 @@
 		try {
 			const {records} = await store.newest(ref, signal);
 			this.#others = records.flatMap(({key, value}) => key === registration.host ? [] : this.#decode(key, value));
-			return true;
+			// A late call of an earlier life may have removed the registration.
+			return records.some(({key}) => key === registration.host) || await this.#register();
 		} catch (error) {
 			if (!signal.aborted) {
 				note('entries not read', {error: getMessage(error)});
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -160,23 +160,34 @@
 	expect(await world.settle(relay.submit(queue, jobId, spec, 2500))).toMatchObject({outcome: SubmitOutcome.NotAccepted});
 });
 
+const startDirectories = (store: MemoryStore, clock: ManualClock, signal: AbortSignal): EntryDirectory[] => ['a', 'b'].map(host => {
+	const directory = new EntryDirectory({
+		store: store.createClient(host), clock, life: 'life', registration: {host, address: `${host}:1`}, note: () => undefined,
+	});
+	void directory.run(signal);
+	return directory;
+});
+
 it('are not sent to an entry that has left', async () => {
 	const clock = new ManualClock();
-	const store = new MemoryStore(clock);
 	const aborter = new AbortController();
-	const start = (host: string) => {
-		const directory = new EntryDirectory({
-			store: store.createClient(host), clock, life: 'life', registration: {host, address: `${host}:1`}, note: () => undefined,
-		});
-		void directory.run(aborter.signal);
-		return directory;
-	};
-
-	const [first, second] = [start('a'), start('b')];
+	const [first, second] = startDirectories(new MemoryStore(clock), clock, aborter.signal);
+	await clock.advance(25_000);
+	expect(first!.others).toEqual([{host: 'b', address: 'b:1'}]);
+	void second!.leave();
 	await clock.advance(25_000);
-	expect(first.others).toEqual([{host: 'b', address: 'b:1'}]);
-	void second.leave();
+	expect(first!.others).toEqual([]);
+	aborter.abort();
+});
+
+it('are sent to an entry whose registration a late call of its earlier life has removed', async () => {
+	const clock = new ManualClock();
+	const store = new MemoryStore(clock);
+	const aborter = new AbortController();
+	const [first] = startDirectories(store, clock, aborter.signal);
+	await clock.advance(1000);
+	void store.createClient('b').appendKeyed({topic: 'keyed.entries', partition: 0}, [{key: 'b'}], {timeoutMs: 1000});
 	await clock.advance(25_000);
-	expect(first.others).toEqual([]);
+	expect(first!.others).toEqual([{host: 'b', address: 'b:1'}]);
 	aborter.abort();
 });
