Bound how long an entry waits for a connection to another one

Cause: an entry whose host lost power stays registered, and its host answers no opening packet: a job that was relayed to it waited 0.8 s, and its caller was refused late.

Change: calls to entries give up after 0.1 s without a connection (the time-out of the HTTP client for that is new), and an entry that no connection was made to is left alone for 10 s.

--- a/src/plugins/entry-messages.ts
+++ b/src/plugins/entry-messages.ts
@@ -14,6 +14,8 @@
 import {type JsonServer} from '../utils/http-server.ts';
 import {createRelayTarget} from '../workflows/relaying-api.ts';
 
+/** Entries are near, and their hosts take connections however busy the process is. */
+const connectTimeoutMs = 100;
 const submitPath = '/v1/entry/submit';
 const statePath = '/v1/entry/state';
 const cancelPath = '/v1/entry/cancel';
@@ -22,7 +24,7 @@
 export const createEntryClient = (http: HttpClient): EntryClient => {
 	const post = async (address: string, path: string, json: Record<string, unknown>, timeoutMs: number): Promise<unknown> => {
 		const answer = await http.callJson({
-			address, method: 'POST', path, json: {...json, timeoutMs}, timeoutMs, step: `call entry ${path}`,
+			address, method: 'POST', path, json: {...json, timeoutMs}, timeoutMs, connectTimeoutMs, step: `call entry ${path}`,
 		});
 		if (answer.status !== 200) {
 			throw createError(ErrorCode.PeerUnavailable, {step: `call entry ${path}`, peer: address, detail: `status ${answer.status}`});
--- a/src/utils/http-calls.ts
+++ b/src/utils/http-calls.ts
@@ -16,6 +16,8 @@
 	headers?: Record<string, string>;
 	body?: Buffer | string;
 	timeoutMs: number;
+	/** A host without power answers no opening packet: bound on the wait for a connection; undefined: `timeoutMs` alone. */
+	connectTimeoutMs?: number;
 	signal?: AbortSignal;
 	/** What is being done, for errors. */
 	step: string;
@@ -60,7 +62,7 @@
 	};
 
 	const call = async (options: HttpCall): Promise<HttpAnswer> => new Promise((resolve, reject) => {
-		const {address, method, path, headers, body, timeoutMs, signal, step} = options;
+		const {address, method, path, headers, body, timeoutMs, connectTimeoutMs, signal, step} = options;
 		const {host, port} = parseAddress(address);
 		const request = sendRequest({
 			host,
@@ -72,14 +74,22 @@
 		});
 		let isSettled = false;
 		let isConnected = false;
+		let connectTimer: NodeJS.Timeout | undefined;
 		request.on('socket', socket => {
 			if (!socket.connecting) {
 				isConnected = true;
 				return;
 			}
 
+			if (connectTimeoutMs !== undefined) {
+				connectTimer = setTimeout(() => {
+					fail(`no connection in ${connectTimeoutMs} ms`);
+				}, connectTimeoutMs);
+			}
+
 			socket.once('connect', () => {
 				isConnected = true;
+				clearTimeout(connectTimer);
 			});
 		});
 		const fail = (detail: string) => {
@@ -99,6 +109,7 @@
 
 		const finish = () => {
 			clearTimeout(timer);
+			clearTimeout(connectTimer);
 			signal?.removeEventListener('abort', onAbort);
 		};
 
--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -34,6 +34,8 @@
 const lookupTimeoutMs = 300;
 /** An entry that could not help is not asked again for so long. */
 const skipMs = 1000;
+/** One that no connection was made to has most likely lost its host, and its registration stays: each try makes a caller wait. */
+const unreachedSkipMs = 10_000;
 
 /** Callers give up long before so many more have come. */
 const maxOpen = 10_000;
@@ -149,6 +151,7 @@
 		for (const {host, address} of this.#choose()) {
 			const startedAtMs = clock.monotonicMs();
 			const leftMs = endAtMs - startedAtMs;
+			let pauseMs = skipMs;
 			if (leftMs <= 0) {
 				break;
 			}
@@ -164,12 +167,13 @@
 			} catch (error) {
 				const isUnsent = isError(error, ErrorCode.PeerUnreached);
 				isUnanswered ||= !isUnsent;
+				pauseMs = isUnsent ? unreachedSkipMs : skipMs;
 				note('relayed', {
 					kind, id, host, reason: isUnsent ? 'unreached' : 'unanswered', error: getMessage(error),
 				});
 			}
 
-			this.#skippedUntilMs.set(address, clock.monotonicMs() + skipMs);
+			this.#skippedUntilMs.set(address, clock.monotonicMs() + pauseMs);
 			this.#next++;
 		}
 
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -158,6 +158,10 @@
 		note: () => undefined,
 	});
 	expect(await world.settle(relay.submit(queue, jobId, spec, 2500))).toMatchObject({outcome: SubmitOutcome.NotAccepted});
+	await clock.advance(3000);
+	const startMs = clock.monotonicMs();
+	expect(await world.settle(relay.submit(queue, jobId, spec, 2500))).toMatchObject({outcome: SubmitOutcome.NotAccepted});
+	expect(clock.monotonicMs() - startMs).toBeLessThan(50);
 });
 
 const startDirectories = (store: MemoryStore, clock: ManualClock, signal: AbortSignal): EntryDirectory[] => ['a', 'b'].map(host => {
