--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -5,9 +5,26 @@
 import {createError, ErrorCode} from '../src/core/errors.ts';
 import {type Clock} from '../src/types/clock.ts';
 import {type EntryClient} from '../src/types/entries.ts';
+import {type JobApi} from '../src/types/job-api.ts';
+import {type QueueConfig} from '../src/types/site.ts';
 import {type AgentClient} from '../src/workflows/agent-links.ts';
 import {createRelayTarget} from '../src/workflows/relaying-api.ts';
-import {queue, type EntryProcess, type SiteWorld} from './site-world.ts';
+
+/** Processes of a site, and the paths between them. */
+export type SitePaths = {
+	clock: Clock;
+	queue: QueueConfig;
+	hosts: ReadonlyMap<string, {agent: Agent | undefined; clock: {isPaused: boolean}}>;
+	entries: ReadonlyMap<string, SiteEntry>;
+	/** Pairs `entry>host` or `entry>entry` between which nothing passes, and those whose calls are done and not answered. */
+	cuts: ReadonlySet<string>;
+	lostAnswers: ReadonlySet<string>;
+	/** Entries that have not reached the store for a while, and those whose last call to it failed. */
+	storeLost: ReadonlySet<string>;
+	storeFailing: ReadonlySet<string>;
+};
+
+type SiteEntry = {jobs: JobApi; clock: {isPaused: boolean}};
 
 const fail = async (clock: Clock, step: string, peer: string, timeoutMs: number, code = ErrorCode.PeerUnavailable): Promise<never> => {
 	await clock.sleep(timeoutMs);
@@ -15,8 +32,8 @@
 };
 
 /** What an entry calls agents with. */
-export const createAgentClient = (world: SiteWorld, entryName: string): AgentClient => {
-	const {clock, hosts, cuts} = world;
+export const createAgentClient = (site: SitePaths, entryName: string): AgentClient => {
+	const {clock, hosts, cuts} = site;
 	const call = async <Reply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
 		await clock.sleep(1);
 		const agent = hosts.get(host)?.agent;
@@ -37,9 +54,11 @@
 };
 
 /** What an entry calls other entries with. */
-export const createEntryClient = (world: SiteWorld, entryName: string): EntryClient => {
-	const {clock, entries, cuts, lostAnswers, storeLost, storeFailing} = world;
-	const call = async <Reply>(address: string, act: (entry: EntryProcess) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
+export const createEntryClient = (site: SitePaths, entryName: string): EntryClient => {
+	const {
+		clock, queue, entries, cuts, lostAnswers, storeLost, storeFailing,
+	} = site;
+	const call = async <Reply>(address: string, act: (entry: SiteEntry) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
 		await clock.sleep(1);
 		const entry = entries.get(address);
 		if (!entry) {
--- a/test/site-evacuation.test.ts
+++ b/test/site-evacuation.test.ts
@@ -5,13 +5,13 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {decodeSiteConfig, getEvacuatedDomain} from '../src/platform/site-config.ts';
+import {MemoryStore} from '../src/standin/memory-store.ts';
 import {OrderRefusal, OrderType, type WorkerStart} from '../src/types/fleet.ts';
 import {type Evacuations} from '../src/types/site.ts';
-import {MemoryStore} from '../src/standin/memory-store.ts';
-import {decodeSiteConfig, getEvacuatedDomain} from '../src/platform/site-config.ts';
+import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {ConfigFollower} from '../src/workflows/config-follower.ts';
-import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {jobId, otherId} from './site-setup.ts';
 import {createSpec, createStep, SiteWorld} from './site-world.ts';
 
@@ -28,7 +28,7 @@
 	await world.clock.advance(2000);
 };
 
-const declare = (asOf: number, ...failureDomains: string[]): void => {
+const setEvacuations = (asOf: number, ...failureDomains: string[]): void => {
 	const evacuations: Evacuations = {asOf, failureDomains};
 	world.getEvacuations = () => evacuations;
 };
@@ -94,12 +94,12 @@
 		expect(world.violations).toEqual([]);
 	});
 
-	it('get no start, and what runs there ends in peace', async () => {
+	it('get no start, and what runs there is left to end', async () => {
 		await createSite(['hall-a', 'hall-b']);
 		world.plan = () => ({workMs: 3000});
 		await world.submit(jobId, createSpec([createStep({count: 8})]));
 		await world.waitFor(() => getStartsOn('host-0') === 4 && getStartsOn('host-1') === 4, 2000);
-		declare(5, 'hall-a');
+		setEvacuations(5, 'hall-a');
 		const since = world.events.length;
 		const ids = await submitMany(4);
 		await world.clock.advance(12_000);
@@ -112,35 +112,35 @@
 
 	it('get starts again once the request is taken back', async () => {
 		await createSite(['hall-a']);
-		declare(5, 'hall-a');
+		setEvacuations(5, 'hall-a');
 		await world.clock.advance(1000);
 		await submitMany(2);
 		await world.clock.advance(3000);
 		expect(world.events).toEqual([]);
-		declare(6);
+		setEvacuations(6);
 		expect(await world.waitFor(() => getStartsOn('host-0') === 4, 1500)).toBeDefined();
 	});
 
 	it('get starts again when the request is taken back while their owner dies', async () => {
 		await createSite(['hall-a']);
-		declare(5, 'hall-a');
+		setEvacuations(5, 'hall-a');
 		await world.clock.advance(1000);
 		await submitMany(1);
 		world.killEntry(world.getOwnerName()!);
-		declare(6);
+		setEvacuations(6);
 		expect(await world.waitFor(() => getStartsOn('host-0') === 2, 8000)).toBeDefined();
 	});
 
 	it('refuse the start of an owner that does not know of the request', async () => {
 		await createSite(['hall-a', 'hall-b']);
-		declare(5, 'hall-a');
+		setEvacuations(5, 'hall-a');
 		await world.clock.advance(1000);
 		expect(await orderStart('host-0')).toMatchObject({answers: [{isDone: false, refusal: OrderRefusal.Evacuated}]});
 	});
 
 	it('stay evacuated for an agent that starts after the store has let the request go', async () => {
 		await createSite(['hall-a', 'hall-b']);
-		declare(5, 'hall-a');
+		setEvacuations(5, 'hall-a');
 		await world.clock.advance(45_000);
 		world.store.trim({topic: 'control', partition: world.controlPartition}, 3);
 		world.killAgent('host-0');
@@ -151,22 +151,22 @@
 
 	it('are none when an older request is told after its removal', async () => {
 		await createSite(['hall-a']);
-		declare(7);
+		setEvacuations(7);
 		await world.clock.advance(500);
-		declare(5, 'hall-a');
+		setEvacuations(5, 'hall-a');
 		await world.clock.advance(500);
-		declare(7);
+		setEvacuations(7);
 		await world.submit(otherId, createSpec([createStep()]));
 		expect(await world.waitFor(() => getStartsOn('host-0') === 1, 1500)).toBeDefined();
 	});
 
 	it('may be all at once: what waits starts when one is taken back', async () => {
 		await createSite(['hall-a', 'hall-b']);
-		declare(5, 'hall-a', 'hall-b');
+		setEvacuations(5, 'hall-a', 'hall-b');
 		await submitMany(2);
 		await world.clock.advance(2000);
 		expect(world.events).toEqual([]);
-		declare(6, 'hall-a');
+		setEvacuations(6, 'hall-a');
 		expect(await world.waitFor(() => getStartsOn('host-1') === 4, 1500)).toBeDefined();
 		expect(getStartsOn('host-0')).toBe(0);
 	});
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -85,6 +85,7 @@
 /** The world. */
 export class SiteWorld {
 	readonly controlPartition = partition;
+	readonly queue = queue;
 	readonly clock = new ManualClock();
 	readonly store = new MemoryStore(this.clock, partitions);
 	readonly entries = new Map<string, EntryProcess>();
