Answer at once that a job to be cancelled is over, also without the store

Cause: an entry that has lost the store asked others before it answered a cancellation, also of a job that it knows to be over: 503 where no entry reaches the store, 200 before relaying. The choice between an own and another's state was one expression that nobody could read.

Change: what is over is answered from the own view for states and cancellations alike; the choice is written as its reason.

Test: 'are told at once that a job they cancel is over, also when no entry reaches the store', failed before: unknown. No check is loosened.

--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -86,15 +86,16 @@
 		}
 
 		const known = await local.getState(queue, id, 0);
-		if (known.outcome === LookupOutcome.Found && isFinal(known.state!)) {
+		if (isOver(known)) {
 			return known;
 		}
 
-		const found = await this.#ask('state', id, {timeoutMs: lookupTimeoutMs, endAtMs: this.#options.clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
-			const reply = await client.getState(address, {queue: queue.name, id}, askMs);
-			return reply.outcome === LookupOutcome.Unknown ? undefined : reply;
+		const {reply} = await this.#ask('state', id, {timeoutMs: lookupTimeoutMs, endAtMs: this.#options.clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
+			const state = await client.getState(address, {queue: queue.name, id}, askMs);
+			return state.outcome === LookupOutcome.Unknown ? undefined : state;
 		});
-		return found.reply?.outcome === LookupOutcome.Found || known.outcome !== LookupOutcome.Found ? found.reply ?? known : known;
+		// A job that was read here exists, whatever another entry has not read yet.
+		return reply === undefined || (reply.outcome === LookupOutcome.Absent && known.outcome === LookupOutcome.Found) ? known : reply;
 	}
 
 	async cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome> {
@@ -103,6 +104,11 @@
 			return local.cancel(queue, id, timeoutMs);
 		}
 
+		const known = await local.getState(queue, id, 0);
+		if (isOver(known)) {
+			return LookupOutcome.Found;
+		}
+
 		const {reply} = await this.#ask('cancel', id, {timeoutMs: submitTimeoutMs, endAtMs: clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
 			const outcome = await client.cancel(address, {queue: queue.name, id}, askMs);
 			return outcome === LookupOutcome.Unknown ? undefined : outcome;
@@ -202,6 +208,8 @@
 	}
 }
 
+const isOver = ({outcome, state}: StateReply): boolean => outcome === LookupOutcome.Found && isFinal(state!);
+
 const requireAccepted = async (reply: Promise<SubmitReply>): Promise<SubmitReply> => {
 	const known = await reply;
 	if (known.outcome !== SubmitOutcome.Accepted) {
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -72,6 +72,17 @@
 	expect(await world.getState(otherId, 'entry-0')).toBe(LookupOutcome.Absent);
 });
 
+it('are told at once that a job they cancel is over, also when no entry reaches the store', async () => {
+	world = await createCut(StoreFault.None);
+	await world.submit(jobId, spec, 'entry-0');
+	await world.clock.advance(4000);
+	for (const entry of world.entries.keys()) {
+		cut(world, entry, StoreFault.Silence);
+	}
+
+	expect(await world.cancel(jobId, 'entry-0')).toBe(LookupOutcome.Found);
+});
+
 it('can cancel', async () => {
 	world = await createCut(StoreFault.None);
 	world.plan = () => ({workMs: 20_000});
