--- /dev/null
+++ b/test/perf/store-server.ts
@@ -0,0 +1,140 @@
+/**
+Serves the stand-in store over HTTP in the platform's format, so that real processes can be measured against it.
+*/
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {listen} from '../../src/utils/http-server.ts';
+import {ErrorCode, getErrorCode} from '../../src/core/errors.ts';
+import {type MemoryStore} from '../../src/standin/memory-store.ts';
+import {AppendOutcome, type KeyedWrite, type PartitionRef} from '../../src/types/store.ts';
+
+const lengthBytes = 4;
+const headBytes = 16;
+const keyedPrefix = 'keyed.';
+
+const readBody = async (request: IncomingMessage): Promise<Buffer> => {
+	const chunks: Buffer[] = [];
+	for await (const chunk of request) {
+		chunks.push(chunk as Buffer);
+	}
+
+	return Buffer.concat(chunks);
+};
+
+const unframe = (body: Buffer): Buffer[] => {
+	const values: Buffer[] = [];
+	for (let position = 0; position < body.length;) {
+		const length = body.readUInt32BE(position);
+		position += lengthBytes;
+		values.push(body.subarray(position, position + length));
+		position += length;
+	}
+
+	return values;
+};
+
+const frame = (values: Buffer[]): Buffer => Buffer.concat(values.flatMap(value => {
+	const length = Buffer.alloc(lengthBytes);
+	length.writeUInt32BE(value.length);
+	return [length, value];
+}));
+
+const decodeKeyed = (value: Buffer): KeyedWrite => {
+	const end = 1 + value[0]!;
+	return {key: value.subarray(1, end).toString(), ...(end < value.length && {value: value.subarray(end)})};
+};
+
+const encodeKeyed = ({key, value}: KeyedWrite): Buffer => Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key), value ?? Buffer.alloc(0)]);
+
+/** Starts the server; resolves to its address. */
+export const serveStore = async (store: MemoryStore): Promise<{server: Server; address: string}> => {
+	const client = store.createClient('http');
+	const handle = async (request: IncomingMessage): Promise<{status: number; body: Buffer | string}> => {
+		const {pathname, searchParams: query} = new URL(request.url!, 'http://store');
+		const body = await readBody(request);
+		const ref: PartitionRef = {topic: query.get('topic') ?? '', partition: Number(query.get('part') ?? 0)};
+		const isKeyed = ref.topic.startsWith(keyedPrefix);
+		switch (pathname) {
+			case '/log-append': {
+				const producer = query.get('producer');
+				const at = query.get('at');
+				const options = {
+					timeoutMs: 1000,
+					...(at !== null && {atOffset: Number(at)}),
+					...(producer !== null && {stamp: {producer, epoch: Number(query.get('epoch')), sequence: Number(query.get('seq'))}}),
+				};
+				const values = unframe(body);
+				const result = isKeyed ? await client.appendKeyed(ref, values.map(value => decodeKeyed(value)), options) : await client.append(ref, values, options);
+				switch (result.outcome) {
+					case AppendOutcome.Appended: {
+						return {status: 200, body: JSON.stringify({offset: result.offset, end: result.endOffset})};
+					}
+
+					case AppendOutcome.NotAtEnd: {
+						return {status: 412, body: JSON.stringify({end: result.endOffset})};
+					}
+
+					case AppendOutcome.Fenced: {
+						return {status: 409, body: JSON.stringify({reason: 'fenced'})};
+					}
+
+					case AppendOutcome.WrongSequence: {
+						return {status: 409, body: JSON.stringify({reason: 'seq', seq: result.expected})};
+					}
+
+					case AppendOutcome.Refused: {
+						return {status: 503, body: '{}'};
+					}
+				}
+
+				break;
+			}
+
+			case '/log-read': {
+				const from = Number(query.get('from'));
+				const waitMs = Number(query.get('waitMs') ?? 0);
+				const head = Buffer.alloc(headBytes);
+				const page = isKeyed ? await client.readKeyed(ref, from, waitMs) : await client.read(ref, from, {waitMs, maxBytes: Number(query.get('maxKb') ?? 1024) * 1024});
+				head.writeBigUInt64BE(BigInt(page.endOffset), 0);
+				const values = page.records.map(record => 'key' in record ? encodeKeyed(record) : record.value);
+				return {status: 200, body: Buffer.concat([head, frame(values)])};
+			}
+
+			case '/log-newest': {
+				const {records, endOffset} = await client.newest(ref);
+				return {status: 200, body: JSON.stringify({items: records.map(({key, value, offset}) => ({key, value: value.toString('base64'), offset})), hasMore: false, end: endOffset})};
+			}
+
+			case '/log-join': {
+				const {group, member, topics, ttlMs, generation} = JSON.parse(body.toString()) as {group: string; member: string; topics: string[]; ttlMs: number; generation: number};
+				const share = await client.join({
+					group, member, topics, ttlMs, generation,
+				});
+				return {status: 200, body: JSON.stringify({generation: share.generation, parts: share.partitions.map(({topic, partition}) => [topic, partition, 0])})};
+			}
+
+			case '/log-owners': {
+				const owners = await client.getOwners(query.get('group')!);
+				return {status: 200, body: JSON.stringify({rows: owners.map(owner => ['', 0, owner, 0])})};
+			}
+
+			default: {
+				break;
+			}
+		}
+
+		return {status: 404, body: '{}'};
+	};
+
+	const server = createServer(async (request, response) => {
+		try {
+			const {status, body} = await handle(request);
+			response.writeHead(status);
+			response.end(body);
+		} catch (error) {
+			response.writeHead(getErrorCode(error) === ErrorCode.OffsetGone ? 410 : 503);
+			response.end('{}');
+		}
+	});
+	return {server, address: await listen(server, '127.0.0.1:0')};
+};
