--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -9,6 +9,7 @@
 	type AgentRegistration, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest,
 } from '../types/fleet.ts';
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
+import {PeerClock} from '../utils/peer-clock.ts';
 import {type FleetWorker} from './fleet-view.ts';
 
 /** Calls to agents. Throw `peer-unavailable` without an answer. */
@@ -116,7 +117,7 @@
 
 	/** Until when an order that is good for so long from now is good on the agent's clock. */
 	getNotAfterMs(worker: FleetWorker, goodMs: number): number {
-		return worker.agentClockMs + (this.#options.clock.monotonicMs() - worker.heardAtMs) + goodMs;
+		return worker.agentClock.read(this.#options.clock.monotonicMs()) + goodMs;
 	}
 
 	#take(host: string, value: Buffer | undefined, offset: number, signal: AbortSignal): void {
@@ -146,7 +147,7 @@
 			isListed: false,
 			isAnswering: false,
 			heardAtMs: Number.NEGATIVE_INFINITY,
-			agentClockMs: 0,
+			agentClock: new PeerClock(),
 			workerClockMs: 0,
 			silentSinceMs: this.#options.clock.monotonicMs(),
 			runs: new Set(),
@@ -201,6 +202,7 @@
 		const {client, clock, epoch, onDeposed, onReply, note} = this.#options;
 		const workerId = worker.report?.workerId;
 		const hasProof = workerId !== undefined && this.#options.getProvenAtMs() >= worker.heardAtMs && worker.lostSession !== worker.session;
+		const sentAtMs = clock.monotonicMs();
 		const reply = await client.watch(worker.address, {
 			epoch,
 			agentLife: worker.agentLife,
@@ -226,7 +228,6 @@
 		}
 
 		worker.heardAtMs = clock.monotonicMs();
-		worker.agentClockMs = reply.agentClockMs;
 		worker.workerClockMs = reply.workerClockMs;
 		worker.session = Math.max(worker.session, reply.session);
 		if (reply.worker && reply.worker.workerId !== workerId) {
@@ -237,8 +238,11 @@
 		if (reply.agentLife !== worker.agentLife) {
 			worker.takenCrash = 0;
 			worker.storedCrash = 0;
+			worker.agentClock = new PeerClock();
 		}
 
+		worker.agentClock.note(reply.agentClockMs, {sentAtMs, handledAtMs: worker.heardAtMs});
+
 		worker.report = reply.worker;
 		worker.isListed = reply.isListed;
 		worker.isAnswering = reply.isAnswering;
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -4,6 +4,7 @@
 import {type HealthSubject} from '../jobs/worker-health.ts';
 import {type Capacity, type WorkerReport} from '../types/fleet.ts';
 import {type WorkflowStep} from '../types/workflows.ts';
+import {type PeerClock} from '../utils/peer-clock.ts';
 import {type Paces} from './fill-harm.ts';
 import {type LiveRun} from './live-model.ts';
 
@@ -19,10 +20,11 @@
 	isListed: boolean;
 	/** Whether the worker answers its agent. */
 	isAnswering: boolean;
-	/** When the last answer came, and the agent's and the worker's clock in it. */
+	/** When the last answer was handled, and the worker's clock in it. */
 	heardAtMs: number;
-	agentClockMs: number;
 	workerClockMs: number;
+	/** Steady clock of the agent's life. */
+	agentClock: PeerClock;
 	/** When the agent's silence began; undefined while it answers. */
 	silentSinceMs?: number;
 	/** When the store took the declaration that the agent is lost. */
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -22,6 +22,9 @@
 	/** Entries that have not reached the store for a while, and those whose last call to it failed. */
 	storeLost: ReadonlySet<string>;
 	storeFailing: ReadonlySet<string>;
+	/** How long an entry's thread leaves a call to an agent unsent, and an answer unhandled. */
+	getCallDelayMs: () => number;
+	getAnswerDelayMs: () => number;
 };
 
 type SiteEntry = {jobs: JobApi; clock: {isPaused: boolean}};
@@ -35,7 +38,7 @@
 export const createAgentClient = (site: SitePaths, entryName: string): AgentClient => {
 	const {clock, hosts, cuts} = site;
 	const call = async <Reply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
-		await clock.sleep(1);
+		await clock.sleep(1 + site.getCallDelayMs());
 		const agent = hosts.get(host)?.agent;
 		if (!agent || cuts.has(`${entryName}>${host}`) || hosts.get(host)!.clock.isPaused) {
 			return fail(clock, 'call agent', host, timeoutMs);
@@ -43,7 +46,7 @@
 
 		// A process that died answers never: the caller's own bound ends the call.
 		const reply = structuredClone(await Promise.race([act(agent), fail(clock, 'call agent', host, timeoutMs)]));
-		await clock.sleep(1);
+		await clock.sleep(1 + site.getAnswerDelayMs());
 		return cuts.has(`${entryName}>${host}`) ? fail(clock, 'call agent', host, 0) : reply;
 	};
 
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -2,6 +2,7 @@
 Jobs, workers and runs for tests of decisions that need no network.
 */
 import {type Workflow, type WorkflowSpec} from '../src/types/workflows.ts';
+import {PeerClock} from '../src/utils/peer-clock.ts';
 import {FillHarm} from '../src/workflows/fill-harm.ts';
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
@@ -31,8 +32,8 @@
 	isListed: true,
 	isAnswering: true,
 	heardAtMs: 0,
-	agentClockMs: 0,
 	workerClockMs: 0,
+	agentClock: new PeerClock(),
 	runs: new Set(),
 	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
 	takenEnd: 0,
--- a/test/site-world.ts
+++ b/test/site-world.ts
@@ -113,6 +113,10 @@
 	/** What an entry knows of evacuations; changed by tests as they go. */
 	getEvacuations: (entry: string) => Evacuations = () => ({asOf: 0, failureDomains: []});
 
+	/** How long an entry's thread leaves a call to an agent unsent, and an answer unhandled. */
+	getCallDelayMs = (): number => 0;
+	getAnswerDelayMs = (): number => 0;
+
 	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
 
 	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1'], failureDomain = 'hall'): AgentHost {
