--- a/src/chervilworks-site.ts
+++ b/src/chervilworks-site.ts
@@ -3,9 +3,11 @@
 */
 import process from 'node:process';
 import {readSiteFile, siteFileVariable} from './platform/site-file.ts';
+import {fitEngine} from './utils/engine.ts';
 
 const main = async (role: string | undefined): Promise<void> => {
 	const site = readSiteFile(process.env[siteFileVariable]);
+	fitEngine(site.processors);
 	if (role === 'entry') {
 		const {runSiteEntry} = await import('./plugins/site-entry.ts');
 		await runSiteEntry(site);
