--- a/src/plugins/agent-messages.ts
+++ b/src/plugins/agent-messages.ts
@@ -1,5 +1,5 @@
 /**
-Calls between an owner and its agents: JSON over HTTP. Both sides are small, and an agent's host has a third of a core;
+Calls between an owner and its agents: JSON on a call stream. Both sides are small, and an agent's host has a third of a core;
 a richer protocol library costs more at each start than all calls of a minute.
 */
 import {createError, ErrorCode} from '../core/errors.ts';
@@ -7,7 +7,7 @@
 import {
 	type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest,
 } from '../types/fleet.ts';
-import {type HttpClient} from '../utils/http-calls.ts';
+import {type StreamClient} from '../utils/call-stream-client.ts';
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AgentClient} from '../workflows/agent-links.ts';
 
@@ -18,10 +18,10 @@
 const ordersPath = '/v1/agent/orders';
 
 /** Creates the owner's side. */
-export const createAgentClient = (http: HttpClient): AgentClient => {
+export const createAgentClient = (streams: StreamClient): AgentClient => {
 	const post = async (address: string, path: string, json: unknown, {timeoutMs, signal}: {timeoutMs: number; signal?: AbortSignal}): Promise<unknown> => {
-		const answer = await http.callJson({
-			address, method: 'POST', path, json, timeoutMs, signal, step: `call agent ${path}`,
+		const answer = await streams.call({
+			address, path, json, timeoutMs, signal, step: `call agent ${path}`,
 		});
 		if (answer.status !== 200) {
 			throw createError(ErrorCode.PeerUnavailable, {step: `call agent ${path}`, peer: address, detail: `status ${answer.status}`});
@@ -40,7 +40,7 @@
 };
 
 /** Adds the agent's side to a server. */
-export const serveAgent = (server: JsonServer, agent: Agent): void => {
+export const serveAgent = (server: JsonServer, agent: Pick<Agent, 'watch' | 'order'>): void => {
 	server.route('POST', watchPath, async ({body, signal}) => {
 		const request = body as BeforeCrashes<WatchRequest, 'crashesStored'>;
 		return {body: await agent.watch({...request, crashesStored: request.crashesStored ?? 0}, signal)};
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -106,10 +106,10 @@
 	local: jobs, client: createEntryClient(http), clock, getOthers: () => directory.others, isStoreLost, note,
 });
 
-const createParts = ({site, clock, http, note, life, signal, metrics, metricsAddress, internalAddress}: SiteProcess) => {
+const createParts = ({site, clock, http, streams, note, life, signal, metrics, metricsAddress, internalAddress}: SiteProcess) => {
 	const store = createStoreClient(http, site.store.address);
 	const {partitions, maxCallBytes, minMemberTtlMs, keptMs} = site.store;
-	const client = createAgentClient(http);
+	const client = createAgentClient(streams);
 	const adviceClient = site.adviceAddress === undefined ? undefined : createAdviceClient(http, site.adviceAddress);
 	const followers = new Map<number, WorkflowFollower>();
 	const lostSinceMs = new Map<number, number>();
--- a/src/plugins/site-process.ts
+++ b/src/plugins/site-process.ts
@@ -6,17 +6,21 @@
 import {type SiteSettings} from '../types/site.ts';
 import {createAborter} from '../utils/aborter.ts';
 import {createEventLog, type Note} from '../utils/event-log.ts';
+import {createStreamClient, type StreamClient} from '../utils/call-stream-client.ts';
 import {createHttpClient, type HttpClient} from '../utils/http-calls.ts';
 import {close, listen} from '../utils/http-server.ts';
 import {createMetricsPage, type MetricsPage} from '../utils/metrics-page.ts';
 import {ProcessLoad} from '../utils/process-load.ts';
 import {createSystemClock} from '../utils/system-clock.ts';
+import {Turns} from '../utils/turns.ts';
 
 /** Parts of a process on a site. */
 export type SiteProcess = {
 	site: SiteSettings;
 	clock: Clock;
 	http: HttpClient;
+	/** Calls to the program's processes on other hosts. */
+	streams: StreamClient;
 	metrics: MetricsPage;
 	/** Writes a line of log and counts the event. */
 	note: Note;
@@ -71,14 +75,15 @@
 	const [internalPort, metricsPort] = site.internalPorts;
 	const metricsAddress = `${site.ip}:${metricsPort}`;
 	await listen(metrics.server, metricsAddress);
-	const http = createHttpClient(maxConnections);
+	const turns = new Turns();
+	const http = createHttpClient(maxConnections, turns);
 	note('started', {
 		life, ip: site.ip, failureDomain: site.failureDomain, startupMs: Math.round(process.uptime() * 1000),
 	});
 	const load = new ProcessLoad(clock, note);
 	void load.watch(aborter.signal);
 	const finish = await start({
-		site, clock, http, metrics, note, load, life, metricsAddress, internalAddress: `${site.ip}:${internalPort}`, signal: aborter.signal,
+		site, clock, http, streams: createStreamClient(http, turns), metrics, note, load, life, metricsAddress, internalAddress: `${site.ip}:${internalPort}`, signal: aborter.signal,
 	});
 	await stopped;
 	note('stopping');
--- a/src/utils/http-calls.ts
+++ b/src/utils/http-calls.ts
@@ -39,9 +39,8 @@
 };
 
 /** Creates the client; at most so many connections to each peer. */
-export const createHttpClient = (maxConnections: number): HttpClient => {
+export const createHttpClient = (maxConnections: number, turns = new Turns()): HttpClient => {
 	const agents = new Map<string, Agent>();
-	const turns = new Turns();
 	const getAgent = (address: string): Agent => {
 		let agent = agents.get(address);
 		if (!agent) {
--- a/src/utils/http-server.ts
+++ b/src/utils/http-server.ts
@@ -10,6 +10,7 @@
 } from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {parseAddress} from './address.ts';
+import {CallStreams} from './call-stream-server.ts';
 
 /** A request to a JSON route. */
 export type JsonRequest = {
@@ -76,29 +77,49 @@
 		response.once('close', () => {
 			aborter.abort();
 		});
-		try {
+		const {status, body} = await run(async () => {
 			const url = new URL(request.url ?? '/', 'http://localhost');
 			const {route, params} = findRoute(routes, request.method ?? 'GET', url.pathname);
-			const body = await readJson(request, clock, bounds);
-			const reply = await route.handler({
-				params, query: url.searchParams, body, signal: aborter.signal,
+			return route.handler({
+				params, query: url.searchParams, body: await readJson(request, clock, bounds), signal: aborter.signal,
 			});
-			send(response, reply.status ?? 200, reply.body);
-		} catch (error) {
-			const code = getErrorCode(error);
-			send(response, (code && statusByCode[code]) ?? 500, {error: getMessage(error), code});
-		}
+		});
+		send(response, status, body);
 	};
 
+	const streams = new CallStreams(async (path, body, signal) => run(async () => {
+		const {route, params} = findRoute(routes, 'POST', path);
+		return route.handler({
+			params, query: new URLSearchParams(), body, signal,
+		});
+	}));
+	server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => {
+		streams.accept(request, socket, head);
+	});
+
 	return {
 		route(method, path, handler) {
 			routes.push({method, parts: path.split('/'), handler});
 		},
 		listen: async address => listen(server, address),
-		close: async () => close(server),
+		async close() {
+			streams.close();
+			await close(server);
+		},
 	};
 };
 
+/** Runs a handler; an error becomes an answer. */
+const run = async (handler: () => Promise<JsonReply>): Promise<{status: number; body: unknown}> => {
+	try {
+		const {status = 200, body} = await handler();
+		return {status, body};
+	} catch (error) {
+		const code = getErrorCode(error);
+		return {status: (code && statusByCode[code]) ?? 500, body: {error: getMessage(error), code}};
+	}
+};
+
 const openSockets = new WeakMap<Server, Set<Socket>>();
 
 /** Binds the server to `host:port`; resolves to the address bound. */
--- a/src/utils/turns.ts
+++ b/src/utils/turns.ts
@@ -43,6 +43,14 @@
 	}
 }
 
+/**
+Calls back once the input that has arrived by now was read. A loop that is behind runs its timers first: an answer that came in
+time would else be taken for none.
+*/
+export const afterPendingInput = (callback: () => void): void => {
+	setImmediate(callback);
+};
+
 /** Resolves once all that follows at once from what was resolved before has run. */
 const afterMicrotasks = async (): Promise<void> => {
 	// From within a microtask: what is asked for before them would come first.
--- /dev/null
+++ b/test/call-stream.test.ts
@@ -0,0 +1,166 @@
+/**
+Call streams between processes.
+*/
+import {createServer, type Server} from 'node:http';
+import {connect, createServer as createTcpServer, type Socket} from 'node:net';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {ErrorCode, getErrorCode} from '../src/core/errors.ts';
+import {createStreamClient, type StreamClient} from '../src/utils/call-stream-client.ts';
+import {createHttpClient, type HttpClient} from '../src/utils/http-calls.ts';
+import {close, createJsonServer, listen} from '../src/utils/http-server.ts';
+import {createSystemClock} from '../src/utils/system-clock.ts';
+import {Turns} from '../src/utils/turns.ts';
+
+let client: StreamClient;
+let http: HttpClient;
+const cleanUp: Array<() => unknown> = [];
+
+const createClients = (): void => {
+	const turns = new Turns();
+	http = createHttpClient(1, turns);
+	client = createStreamClient(http, turns);
+	cleanUp.push(() => {
+		client.close();
+		http.close();
+	});
+};
+
+const call = async (address: string, json: unknown, timeoutMs = 1000, signal?: AbortSignal) => client.call({
+	address, path: '/echo', json, timeoutMs, signal, step: 'call',
+});
+
+const getCode = async (answer: Promise<unknown>): Promise<ErrorCode | undefined> => {
+	try {
+		await answer;
+		return undefined;
+	} catch (error) {
+		return getErrorCode(error);
+	}
+};
+
+const serveEcho = async (): Promise<{address: string; stop: () => Promise<void>}> => {
+	const clock = createSystemClock();
+	const server = createJsonServer(clock);
+	server.route('POST', '/echo', async ({body}) => {
+		const {waitMs = 0} = body as {waitMs?: number};
+		await clock.sleep(waitMs);
+		return {body};
+	});
+	return {address: await server.listen('127.0.0.1:0'), stop: async () => server.close()};
+};
+
+afterEach(async () => {
+	for (const act of cleanUp.splice(0)) {
+		await act();
+	}
+});
+
+describe('calls on a stream', () => {
+	it('are answered in any order, each with its own answer', async () => {
+		createClients();
+		const {address, stop} = await serveEcho();
+		cleanUp.push(stop);
+		const waits = [60, 5, 30, 0];
+		const answers = await Promise.all(waits.map(async waitMs => call(address, {waitMs, text: 'line\nbreak é'})));
+		expect(answers).toEqual(waits.map(waitMs => ({status: 200, json: {waitMs, text: 'line\nbreak é'}})));
+	});
+
+	it('tell errors by their status', async () => {
+		createClients();
+		const {address, stop} = await serveEcho();
+		cleanUp.push(stop);
+		const {status} = await client.call({
+			address, path: '/none', json: {}, timeoutMs: 1000, step: 'call',
+		});
+		expect(status).toBe(404);
+	});
+
+	it('go over HTTP to a peer that knows no streams', async () => {
+		createClients();
+		const server: Server = createServer((request, response) => {
+			response.writeHead(request.method === 'POST' ? 200 : 404);
+			response.end('{"old":true}');
+		});
+		const address = await listen(server, '127.0.0.1:0');
+		cleanUp.push(async () => {
+			server.closeAllConnections();
+			await close(server);
+		});
+		expect(await call(address, {})).toEqual({status: 200, json: {old: true}});
+	});
+
+	it('leave a connection that has gone silent, and go on over a new one', async () => {
+		createClients();
+		const {address, stop} = await serveEcho();
+		cleanUp.push(stop);
+		const [host, port] = address.split(':');
+		let isSilent = false;
+		const sockets = new Set<Socket>();
+		const proxy = createTcpServer(socket => {
+			sockets.add(socket);
+			const isBorn = !isSilent;
+			const target = connect(Number(port), host);
+			sockets.add(target);
+			socket.on('data', chunk => {
+				if (isBorn && isSilent) {
+					return;
+				}
+
+				target.write(chunk);
+			});
+			target.on('data', chunk => {
+				socket.write(chunk);
+			});
+			for (const end of [socket, target]) {
+				end.on('error', () => undefined);
+			}
+		});
+		await new Promise<void>(resolve => {
+			proxy.listen(0, '127.0.0.1', resolve);
+		});
+		cleanUp.push(() => {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			proxy.close();
+		});
+		const proxyAddress = `127.0.0.1:${(proxy.address() as {port: number}).port}`;
+		await call(proxyAddress, {});
+		isSilent = true;
+		expect(await getCode(call(proxyAddress, {}, 100))).toBe(ErrorCode.PeerUnavailable);
+		expect(await call(proxyAddress, {n: 2})).toEqual({status: 200, json: {n: 2}});
+	});
+
+	it('say that nothing was sent without a connection', async () => {
+		createClients();
+		const {address, stop} = await serveEcho();
+		await stop();
+		expect(await getCode(call(address, {}))).toBe(ErrorCode.PeerUnreached);
+	});
+
+	it('end with the signal, and leave the other calls alone', async () => {
+		createClients();
+		const {address, stop} = await serveEcho();
+		cleanUp.push(stop);
+		const aborter = new AbortController();
+		const given = getCode(call(address, {waitMs: 200}, 1000, aborter.signal));
+		const other = call(address, {waitMs: 200});
+		setTimeout(() => {
+			aborter.abort();
+		}, 50);
+		expect(await given).toBe(ErrorCode.PeerUnavailable);
+		expect((await other).status).toBe(200);
+	});
+
+	it('in progress are answered before the server closes, and idle connections end', async () => {
+		createClients();
+		const {address, stop} = await serveEcho();
+		const answer = call(address, {waitMs: 100});
+		await call(address, {});
+		await stop();
+		expect((await answer).status).toBe(200);
+	});
+});
--- a/test/perf/profile-entry.ts
+++ b/test/perf/profile-entry.ts
@@ -20,6 +20,7 @@
 import {serveAgent} from '../../src/plugins/agent-messages.ts';
 import {MemoryStore} from '../../src/standin/memory-store.ts';
 import {SharedWorker} from '../../src/standin/shared-worker.ts';
+import {type OrdersRequest, type WatchRequest} from '../../src/types/fleet.ts';
 import {parseTaskId, RunEnd, type WorkflowStep} from '../../src/types/workflows.ts';
 import {createJsonServer} from '../../src/utils/http-server.ts';
 import {createRandom} from '../../src/utils/seeded-random.ts';
@@ -56,7 +57,7 @@
 }, random);
 const jobs = new Map(offered.map(job => [job.id, job]));
 const counts = {
-	started: 0, done: 0, failed: 0, stopped: 0, accepted: 0, refused: 0,
+	watches: 0, orders: 0, started: 0, done: 0, failed: 0, stopped: 0, accepted: 0, refused: 0,
 };
 
 /** Processor time of a process in ms, by the scheduler's own account of its threads. */
@@ -93,7 +94,7 @@
 });
 
 const store = new MemoryStore(clock, partitions);
-const {address: storeAddress} = await serveStore(store);
+const {address: storeAddress, calls} = await serveStore(store);
 store.put({topic: 'keyed.op', partition: 0}, 'config', Buffer.from(JSON.stringify({
 	version: 1,
 	routes: load.kinds.map(kind => ({
@@ -166,7 +167,16 @@
 		maxLeaseMs: 6000,
 		note: () => undefined,
 	});
-	serveAgent(server, agent);
+	serveAgent(server, {
+		async watch(request: WatchRequest, signal: AbortSignal) {
+			counts.watches++;
+			return agent.watch(request, signal);
+		},
+		async order(request: OrdersRequest) {
+			counts.orders++;
+			return agent.order(request);
+		},
+	});
 	void agent.run(new AbortController().signal);
 	setInterval(() => {
 		agent.announce(worker.announce());
@@ -298,7 +308,7 @@
 	...counts,
 	offeredTasks: offered.flatMap(({spec}) => spec.steps).reduce((sum, {count}) => sum + count, 0),
 	bytes: lines.reduce((sum, {length}) => sum + length, 0),
-	calls: store.calls,
+	calls: Object.fromEntries(calls),
 	events: Object.fromEntries([...events].toSorted((a, b) => b[1] - a[1]).slice(0, 14)),
 }, undefined, 1)}\n`);
 entry.kill('SIGCONT');
--- a/test/perf/store-server.ts
+++ b/test/perf/store-server.ts
@@ -47,12 +47,15 @@
 const encodeKeyed = ({key, value}: KeyedWrite): Buffer => Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key), value ?? Buffer.alloc(0)]);
 
 /** Starts the server; resolves to its address. */
-export const serveStore = async (store: MemoryStore): Promise<{server: Server; address: string}> => {
+export const serveStore = async (store: MemoryStore): Promise<{server: Server; address: string; calls: Map<string, number>}> => {
+	const calls = new Map<string, number>();
 	const client = store.createClient('http');
 	const handle = async (request: IncomingMessage): Promise<{status: number; body: Buffer | string}> => {
 		const {pathname, searchParams: query} = new URL(request.url!, 'http://store');
 		const body = await readBody(request);
 		const ref: PartitionRef = {topic: query.get('topic') ?? '', partition: Number(query.get('part') ?? 0)};
+		const kind = `${pathname} ${ref.topic}`;
+		calls.set(kind, (calls.get(kind) ?? 0) + 1);
 		const isKeyed = ref.topic.startsWith(keyedPrefix);
 		switch (pathname) {
 			case '/log-append': {
@@ -136,5 +139,5 @@
 			response.end('{}');
 		}
 	});
-	return {server, address: await listen(server, '127.0.0.1:0')};
+	return {server, calls, address: await listen(server, '127.0.0.1:0')};
 };
