--- a/src/utils/http-calls.ts
+++ b/src/utils/http-calls.ts
@@ -6,7 +6,7 @@
 import {Agent, request as sendRequest, type IncomingHttpHeaders} from 'node:http';
 import {createError, ErrorCode} from '../core/errors.ts';
 import {parseAddress} from './address.ts';
-import {Turns} from './turns.ts';
+import {afterPendingInput, Turns} from './turns.ts';
 
 /** One call. */
 export type HttpCall = {
@@ -113,8 +113,12 @@
 		};
 
 		const timer = setTimeout(() => {
-			dropIdle(address);
-			fail(`no answer in ${timeoutMs} ms`);
+			afterPendingInput(() => {
+				if (!isSettled) {
+					dropIdle(address);
+					fail(`no answer in ${timeoutMs} ms`);
+				}
+			});
 		}, timeoutMs);
 		signal?.addEventListener('abort', onAbort, {once: true});
 		if (signal?.aborted) {
--- /dev/null
+++ b/test/busy-thread.test.ts
@@ -0,0 +1,96 @@
+/**
+Answers that come while the thread of the caller is busy.
+*/
+import {Worker} from 'node:worker_threads';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {createStreamClient, type StreamClient} from '../src/utils/call-stream-client.ts';
+import {createHttpClient, type HttpClient} from '../src/utils/http-calls.ts';
+import {Turns} from '../src/utils/turns.ts';
+
+let client: StreamClient;
+let http: HttpClient;
+const cleanUp: Array<() => unknown> = [];
+
+const call = async (address: string, timeoutMs = 1000) => client.call({
+	address, path: '/echo', json: {}, timeoutMs, step: 'call',
+});
+
+afterEach(async () => {
+	for (const act of cleanUp.splice(0)) {
+		await act();
+	}
+});
+
+/** Answers each request after a while, on a thread of its own. */
+const serveApart = String.raw`
+	const {createServer} = require('node:http');
+	const {parentPort} = require('node:worker_threads');
+	const server = createServer((request, response) => {
+		request.resume();
+		request.on('end', () => setTimeout(() => response.end('{"n":1}'), 50));
+	});
+	server.on('upgrade', (request, socket) => {
+		socket.write('HTTP/1.1 101 Switching Protocols\r\nconnection: Upgrade\r\nupgrade: chervilworks-calls\r\n\r\n');
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			for (const line of chunk.toString().split('\n').slice(0, -1)) {
+				setTimeout(() => socket.write(line.split(' ')[0] + ' 200 {"n":1}\n'), 50);
+			}
+		});
+	});
+	server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+
+/** Guards against answers that came in time and are taken for none, as timers run first on a thread that is late. */
+describe('an answer that comes while the thread is busy beyond the time-out', () => {
+	const blockMs = 400;
+	const start = async (): Promise<string> => {
+		const worker = new Worker(serveApart, {eval: true});
+		cleanUp.push(async () => worker.terminate());
+		const port = await new Promise<number>(resolve => {
+			worker.once('message', resolve);
+		});
+		const turns = new Turns();
+		http = createHttpClient(1, turns);
+		client = createStreamClient(http, turns);
+		cleanUp.push(() => {
+			client.close();
+			http.close();
+		});
+		return `127.0.0.1:${port}`;
+	};
+
+	const block = async (): Promise<void> => {
+		// The request leaves first; after an immediate, timers come before input.
+		await new Promise(resolve => {
+			setTimeout(() => {
+				setImmediate(resolve);
+			}, 20);
+		});
+		const endMs = performance.now() + blockMs;
+		while (performance.now() < endMs) {
+			// Busy.
+		}
+	};
+
+	it('is taken from a stream', async () => {
+		const address = await start();
+		await call(address);
+		const answer = call(address, 200);
+		await block();
+		expect(await answer).toEqual({status: 200, json: {n: 1}});
+	});
+
+	it('is taken from an HTTP connection', async () => {
+		const address = await start();
+		const send = async () => http.callJson({
+			address, method: 'POST', path: '/', json: {}, timeoutMs: 200, step: 'call',
+		});
+		await send();
+		const answer = send();
+		await block();
+		expect(await answer).toMatchObject({status: 200, json: {n: 1}});
+	});
+});
