--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -54,53 +54,54 @@
 	const candidates = [...workers].map(worker => createCandidate(worker, harm));
 	const spareMilliCpu = getSpareMilliCpu(candidates);
 	const rank = createRank(spareMilliCpu);
-	const ranked = tasks.map(task => ({task, rank: rank(task)})).toSorted((a, b) => a.rank - b.rank);
 	const terms: PlaceTerms = {
 		harm, isAllowed, policy, trials: new Trials(harm, candidates), mustRun: false, isUnservedShort: isUnservedShort(tasks, candidates),
 	};
 	const findPlaces = createPlacesFinder(candidates, terms);
 	const starts: Start[] = [];
-	const gangs = new Set<LiveStep>();
-	// A step of which one task found no place has none for its equals either.
-	const stuck = new Map<LiveStep, WaitReason>();
-	const noteWait = (reason: WaitReason) => {
-		waits.set(reason, (waits.get(reason) ?? 0) + 1);
-	};
-
 	const started = new Set<LiveWorkflow>();
-	for (const {task} of ranked) {
-		const {step} = task;
-		const stuckBy = stuck.get(step);
-		if (stuckBy !== undefined) {
-			noteWait(stuckBy);
-			continue;
-		}
-
-		if (gangs.has(step)) {
-			continue;
-		}
-
+	for (const [step, waitingTasks] of rankSteps(tasks, rank)) {
 		if (step.spec.isGang) {
-			gangs.add(step);
 			starts.push(...placeGang(step, candidates, terms));
 			continue;
 		}
 
-		const places = findPlaces(step, policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(task, nowMs));
-		const candidate = places.take(task);
-		if (candidate) {
+		const isIdleStart = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(step, waitingTasks, nowMs);
+		for (const [index, task] of waitingTasks.entries()) {
+			// A job that starves starts one task where it disturbs.
+			const places = findPlaces(step, isIdleStart && !started.has(step.workflow));
+			const candidate = places.take(task);
+			if (!candidate) {
+				// A step of which one task found no place has none for its equals either.
+				const reason = places.getWaitReason();
+				waits.set(reason, (waits.get(reason) ?? 0) + waitingTasks.length - index);
+				break;
+			}
+
 			started.add(step.workflow);
 			starts.push({task, worker: candidate.worker});
-		} else {
-			const reason = places.getWaitReason();
-			stuck.set(step, reason);
-			noteWait(reason);
 		}
 	}
 
 	return {starts, waits, spareMilliCpu};
 };
 
+/** Groups tasks by step, most urgent first: tasks of a step have one rank. */
+const rankSteps = (tasks: LiveTask[], rank: RankTask): Array<[LiveStep, LiveTask[]]> => {
+	const groups = new Map<LiveStep, LiveTask[]>();
+	for (const task of tasks) {
+		const group = groups.get(task.step);
+		if (group) {
+			group.push(task);
+		} else {
+			groups.set(task.step, [task]);
+		}
+	}
+
+	const ranks = new Map([...groups].map(([step, group]) => [step, rank(group[0]!)]));
+	return [...groups].toSorted(([a], [b]) => ranks.get(a)! - ranks.get(b)!);
+};
+
 /** Tasks of a step come one after the other: its places are kept until another step's turn changes what is free. */
 const createPlacesFinder = (candidates: Candidate[], terms: PlaceTerms): ((step: LiveStep, mustRun: boolean) => StepPlaces) => {
 	let last: {step: LiveStep; mustRun: boolean; places: StepPlaces} | undefined;
@@ -136,8 +137,8 @@
 	return askedMilliCpu > freeMilliCpu;
 };
 
-const isStarving = ({step, waitsSinceMs}: LiveTask, nowMs: number): boolean =>
-	step.spec.isFilling && nowMs - waitsSinceMs > maxWaitMs && isIdle(step.workflow);
+const isStarving = ({spec, workflow}: LiveStep, waitingTasks: LiveTask[], nowMs: number): boolean =>
+	spec.isFilling && waitingTasks.some(({waitsSinceMs}) => nowMs - waitsSinceMs > maxWaitMs) && isIdle(workflow);
 
 /**
 Creates the question whether a task would find a place on a worker that it does not avoid. The workers are looked at once,
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -221,6 +221,15 @@
 		expect(placeAll(model, [worker, createWorker('y')], {harm}).map(start => start.worker.host)).toEqual(['y', 'y']);
 	});
 
+	/** Guards against a job of which nothing runs and whose first task was stopped a moment ago: its others waited for that one. */
+	it('starts a task of a job that waits, also after another one of its step has just been stopped', () => {
+		const {model, worker} = createWorld();
+		model.getTask({
+			workflowId: 'f', occurrence: 0, step: 0, index: 0,
+		})!.waitsSinceMs = 1900;
+		expect(placeAll(model, [worker], {harm: teach(4), nowMs: 2000})).toHaveLength(1);
+	});
+
 	it('sets what harms nobody beside serving tasks, as far as they leave processors', () => {
 		const {model, worker} = createWorld();
 		expect(placeAll(model, [worker], {harm: teach(0)})).toHaveLength(2);
