--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -156,7 +156,7 @@
 
 		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + (refusalPauseMs[refusal!] ?? 0));
 		if (refusal !== OrderRefusal.Unanswered) {
-			tracker.withdraw(run, worker, nowMs);
+			tracker.withdraw(run, worker);
 		}
 	}
 }
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -119,9 +119,9 @@
 		}
 	}
 
-	/** Takes a run back that did not start. */
-	withdraw(run: LiveRun, worker: FleetWorker, nowMs: number): void {
-		this.#remove(run, worker, nowMs);
+	/** Takes a run back that did not start: its task has waited all the while. */
+	withdraw(run: LiveRun, worker: FleetWorker): void {
+		this.#drop(run, worker);
 		this.#handlers.onChange();
 	}
 
@@ -179,9 +179,13 @@
 	}
 
 	#remove(run: LiveRun, worker: FleetWorker, nowMs: number): void {
+		this.#drop(run, worker);
+		run.task.waitsSinceMs = nowMs;
+	}
+
+	#drop(run: LiveRun, worker: FleetWorker): void {
 		worker.runs.delete(run);
 		run.task.runs = run.task.runs.filter(other => other !== run);
-		run.task.waitsSinceMs = nowMs;
 	}
 
 	#takeRunning(worker: FleetWorker, row: RunningRow, reply: WatchReply, nowMs: number): LiveRun | undefined {
--- a/test/site-orders.test.ts
+++ b/test/site-orders.test.ts
@@ -8,7 +8,7 @@
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
 import {type LiveModel} from '../src/workflows/live-model.ts';
 import {OrderSender} from '../src/workflows/order-sender.ts';
-import {RunTracker} from '../src/workflows/run-tracker.ts';
+import {LossReason, RunTracker} from '../src/workflows/run-tracker.ts';
 import {createWorker, createWorkflow, load} from './site-fleet.ts';
 import {createSpec, createStep} from './site-world.ts';
 
@@ -46,3 +46,17 @@
 	expect(tasks).toHaveLength(3);
 	expect(sent).toEqual([tasks[0]!.runs[0]!.notAfterMs]);
 });
+
+/** Guards against a job whose starts are refused one after the other, each of which made it wait from the beginning. */
+it('leaves the time that a task has waited as it was when its start is refused', () => {
+	const {model} = load([createWorkflow('0000000000000001', createSpec([createStep()]))]);
+	const worker = createWorker('host-0');
+	const tracker = createTracker(model);
+	const [task] = [...model.waiting(0, () => false)];
+	const refused = tracker.open(task!, worker, 1, {nowMs: 1000, notAfterMs: 2500});
+	tracker.withdraw(refused, worker);
+	expect(task!.waitsSinceMs).toBe(0);
+	const lost = tracker.open(task!, worker, 2, {nowMs: 3000, notAfterMs: 4500});
+	tracker.lose(lost, worker, LossReason.NeverStarted, 4600);
+	expect(task!.waitsSinceMs).toBe(4600);
+});
