--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -4,16 +4,13 @@
 */
 import {agentsTopic} from '../agents/control-records.ts';
 import {WorkerHealth, type HealthSubject} from '../jobs/worker-health.ts';
-import {type AdviceClient} from '../types/advice.ts';
-import {type Clock} from '../types/clock.ts';
-import {type AgentRegistration, type WatchReply} from '../types/fleet.ts';
-import {type Evacuations} from '../types/site.ts';
-import {type StoreClient} from '../types/store.ts';
+import {type WatchReply} from '../types/fleet.ts';
 import {type TaskRef} from '../types/workflows.ts';
 import {createAborter} from '../utils/aborter.ts';
+import {DutyCycle} from '../utils/duty-cycle.ts';
 import {WorkMeter} from '../utils/work-meter.ts';
 import {AdviceCache} from './advice-cache.ts';
-import {AgentLinks, type AgentClient} from './agent-links.ts';
+import {AgentLinks} from './agent-links.ts';
 import {CrashWatch} from './crash-watch.ts';
 import {DueOccurrences} from './due-occurrences.ts';
 import {EvacuationPublisher} from './evacuation-publisher.ts';
@@ -26,9 +23,10 @@
 import {getOpenWorkers} from './open-workers.ts';
 import {OrderSender} from './order-sender.ts';
 import {OwnerLog} from './owner-log.ts';
+import {type OwnerOptions} from './owner-options.ts';
 import {PaceKeeper} from './pace-keeper.ts';
 import {createPlaceFinder} from './placement.ts';
-import {Mechanism, type Policy} from './policy.ts';
+import {Mechanism} from './policy.ts';
 import {isKeptApart, Quarantine} from './quarantine.ts';
 import {chooseMoves, wantsCopy} from './relocation.ts';
 import {Rounds} from './rounds.ts';
@@ -39,37 +37,10 @@
 import {describeEnd} from './task-order.ts';
 import {ViewAge} from './view-age.ts';
 
-/** Options of an owner. */
-export type OwnerOptions = {
-	store: StoreClient;
-	clock: Clock;
-	client: AgentClient;
-	/** Undefined: the site has no advice service. */
-	adviceClient: AdviceClient | undefined;
-	follower: WorkflowFollower;
-	partition: number;
-	/** Name of this entry. */
-	host: string;
-	/** Higher than that of any owner before. */
-	epoch: number;
-	leaseHorizonMs: number;
-	/** Time within which a cancelled job must have stopped. */
-	cancelMs: number;
-	getEvacuations: () => Evacuations;
-	/** When the newest heartbeat that the store has answered was sent. */
-	getReachedAtMs: () => number;
-	maxCallBytes: number;
-	/** How long the store keeps records. */
-	keptMs: number;
-	isMine: (registration: AgentRegistration) => boolean;
-	policy: Policy;
-	/** A newer owner is known. */
-	onDeposed: () => void;
-	note: (event: string, fields: Record<string, unknown>) => void;
-};
-
 /** Things that depend on time alone are looked at this often. */
 const tickMs = 50;
+/** Caps the search for runs to move at a twentieth of the thread: each takes about as long as a round. */
+const relocationRestFactor = 19;
 /** A worker that fails what others do well is tried again after this, then after twice as long. */
 const heldDownMs = 1000;
 
@@ -96,6 +67,7 @@
 	readonly #due: DueOccurrences;
 	readonly #settling: Settling;
 	readonly #evacuationPublisher: EvacuationPublisher;
+	readonly #relocations: DutyCycle;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: heldDownMs});
 	#claimOffset = Number.POSITIVE_INFINITY;
 
@@ -108,6 +80,7 @@
 		});
 		this.#view = new ViewAge(options);
 		this.#due = new DueOccurrences(model, clock);
+		this.#relocations = new DutyCycle(clock, relocationRestFactor);
 		this.#evacuationPublisher = new EvacuationPublisher(options);
 		this.#times = new RunTimes(policy[Mechanism.RunTimes]);
 		this.#log = new OwnerLog({
@@ -323,7 +296,9 @@
 
 		this.#log.keepHarm(() => this.#harm.getPairs());
 		this.#advice.update(this.model.openSteps(), this.links.workers.values());
-		this.#relocate();
+		this.#relocations.tryRun(() => {
+			this.#relocate();
+		});
 		this.#health.release(clock.monotonicMs());
 		this.#rounds.want();
 	}
--- a/src/workflows/rounds.ts
+++ b/src/workflows/rounds.ts
@@ -2,6 +2,7 @@
 Rounds of placement: gathers what has changed, decides starts in order, and tells what keeps the others waiting.
 */
 import {type Clock} from '../types/clock.ts';
+import {DutyCycle} from '../utils/duty-cycle.ts';
 import {type WorkMeter} from '../utils/work-meter.ts';
 import {type FillHarm} from './fill-harm.ts';
 import {type FleetWorker} from './fleet-view.ts';
@@ -38,8 +39,8 @@
 
 /** Changes gather for so long before a round. */
 const roundDelayMs = 4;
-/** After a round comes a rest of so many times its length: on a small host rounds would else take all of the processor. */
-const roundRest = 3;
+/** Caps scheduling at a quarter of the thread so that replies are still handled. */
+const roundRestFactor = 3;
 /** What is left of jobs changes by the second; rounds come many times a second. */
 const remainderEveryMs = 100;
 /** What waits is told this often at most. */
@@ -48,17 +49,18 @@
 /** The rounds of one owner. */
 export class Rounds {
 	readonly #options: RoundsOptions;
+	readonly #dutyCycle: DutyCycle;
 	#isDue = false;
-	#restUntilMs = Number.NEGATIVE_INFINITY;
 	#remainders = new Map<LiveStep[], Remainder>();
 	#remaindersAtMs = Number.NEGATIVE_INFINITY;
 	#notedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: RoundsOptions) {
 		this.#options = options;
+		this.#dutyCycle = new DutyCycle(options.clock, roundRestFactor);
 	}
 
-	/** Something has changed: a round is due. */
+	/** Requests a round; requests before it runs coalesce. */
 	want(): void {
 		if (this.#isDue) {
 			return;
@@ -72,13 +74,12 @@
 				return;
 			}
 
-			const startedAtMs = clock.monotonicMs();
-			meter.measure('round', () => {
-				this.#run();
+			this.#dutyCycle.run(() => {
+				meter.measure('round', () => {
+					this.#run();
+				});
 			});
-			const endedAtMs = clock.monotonicMs();
-			this.#restUntilMs = endedAtMs + (roundRest * (endedAtMs - startedAtMs));
-		}, Math.max(roundDelayMs, this.#restUntilMs - clock.monotonicMs()));
+		}, Math.max(roundDelayMs, this.#dutyCycle.restMs));
 	}
 
 	#run(): void {
