--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -51,9 +51,12 @@
 	/** Images that were measured beside each other, with the last time. */
 	readonly #servers = new Map<string, number>();
 	readonly #fillers = new Map<string, number>();
+	/** Effects that were asked for since the last report, by server and filler: each round asks thousands of times. */
+	readonly #knownEffects = new Map<string, Map<string, number>>();
 
 	/** Takes what serving tasks of a worker report while the others fill. */
 	note(servers: Server[], fillers: Filler[], nowMs: number): void {
+		this.#knownEffects.clear();
 		this.#effects.fade(nowMs);
 		this.#loads.prune(nowMs);
 		prune(this.#servers, nowMs, image => {
@@ -88,6 +91,7 @@
 
 	/** Takes what an earlier owner has learned: without it, each pair would do its harm once more to be known. */
 	restore(pairs: HarmPair[], nowMs: number): void {
+		this.#knownEffects.clear();
 		for (const {server, filler, mean, deviation} of pairs) {
 			this.#servers.set(server, nowMs);
 			this.#fillers.set(filler, nowMs);
@@ -97,7 +101,19 @@
 
 	/** Load that the image adds to the server's, for a whole worker of its tasks. */
 	getEffect(server: string, filler: string): number {
-		return Math.max(0, this.#getEffect(server, filler, cautionDeviations));
+		let effects = this.#knownEffects.get(server);
+		if (!effects) {
+			effects = new Map();
+			this.#knownEffects.set(server, effects);
+		}
+
+		let effect = effects.get(filler);
+		if (effect === undefined) {
+			effect = Math.max(0, this.#getEffect(server, filler, cautionDeviations));
+			effects.set(filler, effect);
+		}
+
+		return effect;
 	}
 
 	/** Whether it was measured of late what the image does to the server's. */
