--- a/src/utils/metrics-page.ts
+++ b/src/utils/metrics-page.ts
@@ -1,6 +1,6 @@
 /**
-Counters and latency histograms of a process, served as text. The library is loaded after the start, so that a restart
-is not slower for it; what is counted before waits.
+Counters and latency histograms of a process, served as text. The library is loaded when the page is first read: loading it
+takes a small host's processor for most of a second. What is counted before waits.
 */
 import {createServer, type Server} from 'node:http';
 import {type Counter, type Histogram, type Registry} from 'prom-client';
@@ -28,15 +28,14 @@
 
 /** Upper bounds of the histogram in seconds: from an answer out of memory to the longest objective. */
 const bucketsS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
-const maxWaiting = 5000;
-const loadAfterMs = 3000;
 
 /** Creates the metrics of a process. */
 export const createMetricsPage = (): MetricsPage => {
 	let loaded: Loaded | undefined;
 	const gauges: Array<{name: string; help: string; read: () => number}> = [];
 	const counts = new Map<string, {event: string; reason: string; amount: number}>();
-	const waiting: Array<{kind: string; tookMs: number}> = [];
+	/** Durations by kind and whole millisecond, rounded up: no bound of a bucket lies between two of them. */
+	const waiting = new Map<string, {kind: string; tookMs: number; amount: number}>();
 	const load = async (): Promise<Loaded> => {
 		if (!loaded) {
 			const {Counter, Gauge, Histogram, Registry} = await import('prom-client');
@@ -65,14 +64,17 @@
 		}
 
 		counts.clear();
-		for (const {kind, tookMs} of waiting.splice(0)) {
-			loaded.durations.observe({kind}, tookMs / 1000);
+		for (const {kind, tookMs, amount} of waiting.values()) {
+			for (let index = 0; index < amount; index++) {
+				loaded.durations.observe({kind}, tookMs / 1000);
+			}
 		}
 
+		waiting.clear();
+
 		return loaded;
 	};
 
-	setTimeout(load, loadAfterMs).unref();
 	return {
 		count(event, reason = '') {
 			const key = `${event}#${reason}`;
@@ -83,9 +85,14 @@
 		observe(kind, tookMs) {
 			if (loaded) {
 				loaded.durations.observe({kind}, tookMs / 1000);
-			} else if (waiting.length < maxWaiting) {
-				waiting.push({kind, tookMs});
+				return;
 			}
+
+			const wholeMs = Math.ceil(tookMs);
+			const key = `${kind}#${wholeMs}`;
+			const entry = waiting.get(key) ?? {kind, tookMs: wholeMs, amount: 0};
+			entry.amount++;
+			waiting.set(key, entry);
 		},
 		addGauge(name, help, read) {
 			gauges.push({name, help, read});
--- a/test/metrics-page.test.ts
+++ b/test/metrics-page.test.ts
@@ -39,3 +39,17 @@
 	expect(second).toContain('reason="no-room"} 3');
 	expect(second).toContain('chervilworks_partitions_owned 0');
 });
+
+/** Guards against durations that were dropped, or counted in another bucket, before the page was first read. */
+it('keeps each duration in its bucket until it is first read', async () => {
+	page = createMetricsPage();
+	const address = await listen(page.server, '127.0.0.1:0');
+	for (let index = 0; index < 8000; index++) {
+		page.observe('POST 200', [0.4, 2.2, 10, 10.1][index % 4]!);
+	}
+
+	const text = await scrape(address);
+	for (const [bound, count] of [['0.001', 2000], ['0.003', 4000], ['0.01', 6000], ['0.03', 8000]] as const) {
+		expect(text).toContain(`chervilworks_duration_seconds_bucket{le="${bound}",kind="POST 200"} ${count}`);
+	}
+});
