--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -273,6 +273,18 @@
 /** Whether no run of the job is out. */
 export const isIdle = (workflow: LiveWorkflow): boolean => getRuns(workflow).next().done === true;
 
+const whole = 100;
+
+/** How long the run takes to its end, by its progress so far. */
+const getRemainingMs = ({percent, sentAtMs, progressAtMs}: LiveRun, nowMs: number): number =>
+	percent > 0 ? ((progressAtMs - sentAtMs) * (whole - percent) / percent) - (nowMs - progressAtMs) : Number.POSITIVE_INFINITY;
+
+/** Whether nothing of the job runs, or one run that ends within the time given. */
+export const isIdleWithin = (workflow: LiveWorkflow, withinMs: number, nowMs: number): boolean => {
+	const [first, second] = getRuns(workflow);
+	return first === undefined || (second === undefined && first.phase === RunPhase.Running && getRemainingMs(first, nowMs) < withinMs);
+};
+
 const createTask = (step: LiveStep, index: number, nowMs: number): LiveTask => {
 	const ref: TaskRef = {
 		workflowId: step.workflow.spec.id, occurrence: step.occurrence, step: step.index, index,
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -5,7 +5,7 @@
 import {type FillHarm} from './fill-harm.ts';
 import {getAskedShare} from './harm-pacing.ts';
 import {
-	isIdle, type LiveStep, type LiveTask, type LiveWorkflow,
+	isIdleWithin, type LiveStep, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
 import {createCandidate, getSpareMilliCpu, type Candidate} from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
@@ -26,6 +26,8 @@
 	waiting: Iterable<LiveTask>;
 	workers: Iterable<FleetWorker>;
 	nowMs: number;
+	/** In how long the next round may come at the latest: what ends before leaves its job idle until then. */
+	nextRoundMs: number;
 	harm: FillHarm;
 	/** In which order tasks are served, given the processors that nothing else uses, in thousandths of a core. */
 	createRank: (spareMilliCpu: number) => RankTask;
@@ -44,7 +46,7 @@
 };
 
 /** Decides starts, most urgent first. */
-export const place = ({waiting, workers, nowMs, harm, createRank, isAllowed, policy}: PlacementInput): Round => {
+export const place = ({waiting, workers, nowMs, nextRoundMs, harm, createRank, isAllowed, policy}: PlacementInput): Round => {
 	const tasks = [...waiting];
 	const waits = new Map<WaitReason, number>();
 	if (tasks.length === 0) {
@@ -66,7 +68,7 @@
 			continue;
 		}
 
-		const isIdleStart = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(step, waitingTasks, nowMs);
+		const isIdleStart = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(step, waitingTasks, {nowMs, nextRoundMs});
 		for (const [index, task] of waitingTasks.entries()) {
 			// A job that starves starts one task where it disturbs.
 			const places = findPlaces(step, isIdleStart && !started.has(step.workflow));
@@ -137,8 +139,8 @@
 	return askedMilliCpu > freeMilliCpu;
 };
 
-const isStarving = ({spec, workflow}: LiveStep, waitingTasks: LiveTask[], nowMs: number): boolean =>
-	spec.isFilling && waitingTasks.some(({waitsSinceMs}) => nowMs - waitsSinceMs > maxWaitMs) && isIdle(workflow);
+const isStarving = ({spec, workflow}: LiveStep, waitingTasks: LiveTask[], {nowMs, nextRoundMs}: Pick<PlacementInput, 'nowMs' | 'nextRoundMs'>): boolean =>
+	spec.isFilling && waitingTasks.some(({waitsSinceMs}) => nowMs - waitsSinceMs > maxWaitMs) && isIdleWithin(workflow, nextRoundMs, nowMs);
 
 /**
 Creates the question whether a task would find a place on a worker that it does not avoid. The workers are looked at once,
--- a/src/workflows/rounds.ts
+++ b/src/workflows/rounds.ts
@@ -41,6 +41,8 @@
 const roundDelayMs = 4;
 /** Caps scheduling at a quarter of the thread so that replies are still handled. */
 const roundRestFactor = 3;
+/** A longer gap than this, as after a freeze, says nothing of the next one. */
+const maxGapMs = 1000;
 /** What is left of jobs changes by the second; rounds come many times a second. */
 const remainderEveryMs = 100;
 /** What waits is told this often at most. */
@@ -51,6 +53,8 @@
 	readonly #options: RoundsOptions;
 	readonly #dutyCycle: DutyCycle;
 	#isDue = false;
+	#lastAtMs = Number.POSITIVE_INFINITY;
+	#gapMs = 0;
 	#remainders = new Map<LiveStep[], Remainder>();
 	#remaindersAtMs = Number.NEGATIVE_INFINITY;
 	#notedAtMs = Number.NEGATIVE_INFINITY;
@@ -85,6 +89,8 @@
 	#run(): void {
 		const {clock, quarantine, getWaiting, getWorkers, onStarts} = this.#options;
 		const nowMs = clock.monotonicMs();
+		this.#gapMs = Math.max(0, Math.min(maxGapMs, nowMs - this.#lastAtMs));
+		this.#lastAtMs = nowMs;
 		const apart = quarantine.arrange({
 			nowMs, waiting: [...getWaiting(nowMs)], open: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, nowMs).starts,
 		});
@@ -102,6 +108,7 @@
 			waiting,
 			workers,
 			nowMs,
+			nextRoundMs: this.#gapMs,
 			harm,
 			isAllowed,
 			policy,
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -230,6 +230,17 @@
 		expect(placeAll(model, [worker], {harm: teach(4), nowMs: 2000})).toHaveLength(1);
 	});
 
+	/** Guards against a job that stands idle between the end of its only run and the start of the next. */
+	it('starts the next task of a job that waits while its only run ends', () => {
+		const {model, worker} = createWorld();
+		run(model.getTask({
+			workflowId: 'f', occurrence: 0, step: 0, index: 0,
+		})!, worker, {percent: 75, sentAtMs: 500, progressAtMs: 2000});
+		const harm = teach(4);
+		expect(placeAll(model, [worker], {harm, nowMs: 2100, nextRoundMs: 300})).toHaveLength(0);
+		expect(placeAll(model, [worker], {harm, nowMs: 2300, nextRoundMs: 300})).toHaveLength(1);
+	});
+
 	it('sets what harms nobody beside serving tasks, as far as they leave processors', () => {
 		const {model, worker} = createWorld();
 		expect(placeAll(model, [worker], {harm: teach(0)})).toHaveLength(2);
