--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -53,12 +53,16 @@
 const rememberedResults = 5;
 const lateMs = 3000;
 const silenceMs = 900;
+/** Readers wait so long for an answer, beyond the wait that they asked for. */
+const readSlackMs = 700;
 const defaultPartitions = 8;
 
 /** The store. */
 export class MemoryStore {
 	/** Longer answers do not arrive before the reader gives up: its link is slow. */
 	maxAnswerBytes = Number.POSITIVE_INFINITY;
+	/** What the readers' links carry; an answer that takes longer than a reader waits never arrives. */
+	bytesPerMs = Number.POSITIVE_INFINITY;
 	/** Number of calls by kind, for measurements. */
 	readonly calls = {append: 0, read: 0, join: 0};
 	readonly #clock: Clock;
@@ -276,6 +280,12 @@
 			throw createError(ErrorCode.StoreUnanswered, {step: 'read at stand-in', detail: 'too slow'});
 		}
 
+		const transferMs = sumBytes(values) / this.bytesPerMs;
+		await this.#clock.sleep(Math.min(transferMs, readSlackMs));
+		if (transferMs > readSlackMs) {
+			throw createError(ErrorCode.StoreUnanswered, {step: 'read at stand-in', detail: 'too slow'});
+		}
+
 		return {
 			records: values.map((value, index) => ({offset: fromOffset + index, value})),
 			oldestOffset: partition.oldest,
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -29,7 +29,9 @@
 A read that gets no answer is tried again with half as much: on a slow link a megabyte takes longer than a reader waits, and
 asking for it again and again would never end.
 */
-const firstReadBytes = 131_072;
+const firstReadBytes = 32_768;
+/** A read that took longer is not followed by a larger one, which might take longer than a reader waits. */
+const growWithinMs = 150;
 const minReadBytes = 16_384;
 const maxReadBytes = 1_048_576;
 
@@ -57,9 +59,11 @@
 		const {clock, onStoreState} = this.#options;
 		while (!signal.aborted) {
 			try {
-				await this.#read(this.isCaughtUp ? readWaitMs : 0, signal);
+				const isAtEnd = await this.#read(this.isCaughtUp ? readWaitMs : 0, signal);
 				onStoreState(true, '');
-				await clock.sleep(this.fold.listener ? ownerGatherMs : readerGatherMs, signal);
+				if (isAtEnd) {
+					await clock.sleep(this.fold.listener ? ownerGatherMs : readerGatherMs, signal);
+				}
 			} catch (error) {
 				if (signal.aborted) {
 					return;
@@ -105,7 +109,8 @@
 		}
 	}
 
-	async #read(waitMs: number, signal: AbortSignal): Promise<void> {
+	/** Reads once; resolves to whether the end of the partition was seen. */
+	async #read(waitMs: number, signal: AbortSignal): Promise<boolean> {
 		const {store, ref, clock} = this.#options;
 		const sentAtMs = clock.monotonicMs();
 		let page;
@@ -120,7 +125,7 @@
 			const oldestOffset = getOldestOffset(error);
 			if (oldestOffset !== undefined) {
 				this.fold.offset = oldestOffset;
-				return;
+				return false;
 			}
 
 			throw error;
@@ -130,9 +135,14 @@
 		if (this.fold.offset >= page.endOffset) {
 			this.provenAtMs = Math.max(this.provenAtMs, sentAtMs);
 			this.#mayReadMore = true;
-		} else if (this.#mayReadMore) {
+			return true;
+		}
+
+		if (this.#mayReadMore && clock.monotonicMs() - sentAtMs <= growWithinMs) {
 			this.#readBytes = Math.min(maxReadBytes, this.#readBytes * 2);
 		}
+
+		return false;
 	}
 
 	/** Two reads may be on their way at once: records that are folded already are passed over. */
--- /dev/null
+++ b/test/follower.test.ts
@@ -0,0 +1,47 @@
+/**
+The reader of the jobs stream, on links and hosts of different speed.
+*/
+import {expect, it} from 'vitest';
+import {MemoryStore} from '../src/standin/memory-store.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {WorkflowFollower} from '../src/workflows/follower.ts';
+import {encodeRecord, RecordType} from '../src/workflows/records.ts';
+import {createWorkflow} from './site-fleet.ts';
+import {createSpec, createStep} from './site-world.ts';
+
+const ref = {topic: 'jobs', partition: 0};
+const jobs = 120;
+const inputBytes = 6000;
+const streamBytes = jobs * inputBytes;
+
+/** Guards against reads of a stream that time out on a slow link and are asked for again while callers wait. */
+it.each([100, 150, 250, 1000, 10_000])('reads a stream without a time-out over a link of %i bytes a ms', async bytesPerMs => {
+	const clock = new ManualClock();
+	const store = new MemoryStore(clock, 1);
+	for (let index = 0; index < jobs; index++) {
+		const id = index.toString(16).padStart(16, '0');
+		const record = encodeRecord({type: RecordType.Submit, workflow: createWorkflow(id, createSpec([createStep()], {input: 'x'.repeat(inputBytes)}))});
+		void store.createClient('callers').append(ref, [record], {timeoutMs: 1000});
+	}
+
+	await clock.advance(100);
+	store.bytesPerMs = bytesPerMs;
+	const states: boolean[] = [];
+	const aborter = new AbortController();
+	const follower = new WorkflowFollower({
+		store: store.createClient('entry'), clock, ref, onInvalid: () => undefined, onStoreState(isReached) {
+			states.push(isReached);
+		},
+	});
+	void follower.run(aborter.signal);
+	const startMs = clock.monotonicMs();
+	while (!follower.isCaughtUp && clock.monotonicMs() - startMs < 60_000) {
+		await clock.advance(10);
+	}
+
+	const tookMs = clock.monotonicMs() - startMs;
+	aborter.abort();
+	expect(states).not.toContain(false);
+	// Between two reads lie a gathering pause and the answer's way.
+	expect(tookMs).toBeLessThan(1000 + (1.5 * streamBytes / bytesPerMs));
+});
