--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -27,6 +27,8 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
+/** Share of the newest start in the mean of what starts take. */
+const leadWeight = 0.1;
 /** Longer than a worker takes to stop a run; without an end in the list it is ordered again. */
 const stopRetryMs = 700;
 /** Longer than the time between two listings of a worker. */
@@ -44,11 +46,17 @@
 /** The sender. */
 export class OrderSender {
 	readonly #options: OrderSenderOptions;
+	#leadMs = 0;
 
 	constructor(options: OrderSenderOptions) {
 		this.#options = options;
 	}
 
+	/** How long starts took of late from the decision to the agent's answer. */
+	get leadMs(): number {
+		return this.#leadMs;
+	}
+
 	/** Orders starts that were decided. */
 	start(starts: Start[]): void {
 		const {tracker, links, clock, getStartGoodMs} = this.#options;
@@ -142,6 +150,7 @@
 		}
 
 		if (isDone) {
+			this.#leadMs += leadWeight * (nowMs - run.sentAtMs - this.#leadMs);
 			tracker.confirm(run, version, nowMs);
 			return;
 		}
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -140,6 +140,7 @@
 			getWaiting: nowMs => this.#startable(nowMs),
 			getWorkers: nowMs => this.#getOpenWorkers(nowMs),
 			getRuns: () => [...this.links.workers.values()].flatMap(worker => [...worker.runs]),
+			getLeadMs: () => this.#sender.leadMs,
 			onStarts: starts => {
 				this.#sender.start(starts);
 			},
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -26,8 +26,8 @@
 	waiting: Iterable<LiveTask>;
 	workers: Iterable<FleetWorker>;
 	nowMs: number;
-	/** In how long the next round may come at the latest: what ends before leaves its job idle until then. */
-	nextRoundMs: number;
+	/** In how long starts of the next round may begin: what ends before leaves its job idle until then. */
+	nextStartMs: number;
 	harm: FillHarm;
 	/** In which order tasks are served, given the processors that nothing else uses, in thousandths of a core. */
 	createRank: (spareMilliCpu: number) => RankTask;
@@ -46,7 +46,7 @@
 };
 
 /** Decides starts, most urgent first. */
-export const place = ({waiting, workers, nowMs, nextRoundMs, harm, createRank, isAllowed, policy}: PlacementInput): Round => {
+export const place = ({waiting, workers, nowMs, nextStartMs, harm, createRank, isAllowed, policy}: PlacementInput): Round => {
 	const tasks = [...waiting];
 	const waits = new Map<WaitReason, number>();
 	if (tasks.length === 0) {
@@ -68,7 +68,7 @@
 			continue;
 		}
 
-		const isIdleStart = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(step, waitingTasks, {nowMs, nextRoundMs});
+		const isIdleStart = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(step, waitingTasks, {nowMs, nextStartMs});
 		for (const [index, task] of waitingTasks.entries()) {
 			// A job that starves starts one task where it disturbs.
 			const places = findPlaces(step, isIdleStart && !started.has(step.workflow));
@@ -139,8 +139,8 @@
 	return askedMilliCpu > freeMilliCpu;
 };
 
-const isStarving = ({spec, workflow}: LiveStep, waitingTasks: LiveTask[], {nowMs, nextRoundMs}: Pick<PlacementInput, 'nowMs' | 'nextRoundMs'>): boolean =>
-	spec.isFilling && waitingTasks.some(({waitsSinceMs}) => nowMs - waitsSinceMs > maxWaitMs) && isIdleWithin(workflow, nextRoundMs, nowMs);
+const isStarving = ({spec, workflow}: LiveStep, waitingTasks: LiveTask[], {nowMs, nextStartMs}: Pick<PlacementInput, 'nowMs' | 'nextStartMs'>): boolean =>
+	spec.isFilling && waitingTasks.some(({waitsSinceMs}) => nowMs - waitsSinceMs > maxWaitMs) && isIdleWithin(workflow, nextStartMs, nowMs);
 
 /**
 Creates the question whether a task would find a place on a worker that it does not avoid. The workers are looked at once,
--- a/src/workflows/rounds.ts
+++ b/src/workflows/rounds.ts
@@ -33,6 +33,8 @@
 	getWorkers: (nowMs: number) => FleetWorker[];
 	/** Runs that are out on any worker. */
 	getRuns: () => LiveRun[];
+	/** How long a start takes to be delivered. */
+	getLeadMs: () => number;
 	onStarts: (starts: Start[]) => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
@@ -103,12 +105,14 @@
 	}
 
 	#place(waiting: LiveTask[], workers: FleetWorker[], nowMs: number): Round {
-		const {clock, harm, times, policy, isAllowed} = this.#options;
+		const {
+			clock, harm, times, policy, isAllowed, getLeadMs,
+		} = this.#options;
 		return place({
 			waiting,
 			workers,
 			nowMs,
-			nextRoundMs: this.#gapMs,
+			nextStartMs: this.#gapMs + getLeadMs(),
 			harm,
 			isAllowed,
 			policy,
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -60,11 +60,11 @@
 	return {model, fold};
 };
 
-export const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, nextRoundMs = 50, harm = new FillHarm(), times = new RunTimes(), policy = createPolicy()} = {}): Start[] => place({
+export const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, nextStartMs = 50, harm = new FillHarm(), times = new RunTimes(), policy = createPolicy()} = {}): Start[] => place({
 	waiting: model.waiting(0, () => false),
 	workers,
 	nowMs,
-	nextRoundMs,
+	nextStartMs,
 	harm,
 	isAllowed: () => true,
 	policy,
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -237,8 +237,8 @@
 			workflowId: 'f', occurrence: 0, step: 0, index: 0,
 		})!, worker, {percent: 75, sentAtMs: 500, progressAtMs: 2000});
 		const harm = teach(4);
-		expect(placeAll(model, [worker], {harm, nowMs: 2100, nextRoundMs: 300})).toHaveLength(0);
-		expect(placeAll(model, [worker], {harm, nowMs: 2300, nextRoundMs: 300})).toHaveLength(1);
+		expect(placeAll(model, [worker], {harm, nowMs: 2100, nextStartMs: 300})).toHaveLength(0);
+		expect(placeAll(model, [worker], {harm, nowMs: 2300, nextStartMs: 300})).toHaveLength(1);
 	});
 
 	it('sets what harms nobody beside serving tasks, as far as they leave processors', () => {
