--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -29,7 +29,7 @@
 import {Mechanism} from './policy.ts';
 import {isKeptApart, Quarantine} from './quarantine.ts';
 import {chooseMoves, wantsCopy} from './relocation.ts';
-import {Rounds} from './rounds.ts';
+import {SchedulingCycles} from './scheduling-cycles.ts';
 import {RunTimes} from './run-times.ts';
 import {RunTracker} from './run-tracker.ts';
 import {Settling} from './settling.ts';
@@ -39,7 +39,7 @@
 
 /** Things that depend on time alone are looked at this often. */
 const tickMs = 50;
-/** Caps the search for runs to move at a twentieth of the thread: each takes about as long as a round. */
+/** Caps the search for runs to move at a twentieth of the thread: each takes about as long as a cycle. */
 const relocationRestFactor = 19;
 /** A worker that fails what others do well is tried again after this, then after twice as long. */
 const heldDownMs = 1000;
@@ -58,7 +58,7 @@
 	readonly #paces: PaceKeeper;
 	readonly #advice: AdviceCache;
 	readonly #isAllowed: IsAllowed;
-	readonly #rounds: Rounds;
+	readonly #cycles: SchedulingCycles;
 	readonly #harm = new FillHarm();
 	readonly #times: RunTimes;
 	readonly #aborter = createAborter();
@@ -101,16 +101,16 @@
 				this.#depose(`an agent knows epoch ${newerEpoch}`);
 			},
 		});
-		const wantRound = () => {
-			this.#rounds.want();
+		const requestCycle = () => {
+			this.#cycles.requestCycle();
 		};
 
-		this.#settling = new Settling({...options, links: this.links, onSettled: wantRound});
-		this.#runs = this.#createRunTracker(wantRound);
+		this.#settling = new Settling({...options, links: this.links, onSettled: requestCycle});
+		this.#runs = this.#createRunTracker(requestCycle);
 		const shared = {
 			clock, note, model, links: this.links, tracker: this.#runs,
 		};
-		this.#advice = new AdviceCache({...options, client: options.adviceClient, onAdvice: wantRound});
+		this.#advice = new AdviceCache({...options, client: options.adviceClient, onAdvice: requestCycle});
 		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
 		this.#quarantine = new Quarantine({workers: this.links.workers, note});
 		this.#crashes = new CrashWatch({
@@ -126,7 +126,7 @@
 				this.#giveUp(task);
 			},
 		});
-		this.#rounds = new Rounds({
+		this.#cycles = new SchedulingCycles({
 			clock,
 			note,
 			policy,
@@ -259,7 +259,7 @@
 				const nowMs = clock.monotonicMs();
 				// It came after the last read that showed the end of the stream.
 				this.#due.schedule(this.model.add(folded, clock.now().getTime(), nowMs, nowMs - follower.provenAtMs));
-				this.#rounds.want();
+				this.#cycles.requestCycle();
 			},
 			onFinal: folded => {
 				this.#finish(folded);
@@ -301,7 +301,7 @@
 			this.#relocate();
 		});
 		this.#health.release(clock.monotonicMs());
-		this.#rounds.want();
+		this.#cycles.requestCycle();
 	}
 
 	/** Jobs that were taken after the claim cannot have been started by anyone else. */
@@ -345,7 +345,7 @@
 		this.#runs.take(worker, reply, nowMs);
 		this.#paces.take(worker);
 		if (worker.runs.size !== runsBefore || !worker.isListed) {
-			this.#rounds.want();
+			this.#cycles.requestCycle();
 		}
 	}
 
@@ -366,7 +366,7 @@
 			this.#options.note('job over', describeEnd(workflow, this.#times, this.#options.clock.monotonicMs()));
 			workflow.isOver = true;
 			this.#sender.stopUnneeded();
-			this.#rounds.want();
+			this.#cycles.requestCycle();
 		}
 	}
 }
--- a/src/workflows/placement-candidates.ts
+++ b/src/workflows/placement-candidates.ts
@@ -1,5 +1,5 @@
 /**
-Workers as a round of placement sees them: what is free and what runs there, with what the round has decided so far.
+Workers as a scheduling cycle sees them: what is free and what runs there, with what the cycle has decided so far.
 */
 import {type Capacity} from '../types/fleet.ts';
 import {type WorkflowStep} from '../types/workflows.ts';
@@ -10,7 +10,7 @@
 import {type FillDemand, type ServingTask} from './harm-pacing.ts';
 import {type LiveStep, type LiveTask} from './live-model.ts';
 
-/** One worker in a round. */
+/** One worker in a cycle. */
 export type Candidate = {
 	worker: FleetWorker;
 	free: Capacity;
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -26,7 +26,7 @@
 	waiting: Iterable<LiveTask>;
 	workers: Iterable<FleetWorker>;
 	nowMs: number;
-	/** In how long starts of the next round may begin: what ends before leaves its job idle until then. */
+	/** In how long starts of the next cycle may begin: what ends before leaves its job idle until then. */
 	nextStartMs: number;
 	harm: FillHarm;
 	/** In which order tasks are served, given the processors that nothing else uses, in thousandths of a core. */
@@ -36,8 +36,8 @@
 	policy: Policy;
 };
 
-/** What was decided in a round. */
-export type Round = {
+/** What was decided in a cycle. */
+export type PlacementResult = {
 	starts: Start[];
 	/** Tasks that wait on, by reason. */
 	waits: Map<WaitReason, number>;
@@ -46,7 +46,7 @@
 };
 
 /** Decides starts, most urgent first. */
-export const place = ({waiting, workers, nowMs, nextStartMs, harm, createRank, isAllowed, policy}: PlacementInput): Round => {
+export const place = ({waiting, workers, nowMs, nextStartMs, harm, createRank, isAllowed, policy}: PlacementInput): PlacementResult => {
 	const tasks = [...waiting];
 	const waits = new Map<WaitReason, number>();
 	if (tasks.length === 0) {
@@ -144,7 +144,7 @@
 
 /**
 Creates the question whether a task would find a place on a worker that it does not avoid. The workers are looked at once,
-for all tasks that are asked about: each look takes about as long as a round of placement.
+for all tasks that are asked about: each look takes about as long as a scheduling cycle.
 */
 export const createPlaceFinder = (workers: Iterable<FleetWorker>, {harm, isAllowed, policy}: Pick<PlacementInput, 'harm' | 'isAllowed' | 'policy'>): ((task: LiveTask) => boolean) => {
 	// Whether there is a place does not depend on which one would be best.
--- a/src/workflows/quarantine.ts
+++ b/src/workflows/quarantine.ts
@@ -18,8 +18,8 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** What a round decides with. */
-export type QuarantineRound = {
+/** What a cycle decides with. */
+export type QuarantineCycle = {
 	waiting: LiveTask[];
 	/** Workers that may be given something. */
 	open: FleetWorker[];
@@ -69,29 +69,29 @@
 	}
 
 	/** Starts suspects, and gives what is left for ordinary placement. */
-	arrange(round: QuarantineRound): QuarantineResult {
-		for (const task of round.waiting) {
+	arrange(cycle: QuarantineCycle): QuarantineResult {
+		for (const task of cycle.waiting) {
 			if (isKeptApart(task)) {
 				this.#suspects.add(getUnit(task)[0]!);
 			}
 		}
 
 		if (this.#suspects.size === 0) {
-			return {starts: [], waiting: round.waiting, open: round.open};
+			return {starts: [], waiting: cycle.waiting, open: cycle.open};
 		}
 
-		this.#release(round);
+		this.#release(cycle);
 		this.#close();
-		const starts = this.#start(round);
+		const starts = this.#start(cycle);
 		return {
 			starts,
-			waiting: round.waiting.filter(task => !isKeptApart(task)),
-			open: round.open.filter(worker => !this.isClosed(worker)),
+			waiting: cycle.waiting.filter(task => !isKeptApart(task)),
+			open: cycle.open.filter(worker => !this.isClosed(worker)),
 		};
 	}
 
 	/** Lets go of suspects that are over, or of which a run has lived. */
-	#release({waiting, open, nowMs}: QuarantineRound): void {
+	#release({waiting, open, nowMs}: QuarantineCycle): void {
 		const waitingTasks = new Set(waiting);
 		for (const suspect of this.#suspects) {
 			if (suspect.runs.length > 0 && suspect.runs.every(run => this.#hasLived(run, nowMs))) {
@@ -144,10 +144,10 @@
 		return this.#closed.size === 0 ? Math.max(1, free) : free;
 	}
 
-	#start(round: QuarantineRound): Start[] {
-		const {open, nowMs, place} = round;
+	#start(cycle: QuarantineCycle): Start[] {
+		const {open, nowMs, place} = cycle;
 		const starts: Start[] = [];
-		for (const suspect of this.#getNext(round)) {
+		for (const suspect of this.#getNext(cycle)) {
 			const free = this.#countFree();
 			if (free <= 0) {
 				break;
@@ -170,7 +170,7 @@
 	}
 
 	/** Suspects that wait, those first that are most likely innocent: few crashes, and their like have succeeded. */
-	#getNext({waiting}: QuarantineRound): LiveTask[] {
+	#getNext({waiting}: QuarantineCycle): LiveTask[] {
 		const waitingTasks = new Set(waiting);
 		return [...this.#suspects]
 			.filter(suspect => waitingTasks.has(suspect) && !this.#reserved.has(suspect))
@@ -197,7 +197,7 @@
 	}
 
 	/** Workers among the candidates on which the unit would be placed now. */
-	#choose(suspect: LiveTask, candidates: FleetWorker[], {most, place}: {most: number; place: QuarantineRound['place']}): FleetWorker[] {
+	#choose(suspect: LiveTask, candidates: FleetWorker[], {most, place}: {most: number; place: QuarantineCycle['place']}): FleetWorker[] {
 		const unit = getUnit(suspect);
 		if (unit.length === 1) {
 			const chosen = candidates.slice(0, maxTries).find(worker => place(unit, [worker]).length > 0) ?? place(unit, candidates)[0]?.worker;
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -29,7 +29,7 @@
 	onProgress: (run: LiveRun) => void;
 	/** A task has failed as often as it may. */
 	onExhausted: (task: LiveTask) => void;
-	/** Room came free or tasks wait: a round of placement is due. */
+	/** Room came free or tasks wait: a scheduling cycle is due. */
 	onChange: () => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
--- a/src/workflows/rounds.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -1,5 +1,5 @@
 /**
-Rounds of placement: gathers what has changed, decides starts in order, and tells what keeps the others waiting.
+Scheduling cycles: gather what has changed, decide starts in order, and tell what keeps the others waiting.
 */
 import {type Clock} from '../types/clock.ts';
 import {DutyCycle} from '../utils/duty-cycle.ts';
@@ -9,15 +9,15 @@
 import {
 	type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
-import {place, type Round, type Start} from './placement.ts';
+import {place, type PlacementResult, type Start} from './placement.ts';
 import {type Policy} from './policy.ts';
 import {type Quarantine} from './quarantine.ts';
 import {type RunTimes} from './run-times.ts';
 import {type IsAllowed, type WaitReason} from './step-places.ts';
 import {createRank, getRemainder, type Remainder} from './task-order.ts';
 
-/** What rounds are decided with. */
-export type RoundsOptions = {
+/** What cycles are decided with. */
+export type SchedulingCyclesOptions = {
 	clock: Clock;
 	signal: AbortSignal;
 	model: LiveModel;
@@ -39,20 +39,20 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** Changes gather for so long before a round. */
-const roundDelayMs = 4;
+/** Changes gather for so long before a cycle. */
+const cycleDelayMs = 4;
 /** Caps scheduling at a quarter of the thread so that replies are still handled. */
-const roundRestFactor = 3;
+const cycleRestFactor = 3;
 /** A longer gap than this, as after a freeze, says nothing of the next one. */
 const maxGapMs = 1000;
-/** What is left of jobs changes by the second; rounds come many times a second. */
+/** What is left of jobs changes by the second; cycles come many times a second. */
 const remainderEveryMs = 100;
 /** What waits is told this often at most. */
 const noteEveryMs = 1000;
 
-/** The rounds of one owner. */
-export class Rounds {
-	readonly #options: RoundsOptions;
+/** The cycles of one owner. */
+export class SchedulingCycles {
+	readonly #options: SchedulingCyclesOptions;
 	readonly #dutyCycle: DutyCycle;
 	#isDue = false;
 	#lastAtMs = Number.POSITIVE_INFINITY;
@@ -61,13 +61,13 @@
 	#remaindersAtMs = Number.NEGATIVE_INFINITY;
 	#notedAtMs = Number.NEGATIVE_INFINITY;
 
-	constructor(options: RoundsOptions) {
+	constructor(options: SchedulingCyclesOptions) {
 		this.#options = options;
-		this.#dutyCycle = new DutyCycle(options.clock, roundRestFactor);
+		this.#dutyCycle = new DutyCycle(options.clock, cycleRestFactor);
 	}
 
-	/** Requests a round; requests before it runs coalesce. */
-	want(): void {
+	/** Requests a cycle; requests before it runs coalesce. */
+	requestCycle(): void {
 		if (this.#isDue) {
 			return;
 		}
@@ -81,11 +81,11 @@
 			}
 
 			this.#dutyCycle.run(() => {
-				meter.measure('round', () => {
+				meter.measure('cycle', () => {
 					this.#run();
 				});
 			});
-		}, Math.max(roundDelayMs, this.#dutyCycle.restMs));
+		}, Math.max(cycleDelayMs, this.#dutyCycle.restMs));
 	}
 
 	#run(): void {
@@ -104,7 +104,7 @@
 		}
 	}
 
-	#place(waiting: LiveTask[], workers: FleetWorker[], nowMs: number): Round {
+	#place(waiting: LiveTask[], workers: FleetWorker[], nowMs: number): PlacementResult {
 		const {
 			clock, harm, times, policy, isAllowed, getLeadMs,
 		} = this.#options;
--- a/src/workflows/step-places.ts
+++ b/src/workflows/step-places.ts
@@ -1,7 +1,7 @@
 /**
-Where the tasks of one step may run in a round, and which place is best. What each worker costs is worked out once, and
+Where the tasks of one step may run in a cycle, and which place is best. What each worker costs is worked out once, and
 again only for a worker that was given something: on a service of hundreds of workers, with hundreds of tasks waiting, a
-round that weighs each pair anew takes longer than the tasks.
+cycle that weighs each pair anew takes longer than the tasks.
 */
 import {type WorkflowStep} from '../types/workflows.ts';
 import {isFitting, isSuited} from './fleet-view.ts';
--- a/src/workflows/trials.ts
+++ b/src/workflows/trials.ts
@@ -12,7 +12,7 @@
 
 type Pair = {isKnown: boolean; trials: number};
 
-/** Trials in a round of placement. */
+/** Trials in a scheduling cycle. */
 export class Trials {
 	readonly #harm: FillHarm;
 	/** By image that fills and image that serves. */
@@ -35,7 +35,7 @@
 		});
 	}
 
-	/** Notes that the image fills there; a task more on the same worker counts as one more trial within the round. */
+	/** Notes that the image fills there; a task more on the same worker counts as one more trial within the cycle. */
 	note({servers}: Candidate, image: string): void {
 		for (const serverImage of new Set(servers.map(server => server.image))) {
 			this.#get(image, serverImage).trials++;
--- a/test/perf/measure-rounds.ts
+++ b/test/perf/measure-cycles.ts
@@ -1,6 +1,6 @@
 /**
-Measures what a round of placement costs on services of several sizes, with many images that serve and many that fill, and
-beside a long backlog that finds no room: `npx tsx test/perf/measure-rounds.ts`.
+Measures what a scheduling cycle costs on services of several sizes, with many images that serve and many that fill, and
+beside a long backlog that finds no room: `npx tsx test/perf/measure-cycles.ts`.
 */
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
@@ -72,8 +72,8 @@
 		starts = placeAll(model, workers, {harm}).length;
 		return performance.now() - startMs;
 	});
-	const roundMs = getMedian(times);
-	return {labels: {workers: String(size), waitingJobs: String(load.waitingJobs)}, figures: {roundMs, starts, usForStart: 1000 * roundMs / Math.max(1, starts)}};
+	const cycleMs = getMedian(times);
+	return {labels: {workers: String(size), waitingJobs: String(load.waitingJobs)}, figures: {cycleMs, starts, usForStart: 1000 * cycleMs / Math.max(1, starts)}};
 });
 
 process.stdout.write(`${formatTable(rows).join('\n')}\n`);
--- a/test/site-busy.test.ts
+++ b/test/site-busy.test.ts
@@ -37,7 +37,7 @@
 	/**
 	Callers got nearly nothing but lasting jobs on a day on which the same load had been served well before. Entries had 0.186 or
 	1.35 of a core and the work asked for 1.6, so that none gave way: the group had dealt the jobs to one of the small ones.
-	Its log: "settled" after 3.5 s, one round of placement of 931 ms, replies of agents handled at a third of their rate.
+	Its log: "settled" after 3.5 s, one scheduling cycle of 931 ms, replies of agents handled at a third of their rate.
 	*/
 	it('is scheduled by the entry that has most, whichever came first', async () => {
 		world = await createSite(2, 0);
--- a/test/site-places.test.ts
+++ b/test/site-places.test.ts
@@ -61,7 +61,7 @@
 
 describe('places of a step', () => {
 	/**
-	On a service of 160 workers a round took 60 ms while 400 tasks waited, since each of them weighed each worker anew; rounds
+	On a service of 160 workers a cycle took 60 ms while 400 tasks waited, since each of them weighed each worker anew; cycles
 	came a tenth as often as work changed, and tasks that could run stood waiting. What is kept from task to task must not
 	change what is decided.
 	*/
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -348,7 +348,7 @@
 
 describe('a host with a slow processor', () => {
 	/**
-	Entries of different sizes share the work; the group deals the jobs to any of them. On the smallest an owner's rounds
+	Entries of different sizes share the work; the group deals the jobs to any of them. On the smallest an owner's cycles
 	waited for the processor, and callers' jobs with them. It steps in only while no other entry is there.
 	*/
 	it('owns only while no other entry does', async () => {
