--- a/src/jobs/first-fit-engine.ts
+++ b/src/jobs/first-fit-engine.ts
@@ -18,6 +18,8 @@
 	readonly #waiting = new Map<string, PendingTask>();
 	readonly #placed = new Map<string, {workerId: string; resources: Resources}>();
 	readonly #reported = new Set<string>();
+	/** Worker that last refused a task: the next attempt goes elsewhere if it can. */
+	readonly #refusedBy = new Map<string, string>();
 
 	setWorker(spec: PlacementWorker): void {
 		const known = this.#workers.get(spec.workerId);
@@ -39,6 +41,7 @@
 
 	cancel(taskId: string): void {
 		this.#waiting.delete(taskId);
+		this.#refusedBy.delete(taskId);
 	}
 
 	noteRunning(task: PendingTask, workerId: string): void {
@@ -48,8 +51,9 @@
 		}
 	}
 
-	noteStartRefused(): void {
+	noteStartRefused(taskId: string, workerId: string): void {
 		// The room stays taken until the end of the attempt is noted.
+		this.#refusedBy.set(taskId, workerId);
 	}
 
 	noteEnded(taskId: string): void {
@@ -122,15 +126,20 @@
 		return starts;
 	}
 
-	#findRoom({spec, region}: PendingTask): Worker | undefined {
+	#findRoom({taskId, spec, region}: PendingTask): Worker | undefined {
+		let lastChoice: Worker | undefined;
 		for (const worker of this.#workers.values()) {
-			const {isOpen, capacity, foreign, region: workerRegion} = worker.spec;
+			const {workerId, isOpen, capacity, foreign, region: workerRegion} = worker.spec;
 			if (isOpen && (region === undefined || region === workerRegion) && hasRoom(add(foreign ? add(capacity, foreign, -1) : capacity, worker.used, -1), spec.resources)) {
-				return worker;
+				if (this.#refusedBy.get(taskId) !== workerId) {
+					return worker;
+				}
+
+				lastChoice = worker;
 			}
 		}
 
-		return undefined;
+		return lastChoice;
 	}
 
 	#take({taskId, spec: {resources}}: PendingTask, workerId: string): void {
--- a/src/jobs/shard-runner.ts
+++ b/src/jobs/shard-runner.ts
@@ -17,8 +17,17 @@
 } from './shard-task.ts';
 
 const log = createLogger(Part.Jobs);
+/** A worker that is restarted later than this after a start was not taken down by it. */
+const crashWithinMs = 5000;
+/** A task that took so many workers down in a row is a query of death, as long as they are not all one. */
+const maxCrashes = 3;
+/** The same on one worker, which may crash by itself. */
+const maxCrashesOnOne = 10;
 const countsAgainstWorker: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Lapsed, AttemptEnd.WorkerForgot, AttemptEnd.Failed]);
 
+const isGivenUp = ({crashedWorkers}: LiveTask): boolean =>
+	crashedWorkers.length >= (new Set(crashedWorkers).size > 1 ? maxCrashes : maxCrashesOnOne);
+
 /** Runs tasks of a shard under one token. */
 export class ShardRunner {
 	/** Where tasks wait. */
@@ -60,6 +69,7 @@
 		}
 
 		task.runsUntilMs = keeper.getRunsUntilMs();
+		task.incarnation = keeper.incarnation;
 		keeper.add(task);
 		try {
 			const reply = await keeper.start(this.#createOrder(task), task.startedAtMs);
@@ -333,8 +343,18 @@
 			this.#countLostWork(task);
 		}
 
+		if (this.#isCrash(task)) {
+			task.crashedWorkers = [...task.crashedWorkers, task.workerId!];
+			// The next start elsewhere tells the task's crashes from the worker's own.
+			this.#context.engine.noteStartRefused(task.taskId, task.workerId!);
+		} else {
+			task.crashedWorkers = [];
+		}
+
 		if (task.isCancelled) {
 			this.ends.finish(task, {state: TaskState.Stopped});
+		} else if (isGivenUp(task)) {
+			this.ends.finish(task, {state: TaskState.Failed, reason: `${task.crashedWorkers.length} times a worker was restarted soon after its start`});
 		} else if (task.job.spec.isIdempotent) {
 			this.ends.forget(task);
 			this.#requeue(task, reason);
@@ -343,6 +363,15 @@
 		}
 	}
 
+	/** Whether the worker was restarted soon after the start, with nothing started there since: what was there before is innocent. */
+	#isCrash({workerId, incarnation, startedAtMs}: LiveTask): boolean {
+		const {clock, getKeeper} = this.#context;
+		const keeper = getKeeper(workerId!);
+		return keeper?.incarnation !== undefined && keeper.incarnation !== incarnation
+			&& clock.monotonicMs() - startedAtMs <= crashWithinMs
+			&& [...keeper.tasks].every(other => other.startedAtMs <= startedAtMs);
+	}
+
 	#giveBack(task: LiveTask, attempt: number, reason: AttemptEnd): void {
 		if (task.attempt !== attempt || task.phase !== TaskPhase.Starting) {
 			return;
--- a/src/jobs/shard-task.ts
+++ b/src/jobs/shard-task.ts
@@ -44,6 +44,10 @@
 	checkpointId?: string;
 	evictions: number;
 	failures: number;
+	/** Workers that were restarted soon after it was started there, once for each time, since a run of it has lived. */
+	crashedWorkers: string[];
+	/** Incarnation of the worker that its start was ordered from. */
+	incarnation?: number;
 	isCancelled: boolean;
 	/** What its worker holds for it, which may differ from what was declared. */
 	reserved?: Resources;
@@ -77,6 +81,7 @@
 	confirmedAtMs: nowMs,
 	evictions: 0,
 	failures: 0,
+	crashedWorkers: [],
 	isCancelled: false,
 	learnedAttempt: -1,
 });
