--- a/test/busy-thread.test.ts
+++ b/test/busy-thread.test.ts
@@ -5,9 +5,9 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {createStreamClient, type StreamClient} from '../src/utils/call-stream-client.ts';
-import {createHttpClient, type HttpClient} from '../src/utils/http-calls.ts';
-import {Turns} from '../src/utils/turns.ts';
+import {type StreamClient} from '../src/utils/call-stream-client.ts';
+import {type HttpClient} from '../src/utils/http-calls.ts';
+import {createCallClients} from './call-clients.ts';
 
 let client: StreamClient;
 let http: HttpClient;
@@ -52,13 +52,10 @@
 		const port = await new Promise<number>(resolve => {
 			worker.once('message', resolve);
 		});
-		const turns = new Turns();
-		http = createHttpClient(1, turns);
-		client = createStreamClient(http, turns);
-		cleanUp.push(() => {
-			client.close();
-			http.close();
-		});
+		const clients = createCallClients();
+		http = clients.http;
+		client = clients.streams;
+		cleanUp.push(clients.close);
 		return `127.0.0.1:${port}`;
 	};
 
--- a/test/call-stream.test.ts
+++ b/test/call-stream.test.ts
@@ -7,24 +7,18 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {ErrorCode, getErrorCode} from '../src/core/errors.ts';
-import {createStreamClient, type StreamClient} from '../src/utils/call-stream-client.ts';
-import {createHttpClient, type HttpClient} from '../src/utils/http-calls.ts';
+import {type StreamClient} from '../src/utils/call-stream-client.ts';
 import {close, createJsonServer, listen} from '../src/utils/http-server.ts';
 import {createSystemClock} from '../src/utils/system-clock.ts';
-import {Turns} from '../src/utils/turns.ts';
+import {createCallClients} from './call-clients.ts';
 
 let client: StreamClient;
-let http: HttpClient;
 const cleanUp: Array<() => unknown> = [];
 
 const createClients = (): void => {
-	const turns = new Turns();
-	http = createHttpClient(1, turns);
-	client = createStreamClient(http, turns);
-	cleanUp.push(() => {
-		client.close();
-		http.close();
-	});
+	const clients = createCallClients();
+	client = clients.streams;
+	cleanUp.push(clients.close);
 };
 
 const call = async (address: string, json: unknown, timeoutMs = 1000, signal?: AbortSignal) => client.call({
