--- a/src/workflows/fill-harm.ts
+++ b/src/workflows/fill-harm.ts
@@ -51,7 +51,7 @@
 	/** Images that were measured beside each other, with the last time. */
 	readonly #servers = new Map<string, number>();
 	readonly #fillers = new Map<string, number>();
-	/** Effects that were asked for since the last report, by server and filler: each round asks thousands of times. */
+	/** Effects that were asked for since the last report, by server and filler: each scheduling cycle asks thousands of times. */
 	readonly #knownEffects = new Map<string, Map<string, number>>();
 
 	/** Takes what serving tasks of a worker report while the others fill. */
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -275,9 +275,9 @@
 
 const whole = 100;
 
-/** How long the run takes to its end, by its progress so far. */
-const getRemainingMs = ({percent, sentAtMs, progressAtMs}: LiveRun, nowMs: number): number =>
-	percent > 0 ? ((progressAtMs - sentAtMs) * (whole - percent) / percent) - (nowMs - progressAtMs) : Number.POSITIVE_INFINITY;
+/** How long the run takes to its end, by what it has done since it was first seen: it may have been resumed or adopted. */
+const getRemainingMs = ({percent, basePercent, workedMs, progressAtMs}: LiveRun, nowMs: number): number =>
+	percent > basePercent ? (workedMs * (whole - percent) / (percent - basePercent)) - (nowMs - progressAtMs) : Number.POSITIVE_INFINITY;
 
 /** Whether nothing of the job runs, or one run that ends within the time given. */
 export const isIdleWithin = (workflow: LiveWorkflow, withinMs: number, nowMs: number): boolean => {
--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -235,12 +235,23 @@
 		const {model, worker} = createWorld();
 		run(model.getTask({
 			workflowId: 'f', occurrence: 0, step: 0, index: 0,
-		})!, worker, {percent: 75, sentAtMs: 500, progressAtMs: 2000});
+		})!, worker, {percent: 75, workedMs: 1500, progressAtMs: 2000});
 		const harm = teach(4);
 		expect(placeAll(model, [worker], {harm, nowMs: 2100, nextStartMs: 300})).toHaveLength(0);
 		expect(placeAll(model, [worker], {harm, nowMs: 2300, nextStartMs: 300})).toHaveLength(1);
 	});
 
+	/** Guards against a run that was resumed from a checkpoint, or adopted, and is taken to end soon for what was done before. */
+	it('tells how long a run still takes by what it has done since it was first seen', () => {
+		const {model, worker} = createWorld();
+		run(model.getTask({
+			workflowId: 'f', occurrence: 0, step: 0, index: 0,
+		})!, worker, {
+			percent: 75, basePercent: 70, workedMs: 200, progressAtMs: 2000,
+		});
+		expect(placeAll(model, [worker], {harm: teach(4), nowMs: 2100, nextStartMs: 300})).toHaveLength(0);
+	});
+
 	it('sets what harms nobody beside serving tasks, as far as they leave processors', () => {
 		const {model, worker} = createWorld();
 		expect(placeAll(model, [worker], {harm: teach(0)})).toHaveLength(2);
