--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -59,9 +59,9 @@
 		const {clock, onStoreState} = this.#options;
 		while (!signal.aborted) {
 			try {
-				const isAtEnd = await this.#read(this.isCaughtUp ? readWaitMs : 0, signal);
+				const hasMore = await this.#read(this.isCaughtUp ? readWaitMs : 0, signal);
 				onStoreState(true, '');
-				if (isAtEnd) {
+				if (!hasMore) {
 					await clock.sleep(this.fold.listener ? ownerGatherMs : readerGatherMs, signal);
 				}
 			} catch (error) {
@@ -109,7 +109,7 @@
 		}
 	}
 
-	/** Reads once; resolves to whether the end of the partition was seen. */
+	/** Reads once; resolves to whether it got on and there is more to read. */
 	async #read(waitMs: number, signal: AbortSignal): Promise<boolean> {
 		const {store, ref, clock} = this.#options;
 		const sentAtMs = clock.monotonicMs();
@@ -131,18 +131,19 @@
 			throw error;
 		}
 
+		const fromOffset = this.fold.offset;
 		this.#apply(page);
 		if (this.fold.offset >= page.endOffset) {
 			this.provenAtMs = Math.max(this.provenAtMs, sentAtMs);
 			this.#mayReadMore = true;
-			return true;
+			return false;
 		}
 
 		if (this.#mayReadMore && clock.monotonicMs() - sentAtMs <= growWithinMs) {
 			this.#readBytes = Math.min(maxReadBytes, this.#readBytes * 2);
 		}
 
-		return false;
+		return this.fold.offset > fromOffset;
 	}
 
 	/** Two reads may be on their way at once: records that are folded already are passed over. */
--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -3,6 +3,7 @@
 */
 import {expect, it} from 'vitest';
 import {MemoryStore} from '../src/standin/memory-store.ts';
+import {type StoreClient} from '../src/types/store.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {encodeRecord, RecordType} from '../src/workflows/records.ts';
@@ -45,3 +46,24 @@
 	// Between two reads lie a gathering pause and the answer's way.
 	expect(tookMs).toBeLessThan(1000 + (1.5 * streamBytes / bytesPerMs));
 });
+
+/** Guards against a reader that asks again and again without a pause where a read brings nothing, though the end is further on. */
+it('pauses after a read that got it no further', async () => {
+	const clock = new ManualClock();
+	let reads = 0;
+	const store: Pick<StoreClient, 'read'> = {
+		async read() {
+			reads++;
+			await clock.sleep(1);
+			return {records: [], oldestOffset: 0, endOffset: 5};
+		},
+	};
+	const aborter = new AbortController();
+	const follower = new WorkflowFollower({
+		store: store as StoreClient, clock, ref, onInvalid: () => undefined, onStoreState: () => undefined,
+	});
+	void follower.run(aborter.signal);
+	await clock.advance(1000);
+	aborter.abort();
+	expect(reads).toBeLessThan(50);
+});
