--- a/test/site-harm.test.ts
+++ b/test/site-harm.test.ts
@@ -247,7 +247,7 @@
 		run(model.getTask({
 			workflowId: 'f', occurrence: 0, step: 0, index: 0,
 		})!, worker, {
-			percent: 75, basePercent: 70, workedMs: 200, progressAtMs: 2000,
+			percent: 75, basePercent: 70, workedMs: 200, sentAtMs: 1800, progressAtMs: 2000,
 		});
 		expect(placeAll(model, [worker], {harm: teach(4), nowMs: 2100, nextStartMs: 300})).toHaveLength(0);
 	});
