--- a/src/measure/soak-processes.ts
+++ b/src/measure/soak-processes.ts
@@ -2,10 +2,11 @@
 Processes of a soak run: started, paused, killed and restarted by the script that owns them, by id.
 */
 import {spawn, type ChildProcess} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {
 	createWriteStream, mkdtempSync, readFileSync, writeFileSync, type WriteStream,
 } from 'node:fs';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer, type Server} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -162,17 +163,34 @@
 	}
 }
 
-/** Finds ports that are free on loopback. */
+/** Systems take ports for outgoing connections from above this: such a one may be taken between the choice and the bind. */
+const portsEnd = 32_768;
+const portsStart = 10_000;
+
+/** Listens on the port; undefined if it is taken. */
+const tryListen = async (port: number): Promise<Server | undefined> => new Promise(resolve => {
+	const server = createServer();
+	server.once('error', () => {
+		resolve(undefined);
+	});
+	server.listen(port, '127.0.0.1', () => {
+		resolve(server);
+	});
+});
+
+/** Finds ports that are free on loopback, and that no outgoing connection takes before they are bound. */
 export const findFreePorts = async (count: number): Promise<number[]> => {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<ReturnType<typeof createServer>>(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
+	const servers = new Map<number, Server>();
+	while (servers.size < count) {
+		const port = randomInt(portsStart, portsEnd);
+		const server = await tryListen(port);
+		if (server) {
+			servers.set(port, server);
+		}
+	}
+
+	await Promise.all([...servers.values()].map(async server => new Promise(resolve => {
 		server.close(resolve);
 	})));
-	return ports;
+	return [...servers.keys()];
 };
