--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -56,7 +56,6 @@
 	readonly #dutyCycle: DutyCycle;
 	#isDue = false;
 	#lastAtMs = Number.POSITIVE_INFINITY;
-	#gapMs = 0;
 	#remainders = new Map<LiveStep[], Remainder>();
 	#remaindersAtMs = Number.NEGATIVE_INFINITY;
 	#notedAtMs = Number.NEGATIVE_INFINITY;
@@ -89,14 +88,17 @@
 	}
 
 	#run(): void {
-		const {clock, quarantine, getWaiting, getWorkers, onStarts} = this.#options;
+		const {
+			clock, quarantine, getWaiting, getWorkers, getLeadMs, onStarts,
+		} = this.#options;
 		const nowMs = clock.monotonicMs();
-		this.#gapMs = Math.max(0, Math.min(maxGapMs, nowMs - this.#lastAtMs));
+		const gapMs = Math.max(0, Math.min(maxGapMs, nowMs - this.#lastAtMs));
+		const times = {nowMs, nextStartMs: gapMs + getLeadMs()};
 		this.#lastAtMs = nowMs;
 		const apart = quarantine.arrange({
-			nowMs, waiting: [...getWaiting(nowMs)], open: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, nowMs).starts,
+			nowMs, waiting: [...getWaiting(nowMs)], open: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, times).starts,
 		});
-		const {starts, waits, spareMilliCpu} = this.#place(apart.waiting, apart.open, nowMs);
+		const {starts, waits, spareMilliCpu} = this.#place(apart.waiting, apart.open, times);
 		onStarts([...apart.starts, ...starts]);
 		if (waits.size > 0 && nowMs - this.#notedAtMs >= noteEveryMs) {
 			this.#notedAtMs = nowMs;
@@ -104,15 +106,13 @@
 		}
 	}
 
-	#place(waiting: LiveTask[], workers: FleetWorker[], nowMs: number): PlacementResult {
-		const {
-			clock, harm, times, policy, isAllowed, getLeadMs,
-		} = this.#options;
+	#place(waiting: LiveTask[], workers: FleetWorker[], {nowMs, nextStartMs}: {nowMs: number; nextStartMs: number}): PlacementResult {
+		const {clock, harm, times, policy, isAllowed} = this.#options;
 		return place({
 			waiting,
 			workers,
 			nowMs,
-			nextStartMs: this.#gapMs + getLeadMs(),
+			nextStartMs,
 			harm,
 			isAllowed,
 			policy,
