Test that an entry whose first reads time out gives no pending count of 0 (fails)

Cause: countPending (workflow-api.ts) counts the fold as it is and never asks follower.caughtUpAtMs; the callers' server answers 200 with it. An entry that has read nothing counts 0. Change: a test that forces it: the entry starts again while its reads of the jobs stream are lost; six jobs wait. Accepts the true count or a 503 with a retry time. Conclusion: the fault is in the code as it is; no change to src.

--- a/test/site-counts.test.ts
+++ b/test/site-counts.test.ts
@@ -100,3 +100,14 @@
 		expect(await askCount(name)).toEqual({status: 200, retryAfter: undefined, count: 6});
 	}
 });
+
+/** Guards against a count of 0 from an entry that has just started and whose first reads have timed out. */
+it('is not 0 from an entry whose first reads time out', async () => {
+	await createRelayingSite();
+	await submitMany(6, 'entry-1');
+	site.killEntry('entry-0');
+	stopReads('entry-0');
+	site.startEntry('entry-0');
+	await site.clock.advance(5000);
+	await expectTrueCountOrRefusal('entry-0', 6);
+});
