--- a/test/site-counts.test.ts
+++ b/test/site-counts.test.ts
@@ -111,3 +111,17 @@
 	await site.clock.advance(5000);
 	await expectTrueCountOrRefusal('entry-0', 6);
 });
+
+/** Guards against a count from before the store became silent to the entry alone, known to the entry or not. */
+it.each([true, false])('is not an old one from an entry to which the store is silent (known: %s)', async isKnown => {
+	await createRelayingSite();
+	stopReads('entry-0');
+	await site.clock.advance(1000);
+	if (isKnown) {
+		site.storeLost.add('entry-0');
+	}
+
+	await submitMany(6, 'entry-1');
+	await site.clock.advance(5000);
+	await expectTrueCountOrRefusal('entry-0', 6);
+});
