--- a/test/site-counts.test.ts
+++ b/test/site-counts.test.ts
@@ -125,3 +125,16 @@
 	await site.clock.advance(5000);
 	await expectTrueCountOrRefusal('entry-0', 6);
 });
+
+/** Guards against a count of half a stream: each read is answered before its time-out and brings some records, so no call fails. */
+it('is not that of the first part of the stream while each read takes long', async () => {
+	await createRelayingSite();
+	const jobs = 80;
+	await submitMany(jobs, 'entry-1', {...waitingSpec, input: 'x'.repeat(4000)});
+	site.killEntry('entry-0');
+	site.store.getDelayMs = ({client, kind, ref}) => client === 'entry-0' && kind === 'read' && ref?.topic === workflowsTopic ? 650 : 0;
+	site.startEntry('entry-0');
+	await site.clock.advance(3000);
+	expect(site.entries.get('entry-0')!.follower.isCaughtUp).toBe(false);
+	await expectTrueCountOrRefusal('entry-0', jobs);
+});
