Test that no entry gives a pending count after all have lost the store (fails)

Change: a test where the store becomes silent to all entries right after a job was accepted; the job starts, and 3.5 s later all are asked.

--- a/test/site-counts.test.ts
+++ b/test/site-counts.test.ts
@@ -138,3 +138,20 @@
 	expect(site.entries.get('entry-0')!.follower.isCaughtUp).toBe(false);
 	await expectTrueCountOrRefusal('entry-0', jobs);
 });
+
+/** Guards against a count from a view that is too old at every entry: the job has started since, and no entry can know it. */
+it('is refused by all entries after all have lost the store for longer than a count may be old', async () => {
+	await createRelayingSite();
+	site.plan = () => ({workMs: 60_000});
+	await submitMany(1, 'entry-1', createSpec([createStep()]));
+	site.store.getFault = ({client}) => site.entries.has(client) ? StoreFault.LoseRequest : StoreFault.None;
+	await site.clock.advance(maxAgeMs + 1500);
+	expect(site.getStarts(`${'1'.padStart(16, '0')}.0.0.0`)).toBe(1);
+	for (const name of site.entries.keys()) {
+		site.storeLost.add(name);
+	}
+
+	for (const name of site.entries.keys()) {
+		await expectTrueCountOrRefusal(name, 0);
+	}
+});
