Test that small entries own while the host of the last owner is back and reads nothing (fails)

Cause: ownership.ts #isOwnedByLargerEntry asks getPartitionHolders for members and isAlive for the address in the member's name. After a loss of power the list holds the dead incarnation's member, and its host, back under the same address, answers. The entry there joins only after it has read the stream (#waitForCatchUp). Until then nobody joins: the small entries stand by for a member that is dead. Change: a test that forces it: entry `large` owned, all lose power, `large` is back with its reads of the jobs stream lost. Conclusion: a wait without bound. No change to src.

--- a/test/site-power.test.ts
+++ b/test/site-power.test.ts
@@ -106,6 +106,29 @@
 		expect(countRunning()).toBe(tasks);
 	});
 
+	/**
+	Guards against small entries that stand by for a dead owner without end: the group lists its member, its host is back under the
+	same address and answers, but does not read the stream and so never joins.
+	*/
+	it('an entry with too few processors owns while the larger one of the last owner is back and reads nothing', async () => {
+		site = await createSite(2, 0);
+		site.startEntry('large');
+		await site.clock.advance(1000);
+		site.startEntry('small', 0.001);
+		await site.clock.advance(2000);
+		site.plan = () => ({workMs: 20_000});
+		await site.submit(jobId, longSpec, 'large');
+		await site.clock.advance(1500);
+		expect(site.getOwnerName()).toBe('large');
+		losePower();
+		await site.clock.advance(1300);
+		startAgents();
+		site.store.getFault = ({client, kind, ref}) => client === 'large' && kind === 'read' && ref?.topic === workflowsTopic ? StoreFault.LoseRequest : StoreFault.None;
+		site.startEntry('large');
+		site.startEntry('small', 0.001);
+		expect(await site.waitFor(() => countRunning() === tasks, recoveryMs)).toBeDefined();
+	});
+
 	/** Guards against entries that do not resume after the store was silent to all when they started. */
 	it.each([1000, 5000, 12_000])('with the store silent for %i ms more, the job runs again after it', async silentMs => {
 		site = await createSite(2, 3);
