Test that a job which completed within a gap is not started again (fails)

Change: the entry reads nothing for 65 s, then owns. Needs an entry that misses more than keep_s; no change to src.

--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -64,6 +64,17 @@
 		expect(site!.getOwnerName()).toBe(behind);
 	};
 
+	/** Guards against a fold that keeps the state from before the gap: the new owner runs a completed job a second time. */
+	it('starts no job again that has completed meanwhile', async () => {
+		site = await createSite();
+		site.plan = () => ({workMs: 3000});
+		await site.submit(jobId, createSpec([createStep()]));
+		await site.clock.advance(500);
+		await replaceBy(async () => undefined);
+		expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+		expect(await site.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
 	it('knows a job that was submitted meanwhile and still runs', async () => {
 		site = await createSite();
 		site.plan = () => ({workMs: undefined});
