--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -75,6 +75,19 @@
 		expect(await site.getState(jobId)).toBe(WorkflowState.Completed);
 	});
 
+	/** Guards against a fold that keeps the state from before the gap: the new owner starts a job whose cancellation was acknowledged. */
+	it('starts no job again that was cancelled meanwhile', async () => {
+		site = await createSite();
+		site.plan = () => ({workMs: undefined});
+		await site.submit(jobId, lastingSpec);
+		await site.clock.advance(500);
+		await replaceBy(async owner => {
+			await site!.cancel(jobId, owner);
+		});
+		expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+		expect(await site.getState(jobId)).toBe(WorkflowState.Cancelled);
+	});
+
 	it('knows a job that was submitted meanwhile and still runs', async () => {
 		site = await createSite();
 		site.plan = () => ({workMs: undefined});
