--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -99,3 +99,38 @@
 		expect(await site.getState(jobId)).toBe(WorkflowState.Running);
 	});
 });
+
+describe('an entry that starts when the store has dropped a record but not the snapshot that was written just after it', () => {
+	/**
+	Guards against a snapshot that lacks a record which the owner had not read yet: the first retained record is then that snapshot,
+	and the later, complete one is ignored because the job is known.
+	*/
+	it('starts no job that was cancelled', async () => {
+		site = await createSite();
+		site.plan = () => ({workMs: undefined});
+		await site.submit(jobId, lastingSpec);
+		const submittedAtMs = site.clock.monotonicMs();
+		const owner = site.getOwnerName()!;
+		const other = [...site.entries.keys()].find(name => name !== owner)!;
+		await site.clock.advance(18_500);
+		stopReads(owner);
+		await site.clock.advance(1100);
+		await site.cancel(jobId, other);
+		await site.clock.advance(50);
+		const {offset} = site.entries.get(other)!.follower.fold;
+		expect(site.entries.get(other)!.follower.fold.workflows.get(jobId)!.state).toBe(WorkflowState.Cancelled);
+		expect(await site.waitFor(() => site!.entries.get(other)!.follower.fold.workflows.get(jobId)!.writtenAtMs > site!.clock.now().getTime() - 100, 1000)).toBeDefined();
+		site.store.getFault = () => StoreFault.None;
+		await site.clock.advance(submittedAtMs + 80_000 - site.clock.monotonicMs());
+		expect(site.entries.get(owner)!.follower.fold.workflows.get(jobId)).toMatchObject({state: WorkflowState.Cancelled, hasFinalSnapshot: true});
+		site.store.trim(ref, offset);
+		for (const name of [owner, other]) {
+			site.killEntry(name);
+		}
+
+		site.startEntry('entry-2');
+		await site.clock.advance(6000);
+		expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+		expect(await site.getState(jobId, 'entry-2')).toBe(WorkflowState.Cancelled);
+	});
+});
