--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -133,4 +133,28 @@
 		expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
 		expect(await site.getState(jobId, 'entry-2')).toBe(WorkflowState.Cancelled);
 	});
+
+	/** Guards against the same in the fold: a later snapshot says more of a known job than the first one that was read. */
+	it('folds what a later snapshot says of a job that it knows from an earlier one', () => {
+		const fold = new WorkflowFold();
+		const workflow = createWorkflow(otherId, createSpec([createStep({count: 2})]));
+		const earlier: WorkflowSnapshot = {
+			workflow, state: WorkflowState.Running, hasBegun: true, remaining: 2, ledgers: [], writtenAtMs: 0,
+		};
+		const done = {
+			isDone: true, failedRuns: [], crashes: [], lastRun: 1, checkpoint: '',
+		};
+		fold.apply({type: RecordType.Snapshot, job: earlier}, 10);
+		fold.apply({
+			type: RecordType.Snapshot, job: {
+				...earlier, remaining: 1, ledgers: [[`${otherId}.0.0.0`, done]], writtenAtMs: 20_000,
+			},
+		}, 20);
+		fold.apply({
+			type: RecordType.Ends, ends: [{
+				taskId: `${otherId}.0.0.1`, run: 1, end: RunEnd.Done, checkpoint: '',
+			}],
+		}, 21);
+		expect(fold.workflows.get(otherId)!.state).toBe(WorkflowState.Completed);
+	});
 });
