Count pending jobs only in a recent view, or ask an entry that has one

Callers saw: a pending count of 0, or one from long before, answered with 200 by an entry that had just started or had lost the store. Cause: countPending took the fold as it was and never asked when the stream was last read to its end; it was not relayed either. Change: a view that is older than 2 s is read to its end first, for at most 1.2 s; then other entries are asked, and an entry without a recent view answers 503 with Retry-After. An entry that knows that the store is lost asks the others at once. Why it holds: each count now comes from a read to the end that began at most 2 s before, at this entry or the one that was asked, so neither a slow link nor a silent store makes an old count.

--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -72,7 +72,8 @@
 
 		const timeoutMs = Math.max(answerReserveMs, Number(request.headers['deadline-ms'] ?? defaultDeadlineMs) - answerReserveMs);
 		if (id === '' && request.method === 'GET') {
-			return {status: 200, body: {pendingCount: jobs.countPending(queue)}};
+			const pendingCount = await jobs.countPending(queue, timeoutMs);
+			return pendingCount === undefined ? {status: 503, retryAfterMs: 1000, reason: 'count unknown'} : {status: 200, body: {pendingCount}};
 		}
 
 		if (!idPattern.test(id)) {
--- a/src/plugins/entry-messages.ts
+++ b/src/plugins/entry-messages.ts
@@ -19,6 +19,7 @@
 const submitPath = '/v1/entry/submit';
 const statePath = '/v1/entry/state';
 const cancelPath = '/v1/entry/cancel';
+const countPath = '/v1/entry/count';
 
 /** Creates the client of the calling entry. */
 export const createEntryClient = (http: HttpClient): EntryClient => {
@@ -40,6 +41,10 @@
 			const {outcome} = await post(address, cancelPath, job, timeoutMs) as {outcome: LookupOutcome};
 			return outcome;
 		},
+		async countPending(address, queue, timeoutMs) {
+			const {pendingCount} = await post(address, countPath, {queue}, timeoutMs) as {pendingCount?: number};
+			return pendingCount;
+		},
 	};
 };
 
@@ -67,4 +72,9 @@
 		const config = findQueue(queue);
 		return {body: {outcome: config ? await target.cancel(config, id, timeoutMs) : LookupOutcome.Unknown}};
 	});
+	server.route('POST', countPath, async ({body}) => {
+		const {queue, timeoutMs} = body as {queue: string; timeoutMs: number};
+		const config = findQueue(queue);
+		return {body: {pendingCount: config && await target.countPending(config, timeoutMs)}};
+	});
 };
--- a/src/types/entries.ts
+++ b/src/types/entries.ts
@@ -30,4 +30,5 @@
 	submit(address: string, job: RelayedJob & {spec: WorkflowSpec}, timeoutMs: number): Promise<SubmitReply>;
 	getState(address: string, job: RelayedJob, timeoutMs: number): Promise<StateReply>;
 	cancel(address: string, job: RelayedJob, timeoutMs: number): Promise<LookupOutcome>;
+	countPending(address: string, queue: string, timeoutMs: number): Promise<number | undefined>;
 };
--- a/src/types/job-api.ts
+++ b/src/types/job-api.ts
@@ -38,6 +38,6 @@
 	submit(queue: QueueConfig, id: string, spec: WorkflowSpec, timeoutMs: number): Promise<SubmitReply>;
 	getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<{outcome: LookupOutcome; state?: WorkflowState}>;
 	cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome>;
-	/** Counts the accepted jobs of the queue that have started no task yet. */
-	countPending(queue: QueueConfig): number;
+	/** Counts the accepted jobs of the queue that have started no task yet; undefined: no recent count is known within `timeoutMs`. */
+	countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined>;
 };
--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -90,7 +90,7 @@
 			return known;
 		}
 
-		const {reply} = await this.#ask('state', id, {timeoutMs: lookupTimeoutMs, endAtMs: this.#options.clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
+		const {reply} = await this.#ask({kind: 'state', id}, {timeoutMs: lookupTimeoutMs, endAtMs: this.#options.clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
 			const state = await client.getState(address, {queue: queue.name, id}, askMs);
 			return state.outcome === LookupOutcome.Unknown ? undefined : state;
 		});
@@ -109,22 +109,30 @@
 			return LookupOutcome.Found;
 		}
 
-		const {reply} = await this.#ask('cancel', id, {timeoutMs: submitTimeoutMs, endAtMs: clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
+		const {reply} = await this.#ask({kind: 'cancel', id}, {timeoutMs: submitTimeoutMs, endAtMs: clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
 			const outcome = await client.cancel(address, {queue: queue.name, id}, askMs);
 			return outcome === LookupOutcome.Unknown ? undefined : outcome;
 		});
 		return reply ?? LookupOutcome.Unknown;
 	}
 
-	countPending(queue: QueueConfig): number {
-		return this.#options.local.countPending(queue);
+	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
+		const {local, client, clock, isStoreLost} = this.#options;
+		const endAtMs = clock.monotonicMs() + timeoutMs;
+		const own = await local.countPending(queue, isStoreLost() ? 0 : timeoutMs);
+		if (own !== undefined) {
+			return own;
+		}
+
+		const {reply} = await this.#ask({kind: 'count', queue: queue.name}, {timeoutMs: lookupTimeoutMs, endAtMs}, async (address, askMs) => client.countPending(address, queue.name, askMs));
+		return reply;
 	}
 
 	/** Submits to other entries. Resolves to not accepted only if none of those asked can have accepted the job. */
 	async #submitElsewhere(queue: QueueConfig, id: string, spec: WorkflowSpec, endAtMs: number): Promise<SubmitReply> {
 		const {client} = this.#options;
 		let isOpen = false;
-		const {reply, isUnanswered} = await this.#ask('submit', id, {timeoutMs: submitTimeoutMs, endAtMs}, async (address, askMs) => {
+		const {reply, isUnanswered} = await this.#ask({kind: 'submit', id}, {timeoutMs: submitTimeoutMs, endAtMs}, async (address, askMs) => {
 			const {outcome} = await client.submit(address, {queue: queue.name, id, spec}, askMs);
 			isOpen ||= outcome === SubmitOutcome.Unknown;
 			return outcome === SubmitOutcome.Accepted ? outcome : undefined;
@@ -151,7 +159,7 @@
 	}
 
 	/** Asks entries one after the other until one can serve the call. */
-	async #ask<Reply>(kind: string, id: string, {timeoutMs, endAtMs}: {timeoutMs: number; endAtMs: number}, ask: Ask<Reply>): Promise<{reply?: Reply; isUnanswered: boolean}> {
+	async #ask<Reply>(call: {kind: string; id?: string; queue?: string}, {timeoutMs, endAtMs}: {timeoutMs: number; endAtMs: number}, ask: Ask<Reply>): Promise<{reply?: Reply; isUnanswered: boolean}> {
 		const {clock, note} = this.#options;
 		let isUnanswered = false;
 		for (const {host, address} of this.#choose()) {
@@ -165,7 +173,7 @@
 			try {
 				const reply = await ask(address, Math.min(timeoutMs, leftMs));
 				note('relayed', {
-					kind, id, host, reason: reply === undefined ? 'cannot help' : 'done', tookMs: Math.round(clock.monotonicMs() - startedAtMs),
+					...call, host, reason: reply === undefined ? 'cannot help' : 'done', tookMs: Math.round(clock.monotonicMs() - startedAtMs),
 				});
 				if (reply !== undefined) {
 					return {reply, isUnanswered};
@@ -175,7 +183,7 @@
 				isUnanswered ||= !isUnsent;
 				pauseMs = isUnsent ? unreachedSkipMs : skipMs;
 				note('relayed', {
-					kind, id, host, reason: isUnsent ? 'unreached' : 'unanswered', error: getMessage(error),
+					...call, host, reason: isUnsent ? 'unreached' : 'unanswered', error: getMessage(error),
 				});
 			}
 
@@ -220,7 +228,7 @@
 };
 
 /** Job API of an entry for others: serves them without relaying, and only while its own calls to the store succeed. */
-export const createRelayTarget = (local: JobApi, isStoreFailing: () => boolean): Omit<JobApi, 'getConfig' | 'countPending'> => ({
+export const createRelayTarget = (local: JobApi, isStoreFailing: () => boolean): Omit<JobApi, 'getConfig'> => ({
 	async submit(queue, id, spec, timeoutMs) {
 		return isStoreFailing()
 			? {outcome: SubmitOutcome.NotAccepted, reason: 'the store is not reached'}
@@ -232,4 +240,5 @@
 	async cancel(queue, id, timeoutMs) {
 		return isStoreFailing() ? LookupOutcome.Unknown : local.cancel(queue, id, timeoutMs);
 	},
+	countPending: async (queue, timeoutMs) => local.countPending(queue, isStoreFailing() ? 0 : timeoutMs),
 });
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -38,6 +38,8 @@
 const recordExpiryMs = 400;
 /** Retry interval proposed to callers: a few retries this far apart outlast an outage of the store. */
 const retryAfterMs = 2000;
+/** A count of pending jobs may be this old. */
+const maxCountAgeMs = 2000;
 /** Time-out of reading to the end of the stream; after it the state of a job that was not found is unknown. */
 const catchUpMs = 1200;
 
@@ -131,8 +133,10 @@
 		return written === WriteOutcome.Stored ? LookupOutcome.Found : LookupOutcome.Unknown;
 	}
 
-	countPending(queue: QueueConfig): number {
-		return this.#options.getFollower(this.#getPartition(queue)).fold.countPending(queue.name);
+	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
+		const follower = this.#options.getFollower(this.#getPartition(queue));
+		const isRecent = (follower.stalenessMs ?? Number.POSITIVE_INFINITY) <= maxCountAgeMs || await follower.catchUp(Math.min(catchUpMs, timeoutMs));
+		return isRecent ? follower.fold.countPending(queue.name) : undefined;
 	}
 
 	#getPartition(queue: QueueConfig): number {
--- a/test/caller-server.test.ts
+++ b/test/caller-server.test.ts
@@ -34,7 +34,7 @@
 			submit: async () => ({outcome: SubmitOutcome.Accepted}),
 			getState: async () => ({outcome: LookupOutcome.Found, state: WorkflowState.Running}),
 			cancel: async () => LookupOutcome.Found,
-			countPending: () => 12,
+			countPending: async () => 12,
 			...jobs,
 		},
 		clock: createSystemClock(),
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -85,5 +85,6 @@
 		submit: async (address, {id, spec}, timeoutMs) => ask(address, async target => target.submit(queue, id, spec, timeoutMs), timeoutMs),
 		getState: async (address, {id}, timeoutMs) => ask(address, async target => target.getState(queue, id, timeoutMs), timeoutMs),
 		cancel: async (address, {id}, timeoutMs) => ask(address, async target => target.cancel(queue, id, timeoutMs), timeoutMs),
+		countPending: async (address, _, timeoutMs) => ask(address, async target => target.countPending(queue, timeoutMs), timeoutMs),
 	};
 };
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -72,6 +72,27 @@
 	expect(await currentSite.getState(otherId, 'entry-0')).toBe(LookupOutcome.Absent);
 });
 
+/** Guards against a count from before the store was lost where another entry has a recent one. */
+it('get the pending count of another entry', async () => {
+	currentSite = await createCut(StoreFault.LoseRequest);
+	await currentSite.submit(jobId, createSpec([createStep({milliCpu: 90_000})]), 'entry-1');
+	await currentSite.clock.advance(4000);
+	expect(await currentSite.settle(currentSite.entries.get('entry-0')!.relay.countPending(queue, 2500))).toBe(1);
+});
+
+/** Guards against a count that waits until the caller's deadline when no entry has a recent one. */
+it('are soon told that no pending count is known when no entry reaches the store', async () => {
+	currentSite = await createRelaying();
+	for (const entry of currentSite.entries.keys()) {
+		cut(currentSite, entry, StoreFault.Refuse);
+	}
+
+	await currentSite.clock.advance(4000);
+	const startMs = currentSite.clock.monotonicMs();
+	expect(await currentSite.settle(currentSite.entries.get('entry-0')!.relay.countPending(queue, 2500))).toBeUndefined();
+	expect(currentSite.clock.monotonicMs() - startMs).toBeLessThan(50);
+});
+
 it('get an answer at once when they cancel a finished job, also when no entry reaches the store', async () => {
 	currentSite = await createCut(StoreFault.None);
 	await currentSite.submit(jobId, spec, 'entry-0');
