Stand by only for an owner that is still in the incarnation that joined

Callers saw: no job started after a loss of power of all hosts, for as long as the host of the last owner was back and could not read the stream. Cause: a small entry stands by while a larger one owns the jobs and its address answers. The group still lists the member that lost power; its host, back under the same address, answers, but joins only after it has read the stream. Until then no entry joins. Change: the liveness check tells the incarnation, and an owner in another one counts as dead. A process of an earlier version tells none and counts as before.

--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -17,7 +17,7 @@
 import {type SiteConfig, type SiteSettings} from '../types/site.ts';
 import {type HttpClient} from '../utils/keep-alive-client.ts';
 import {close, createJsonServer, listen} from '../utils/http-server.ts';
-import {alivePath} from '../utils/metrics-page.ts';
+import {alivePath, incarnationHeader} from '../utils/metrics-page.ts';
 import {ConfigFollower} from '../workflows/config-follower.ts';
 import {EntryDirectory} from '../workflows/entry-directory.ts';
 import {WorkflowApi} from '../workflows/workflow-api.ts';
@@ -93,13 +93,13 @@
 
 const aliveTimeoutMs = 600;
 
-/** Whether the process at the address is alive: any HTTP answer counts. */
-const isProcessAlive = async (http: HttpClient, address: string): Promise<boolean> => {
+/** Whether the process at the address is alive and in that incarnation. One that does not tell its incarnation may be in it. */
+const isProcessAlive = async (http: HttpClient, address: string, incarnation: string): Promise<boolean> => {
 	try {
-		await http.call({
+		const {headers} = await http.call({
 			address, method: 'GET', path: alivePath, timeoutMs: aliveTimeoutMs, step: 'check that an owner is alive',
 		});
-		return true;
+		return (headers[incarnationHeader] ?? incarnation) === incarnation;
 	} catch {
 		// A process that does not answer counts as not alive.
 		return false;
@@ -201,7 +201,7 @@
 			const {records} = await store.readNewest({topic: agentsTopic, partition: 0});
 			return records.length;
 		},
-		isAlive: async address => isProcessAlive(http, address),
+		isAlive: async (address, life) => isProcessAlive(http, address, life),
 		minTtlMs: minMemberTtlMs,
 		hasService: partition => followers.has(partition),
 		getCaughtUpAtMs: () => isCaughtUp() ? Math.min(...[...followers.values()].map(({caughtUpAtMs}) => caughtUpAtMs)) : Number.NEGATIVE_INFINITY,
--- a/src/plugins/site-process.ts
+++ b/src/plugins/site-process.ts
@@ -51,9 +51,9 @@
 ): Promise<void> => {
 	const clock = createSystemClock();
 	const log = createEventLog(clock, {role, process: site.hostName});
-	const metrics = createMetricsPage();
-	const aborter = createAborter();
 	const incarnation = `${clock.now().getTime().toString(36)}-${process.pid}`;
+	const metrics = createMetricsPage(incarnation);
+	const aborter = createAborter();
 	const note: LogEvent = (event, fields = {}) => {
 		metrics.count(event, typeof fields.reason === 'string' ? fields.reason : (fields.refusal as string | undefined) ?? (fields.end as string | undefined));
 		log.note(event, fields);
--- a/src/utils/metrics-page.ts
+++ b/src/utils/metrics-page.ts
@@ -25,12 +25,14 @@
 
 /** Path of the liveness check; cheaper than reading the page. */
 export const alivePath = '/alive';
+/** Header of its answer: the incarnation of the process. */
+export const incarnationHeader = 'incarnation';
 
 /** Upper bounds of the histogram's buckets in seconds, from a response out of memory to the longest latency objective. */
 const bucketsS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
 
-/** Creates the metrics of a process. */
-export const createMetricsPage = (): MetricsPage => {
+/** Creates the metrics of a process; the liveness check tells its incarnation. */
+export const createMetricsPage = (incarnation: string): MetricsPage => {
 	let loaded: Loaded | undefined;
 	const gauges: Array<{name: string; help: string; read: () => number}> = [];
 	const counts = new Map<string, {event: string; reason: string; amount: number}>();
@@ -99,7 +101,7 @@
 		},
 		server: createServer(async (request, response) => {
 			if (request.url === alivePath) {
-				response.writeHead(204);
+				response.writeHead(204, {[incarnationHeader]: incarnation});
 				response.end();
 				return;
 			}
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -26,8 +26,8 @@
 	processors: number;
 	/** Counts the workers that are registered with the site. */
 	countWorkers: () => Promise<number>;
-	/** Whether the entry at the address answers. */
-	isAlive: (address: string) => Promise<boolean>;
+	/** Whether the entry at the address answers and is still in that incarnation. */
+	isAlive: (address: string, incarnation: string) => Promise<boolean>;
 	/** Start of the last read that reached the end of the jobs stream; negative infinity: none did yet. */
 	getCaughtUpAtMs: () => number;
 	/** Whether the partition has a service. */
@@ -58,11 +58,11 @@
 const standbyAfterMs = 3000;
 
 /** Formats a member name from the address of the process, its processors and its incarnation. */
-export const formatMember = (address: string, processors: number, life: string): string => `${address}/${processors}/${life}`;
+export const formatMember = (address: string, processors: number, incarnation: string): string => `${address}/${processors}/${incarnation}`;
 
-const parseMember = (member: string): {address: string; processors: number} => {
-	const [address = '', processors] = member.split('/');
-	return {address, processors: Number(processors ?? 0)};
+const parseMember = (member: string): {address: string; processors: number; incarnation: string} => {
+	const [address = '', processors, incarnation = ''] = member.split('/');
+	return {address, processors: Number(processors ?? 0), incarnation};
 };
 
 /**
@@ -264,12 +264,15 @@
 		return this.#workers;
 	}
 
-	/** Whether an entry with more processors owns the jobs and is alive: the group may list dead members. */
+	/**
+	Whether an entry with more processors owns the jobs and is alive. The group may list dead members, also of hosts that are back:
+	their new incarnations own nothing until they have read the stream and joined.
+	*/
 	async #isOwnedByLargerEntry(owners: string[], needed: number): Promise<boolean> {
 		const {member, processors, isAlive} = this.#options;
 		const enough = Math.min(needed, processors * yieldFactor);
-		const better = owners.filter(owner => owner !== member && parseMember(owner).processors >= enough);
-		const alive = await Promise.all(better.map(async owner => isAlive(parseMember(owner).address)));
+		const better = owners.filter(owner => owner !== member).map(owner => parseMember(owner)).filter(owner => owner.processors >= enough);
+		const alive = await Promise.all(better.map(async ({address, incarnation}) => isAlive(address, incarnation)));
 		return alive.some(Boolean);
 	}
 
--- a/test/metrics-page.test.ts
+++ b/test/metrics-page.test.ts
@@ -4,7 +4,9 @@
 import {afterEach, expect, it} from 'vitest';
 import {createHttpClient} from '../src/utils/keep-alive-client.ts';
 import {close, listen} from '../src/utils/http-server.ts';
-import {createMetricsPage, type MetricsPage} from '../src/utils/metrics-page.ts';
+import {
+	alivePath, createMetricsPage, incarnationHeader, type MetricsPage,
+} from '../src/utils/metrics-page.ts';
 
 const http = createHttpClient(1);
 let page: MetricsPage;
@@ -22,7 +24,7 @@
 });
 
 it('shows values recorded before and after the first read', async () => {
-	page = createMetricsPage();
+	page = createMetricsPage('life-1');
 	const address = await listen(page.server, '127.0.0.1:0');
 	page.count('start refused', 'no-room');
 	page.count('start refused', 'no-room');
@@ -42,7 +44,7 @@
 
 /** Guards against durations that are dropped, or counted in a wrong bucket, if they are recorded before the first read. */
 it('counts each duration recorded before the first read in its bucket', async () => {
-	page = createMetricsPage();
+	page = createMetricsPage('life-1');
 	const address = await listen(page.server, '127.0.0.1:0');
 	for (let index = 0; index < 8000; index++) {
 		page.observe('POST 200', [0.4, 2.2, 10, 10.1][index % 4]!);
@@ -53,3 +55,13 @@
 		expect(text).toContain(`chervilworks_duration_seconds_bucket{le="${bound}",kind="POST 200"} ${count}`);
 	}
 });
+
+/** Guards against a process that is taken for the earlier one at its address. */
+it('tells the incarnation of the process in the liveness check', async () => {
+	page = createMetricsPage('life-1');
+	const address = await listen(page.server, '127.0.0.1:0');
+	const {headers} = await http.call({
+		address, method: 'GET', path: alivePath, timeoutMs: 5000, step: 'check',
+	});
+	expect(headers[incarnationHeader]).toBe('life-1');
+});
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -64,6 +64,8 @@
 /** A running entry. */
 export type EntryProcess = {
 	name: string;
+	/** Its incarnation. */
+	life: string;
 	clock: ProcessClock;
 	aborter: AbortController;
 	jobs: WorkflowApi;
@@ -197,7 +199,7 @@
 				const {records} = await store.readNewest({topic: agentsTopic, partition: 0});
 				return records.length;
 			},
-			isAlive: async address => this.entries.has(address),
+			isAlive: async (address, incarnation) => this.entries.get(address)?.life === incarnation,
 			minTtlMs: 1000,
 			getCaughtUpAtMs: () => follower.caughtUpAtMs,
 			hasService: used => used === partition,
@@ -208,7 +210,7 @@
 		void follower.run(aborter.signal);
 		void ownership.run(aborter.signal);
 		const entry = {
-			name, clock, aborter, jobs, relay, follower, ownership,
+			name, life, clock, aborter, jobs, relay, follower, ownership,
 		};
 		this.entries.set(name, entry);
 		return entry;
