Test the first read on a link whose share is below the least read (fails)

Cause: follower.ts minReadBytes 16,384 takes over 700 ms at a share under 23.4 bytes a ms; the read times out, what it carried is thrown away, and it is repeated with the same size. Change: 100 bytes a ms with 5 other transfers.

--- a/test/follower-links.test.ts
+++ b/test/follower-links.test.ts
@@ -106,3 +106,12 @@
 		jobs, bytesPerMs, otherTransfers, boundMs: 1000 + (1.5 * shareMs),
 	})).toBeDefined();
 });
+
+/** Guards against a least size of a read that does not pass the link's share within the time-out: no record is ever read. */
+it('reads the stream over a link of 100 bytes a ms with 5 other transfers', async () => {
+	const jobs = 40;
+	const shareMs = jobs * inputBytes * 6 / 100;
+	expect(await measureFirstRead({
+		jobs, bytesPerMs: 100, otherTransfers: 5, boundMs: 2000 + (1.5 * shareMs),
+	})).toBeDefined();
+});
