--- a/test/follower-links.test.ts
+++ b/test/follower-links.test.ts
@@ -115,3 +115,13 @@
 		jobs, bytesPerMs: 100, otherTransfers: 5, boundMs: 2000 + (1.5 * shareMs),
 	})).toBeDefined();
 });
+
+/** Guards against reads for callers that carry the same records as the follower's own read and halve its share of the link. */
+it('reads the stream no slower while callers ask for jobs that it has not read', async () => {
+	const link = {
+		jobs: 120, bytesPerMs: 250, otherTransfers: 0, boundMs: 20_000,
+	};
+	const aloneMs = await measureFirstRead(link);
+	const askedMs = await measureFirstRead({...link, askIntervalMs: 100});
+	expect(askedMs).toBeLessThan(1.3 * aloneMs!);
+});
