Read the jobs anew where the store has dropped unread records

Callers saw: a job that had completed was run a second time, and one whose cancellation was acknowledged was started again, after an entry that had read nothing for longer than the store retains records took over. What ended within the gap stayed open. Change: a gap empties the fold and reads from the oldest record, as a new process does; an owner steps down, leaves the group and joins again under a new epoch, since its orders may still be under way.

--- a/src/measure/scheduling-simulation.ts
+++ b/src/measure/scheduling-simulation.ts
@@ -263,7 +263,7 @@
 		order: async (host, request) => call(host, async agent => agent.order(structuredClone(request))),
 	};
 	const owner = new Owner({
-		store, clock, client, adviceClient: undefined, follower, partition, host: 'entry', epoch, leaseDurationMs, cancelMs: 3000, getEvacuations: () => ({asOf: 0, failureDomains: []}), getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, isOwned: () => true, policy, onSuperseded: () => undefined, note,
+		store, clock, client, adviceClient: undefined, follower, partition, host: 'entry', epoch, leaseDurationMs, cancelMs: 3000, getEvacuations: () => ({asOf: 0, failureDomains: []}), getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, isOwned: () => true, policy, onSuperseded: () => undefined, onGap: () => undefined, note,
 	});
 	const run = async () => {
 		await follower.catchUp(secondMs);
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -205,7 +205,7 @@
 		minTtlMs: minMemberTtlMs,
 		hasService: partition => followers.has(partition),
 		getCaughtUpAtMs: () => isCaughtUp() ? Math.min(...[...followers.values()].map(({caughtUpAtMs}) => caughtUpAtMs)) : Number.NEGATIVE_INFINITY,
-		createOwner: (partition, epoch, {onSuperseded, getHeartbeatAtMs}) => new Owner({
+		createOwner: (partition, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
 			store,
 			clock,
 			client,
@@ -220,6 +220,7 @@
 			getHeartbeatAtMs,
 			note,
 			onSuperseded,
+			onGap,
 			policy,
 			host: site.hostName,
 			follower: getFollower(partition),
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -33,6 +33,8 @@
 	/** The job has completed, failed or been cancelled. */
 	onFinished: (folded: FoldedWorkflow) => void;
 	onClaim: (epoch: number) => void;
+	/** The store has dropped records that were not read. */
+	onGap: () => void;
 };
 
 /** Id of the unit that succeeds or fails as one: a task, or a gang under the id of its first task. */
@@ -83,6 +85,17 @@
 	*/
 	readonly #awaitingSnapshot = new Map<string, WorkflowRecord[]>();
 
+	/**
+	Starts anew at the oldest record that the store retains, because it has dropped records that were not read: jobs may have been
+	cancelled or completed in them. The retained records have a submission or a snapshot of each job, so the state is complete at the end.
+	*/
+	restartAt(oldestOffset: number): void {
+		this.workflows.clear();
+		this.#awaitingSnapshot.clear();
+		this.offset = oldestOffset;
+		this.listener?.onGap();
+	}
+
 	/** Applies the record at the offset. */
 	apply(record: WorkflowRecord, offset: number): void {
 		this.offset = offset + 1;
@@ -181,12 +194,12 @@
 		}
 	}
 
-	/** Adds a job from its snapshot if its earlier records are gone; for a known job, only records that a snapshot was written. */
-	#applySnapshot({workflow, state, hasBegun, remaining, ledgers, writtenAtMs}: WorkflowSnapshot, offset: number): void {
+	/** Adds a job from its snapshot if its earlier records are gone. */
+	#applySnapshot(snapshot: WorkflowSnapshot, offset: number): void {
+		const {workflow, state, hasBegun, remaining, ledgers, writtenAtMs} = snapshot;
 		const known = this.workflows.get(workflow.id);
 		if (known) {
-			known.writtenAtMs = writtenAtMs;
-			known.hasFinalSnapshot = isFinal(state);
+			this.#mergeSnapshot(known, snapshot);
 			return;
 		}
 
@@ -206,6 +219,50 @@
 		}
 	}
 
+	/**
+	Adds to a known job what its snapshot has in addition. The job may be known from an earlier snapshot that lacks a record which the
+	store has dropped since: an owner writes snapshots of what it has read, and another entry's record may precede the snapshot.
+	*/
+	#mergeSnapshot(known: FoldedWorkflow, {state, hasBegun, ledgers, writtenAtMs}: WorkflowSnapshot): void {
+		known.writtenAtMs = writtenAtMs;
+		known.hasFinalSnapshot = isFinal(state);
+		if (isFinal(state)) {
+			this.#finish(known, state);
+			return;
+		}
+
+		if (hasBegun) {
+			this.#markStarted(known);
+		}
+
+		for (const [taskId, ledger] of ledgers) {
+			this.#mergeLedger(taskId, ledger, known.ledgers.get(taskId));
+		}
+	}
+
+	#mergeLedger(taskId: string, {isDone, failedRuns, crashes, lastRun, checkpoint}: TaskLedger, known: TaskLedger | undefined): void {
+		if (lastRun > (known?.lastRun ?? 0)) {
+			this.#applyCheckpoint({taskId, run: lastRun, checkpoint});
+		}
+
+		if (isDone) {
+			this.#applyEnd({
+				taskId, run: lastRun, end: RunEnd.Done, checkpoint: '',
+			});
+			return;
+		}
+
+		for (const run of failedRuns) {
+			this.#applyEnd({
+				taskId, run, end: RunEnd.Failed, checkpoint: '',
+			});
+		}
+
+		for (const crash of crashes) {
+			this.#applyCrash({taskId, ...crash});
+		}
+	}
+
 	#keepUntilSnapshot(id: string, record: WorkflowRecord): void {
 		const records = this.#awaitingSnapshot.get(id) ?? [];
 		records.push(record);
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -44,6 +44,7 @@
 	#catchUp: Promise<void> | undefined;
 	#readBytes = firstReadBytes;
 	#mayGrowReads = true;
+	#restartedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: FollowerOptions) {
 		this.#options = options;
@@ -129,7 +130,7 @@
 
 			const oldestOffset = getOldestOffset(error);
 			if (oldestOffset !== undefined) {
-				this.fold.offset = oldestOffset;
+				this.#skipGap(oldestOffset);
 				return false;
 			}
 
@@ -138,7 +139,7 @@
 
 		const fromOffset = this.fold.offset;
 		this.#apply(page);
-		if (this.fold.offset >= page.endOffset) {
+		if (this.fold.offset >= page.endOffset && sentAtMs >= this.#restartedAtMs) {
 			this.caughtUpAtMs = Math.max(this.caughtUpAtMs, sentAtMs);
 			this.#mayGrowReads = true;
 			return false;
@@ -153,9 +154,7 @@
 
 	/** Applies records; skips those that are folded already, because two reads may be pending at once. */
 	#apply({records, oldestOffset}: StorePage): void {
-		if (this.fold.offset < oldestOffset) {
-			this.fold.offset = oldestOffset;
-		}
+		this.#skipGap(oldestOffset);
 
 		for (const {offset, value} of records) {
 			if (offset === this.fold.offset) {
@@ -164,6 +163,15 @@
 		}
 	}
 
+	/** Reads anew from the oldest record if the store has dropped some that were not read. Until the end is reached again, the view is incomplete. */
+	#skipGap(oldestOffset: number): void {
+		if (this.fold.offset < oldestOffset) {
+			this.caughtUpAtMs = Number.NEGATIVE_INFINITY;
+			this.#restartedAtMs = this.#options.clock.monotonicMs();
+			this.fold.restartAt(oldestOffset);
+		}
+	}
+
 	#applyOne(offset: number, value: Buffer): void {
 		try {
 			this.fold.apply(decodeRecord(value), offset);
--- a/src/workflows/owner-options.ts
+++ b/src/workflows/owner-options.ts
@@ -37,5 +37,7 @@
 	policy: Policy;
 	/** A newer owner is known. */
 	onSuperseded: () => void;
+	/** The store has dropped records that this owner has not read, so that its jobs have to be read anew. */
+	onGap: () => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -249,7 +249,7 @@
 	}
 
 	#subscribe(follower: WorkflowFollower): void {
-		const {clock, note, epoch} = this.#options;
+		const {clock, note, epoch, onGap} = this.#options;
 		follower.fold.listener = {
 			onSubmit: folded => {
 				const {workflow, offset} = folded;
@@ -264,6 +264,10 @@
 			onFinished: folded => {
 				this.#finishWorkflow(folded);
 			},
+			onGap: () => {
+				this.#stepDown('the store has dropped records that were not read');
+				onGap();
+			},
 			onClaim: claimed => {
 				if (claimed > epoch) {
 					this.#stepDown(`the stream shows epoch ${claimed}`);
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -13,6 +13,16 @@
 	stop(): void;
 };
 
+/** What an owner gets from the ownership. */
+export type OwnerTerms = {
+	/** Called by the owner when it learns of a newer one. */
+	onSuperseded: () => void;
+	/** Called by the owner when the store has dropped records that it has not read. */
+	onGap: () => void;
+	/** Returns when the last answered heartbeat was sent. */
+	getHeartbeatAtMs: () => number;
+};
+
 /** Options of the ownership. */
 export type OwnershipOptions = {
 	store: StoreClient;
@@ -32,8 +42,7 @@
 	getCaughtUpAtMs: () => number;
 	/** Whether the partition has a service. */
 	hasService: (partition: number) => boolean;
-	/** The owner calls `onSuperseded` when it learns of a newer one; `getHeartbeatAtMs` returns when the last answered heartbeat was sent. */
-	createOwner: (partition: number, epoch: number, terms: {onSuperseded: () => void; getHeartbeatAtMs: () => number}) => RunningOwner;
+	createOwner: (partition: number, epoch: number, terms: OwnerTerms) => RunningOwner;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
@@ -86,6 +95,8 @@
 	#generation = 0;
 	#isReached: boolean | undefined;
 	#isLeaving = false;
+	/** Whether an owner has to read its jobs anew, under a new epoch: its orders may still be under way. */
+	#mustRejoin = false;
 	#isStandby = false;
 	/** Whether the entry has so few processors that its heartbeats are late whenever it owns jobs. */
 	#isSlow = false;
@@ -137,9 +148,10 @@
 			try {
 				if (this.#isStandby) {
 					await this.#withdraw();
-				} else if (this.#isMember && this.#getStalenessMs() > releaseAfterMs) {
+				} else if (this.#isMember && (this.#mustRejoin || this.#getStalenessMs() > releaseAfterMs)) {
 					this.#options.note('jobs given up', {unseenMs: Math.round(this.#getStalenessMs())});
 					await this.#withdraw();
+					this.#mustRejoin = false;
 					await this.#waitForCatchUp(signal);
 				} else {
 					this.#joining = this.#join(signal);
@@ -165,7 +177,7 @@
 		this.#lastHeartbeatAtMs = sentAtMs;
 		this.#noteReached(true, '');
 		this.#noteGap(sentAtMs);
-		if (!signal.aborted && !this.#isLeaving) {
+		if (!signal.aborted && !this.#isLeaving && !this.#mustRejoin) {
 			this.#applyAssignment(assignment.generation, new Set(assignment.partitions.map(({partition}) => partition)));
 		}
 	}
@@ -301,6 +313,9 @@
 					onSuperseded: () => {
 						this.owners.delete(partition);
 					},
+					onGap: () => {
+						this.#mustRejoin = true;
+					},
 					getHeartbeatAtMs: () => this.#lastHeartbeatAtMs,
 				});
 				this.owners.set(partition, owner);
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -203,8 +203,8 @@
 			minTtlMs: 1000,
 			getCaughtUpAtMs: () => follower.caughtUpAtMs,
 			hasService: used => used === partition,
-			createOwner: (owned, epoch, {onSuperseded, getHeartbeatAtMs}) => new Owner({
-				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, host: name, follower, isOwned: () => true, policy: createPolicy(),
+			createOwner: (owned, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
+				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower, isOwned: () => true, policy: createPolicy(),
 			}),
 		});
 		void follower.run(aborter.signal);
--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -5,6 +5,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {SubmitOutcome} from '../src/types/job-api.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
 import {RecordType, workflowsTopic, type WorkflowSnapshot} from '../src/workflows/records.ts';
@@ -100,6 +101,26 @@
 	});
 });
 
+/** Guards against an owner that goes on with its old state, or again under the epoch of orders that are still under way. */
+it('an owner that was suspended for longer than the store retains records starts no job again', async () => {
+	site = await createSite();
+	site.plan = () => ({workMs: 3000});
+	await site.submit(jobId, createSpec([createStep()]));
+	await site.clock.advance(500);
+	const owner = site.getOwnerName()!;
+	const other = [...site.entries.keys()].find(name => name !== owner)!;
+	site.entries.get(owner)!.clock.isPaused = true;
+	await advanceWithRetention(other, retentionMs + 5000);
+	site.killEntry(other);
+	site.entries.get(owner)!.clock.resume();
+	await site.clock.advance(8000);
+	expect(site.getOwnerName()).toBe(owner);
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+	expect(await site.getState(jobId, owner)).toBe(WorkflowState.Completed);
+	expect(await site.submit(otherId, createSpec([createStep()]), owner)).toMatchObject({outcome: SubmitOutcome.Accepted});
+	expect(await site.waitFor(() => site!.getStarts(`${otherId}.0.0.0`) === 1, 3000)).toBeDefined();
+});
+
 describe('an entry that starts when the store has dropped a record but not the snapshot that was written just after it', () => {
 	/**
 	Guards against a snapshot that lacks a record which the owner had not read yet: the first retained record is then that snapshot,
