Let calls that catch up share the reads of an entry that is behind, and read less at a time

Callers saw: an entry that started took twice as long to know the jobs while callers asked it for some, and one on a slow link that carried other transfers never knew any. Cause: a call that has to catch up read the same records beside the follower's own read, on the same link, each with half of it. And a read never asked for less than 16 KB, which a share of 17 bytes a ms does not carry within the time-out of 700 ms. Evidence: two tests of test/follower-links.test.ts failed before: 4,210 ms in place of 2,230 ms for the first read over 250 bytes a ms with a call each 100 ms; the end not reached within 16 s over 100 bytes a ms with five other transfers. Change: while the follower is behind, calls that catch up wait for its steps; the least read is 2 KB.

--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -32,7 +32,8 @@
 const firstReadBytes = 32_768;
 /** The size grows only after a read that took at most this long: a larger one might exceed the time-out. */
 const maxReadMsToGrow = 150;
-const minReadBytes = 16_384;
+/** Passes within the time-out over the share of a slow link that the other transfers of a host leave. */
+const minReadBytes = 2048;
 const maxReadBytes = 1_048_576;
 
 /** Follows one partition. */
@@ -42,6 +43,8 @@
 	caughtUpAtMs = Number.NEGATIVE_INFINITY;
 	readonly #options: FollowerOptions;
 	#catchUp: Promise<void> | undefined;
+	/** The current step of `run` while it is behind: calls to catch up wait for it, since another read would carry the same records over the same link. */
+	#backlogStep: Promise<boolean> | undefined;
 	#readBytes = firstReadBytes;
 	#mayGrowReads = true;
 	#restartedAtMs = Number.NEGATIVE_INFINITY;
@@ -62,23 +65,14 @@
 
 	/** Follows until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, onStoreState} = this.#options;
+		let isBehind = true;
 		while (!signal.aborted) {
-			try {
-				const hasMore = await this.#read(this.isCaughtUp ? readWaitMs : 0, signal);
-				onStoreState(true, '');
-				if (!hasMore) {
-					await clock.sleep(this.fold.listener ? ownerReadPauseMs : readerReadPauseMs, signal);
-				}
-			} catch (error) {
-				if (signal.aborted) {
-					return;
-				}
-
-				onStoreState(false, getMessage(error));
-				await clock.sleep(retryMs, signal);
-			}
+			const step = this.#follow(signal);
+			this.#backlogStep = isBehind ? step : undefined;
+			isBehind = await step;
 		}
+
+		this.#backlogStep = undefined;
 	}
 
 	/** Reads to the end as of the call; resolves to false if the store does not answer in time. */
@@ -88,7 +82,7 @@
 		const endAtMs = calledAtMs + timeoutMs;
 		while (this.caughtUpAtMs < calledAtMs) {
 			// Concurrent calls share one read; a call is done once a read that began after it has reached the end.
-			this.#catchUp ??= this.#readOnce(endAtMs - clock.monotonicMs());
+			this.#catchUp ??= this.#backlogStep ? this.#waitForStep(this.#backlogStep, endAtMs - clock.monotonicMs()) : this.#readOnce(endAtMs - clock.monotonicMs());
 			await this.#catchUp;
 			if (this.caughtUpAtMs < calledAtMs && clock.monotonicMs() >= endAtMs) {
 				return false;
@@ -98,6 +92,34 @@
 		return true;
 	}
 
+	/** Reads once and pauses, unless more records are known to follow; resolves to whether the end has not been reached. */
+	async #follow(signal: AbortSignal): Promise<boolean> {
+		const {clock, onStoreState} = this.#options;
+		try {
+			const hasMore = await this.#read(this.isCaughtUp ? readWaitMs : 0, signal);
+			onStoreState(true, '');
+			if (!hasMore) {
+				await clock.sleep(this.fold.listener ? ownerReadPauseMs : readerReadPauseMs, signal);
+			}
+
+			return hasMore || !this.isCaughtUp;
+		} catch (error) {
+			if (!signal.aborted) {
+				onStoreState(false, getMessage(error));
+				await clock.sleep(retryMs, signal);
+			}
+
+			return !this.isCaughtUp;
+		}
+	}
+
+	async #waitForStep(step: Promise<boolean>, timeoutMs: number): Promise<void> {
+		const aborter = new AbortController();
+		await Promise.race([step, this.#options.clock.sleep(timeoutMs, aborter.signal)]);
+		aborter.abort();
+		this.#catchUp = undefined;
+	}
+
 	async #readOnce(timeoutMs: number): Promise<void> {
 		const {clock} = this.#options;
 		const aborter = new AbortController();
