Ask other entries for the state of a job that is known from an old view only

Callers saw: a completed job shown as running or queued for up to ten seconds by an entry that had just started or whose reads got no answer, also after another entry had shown it as completed. Cause: the state of a known job was answered without asking how old the view was; other entries were asked only once the store counted as lost. Change: a state that is not final and is older than 2 s is read again first, then taken from another entry; where none has a recent view, the old state is still answered, since the job exists. A call without time left no longer sends a read that is aborted at once.

--- a/src/plugins/entry-messages.ts
+++ b/src/plugins/entry-messages.ts
@@ -2,11 +2,9 @@
 Calls between entries about jobs: JSON over HTTP.
 */
 import {createError, ErrorCode} from '../core/errors.ts';
+import {type EntryClient, type RelayedJob} from '../types/entries.ts';
 import {
-	type EntryClient, type RelayedJob, type StateReply,
-} from '../types/entries.ts';
-import {
-	LookupOutcome, SubmitOutcome, type JobApi, type SubmitReply,
+	LookupOutcome, SubmitOutcome, type JobApi, type StateReply, type SubmitReply,
 } from '../types/job-api.ts';
 import {type QueueConfig} from '../types/site.ts';
 import {type WorkflowSpec} from '../types/workflows.ts';
--- a/src/types/entries.ts
+++ b/src/types/entries.ts
@@ -1,8 +1,8 @@
 /**
 Registrations of entries, and the calls that an entry without access to the store relays to another one.
 */
-import {type LookupOutcome, type SubmitReply} from './job-api.ts';
-import {type WorkflowSpec, type WorkflowState} from './workflows.ts';
+import {type LookupOutcome, type StateReply, type SubmitReply} from './job-api.ts';
+import {type WorkflowSpec} from './workflows.ts';
 
 /** Registration of an entry in the store. */
 export type EntryRegistration = {
@@ -16,12 +16,6 @@
 	id: string;
 };
 
-/** An entry's answer about the state of a job. */
-export type StateReply = {
-	outcome: LookupOutcome;
-	state?: WorkflowState;
-};
-
 /**
 Calls to another entry. They throw `peer-unreached` if nothing was sent, and `peer-unavailable` if there is no answer: the call
 may have been carried out, or may be later.
--- a/src/types/job-api.ts
+++ b/src/types/job-api.ts
@@ -31,12 +31,20 @@
 	Unknown = 'unknown',
 }
 
+/** Reply to a query of a job's state. */
+export type StateReply = {
+	outcome: LookupOutcome;
+	state?: WorkflowState;
+	/** Whether the job may have got further: the entry could not read the log to its end in time. */
+	isOld?: boolean;
+};
+
 /** Operations on jobs for callers. */
 export type JobApi = {
 	getConfig(): SiteConfig | undefined;
 	/** Resolves within `timeoutMs`. */
 	submit(queue: QueueConfig, id: string, spec: WorkflowSpec, timeoutMs: number): Promise<SubmitReply>;
-	getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<{outcome: LookupOutcome; state?: WorkflowState}>;
+	getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<StateReply>;
 	cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome>;
 	/** Counts the accepted jobs of the queue that have started no task yet; undefined: no recent count is known within `timeoutMs`. */
 	countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined>;
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -75,8 +75,12 @@
 		this.#backlogStep = undefined;
 	}
 
-	/** Reads to the end as of the call; resolves to false if the store does not answer in time. */
+	/** Reads to the end as of the call; resolves to false if the store does not answer in time, at once if there is no time. */
 	async catchUp(timeoutMs: number): Promise<boolean> {
+		if (timeoutMs <= 0) {
+			return false;
+		}
+
 		const {clock} = this.#options;
 		const calledAtMs = clock.monotonicMs();
 		const endAtMs = calledAtMs + timeoutMs;
--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -4,9 +4,9 @@
 */
 import {ErrorCode, getMessage, isError} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
-import {type EntryClient, type EntryRegistration, type StateReply} from '../types/entries.ts';
+import {type EntryClient, type EntryRegistration} from '../types/entries.ts';
 import {
-	LookupOutcome, SubmitOutcome, type JobApi, type SubmitReply,
+	LookupOutcome, SubmitOutcome, type JobApi, type StateReply, type SubmitReply,
 } from '../types/job-api.ts';
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
 import {type WorkflowSpec} from '../types/workflows.ts';
@@ -80,19 +80,16 @@
 	}
 
 	async getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<StateReply> {
-		const {local, client, isStoreLost} = this.#options;
-		if (!isStoreLost()) {
-			return local.getState(queue, id, timeoutMs);
-		}
-
-		const known = await local.getState(queue, id, 0);
-		if (isFinished(known)) {
+		const {local, client, clock, isStoreLost} = this.#options;
+		const endAtMs = clock.monotonicMs() + timeoutMs;
+		const known = await local.getState(queue, id, isStoreLost() ? 0 : timeoutMs);
+		if (known.outcome !== LookupOutcome.Unknown && !known.isOld) {
 			return known;
 		}
 
-		const {reply} = await this.#ask({kind: 'state', id}, {timeoutMs: lookupTimeoutMs, endAtMs: this.#options.clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
+		const {reply} = await this.#ask({kind: 'state', id}, {timeoutMs: lookupTimeoutMs, endAtMs}, async (address, askMs) => {
 			const state = await client.getState(address, {queue: queue.name, id}, askMs);
-			return state.outcome === LookupOutcome.Unknown ? undefined : state;
+			return state.outcome === LookupOutcome.Unknown || state.isOld ? undefined : state;
 		});
 		// A job that this entry has read exists, even if the other entry has not read it yet.
 		return reply === undefined || (reply.outcome === LookupOutcome.Absent && known.outcome === LookupOutcome.Found) ? known : reply;
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -8,11 +8,11 @@
 import {getPartition} from '../core/partitions.ts';
 import {type Clock} from '../types/clock.ts';
 import {
-	LookupOutcome, SubmitOutcome, type JobApi, type SubmitReply,
+	LookupOutcome, SubmitOutcome, type JobApi, type StateReply, type SubmitReply,
 } from '../types/job-api.ts';
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
 import {type StoreClient} from '../types/store.ts';
-import {type WorkflowState, type WorkflowSpec} from '../types/workflows.ts';
+import {type WorkflowSpec} from '../types/workflows.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {encodeRecord, RecordType, workflowsTopic} from './records.ts';
@@ -38,8 +38,8 @@
 const recordExpiryMs = 400;
 /** Retry interval proposed to callers: a few retries this far apart outlast an outage of the store. */
 const retryAfterMs = 2000;
-/** A count of pending jobs may be this old. */
-const maxCountAgeMs = 2000;
+/** Counts and states that callers get may be this old. */
+const maxStalenessMs = 2000;
 /** Time-out of reading to the end of the stream; after it the state of a job that was not found is unknown. */
 const catchUpMs = 1200;
 
@@ -102,19 +102,20 @@
 			: {outcome: SubmitOutcome.Unknown, reason: 'the store gave no answer'};
 	}
 
-	async getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<{outcome: LookupOutcome; state?: WorkflowState}> {
+	async getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<StateReply> {
+		const follower = this.#options.getFollower(this.#getPartition(queue));
 		const known = this.#find(queue, id);
-		if (known) {
+		if (known && (isFinal(known.state) || isRecent(follower))) {
 			return {outcome: LookupOutcome.Found, state: known.state};
 		}
 
-		const follower = this.#options.getFollower(this.#getPartition(queue));
-		if (!await follower.catchUp(Math.min(catchUpMs, timeoutMs))) {
-			return {outcome: LookupOutcome.Unknown};
+		const isCaughtUp = await follower.catchUp(Math.min(catchUpMs, timeoutMs));
+		const found = this.#find(queue, id);
+		if (found) {
+			return {outcome: LookupOutcome.Found, state: found.state, isOld: !isCaughtUp && !isFinal(found.state)};
 		}
 
-		const found = this.#find(queue, id);
-		return found ? {outcome: LookupOutcome.Found, state: found.state} : {outcome: LookupOutcome.Absent};
+		return {outcome: isCaughtUp ? LookupOutcome.Absent : LookupOutcome.Unknown};
 	}
 
 	async cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome> {
@@ -135,8 +136,7 @@
 
 	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
 		const follower = this.#options.getFollower(this.#getPartition(queue));
-		const isRecent = (follower.stalenessMs ?? Number.POSITIVE_INFINITY) <= maxCountAgeMs || await follower.catchUp(Math.min(catchUpMs, timeoutMs));
-		return isRecent ? follower.fold.countPending(queue.name) : undefined;
+		return isRecent(follower) || await follower.catchUp(Math.min(catchUpMs, timeoutMs)) ? follower.fold.countPending(queue.name) : undefined;
 	}
 
 	#getPartition(queue: QueueConfig): number {
@@ -160,3 +160,5 @@
 		return writer.write(value, timeoutMs);
 	}
 }
+
+const isRecent = ({stalenessMs}: WorkflowFollower): boolean => stalenessMs !== undefined && stalenessMs <= maxStalenessMs;
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -72,6 +72,35 @@
 	expect(await currentSite.getState(otherId, 'entry-0')).toBe(LookupOutcome.Absent);
 });
 
+/** Guards against a state that goes back: an entry whose reads are not answered showed a completed job as queued for ten seconds. */
+it('get the final state from another entry before the store is known to be lost', async () => {
+	currentSite = await createRelaying();
+	currentSite.plan = () => ({workMs: 3000});
+	await currentSite.submit(jobId, spec, 'entry-1');
+	await currentSite.clock.advance(1000);
+	currentSite.store.getFault = ({client, kind}) => client === 'entry-0' && kind === 'read' ? StoreFault.LoseRequest : StoreFault.None;
+	await currentSite.clock.advance(4000);
+	expect(currentSite.entries.get('entry-0')!.follower.fold.workflows.get(jobId)!.state).not.toBe(WorkflowState.Completed);
+	expect(await currentSite.getState(jobId, 'entry-0')).toBe(WorkflowState.Completed);
+});
+
+/** Guards against the same by an entry that has started and has read a part of the stream. */
+it('get the final state from another entry while the entry has read a part of the stream', async () => {
+	currentSite = await createRelaying();
+	await currentSite.submit(jobId, spec, 'entry-1');
+	for (let index = 0; index < 40; index++) {
+		await currentSite.submit(`000000000000b${index.toString(16).padStart(3, '0')}`, {...spec, input: 'x'.repeat(4000)}, 'entry-1');
+	}
+
+	await currentSite.clock.advance(20_000);
+	currentSite.killEntry('entry-0');
+	currentSite.store.getDelayMs = ({client, kind}) => client === 'entry-0' && kind === 'read' ? 650 : 0;
+	currentSite.startEntry('entry-0');
+	await currentSite.clock.advance(1500);
+	expect(currentSite.entries.get('entry-0')!.follower.fold.workflows.get(jobId)!.state).not.toBe(WorkflowState.Completed);
+	expect(await currentSite.getState(jobId, 'entry-0')).toBe(WorkflowState.Completed);
+});
+
 /** Guards against a count from before the store was lost where another entry has a recent one. */
 it('get the pending count of another entry', async () => {
 	currentSite = await createCut(StoreFault.LoseRequest);
