Tell in answered lines what a GET was given and how old the entry's view was

Cause: an answer with an old count and an answer from a wrong fold left the same line in the log, so a MIXED could not be traced. Change: the `answered` line of a GET holds `pendingCount` or `state`, and `offset`, `isCaughtUp` and `stalenessMs` of the entry's follower. Evidence: tests of the follower (no staleness before the end was reached, grows while reads are not answered) and of the callers' server. Conclusion: no behaviour changes; a wrong answer with a small staleness is a wrong fold, one with a large staleness an old view.

--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -10,7 +10,7 @@
 import {type Clock} from '../types/clock.ts';
 import {LookupOutcome, SubmitOutcome, type JobApi} from '../types/job-api.ts';
 import {type QueueConfig} from '../types/site.ts';
-import {type WorkflowSpec, type WorkflowStep} from '../types/workflows.ts';
+import {type WorkflowSpec, type WorkflowState, type WorkflowStep} from '../types/workflows.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
 import {readBody} from '../utils/http-server.ts';
 
@@ -22,10 +22,12 @@
 const maxTasksPerStep = 100_000;
 const idPattern = /^[\da-f]{16}$/i;
 
-type Answer = {status: number; body?: unknown; retryAfterMs?: number};
+type Answer = {status: number; body?: {pendingCount?: number; state?: WorkflowState}; retryAfterMs?: number};
 
 /** Called after each answer, for logging and metrics. */
-export type AnswerHandler = (answer: {method: string; queue?: string; id?: string; status: number; reason?: string; tookMs: number}) => void;
+export type AnswerHandler = (answer: {
+	method: string; queue?: string; id?: string; status: number; reason?: string; tookMs: number; pendingCount?: number; state?: WorkflowState;
+}) => void;
 
 /** Options of the server. */
 export type CallerServerOptions = {
@@ -54,7 +56,7 @@
 
 		send(response, answer, isClosing());
 		onAnswer({
-			method: request.method ?? '', queue: queue?.name, id, status: answer.status, reason: answer.reason, tookMs: clock.monotonicMs() - startedAtMs,
+			method: request.method ?? '', queue: queue?.name, id, status: answer.status, reason: answer.reason, tookMs: clock.monotonicMs() - startedAtMs, ...answer.body,
 		});
 	});
 
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -52,7 +52,7 @@
 		throw createError(ErrorCode.BadSettings, {step: 'start entry', detail: 'the site settings lack the address for callers or the address for readiness checks'});
 	}
 
-	const {config, jobs, ownership, directory, isStoreLost, isStoreFailing, isCaughtUp} = createComponents(parts);
+	const {config, jobs, ownership, directory, isStoreLost, isStoreFailing, isCaughtUp, describeView} = createComponents(parts);
 	let isLeaving = false;
 	const isReady = () => !isLeaving && isCaughtUp() && !isStoreLost() && !load.isOverloaded;
 	const callers = createCallerServer({
@@ -61,10 +61,10 @@
 		findQueue,
 		// A caller with an open connection keeps using this entry unless the answer closes the connection.
 		isClosing: () => !isReady(),
-		onAnswer({method, queue, id, status, reason, tookMs}) {
+		onAnswer({method, queue, id, status, reason, tookMs, pendingCount, state}) {
 			metrics.observe(`${method} ${status}`, tookMs);
 			note('answered', {
-				method, queue, id, status, reason, tookMs: Math.round(tookMs),
+				method, queue, id, status, reason, tookMs: Math.round(tookMs), pendingCount, state, ...(method === 'GET' && describeView(queue)),
 			});
 		},
 	});
@@ -106,6 +106,8 @@
 	}
 };
 
+const roundDefined = (value: number | undefined): number | undefined => value === undefined ? undefined : Math.round(value);
+
 const createRelayingApi = ({clock, http, note}: SiteProcess, {jobs, directory, isStoreLost}: {jobs: JobApi; directory: EntryDirectory; isStoreLost: () => boolean}): JobApi => new RelayingApi({
 	local: jobs, client: createEntryClient(http), clock, getOthers: () => directory.others, isStoreLost, note,
 });
@@ -179,6 +181,13 @@
 			note(`store ${event}`, {detail, writer: 'jobs'});
 		},
 	});
+	/** Describes what this entry has read of the queue's partition, for the log. */
+	const describeView = (queueName: string | undefined) => {
+		const queue = config.config?.queues.find(({name}) => name === queueName);
+		const follower = queue && followers.get(getPartition(queue.service, partitions));
+		return follower && {offset: follower.fold.offset, isCaughtUp: follower.isCaughtUp, stalenessMs: roundDefined(follower.stalenessMs)};
+	};
+
 	const isCaughtUp = () => config.config !== undefined && [...followers.values()].every(follower => follower.isCaughtUp);
 	const ownership = new Ownership({
 		store,
@@ -222,6 +231,6 @@
 		store, clock, life: incarnation, note, registration: {host: site.hostName, address: internalAddress},
 	});
 	return {
-		config, jobs, ownership, directory, isStoreLost, isCaughtUp, isStoreFailing: () => unreachableSinceMs.size > 0,
+		config, jobs, ownership, directory, isStoreLost, isCaughtUp, describeView, isStoreFailing: () => unreachableSinceMs.size > 0,
 	};
 };
--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -54,6 +54,11 @@
 		return this.caughtUpAtMs > Number.NEGATIVE_INFINITY;
 	}
 
+	/** Time since the start of the last read that reached the end; undefined before the first one. */
+	get stalenessMs(): number | undefined {
+		return this.isCaughtUp ? this.#options.clock.monotonicMs() - this.caughtUpAtMs : undefined;
+	}
+
 	/** Follows until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, onStoreState} = this.#options;
--- a/test/caller-server.test.ts
+++ b/test/caller-server.test.ts
@@ -7,7 +7,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {createCallerServer, decodeWorkflowSpec} from '../src/platform/caller-server.ts';
+import {createCallerServer, decodeWorkflowSpec, type AnswerHandler} from '../src/platform/caller-server.ts';
 import {LookupOutcome, SubmitOutcome, type JobApi} from '../src/types/job-api.ts';
 import {type SiteConfig} from '../src/types/site.ts';
 import {WorkflowState} from '../src/types/workflows.ts';
@@ -27,7 +27,7 @@
 let server: Server;
 let address = '';
 
-const serve = async (jobs: Partial<JobApi>): Promise<void> => {
+const serve = async (jobs: Partial<JobApi>, onAnswer: AnswerHandler = () => undefined): Promise<void> => {
 	server = createCallerServer({
 		jobs: {
 			getConfig: () => config,
@@ -39,7 +39,7 @@
 		},
 		clock: createSystemClock(),
 		findQueue,
-		onAnswer: () => undefined,
+		onAnswer,
 		isClosing: () => false,
 	});
 	address = await listen(server, '127.0.0.1:0');
@@ -99,6 +99,17 @@
 	});
 });
 
+/** Guards against logs that do not tell which count or state a caller was given. */
+it('passes the count and the state that a caller was given to the log', async () => {
+	const answers: Array<Parameters<AnswerHandler>[0]> = [];
+	await serve({}, answer => {
+		answers.push(answer);
+	});
+	await call('GET', '/issue/');
+	await call('GET', '/issue/00000000000000a1');
+	expect(answers).toMatchObject([{status: 200, pendingCount: 12}, {status: 200, state: WorkflowState.Running}]);
+});
+
 describe('senders of invalid requests', () => {
 	it.each([
 		['a body that is not JSON', '{'],
--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -2,6 +2,7 @@
 The follower of the jobs stream, on links of different speed.
 */
 import {expect, it} from 'vitest';
+import {createError, ErrorCode} from '../src/core/errors.ts';
 import {MemoryStore} from '../src/standin/memory-store.ts';
 import {type StoreClient} from '../src/types/store.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
@@ -67,3 +68,35 @@
 	aborter.abort();
 	expect(reads).toBeLessThan(50);
 });
+
+/** Guards against an old view that looks current in the log: a read that is not answered does not renew it. */
+it('tells how stale its view is, and nothing before the end was reached', async () => {
+	const clock = new ManualClock();
+	const memoryStore = new MemoryStore(clock, 1);
+	const client = memoryStore.createClient('entry');
+	let isSilent = true;
+	const store: Pick<StoreClient, 'read'> = {
+		async read(...parameters) {
+			if (isSilent) {
+				await clock.sleep(700);
+				throw createError(ErrorCode.StoreUnanswered, {step: 'read jobs', detail: 'no answer'});
+			}
+
+			return client.read(...parameters);
+		},
+	};
+	const aborter = new AbortController();
+	const follower = new WorkflowFollower({
+		store: store as StoreClient, clock, ref, onInvalid: () => undefined, onStoreState: () => undefined,
+	});
+	void follower.run(aborter.signal);
+	await clock.advance(3000);
+	expect(follower.stalenessMs).toBeUndefined();
+	isSilent = false;
+	await clock.advance(3000);
+	expect(follower.stalenessMs).toBeLessThan(1500);
+	isSilent = true;
+	await clock.advance(5000);
+	aborter.abort();
+	expect(follower.stalenessMs).toBeGreaterThan(4000);
+});
