Wait for a declaration before taking the leases of an unreachable agent for expired

Callers saw: tasks started a second time after a change of owner while the new owner could not reach some agents for 7.6 s. Cause: the new owner held the tasks from before its claim back until leases from before it must have expired, counted from the claim. But an agent renews its leases by what it reads in the store; one that reaches the store and not the new owner goes on. Only a declaration that it is lost stops its renewals, and that came after 8 s, later than the starts. Two tests of test/site-takeover.test.ts force it and failed before: a run that is active, and one that has succeeded, are started elsewhere while their agent is cut off from the new owner alone. Change: reconciliation waits for the declaration of each agent that does not answer and for its leases after that; an agent that has listed nothing yet is declared lost after 4 s without an answer, in place of 8. An agent that answers without a list is waited for as before. The price: tasks from before the claim wait 11.6 s in place of 7.6 s where an agent is gone for good at the change of owner.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -145,6 +145,7 @@
 			version: 0,
 			report: undefined,
 			isListed: false,
+			haveOldLeasesExpired: false,
 			isAnswering: false,
 			lastReplyAtMs: Number.NEGATIVE_INFINITY,
 			agentClock: new PeerClock(),
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -24,7 +24,7 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** An agent with active runs is declared lost after this time without an answer. Runs survive shorter interruptions. */
+/** An agent that has active runs, or has not listed any yet, is declared lost after this time without an answer. Runs survive shorter interruptions. */
 const declareLostAfterMs = 4000;
 /** The same for an agent without active runs: it is removed, so that a later owner need not wait for it. */
 const removedAfterMs = 8000;
@@ -49,8 +49,8 @@
 		const {clock, workers, leaseDurationMs} = this.#options;
 		const nowMs = clock.monotonicMs();
 		for (const worker of workers.values()) {
-			const {unresponsiveSinceMs, lostSession, lostAtMs, runs} = worker;
-			const boundMs = runs.size > 0 ? declareLostAfterMs : removedAfterMs;
+			const {unresponsiveSinceMs, lostSession, lostAtMs, runs, isListed} = worker;
+			const boundMs = runs.size > 0 || !isListed ? declareLostAfterMs : removedAfterMs;
 			if (unresponsiveSinceMs !== undefined && lostSession === undefined && nowMs - unresponsiveSinceMs >= boundMs) {
 				worker.lostSession = worker.session;
 				void this.#declare(worker);
@@ -73,6 +73,7 @@
 	/** Handles the expiry of a lost agent's leases. The agent may have registered again without having answered yet. */
 	#handleExpiredLeases(worker: FleetWorker, nowMs: number): void {
 		this.#options.tracker.markAllLost(worker, LossReason.AgentLost, nowMs);
+		worker.haveOldLeasesExpired = true;
 		if (worker.session > worker.lostSession!) {
 			worker.lostSession = undefined;
 			worker.lostAtMs = undefined;
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -21,6 +21,8 @@
 	report: WorkerReport | undefined;
 	/** Whether this incarnation of the agent has listed the worker's runs. */
 	isListed: boolean;
+	/** Whether the agent was declared lost since this owner's claim and all its leases from before have expired. */
+	haveOldLeasesExpired: boolean;
 	/** Whether the worker answers its agent. */
 	isAnswering: boolean;
 	/** When the agent's last reply was handled, and the reading of the worker's clock in it. */
--- a/src/workflows/reconciliation.ts
+++ b/src/workflows/reconciliation.ts
@@ -1,6 +1,9 @@
 /**
 Reconciliation of a new owner: a task that an earlier owner may have started waits until every agent has listed its runs, or
-all leases from before the claim have expired.
+its leases from before the claim have expired.
+
+An agent that does not answer may still reach the store, and renews its leases by what it reads there. So the time since the claim
+says nothing about them: the agent has to be declared lost, and its leases expire after that.
 */
 import {type Clock} from '../types/clock.ts';
 import {type AgentLinks} from './agent-links.ts';
@@ -43,8 +46,9 @@
 		}
 
 		const tookMs = clock.monotonicMs() - this.#claimedAtMs;
-		const missing = [...links.workers.values()].filter(worker => !worker.isListed);
-		if (missing.length === 0 || tookMs > getLeaseExpiryMs(leaseDurationMs)) {
+		const missing = [...links.workers.values()].filter(worker => !worker.isListed && !worker.haveOldLeasesExpired);
+		const areAllAnswering = missing.every(({unresponsiveSinceMs}) => unresponsiveSinceMs === undefined);
+		if (missing.length === 0 || (areAllAnswering && tookMs > getLeaseExpiryMs(leaseDurationMs))) {
 			this.#isReconciled = true;
 			note('settled', {tookMs: Math.round(tookMs), agents: links.workers.size, missing: missing.map(worker => worker.host)});
 			onReconciled();
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -30,6 +30,7 @@
 		workerId: `${host}-1`, service: queue.service, failureDomain: 'hall', isDraining: false, milliCpu, memoryMb: 64_000, accelerators: 0, labels, sequence: 1,
 	},
 	isListed: true,
+	haveOldLeasesExpired: false,
 	isAnswering: true,
 	lastReplyAtMs: 0,
 	workerClockMs: 0,
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -142,6 +142,36 @@
 		expect(tookMs).toBeLessThan(14_000);
 	});
 
+	/** Guards against a new owner that takes the leases of an agent for expired which it cannot reach, but which renews them by what it reads in the store. */
+	it('that takes over and cannot reach an agent in touch with the store starts no task that runs there', async () => {
+		await startSite();
+		site.plan = () => ({workMs: 60_000});
+		await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+		await site.clock.advance(300);
+		const survivor = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
+		site.killEntry(site.getOwnerName()!);
+		site.cuts.add(`${survivor}>host-0`);
+		site.addHost('host-2');
+		const tookMs = await site.waitFor(() => site.getStarts(`${jobId}.0.0.0`) + site.getStarts(`${jobId}.0.0.1`) > 2, 20_000);
+		expect(tookMs).toBeLessThan(14_000);
+	});
+
+	/** Guards against the same for a run that has ended while its owner could not store the end. */
+	it('that takes over and cannot reach an agent starts no task that has succeeded there', async () => {
+		await startSite();
+		site.plan = () => ({workMs: 2000});
+		await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+		await site.clock.advance(300);
+		const survivor = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
+		site.killEntry(site.getOwnerName()!);
+		site.cuts.add(`${survivor}>host-0`);
+		await site.clock.advance(9500);
+		site.cuts.delete(`${survivor}>host-0`);
+		await site.clock.advance(6000);
+		expect(await site.getState(jobId)).toBe(WorkflowState.Completed);
+		expect(site.getStarts(`${jobId}.0.0.0`) + site.getStarts(`${jobId}.0.0.1`)).toBe(2);
+	});
+
 	/**
 	The owner's process is suspended for 4 s and is replaced. It does not notice this when it resumes and continues with its old
 	view, so its orders have to be refused.
