Keep a waiting job from being idle between its single runs

Cause, two: (1) a job that runs one task at a time waited 1.5 s anew for the first task of its next step. (2) The next task is started when the only run is about to end, by its reports; on a busy owner the first report of a task of 0.4 s came up to 2 s after the end. Change: a job whose last start was such a single one does not wait again; a run without reported progress counts as ended after the usual run time of its step, for two runs at most. After: three tests, of which those of the step and of the late report failed before; interference, orders, trials, placement, decisions, slow-thread, quarantine and crashes pass (80).

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -109,6 +109,8 @@
 	isFinished: boolean;
 	/** When it was submitted, on the owner's monotonic clock, because the wall clock may jump. */
 	receivedAtMs: number;
+	/** Whether its last start was a single task that had waited too long for a place: the next one does not wait as long again. */
+	isStarved: boolean;
 };
 
 /** Jobs of one partition that have not finished, and finished ones with active runs. */
@@ -133,6 +135,7 @@
 			nextOccurrence: 0,
 			isFinished: false,
 			receivedAtMs: nowMs - Math.min(maxAgeMs, Math.max(0, wallMs - folded.workflow.receivedAtMs)),
+			isStarved: false,
 		};
 		this.workflows.set(folded.workflow.id, workflow);
 		this.openDueOccurrences(workflow, wallMs, nowMs);
@@ -277,14 +280,36 @@
 
 const fullPercent = 100;
 
-/** Estimated time to the run's end, from its speed since `basePercent`: it may have been resumed or adopted. */
-const getRemainingMs = ({percent, basePercent, workedMs, progressAtMs}: LiveRun, nowMs: number): number =>
-	percent > basePercent ? (workedMs * (fullPercent - percent) / (percent - basePercent)) - (nowMs - progressAtMs) : Number.POSITIVE_INFINITY;
+/** A job has at most this many active runs that are expected to have ended, however late their ends are reported. */
+const maxUnreportedEnds = 2;
 
-/** Whether the job has no active run, or only one that is expected to end within the given time. */
-export const isIdleWithin = (workflow: LiveWorkflow, withinMs: number, nowMs: number): boolean => {
-	const [first, second] = getActiveRuns(workflow);
-	return first === undefined || (second === undefined && first.phase === RunPhase.Running && getRemainingMs(first, nowMs) < withinMs);
+/**
+Whether the run is expected to end within the given time, by its speed since `basePercent`: it may have been resumed or adopted.
+On a busy owner the first report may come after the end: a run without progress counts as ended after the usual run time.
+*/
+const isEndingWithin = ({percent, basePercent, workedMs, progressAtMs, orderedAtMs, task: {step}}: LiveRun, withinMs: number, {nowMs, getTaskMs}: IdleOptions): boolean =>
+	percent > basePercent
+		? (workedMs * (fullPercent - percent) / (percent - basePercent)) - (nowMs - progressAtMs) < withinMs
+		: nowMs - orderedAtMs > getTaskMs(step);
+
+/** What `isIdleWithin` depends on. */
+export type IdleOptions = {
+	nowMs: number;
+	/** Predicts the run time of a task of the step at full speed. */
+	getTaskMs: (step: LiveStep) => number;
+};
+
+/** Whether the job has no active run, or only a few that are expected to end within the given time. */
+export const isIdleWithin = (workflow: LiveWorkflow, withinMs: number, options: IdleOptions): boolean => {
+	let ending = 0;
+	for (const run of getActiveRuns(workflow)) {
+		ending++;
+		if (ending > maxUnreportedEnds || !isEndingWithin(run, withinMs, options)) {
+			return false;
+		}
+	}
+
+	return true;
 };
 
 const createTask = (step: LiveStep, index: number, nowMs: number): LiveTask => {
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -5,7 +5,7 @@
 import {type BestEffortInterference} from './best-effort-interference.ts';
 import {getRequestedShare} from './interference-throttling.ts';
 import {
-	isIdleWithin, type LiveStep, type LiveTask, type LiveWorkflow,
+	isIdleWithin, type IdleOptions, type LiveStep, type LiveTask, type LiveWorkflow,
 } from './live-model.ts';
 import {createCandidate, getSpareMilliCpu, type Candidate} from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
@@ -19,6 +19,8 @@
 export type Start = {
 	task: LiveTask;
 	worker: FleetWorker;
+	/** Whether it starts because its job has waited too long without an active run. */
+	isIdleStart: boolean;
 };
 
 /** Input of a placement. */
@@ -29,6 +31,8 @@
 	/** Delay until starts of the next cycle may begin: a job whose last run ends sooner is idle until then. */
 	nextStartDelayMs: number;
 	interference: BestEffortInterference;
+	/** Predicts the run time of a task of the step at full speed. */
+	getTaskMs: (step: LiveStep) => number;
 	/** Creates the order in which tasks are placed, given the spare CPU in thousandths of a core. */
 	createRank: (spareMilliCpu: number) => GetRank;
 	/** Whether a queue's policy lets the step run on the worker. */
@@ -46,7 +50,7 @@
 };
 
 /** Decides which tasks start, in order of rank. */
-export const place = ({waiting, workers, nowMs, nextStartDelayMs, interference, createRank, isAllowed, policy}: PlacementInput): PlacementResult => {
+export const place = ({waiting, workers, nowMs, nextStartDelayMs, interference, getTaskMs, createRank, isAllowed, policy}: PlacementInput): PlacementResult => {
 	const tasks = [...waiting];
 	const waits = new Map<WaitReason, number>();
 	if (tasks.length === 0) {
@@ -73,10 +77,11 @@
 			continue;
 		}
 
-		const isIdleStart = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(step, waitingTasks, {nowMs, nextStartDelayMs});
+		const isStarvingStep = policy[Mechanism.IdleStart] && !started.has(step.workflow) && isStarving(step, waitingTasks, nextStartDelayMs, {nowMs, getTaskMs});
 		for (const [index, task] of waitingTasks.entries()) {
 			// A starved job starts one task even where it interferes with latency-critical tasks.
-			const placement = getStepPlacement(step, isIdleStart && !started.has(step.workflow));
+			const isIdleStart = isStarvingStep && !started.has(step.workflow);
+			const placement = getStepPlacement(step, isIdleStart);
 			const candidate = placement.assign(task);
 			if (!candidate) {
 				// If one task of a step finds no worker, no other task of the step does.
@@ -86,7 +91,7 @@
 			}
 
 			started.add(step.workflow);
-			starts.push({task, worker: candidate.worker});
+			starts.push({task, worker: candidate.worker, isIdleStart});
 		}
 	}
 
@@ -145,8 +150,10 @@
 	return requestedMilliCpu > freeMilliCpu;
 };
 
-const isStarving = ({spec, workflow}: LiveStep, waitingTasks: LiveTask[], {nowMs, nextStartDelayMs}: Pick<PlacementInput, 'nowMs' | 'nextStartDelayMs'>): boolean =>
-	spec.isFilling && waitingTasks.some(({waitingSinceMs}) => nowMs - waitingSinceMs > maxStarvationMs) && isIdleWithin(workflow, nextStartDelayMs, nowMs);
+const isStarving = ({spec, workflow}: LiveStep, waitingTasks: LiveTask[], nextStartDelayMs: number, options: IdleOptions): boolean =>
+	spec.isFilling
+	&& (workflow.isStarved || waitingTasks.some(({waitingSinceMs}) => options.nowMs - waitingSinceMs > maxStarvationMs))
+	&& isIdleWithin(workflow, nextStartDelayMs, options);
 
 /**
 Creates a check whether a task would find a worker among those that it does not avoid. The workers are scanned once
@@ -200,7 +207,7 @@
 			return [];
 		}
 
-		starts.push({task, worker: candidate.worker});
+		starts.push({task, worker: candidate.worker, isIdleStart: false});
 	}
 
 	for (const [index, candidate] of candidates.entries()) {
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -99,6 +99,10 @@
 			nowMs, waiting: [...getWaiting(nowMs)], schedulable: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, times).starts,
 		});
 		const {starts, waits, spareMilliCpu} = this.#place(quarantined.waiting, quarantined.schedulable, times);
+		for (const {task: {step: {workflow}}, isIdleStart} of starts) {
+			workflow.isStarved = isIdleStart;
+		}
+
 		onStarts([...quarantined.starts, ...starts]);
 		if (waits.size > 0 && nowMs - this.#loggedAtMs >= logIntervalMs) {
 			this.#loggedAtMs = nowMs;
@@ -116,6 +120,7 @@
 			interference,
 			isAllowed,
 			policy,
+			getTaskMs: step => times.getTaskMs(step),
 			createRank: spareMilliCpu => createRank({
 				nowMs, spareMilliCpu, policy, times, wallMs: clock.now().getTime(), remainingWork: this.#getRemainingWork(nowMs),
 			}),
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -29,7 +29,7 @@
 /** Places one task on each worker that may take one; all tasks or none. */
 const createPlace = (mayTake: (worker: FleetWorker) => boolean) => (tasks: LiveTask[], workers: FleetWorker[]): Start[] => {
 	const suitable = workers.filter(worker => mayTake(worker));
-	return suitable.length < tasks.length ? [] : tasks.map((task, index) => ({task, worker: suitable[index]!}));
+	return suitable.length < tasks.length ? [] : tasks.map((task, index) => ({task, worker: suitable[index]!, isIdleStart: false}));
 };
 
 it('finds the one worker that may take a suspect', () => {
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -69,6 +69,7 @@
 	interference,
 	isAllowed: () => true,
 	policy,
+	getTaskMs: step => times.getTaskMs(step),
 	createRank: spareMilliCpu => createRank({
 		nowMs, wallMs, spareMilliCpu, times, policy, remainingWork: new Map(model.getOpenOccurrences().map(steps => [steps, getRemainingWork(steps, times)])),
 	}),
--- a/test/site-interference.test.ts
+++ b/test/site-interference.test.ts
@@ -6,6 +6,7 @@
 import {type AgentLinks} from '../src/workflows/agent-links.ts';
 import {BestEffortInterference, type BestEffortGroup, type LatencyCriticalTask} from '../src/workflows/best-effort-interference.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
+import {RunPhase} from '../src/workflows/live-model.ts';
 import {planSpeeds} from '../src/workflows/interference-throttling.ts';
 import {decideThrottles, ThrottleController} from '../src/workflows/throttle-controller.ts';
 import {decodeRecord, encodeRecord, RecordType} from '../src/workflows/records.ts';
@@ -37,12 +38,12 @@
 	return interference;
 };
 
-const createScenario = (recentMs = 40) => {
+const createScenario = (recentMs = 40, tasks = 2) => {
 	const {model} = load([
 		createWorkflow('s', createSpec([createStep({
 			isLasting: true, targetMs: 100, image: 'serve', milliCpu: 3000,
 		})])),
-		createWorkflow('f', createSpec([createStep({count: 2, isFilling: true, image: 'heavy'})])),
+		createWorkflow('f', createSpec([createStep({count: tasks, isFilling: true, image: 'heavy'})])),
 	]);
 	const worker = createWorker('x');
 	const [latencyCriticalTask] = [...model.getWaitingTasks(0, () => false)];
@@ -241,6 +242,45 @@
 		expect(placeAll(model, [worker], {harm: interference, nowMs: 2300, nextStartDelayMs: 300})).toHaveLength(1);
 	});
 
+	/** Guards against a job that is idle because the first report of its only run comes after the end, which a busy owner handles late. */
+	it('starts the next task of a waiting job after the usual run time of one that has reported no progress', () => {
+		const {model, worker} = createScenario();
+		run(model.getTask({
+			workflowId: 'f', occurrence: 0, step: 0, index: 0,
+		})!, worker, {orderedAtMs: 2000, phase: RunPhase.Starting});
+		expect(placeAll(model, [worker], {harm: learnEffects(4), nowMs: 2900})).toHaveLength(0);
+		expect(placeAll(model, [worker], {harm: learnEffects(4), nowMs: 3100})).toHaveLength(1);
+	});
+
+	/** Guards against late reports by which a waiting job gets one run after the other beside the tasks that it interferes with. */
+	it('starts one further task of a waiting job at most beside two runs whose ends are not reported', () => {
+		const {model, worker} = createScenario(40, 3);
+		for (const index of [0, 1]) {
+			run(model.getTask({
+				workflowId: 'f', occurrence: 0, step: 0, index,
+			})!, worker, {orderedAtMs: 2000});
+		}
+
+		expect(placeAll(model, [worker], {harm: learnEffects(4), nowMs: 3100})).toHaveLength(1);
+		run(model.getTask({
+			workflowId: 'f', occurrence: 0, step: 0, index: 2,
+		})!, worker, {orderedAtMs: 3100});
+		expect(placeAll(model, [worker], {harm: learnEffects(4), nowMs: 9000})).toHaveLength(0);
+	});
+
+	/** Guards against a job that waits anew for each of its steps: it was idle for three seconds between two of them. */
+	it('starts a task of the next step at once if the job has run one task at a time', () => {
+		const {worker} = createScenario();
+		const steps = [createStep({isFilling: true, image: 'heavy'}), createStep({isFilling: true, image: 'heavy', after: [0]})];
+		const {model: chain} = load([createWorkflow('chain', createSpec(steps))]);
+		const [first] = [...chain.getWaitingTasks(0, () => false)];
+		const starts = placeAll(chain, [worker], {harm: learnEffects(4), nowMs: 2000});
+		expect(starts.map(({task, isIdleStart}) => [task, isIdleStart])).toEqual([[first, true]]);
+		first!.step.workflow.isStarved = true;
+		chain.completeUnit(first!, 4000);
+		expect(placeAll(chain, [worker], {harm: learnEffects(4), nowMs: 4010})).toHaveLength(1);
+	});
+
 	/** Guards against a remaining time that counts progress made before the run was resumed from a checkpoint or adopted. */
 	it('predicts the remaining time of a run from its progress since it was first observed', () => {
 		const {model, worker} = createScenario();
--- a/test/site-orders.test.ts
+++ b/test/site-orders.test.ts
@@ -41,7 +41,7 @@
 		},
 	});
 	const tasks = [...model.getWaitingTasks(0, () => false)];
-	sender.start(tasks.map(task => ({task, worker})));
+	sender.start(tasks.map(task => ({task, worker, isIdleStart: false})));
 	await clock.advance(1);
 	expect(tasks).toHaveLength(3);
 	expect(sent).toEqual([tasks[0]!.runs[0]!.notAfterMs]);
