Tell in "tasks wait" why workers are ruled out as "harm"

Cause: the wait reason "harm" covers both a task that would interfere with a latency-critical one and a task that would get too little CPU because other best-effort tasks request it. The line could not tell them apart, and spareMilliCpu includes what best-effort tasks use, so a full site read like one kept idle by the interference guard.

Change: "refusals" counts, for the first five steps that wait with "harm", the workers ruled out by cause: CPU requested by others, reported load, effect measured by this owner, faded, restored from an earlier owner, or assumed, or only all loads together. "bestEffortRequestMilliCpu" is what the active best-effort runs request. Decisions are unchanged.

Not run: the whole test suite.

--- a/src/workflows/best-effort-interference.ts
+++ b/src/workflows/best-effort-interference.ts
@@ -33,6 +33,18 @@
 	sinceChangeMs: number;
 };
 
+/** What the effect of a pair rests on. */
+export enum EffectEvidence {
+	/** Reports to this owner, recent enough to be relied on. */
+	Measured = 'measured',
+	/** Reports to this owner that are too old to be relied on. */
+	Faded = 'faded',
+	/** Only what an earlier owner learned. */
+	Restored = 'restored',
+	/** Nothing: the pair was never observed. */
+	Assumed = 'assumed',
+}
+
 /** Effects are stored for a tenth of a worker's CPU, which is about one task. */
 const storedEffectShare = 0.1;
 /**
@@ -124,6 +136,19 @@
 		return this.#effects.isObserved(latencyCriticalImage, bestEffortImage) && this.#effects.get(latencyCriticalImage, bestEffortImage).deviation <= maxKnownDeviation;
 	}
 
+	/** Gets what the effect of a pair rests on. */
+	getEvidence(latencyCriticalImage: string, bestEffortImage: string): EffectEvidence {
+		if (!this.#effects.isObserved(latencyCriticalImage, bestEffortImage)) {
+			return EffectEvidence.Assumed;
+		}
+
+		if (!this.#effects.isMeasured(latencyCriticalImage, bestEffortImage)) {
+			return EffectEvidence.Restored;
+		}
+
+		return this.isKnown(latencyCriticalImage, bestEffortImage) ? EffectEvidence.Measured : EffectEvidence.Faded;
+	}
+
 	/** Load of a latency-critical job without interference. */
 	getBaseLoad(job: string): number {
 		return this.#loads.get(job);
--- a/src/workflows/interference-throttling.ts
+++ b/src/workflows/interference-throttling.ts
@@ -22,7 +22,8 @@
 
 /** Latency-critical tasks are kept below this share of their target, because loads rise until the next report arrives. */
 const targetRatio = 0.9;
-const maxLoad = getLoadAt(targetRatio);
+/** Load at that share. */
+export const maxLoad = getLoadAt(targetRatio);
 /** Images whose effect is below this are not slowed down. */
 const negligibleEffect = 0.05;
 /** Excess load that is not worth an order; well above rounding errors. */
--- a/src/workflows/pair-effects.ts
+++ b/src/workflows/pair-effects.ts
@@ -9,7 +9,7 @@
 /** Share of a worker's CPU that one image used. */
 export type UsedShare = {image: string; share: number};
 
-type Pair = {mean: number; variance: number};
+type Pair = {mean: number; variance: number; isMeasured: boolean};
 
 const priorMean = 0.2;
 const priorVariance = 2 ** 2;
@@ -41,9 +41,14 @@
 		return this.#pairs.get(latencyCriticalImage)?.has(bestEffortImage) ?? false;
 	}
 
+	/** Whether the pair was observed by this process, not only by another. */
+	isMeasured(latencyCriticalImage: string, bestEffortImage: string): boolean {
+		return this.#pairs.get(latencyCriticalImage)?.get(bestEffortImage)?.isMeasured ?? false;
+	}
+
 	/** Sets an effect that another process learned. */
 	set(latencyCriticalImage: string, bestEffortImage: string, {mean, deviation}: Effect): void {
-		this.#getOrCreatePairs(latencyCriticalImage).set(bestEffortImage, {mean, variance: Math.min(priorVariance, deviation ** 2)});
+		this.#getOrCreatePairs(latencyCriticalImage).set(bestEffortImage, {mean, variance: Math.min(priorVariance, deviation ** 2), isMeasured: false});
 	}
 
 	/**
@@ -56,7 +61,7 @@
 		let variance = otherVariance;
 		for (const {image, share} of used) {
 			if (!pairs.has(image)) {
-				pairs.set(image, {mean: this.get(latencyCriticalImage, image).mean, variance: priorVariance});
+				pairs.set(image, {mean: this.get(latencyCriticalImage, image).mean, variance: priorVariance, isMeasured: true});
 			}
 
 			const pair = pairs.get(image)!;
@@ -71,6 +76,7 @@
 			const gain = share * pair.variance / variance;
 			pair.mean += gain * clippedInnovation;
 			pair.variance *= 1 - (gain * share);
+			pair.isMeasured = true;
 			const meanEffect = this.#meanEffects.get(image) ?? priorMean;
 			this.#meanEffects.set(image, meanEffect + (meanEffectRate * (pair.mean - meanEffect)));
 		}
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -10,7 +10,7 @@
 import {createCandidate, getSpareMilliCpu, type Candidate} from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
 import {
-	StepPlacement, type IsAllowed, type StepPlacementOptions, type WaitReason,
+	StepPlacement, WaitReason, type IsAllowed, type StepPlacementOptions,
 } from './step-placement.ts';
 import {type GetRank} from './task-order.ts';
 import {InterferenceTrials} from './interference-trials.ts';
@@ -43,6 +43,8 @@
 	waits: Map<WaitReason, number>;
 	/** CPU used by no task other than best-effort tasks, in thousandths of a core. */
 	spareMilliCpu: number;
+	/** Placements of the steps that wait for interference, in order of rank. */
+	refused: StepPlacement[];
 };
 
 /** Decides which tasks start, in order of rank. */
@@ -50,7 +52,9 @@
 	const tasks = [...waiting];
 	const waits = new Map<WaitReason, number>();
 	if (tasks.length === 0) {
-		return {starts: [], waits, spareMilliCpu: 0};
+		return {
+			starts: [], waits, spareMilliCpu: 0, refused: [],
+		};
 	}
 
 	const candidates = [...workers].map(worker => createCandidate(worker, interference));
@@ -66,6 +70,7 @@
 	};
 	const getStepPlacement = createStepPlacementCache(candidates, options);
 	const starts: Start[] = [];
+	const refused: StepPlacement[] = [];
 	const started = new Set<LiveWorkflow>();
 	for (const [step, waitingTasks] of rankSteps(tasks, rank)) {
 		if (step.spec.isGang) {
@@ -82,6 +87,10 @@
 				// If one task of a step finds no worker, no other task of the step does.
 				const reason = placement.getWaitReason();
 				waits.set(reason, (waits.get(reason) ?? 0) + waitingTasks.length - index);
+				if (reason === WaitReason.Interference) {
+					refused.push(placement);
+				}
+
 				break;
 			}
 
@@ -90,7 +99,9 @@
 		}
 	}
 
-	return {starts, waits, spareMilliCpu};
+	return {
+		starts, waits, spareMilliCpu, refused,
+	};
 };
 
 /** Groups tasks by step and orders the steps by rank; all tasks of a step have the same rank. */
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -6,6 +6,7 @@
 import {type WorkMeter} from '../utils/work-meter.ts';
 import {type BestEffortInterference} from './best-effort-interference.ts';
 import {type FleetWorker} from './fleet-view.ts';
+import {type RefusalCause} from './interference-refusals.ts';
 import {
 	type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
@@ -13,7 +14,7 @@
 import {type Policy} from './policy.ts';
 import {type Quarantine} from './quarantine.ts';
 import {type RunTimes} from './run-times.ts';
-import {type IsAllowed, type WaitReason} from './step-placement.ts';
+import {type IsAllowed, type StepPlacement, type WaitReason} from './step-placement.ts';
 import {createRank, getRemainingWork, type RemainingWork} from './task-order.ts';
 
 /** Options of the cycles. */
@@ -49,6 +50,8 @@
 const remainingWorkIntervalMs = 100;
 /** Interval of the log line on waiting tasks. */
 const logIntervalMs = 1000;
+/** Limit of the steps whose refusals that line explains: each takes about as long as it takes to place the step. */
+const maxExplainedSteps = 5;
 
 /** The scheduling cycles of one owner. */
 export class SchedulingCycles {
@@ -98,11 +101,11 @@
 		const quarantined = quarantine.arrange({
 			nowMs, waiting: [...getWaiting(nowMs)], schedulable: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, times).starts,
 		});
-		const {starts, waits, spareMilliCpu} = this.#place(quarantined.waiting, quarantined.schedulable, times);
+		const {starts, waits, spareMilliCpu, refused} = this.#place(quarantined.waiting, quarantined.schedulable, times);
 		onStarts([...quarantined.starts, ...starts]);
 		if (waits.size > 0 && nowMs - this.#loggedAtMs >= logIntervalMs) {
 			this.#loggedAtMs = nowMs;
-			this.#logWaits(waits, spareMilliCpu);
+			this.#logWaits(waits, spareMilliCpu, refused);
 		}
 	}
 
@@ -122,15 +125,17 @@
 		});
 	}
 
-	#logWaits(waits: Map<WaitReason, number>, spareMilliCpu: number): void {
+	#logWaits(waits: Map<WaitReason, number>, spareMilliCpu: number, refused: StepPlacement[]): void {
 		const {model, getRuns, note} = this.#options;
 		const runs = getRuns();
 		const bestEffortRuns = runs.filter(run => run.task.step.spec.isFilling);
 		note('tasks wait', {
 			waits: Object.fromEntries(waits),
+			refusals: Object.fromEntries(countRefusals(refused.slice(0, maxExplainedSteps))),
 			jobs: model.workflows.size,
 			running: runs.length,
 			filling: bestEffortRuns.length,
+			bestEffortRequestMilliCpu: sum(bestEffortRuns.map(({task: {step: {spec}}}) => spec.milliCpu)),
 			fillingMilliCpu: Math.round(sum(bestEffortRuns.map(({recent}) => recent))),
 			spareMilliCpu: Math.round(spareMilliCpu),
 			backlogCoreMs: Math.round(sum([...this.#remainingWork.values()].map(({remainingCoreMs}) => remainingCoreMs))),
@@ -148,6 +153,18 @@
 	}
 }
 
+/** Counts the pairs of a step and a worker that are ruled out for interference, by cause. */
+const countRefusals = (refused: StepPlacement[]): Map<RefusalCause, number> => {
+	const totals = new Map<RefusalCause, number>();
+	for (const placement of refused) {
+		for (const [cause, count] of placement.countRefusals()) {
+			totals.set(cause, (totals.get(cause) ?? 0) + count);
+		}
+	}
+
+	return totals;
+};
+
 const sum = (values: number[]): number => {
 	let total = 0;
 	for (const value of values) {
--- a/src/workflows/step-placement.ts
+++ b/src/workflows/step-placement.ts
@@ -12,6 +12,7 @@
 import {type LiveStep, type LiveTask} from './live-model.ts';
 import {addDemand, reserve, type Candidate} from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
+import {getRefusalCause, type RefusalCause} from './interference-refusals.ts';
 import {type InterferenceTrials} from './interference-trials.ts';
 
 /** Tells whether tasks of the step may run on the worker. */
@@ -101,6 +102,19 @@
 		return waitReasons[Math.max(0, ...this.#nearness)]!;
 	}
 
+	/** Counts the workers that are ruled out for interference, by cause. */
+	countRefusals(): Map<RefusalCause, number> {
+		const counts = new Map<RefusalCause, number>();
+		for (const [index, candidate] of this.#candidates.entries()) {
+			if (waitReasons[this.#nearness[index]!] === WaitReason.Interference) {
+				const cause = getRefusalCause(this.#step.spec, candidate, {interference: this.#options.interference, minGain: minBestEffortGain});
+				counts.set(cause, (counts.get(cause) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	}
+
 	/** Trials that began after the cost was computed may have ruled the candidate out. */
 	#isStillAllowed(candidate: Candidate): boolean {
 		const {spec} = this.#step;
