--- a/test/site-trials.test.ts
+++ b/test/site-trials.test.ts
@@ -4,6 +4,7 @@
 import {describe, expect, it} from 'vitest';
 import {BestEffortInterference} from '../src/workflows/best-effort-interference.ts';
 import {createPolicy} from '../src/workflows/policy.ts';
+import {simulateLoop} from './interference-loop.ts';
 import {
 	createWorker, createWorkflow, load, placeAll, run,
 } from './site-fleet.ts';
@@ -90,4 +91,12 @@
 		const {model, workers} = createFleet(size);
 		expect(getTasks(placeAll(model, workers, {policy: createPolicy('few-trials')})).length).toBeGreaterThan(4);
 	});
+
+	/** Guards against trials that are throttled by the assumed effect before they show the true one. */
+	it('starts all of them within five seconds beside tails at half of their targets if it does not interfere', async () => {
+		const {waitsMs} = await simulateLoop({
+			workers: size, milliCpu: 16_000, images: 4, getLoad: () => 0.667, effect: 0, jobs: 3, tasks: 39, taskMilliCpu: 1800, workMs: 2400, lengthMs: 10_000,
+		});
+		expect(Math.max(...waitsMs)).toBeLessThanOrEqual(5000);
+	});
 });
