--- a/test/interference-refusals.test.ts
+++ b/test/interference-refusals.test.ts
@@ -37,7 +37,7 @@
 	}
 
 	const {refused} = place({
-		waiting: getTasks('waiting'), workers: [worker], nowMs: 0, nextStartDelayMs: 50, interference, createRank: () => () => 0, isAllowed: () => true, policy: createPolicy(),
+		waiting: getTasks('waiting'), workers: [worker], nowMs: 0, nextStartDelayMs: 50, interference, getTaskMs: () => 1000, createRank: () => () => 0, isAllowed: () => true, policy: createPolicy(),
 	});
 	return refused.flatMap(placement => [...placement.countRefusals()]);
 };
