--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -100,3 +100,24 @@
 	aborter.abort();
 	expect(follower.stalenessMs).toBeGreaterThan(4000);
 });
+
+/** Guards against a caller that gets no answer by its deadline because it shares the read of one with a later deadline. */
+it('ends a call to catch up at its own time-out although it shares the read of a longer one', async () => {
+	const clock = new ManualClock();
+	const store: Pick<StoreClient, 'read'> = {
+		async read(_ref, _fromOffset, {signal}) {
+			await clock.sleep(60_000, signal);
+			throw createError(ErrorCode.StoreUnanswered, {step: 'read jobs', detail: 'no answer'});
+		},
+	};
+	const follower = new WorkflowFollower({
+		store: store as StoreClient, clock, ref, onInvalid: () => undefined, onStoreState: () => undefined,
+	});
+	void follower.catchUp(1200);
+	const results: boolean[] = [];
+	void follower.catchUp(300).then(isCaughtUp => {
+		results.push(isCaughtUp);
+	});
+	await clock.advance(350);
+	expect(results).toEqual([false]);
+});
