--- a/test/site-interference.test.ts
+++ b/test/site-interference.test.ts
@@ -268,6 +268,15 @@
 		expect(placeAll(model, [worker], {harm: learnEffects(4), nowMs: 9000})).toHaveLength(0);
 	});
 
+	/** Guards against taking a run that is listed again and again without progress, because it is throttled to 0, for one that has ended. */
+	it('starts no further task of a waiting job beside a run that is listed and throttled to 0', () => {
+		const {model, worker} = createScenario();
+		run(model.getTask({
+			workflowId: 'f', occurrence: 0, step: 0, index: 0,
+		})!, worker, {throttlePercent: 0, orderedAtMs: 0, workedUntilMs: 4900});
+		expect(placeAll(model, [worker], {harm: learnEffects(4), nowMs: 5000})).toHaveLength(0);
+	});
+
 	/** Guards against a job that waits anew for each of its steps: it was idle for three seconds between two of them. */
 	it('starts a task of the next step at once if the job has run one task at a time', () => {
 		const {worker} = createScenario();
