--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -122,6 +122,45 @@
 	expect(currentSite.clock.monotonicMs() - startMs).toBeLessThan(50);
 });
 
+/** Guards against a cancellation that is not written because the time goes into reading a job that the entry knows. */
+it('have a known job cancelled by an entry whose reads are not answered, before a short deadline', async () => {
+	currentSite = await createRelaying();
+	currentSite.plan = () => ({workMs: 60_000});
+	await currentSite.submit(jobId, spec, 'entry-1');
+	await currentSite.clock.advance(1000);
+	currentSite.store.getFault = ({client, kind}) => client === 'entry-0' && kind === 'read' ? StoreFault.LoseRequest : StoreFault.None;
+	await currentSite.clock.advance(4000);
+	const {relay} = currentSite.entries.get('entry-0')!;
+	expect(await currentSite.settle(relay.cancel(queue, jobId, 1000))).toBe(LookupOutcome.Found);
+	expect(await currentSite.getState(jobId, 'entry-1')).toBe(WorkflowState.Cancelled);
+});
+
+/** Guards against an old state or no count where the time until the deadline goes into the entry's own read. */
+it('get state and count from another entry before a short deadline while the reads of the entry are not answered', async () => {
+	currentSite = await createRelaying();
+	await currentSite.submit(jobId, spec, 'entry-1');
+	currentSite.store.getFault = ({client, kind}) => client === 'entry-0' && kind === 'read' ? StoreFault.LoseRequest : StoreFault.None;
+	await currentSite.clock.advance(4000);
+	const {relay} = currentSite.entries.get('entry-0')!;
+	const shortMs = 1000;
+	expect(await currentSite.settle(relay.getState(queue, jobId, shortMs))).toMatchObject({state: WorkflowState.Completed});
+	expect(await currentSite.settle(relay.countPending(queue, shortMs))).toBe(0);
+});
+
+/** Guards against jobs that are refused because the entry which accepts them could not give a count a moment ago. */
+it('have their jobs accepted by an entry that could not give a pending count', async () => {
+	currentSite = await createRelaying();
+	const {store, clock} = currentSite;
+	currentSite.killEntry('entry-2');
+	cut(currentSite, 'entry-0', StoreFault.Refuse);
+	const before = store.getFault;
+	store.getFault = call => call.client === 'entry-1' && call.kind === 'read' ? StoreFault.LoseRequest : before(call);
+	await clock.advance(4000);
+	const {relay} = currentSite.entries.get('entry-0')!;
+	await currentSite.settle(relay.countPending(queue, 2500));
+	expect(await currentSite.submit(jobId, spec, 'entry-0')).toMatchObject({outcome: SubmitOutcome.Accepted});
+});
+
 it('get an answer at once when they cancel a finished job, also when no entry reaches the store', async () => {
 	currentSite = await createCut(StoreFault.None);
 	await currentSite.submit(jobId, spec, 'entry-0');
