Write the cancellation of a known job without reading to the end first

Cause: since a state is given only from a recent view, and a cancellation asks for the state first; an entry that is behind used up to 1.2 s of the caller's time and then had 1 ms to write.

--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -120,7 +120,9 @@
 
 	async cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome> {
 		const startedAtMs = this.#options.clock.monotonicMs();
-		const {outcome, state} = await this.getState(queue, id, timeoutMs);
+		// The record cancels a known job however old its state is, so only an unknown one has to be read.
+		const known = this.#find(queue, id);
+		const {outcome, state} = known ? {outcome: LookupOutcome.Found, state: known.state} : await this.getState(queue, id, timeoutMs);
 		if (outcome !== LookupOutcome.Found || isFinal(state!)) {
 			return outcome;
 		}
