End each call to catch up at its own time-out

Cause: concurrent calls share one read or step, and awaited it without a bound of their own. Evidence: the test of follower fails before and passes after; follower-links and site-counts pass.

--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -87,7 +87,7 @@
 		while (this.caughtUpAtMs < calledAtMs) {
 			// Concurrent calls share one read; a call is done once a read that began after it has reached the end.
 			this.#catchUp ??= this.#backlogStep ? this.#waitForStep(this.#backlogStep, endAtMs - clock.monotonicMs()) : this.#readOnce(endAtMs - clock.monotonicMs());
-			await this.#catchUp;
+			await this.#waitAtMost(this.#catchUp, endAtMs - clock.monotonicMs());
 			if (this.caughtUpAtMs < calledAtMs && clock.monotonicMs() >= endAtMs) {
 				return false;
 			}
@@ -118,10 +118,14 @@
 	}
 
 	async #waitForStep(step: Promise<boolean>, timeoutMs: number): Promise<void> {
+		await this.#waitAtMost(step, timeoutMs);
+		this.#catchUp = undefined;
+	}
+
+	async #waitAtMost(promise: Promise<unknown>, timeoutMs: number): Promise<void> {
 		const aborter = new AbortController();
-		await Promise.race([step, this.#options.clock.sleep(timeoutMs, aborter.signal)]);
+		await Promise.race([promise, this.#options.clock.sleep(timeoutMs, aborter.signal)]);
 		aborter.abort();
-		this.#catchUp = undefined;
 	}
 
 	async #readOnce(timeoutMs: number): Promise<void> {
