Do not count a run that is throttled to 0 as ended

Cause: a run without progress counts as ended after the usual run time; a single run beside a latency-critical task is throttled to 0 often, so its job got up to two more runs beside such tasks.

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -285,12 +285,13 @@
 
 /**
 Whether the run is expected to end within the given time, by its speed since `basePercent`: it may have been resumed or adopted.
-On a busy owner the first report may come after the end: a run without progress counts as ended after the usual run time.
+On a busy owner the first report may come after the end: a run without progress counts as ended after the usual run time, unless
+it is throttled to 0.
 */
-const isEndingWithin = ({percent, basePercent, workedMs, progressAtMs, orderedAtMs, task: {step}}: LiveRun, withinMs: number, {nowMs, getTaskMs}: IdleOptions): boolean =>
+const isEndingWithin = ({percent, basePercent, workedMs, progressAtMs, orderedAtMs, throttlePercent, task: {step}}: LiveRun, withinMs: number, {nowMs, getTaskMs}: IdleOptions): boolean =>
 	percent > basePercent
 		? (workedMs * (fullPercent - percent) / (percent - basePercent)) - (nowMs - progressAtMs) < withinMs
-		: nowMs - orderedAtMs > getTaskMs(step);
+		: throttlePercent !== 0 && nowMs - orderedAtMs > getTaskMs(step);
 
 /** What `isIdleWithin` depends on. */
 export type IdleOptions = {
