Leave time to ask another entry when the own read is not answered

Cause: the entry's own read could take all the time until the caller's deadline (up to 1.2 s), so no other entry was asked.

--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -82,7 +82,7 @@
 	async getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<StateReply> {
 		const {local, client, clock, isStoreLost} = this.#options;
 		const endAtMs = clock.monotonicMs() + timeoutMs;
-		const known = await local.getState(queue, id, isStoreLost() ? 0 : timeoutMs);
+		const known = await local.getState(queue, id, isStoreLost() ? 0 : getOwnTimeMs(timeoutMs));
 		if (known.outcome !== LookupOutcome.Unknown && !known.isOld) {
 			return known;
 		}
@@ -116,7 +116,7 @@
 	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
 		const {local, client, clock, isStoreLost} = this.#options;
 		const endAtMs = clock.monotonicMs() + timeoutMs;
-		const own = await local.countPending(queue, isStoreLost() ? 0 : timeoutMs);
+		const own = await local.countPending(queue, isStoreLost() ? 0 : getOwnTimeMs(timeoutMs));
 		if (own !== undefined) {
 			return own;
 		}
@@ -213,6 +213,9 @@
 	}
 }
 
+/** Time for this entry's own read: the rest, at most half of all, is left to ask another entry. */
+const getOwnTimeMs = (timeoutMs: number): number => Math.max(timeoutMs / 2, timeoutMs - lookupTimeoutMs);
+
 const isFinished = ({outcome, state}: StateReply): boolean => outcome === LookupOutcome.Found && isFinal(state!);
 
 const requireAccepted = async (reply: Promise<SubmitReply>): Promise<SubmitReply> => {
