Skip an entry that could not serve a call for calls of that kind only

Cause: one list of skipped entries served all kinds of calls: an entry that could not give a count or a state was not asked to accept jobs for 1 s. Entries that could not be connected to are skipped for all kinds as before. Evidence: the test of site-relay fails before and passes after.

--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -46,7 +46,7 @@
 /** Job API of an entry with the help of others. */
 export class RelayingApi implements JobApi {
 	readonly #options: RelayingApiOptions;
-	/** Until when entries are skipped, by address. */
+	/** Until when entries are skipped, by address, and by kind of call and address: one that cannot give a state may accept jobs. */
 	readonly #skippedUntilMs = new Map<string, number>();
 	/** Jobs that another entry may have accepted without an answer. */
 	readonly #open = new Set<string>();
@@ -159,10 +159,11 @@
 	async #ask<Reply>(call: {kind: string; id?: string; queue?: string}, {timeoutMs, endAtMs}: {timeoutMs: number; endAtMs: number}, ask: Ask<Reply>): Promise<{reply?: Reply; isUnanswered: boolean}> {
 		const {clock, note} = this.#options;
 		let isUnanswered = false;
-		for (const {host, address} of this.#choose()) {
+		for (const {host, address} of this.#choose(call.kind)) {
 			const startedAtMs = clock.monotonicMs();
 			const leftMs = endAtMs - startedAtMs;
 			let pauseMs = skipMs;
+			let key = getSkipKey(call.kind, address);
 			if (leftMs <= 0) {
 				break;
 			}
@@ -178,13 +179,17 @@
 			} catch (error) {
 				const isUnsent = isError(error, ErrorCode.PeerUnreached);
 				isUnanswered ||= !isUnsent;
-				pauseMs = isUnsent ? unreachedSkipMs : skipMs;
+				if (isUnsent) {
+					pauseMs = unreachedSkipMs;
+					key = address;
+				}
+
 				note('relayed', {
 					...call, host, reason: isUnsent ? 'unreached' : 'unanswered', error: getMessage(error),
 				});
 			}
 
-			this.#skippedUntilMs.set(address, clock.monotonicMs() + pauseMs);
+			this.#skippedUntilMs.set(key, clock.monotonicMs() + pauseMs);
 			this.#next++;
 		}
 
@@ -192,12 +197,12 @@
 	}
 
 	/** Chooses the entries to ask; the one that served the last call is first. */
-	#choose(): EntryRegistration[] {
+	#choose(kind: string): EntryRegistration[] {
 		const nowMs = this.#options.clock.monotonicMs();
 		const others = this.#options.getOthers();
 		return others
 			.map((_, index) => others[(this.#next + index) % others.length]!)
-			.filter(({address}) => (this.#skippedUntilMs.get(address) ?? 0) <= nowMs)
+			.filter(({address}) => [address, getSkipKey(kind, address)].every(key => (this.#skippedUntilMs.get(key) ?? 0) <= nowMs))
 			.slice(0, this.#options.isStoreLost() ? maxTries : maxEarlyTries);
 	}
 
@@ -216,6 +221,8 @@
 /** Time for this entry's own read: the rest, at most half of all, is left to ask another entry. */
 const getOwnTimeMs = (timeoutMs: number): number => Math.max(timeoutMs / 2, timeoutMs - lookupTimeoutMs);
 
+const getSkipKey = (kind: string, address: string): string => `${kind} ${address}`;
+
 const isFinished = ({outcome, state}: StateReply): boolean => outcome === LookupOutcome.Found && isFinal(state!);
 
 const requireAccepted = async (reply: Promise<SubmitReply>): Promise<SubmitReply> => {
