Let an agent that missed control records start over and register again

Cause: ControlWatch went on at the oldest retained record with its state from before the gap. Change: it drops its evacuations, accepts no start until it has read to the end, and the agent treats the gap as a declaration that it is lost. A process that has read nothing yet does not. The price: the runs of an agent that lives on proofs of its owner alone for longer than the store retains records end with their leases.

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -70,6 +70,9 @@
 			onLost: session => {
 				this.#handleLoss(session);
 			},
+			onGap: () => {
+				this.#handleGap();
+			},
 			onStoreState: (isReached, detail) => {
 				this.#logStoreState(isReached, detail);
 			},
@@ -170,6 +173,13 @@
 		}
 	}
 
+	/** Handles a gap in the control records as a loss: the agent registers again once its leases have expired. */
+	#handleGap(): void {
+		this.#options.note('control records missed', {session: this.state.session});
+		this.state.mustLetLeasesExpire = true;
+		this.#wakeup.wake();
+	}
+
 	async #runControl(signal: AbortSignal): Promise<void> {
 		const previousSession = await this.#findRegistration(signal);
 		await this.#register(signal);
--- a/src/agents/control-watch.ts
+++ b/src/agents/control-watch.ts
@@ -17,6 +17,8 @@
 	/** Called before each read; the function that it returns is called if the read reaches the end of the stream. */
 	prepareProof: () => (() => void) | undefined;
 	onLost: (session: number) => void;
+	/** The store has dropped records that were not read; a declaration that this agent is lost may be among them. */
+	onGap: () => void;
 	onStoreState: (isReached: boolean, detail: string) => void;
 	onInvalid: (detail: string) => void;
 };
@@ -28,13 +30,15 @@
 const readWaitMs = 1000;
 const retryMs = 150;
 
+const noEvacuations: Evacuations = {asOf: -1, failureDomains: []};
+
 /** The watch. */
 export class ControlWatch {
 	readonly #options: ControlWatchOptions;
 	#offset = 0;
 	#epoch = 0;
 	#isCaughtUp = false;
-	#evacuations: Evacuations = {asOf: -1, failureDomains: []};
+	#evacuations = noEvacuations;
 
 	constructor(options: ControlWatchOptions) {
 		this.#options = options;
@@ -69,12 +73,12 @@
 			try {
 				// Before the stream was read to its end, reads do not wait for new records: until then the agent accepts no start.
 				const page = await store.read(ref, this.#offset, {waitMs: this.#isCaughtUp ? readWaitMs : 0, signal});
+				this.#skipGap(page.oldestOffset);
 				for (const {offset, value} of page.records) {
 					this.#apply(value);
 					this.#offset = offset + 1;
 				}
 
-				this.#offset = Math.max(this.#offset, page.oldestOffset);
 				onStoreState(true, '');
 				if (this.#offset >= page.endOffset) {
 					this.#isCaughtUp = true;
@@ -87,7 +91,7 @@
 
 				const oldestOffset = getOldestOffset(error);
 				if (oldestOffset !== undefined) {
-					this.#offset = oldestOffset;
+					this.#skipGap(oldestOffset);
 					continue;
 				}
 
@@ -97,6 +101,21 @@
 		}
 	}
 
+	/** Goes on at the oldest record without the state from before it. Evacuations that are in effect are among the retained records. */
+	#skipGap(oldestOffset: number): void {
+		if (this.#offset >= oldestOffset) {
+			return;
+		}
+
+		if (this.#isCaughtUp || this.#offset > 0) {
+			this.#isCaughtUp = false;
+			this.#evacuations = noEvacuations;
+			this.#options.onGap();
+		}
+
+		this.#offset = oldestOffset;
+	}
+
 	#apply(value: Parameters<typeof decodeControlRecord>[0]): void {
 		try {
 			const record = decodeControlRecord(value);
