Count the leases of an agent that answers without a list from its first answer

Cause: the time since the claim says nothing of a process that ended after it: it may have renewed leases until the new one answered. Evidence: the second test of site-restarts fails before and passes after; takeover, power, busy, behind and crashes pass (53 of 54, the other is the first test of site-restarts). The price: where an agent restarts during a takeover and its worker does not answer, tasks from before the claim wait 7.6 s from its first answer.

--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -16,6 +16,8 @@
 	session: number;
 	/** Incarnation of the agent. */
 	agentLife: string;
+	/** When this incarnation of the agent first answered; undefined before. An earlier one may have renewed leases until then. */
+	agentLifeSinceMs?: number;
 	/** Version of the last state received from the agent. */
 	version: number;
 	report: WorkerReport | undefined;
--- a/src/workflows/reconciliation.ts
+++ b/src/workflows/reconciliation.ts
@@ -3,7 +3,8 @@
 its leases from before the claim have expired.
 
 An agent that does not answer may still reach the store, and renews its leases by what it reads there. So the time since the claim
-says nothing about them: the agent has to be declared lost, and its leases expire after that.
+says nothing about them: the agent has to be declared lost, and its leases expire after that. One that answers without a list renews
+none until it has one, but an earlier process of it may have done so until the first answer.
 */
 import {type Clock} from '../types/clock.ts';
 import {type AgentLinks} from './agent-links.ts';
@@ -45,10 +46,12 @@
 			return;
 		}
 
-		const tookMs = clock.monotonicMs() - this.#claimedAtMs;
+		const nowMs = clock.monotonicMs();
+		const tookMs = nowMs - this.#claimedAtMs;
 		const missing = [...links.workers.values()].filter(worker => !worker.isListed && !worker.haveOldLeasesExpired);
-		const areAllAnswering = missing.every(({unresponsiveSinceMs}) => unresponsiveSinceMs === undefined);
-		if (missing.length === 0 || (areAllAnswering && tookMs > getLeaseExpiryMs(leaseDurationMs))) {
+		const haveAllExpired = missing.every(({unresponsiveSinceMs, agentLifeSinceMs}) =>
+			unresponsiveSinceMs === undefined && agentLifeSinceMs !== undefined && nowMs - agentLifeSinceMs > getLeaseExpiryMs(leaseDurationMs));
+		if (haveAllExpired) {
 			this.#isReconciled = true;
 			note('settled', {tookMs: Math.round(tookMs), agents: links.workers.size, missing: missing.map(worker => worker.host)});
 			onReconciled();
