Keep the first registration with leases over restarts of an agent

Cause: a restarted agent minds declarations about its predecessor's registration only. The predecessor may have read one about an earlier registration and ended before those leases had expired; the next process renewed them, and the owner started the tasks elsewhere. Change: a registration tells the offset of the first one since all leases had expired; declarations about that one and later ones count. Older agents ignore the member, and one without it counts as before.

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -11,7 +11,7 @@
 import {AppendOutcome, type PartitionRef, type StoreClient} from '../types/store.ts';
 import {Wakeup} from '../utils/wakeup.ts';
 import {AgentState} from './agent-state.ts';
-import {agentsTopic, controlTopic} from './control-records.ts';
+import {agentsTopic, controlTopic, decodeFirstSession} from './control-records.ts';
 import {ControlWatch} from './control-watch.ts';
 import {OrderHandler, type AgentLogEvent} from './order-handler.ts';
 import {runWorkerLoop} from './worker-loop.ts';
@@ -181,19 +181,23 @@
 	}
 
 	async #runControl(signal: AbortSignal): Promise<void> {
-		const previousSession = await this.#findRegistration(signal);
-		await this.#register(signal);
-		this.#minLostSession = previousSession ?? this.state.session;
+		const firstSession = await this.#findFirstSession(signal);
+		await this.#register(signal, firstSession);
+		this.#minLostSession = firstSession ?? this.state.session;
 		await Promise.all([this.#control.run(signal), this.#keepRegistered(signal)]);
 	}
 
-	/** Gets the offset of the previous agent process's registration; undefined: its leases have expired, or there was none. */
-	async #findRegistration(signal: AbortSignal): Promise<number | undefined> {
+	/**
+	Gets the offset of the first registration whose leases may not have expired; undefined: there is none. It may be older than the
+	previous process's, which may have ended before the leases that it found had expired.
+	*/
+	async #findFirstSession(signal: AbortSignal): Promise<number | undefined> {
 		const {store, clock, registration, note} = this.#options;
 		while (!signal.aborted) {
 			try {
 				const {records} = await store.readNewest({topic: agentsTopic, partition: 0}, signal);
-				return records.find(({key}) => key === registration.host)?.offset;
+				const previous = records.find(({key}) => key === registration.host);
+				return previous?.value && decodeFirstSession(previous.value, previous.offset);
 			} catch (error) {
 				note('registration not read', {error: getMessage(error)});
 				await clock.sleep(registerRetryMs, signal);
@@ -215,13 +219,13 @@
 		}
 	}
 
-	async #register(signal: AbortSignal): Promise<void> {
+	async #register(signal: AbortSignal, firstSession?: number): Promise<void> {
 		const {store, registration, life, clock, note} = this.#options;
 		const stamp = {producer: `agent-${registration.host}-${life}`, epoch: 1, sequence: this.#registrations};
 		const ref: PartitionRef = {topic: agentsTopic, partition: 0};
 		while (!signal.aborted) {
 			try {
-				const result = await store.appendKeyed(ref, [{key: registration.host, value: Buffer.from(JSON.stringify(registration))}], {
+				const result = await store.appendKeyed(ref, [{key: registration.host, value: Buffer.from(JSON.stringify({...registration, firstSession}))}], {
 					stamp, timeoutMs: registerTimeoutMs,
 				});
 				if (result.outcome === AppendOutcome.Appended) {
--- a/src/agents/control-records.ts
+++ b/src/agents/control-records.ts
@@ -62,6 +62,15 @@
 	return value;
 };
 
+/** Decodes the offset of the host's first registration since all earlier leases had expired; the registration's own if it is not valid. */
+export const decodeFirstSession = (value: Buffer, offset: number): number => {
+	try {
+		return parseFields(value, 'read agent registration').nonNegativeInteger('firstSession', offset);
+	} catch {
+		return offset;
+	}
+};
+
 /** Decodes an agent's registration. Throws `bad-input`. */
 export const decodeRegistration = (value: Buffer): AgentRegistration => {
 	const fields = parseFields(value, 'read agent registration');
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -211,4 +211,6 @@
 	address: string;
 	service: string;
 	failureDomain: string;
+	/** Offset of the host's first registration since all earlier leases had expired; undefined: this one. */
+	firstSession?: number;
 };
