--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -122,6 +122,19 @@
 	expect(currentSite.clock.monotonicMs() - startMs).toBeLessThan(50);
 });
 
+/** Guards against an old state of another entry that is taken for a recent one: its reads are not answered either. */
+it('get the final state from a third entry while the second one knows only an old state', async () => {
+	currentSite = await createRelaying();
+	currentSite.plan = () => ({workMs: 3000});
+	await currentSite.submit(jobId, spec, 'entry-2');
+	await currentSite.clock.advance(1000);
+	currentSite.store.getFault = ({client, kind}) => client !== 'entry-2' && currentSite!.entries.has(client) && kind === 'read' ? StoreFault.LoseRequest : StoreFault.None;
+	currentSite.storeLost.add('entry-0');
+	await currentSite.clock.advance(9000);
+	expect(currentSite.entries.get('entry-1')!.follower.fold.workflows.get(jobId)!.state).not.toBe(WorkflowState.Completed);
+	expect(await currentSite.getState(jobId, 'entry-0')).toBe(WorkflowState.Completed);
+});
+
 /** Guards against a cancellation that is not written because the time goes into reading a job that the entry knows. */
 it('have a known job cancelled by an entry whose reads are not answered, before a short deadline', async () => {
 	currentSite = await createRelaying();
