Test that a new owner cut off from all agents for five seconds ends no run (fails)

Cause: since an agent that has listed nothing is declared lost after 4 s, in place of 8. An owner that reaches no agent for longer after its claim, or handles answers that late, declares all of them lost; every run lapses and starts again. Not fixed: the bound is a decision.

--- a/test/site-restarts.test.ts
+++ b/test/site-restarts.test.ts
@@ -59,3 +59,23 @@
 	site.hosts.get('host-0')!.worker.isUnresponsive = false;
 	await site.clock.advance(8000);
 });
+
+/** Guards against a new owner that declares all agents lost because it reaches none for a while: all runs end with their leases. */
+it('a new owner that is cut off from all agents for five seconds ends no run', async () => {
+	site = await createSite(2, 2);
+	site.plan = () => ({workMs: 60_000});
+	await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+	await site.clock.advance(500);
+	const owner = site.getOwnerName()!;
+	const survivor = [...site.entries.keys()].find(name => name !== owner)!;
+	site.killEntry(owner);
+	for (const host of site.hosts.keys()) {
+		site.cuts.add(`${survivor}>${host}`);
+	}
+
+	expect(await site.waitFor(() => site!.notes.some(({source, event}) => source === survivor && event === 'took over'), 8000)).toBeDefined();
+	await site.clock.advance(5000);
+	site.cuts.clear();
+	await site.clock.advance(15_000);
+	expect(site.events.filter(event => event.type === 'started')).toHaveLength(2);
+});
