--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -4,7 +4,7 @@
 import {expect, it} from 'vitest';
 import {createError, ErrorCode} from '../src/core/errors.ts';
 import {MemoryStore} from '../src/standin/memory-store.ts';
-import {type StoreClient} from '../src/types/store.ts';
+import {type StoreClient, type StorePage} from '../src/types/store.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {encodeRecord, RecordType} from '../src/workflows/records.ts';
@@ -121,3 +121,52 @@
 	await clock.advance(350);
 	expect(results).toEqual([false]);
 });
+
+type Deferred<Value> = {promise: Promise<Value>; resolve: (value: Value) => void; reject: (error: unknown) => void};
+
+const createDeferred = <Value>(): Deferred<Value> => {
+	const deferred: Partial<Deferred<Value>> = {};
+	deferred.promise = new Promise((resolve, reject) => {
+		deferred.resolve = resolve;
+		deferred.reject = reject;
+	});
+	return deferred as Deferred<Value>;
+};
+
+/** Guards against a view that counts as complete after a gap: it lacks the retained records, and a read from before the gap says nothing of them. */
+it('has not reached the end after a gap until a read that was sent later reaches it', async () => {
+	const clock = new ManualClock();
+	const pending: Array<Deferred<StorePage>> = [];
+	const store: Pick<StoreClient, 'read'> = {
+		async read() {
+			const read = createDeferred<StorePage>();
+			pending.push(read);
+			return read.promise;
+		},
+	};
+	const emptyPage = {records: [], oldestOffset: 0, endOffset: 0};
+	const aborter = new AbortController();
+	const follower = new WorkflowFollower({
+		store: store as StoreClient, clock, ref, onInvalid: () => undefined, onStoreState: () => undefined,
+	});
+	void follower.run(aborter.signal);
+	pending.shift()!.resolve(emptyPage);
+	await clock.advance(100);
+	expect(follower.isCaughtUp).toBe(true);
+	void follower.catchUp(5000);
+	await clock.advance(100);
+	const [early, late] = pending.splice(0);
+	late!.reject(createError(ErrorCode.OffsetGone, {step: 'read jobs', detail: '10'}));
+	await clock.advance(10);
+	expect(follower.isCaughtUp).toBe(false);
+	early!.resolve(emptyPage);
+	await clock.advance(10);
+	expect(follower.isCaughtUp).toBe(false);
+	for (const read of pending.splice(0)) {
+		read.resolve({records: [], oldestOffset: 10, endOffset: 10});
+	}
+
+	await clock.advance(10);
+	aborter.abort();
+	expect(follower.isCaughtUp).toBe(true);
+});
