--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -51,13 +51,13 @@
 
 describe('an entry that reads nothing for longer than the store retains records', () => {
 	/** Lets an entry that does not own read nothing while `act` and the retention pass; ends the owner and returns the new one. */
-	const replaceBy = async (act: (owner: string) => Promise<void>): Promise<void> => {
+	const replaceBy = async (act: (owner: string) => Promise<void>, gapMs = retentionMs + 5000): Promise<void> => {
 		const owner = site!.getOwnerName()!;
 		const behind = [...site!.entries.keys()].find(name => name !== owner)!;
 		stopReads(behind);
 		await site!.clock.advance(1000);
 		await act(owner);
-		await advanceWithRetention(owner, retentionMs + 5000);
+		await advanceWithRetention(owner, gapMs);
 		site!.store.getFault = () => StoreFault.None;
 		expect(await site!.waitFor(() => site!.entries.get(behind)!.follower.fold.offset >= site!.entries.get(owner)!.follower.fold.offset, 3000)).toBeDefined();
 		site!.killEntry(owner);
@@ -89,6 +89,18 @@
 		expect(await site.getState(jobId)).toBe(WorkflowState.Cancelled);
 	});
 
+	/** Guards against a fold that keeps a job of which the store retains no record: its last snapshot has been dropped as well. */
+	it('starts no job again that was cancelled so long before that no record of it is left', async () => {
+		site = await createSite();
+		site.plan = () => ({workMs: undefined});
+		await site.submit(jobId, lastingSpec);
+		await site.clock.advance(500);
+		await replaceBy(async owner => {
+			await site!.cancel(jobId, owner);
+		}, 2.5 * retentionMs);
+		expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+	});
+
 	it('knows a job that was submitted meanwhile and still runs', async () => {
 		site = await createSite();
 		site.plan = () => ({workMs: undefined});
