Test that an owner over a gap takes over again under a new epoch

Cause: no test failed without the owner's part of the gap (onGap of the fold, the new join, the join under way; tried by hand): the suspended owner of the other test has left the group anyway.

--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -8,7 +8,9 @@
 import {SubmitOutcome} from '../src/types/job-api.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
-import {RecordType, workflowsTopic, type WorkflowSnapshot} from '../src/workflows/records.ts';
+import {
+	encodeRecord, RecordType, workflowsTopic, type WorkflowSnapshot,
+} from '../src/workflows/records.ts';
 import {createWorkflow} from './site-fleet.ts';
 import {createSite, jobId, otherId} from './site-setup.ts';
 import {
@@ -191,3 +193,25 @@
 		expect(fold.workflows.get(otherId)!.state).toBe(WorkflowState.Completed);
 	});
 });
+
+/** Guards against an owner that goes on over a gap while it stays in the group, or again under its epoch: its orders may still be under way. */
+it('an owner that misses records while it stays in the group takes over again under a new epoch', async () => {
+	site = await createSite(2, 1);
+	const {store, notes} = site;
+	const owner = site.getOwnerName()!;
+	const getEpochs = () => notes.filter(({event}) => event === 'took over').map(({fields}) => fields.epoch as number);
+	expect(getEpochs()).toHaveLength(1);
+	// A heartbeat is nearly always under way.
+	store.getDelayMs = ({kind}) => kind === 'join' ? 400 : 0;
+	stopReads(owner);
+	await site.clock.advance(1500);
+	const appended = await site.settle(store.createClient('callers').append(ref, [encodeRecord({type: RecordType.Cancel, id: otherId})], {timeoutMs: 1000}));
+	store.trim(ref, (appended as {endOffset: number}).endOffset);
+	store.getFault = () => StoreFault.None;
+	expect(await site.waitFor(() => getEpochs().length > 1, 8000)).toBeDefined();
+	const [first, ...later] = getEpochs();
+	expect(Math.min(...later)).toBeGreaterThan(first!);
+	expect(notes.some(({event, fields}) => event === 'deposed' && fields.reason === 'the store has dropped records that were not read')).toBe(true);
+	expect(await site.submit(jobId, createSpec([createStep()]))).toMatchObject({outcome: SubmitOutcome.Accepted});
+	expect(await site.waitFor(() => site!.getStarts(`${jobId}.0.0.0`) === 1, 3000)).toBeDefined();
+});
