Declare an agent without a list lost after 4 s only while most agents answer

Callers saw, in a test: a new owner that was cut off from all agents for five seconds after its claim declared all of them lost, and every run ended with its leases. Cause: the wait for a declaration brought the bound for agents without a list down from 8 to 4 s, also where the owner itself was cut off or late. Change: the bound is 4 s only while more than half of the agents have listed their runs, 8 s otherwise. The price: with half of the agents gone at a change of owner, tasks from before the claim wait 15.6 s.

--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -24,9 +24,15 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** An agent that has active runs, or has not listed any yet, is declared lost after this time without an answer. Runs survive shorter interruptions. */
+/**
+An agent with active runs is declared lost after this time without an answer; runs survive shorter interruptions. So is one that
+has not listed its runs yet, which tasks from before the claim wait for.
+*/
 const declareLostAfterMs = 4000;
-/** The same for an agent without active runs: it is removed, so that a later owner need not wait for it. */
+/**
+The same for an agent without active runs: it is removed, so that a later owner need not wait for it. Also for one that has not
+listed its runs while the owner reaches few agents: the owner itself may be cut off or late, and a declaration ends the runs.
+*/
 const removedAfterMs = 8000;
 /** Added to the longest lease before tasks of a lost agent start elsewhere: calls and ending a run take some ms. */
 const lostSlackMs = 500;
@@ -36,6 +42,16 @@
 /** Longest time that leases last after a claim or a declaration was stored. */
 export const getLeaseExpiryMs = (leaseDurationMs: number): number => (leaseDurationMs / (1 - maxClockSlowShare)) + lostSlackMs;
 
+/** Whether more than half of the agents have listed their runs. */
+const isReachingMostAgents = (workers: Map<string, FleetWorker>): boolean => {
+	let listed = 0;
+	for (const worker of workers.values()) {
+		listed += worker.isListed ? 1 : 0;
+	}
+
+	return 2 * listed > workers.size;
+};
+
 /** Detects the lost agents of one owner. */
 export class AgentLossMonitor {
 	readonly #options: AgentLossMonitorOptions;
@@ -48,9 +64,10 @@
 	check(): void {
 		const {clock, workers, leaseDurationMs} = this.#options;
 		const nowMs = clock.monotonicMs();
+		const isReachingMost = isReachingMostAgents(workers);
 		for (const worker of workers.values()) {
 			const {unresponsiveSinceMs, lostSession, lostAtMs, runs, isListed} = worker;
-			const boundMs = runs.size > 0 || !isListed ? declareLostAfterMs : removedAfterMs;
+			const boundMs = runs.size > 0 || (!isListed && isReachingMost) ? declareLostAfterMs : removedAfterMs;
 			if (unresponsiveSinceMs !== undefined && lostSession === undefined && nowMs - unresponsiveSinceMs >= boundMs) {
 				worker.lostSession = worker.session;
 				void this.#declare(worker);
