--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -215,3 +215,30 @@
 	expect(await site.submit(jobId, createSpec([createStep()]))).toMatchObject({outcome: SubmitOutcome.Accepted});
 	expect(await site.waitFor(() => site!.getStarts(`${jobId}.0.0.0`) === 1, 3000)).toBeDefined();
 });
+
+/** Guards against a fold that takes only ends and final states from a later snapshot: a started job counts as pending, and failures are forgotten. */
+it('folds the start, the runs and the failures of a known job from a later snapshot', () => {
+	const fold = new WorkflowFold();
+	const workflow = createWorkflow(otherId, createSpec([createStep()]));
+	const taskId = `${otherId}.0.0.0`;
+	const crash = {
+		run: 3, ageMs: 100, isNewest: true, host: 'host-0', isHostProven: true, atMs: 10_000,
+	};
+	fold.apply({type: RecordType.Submit, workflow}, 10);
+	expect(fold.countPending(workflow.queue)).toBe(1);
+	const started: WorkflowSnapshot = {
+		workflow, state: WorkflowState.Running, hasBegun: true, remaining: 1, writtenAtMs: 20_000, ledgers: [],
+	};
+	fold.apply({type: RecordType.Snapshot, job: started}, 20);
+	expect(fold.countPending(workflow.queue)).toBe(0);
+	fold.apply({
+		type: RecordType.Snapshot, job: {
+			...started, ledgers: [[taskId, {
+				isDone: false, failedRuns: [1], crashes: [crash], lastRun: 4, checkpoint: 'saved',
+			}]],
+		},
+	}, 30);
+	expect(fold.workflows.get(otherId)!.ledgers.get(taskId)).toEqual({
+		isDone: false, failedRuns: [1], crashes: [crash], lastRun: 4, checkpoint: 'saved',
+	});
+});
