--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -149,9 +149,8 @@
 				if (this.#isStandby) {
 					await this.#withdraw();
 				} else if (this.#isMember && (this.#mustRejoin || this.#getStalenessMs() > releaseAfterMs)) {
-					this.#options.note('jobs given up', {unseenMs: Math.round(this.#getStalenessMs())});
+					this.#noteRelease();
 					await this.#withdraw();
-					this.#mustRejoin = false;
 					await this.#waitForCatchUp(signal);
 				} else {
 					this.#joining = this.#join(signal);
@@ -195,11 +194,19 @@
 		return this.#lastHeartbeatAtMs - this.#options.getCaughtUpAtMs();
 	}
 
+	#noteRelease(): void {
+		const stalenessMs = this.#getStalenessMs();
+		const hasMissedRecords = this.#mustRejoin || stalenessMs === Number.POSITIVE_INFINITY;
+		this.#options.note('jobs given up', hasMissedRecords ? {reason: 'records missed'} : {reason: 'view too old', unseenMs: Math.round(stalenessMs)});
+	}
+
 	async #withdraw(): Promise<void> {
 		if (this.#isMember) {
 			this.#stopOwners();
 			await this.#leaveGroup();
 		}
+
+		this.#mustRejoin = false;
 	}
 
 	async #leaveGroup(): Promise<void> {
