Name the kinds of relayed calls, and share the set-up of takeovers that cannot reach an agent

Cause: the kinds were bare strings, and three tests of takeovers began with the same seven lines. No change of behaviour or of a check; relay, counts, follower, links and takeover pass.

--- a/src/workflows/follower.ts
+++ b/src/workflows/follower.ts
@@ -47,6 +47,7 @@
 	#backlogStep: Promise<boolean> | undefined;
 	#readBytes = firstReadBytes;
 	#mayGrowReads = true;
+	/** Reads that were sent before this do not show that the end has been reached. */
 	#restartedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: FollowerOptions) {
--- a/src/workflows/relaying-api.ts
+++ b/src/workflows/relaying-api.ts
@@ -40,13 +40,24 @@
 /** Bound on the jobs in `#open`: the callers of the oldest ones stop retrying long before as many new ones come. */
 const maxOpen = 10_000;
 
+/** Kinds of calls that are relayed. */
+enum CallKind {
+	Submit = 'submit',
+	State = 'state',
+	Cancel = 'cancel',
+	Count = 'count',
+}
+
+/** A relayed call as it is logged: it is about a job, or a queue. */
+type RelayedCall = {kind: CallKind; id?: string; queue?: string};
+
 /** Asks one entry; resolves to undefined if it cannot serve the call. */
 type Ask<Reply> = (address: string, timeoutMs: number) => Promise<Reply | undefined>;
 
 /** Job API of an entry with the help of others. */
 export class RelayingApi implements JobApi {
 	readonly #options: RelayingApiOptions;
-	/** Until when entries are skipped, by address, and by kind of call and address: one that cannot give a state may accept jobs. */
+	/** Until when entries are skipped: by address, and by kind of call, since an entry that cannot give a state may accept jobs. */
 	readonly #skippedUntilMs = new Map<string, number>();
 	/** Jobs that another entry may have accepted without an answer. */
 	readonly #open = new Set<string>();
@@ -87,7 +98,7 @@
 			return known;
 		}
 
-		const {reply} = await this.#ask({kind: 'state', id}, {timeoutMs: lookupTimeoutMs, endAtMs}, async (address, askMs) => {
+		const {reply} = await this.#ask({kind: CallKind.State, id}, {timeoutMs: lookupTimeoutMs, endAtMs}, async (address, askMs) => {
 			const state = await client.getState(address, {queue: queue.name, id}, askMs);
 			return state.outcome === LookupOutcome.Unknown || state.isOld ? undefined : state;
 		});
@@ -106,7 +117,7 @@
 			return LookupOutcome.Found;
 		}
 
-		const {reply} = await this.#ask({kind: 'cancel', id}, {timeoutMs: submitTimeoutMs, endAtMs: clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
+		const {reply} = await this.#ask({kind: CallKind.Cancel, id}, {timeoutMs: submitTimeoutMs, endAtMs: clock.monotonicMs() + timeoutMs}, async (address, askMs) => {
 			const outcome = await client.cancel(address, {queue: queue.name, id}, askMs);
 			return outcome === LookupOutcome.Unknown ? undefined : outcome;
 		});
@@ -121,7 +132,7 @@
 			return own;
 		}
 
-		const {reply} = await this.#ask({kind: 'count', queue: queue.name}, {timeoutMs: lookupTimeoutMs, endAtMs}, async (address, askMs) => client.countPending(address, queue.name, askMs));
+		const {reply} = await this.#ask({kind: CallKind.Count, queue: queue.name}, {timeoutMs: lookupTimeoutMs, endAtMs}, async (address, askMs) => client.countPending(address, queue.name, askMs));
 		return reply;
 	}
 
@@ -129,7 +140,7 @@
 	async #submitElsewhere(queue: QueueConfig, id: string, spec: WorkflowSpec, endAtMs: number): Promise<SubmitReply> {
 		const {client} = this.#options;
 		let isOpen = false;
-		const {reply, isUnanswered} = await this.#ask({kind: 'submit', id}, {timeoutMs: submitTimeoutMs, endAtMs}, async (address, askMs) => {
+		const {reply, isUnanswered} = await this.#ask({kind: CallKind.Submit, id}, {timeoutMs: submitTimeoutMs, endAtMs}, async (address, askMs) => {
 			const {outcome} = await client.submit(address, {queue: queue.name, id, spec}, askMs);
 			isOpen ||= outcome === SubmitOutcome.Unknown;
 			return outcome === SubmitOutcome.Accepted ? outcome : undefined;
@@ -156,7 +167,7 @@
 	}
 
 	/** Asks entries one after the other until one can serve the call. */
-	async #ask<Reply>(call: {kind: string; id?: string; queue?: string}, {timeoutMs, endAtMs}: {timeoutMs: number; endAtMs: number}, ask: Ask<Reply>): Promise<{reply?: Reply; isUnanswered: boolean}> {
+	async #ask<Reply>(call: RelayedCall, {timeoutMs, endAtMs}: {timeoutMs: number; endAtMs: number}, ask: Ask<Reply>): Promise<{reply?: Reply; isUnanswered: boolean}> {
 		const {clock, note} = this.#options;
 		let isUnanswered = false;
 		for (const {host, address} of this.#choose(call.kind)) {
@@ -197,7 +208,7 @@
 	}
 
 	/** Chooses the entries to ask; the one that served the last call is first. */
-	#choose(kind: string): EntryRegistration[] {
+	#choose(kind: CallKind): EntryRegistration[] {
 		const nowMs = this.#options.clock.monotonicMs();
 		const others = this.#options.getOthers();
 		return others
@@ -221,7 +232,7 @@
 /** Time for this entry's own read: the rest, at most half of all, is left to ask another entry. */
 const getOwnTimeMs = (timeoutMs: number): number => Math.max(timeoutMs / 2, timeoutMs - lookupTimeoutMs);
 
-const getSkipKey = (kind: string, address: string): string => `${kind} ${address}`;
+const getSkipKey = (kind: CallKind, address: string): string => `${kind} ${address}`;
 
 const isFinished = ({outcome, state}: StateReply): boolean => outcome === LookupOutcome.Found && isFinal(state!);
 
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -23,6 +23,18 @@
 	expect(site.violations).toEqual([]);
 });
 
+/** Starts two tasks, ends their owner, and cuts the next owner off from the agent of `host-0`; returns the next owner. */
+const replaceOwnerCutOffFromAgent = async (workMs: number): Promise<string> => {
+	await startSite();
+	site.plan = () => ({workMs});
+	await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+	await site.clock.advance(300);
+	const survivor = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
+	site.killEntry(site.getOwnerName()!);
+	site.cuts.add(`${survivor}>host-0`);
+	return survivor;
+};
+
 describe('the owner of the jobs', () => {
 	/**
 	The owner of a job dies while a task runs, and the task ends while the job has no owner. The next owner gets the end from the
@@ -127,13 +139,7 @@
 	owner does not know of the run, and must not start the task elsewhere before the agent's leases have expired.
 	*/
 	it('that takes over and cannot reach an agent waits until its leases have expired before it starts tasks that may run there', async () => {
-		await startSite();
-		site.plan = () => ({workMs: 60_000});
-		await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
-		await site.clock.advance(300);
-		const survivor = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
-		site.killEntry(site.getOwnerName()!);
-		site.cuts.add(`${survivor}>host-0`);
+		await replaceOwnerCutOffFromAgent(60_000);
 		site.addHost('host-2');
 		// Cuts the agent off from the store as well, so that its leases expire.
 		site.store.getFault = ({client}) => client === 'host-0' ? StoreFault.LoseRequest : StoreFault.None;
@@ -144,13 +150,7 @@
 
 	/** Guards against a new owner that takes the leases of an agent for expired which it cannot reach, but which renews them by what it reads in the store. */
 	it('that takes over and cannot reach an agent in touch with the store starts no task that runs there', async () => {
-		await startSite();
-		site.plan = () => ({workMs: 60_000});
-		await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
-		await site.clock.advance(300);
-		const survivor = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
-		site.killEntry(site.getOwnerName()!);
-		site.cuts.add(`${survivor}>host-0`);
+		await replaceOwnerCutOffFromAgent(60_000);
 		site.addHost('host-2');
 		const tookMs = await site.waitFor(() => site.getStarts(`${jobId}.0.0.0`) + site.getStarts(`${jobId}.0.0.1`) > 2, 20_000);
 		expect(tookMs).toBeLessThan(14_000);
@@ -158,13 +158,7 @@
 
 	/** Guards against the same for a run that has ended while its owner could not store the end. */
 	it('that takes over and cannot reach an agent starts no task that has succeeded there', async () => {
-		await startSite();
-		site.plan = () => ({workMs: 2000});
-		await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
-		await site.clock.advance(300);
-		const survivor = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
-		site.killEntry(site.getOwnerName()!);
-		site.cuts.add(`${survivor}>host-0`);
+		const survivor = await replaceOwnerCutOffFromAgent(2000);
 		await site.clock.advance(9500);
 		site.cuts.delete(`${survivor}>host-0`);
 		await site.clock.advance(6000);
