--- a/test/site-gaps.test.ts
+++ b/test/site-gaps.test.ts
@@ -136,10 +136,7 @@
 });
 
 describe('an entry that starts when the store has dropped a record but not the snapshot that was written just after it', () => {
-	/**
-	Guards against a snapshot that lacks a record which the owner had not read yet: the first retained record is then that snapshot,
-	and the later, complete one is ignored because the job is known.
-	*/
+	/** Guards against a first retained snapshot that lacks a record which its owner had not read, while the later, complete one is ignored. */
 	it('starts no job that was cancelled', async () => {
 		site = await createSite();
 		site.plan = () => ({workMs: undefined});
--- a/test/site-power.test.ts
+++ b/test/site-power.test.ts
@@ -106,10 +106,7 @@
 		expect(countRunning()).toBe(tasks);
 	});
 
-	/**
-	Guards against small entries that stand by for a dead owner without end: the group lists its member, its host is back under the
-	same address and answers, but does not read the stream and so never joins.
-	*/
+	/** Guards against small entries that stand by without end for a dead owner whose host is back, answers, and does not read the stream. */
 	it('an entry with too few processors owns while the larger one of the last owner is back and reads nothing', async () => {
 		site = await createSite(2, 0);
 		site.startEntry('large');
