Keep an old word out of two new names

Cause: the read-through found `life` for an incarnation in a new member and a new parameter; the field's term is incarnation. Change: renames with the compiler, nothing else. No text that is logged, stored or sent changes, and no check.

--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -201,7 +201,7 @@
 			const {records} = await store.readNewest({topic: agentsTopic, partition: 0});
 			return records.length;
 		},
-		isAlive: async (address, life) => isProcessAlive(http, address, life),
+		isAlive: async (address, memberIncarnation) => isProcessAlive(http, address, memberIncarnation),
 		minTtlMs: minMemberTtlMs,
 		hasService: partition => followers.has(partition),
 		getCaughtUpAtMs: () => isCaughtUp() ? Math.min(...[...followers.values()].map(({caughtUpAtMs}) => caughtUpAtMs)) : Number.NEGATIVE_INFINITY,
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -240,7 +240,7 @@
 			worker.processedCrash = 0;
 			worker.storedCrash = 0;
 			worker.agentClock = new PeerClock();
-			worker.agentLifeSinceMs = worker.lastReplyAtMs;
+			worker.agentIncarnationSinceMs = worker.lastReplyAtMs;
 		}
 
 		worker.agentClock.addReading(reply.agentClockMs, {sentAtMs, handledAtMs: worker.lastReplyAtMs});
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -17,7 +17,7 @@
 	/** Incarnation of the agent. */
 	agentLife: string;
 	/** When this incarnation of the agent first answered; undefined before. An earlier one may have renewed leases until then. */
-	agentLifeSinceMs?: number;
+	agentIncarnationSinceMs?: number;
 	/** Version of the last state received from the agent. */
 	version: number;
 	report: WorkerReport | undefined;
--- a/src/workflows/reconciliation.ts
+++ b/src/workflows/reconciliation.ts
@@ -49,8 +49,8 @@
 		const nowMs = clock.monotonicMs();
 		const tookMs = nowMs - this.#claimedAtMs;
 		const missing = [...links.workers.values()].filter(worker => !worker.isListed && !worker.haveOldLeasesExpired);
-		const haveAllExpired = missing.every(({unresponsiveSinceMs, agentLifeSinceMs}) =>
-			unresponsiveSinceMs === undefined && agentLifeSinceMs !== undefined && nowMs - agentLifeSinceMs > getLeaseExpiryMs(leaseDurationMs));
+		const haveAllExpired = missing.every(({unresponsiveSinceMs, agentIncarnationSinceMs}) =>
+			unresponsiveSinceMs === undefined && agentIncarnationSinceMs !== undefined && nowMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs));
 		if (haveAllExpired) {
 			this.#isReconciled = true;
 			note('settled', {tookMs: Math.round(tookMs), agents: links.workers.size, missing: missing.map(worker => worker.host)});
