Log what decided that a run was lost, and which owner gave a start

Cause: the record of the tasks that ran in two places cannot tell its hypotheses apart. `run lost` named a reason without the state, the versions and the times behind it; an agent's log did not say which owner gave a start, nor when it learned of a newer one; the moment at which a declaration was stored, and how old each agent's state was when an owner was reconciled, stood nowhere. Change: `run lost` tells what the owner knew of the run (phase, order, confirmed version, incarnation) and of the state that decided (version, incarnation, age) or of the declaration. New: `start answered` (epoch, version, lease) and `newer owner` of agents, `loss stored` and `state late` of owners; `settled` has the age of each state, `leases over without an answer` the lease and how long the worker is known. No decision changes.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -8,6 +8,8 @@
 /** What the agent knows of one incarnation of the worker. */
 export type WorkerState = {
 	report: WorkerReport;
+	/** When this process learned of the incarnation. */
+	knownSinceMs: number;
 	lease: WorkerLease;
 	runs: WorkerRuns;
 	/** Ends of runs up to this number are stored in the log; the worker may drop them. */
@@ -182,7 +184,7 @@
 	#setWorker(report: WorkerReport, nowMs: number): void {
 		this.#successor = undefined;
 		this.worker = {
-			report, lease: new WorkerLease(this.#leaseMs), runs: new WorkerRuns(), forgetUpTo: 0, areLeasesExpired: false, isAnswering: true, answeredAtMs: nowMs,
+			report, knownSinceMs: nowMs, lease: new WorkerLease(this.#leaseMs), runs: new WorkerRuns(), forgetUpTo: 0, areLeasesExpired: false, isAnswering: true, answeredAtMs: nowMs,
 		};
 		this.notifyChange();
 	}
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -76,6 +76,9 @@
 			onStoreState: (isReached, detail) => {
 				this.#logStoreState(isReached, detail);
 			},
+			onNewerEpoch(epoch, before, source) {
+				note('newer owner', {epoch, before, source});
+			},
 			onInvalid(detail) {
 				note('control record not valid', {detail});
 			},
--- a/src/agents/control-watch.ts
+++ b/src/agents/control-watch.ts
@@ -8,6 +8,14 @@
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
 import {ControlRecordType, decodeControlRecord} from './control-records.ts';
 
+/** How an agent learned of an owner's epoch. */
+export enum EpochSource {
+	/** The control stream. */
+	Store = 'store',
+	/** A request of the owner. */
+	Owner = 'owner',
+}
+
 /** Options of the watch. */
 export type ControlWatchOptions = {
 	store: StoreClient;
@@ -20,6 +28,8 @@
 	/** The store has dropped records that were not read; a declaration that this agent is lost may be among them. */
 	onGap: () => void;
 	onStoreState: (isReached: boolean, detail: string) => void;
+	/** A newer owner became known. */
+	onNewerEpoch: (epoch: number, before: number, source: EpochSource) => void;
 	onInvalid: (detail: string) => void;
 };
 
@@ -60,9 +70,13 @@
 	}
 
 	/** Records an owner's epoch; returns false if a newer one is known. */
-	observeEpoch(epoch: number): boolean {
-		this.#epoch = Math.max(this.#epoch, epoch);
-		return epoch >= this.#epoch;
+	observeEpoch(epoch: number, source: EpochSource): boolean {
+		if (epoch > this.#epoch) {
+			this.#options.onNewerEpoch(epoch, this.#epoch, source);
+			this.#epoch = epoch;
+		}
+
+		return epoch === this.#epoch;
 	}
 
 	/** Follows until the signal aborts. */
@@ -121,7 +135,7 @@
 			const record = decodeControlRecord(value);
 			switch (record.type) {
 				case ControlRecordType.Claim: {
-					this.observeEpoch(record.epoch);
+					this.observeEpoch(record.epoch, EpochSource.Store);
 					break;
 				}
 
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -7,10 +7,10 @@
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
-	isWithin, OrderRefusal, OrderType, type Capacity, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest, type WorkerAnswer, type WorkerClient, type WorkerStart,
+	isWithin, OrderRefusal, OrderType, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest, type WorkerAnswer, type WorkerClient, type WorkerStart,
 } from '../types/fleet.ts';
 import {type AgentState, type WorkerState} from './agent-state.ts';
-import {type ControlWatch} from './control-watch.ts';
+import {EpochSource, type ControlWatch} from './control-watch.ts';
 
 /** Logs an event. */
 export type AgentLogEvent = (event: string, fields: Record<string, unknown>) => void;
@@ -49,7 +49,7 @@
 		const {state, clock} = this.#options;
 		const refusal = this.#getRefusal(request);
 		const answers = refusal === undefined
-			? await Promise.all(request.orders.map(async order => this.#carryOut(order, state.worker!, request.capacity)))
+			? await Promise.all(request.orders.map(async order => this.#carryOut(order, state.worker!, request)))
 			: request.orders.map((): WorkerAnswer => ({isDone: false, refusal}));
 		if (refusal !== undefined) {
 			this.#options.note('orders refused', {
@@ -63,7 +63,7 @@
 	/** Answers when the version differs from the one the owner knows, when there are new measurements, or after the wait. */
 	async watch(request: WatchRequest, signal: AbortSignal): Promise<WatchReply> {
 		const {state, control, clock} = this.#options;
-		if (!control.observeEpoch(request.epoch)) {
+		if (!control.observeEpoch(request.epoch, EpochSource.Owner)) {
 			return {...this.#describe(), newerEpoch: control.epoch};
 		}
 
@@ -83,7 +83,7 @@
 
 	#getRefusal({epoch, agentLife, notAfterMs, workerId}: OrdersRequest): OrderRefusal | undefined {
 		const {state, control, clock} = this.#options;
-		if (!control.observeEpoch(epoch)) {
+		if (!control.observeEpoch(epoch, EpochSource.Owner)) {
 			return OrderRefusal.StaleEpoch;
 		}
 
@@ -98,7 +98,7 @@
 		return state.worker?.report.workerId === workerId ? undefined : OrderRefusal.OtherWorkerIncarnation;
 	}
 
-	async #carryOut(order: Order, worker: WorkerState, capacity: Capacity | undefined): Promise<WorkerAnswer> {
+	async #carryOut(order: Order, worker: WorkerState, {capacity, epoch}: OrdersRequest): Promise<WorkerAnswer> {
 		const {client, getFence} = this.#options;
 		const {workerId} = worker.report;
 		try {
@@ -108,7 +108,7 @@
 						return {isDone: false, refusal: OrderRefusal.CapacityReduced};
 					}
 
-					return await this.#start(order.start, worker);
+					return await this.#start(order.start, worker, epoch);
 				}
 
 				case OrderType.Stop: {
@@ -122,13 +122,16 @@
 				}
 			}
 		} catch (error) {
-			this.#options.note('order unanswered', {order: order.type, error: getMessage(error)});
+			const {taskId, run} = order.type === OrderType.Start ? order.start : order;
+			this.#options.note('order unanswered', {
+				order: order.type, taskId, run, epoch, error: getMessage(error),
+			});
 			return {isDone: false, refusal: OrderRefusal.Unanswered};
 		}
 	}
 
-	async #start(start: WorkerStart, worker: WorkerState): Promise<WorkerAnswer> {
-		const {client, clock, control, getFence, state} = this.#options;
+	async #start(start: WorkerStart, worker: WorkerState, epoch: number): Promise<WorkerAnswer> {
+		const {client, clock, control, getFence, state, note} = this.#options;
 		const {lease, report, runs, allLeasesExpiredAtMs} = worker;
 		const clockMs = lease.estimateClockMs(clock.monotonicMs());
 		if (report.isDraining) {
@@ -159,6 +162,9 @@
 			runs.recordStartAnswer(start.taskId, start.run, answer.isDone, clock.monotonicMs());
 			// The owner learns of the start from this answer: waking its watch too would double the messages of a large service.
 			state.incrementVersion();
+			note('start answered', {
+				taskId: start.taskId, run: start.run, epoch, isStarted: answer.isDone, refusal: answer.refusal, version: state.version, leaseUntilMs,
+			});
 			return this.#checkFence(answer);
 		} catch (error) {
 			runs.recordStartUnanswered(start.taskId, start.run);
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -89,7 +89,9 @@
 			state.notifyChange();
 		}
 
-		note('worker unanswered', {workerId, error: getMessage(error), leaseUntilMs});
+		note('worker unanswered', {
+			workerId, error: getMessage(error), leaseUntilMs, sentUntilMs: lease.sentUntilMs,
+		});
 	}
 
 	checkLeaseExpiry(options, worker);
@@ -138,7 +140,11 @@
 const checkLeaseExpiry = ({state, clock, note}: WorkerLoopOptions, worker: WorkerState): void => {
 	if (!worker.areLeasesExpired && worker.lease.isExpired(clock.monotonicMs(), expirySlackMs)) {
 		worker.areLeasesExpired = true;
-		note('leases over without an answer', {workerId: worker.report.workerId});
+		const {report: {workerId}, lease, knownSinceMs, answeredAtMs} = worker;
+		const nowMs = clock.monotonicMs();
+		note('leases over without an answer', {
+			workerId, sentUntilMs: lease.sentUntilMs, sampleClockMs: lease.sampleClockMs, answeredAgoMs: Math.round(nowMs - answeredAtMs), knownForMs: Math.round(nowMs - knownSinceMs), version: state.version,
+		});
 		state.notifyChange();
 	}
 };
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -38,6 +38,8 @@
 const pollWaitMs = 600;
 /** Time-out of a poll beyond its wait. */
 const pollSlackMs = 500;
+/** A state is logged as late if the agent built it this long ago: most links and threads deliver one within a poll. */
+const lateStateMs = 1000;
 const retryMs = 100;
 const registryWaitMs = 2000;
 /** How long an order is valid, on the agent's clock; later it is refused as expired. */
@@ -244,6 +246,12 @@
 		}
 
 		worker.agentClock.addReading(reply.agentClockMs, {sentAtMs, handledAtMs: worker.lastReplyAtMs});
+		const ageMs = worker.agentClock.estimate(worker.lastReplyAtMs) - reply.agentClockMs;
+		if (ageMs > lateStateMs) {
+			note('state late', {
+				host: worker.host, ageMs: Math.round(ageMs), agentLife: reply.agentLife, version: reply.version, isOver: reply.isOver,
+			});
+		}
 
 		worker.report = reply.worker;
 		worker.isListed = reply.isListed;
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -89,7 +89,8 @@
 
 	/** Handles the expiry of a lost agent's leases. The agent may have registered again without having answered yet. */
 	#handleExpiredLeases(worker: FleetWorker, nowMs: number): void {
-		this.#options.tracker.markAllLost(worker, LossReason.AgentLost, nowMs);
+		const {session, lostSession, lostAtMs} = worker;
+		this.#options.tracker.markAllLost(worker, LossReason.AgentLost, {nowMs, evidence: {session, lostSession, declaredAgoMs: Math.round(nowMs - lostAtMs!)}});
 		worker.haveOldLeasesExpired = true;
 		if (worker.session > worker.lostSession!) {
 			worker.lostSession = undefined;
@@ -108,11 +109,15 @@
 		const record = encodeControlRecord({
 			type: ControlRecordType.Lost, host, session, epoch,
 		});
+		const declaredAtMs = clock.monotonicMs();
 		while (!signal.aborted && worker.lostSession === session) {
 			try {
 				const result = await store.append({topic: controlTopic, partition}, [record], {timeoutMs: storeTimeoutMs});
 				if (result.outcome === AppendOutcome.Appended) {
 					worker.lostAtMs = clock.monotonicMs();
+					note('loss stored', {
+						host, session, newestSession: worker.session, lostSession: worker.lostSession, tookMs: Math.round(worker.lostAtMs - declaredAtMs),
+					});
 					return;
 				}
 			} catch (error) {
--- a/src/workflows/crash-monitor.ts
+++ b/src/workflows/crash-monitor.ts
@@ -10,7 +10,9 @@
 import {type FleetWorker} from './fleet-view.ts';
 import {getUnit, type LiveTask} from './live-model.ts';
 import {type AttributedCrash} from './records.ts';
-import {LossReason, type RunTracker} from './run-tracker.ts';
+import {
+	describeState, LossReason, type LossFinding, type RunTracker,
+} from './run-tracker.ts';
 
 /** Options of the monitor. */
 export type CrashMonitorOptions = {
@@ -38,7 +40,8 @@
 	}
 
 	/** Handles the crashed runs in an agent's state. */
-	handleReply(worker: FleetWorker, {agentLife, crashed}: WatchReply, nowMs: number): void {
+	handleReply(worker: FleetWorker, reply: WatchReply, nowMs: number): void {
+		const {agentLife, crashed} = reply;
 		const newRows = crashed.filter(({number}) => number > worker.processedCrash);
 		if (newRows.length === 0) {
 			return;
@@ -46,7 +49,7 @@
 
 		const attributed: AttributedCrash[] = [];
 		for (const workerId of new Set(newRows.map(row => row.workerId))) {
-			attributed.push(...this.#handleCrash(worker, newRows.filter(row => row.workerId === workerId), nowMs));
+			attributed.push(...this.#handleCrash(worker, newRows.filter(row => row.workerId === workerId), {nowMs, evidence: describeState(worker, reply, nowMs)}));
 		}
 
 		worker.processedCrash = newRows.at(-1)!.number;
@@ -62,7 +65,7 @@
 	}
 
 	/** Handles the runs of one crash; returns the crashes to be stored for the tasks that it is attributed to. */
-	#handleCrash(worker: FleetWorker, rows: CrashedRun[], nowMs: number): AttributedCrash[] {
+	#handleCrash(worker: FleetWorker, rows: CrashedRun[], finding: LossFinding): AttributedCrash[] {
 		const resident = this.#findTasks(worker, rows);
 		worker.hasSucceededSinceCrash = false;
 		const {workerId} = rows[0]!;
@@ -74,7 +77,7 @@
 			task.lastRun = Math.max(task.lastRun, crash.run);
 			const live = task.runs.find(known => known.run === crash.run && known.workerId === workerId);
 			if (live) {
-				this.#options.tracker.markLost(live, worker, LossReason.WorkerCrashed, nowMs);
+				this.#options.tracker.markLost(live, worker, LossReason.WorkerCrashed, finding);
 			}
 		}
 
--- a/src/workflows/reconciliation.ts
+++ b/src/workflows/reconciliation.ts
@@ -9,6 +9,7 @@
 import {type Clock} from '../types/clock.ts';
 import {type AgentLinks} from './agent-links.ts';
 import {getLeaseExpiryMs} from './agent-loss-monitor.ts';
+import {type FleetWorker} from './fleet-view.ts';
 
 /** Options of the reconciliation. */
 export type ReconciliationOptions = {
@@ -19,6 +20,11 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
+/** Gets how long ago each agent that has answered did so last, by host. */
+const getStateAgesMs = (workers: Iterable<FleetWorker>, nowMs: number): Record<string, number> => Object.fromEntries([...workers]
+	.filter(({lastReplyAtMs}) => lastReplyAtMs !== Number.NEGATIVE_INFINITY)
+	.map(({host, lastReplyAtMs}) => [host, Math.round(nowMs - lastReplyAtMs)]));
+
 /** Reconciliation of one owner. */
 export class Reconciliation {
 	readonly #options: ReconciliationOptions;
@@ -53,7 +59,9 @@
 			unresponsiveSinceMs === undefined && agentIncarnationSinceMs !== undefined && nowMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs));
 		if (haveAllExpired) {
 			this.#isReconciled = true;
-			note('settled', {tookMs: Math.round(tookMs), agents: links.workers.size, missing: missing.map(worker => worker.host)});
+			note('settled', {
+				tookMs: Math.round(tookMs), agents: links.workers.size, missing: missing.map(worker => worker.host), stateAgesMs: getStateAgesMs(links.workers.values(), nowMs),
+			});
 			onReconciled();
 		}
 	}
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -44,6 +44,21 @@
 	NeverStarted = 'never-started',
 }
 
+/** When runs were found to be lost, and what showed it; the evidence goes to the log. */
+export type LossFinding = {nowMs: number; evidence: Record<string, unknown>};
+
+/** Describes the state of an agent in a reply: which one it is, and how long ago the agent built it. */
+export const describeState = ({agentClock}: FleetWorker, {agentLife, version, agentClockMs, isOver}: WatchReply, nowMs: number): Record<string, unknown> => ({
+	state: {
+		agentLife, version, agentClockMs: Math.round(agentClockMs), isOver, ageMs: Math.round(agentClock.estimate(nowMs) - agentClockMs),
+	},
+});
+
+/** Describes what this owner knows of a run's start. */
+const describeRun = ({phase, isOrderPending, orderedAtMs, notAfterMs, confirmedVersion, agentLife}: LiveRun, nowMs: number): Record<string, unknown> => ({
+	phase, isOrderPending, orderedAgoMs: Math.round(nowMs - orderedAtMs), notAfterMs: Math.round(notAfterMs), confirmedVersion, orderedLife: agentLife,
+});
+
 // After its first failure a task is retried at once; from the second on it waits, so that a task that fails right at its
 // start does not use up all starts.
 const retryDelayMs = 100;
@@ -130,7 +145,7 @@
 		const workerId = reply.worker?.workerId;
 		for (const run of worker.runs) {
 			if (reply.goneWorkerIds.includes(run.workerId) || (workerId !== undefined && run.workerId !== workerId)) {
-				this.markLost(run, worker, LossReason.WorkerReplaced, nowMs);
+				this.markLost(run, worker, LossReason.WorkerReplaced, {nowMs, evidence: describeState(worker, reply, nowMs)});
 			}
 		}
 
@@ -140,7 +155,7 @@
 
 		this.#applyEnds(worker, reply.ended, nowMs);
 		if (reply.isOver) {
-			this.markAllLost(worker, LossReason.LeasesExpired, nowMs);
+			this.markAllLost(worker, LossReason.LeasesExpired, {nowMs, evidence: describeState(worker, reply, nowMs)});
 			return;
 		}
 
@@ -163,16 +178,16 @@
 	}
 
 	/** Marks all runs on the worker as lost. */
-	markAllLost(worker: FleetWorker, reason: LossReason, nowMs: number): void {
+	markAllLost(worker: FleetWorker, reason: LossReason, finding: LossFinding): void {
 		for (const run of worker.runs) {
-			this.markLost(run, worker, reason, nowMs);
+			this.markLost(run, worker, reason, finding);
 		}
 	}
 
 	/** Marks a run as lost: it cannot be running any more, and how it ended is unknown. */
-	markLost(run: LiveRun, worker: FleetWorker, reason: LossReason, nowMs: number): void {
+	markLost(run: LiveRun, worker: FleetWorker, reason: LossReason, {nowMs, evidence}: LossFinding): void {
 		this.#handlers.note('run lost', {
-			taskId: run.task.taskId, run: run.run, host: run.host, workerId: run.workerId, reason,
+			taskId: run.task.taskId, run: run.run, host: run.host, workerId: run.workerId, reason, ...describeRun(run, nowMs), ...evidence,
 		});
 		this.#removeAndRequeue(run, worker, nowMs);
 		this.#handlers.onChange();
@@ -340,10 +355,10 @@
 				// The order got no answer and may still be carried out until it expires on the agent's clock.
 				// A new incarnation of the agent has raised the worker's fence, so starts sent by the one before are refused.
 				if (reply.agentClockMs > run.notAfterMs || reply.agentLife !== run.agentLife) {
-					this.markLost(run, worker, LossReason.NeverStarted, nowMs);
+					this.markLost(run, worker, LossReason.NeverStarted, {nowMs, evidence: describeState(worker, reply, nowMs)});
 				}
 			} else if (reply.version >= run.confirmedVersion || reply.agentLife !== run.agentLife) {
-				this.markLost(run, worker, LossReason.NotListed, nowMs);
+				this.markLost(run, worker, LossReason.NotListed, {nowMs, evidence: describeState(worker, reply, nowMs)});
 			}
 		}
 	}
--- a/test/agent-gaps.test.ts
+++ b/test/agent-gaps.test.ts
@@ -45,7 +45,7 @@
 		const aborter = new AbortController();
 		const watch = new ControlWatch({
 			store: store.createClient('agent'), ref, clock, host: 'host-0',
-			prepareProof: () => undefined, onLost: () => undefined, onGap: () => undefined, onStoreState: () => undefined, onInvalid: () => undefined,
+			prepareProof: () => undefined, onLost: () => undefined, onGap: () => undefined, onStoreState: () => undefined, onNewerEpoch: () => undefined, onInvalid: () => undefined,
 		});
 		void watch.run(aborter.signal);
 		await append(encodeControlRecord({
--- a/test/site-orders.test.ts
+++ b/test/site-orders.test.ts
@@ -57,6 +57,6 @@
 	tracker.withdraw(refused, worker);
 	expect(task!.waitingSinceMs).toBe(0);
 	const lost = tracker.addRun(task!, worker, 2, {nowMs: 3000, notAfterMs: 4500});
-	tracker.markLost(lost, worker, LossReason.NeverStarted, 4600);
+	tracker.markLost(lost, worker, LossReason.NeverStarted, {nowMs: 4600, evidence: {}});
 	expect(task!.waitingSinceMs).toBe(4600);
 });
