Count leases of earlier agent processes until they have expired

Callers saw, on the simulated site: tasks in two places. An agent is restarted while its worker runs tasks, lists them, and the worker then gives no answer: 0.7 s later the agent reports all leases as expired, and the owner starts every task of the worker elsewhere while it runs. Cause: a lease is taken for expired once all that this process sent has ended. A new process has sent nothing, but the process before it may have granted the longest lease just before its end. That this process knows of no lease was taken for there being none. Change: the first reading of the worker's clock counts as a lease until that reading and the longest lease that the worker grants, kept apart from what this process sent, so that renewals to a silent worker grow no further. An incarnation has no such lease if this process has listed an earlier one, since it was born in its time; an announcement alone proves nothing, as it may be older than the process. The log line about expired leases has the end of the earlier ones. Why it works: the first answered call carries a higher fencing token, so the worker refuses what earlier processes sent from then on, and what it had accepted by then ends no later than the longest lease after that answer's clock. Not touched: the wait after a declaration of loss already counts the longest lease from a listing. Without a reading nothing counts as expired. A reading recorded late makes the estimate later, never earlier. A start or renewal in flight is counted when it is sent. A fresh incarnation that was sent no lease is given up in the same time as before.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -60,10 +60,14 @@
 	#version = 1;
 	readonly #watchers = new Set<() => void>();
 	readonly #leaseMs: number;
+	readonly #maxLeaseMs: number;
+	/** Whether this process has listed a worker that is gone: later incarnations were born in its own time, and no earlier process sent them a lease. */
+	#hasListedGoneWorker = false;
 
-	constructor(life: string, leaseMs: number) {
+	constructor(life: string, leaseMs: number, maxLeaseMs: number) {
 		this.life = life;
 		this.#leaseMs = leaseMs;
+		this.#maxLeaseMs = maxLeaseMs;
 	}
 
 	/** Increases with each change that owners need to know. */
@@ -171,6 +175,7 @@
 	/** Removes an incarnation that ended or whose address another one answers at. If a successor has announced itself, it becomes current. */
 	removeWorker(workerId: string, nowMs: number): void {
 		if (this.worker?.report.workerId === workerId) {
+			this.#hasListedGoneWorker ||= this.worker.runs.isListed;
 			this.worker = undefined;
 		}
 
@@ -184,7 +189,14 @@
 	#setWorker(report: WorkerReport, nowMs: number): void {
 		this.#successor = undefined;
 		this.worker = {
-			report, knownSinceMs: nowMs, lease: new WorkerLease(this.#leaseMs), runs: new WorkerRuns(), forgetUpTo: 0, areLeasesExpired: false, isAnswering: true, answeredAtMs: nowMs,
+			report,
+			knownSinceMs: nowMs,
+			lease: new WorkerLease(this.#leaseMs, this.#hasListedGoneWorker ? 0 : this.#maxLeaseMs),
+			runs: new WorkerRuns(),
+			forgetUpTo: 0,
+			areLeasesExpired: false,
+			isAnswering: true,
+			answeredAtMs: nowMs,
 		};
 		this.notifyChange();
 	}
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -59,7 +59,7 @@
 	constructor(options: AgentOptions) {
 		const {clock, store, client, note, registration, partition} = options;
 		this.#options = options;
-		this.state = new AgentState(options.life, options.leaseDurationMs);
+		this.state = new AgentState(options.life, options.leaseDurationMs, options.maxLeaseMs);
 		this.#fence = clock.now().getTime();
 		this.#control = new ControlWatch({
 			store,
--- a/src/agents/worker-lease.ts
+++ b/src/agents/worker-lease.ts
@@ -11,13 +11,19 @@
 /** Lease of one incarnation of a worker. */
 export class WorkerLease {
 	readonly #leaseMs: number;
+	readonly #maxEarlierLeaseMs: number;
 	#sample: {clockMs: number; atMs: number} | undefined;
 	#leaseUntilMs = 0;
 	#sentUntilMs = 0;
+	#earlierUntilMs = 0;
 
-	/** A lease ends this long after its latest proof; an owner that declares the agent lost waits at least as long. */
-	constructor(leaseMs: number) {
+	/**
+	A lease ends `leaseMs` after its latest proof; an owner that declares the agent lost waits at least as long. Leases that an
+	earlier agent process may have sent end at most `maxEarlierLeaseMs` after the first reading of the worker's clock; 0: there are none.
+	*/
+	constructor(leaseMs: number, maxEarlierLeaseMs = 0) {
 		this.#leaseMs = leaseMs;
+		this.#maxEarlierLeaseMs = maxEarlierLeaseMs;
 	}
 
 	/** End of the lease on the worker's clock, as of the latest proof. */
@@ -30,13 +36,25 @@
 		return this.#sample?.clockMs ?? 0;
 	}
 
-	/** Latest end of a lease that was sent to the worker, also in calls without an answer. */
+	/** Latest end of a lease that this process sent to the worker, also in calls without an answer. */
 	get sentUntilMs(): number {
 		return this.#sentUntilMs;
 	}
 
-	/** Records a reading of the worker's clock; a reading older than the latest is ignored. */
+	/** Latest end of a lease that an earlier agent process may have sent; 0: there is none, or the worker's clock was not read yet. */
+	get earlierUntilMs(): number {
+		return this.#earlierUntilMs;
+	}
+
+	/**
+	Records a reading of the worker's clock; a reading older than the latest is ignored. From the answer with the first one on, the
+	worker refuses calls of earlier agent processes for their lower fencing tokens, so their leases grow no more.
+	*/
 	recordReading(clockMs: number, nowMs: number): void {
+		if (!this.#sample) {
+			this.#earlierUntilMs = this.#maxEarlierLeaseMs > 0 ? clockMs + this.#maxEarlierLeaseMs : 0;
+		}
+
 		if (!this.#sample || clockMs >= this.#sample.clockMs) {
 			this.#sample = {clockMs, atMs: nowMs};
 		}
@@ -65,13 +83,13 @@
 		this.#sentUntilMs = Math.max(this.#sentUntilMs, untilMs);
 	}
 
-	/** Whether every lease sent to a worker that does not answer has certainly expired, even if the worker's clock is slow. */
+	/** Whether every lease that this or an earlier agent process sent to a worker that does not answer has certainly expired, even if the worker's clock is slow. */
 	isExpired(nowMs: number, slackMs: number): boolean {
 		if (!this.#sample) {
 			return false;
 		}
 
-		const remainingMs = Math.max(0, this.#sentUntilMs - this.#sample.clockMs);
+		const remainingMs = Math.max(0, Math.max(this.#sentUntilMs, this.#earlierUntilMs) - this.#sample.clockMs);
 		return nowMs - this.#sample.atMs > (remainingMs / (1 - maxClockSlowShare)) + slackMs;
 	}
 }
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -143,7 +143,7 @@
 		const {report: {workerId}, lease, knownSinceMs, answeredAtMs} = worker;
 		const nowMs = clock.monotonicMs();
 		note('leases over without an answer', {
-			workerId, sentUntilMs: lease.sentUntilMs, sampleClockMs: lease.sampleClockMs, answeredAgoMs: Math.round(nowMs - answeredAtMs), knownForMs: Math.round(nowMs - knownSinceMs), version: state.version,
+			workerId, sentUntilMs: lease.sentUntilMs, earlierUntilMs: lease.earlierUntilMs, sampleClockMs: lease.sampleClockMs, answeredAgoMs: Math.round(nowMs - answeredAtMs), knownForMs: Math.round(nowMs - knownSinceMs), version: state.version,
 		});
 		state.notifyChange();
 	}
--- a/test/restarted-agent-leases.test.ts
+++ b/test/restarted-agent-leases.test.ts
@@ -4,7 +4,10 @@
 import {
 	afterEach, expect, it,
 } from 'vitest';
+import {AgentState} from '../src/agents/agent-state.ts';
+import {WorkerLease} from '../src/agents/worker-lease.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {type WorkerReport} from '../src/types/fleet.ts';
 import {createSite, jobId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
@@ -80,3 +83,42 @@
 	worker.isUnresponsive = true;
 	expect(await site!.waitFor(() => getNotes('host-0', 'leases over without an answer').length > 0, 20_000)).toBeLessThan(2500);
 });
+
+/** Guards against a lease of an earlier process that is forgotten, that grows with later readings, or that lets renewals grow. */
+it('a lease counts those of earlier processes up to the longest lease after its first reading', () => {
+	const lease = new WorkerLease(7000, 6000);
+	expect(lease.isExpired(60_000, 300)).toBe(false);
+	lease.recordReading(100_000, 0);
+	expect(lease.isExpired(6300, 300)).toBe(false);
+	expect(lease.isExpired(6500, 300)).toBe(true);
+	lease.recordReading(103_000, 3000);
+	expect(lease.isExpired(6300, 300)).toBe(false);
+	expect(lease.isExpired(6500, 300)).toBe(true);
+	lease.extendByProof(103_000);
+	expect(lease.getRenewalUntilMs(false)).toBe(0);
+	lease.recordSent(lease.getRenewalUntilMs(true));
+	expect(lease.isExpired(10_400, 300)).toBe(false);
+	expect(lease.isExpired(10_500, 300)).toBe(true);
+});
+
+/** Guards against an incarnation taken for fresh because one was announced before it: that announcement may be older than this process. */
+it('an incarnation is fresh only if this process has listed the one before it', () => {
+	const getEarlierUntilMs = (isListed: boolean): number => {
+		const state = new AgentState('life', 7000, 6000);
+		const report = (workerId: string): WorkerReport => ({
+			workerId, service: 's', failureDomain: 'f', isDraining: false, milliCpu: 1000, memoryMb: 1000, accelerators: 0, labels: [], sequence: 1,
+		});
+		state.applyAnnouncement(report('i-1'), 0);
+		if (isListed) {
+			state.worker!.runs.applyListing({clockMs: 50_000, running: [], ended: []}, 0);
+		}
+
+		state.applyAnnouncement(report('i-2'), 0);
+		state.removeWorker('i-1', 0);
+		state.worker!.lease.recordReading(100_000, 0);
+		return state.worker!.lease.earlierUntilMs;
+	};
+
+	expect(getEarlierUntilMs(false)).toBe(106_000);
+	expect(getEarlierUntilMs(true)).toBe(0);
+});
