Show that a late state with expired leases ends runs started after it

An owner that handles an agent's state late starts tasks in two places: the state says that the worker doesn't answer and that all its leases have expired, the worker has come back since, and the owner has started tasks there on the state before. Handling the late one ends these runs as well.

On the simulated site leases expire in an outage of the store, the worker leaves one call without an answer, and the state that says so is handled 1.7 s late. Of eight tasks the four on that worker are started on a third host while they run. With the tracker alone, a run is lost that was confirmed at version 9 of the agent's state by a state of version 5, one whose order is pending, and one whose unanswered order is still valid.

The simulated site can delay the answers of one agent, or of one kind, for it; delays without a parameter work as before.

--- /dev/null
+++ b/test/late-states.test.ts
@@ -0,0 +1,102 @@
+/**
+States of an agent that are handled late, after the worker or its runs have changed.
+*/
+import {afterEach, expect, it} from 'vitest';
+import {StoreFault} from '../src/standin/memory-store.ts';
+import {OrderFault} from '../src/standin/site-worker.ts';
+import {type WatchReply} from '../src/types/fleet.ts';
+import {RunPhase, type LiveRun, type LiveTask} from '../src/workflows/live-model.ts';
+import {type FleetWorker} from '../src/workflows/fleet-view.ts';
+import {RunTracker} from '../src/workflows/run-tracker.ts';
+import {createWorker, createWorkflow, load} from './site-fleet.ts';
+import {createSite, jobId} from './site-setup.ts';
+import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
+
+let site: SimulatedSite | undefined;
+
+afterEach(() => {
+	site?.stop();
+	site = undefined;
+});
+
+const ignore = () => undefined;
+const orderedAtMs = 1000;
+const notAfterMs = 2500;
+
+/** A worker with one ordered run, and the tracker of its owner. */
+const createOrderedRun = (): {tracker: RunTracker; worker: FleetWorker; task: LiveTask; ordered: LiveRun} => {
+	const {model} = load([createWorkflow(jobId, createSpec([createStep()]))]);
+	const worker = createWorker('host-0');
+	const tracker = new RunTracker(model, {
+		storeEnds: async () => true, onStarted: ignore, findFinishedTask: ignore, onUnknownRun: ignore, onProgress: ignore, onOutcome: ignore, onAttemptsExhausted: ignore, onChange: ignore, note: ignore,
+	});
+	const [task] = [...model.getWaitingTasks(0, () => false)];
+	const ordered = tracker.addRun(task!, worker, 1, {nowMs: orderedAtMs, notAfterMs});
+	return {
+		tracker, worker, task: task!, ordered,
+	};
+};
+
+const createState = ({agentLife, report, session}: FleetWorker, state: Partial<WatchReply>): WatchReply => ({
+	agentLife, session, version: 5, agentClockMs: 900, worker: report, workerClockMs: 0, leaseUntilMs: 0, isListed: true, isAnswering: true, isOver: false, running: [], ended: [], starting: [], crashed: [], goneWorkerIds: [], ...state,
+});
+
+const createExpiredState = (worker: FleetWorker, state: Partial<WatchReply>): WatchReply => createState(worker, {isAnswering: false, isOver: true, ...state});
+
+/** Guards against a run lost by a state from before its start. */
+it('expired leases of a state from before a run was confirmed do not end the run, those of a later one do', () => {
+	const {tracker, worker, task, ordered} = createOrderedRun();
+	tracker.confirm(ordered, 9, 1100);
+	tracker.applyReply(worker, createExpiredState(worker, {version: 5}), 1200);
+	expect(task.runs.includes(ordered)).toBe(true);
+	tracker.applyReply(worker, createExpiredState(worker, {version: 9, agentClockMs: 1300}), 1400);
+	expect(task.runs).toHaveLength(0);
+});
+
+/** Guards against a run lost by a state from before its order arrived. */
+it('expired leases do not end a run whose order is not answered yet', () => {
+	const {tracker, worker, task, ordered} = createOrderedRun();
+	tracker.applyReply(worker, createExpiredState(worker, {}), 1200);
+	expect(task.runs.includes(ordered)).toBe(true);
+	ordered.isOrderPending = false;
+	tracker.applyReply(worker, createExpiredState(worker, {version: 6, agentClockMs: notAfterMs + 1}), 2600);
+	expect(task.runs).toHaveLength(0);
+});
+
+/** Guards against a run lost by a state from before its order arrived, when the answer to the order was lost. */
+it('expired leases do not end a run whose order got no answer and may still be carried out', () => {
+	const {tracker, worker, task, ordered} = createOrderedRun();
+	ordered.isOrderPending = false;
+	tracker.applyReply(worker, createExpiredState(worker, {agentClockMs: notAfterMs}), 1200);
+	expect(task.runs.includes(ordered)).toBe(true);
+	expect(ordered.phase).toBe(RunPhase.Starting);
+	tracker.applyReply(worker, createExpiredState(worker, {version: 6, agentClockMs: notAfterMs + 1}), 2600);
+	expect(task.runs).toHaveLength(0);
+});
+
+/** Guards against tasks in two places after leases expired in an outage of the store, when the owner handles that state after it has started runs on the worker again. */
+it('a state with expired leases that is handled late does not end runs that were started since', async () => {
+	site = await createSite(2, 1);
+	site.plan = () => ({workMs: 30_000});
+	const {worker} = site.hosts.get('host-0')!;
+	site.store.getFault = () => StoreFault.LoseRequest;
+	await site.clock.advance(9000);
+	site.store.getFault = () => StoreFault.None;
+	await site.clock.advance(1000);
+	site.getAnswerDelayMs = ({host, reply}) => host === 'host-0' && 'isOver' in reply ? (reply.isOver ? 1700 : 100) : 0;
+	let dropped = 0;
+	worker.getFault = order => order === 'renew' && dropped++ === 0 ? OrderFault.Drop : OrderFault.None;
+	const isNoted = (event: string) => site!.notes.some(note => note.event === event);
+	expect(await site.waitFor(() => isNoted('leases over without an answer'), 3000)).toBeDefined();
+	expect(await site.waitFor(() => site!.hosts.get('host-0')!.agent!.state.worker!.isAnswering, 1000)).toBeDefined();
+	await site.submit(jobId, createSpec([createStep({count: 8})]));
+	expect(await site.waitFor(() => worker.running.size > 0, 300)).toBeDefined();
+	expect(worker.running.size).toBe(4);
+	expect(isNoted('state late')).toBe(false);
+	site.addHost('host-2');
+	expect(await site.waitFor(() => isNoted('state late'), 3000)).toBeDefined();
+	await site.clock.advance(5000);
+	expect(site.violations).toEqual([]);
+	expect(site.notes.filter(({event}) => event === 'run lost')).toEqual([]);
+	expect(worker.running.size).toBe(4);
+});
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -24,7 +24,7 @@
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {RelayingApi} from '../src/workflows/relaying-api.ts';
 import {ProcessClock} from './simulated-membership.ts';
-import {createAgentClient, createEntryClient} from './site-calls.ts';
+import {createAgentClient, createEntryClient, type AgentAnswer} from './site-calls.ts';
 import {createPausableClient} from './pausable-client.ts';
 
 export const service = 'desk';
@@ -117,7 +117,7 @@
 
 	/** Delay before an entry sends a call to an agent, and before it handles an answer. */
 	getCallDelayMs = (): number => 0;
-	getAnswerDelayMs = (): number => 0;
+	getAnswerDelayMs: (answer: AgentAnswer) => number = () => 0;
 
 	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
 
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -5,6 +5,7 @@
 import {createError, ErrorCode} from '../src/core/errors.ts';
 import {type Clock} from '../src/types/clock.ts';
 import {type EntryClient} from '../src/types/entries.ts';
+import {type OrdersReply, type WatchReply} from '../src/types/fleet.ts';
 import {type JobApi} from '../src/types/job-api.ts';
 import {type QueueConfig} from '../src/types/site.ts';
 import {type AgentClient} from '../src/workflows/agent-links.ts';
@@ -26,10 +27,13 @@
 	storeFailing: ReadonlySet<string>;
 	/** How long an entry's thread takes to send a call to an agent. */
 	getCallDelayMs: () => number;
-	/** How long an entry's thread takes to handle an answer. */
-	getAnswerDelayMs: () => number;
+	/** How long an entry's thread takes to handle an answer of an agent. */
+	getAnswerDelayMs: (answer: AgentAnswer) => number;
 };
 
+/** An answer of an agent to an entry. */
+export type AgentAnswer = {entry: string; host: string; reply: WatchReply | OrdersReply};
+
 type SiteEntry = {jobs: JobApi; clock: {isPaused: boolean}};
 
 const fail = async (clock: Clock, step: string, peer: string, timeoutMs: number, code = ErrorCode.PeerUnavailable): Promise<never> => {
@@ -40,7 +44,7 @@
 /** Creates the client with which an entry calls agents. */
 export const createAgentClient = (site: SitePaths, entryName: string): AgentClient => {
 	const {clock, hosts, cuts} = site;
-	const call = async <Reply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
+	const call = async <Reply extends WatchReply | OrdersReply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
 		await clock.sleep(1 + site.getCallDelayMs());
 		const agent = hosts.get(host)?.agent;
 		if (!agent || cuts.has(`${entryName}>${host}`) || hosts.get(host)!.clock.isPaused) {
@@ -49,7 +53,7 @@
 
 		// A process that died never answers: the caller's timeout ends the call.
 		const reply = structuredClone(await Promise.race([act(agent), fail(clock, 'call agent', host, timeoutMs)]));
-		await clock.sleep(1 + site.getAnswerDelayMs());
+		await clock.sleep(1 + site.getAnswerDelayMs({entry: entryName, host, reply}));
 		return cuts.has(`${entryName}>${host}`) ? fail(clock, 'call agent', host, 0) : reply;
 	};
 
