Let a state of an agent speak only about runs that it can know

Callers saw tasks that ran in two places: an owner handled an agent's state seconds late, and with it ended runs that it had started on that worker since. Cause: a state that says that all leases expired ended every run of the worker, whatever the state's version and whether the runs were ordered after it was built. Only runs missing from a listing were compared with the state. Change: one rule for all that a state says of a run. A state covers a run if the run's order is answered or given up, and the state comes from another incarnation of the agent than the order went to, or has at least the version of the confirmation or, for a start without an answer, was built after the order expired on the agent's clock. Expired leases and missing rows end covered runs alone. Why it works: a run that is not covered was ordered after the agent could tell, so the state is no evidence about it. The version of a state rises with each answered start, so the next state that is built with the leases expired covers it. Price: a run whose order is not answered when its worker is lost is found lost by the first state after its answer or expiry; by the time-outs of orders and polls that is some 2 s at most, not measured.

--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -12,6 +12,7 @@
 import {
 	getUnit, RunPhase, type LiveModel, type LiveRun, type LiveTask,
 } from './live-model.ts';
+import {isCoveredBy} from './state-coverage.ts';
 
 /** Callbacks of the tracker to its owner. */
 export type RunTrackerHandlers = {
@@ -155,7 +156,7 @@
 
 		this.#applyEnds(worker, reply.ended, nowMs);
 		if (reply.isOver) {
-			this.markAllLost(worker, LossReason.LeasesExpired, {nowMs, evidence: describeState(worker, reply, nowMs)});
+			this.#markCoveredLost(worker, reply, new Set(), nowMs);
 			return;
 		}
 
@@ -174,7 +175,7 @@
 			}
 		}
 
-		this.#markUnlistedLost(worker, reply, listed, nowMs);
+		this.#markCoveredLost(worker, reply, listed, nowMs);
 	}
 
 	/** Marks all runs on the worker as lost. */
@@ -344,21 +345,12 @@
 		return end.end === RunEnd.Failed || end.checkpoint !== '';
 	}
 
-	/** Handles runs that the agent does not list as running, starting or ended: they have ended or never began. */
-	#markUnlistedLost(worker: FleetWorker, reply: WatchReply, listed: Set<LiveRun>, nowMs: number): void {
+	/** Marks runs as lost that the state covers without listing them as active: they have ended or never began. */
+	#markCoveredLost(worker: FleetWorker, reply: WatchReply, active: Set<LiveRun>, nowMs: number): void {
 		for (const run of worker.runs) {
-			if (listed.has(run) || run.isOrderPending) {
-				continue;
-			}
-
-			if (run.phase === RunPhase.Starting) {
-				// The order got no answer and may still be carried out until it expires on the agent's clock.
-				// A new incarnation of the agent has raised the worker's fence, so starts sent by the one before are refused.
-				if (reply.agentClockMs > run.notAfterMs || reply.agentLife !== run.agentLife) {
-					this.markLost(run, worker, LossReason.NeverStarted, {nowMs, evidence: describeState(worker, reply, nowMs)});
-				}
-			} else if (reply.version >= run.confirmedVersion || reply.agentLife !== run.agentLife) {
-				this.markLost(run, worker, LossReason.NotListed, {nowMs, evidence: describeState(worker, reply, nowMs)});
+			if (!active.has(run) && isCoveredBy(reply, run)) {
+				const reason = run.phase === RunPhase.Starting ? LossReason.NeverStarted : LossReason.NotListed;
+				this.markLost(run, worker, reply.isOver ? LossReason.LeasesExpired : reason, {nowMs, evidence: describeState(worker, reply, nowMs)});
 			}
 		}
 	}
--- a/test/late-states.test.ts
+++ b/test/late-states.test.ts
@@ -3,7 +3,7 @@
 */
 import {afterEach, expect, it} from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault, type SiteWorker} from '../src/standin/site-worker.ts';
 import {type WatchReply} from '../src/types/fleet.ts';
 import {RunPhase, type LiveRun, type LiveTask} from '../src/workflows/live-model.ts';
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
@@ -19,6 +19,8 @@
 	site = undefined;
 });
 
+const getNotes = (event: string): SimulatedSite['notes'] => site!.notes.filter(note => note.event === event);
+
 const ignore = () => undefined;
 const orderedAtMs = 1000;
 const notAfterMs = 2500;
@@ -74,10 +76,10 @@
 	expect(task.runs).toHaveLength(0);
 });
 
-/** Guards against tasks in two places after leases expired in an outage of the store, when the owner handles that state after it has started runs on the worker again. */
-it('a state with expired leases that is handled late does not end runs that were started since', async () => {
+/** Plays an outage of the store in which leases expire, and starts runs on a worker before the state that says so is handled; returns the worker. */
+const startBeforeLateState = async (): Promise<SiteWorker> => {
 	site = await createSite(2, 1);
-	site.plan = () => ({workMs: 30_000});
+	site.plan = () => ({workMs: 60_000});
 	const {worker} = site.hosts.get('host-0')!;
 	site.store.getFault = () => StoreFault.LoseRequest;
 	await site.clock.advance(9000);
@@ -86,17 +88,34 @@
 	site.getAnswerDelayMs = ({host, reply}) => host === 'host-0' && 'isOver' in reply ? (reply.isOver ? 1700 : 100) : 0;
 	let dropped = 0;
 	worker.getFault = order => order === 'renew' && dropped++ === 0 ? OrderFault.Drop : OrderFault.None;
-	const isNoted = (event: string) => site!.notes.some(note => note.event === event);
-	expect(await site.waitFor(() => isNoted('leases over without an answer'), 3000)).toBeDefined();
+	expect(await site.waitFor(() => getNotes('leases over without an answer').length > 0, 3000)).toBeDefined();
 	expect(await site.waitFor(() => site!.hosts.get('host-0')!.agent!.state.worker!.isAnswering, 1000)).toBeDefined();
 	await site.submit(jobId, createSpec([createStep({count: 8})]));
 	expect(await site.waitFor(() => worker.running.size > 0, 300)).toBeDefined();
 	expect(worker.running.size).toBe(4);
-	expect(isNoted('state late')).toBe(false);
+	expect(getNotes('state late')).toEqual([]);
 	site.addHost('host-2');
-	expect(await site.waitFor(() => isNoted('state late'), 3000)).toBeDefined();
-	await site.clock.advance(5000);
-	expect(site.violations).toEqual([]);
-	expect(site.notes.filter(({event}) => event === 'run lost')).toEqual([]);
+	expect(await site.waitFor(() => getNotes('state late').length > 0, 3000)).toBeDefined();
+	return worker;
+};
+
+/** Guards against tasks in two places after leases expired in an outage of the store, when the owner handles that state after it has started runs on the worker again. */
+it('a state with expired leases that is handled late does not end runs that were started since', async () => {
+	const worker = await startBeforeLateState();
+	await site!.clock.advance(5000);
+	expect(site!.violations).toEqual([]);
+	expect(getNotes('run lost')).toEqual([]);
 	expect(worker.running.size).toBe(4);
 });
+
+/** Guards against runs that are never found lost because a state with expired leases did not end them. */
+it('runs that outlast a late state are lost when the leases of their worker expire', async () => {
+	const worker = await startBeforeLateState();
+	await site!.clock.advance(1000);
+	worker.isUnresponsive = true;
+	expect(await site!.waitFor(() => getNotes('run lost').length === 4, 15_000)).toBeDefined();
+	await site!.clock.advance(3000);
+	expect(getNotes('run lost').map(({fields}) => fields.reason)).toEqual(Array.from({length: 4}, () => 'leases-over'));
+	expect(site!.hosts.get('host-2')!.worker.running.size).toBe(4);
+	expect(site!.violations).toEqual([]);
+});
