Let a declaration's answer count only for the loss that it declares

Cause: two loose fields, the session declared lost and when that was stored, were set at different times. An agent that came back while the append was on its way cleared the first; the append's answer then set the second, which nothing cleared again. Change: one value, the loss, names its session and says when it was stored. It is made when the agent is declared, and the append's answer writes to that very value; withdrawing it takes both away. The repetition of the append ends when the loss no longer stands. What a declaration does that is stored after the agent's return: the agent, restarted, registers at once, before its old leases have expired (the comment of `readmit` said the opposite). It then reads the declaration, lets all leases expire and registers again; its runs are listed as ended and start again once. Until then it refuses starts as it has no lease. Price: a restarted agent whose declaration is stored late loses its runs to the expiry of their leases, as before.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -204,7 +204,7 @@
 	async #poll(worker: FleetWorker, signal: AbortSignal): Promise<void> {
 		const {client, clock, epoch, onSuperseded, onReply, note} = this.#options;
 		const workerId = worker.report?.workerId;
-		const hasProof = workerId !== undefined && this.#options.getCaughtUpAtMs() >= worker.lastReplyAtMs && worker.lostSession !== worker.session;
+		const hasProof = workerId !== undefined && this.#options.getCaughtUpAtMs() >= worker.lastReplyAtMs && worker.loss?.session !== worker.session;
 		const sentAtMs = clock.monotonicMs();
 		const reply = await client.watch(worker.address, {
 			epoch,
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -8,7 +8,7 @@
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
-import {type FleetWorker} from './fleet-view.ts';
+import {type AgentLoss, type FleetWorker} from './fleet-view.ts';
 import {LossReason, type RunTracker} from './run-tracker.ts';
 
 /** Options of the monitor. */
@@ -66,57 +66,62 @@
 		const nowMs = clock.monotonicMs();
 		const isReachingMost = isReachingMostAgents(workers);
 		for (const worker of workers.values()) {
-			const {unresponsiveSinceMs, lostSession, lostAtMs, runs, isListed} = worker;
+			const {unresponsiveSinceMs, loss, runs, isListed} = worker;
 			const boundMs = runs.size > 0 || (!isListed && isReachingMost) ? declareLostAfterMs : removedAfterMs;
-			if (unresponsiveSinceMs !== undefined && lostSession === undefined && nowMs - unresponsiveSinceMs >= boundMs) {
-				worker.lostSession = worker.session;
-				void this.#declare(worker);
-			} else if (lostAtMs !== undefined && nowMs - lostAtMs > getLeaseExpiryMs(leaseDurationMs)) {
-				this.#handleExpiredLeases(worker, nowMs);
+			if (unresponsiveSinceMs !== undefined && !loss && nowMs - unresponsiveSinceMs >= boundMs) {
+				worker.loss = {session: worker.session};
+				void this.#declare(worker, worker.loss);
+			} else if (loss?.storedAtMs !== undefined && nowMs - loss.storedAtMs > getLeaseExpiryMs(leaseDurationMs)) {
+				this.#handleExpiredLeases(worker, loss, nowMs);
 			}
 		}
 	}
 
-	/** Readmits an agent that has registered again since it was declared lost: its old leases had expired by then. */
+	/**
+	Withdraws the loss of an agent that has registered again and answers: its runs are judged by what it lists. Leases of a restarted
+	agent may not have expired; the declaration may still be stored, and then ends them.
+	*/
 	readmit(worker: FleetWorker): void {
-		const {host, session, lostSession} = worker;
-		if (lostSession !== undefined && session > lostSession) {
-			this.#options.note('agent back', {host, session, lostSession});
-			worker.lostSession = undefined;
-			worker.lostAtMs = undefined;
+		const {host, session, loss} = worker;
+		if (loss && session > loss.session) {
+			this.#options.note('agent back', {host, session, lostSession: loss.session});
+			worker.loss = undefined;
 		}
 	}
 
 	/** Handles the expiry of a lost agent's leases. The agent may have registered again without having answered yet. */
-	#handleExpiredLeases(worker: FleetWorker, nowMs: number): void {
-		const {session, lostSession, lostAtMs} = worker;
-		this.#options.tracker.markAllLost(worker, LossReason.AgentLost, {nowMs, evidence: {session, lostSession, declaredAgoMs: Math.round(nowMs - lostAtMs!)}});
+	#handleExpiredLeases(worker: FleetWorker, loss: AgentLoss, nowMs: number): void {
+		const {session} = worker;
+		this.#options.tracker.markAllLost(worker, LossReason.AgentLost, {nowMs, evidence: {session, lostSession: loss.session, declaredAgoMs: Math.round(nowMs - loss.storedAtMs!)}});
 		worker.haveOldLeasesExpired = true;
-		if (worker.session > worker.lostSession!) {
-			worker.lostSession = undefined;
-			worker.lostAtMs = undefined;
+		if (session > loss.session) {
+			worker.loss = undefined;
 		} else if (worker.unresponsiveSinceMs !== undefined) {
 			this.#options.workers.delete(worker.host);
 			void this.#removeRegistration(worker);
 		}
 	}
 
-	/** Stores the declaration. The wait for the leases begins after that: the agent then either reads it or gets no new proof for its leases. */
-	async #declare(worker: FleetWorker): Promise<void> {
+	/**
+	Stores the declaration. The wait for the leases begins after that: the agent then either reads it or gets no new proof for its
+	leases. The answer counts for this loss alone, which may have been withdrawn meanwhile.
+	*/
+	async #declare(worker: FleetWorker, loss: AgentLoss): Promise<void> {
 		const {store, partition, epoch, clock, note, signal} = this.#options;
-		const {host, session} = worker;
+		const {host} = worker;
+		const {session} = loss;
 		note('agent lost', {host, session, runs: worker.runs.size});
 		const record = encodeControlRecord({
 			type: ControlRecordType.Lost, host, session, epoch,
 		});
 		const declaredAtMs = clock.monotonicMs();
-		while (!signal.aborted && worker.lostSession === session) {
+		while (!signal.aborted && worker.loss === loss) {
 			try {
 				const result = await store.append({topic: controlTopic, partition}, [record], {timeoutMs: storeTimeoutMs});
 				if (result.outcome === AppendOutcome.Appended) {
-					worker.lostAtMs = clock.monotonicMs();
+					loss.storedAtMs = clock.monotonicMs();
 					note('loss stored', {
-						host, session, newestSession: worker.session, lostSession: worker.lostSession, tookMs: Math.round(worker.lostAtMs - declaredAtMs),
+						host, session, newestSession: worker.session, lostSession: worker.loss?.session, tookMs: Math.round(loss.storedAtMs - declaredAtMs),
 					});
 					return;
 				}
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -8,6 +8,14 @@
 import {type Throttles} from './best-effort-interference.ts';
 import {type LiveRun} from './live-model.ts';
 
+/** Declaration that one registration of an agent is lost. */
+export type AgentLoss = {
+	/** Session of the registration. */
+	readonly session: number;
+	/** When the answer that the declaration is stored was handled; undefined before. */
+	storedAtMs?: number;
+};
+
 /** One worker with its agent, as last reported. */
 export type FleetWorker = {
 	host: string;
@@ -34,10 +42,8 @@
 	agentClock: PeerClock;
 	/** Since when the agent does not answer; undefined while it does. */
 	unresponsiveSinceMs?: number;
-	/** When the declaration that the agent is lost was stored. */
-	lostAtMs?: number;
-	/** Session of the registration that was declared lost. */
-	lostSession?: number;
+	/** The loss of the agent that is being or was declared; undefined: it counts as present. */
+	loss?: AgentLoss;
 	runs: Set<LiveRun>;
 	/** Health by the outcomes of its runs: whether the worker gets no tasks, or a single one as a probe. */
 	health: HealthSubject;
--- a/src/workflows/schedulable-workers.ts
+++ b/src/workflows/schedulable-workers.ts
@@ -8,8 +8,8 @@
 /** An agent without a reply for this long gets no orders. */
 const maxReplyAgeMs = 1500;
 
-const isReachable = ({isListed, isAnswering, unresponsiveSinceMs, lastReplyAtMs, lostSession, blockedUntilMs}: FleetWorker, nowMs: number): boolean =>
-	isListed && isAnswering && unresponsiveSinceMs === undefined && nowMs - lastReplyAtMs < maxReplyAgeMs && lostSession === undefined && blockedUntilMs <= nowMs;
+const isReachable = ({isListed, isAnswering, unresponsiveSinceMs, lastReplyAtMs, loss, blockedUntilMs}: FleetWorker, nowMs: number): boolean =>
+	isListed && isAnswering && unresponsiveSinceMs === undefined && nowMs - lastReplyAtMs < maxReplyAgeMs && loss === undefined && blockedUntilMs <= nowMs;
 
 /**
 Whether the worker is held down because it failed tasks that succeed elsewhere, or already runs the one task that probes
--- a/test/schedulable-workers.test.ts
+++ b/test/schedulable-workers.test.ts
@@ -13,7 +13,7 @@
 
 it('excludes a worker whose lost agent has registered again before its loss is settled: all runs there will count as lost', () => {
 	const worker = {
-		...createWorker('host'), ...reachable, session: 2, lostSession: 1, lostAtMs: 0,
+		...createWorker('host'), ...reachable, session: 2, loss: {session: 1, storedAtMs: 0},
 	};
 	expect(getSchedulableWorkers([worker], terms)).toEqual([]);
 });
