Hold the upstream's answers in the test of held bodies until all requests have come

It sent five requests at once to an upstream that answers after 100 ms, and expected two to be served. On a busy machine the requests come further apart, and those that come after the first two were answered are rightly served. Change: the upstream answers only once three requests were refused. As strict: two are served and three refused; now the reason of all three refusals is checked, not of one, and nothing depends on time.

--- a/test/requests.test.ts
+++ b/test/requests.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
+import {type ServerResponse} from 'node:http';
 import {connect} from 'node:net';
 import {
 	afterEach, beforeEach, expect, test,
@@ -9,7 +10,7 @@
 } from '../src/types/requests.ts';
 import {ClaimState, ServiceName} from '../src/types/services.ts';
 import {
-	createSimulatedRequests, getRefusal, send, sendRaw, type Behaviour,
+	createSimulatedRequests, getRefusal, send, sendRaw, type Answer, type Behaviour,
 } from './simulated-requests.ts';
 
 let simulation: ReturnType<typeof createSimulatedRequests>;
@@ -67,15 +68,33 @@
 });
 
 test('the total size of held bodies is bounded, whatever the queues allow', async () => {
+	const held: ServerResponse[] = [];
 	const upstream = await simulation.startUpstream((_request, response) => {
-		setTimeout(() => response.end('ok'), 100);
+		held.push(response);
 	});
 	const entry = await simulation.startEntry({callers: {maxHeldBytes: 2500}});
-	const answers = await Promise.all(Array.from({length: 5}, async () => send(entry.address, {method: 'PUT', body: 'x'.repeat(1000)})));
+	const refused: Answer[] = [];
+	const sent = Array.from({length: 5}, async () => {
+		const answer = await send(entry.address, {method: 'PUT', body: 'x'.repeat(1000)});
+		if (answer.status !== 200) {
+			refused.push(answer);
+		}
+
+		return answer;
+	});
+	await simulation.waitUntil(() => refused.length === 3 && held.length === 2);
+	expect(refused.map(answer => getRefusal(answer))).toMatchObject(refused.map(() => ({reason: RefusalReason.QueueFull, outcome: Outcome.NotRun})));
+	for (const response of held) {
+		response.end('ok');
+	}
+
+	const answers = await Promise.all(sent);
 	expect(answers.filter(({status}) => status === 200)).toHaveLength(2);
-	expect(getRefusal(answers.find(({status}) => status !== 200)!)).toMatchObject({reason: RefusalReason.QueueFull, outcome: Outcome.NotRun});
 	expect(upstream.requests).toHaveLength(2);
-	expect(await send(entry.address, {method: 'PUT', body: 'x'.repeat(1000)})).toMatchObject({status: 200});
+	const next = send(entry.address, {method: 'PUT', body: 'x'.repeat(1000)});
+	await simulation.waitUntil(() => held.length === 3);
+	held[2]!.end('ok');
+	expect(await next).toMatchObject({status: 200});
 });
 
 test('without any upstream the caller is refused at once, with a time to retry', async () => {
