Read the runs of a worker whose leases have expired before they count as ended

Callers saw a task start under a number that another run of it already had, on another worker; a checkpoint that came with the state was lost, and the task did its work again. Cause: a state that says that all leases expired was not read further. A new owner reconciled with it knew neither the numbers nor the checkpoints of the runs it names. Change: the rows of such a state are applied first. Known runs are updated as ever; of the others the owner takes over the number and, for a newer run than it knows, the checkpoint and the fact that the job has begun. No run is adopted for them, since the state repeats. Evidence: a new owner started a task of a worker with expired leases as run 1 again, now as run 2; with the tracker alone the number 3 and the checkpoint were not known, now they are. Why it works: the agent lists the last runs that it knew, also when nothing runs any more. Price: one search of each listed run per state of a worker without leases.

--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -156,26 +156,11 @@
 
 		this.#applyEnds(worker, reply.ended, nowMs);
 		if (reply.isOver) {
+			this.#applyLast(worker, reply, nowMs);
 			this.#markCoveredLost(worker, reply, new Set(), nowMs);
-			return;
+		} else {
+			this.#markCoveredLost(worker, reply, this.#applyActive(worker, reply, nowMs), nowMs);
 		}
-
-		const listed = new Set<LiveRun>();
-		for (const row of reply.running) {
-			const run = this.#applyRunning(worker, row, reply, nowMs);
-			if (run) {
-				listed.add(run);
-			}
-		}
-
-		for (const {taskId, run} of reply.starting) {
-			const liveRun = this.#adopt(worker, {taskId, run}, reply, nowMs);
-			if (liveRun) {
-				listed.add(liveRun);
-			}
-		}
-
-		this.#markCoveredLost(worker, reply, listed, nowMs);
 	}
 
 	/** Marks all runs on the worker as lost. */
@@ -194,6 +179,47 @@
 		this.#handlers.onChange();
 	}
 
+	/** Applies the rows of a state whose leases have all expired: the numbers and checkpoints of the last runs are needed for the next ones. */
+	#applyLast(worker: FleetWorker, reply: WatchReply, nowMs: number): void {
+		for (const row of reply.running) {
+			const task = this.#findTask(row.taskId);
+			if (task && this.#findActive(task, worker, row.run)) {
+				this.#applyRunning(worker, row, reply, nowMs);
+			} else if (task && row.run > task.lastRun) {
+				task.lastRun = row.run;
+				task.checkpoint = row.checkpoint === '' ? task.checkpoint : row.checkpoint;
+				this.#handlers.onStarted(task);
+			}
+		}
+
+		for (const {taskId, run} of reply.starting) {
+			const task = this.#findTask(taskId);
+			if (task) {
+				task.lastRun = Math.max(task.lastRun, run);
+			}
+		}
+	}
+
+	/** Applies the running and starting rows of a state; returns their runs. */
+	#applyActive(worker: FleetWorker, reply: WatchReply, nowMs: number): Set<LiveRun> {
+		const listed = new Set<LiveRun>();
+		for (const row of reply.running) {
+			const run = this.#applyRunning(worker, row, reply, nowMs);
+			if (run) {
+				listed.add(run);
+			}
+		}
+
+		for (const {taskId, run} of reply.starting) {
+			const liveRun = this.#adopt(worker, {taskId, run}, reply, nowMs);
+			if (liveRun) {
+				listed.add(liveRun);
+			}
+		}
+
+		return listed;
+	}
+
 	#removeAndRequeue(run: LiveRun, worker: FleetWorker, nowMs: number): void {
 		this.#remove(run, worker);
 		run.task.waitingSinceMs = nowMs;
@@ -204,6 +230,16 @@
 		run.task.runs = run.task.runs.filter(other => other !== run);
 	}
 
+	/** Finds a task, also of a finished job. */
+	#findTask(taskId: string): LiveTask | undefined {
+		const ref = parseTaskId(taskId);
+		return ref && (this.#model.getTask(ref) ?? this.#handlers.findFinishedTask(ref));
+	}
+
+	#findActive({runs}: LiveTask, {host}: FleetWorker, run: number): LiveRun | undefined {
+		return runs.find(active => active.run === run && active.host === host);
+	}
+
 	#applyRunning(worker: FleetWorker, row: RunningRow, reply: WatchReply, nowMs: number): LiveRun | undefined {
 		const run = this.#adopt(worker, row, reply, nowMs);
 		if (!run) {
@@ -234,14 +270,13 @@
 	because it uses capacity until it has stopped.
 	*/
 	#adopt(worker: FleetWorker, {taskId, run}: {taskId: string; run: number}, reply: WatchReply, nowMs: number): LiveRun | undefined {
-		const ref = parseTaskId(taskId);
-		const task = ref && (this.#model.getTask(ref) ?? this.#handlers.findFinishedTask(ref));
+		const task = this.#findTask(taskId);
 		if (!task) {
 			this.#handlers.onUnknownRun(worker, taskId, run);
 			return undefined;
 		}
 
-		const active = task.runs.find(liveRun => liveRun.run === run && liveRun.host === worker.host);
+		const active = this.#findActive(task, worker, run);
 		if (active) {
 			return active;
 		}
@@ -289,13 +324,12 @@
 	}
 
 	#applyEnd(worker: FleetWorker, end: EndedRun, nowMs: number): boolean {
-		const ref = parseTaskId(end.taskId);
-		const task = ref && (this.#model.getTask(ref) ?? this.#handlers.findFinishedTask(ref));
+		const task = this.#findTask(end.taskId);
 		if (!task) {
 			return false;
 		}
 
-		const run = task.runs.find(liveRun => liveRun.run === end.run && liveRun.host === worker.host);
+		const run = this.#findActive(task, worker, end.run);
 		this.#handlers.note('run ended', {
 			taskId: end.taskId, run: end.run, end: end.end, host: worker.host, isKnown: run !== undefined,
 		});
--- a/test/crash-monitor.test.ts
+++ b/test/crash-monitor.test.ts
@@ -59,3 +59,12 @@
 	expect(lost).toEqual([]);
 	expect(stored).toHaveLength(1);
 });
+
+/** Guards against a run number that is used again by a new owner. */
+it('takes the number of a crashed run that it does not know for used', () => {
+	const {monitor, task} = createMonitor();
+	const reply = createReply('host-1');
+	reply.crashed[0]!.run = 3;
+	monitor.handleReply(createWorker('host'), reply, 1000);
+	expect(task.lastRun).toBe(3);
+});
--- a/test/late-states.test.ts
+++ b/test/late-states.test.ts
@@ -4,7 +4,7 @@
 import {afterEach, expect, it} from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {OrderFault, type SiteWorker} from '../src/standin/site-worker.ts';
-import {type WatchReply} from '../src/types/fleet.ts';
+import {type RunningRow, type WatchReply} from '../src/types/fleet.ts';
 import {RunPhase, type LiveRun, type LiveTask} from '../src/workflows/live-model.ts';
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
 import {RunTracker} from '../src/workflows/run-tracker.ts';
@@ -45,6 +45,10 @@
 
 const createExpiredState = (worker: FleetWorker, state: Partial<WatchReply>): WatchReply => createState(worker, {isAnswering: false, isOver: true, ...state});
 
+const createRow = (run: number, checkpoint: string): RunningRow => ({
+	taskId: `${jobId}.0.0.0`, run, checkpoint, percent: 50, recent: 0,
+});
+
 /** Guards against a run lost by a state from before its start. */
 it('expired leases of a state from before a run was confirmed do not end the run, those of a later one do', () => {
 	const {tracker, worker, task, ordered} = createOrderedRun();
@@ -76,6 +80,50 @@
 	expect(task.runs).toHaveLength(0);
 });
 
+/** Guards against a run number that is used again, and against lost checkpoints, when the leases of a worker have expired before a new owner reads its runs. */
+it('numbers and checkpoints of the runs in a state with expired leases are known to the owner', () => {
+	for (const {rows, lastRun} of [
+		{rows: {running: [createRow(3, 'half')]}, lastRun: 3},
+		{rows: {starting: [{taskId: `${jobId}.0.0.0`, run: 4}]}, lastRun: 4},
+	]) {
+		const {tracker, worker, task, ordered} = createOrderedRun();
+		tracker.withdraw(ordered, worker);
+		tracker.applyReply(worker, createExpiredState(worker, rows), 1200);
+		expect(task.runs).toHaveLength(0);
+		expect(task.lastRun).toBe(lastRun);
+		expect(task.checkpoint).toBe('running' in rows ? 'half' : '');
+	}
+});
+
+/** Guards against a checkpoint that is lost with its run because it comes in the state that shows the expiry. */
+it('the checkpoint of a run whose leases have expired is kept', () => {
+	const {tracker, worker, task, ordered} = createOrderedRun();
+	tracker.confirm(ordered, 4, 1100);
+	tracker.applyReply(worker, createExpiredState(worker, {running: [createRow(1, 'half')]}), 1200);
+	expect(task.runs).toHaveLength(0);
+	expect(task.checkpoint).toBe('half');
+});
+
+/** Guards against a run number that is used again after a takeover from a worker whose leases have expired. */
+it('a new owner starts the tasks of a worker with expired leases under new numbers', async () => {
+	site = await createSite(1, 1);
+	site.plan = () => ({workMs: 60_000});
+	await site.submit(jobId, createSpec([createStep()]));
+	await site.clock.advance(500);
+	site.killEntry('entry-0');
+	site.store.getFault = () => StoreFault.LoseRequest;
+	await site.clock.advance(1000);
+	site.hosts.get('host-0')!.worker.isUnresponsive = true;
+	expect(await site.waitFor(() => getNotes('leases over without an answer').length > 0, 15_000)).toBeDefined();
+	site.store.getFault = () => StoreFault.None;
+	site.addHost('host-1');
+	site.startEntry('entry-1');
+	await site.clock.advance(5000);
+	const starts = site.events.filter(({type}) => type === 'started').map(({run, workerId}) => ({run, workerId}));
+	expect(starts).toEqual([{run: 1, workerId: 'host-0-1'}, {run: 2, workerId: 'host-1-1'}]);
+	expect(site.violations).toEqual([]);
+});
+
 /** Plays an outage of the store in which leases expire, and starts runs on a worker before the state that says so is handled; returns the worker. */
 const startBeforeLateState = async (): Promise<SiteWorker> => {
 	site = await createSite(2, 1);
