Let only an incarnation that has answered replace the one of a run

Callers would see: tasks in two places. A restarted agent hears first of an earlier incarnation of its worker, in an announcement that a partition had delayed; the owner ends all runs of the living incarnation and starts them elsewhere while they run. Cause: the state names the announced incarnation as the current one before it has answered, and the owner took another name in a state for proof that the run's incarnation is gone. The agent is protected from late announcements only once it knows the living one. Change: a state that names another incarnation ends runs only if the agent has listed the runs of that one, which then lives at the address. Evidence: on the simulated site, with the worker silent for 1.5 s after the restart: three starts of two tasks and one violation before, none now. Why it works: a listing is an answer to a call that names the incarnation, and any other one refuses such a call. Price: runs of a worker that crashed while its agent was away are lost with the first listing of the new incarnation instead of with its announcement: one call to the worker later.

--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -145,7 +145,8 @@
 	applyReply(worker: FleetWorker, reply: WatchReply, nowMs: number): void {
 		const workerId = reply.worker?.workerId;
 		for (const run of worker.runs) {
-			if (reply.goneWorkerIds.includes(run.workerId) || (workerId !== undefined && run.workerId !== workerId)) {
+			// An incarnation that has not answered the agent may have been announced late, and have ended before the run's incarnation began.
+			if (reply.goneWorkerIds.includes(run.workerId) || (workerId !== undefined && reply.isListed && run.workerId !== workerId)) {
 				this.markLost(run, worker, LossReason.WorkerReplaced, {nowMs, evidence: describeState(worker, reply, nowMs)});
 			}
 		}
--- a/test/site-restarts.test.ts
+++ b/test/site-restarts.test.ts
@@ -79,3 +79,23 @@
 	await site.clock.advance(15_000);
 	expect(site.events.filter(event => event.type === 'started')).toHaveLength(2);
 });
+
+/** Guards against a delayed announcement that reaches a restarted agent first: the incarnation that it names is not the one that runs the tasks. */
+it('a restarted agent that hears of an earlier incarnation of its worker first ends no run of the living one', async () => {
+	site = await createSite(2, 1);
+	site.plan = () => ({workMs: 60_000});
+	await site.submit(jobId, createSpec([createStep({milliCpu: 3000, count: 2})]));
+	await site.clock.advance(500);
+	site.addHost('host-2');
+	const {worker} = site.hosts.get('host-0')!;
+	site.killAgent('host-0');
+	await site.clock.advance(300);
+	worker.isUnresponsive = true;
+	site.startAgent('host-0');
+	site.hosts.get('host-0')!.agent!.handleAnnouncement({...worker.announce(), workerId: 'host-0-0', sequence: 1});
+	await site.clock.advance(1500);
+	worker.isUnresponsive = false;
+	await site.clock.advance(5000);
+	expect(site.events.filter(event => event.type === 'started')).toHaveLength(2);
+	expect(worker.running.size).toBe(1);
+});
