Take a run for lost only if all ends of its worker are listed

Callers would see: tasks that run again after they succeeded, or while an end of them waits to be listed. A worker lists at most 500 ends at a time; with more of them, as after an outage of the store, or when the lease of many short tasks lapses at once, a run that has ended is neither among the running runs nor among the listed ends, and the owner starts its task again. Cause: what a listing lacks was taken for never begun or lost, also when the listing had no room for it. Change: a listing says whether there may be more ends. Until they are listed, runs that the agent knows stay as they were, starts without an answer stay open, and an agent that was restarted does not count as knowing its worker's runs. Owners store ends also of such an agent; its worker forgets them and lists the next ones, so that it comes to know all. The decoder's test of a listing has the new member, and is as strict. Why it works: ends are listed in the order of their numbers and dropped only once stored, so each is seen before it is forgotten. Price: with more than 500 ends waiting, capacity of runs whose ends are not listed counts as used until they are. Open: a new owner waits 7.6 s for an agent that answers without knowing all runs, and then goes on without it, also if ends come slowly.

--- a/src/agents/worker-runs.ts
+++ b/src/agents/worker-runs.ts
@@ -32,7 +32,7 @@
 	readonly #sinceMs = new Map<string, number>();
 	#isListed = false;
 
-	/** Whether a listing of the worker has been applied. */
+	/** Whether all runs are known that were on the worker when this process began: a listing with all ends has been applied. */
 	get isListed(): boolean {
 		return this.#isListed;
 	}
@@ -104,9 +104,13 @@
 			}
 		}
 
+		if (listing.hasMoreEnds) {
+			this.#keepUnlisted(running, endedKeys);
+		}
+
 		const startingBefore = this.#starting.size;
 		for (const [key, {validUntilMs, isInFlight}] of this.#starting) {
-			if (running.has(key) || endedKeys.has(key) || (!isInFlight && listing.clockMs > validUntilMs)) {
+			if (running.has(key) || endedKeys.has(key) || (!isInFlight && !listing.hasMoreEnds && listing.clockMs > validUntilMs)) {
 				this.#starting.delete(key);
 			}
 		}
@@ -117,10 +121,19 @@
 			|| [...running.keys()].some(key => !this.#running.has(key));
 		this.#running = running;
 		this.#ended = listing.ended;
-		this.#isListed = true;
+		this.#isListed ||= !listing.hasMoreEnds;
 		return isChanged;
 	}
 
+	/** Keeps known runs that are not in a listing without all ends: they have ended, and how is listed later. */
+	#keepUnlisted(running: Map<string, RunningRow>, endedKeys: Set<string>): void {
+		for (const [key, row] of this.#running) {
+			if (!endedKeys.has(key) && !running.has(key)) {
+				running.set(key, row);
+			}
+		}
+	}
+
 	#updateSince(running: Map<string, RunningRow>, atMs: number): void {
 		for (const key of this.#sinceMs.keys()) {
 			if (!running.has(key) && !this.#starting.has(key)) {
--- a/src/platform/worker-calls.ts
+++ b/src/platform/worker-calls.ts
@@ -10,6 +10,8 @@
 
 /** Timeout of an order. The worker is on this host and answers in a few ms. */
 const orderTimeoutMs = 700;
+/** A worker lists at most this many ends at a time. */
+const maxListedEnds = 500;
 
 const refusalByReason: Record<string, OrderRefusal> = {
 	fence: OrderRefusal.StaleFence,
@@ -80,11 +82,13 @@
 
 const decodeListing = ({json, instanceId}: Reply): WorkerListing => {
 	const fields = new Fields(json, 'read worker listing');
+	const ended = fields.array('ended', decodeEnded);
 	return {
 		workerId: instanceId,
 		clockMs: fields.number('clockMs'),
 		running: fields.array('running', decodeRunning),
-		ended: fields.array('ended', decodeEnded),
+		ended,
+		hasMoreEnds: ended.length >= maxListedEnds,
 	};
 };
 
--- a/src/standin/interference-worker.ts
+++ b/src/standin/interference-worker.ts
@@ -163,7 +163,7 @@
 				this.#ended = this.#ended.filter(({number}) => number > forgetUpTo);
 				await this.#waitForEnd(waitMs);
 				return {
-					workerId: this.workerId, clockMs: clock.monotonicMs(), running: [...this.runs.values()].map(run => describe(run)), ended: [...this.#ended],
+					workerId: this.workerId, clockMs: clock.monotonicMs(), running: [...this.runs.values()].map(run => describe(run)), ended: [...this.#ended], hasMoreEnds: false,
 				};
 			},
 		};
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -63,6 +63,8 @@
 	isDraining = false;
 	/** Whether calls get no response; the runs continue. */
 	isUnresponsive = false;
+	/** Ends that it lists at most; the others follow once these are forgotten. */
+	maxListedEnds = 500;
 	/** Whether the worker crashes soon after the start of any run. */
 	isCrashLooping = false;
 	readonly running = new Map<string, Running>();
@@ -332,7 +334,8 @@
 			running: [...this.running.values()].map(({start: {taskId, run}, startedAtMs, plan}) => ({
 				taskId, run, checkpoint: '', recent: this.recent, percent: plan.workMs === undefined ? 100 : Math.min(99, Math.floor((nowMs - startedAtMs) * 100 / plan.workMs)),
 			})),
-			ended: [...this.#ended],
+			ended: this.#ended.slice(0, this.maxListedEnds),
+			hasMoreEnds: this.#ended.length > this.maxListedEnds,
 		};
 	}
 
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -48,7 +48,10 @@
 	workerId?: string;
 	clockMs: number;
 	running: RunningRow[];
+	/** Ends in the order of their numbers. */
 	ended: EndedRow[];
+	/** Whether the worker may have more ends than it lists at a time; they follow once earlier ones are forgotten. */
+	hasMoreEnds: boolean;
 };
 
 /** A run that was resident when its worker crashed. The agent reports it until an owner has stored it. */
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -151,11 +151,16 @@
 			}
 		}
 
-		if (workerId === undefined || !reply.isListed) {
+		if (workerId === undefined) {
 			return;
 		}
 
+		// An agent that does not know all runs yet lists the other ends once these are stored.
 		this.#applyEnds(worker, reply.ended, nowMs);
+		if (!reply.isListed) {
+			return;
+		}
+
 		if (reply.isOver) {
 			this.#applyLast(worker, reply, nowMs);
 			this.#markCoveredLost(worker, reply, new Set(), nowMs);
--- a/test/restarted-agent-leases.test.ts
+++ b/test/restarted-agent-leases.test.ts
@@ -110,7 +110,9 @@
 		});
 		state.applyAnnouncement(report('i-1'), 0);
 		if (isListed) {
-			state.worker!.runs.applyListing({clockMs: 50_000, running: [], ended: []}, 0);
+			state.worker!.runs.applyListing({
+				clockMs: 50_000, running: [], ended: [], hasMoreEnds: false,
+			}, 0);
 		}
 
 		state.applyAnnouncement(report('i-2'), 0);
--- a/test/worker-calls.test.ts
+++ b/test/worker-calls.test.ts
@@ -75,6 +75,7 @@
 			ended: [{
 				number: 58, taskId: 'j.0.1.9', run: 1, end: RunEnd.GangBroken, checkpoint: '',
 			}],
+			hasMoreEnds: false,
 		});
 		expect(JSON.parse(server!.requests[0]!.body.toString())).toEqual({
 			fence: 7, seenUpto: 57, untilMs: 486_000, waitMs: 500,
@@ -82,6 +83,12 @@
 	});
 });
 
+/** Guards against runs taken for lost whose ends are not listed yet: a worker lists 500 ends at a time. */
+it.each([[499, false], [500, true]])('a listing of %i ends may lack others: %s', async (count, hasMoreEnds) => {
+	const client = await createClient({status: 200, json: {clockMs: 1, running: [], ended: Array.from({length: count}, (_, index) => [index + 1, `j.0.1.${index}`, 1, 'done', ''])}});
+	expect(await client.renew('i-1', {fence: 7, forgetUpTo: 0, waitMs: 0})).toMatchObject({hasMoreEnds});
+});
+
 describe('announcements', () => {
 	const announcement = {
 		service: 's', zone: 'z', state: 'draining', remainingMs: 900, capacity: {cpu: 16_000, memMb: 32_768}, labels: ['a', 'r1-3'], seq: 4,
