Leave the group for certain before owning its jobs under a new epoch

Callers would see: a job stays running for ever although its tasks have ended, and after the next takeover tasks that succeeded run again. Cause: an entry gives its jobs up, its view being too old or itself being too small, and stops its owner. The store refuses or does not answer the leave. Before the entry tries again, its view is recent again, so it goes on with heartbeats; the group still counts it as a member and assigns the partition under the old generation. A second owner starts under the epoch of the first. Its writer counts from zero; the store takes its records for repetitions of the first owner's, confirms them and stores nothing. Orders of the first owner are good under it as well. Change: the membership is one state, none, joined or leaving. Once an entry has stopped its owners to leave, it sends no join until a leave is answered; a join after that gets a new generation. Price: while the store answers heartbeats but no leave, the jobs have no owner; the group reassigns them to another entry after 1.2 to 4 s.

--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -88,6 +88,16 @@
 /** A longer gap between heartbeats is logged: half of the time after which the group considers the member dead. */
 const lateHeartbeatMs = ttlMs / 2;
 
+/** What the group may take this entry for. */
+enum Membership {
+	/** No join was sent, or a leave was answered since. */
+	None,
+	/** A join was sent. */
+	Joined,
+	/** The owners are stopped and the leave is not answered: the group may still assign the partitions under the epoch of these owners. */
+	Leaving,
+}
+
 /** Membership of one entry in the group, and the owners of the partitions assigned to it. */
 export class Ownership {
 	readonly owners = new Map<number, RunningOwner>();
@@ -100,8 +110,7 @@
 	#isStandby = false;
 	/** Whether the entry has so few processors that its heartbeats are late whenever it owns jobs. */
 	#isSlow = false;
-	/** Whether a join was sent and no leave was answered since. */
-	#isMember = false;
+	#membership = Membership.None;
 	#joining: Promise<void> = Promise.resolve();
 	#longestGapMs = 0;
 	#lastHeartbeatAtMs = Number.NEGATIVE_INFINITY;
@@ -148,7 +157,7 @@
 			try {
 				if (this.#isStandby) {
 					await this.#withdraw();
-				} else if (this.#isMember && (this.#mustRejoin || this.#getStalenessMs() > releaseAfterMs)) {
+				} else if (this.#mustLeave()) {
 					this.#noteRelease();
 					await this.#withdraw();
 					await this.#waitForCatchUp(signal);
@@ -169,7 +178,7 @@
 	async #join(signal: AbortSignal): Promise<void> {
 		const {clock, store, group, member, topic} = this.#options;
 		const sentAtMs = clock.monotonicMs();
-		this.#isMember = true;
+		this.#membership = Membership.Joined;
 		const assignment = await store.join({
 			group, member, topics: [topic], ttlMs: this.#getTtlMs(), generation: this.#generation,
 		});
@@ -189,19 +198,29 @@
 		}
 	}
 
+	#mustLeave(): boolean {
+		return this.#membership === Membership.Leaving
+			|| (this.#membership === Membership.Joined && (this.#mustRejoin || this.#getStalenessMs() > releaseAfterMs));
+	}
+
 	/** Time from the last read that reached the end of the stream to the last answered heartbeat. */
 	#getStalenessMs(): number {
 		return this.#lastHeartbeatAtMs - this.#options.getCaughtUpAtMs();
 	}
 
 	#noteRelease(): void {
+		if (this.#membership === Membership.Leaving) {
+			return;
+		}
+
 		const stalenessMs = this.#getStalenessMs();
 		const hasMissedRecords = this.#mustRejoin || stalenessMs === Number.POSITIVE_INFINITY;
 		this.#options.note('jobs given up', hasMissedRecords ? {reason: 'records missed'} : {reason: 'view too old', unseenMs: Math.round(stalenessMs)});
 	}
 
 	async #withdraw(): Promise<void> {
-		if (this.#isMember) {
+		if (this.#membership !== Membership.None) {
+			this.#membership = Membership.Leaving;
 			this.#stopOwners();
 			await this.#leaveGroup();
 		}
@@ -212,7 +231,7 @@
 	async #leaveGroup(): Promise<void> {
 		const {store, group, member} = this.#options;
 		await store.leave(group, member);
-		this.#isMember = false;
+		this.#membership = Membership.None;
 	}
 
 	#getTtlMs(): number {
