Remove the registration that was declared lost, and no newer one

Callers would see: after the next takeover, tasks start although a sound worker runs them (rule TWICE): the new owner does not know its agent. Cause: a lost agent is removed 7.6 s after its declaration. The owner reads the newest registration and removes it if its session is that of the worker's object. While that read is on its way, a poll sent before the removal is answered: the agent has just registered again, and the answer raises the session of the object. The read then shows the new registration, which seems to be the lost one, and it is removed. The agent takes itself for registered; this owner knows it by a read before the removal, gives it tasks, and no later owner hears of it. Change: the removal compares with the session that was declared lost, which does not change.

--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -98,7 +98,7 @@
 			worker.loss = undefined;
 		} else if (worker.unresponsiveSinceMs !== undefined) {
 			this.#options.workers.delete(worker.host);
-			void this.#removeRegistration(worker);
+			void this.#removeRegistration(worker.host, loss);
 		}
 	}
 
@@ -133,18 +133,18 @@
 		}
 	}
 
-	/** Removes the registration unless it has changed, so that a later owner need not wait for this agent. */
-	async #removeRegistration(worker: FleetWorker): Promise<void> {
+	/** Removes the registration that was declared lost, unless there is a newer one, so that a later owner need not wait for this agent. */
+	async #removeRegistration(host: string, {session}: AgentLoss): Promise<void> {
 		const {store, note} = this.#options;
 		const ref = {topic: agentsTopic, partition: 0};
 		try {
 			const {records, endOffset} = await store.readNewest(ref);
-			if (records.some(record => record.key === worker.host && record.offset === worker.session)) {
-				const result = await store.appendKeyed(ref, [{key: worker.host}], {atOffset: endOffset, timeoutMs: storeTimeoutMs});
-				note('registration removed', {host: worker.host, outcome: result.outcome});
+			if (records.some(record => record.key === host && record.offset === session)) {
+				const result = await store.appendKeyed(ref, [{key: host}], {atOffset: endOffset, timeoutMs: storeTimeoutMs});
+				note('registration removed', {host, outcome: result.outcome});
 			}
 		} catch (error) {
-			note('registration not removed', {host: worker.host, error: getMessage(error)});
+			note('registration not removed', {host, error: getMessage(error)});
 		}
 	}
 }
