Ignore the answer of an agent that was removed while it was polled

Callers would see: a task that was lost with its host never starts again. Cause: a lost agent is removed while a poll of it is on its way. The answer, built before its runs ended and handled late, was applied to the removed worker: its runs were adopted again. Nothing declares a removed worker lost, and another worker takes its place when its host registers again, so the run counts as active for ever. It would also be missing from the capacity in use of the worker that took the place. Change: an answer is applied only if the worker is still the one that was polled. A newer epoch in it still deposes the owner.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -224,6 +224,11 @@
 			return;
 		}
 
+		// The agent may have been removed meanwhile; a new registration makes another worker for its host, which this answer is not about.
+		if (this.workers.get(worker.host) !== worker) {
+			return;
+		}
+
 		if (worker.unresponsiveSinceMs !== undefined || (reply.isAnswering && !worker.isAnswering)) {
 			worker.unresponsiveSinceMs = undefined;
 			restartStallDetection(worker, clock.monotonicMs());
--- a/test/removed-agents.test.ts
+++ b/test/removed-agents.test.ts
@@ -8,6 +8,7 @@
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
 const workMs = 120_000;
+const taskId = `${jobId}.0.0.0`;
 
 let site: SimulatedSite;
 
@@ -60,3 +61,23 @@
 	await site.clock.advance(15_000);
 	expect(site.notes.filter(({source, event}) => source === 'entry-1' && event === 'run adopted').map(({fields}) => fields.taskId)).toEqual(expect.arrayContaining(running));
 });
+
+/** Guards against a late state that adds runs to a worker that was removed: nothing ends them there, and their tasks never start again. */
+it('a task starts again although a removed agent listed an earlier run of it', async () => {
+	await startTasks();
+	expect(site.hosts.get('host-0')!.worker.running.has(taskId)).toBe(true);
+	await declareLost();
+	await site.clock.advance(4300);
+	site.getAnswerDelayMs = () => 3300;
+	site.cuts.delete('entry-0>host-0');
+	await site.clock.advance(2500);
+	site.killAgent('host-0');
+	site.hosts.get('host-0')!.worker.crash(workMs);
+	expect(await site.waitFor(() => site.notes.some(({event, fields}) => event === 'run lost' && fields.taskId === taskId), 2000)).toBeDefined();
+	await site.clock.advance(1000);
+	site.getAnswerDelayMs = () => 0;
+	site.store.getFault = () => StoreFault.None;
+	site.hosts.get('host-1')!.worker.setMilliCpu(8000);
+	await site.clock.advance(20_000);
+	expect(site.getStarts(taskId)).toBe(2);
+});
