Reconcile without an agent's list only by a state that is new enough

Cause: an agent that answers without having listed its runs grants no leases, so those of the process before it have expired 7.6 s after its first answer. The reconciliation counted these from the first answer to the present. The newest state that it had may be seconds older: the agent had listed its runs since, before their leases expired, renewed them, and said so in an answer that a busy owner had not handled. Change: the time counts to the poll whose answer shows that there is still no list. An answer is dated by its poll, so it is never taken for newer than it is. Evidence: a new test, an agent restarted after the takeover whose worker answers it after 3 s and whose answers the owner then handles 5.5 s late: before, one task was started under the same run number while it ran; now once. 85 tests near it pass. Price: the reconciliation waits up to 0.6 s longer, one poll, for an agent without a list.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -150,6 +150,7 @@
 			haveOldLeasesExpired: false,
 			isAnswering: false,
 			lastReplyAtMs: Number.NEGATIVE_INFINITY,
+			stateAsOfMs: Number.NEGATIVE_INFINITY,
 			agentClock: new PeerClock(),
 			workerClockMs: 0,
 			unresponsiveSinceMs: this.#options.clock.monotonicMs(),
@@ -236,6 +237,7 @@
 		}
 
 		worker.lastReplyAtMs = clock.monotonicMs();
+		worker.stateAsOfMs = sentAtMs;
 		worker.workerClockMs = reply.workerClockMs;
 		worker.session = Math.max(worker.session, reply.session);
 		if (reply.worker && reply.worker.workerId !== workerId) {
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -42,6 +42,13 @@
 /** Longest time that leases last after a claim or a declaration was stored. */
 export const getLeaseExpiryMs = (leaseDurationMs: number): number => (leaseDurationMs / (1 - maxClockSlowShare)) + lostSlackMs;
 
+/**
+Whether all leases that earlier processes of an agent granted have expired. Its present process grants none before it lists the
+runs, and had listed none when it built the newest state. An older state says nothing: the agent may have listed them since.
+*/
+export const haveUnlistedLeasesExpired = ({isListed, stateAsOfMs, agentIncarnationSinceMs}: FleetWorker, leaseDurationMs: number): boolean =>
+	!isListed && agentIncarnationSinceMs !== undefined && stateAsOfMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs);
+
 /** Whether more than half of the agents have listed their runs. */
 const isReachingMostAgents = (workers: Map<string, FleetWorker>): boolean => {
 	let listed = 0;
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -38,6 +38,8 @@
 	/** When the agent's last reply was handled, and the reading of the worker's clock in it. */
 	lastReplyAtMs: number;
 	workerClockMs: number;
+	/** When the poll was sent whose answer was handled last: the agent built its state after that. */
+	stateAsOfMs: number;
 	/** Estimate of the monotonic clock of the agent's incarnation. */
 	agentClock: PeerClock;
 	/** Since when the agent does not answer; undefined while it does. */
--- a/src/workflows/reconciliation.ts
+++ b/src/workflows/reconciliation.ts
@@ -8,7 +8,7 @@
 */
 import {type Clock} from '../types/clock.ts';
 import {type AgentLinks} from './agent-links.ts';
-import {getLeaseExpiryMs} from './agent-loss-monitor.ts';
+import {haveUnlistedLeasesExpired} from './agent-loss-monitor.ts';
 import {type FleetWorker} from './fleet-view.ts';
 
 /** Options of the reconciliation. */
@@ -55,9 +55,7 @@
 		const nowMs = clock.monotonicMs();
 		const tookMs = nowMs - this.#claimedAtMs;
 		const missing = [...links.workers.values()].filter(worker => !worker.isListed && !worker.haveOldLeasesExpired);
-		const haveAllExpired = missing.every(({unresponsiveSinceMs, agentIncarnationSinceMs}) =>
-			unresponsiveSinceMs === undefined && agentIncarnationSinceMs !== undefined && nowMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs));
-		if (haveAllExpired) {
+		if (missing.every(worker => haveUnlistedLeasesExpired(worker, leaseDurationMs))) {
 			this.#isReconciled = true;
 			note('settled', {
 				tookMs: Math.round(tookMs), agents: links.workers.size, missing: missing.map(worker => worker.host), stateAgesMs: getStateAgesMs(links.workers.values(), nowMs),
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -33,6 +33,7 @@
 	haveOldLeasesExpired: false,
 	isAnswering: true,
 	lastReplyAtMs: 0,
+	stateAsOfMs: 0,
 	workerClockMs: 0,
 	agentClock: new PeerClock(),
 	runs: new Set(),
--- /dev/null
+++ b/test/unlisted-agents.test.ts
@@ -0,0 +1,54 @@
+/**
+Restarted agents that answer the owner without having listed their worker's runs, because the worker does not answer them.
+*/
+import {afterEach, expect, it} from 'vitest';
+import {createSite, jobId} from './site-setup.ts';
+import {
+	createSpec, createStep, type AgentHost, type SimulatedSite,
+} from './simulated-site.ts';
+
+const workMs = 120_000;
+
+let site: SimulatedSite;
+
+afterEach(() => {
+	site.stop();
+	expect(site.violations).toEqual([]);
+});
+
+/** Starts two long tasks, and returns the host that runs the first. */
+const startTasks = async (entries: number): Promise<AgentHost> => {
+	site = await createSite(2, entries);
+	site.plan = () => ({workMs});
+	await site.submit(jobId, createSpec([createStep({count: 2, milliCpu: 3000, estimateMs: workMs})]));
+	await site.clock.advance(500);
+	return [...site.hosts.values()].find(({worker}) => worker.running.has(`${jobId}.0.0.0`))!;
+};
+
+const restartAgent = async (name: string): Promise<void> => {
+	site.killAgent(name);
+	await site.clock.advance(50);
+	site.startAgent(name);
+};
+
+/** Guards against an owner that goes by an old state without a list, while the agent has listed its runs and renews their leases. */
+it('tasks of an agent that lists late start nowhere else, although its list reaches the owner seconds late', async () => {
+	const host = await startTasks(2);
+	site.hosts.get('host-1')!.worker.setMilliCpu(8000);
+	site.hosts.get('host-0')!.worker.setMilliCpu(8000);
+	await site.clock.advance(1000);
+	const next = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
+	site.cuts.add(`${next}>${host.name}`);
+	site.killEntry(site.getOwnerName()!);
+	expect(await site.waitFor(() => site.notes.some(({source, event}) => source === next && event === 'took over'), 5000)).toBeDefined();
+	// Until the poll that was cut off has failed, so that the restarted agent answers the next one at once.
+	await site.clock.advance(1110);
+	host.worker.isUnresponsive = true;
+	await restartAgent(host.name);
+	site.cuts.clear();
+	await site.clock.advance(3000);
+	site.getAnswerDelayMs = () => 5500;
+	host.worker.isUnresponsive = false;
+	await site.clock.advance(15_000);
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+});
