Take an unknown answer of a worker for no answer

Callers would see: a task in two places. A worker, or what stands before it, answers a start with a status or reason that the platform's documentation does not give for it (500, 502, a 409 with another reason); the owner withdraws the start as if nothing had begun, and starts the task elsewhere. Cause: every unknown answer was decoded to the refusal of an order that is not valid, which stands for nothing done. Change: only the documented answers are refusals. Any other one throws as no answer does, for renewals too, whose lease then grows no further. That a worker ever gives such an answer is not shown. Why it works: a start without an answer stays open until a listing shows its run or the worker's clock has passed its time limit. Price, by the limits and not measured: after such an answer the task waits up to 1.5 s, the time limit of a start, and the worker gets no starts until it lists again.

--- a/src/platform/worker-calls.ts
+++ b/src/platform/worker-calls.ts
@@ -1,6 +1,7 @@
 /**
 Client of the worker on this host over HTTP, and the decoder of its announcements.
 */
+import {createError, ErrorCode} from '../core/errors.ts';
 import {
 	OrderRefusal, type EndedRow, type RunningRow, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerReport,
 } from '../types/fleet.ts';
@@ -64,11 +65,12 @@
 				...(leaseUntilMs !== undefined && {untilMs: Math.floor(leaseUntilMs)}),
 				...(waitMs > 0 && {waitMs: Math.floor(waitMs)}),
 			}, workerId, waitMs + orderTimeoutMs);
-			return reply.status === 200 ? decodeListing(reply) : {refusal: decodeAnswer(reply).refusal ?? OrderRefusal.Invalid};
+			return reply.status === 200 ? decodeListing(reply) : {refusal: decodeAnswer(reply).refusal!};
 		},
 	};
 };
 
+/** Decodes an answer to an order. Throws `peer-unavailable` for one that leaves open whether the order was carried out. */
 const decodeAnswer = ({status, json}: Reply): WorkerAnswer => {
 	const fields = new Fields(json ?? {}, 'read worker answer');
 	const clockMs = fields.has('clockMs') ? fields.number('clockMs') : undefined;
@@ -76,8 +78,14 @@
 		return {isDone: true, clockMs};
 	}
 
-	const refusal = status === 409 ? refusalByReason[fields.string('reason', '')] : refusalByStatus[status];
-	return {isDone: false, refusal: refusal ?? OrderRefusal.Invalid, clockMs};
+	const reason = fields.string('reason', '');
+	const refusal = status === 409 ? refusalByReason[reason] : refusalByStatus[status];
+	if (refusal === undefined) {
+		// Any other answer does not say that nothing was done.
+		throw createError(ErrorCode.PeerUnavailable, {step: 'read worker answer', detail: `expected a known status and reason, found ${status} ${reason}`});
+	}
+
+	return {isDone: false, refusal, clockMs};
 };
 
 const decodeListing = ({json, instanceId}: Reply): WorkerListing => {
--- a/test/worker-calls.test.ts
+++ b/test/worker-calls.test.ts
@@ -51,6 +51,16 @@
 		expect(await client.stop('i-1', {taskId: 'j.0.1.17', run: 2}, 7)).toEqual({isDone: false, refusal, clockMs: 5});
 	});
 
+	/** Guards against a task in two places: an answer that the platform's documentation does not give was taken for a refusal, and the start may have been carried out. */
+	it.each([
+		[500, undefined], [502, undefined], [504, undefined], [404, undefined], [302, undefined], [409, 'weather'], [409, undefined],
+	])('throws at status %d with reason %s: the order may have been carried out', async (status, reason) => {
+		const client = await createClient({status, json: {clockMs: 5, reason}});
+		const isUnanswered = (error: unknown) => getErrorCode(error) === ErrorCode.PeerUnavailable;
+		await expect(client.start('i-1', start, {fence: 7, leaseUntilMs: 1})).rejects.toSatisfy(isUnanswered);
+		await expect(client.renew('i-1', {fence: 7, forgetUpTo: 0, waitMs: 0})).rejects.toSatisfy(isUnanswered);
+	});
+
 	it('throws if there is no answer: the order may have been carried out', async () => {
 		const client = await createClient('reset');
 		await expect(client.start('i-1', start, {fence: 7, leaseUntilMs: 1})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.PeerUnavailable);
