Read the newest owner's epoch from every control record

Callers would see: tasks in two places, if an owner that was replaced still reaches an agent that starts after the store has dropped the newer owner's claim. That agent has read the retained stream to its end, and takes orders of any owner. Cause: a stream without a claim was taken for one without an owner. Evacuations are published again before the store drops them, and declarations of loss are younger than the claim, but their epochs were not used. Change: the epoch of every control record counts, not of claims alone. Why it works: an owner writes such records only after its claim, and a lower epoch changes nothing. Open: with no record retained at all, the agent still learns of owners from their requests alone.

--- a/src/agents/control-watch.ts
+++ b/src/agents/control-watch.ts
@@ -133,9 +133,10 @@
 	#apply(value: Parameters<typeof decodeControlRecord>[0]): void {
 		try {
 			const record = decodeControlRecord(value);
+			// The store may have dropped the claim of the owner that wrote the record.
+			this.observeEpoch(record.epoch, EpochSource.Store);
 			switch (record.type) {
 				case ControlRecordType.Claim: {
-					this.observeEpoch(record.epoch, EpochSource.Store);
 					break;
 				}
 
--- a/test/agent-gaps.test.ts
+++ b/test/agent-gaps.test.ts
@@ -6,7 +6,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {ControlRecordType, controlTopic, encodeControlRecord} from '../src/agents/control-records.ts';
-import {ControlWatch} from '../src/agents/control-watch.ts';
+import {ControlWatch, EpochSource} from '../src/agents/control-watch.ts';
 import {MemoryStore, StoreFault} from '../src/standin/memory-store.ts';
 import {AppendOutcome} from '../src/types/store.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
@@ -84,3 +84,33 @@
 		expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
 	});
 });
+
+/** Guards against orders of a replaced owner at an agent that starts after the store has dropped the newer claim: the newer owner's other records name its epoch. */
+it.each([
+	encodeControlRecord({
+		type: ControlRecordType.Evacuations, epoch: 7, asOf: 5, failureDomains: [],
+	}),
+	encodeControlRecord({
+		type: ControlRecordType.Lost, host: 'another', session: 0, epoch: 7,
+	}),
+])('an agent that reads no claim refuses owners that are older than the writer of another record', async record => {
+	const clock = new ManualClock();
+	const store = new MemoryStore(clock, partition + 1);
+	for (const value of [encodeControlRecord({type: ControlRecordType.Claim, epoch: 7, owner: 'o'}), record]) {
+		void store.createClient('owner').append(ref, [value], {timeoutMs: 1000});
+		await clock.advance(100);
+	}
+
+	store.trim(ref, 1);
+	const aborter = new AbortController();
+	const watch = new ControlWatch({
+		store: store.createClient('agent'), ref, clock, host: 'host-0',
+		prepareProof: () => undefined, onLost: () => undefined, onGap: () => undefined, onStoreState: () => undefined, onNewerEpoch: () => undefined, onInvalid: () => undefined,
+	});
+	void watch.run(aborter.signal);
+	await clock.advance(100);
+	aborter.abort();
+	expect(watch.isCaughtUp).toBe(true);
+	expect(watch.observeEpoch(6, EpochSource.Owner)).toBe(false);
+	expect(watch.observeEpoch(7, EpochSource.Owner)).toBe(true);
+});
