Start nothing on a worker whose leases have expired until it has listed its runs

Callers would see a task start again and again while its run before is active. The worker refuses renewals as unhealthy, the leases sent to it have run out in an outage of the store, and it accepts a start. Cause: the agent keeps saying that all leases expired until the worker has listed its runs. A worker that does not answer gets no start meanwhile; one that answers with a refusal did, once the store had given new proof. The state then says that nothing runs there and lists the run, at a version that includes the start, so the owner takes the run for ended. Change: starts are refused as unhealthy while the leases count as expired. The stand-in of a worker can refuse calls as unhealthy. The test fails before and passes now. Why it works: nothing can begin on the worker between the expiry and the next listing, so what the state says stays true.

--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -144,7 +144,8 @@
 		}
 
 		// Each start sent to a worker that does not answer would postpone the time at which its leases are known to have expired.
-		if (!worker.isAnswering) {
+		// Once they have, the state says that nothing runs there, until the worker has listed its runs again.
+		if (!worker.isAnswering || worker.areLeasesExpired) {
 			return {isDone: false, refusal: OrderRefusal.Unhealthy};
 		}
 
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -33,6 +33,8 @@
 	ExecuteLate = 'do-late',
 	/** The order never arrives. */
 	Drop = 'drop',
+	/** The worker is unhealthy: it refuses the order and does nothing. */
+	Refuse = 'refuse',
 }
 
 /** Options of a worker. */
@@ -180,6 +182,11 @@
 
 		const fault = this.isUnresponsive ? OrderFault.Drop : this.getFault(order);
 		const incarnation = this.#incarnation;
+		if (fault === OrderFault.Refuse) {
+			await clock.sleep(responseMs);
+			return {isDone: false, refusal: OrderRefusal.Unhealthy};
+		}
+
 		if (fault !== OrderFault.None) {
 			if (fault === OrderFault.LoseAnswer) {
 				execute();
--- a/test/late-states.test.ts
+++ b/test/late-states.test.ts
@@ -167,3 +167,24 @@
 	expect(site!.hosts.get('host-2')!.worker.running.size).toBe(4);
 	expect(site!.violations).toEqual([]);
 });
+
+/** Guards against tasks in two places on a worker that refuses renewals as unhealthy: its leases have expired, it accepts a start, and the state still says that nothing runs there. */
+it('a start on a worker whose leases have expired is not taken for ended', async () => {
+	site = await createSite(2, 1);
+	site.plan = () => ({workMs: 60_000});
+	const {worker} = site.hosts.get('host-0')!;
+	site.store.getFault = () => StoreFault.LoseRequest;
+	await site.clock.advance(8000);
+	worker.getFault = order => order === 'renew' ? OrderFault.Refuse : OrderFault.None;
+	expect(await site.waitFor(() => getNotes('leases over without an answer').length > 0, 3000)).toBeDefined();
+	site.store.getFault = () => StoreFault.None;
+	expect(await site.waitFor(() => site!.notes.some(({source, event}) => source === 'host-0' && event === 'store reached'), 3000)).toBeDefined();
+	await site.clock.advance(1000);
+	await site.submit(jobId, createSpec([createStep({count: 8})]));
+	await site.clock.advance(1200);
+	worker.getFault = () => OrderFault.None;
+	await site.clock.advance(5000);
+	expect(site.violations).toEqual([]);
+	expect(getNotes('run lost')).toEqual([]);
+	expect(worker.running.size).toBe(4);
+});
