Test that a state of an agent that was removed meanwhile changes nothing

Callers would see a task wait for ever: the owner takes it for running on a worker that it watches no longer. Change: a test with an owner's links, a store and polls that the test answers, beside the one on the simulated site.

--- /dev/null
+++ b/test/agent-links.test.ts
@@ -0,0 +1,72 @@
+/**
+Connections of an owner to its agents: states that arrive after their sender was replaced or given up.
+*/
+import {Buffer} from 'node:buffer';
+import {afterEach, expect, it} from 'vitest';
+import {agentsTopic} from '../src/agents/control-records.ts';
+import {MemoryStore} from '../src/standin/memory-store.ts';
+import {type WatchReply} from '../src/types/fleet.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {AgentLinks} from '../src/workflows/agent-links.ts';
+import {createWorker} from './site-fleet.ts';
+
+let aborter = new AbortController();
+
+afterEach(() => {
+	aborter.abort();
+	aborter = new AbortController();
+});
+
+const registrations = {topic: agentsTopic, partition: 0};
+
+const createState = (agentLife: string, version: number): WatchReply => ({
+	agentLife, session: 0, version, agentClockMs: 0, worker: createWorker('host-0').report, workerClockMs: 0, leaseUntilMs: 0, isListed: true, isAnswering: true, isOver: false, running: [], ended: [], starting: [], crashed: [], goneWorkerIds: [],
+});
+
+/** Links to one agent; each poll is answered when the test calls `answer`. */
+const createLinks = async () => {
+	const clock = new ManualClock();
+	const store = new MemoryStore(clock);
+	store.put(registrations, 'host-0', Buffer.from(JSON.stringify({
+		host: 'host-0', address: 'host-0', service: 'desk', failureDomain: 'hall',
+	})));
+	const applied: WatchReply[] = [];
+	const polls: Array<(reply: WatchReply) => void> = [];
+	const links = new AgentLinks({
+		store: store.createClient('entry-0'),
+		registrations,
+		isOwned: () => true,
+		client: {
+			watch: async () => new Promise(resolve => {
+				polls.push(resolve);
+			}),
+			order: async () => ({answers: [], version: 0}),
+		},
+		clock,
+		epoch: 1,
+		getCaughtUpAtMs: () => 0,
+		onReply(_, reply) {
+			applied.push(reply);
+		},
+		onSuperseded: () => undefined,
+		note: () => undefined,
+	});
+	void links.run(aborter.signal);
+	await clock.advance(100);
+	const answer = async (reply: WatchReply) => {
+		polls.shift()!(reply);
+		await clock.advance(200);
+	};
+
+	return {links, applied, answer};
+};
+
+/** Guards against a run that no agent knows any more but that its task waits for: it would stay on a worker that nobody watches. */
+it('a state that arrives after its agent was given up changes nothing', async () => {
+	const {links, applied, answer} = await createLinks();
+	await answer(createState('life-1', 1));
+	expect(applied).toHaveLength(1);
+	links.workers.delete('host-0');
+	await answer(createState('life-1', 2));
+	expect(applied).toHaveLength(1);
+});
