--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -81,6 +81,9 @@
 	/** Extra time that a call takes to arrive, as with a busy sender or a slow link. */
 	getDelayMs: (call: StoreCall) => number = () => 0;
 
+	/** Extra time that the response of an append takes to reach its client. */
+	getAnswerDelayMs: (call: StoreCall) => number = () => 0;
+
 	/** Creates a client; fault policies receive its name. */
 	createClient(client: string): StoreClient {
 		return {
@@ -189,7 +192,13 @@
 			throw createError(ErrorCode.StoreUnanswered, {step: 'append at stand-in'});
 		}
 
-		return this.#tryAppend(this.#getPartition(ref), values, options);
+		const result = this.#tryAppend(this.#getPartition(ref), values, options);
+		const answerDelayMs = this.getAnswerDelayMs({kind: 'append', ref, client});
+		if (answerDelayMs > 0) {
+			await this.#clock.sleep(answerDelayMs);
+		}
+
+		return result;
 	}
 
 	#tryAppend(partition: Partition, values: Array<Buffer | KeyedWrite>, {stamp, atOffset}: AppendOptions): AppendResult {
--- a/test/simulated-membership.ts
+++ b/test/simulated-membership.ts
@@ -30,10 +30,12 @@
 export class ProcessClock implements Clock {
 	isPaused = false;
 	readonly #base: Clock;
+	readonly #wallOffsetMs: number;
 	readonly #deferred: Array<() => void> = [];
 
-	constructor(base: Clock) {
+	constructor(base: Clock, wallOffsetMs = 0) {
 		this.#base = base;
+		this.#wallOffsetMs = wallOffsetMs;
 	}
 
 	monotonicMs(): number {
@@ -41,7 +43,7 @@
 	}
 
 	now(): Date {
-		return this.#base.now();
+		return new Date(this.#base.now().getTime() + this.#wallOffsetMs);
 	}
 
 	setTimer(callback: () => void, delayMs: number): Timer {
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -24,7 +24,9 @@
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {RelayingApi} from '../src/workflows/relaying-api.ts';
 import {ProcessClock} from './simulated-membership.ts';
-import {createAgentClient, createEntryClient, type AgentAnswer} from './site-calls.ts';
+import {
+	createAgentClient, createEntryClient, type AgentAnswer, type PathDelays,
+} from './site-calls.ts';
 import {createPausableClient} from './pausable-client.ts';
 
 export const service = 'desk';
@@ -80,6 +82,8 @@
 	name: string;
 	worker: SiteWorker;
 	clock: ProcessClock;
+	/** Added to the wall time of agents that start from now on. */
+	wallOffsetMs: number;
 	agent: Agent | undefined;
 	aborter: AbortController;
 };
@@ -98,9 +102,12 @@
 	adviceClient: AdviceClient | undefined;
 	/** Pairs `entry>host` between which no call passes. */
 	readonly cuts = new Set<string>();
+	readonly pathDelays = new Map<string, PathDelays>();
+	/** Whether calls to a suspended agent wait until it continues. */
+	keepsCalls = false;
 	/** Whether callers' calls are relayed to other entries. */
 	isRelaying = false;
-	/** Pairs `entry>entry` whose calls are carried out but not answered. */
+	/** Pairs `entry>entry` or `entry>host` whose calls are carried out but not answered. */
 	readonly lostAnswers = new Set<string>();
 	/** Entries whose last call to the store failed. */
 	readonly storeFailing = new Set<string>();
@@ -119,6 +126,9 @@
 	getCallDelayMs = (): number => 0;
 	getAnswerDelayMs: (answer: AgentAnswer) => number = () => 0;
 
+	/** Called for each event of the log, at its moment. */
+	onNote: (source: string, event: string, fields: Record<string, unknown>) => void = () => undefined;
+
 	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
 
 	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1'], failureDomain = 'hall'): AgentHost {
@@ -135,7 +145,7 @@
 			stopMs: 100,
 		});
 		const host: AgentHost = {
-			name, worker, clock: new ProcessClock(this.clock), agent: undefined, aborter: new AbortController(),
+			name, worker, clock: new ProcessClock(this.clock), wallOffsetMs: 0, agent: undefined, aborter: new AbortController(),
 		};
 		this.hosts.set(name, host);
 		this.startAgent(name);
@@ -146,7 +156,7 @@
 	startAgent(name: string): void {
 		const host = this.hosts.get(name)!;
 		host.aborter = new AbortController();
-		host.clock = new ProcessClock(this.clock);
+		host.clock = new ProcessClock(this.clock, host.wallOffsetMs);
 		const life = `life-${++this.#incarnations}`;
 		const agent = new Agent({
 			registration: {
@@ -314,6 +324,7 @@
 	#createNote(source: string): (event: string, fields?: Record<string, unknown>) => void {
 		return (event, fields = {}) => {
 			this.notes.push({source, event, fields});
+			this.onNote(source, event, fields);
 		};
 	}
 
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -11,11 +11,19 @@
 import {type AgentClient} from '../src/workflows/agent-links.ts';
 import {createRelayTarget} from '../src/workflows/relaying-api.ts';
 
+/** Delays of the calls between an entry and an agent; asked once for each call. */
+export type PathDelays = {
+	/** How long a call is on its way; the caller's timeout passes meanwhile. */
+	getTransitMs: () => number;
+	/** How long the entry takes to handle an answer. */
+	getAnswerMs: () => number;
+};
+
 /** Processes of a simulated site, and the state of the paths between them. */
 export type SitePaths = {
 	clock: Clock;
 	queue: QueueConfig;
-	hosts: ReadonlyMap<string, {agent: Agent | undefined; clock: {isPaused: boolean}}>;
+	hosts: ReadonlyMap<string, {agent: Agent | undefined; clock: {isPaused: boolean; waitUntilRunning: () => Promise<void>}}>;
 	entries: ReadonlyMap<string, SiteEntry>;
 	/** Pairs `entry>host` or `entry>entry` between which no messages pass. */
 	cuts: ReadonlySet<string>;
@@ -25,6 +33,10 @@
 	storeLost: ReadonlySet<string>;
 	/** Entries whose last call to the store failed. */
 	storeFailing: ReadonlySet<string>;
+	/** Delays of pairs `entry>host`, in addition to those of all pairs. */
+	pathDelays: ReadonlyMap<string, PathDelays>;
+	/** Whether calls to a suspended agent wait in its socket until it continues, instead of being lost. */
+	keepsCalls: boolean;
 	/** How long an entry's thread takes to send a call to an agent. */
 	getCallDelayMs: () => number;
 	/** How long an entry's thread takes to handle an answer of an agent. */
@@ -43,18 +55,33 @@
 
 /** Creates the client with which an entry calls agents. */
 export const createAgentClient = (site: SitePaths, entryName: string): AgentClient => {
-	const {clock, hosts, cuts} = site;
+	const {clock, hosts, cuts, lostAnswers} = site;
+	const arrive = async <Reply>(host: string, act: (agent: Agent) => Promise<Reply>, {transitMs, timeoutMs}: {transitMs: number; timeoutMs: number}): Promise<Reply> => {
+		await clock.sleep(transitMs);
+		const {agent, clock: agentClock} = hosts.get(host)!;
+		if (!agent || cuts.has(`${entryName}>${host}`)) {
+			return fail(clock, 'call agent', host, timeoutMs);
+		}
+
+		await agentClock.waitUntilRunning();
+		return act(agent);
+	};
+
 	const call = async <Reply extends WatchReply | OrdersReply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
+		const path = `${entryName}>${host}`;
 		await clock.sleep(1 + site.getCallDelayMs());
 		const agent = hosts.get(host)?.agent;
-		if (!agent || cuts.has(`${entryName}>${host}`) || hosts.get(host)!.clock.isPaused) {
+		if (!agent || cuts.has(path) || (hosts.get(host)!.clock.isPaused && !site.keepsCalls)) {
 			return fail(clock, 'call agent', host, timeoutMs);
 		}
 
+		const delays = site.pathDelays.get(path);
+		const isPlain = delays === undefined && !site.keepsCalls;
+		const answer = isPlain ? act(agent) : arrive(host, act, {transitMs: delays?.getTransitMs() ?? 0, timeoutMs});
 		// A process that died never answers: the caller's timeout ends the call.
-		const reply = structuredClone(await Promise.race([act(agent), fail(clock, 'call agent', host, timeoutMs)]));
-		await clock.sleep(1 + site.getAnswerDelayMs({entry: entryName, host, reply}));
-		return cuts.has(`${entryName}>${host}`) ? fail(clock, 'call agent', host, 0) : reply;
+		const reply = structuredClone(await Promise.race([answer, fail(clock, 'call agent', host, timeoutMs)]));
+		await clock.sleep(1 + site.getAnswerDelayMs({entry: entryName, host, reply}) + (delays?.getAnswerMs() ?? 0));
+		return cuts.has(path) || lostAnswers.has(path) ? fail(clock, 'call agent', host, 0) : reply;
 	};
 
 	return {
--- a/test/site-faults.ts
+++ b/test/site-faults.ts
@@ -8,10 +8,11 @@
 import {WorkflowState} from '../src/types/workflows.ts';
 import {createSpec, createStep, SimulatedSite} from './simulated-site.ts';
 
-const hosts = ['host-0', 'host-1', 'host-2'];
-const entries = ['entry-0', 'entry-1', 'entry-2'];
+export const hosts = ['host-0', 'host-1', 'host-2'];
+export const entries = ['entry-0', 'entry-1', 'entry-2'];
 
-enum Fault {
+/** Kinds of faults; the set decides what a seed plays. */
+export enum Fault {
 	KillEntry = 'kill-entry',
 	FreezeEntry = 'freeze-entry',
 	KillAgent = 'kill-agent',
@@ -29,12 +30,15 @@
 }
 
 /** One step of a series. */
-export type Step = {faultType: Fault; target: number; forMs: number; pauseMs: number};
+export type Step<Type = Fault> = {faultType: Type; target: number; forMs: number; pauseMs: number};
+
+/** Outcomes of the submissions of a series, by id of the job. */
+export type SubmittedJobs = Map<string, SubmitOutcome>;
 
 const createOutage = (fault: StoreFault, until: number) => ({fault, until});
 
 /** Plays one step; its fault ends after `forMs`. */
-const play = async (site: SimulatedSite, {faultType, target, forMs}: Step, jobs: Map<string, SubmitOutcome>): Promise<void> => {
+export const playStep = async (site: SimulatedSite, {faultType, target, forMs}: Step, jobs: SubmittedJobs): Promise<void> => {
 	const host = site.hosts.get(hosts[target % hosts.length]!)!;
 	const entryName = entries[target % entries.length]!;
 	const entry = site.entries.get(entryName);
@@ -163,7 +167,8 @@
 /** Random series of faults. */
 export const faultSeries = fc.array(step, {minLength: 4, maxLength: 24});
 
-const recoveryMs = 45_000;
+/** Time without faults after a series. */
+export const recoveryMs = 45_000;
 
 /** Creates a site to play series on. */
 export const createFaultySite = async (plan: SimulatedSite['plan']): Promise<SimulatedSite> => {
@@ -182,23 +187,29 @@
 	return site;
 };
 
+/** Returns the accepted jobs that have not completed, with their states. */
+export const getOpenJobs = async (site: SimulatedSite, jobs: SubmittedJobs): Promise<Array<[string, string]>> => {
+	const states: Array<[string, string]> = [];
+	for (const [id, outcome] of jobs) {
+		if (outcome === SubmitOutcome.Accepted) {
+			states.push([id, await site.getState(id)]);
+		}
+	}
+
+	return states.filter(([, state]) => state !== (WorkflowState.Completed as string));
+};
+
 /** Plays a series and a time without faults, and stops the site; returns the accepted jobs that have not completed, with their states. */
 export const runFaultSeries = async (site: SimulatedSite, steps: Step[], beforeStep: (index: number) => Promise<void>): Promise<Array<[string, string]>> => {
-	const jobs = new Map<string, SubmitOutcome>();
+	const jobs: SubmittedJobs = new Map();
 	for (const [index, each] of steps.entries()) {
 		await beforeStep(index);
-		await play(site, each, jobs);
+		await playStep(site, each, jobs);
 		await site.clock.advance(each.pauseMs);
 	}
 
 	await site.clock.advance(recoveryMs);
-	const states: Array<[string, string]> = [];
-	for (const [id, outcome] of jobs) {
-		if (outcome === SubmitOutcome.Accepted) {
-			states.push([id, await site.getState(id)]);
-		}
-	}
-
+	const open = await getOpenJobs(site, jobs);
 	site.stop();
-	return states.filter(([, state]) => state !== (WorkflowState.Completed as string));
+	return open;
 };
