Give the test of late answers a deadline that a busy machine meets, and answer at a set moment

Its first request has 100 ms; if the thread stands still before a byte is sent to the upstream, the refusal rightly says `not-run` where the test expects an unknown outcome. The text of the failure itself was not kept. Change: the request has 1 s, and the upstream answers it when the third request is served, not after 300 ms. The same is checked; the order of events no longer depends on time.

--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -158,24 +158,30 @@
 test('an answer that arrives after its request was closed is discarded, and its connection is not reused', async () => {
 	// An upstream answers the first request after its deadline, on a connection kept alive.
 	// The next caller must not receive that answer.
-	let count = 0;
 	const connections: number[] = [];
+	let answerFirst: (() => void) | undefined;
 	await simulation.startRawUpstream((socket, text, connection) => {
 		connections.push(connection);
 		const body = /GET (\S+)/.exec(text)![1]!;
-		count++;
-		setTimeout(() => {
+		const answer = () => {
 			socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
-		}, count === 1 ? 300 : 0);
+		};
+
+		if (connections.length === 1) {
+			answerFirst = answer;
+		} else {
+			answer();
+		}
 	});
 	const entry = await simulation.startEntry({}, 1);
-	const late = await send(entry.address, {path: '/desk/first', headers: {[Header.DeadlineMs]: '100'}});
+	const late = await send(entry.address, {path: '/desk/first', headers: {[Header.DeadlineMs]: '1000'}});
 	expect(getRefusal(late)).toEqual({status: 504, reason: RefusalReason.UpstreamTimeout, outcome: Outcome.Unknown});
 	for (const path of ['/desk/second', '/desk/third']) {
 		expect(await send(entry.address, {path})).toMatchObject({status: 200, body: path});
 	}
 
-	await simulation.clock.sleep(300);
+	answerFirst!();
+	await simulation.clock.sleep(100);
 	expect(await send(entry.address, {path: '/desk/fourth'})).toMatchObject({status: 200, body: '/desk/fourth'});
 	expect(connections[1]).not.toBe(connections[0]);
 });
