Give up runs that a restarted agent has not listed in time

Callers would see: tasks never start again after their worker has failed together with its agent, if the agent comes back alone. Cause: a restarted agent answers the owner but cannot list its worker's runs, as the worker does not answer or does not come back. It is not declared lost, since it answers; its state is not compared with the runs, since it has no list; and it cannot say that the leases are over, since it knows none. The runs count as active for ever, while the worker has stopped them at the end of their leases.

--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -81,6 +81,10 @@
 			} else if (loss?.storedAtMs !== undefined && nowMs - loss.storedAtMs > getLeaseExpiryMs(leaseDurationMs)) {
 				this.#handleExpiredLeases(worker, loss, nowMs);
 			}
+
+			if (runs.size > 0 && haveUnlistedLeasesExpired(worker, leaseDurationMs)) {
+				this.#handleUnlistedRuns(worker, nowMs);
+			}
 		}
 	}
 
@@ -109,6 +113,14 @@
 		}
 	}
 
+	/** Handles runs that the agent's present process has never listed. The agent answers, so it is not declared lost. */
+	#handleUnlistedRuns(worker: FleetWorker, nowMs: number): void {
+		const {agentLife, agentIncarnationSinceMs, stateAsOfMs} = worker;
+		this.#options.tracker.markAllLost(worker, LossReason.LeasesExpired, {
+			nowMs, evidence: {agentLife, incarnationAgoMs: Math.round(nowMs - agentIncarnationSinceMs!), stateAgeMs: Math.round(nowMs - stateAsOfMs)},
+		});
+	}
+
 	/**
 	Stores the declaration. The wait for the leases begins after that: the agent then either reads it or gets no new proof for its
 	leases. The answer counts for this loss alone, which may have been withdrawn meanwhile.
--- a/test/unlisted-agents.test.ts
+++ b/test/unlisted-agents.test.ts
@@ -52,3 +52,22 @@
 	await site.clock.advance(15_000);
 	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
 });
+
+/** Guards against runs that count as active for ever: their agent answers, so it is not declared lost, but it never learns of them. */
+it.each([
+	['does not answer', (host: AgentHost) => {
+		host.worker.isUnresponsive = true;
+	}],
+	['does not come back', (host: AgentHost) => {
+		host.worker.isDown = true;
+	}],
+])('tasks start again if their agent is restarted and its worker %s', async (_, stopWorker) => {
+	const host = await startTasks(1);
+	const other = [...site.hosts.values()].find(({name}) => name !== host.name)!;
+	other.worker.setMilliCpu(8000);
+	stopWorker(host);
+	await restartAgent(host.name);
+	await site.clock.advance(12_000);
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(2);
+	expect(other.worker.running.size).toBe(2);
+});
