Register again if declared lost before the registration was answered

Callers would see: a host that gets no tasks until its agent is restarted. The store carries a registration out, its answer gets lost for some seconds, an owner that reads the registration declares it lost, and the agent lets its leases expire; then a repeated call is answered, and the agent takes itself for registered with the very session that was declared lost. Cause: the answer sets the agent to registered, whatever happened since the call was sent. Change: a registration counts only if no leases were let expire since its first call; otherwise the agent registers once more. Evidence: on the simulated site, with the answers to an agent's appends lost through a second loss: no start of a job in 5 s, 15 s after all faults have ended; now it starts. Why it works: the declaration is about that session or an earlier one, and the next registration has a higher one. Price: one more registration, also if the loss was about the session before.

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -51,6 +51,8 @@
 	#fence: number;
 	#isRegistered = false;
 	#registrations = 0;
+	/** How often all leases have expired after a declaration of loss or a gap. */
+	#lapses = 0;
 	#hasWorkerLeft = false;
 	/** Loss declarations about registrations before this offset are ignored: their leases have already expired. */
 	#minLostSession = 0;
@@ -98,6 +100,7 @@
 			...shared, wakeup: this.#wakeup, maxLeaseMs: options.maxLeaseMs, onLeasesExpired: () => {
 				note('lapsed', {session: this.state.session});
 				this.#isRegistered = false;
+				this.#lapses++;
 			},
 		};
 	}
@@ -226,6 +229,7 @@
 		const {store, registration, life, clock, note} = this.#options;
 		const stamp = {producer: `agent-${registration.host}-${life}`, epoch: 1, sequence: this.#registrations};
 		const ref: PartitionRef = {topic: agentsTopic, partition: 0};
+		const lapsesBefore = this.#lapses;
 		while (!signal.aborted) {
 			try {
 				const result = await store.appendKeyed(ref, [{key: registration.host, value: Buffer.from(JSON.stringify({...registration, firstSession}))}], {
@@ -233,7 +237,8 @@
 				});
 				if (result.outcome === AppendOutcome.Appended) {
 					this.#registrations++;
-					this.#isRegistered = true;
+					// An owner may have read the registration and declared it lost before its answer came.
+					this.#isRegistered = this.#lapses === lapsesBefore;
 					this.state.session = result.offset;
 					this.state.notifyChange();
 					note('registered', {session: result.offset});
--- /dev/null
+++ b/test/agent-registration.test.ts
@@ -0,0 +1,39 @@
+/**
+Registrations of agents that are declared lost again while they register.
+*/
+import {
+	afterEach, expect, it,
+} from 'vitest';
+import {StoreFault} from '../src/standin/memory-store.ts';
+import {createSite, jobId} from './site-setup.ts';
+import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
+
+let site: SimulatedSite | undefined;
+
+afterEach(() => {
+	site?.stop();
+	expect(site?.violations ?? []).toEqual([]);
+	site = undefined;
+});
+
+/** Guards against a host that no owner uses again: its registration is stored without an answer, declared lost, and only then answered. */
+it('an agent that is declared lost while its registration is not answered registers again', async () => {
+	site = await createSite(1, 1);
+	const {clock, store, cuts} = site;
+	const getNotes = (event: string) => site!.notes.filter(note => note.event === event);
+	cuts.add('entry-0>host-0');
+	expect(await site.waitFor(() => getNotes('agent lost').length === 1, 12_000)).toBeDefined();
+	let isLosing = true;
+	store.getFault = ({client, kind}) => isLosing && client === 'host-0' && kind === 'append' ? StoreFault.LoseAnswer : StoreFault.None;
+	expect(await site.waitFor(() => getNotes('lapsed').length === 1, 20_000)).toBeDefined();
+	cuts.clear();
+	expect(await site.waitFor(() => getNotes('agent back').length === 1, 5000)).toBeDefined();
+	cuts.add('entry-0>host-0');
+	expect(await site.waitFor(() => getNotes('lapsed').length === 2, 40_000)).toBeDefined();
+	isLosing = false;
+	cuts.clear();
+	await clock.advance(15_000);
+	await site.submit(jobId, createSpec([createStep()]));
+	await clock.advance(5000);
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+});
