Ignore the answer of a worker that has left since it was called

Callers would see: a host that gets no tasks until its agent is restarted. The worker leaves and its successor is announced while a call to it is under way; the agent then reads that it was declared lost; the old worker's listing comes, and the declaration is forgotten. Cause: the answer was applied to the state of the agent, though it speaks of an incarnation that is no longer the current one. The wait for the leases was noted with that incarnation, so it never ended and the agent did not register again. Change: an answer counts only if its incarnation is still the current one. Why it works: the loop goes on with the current incarnation, whose first listing begins the wait.

--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -68,6 +68,11 @@
 		const reply = await client.renew(workerId, {
 			fence: getFence(), forgetUpTo: worker.forgetUpTo, leaseUntilMs, waitMs: worker.runs.isListed && lease.leaseUntilMs > 0 ? listWaitMs : 0,
 		});
+		if (state.worker !== worker) {
+			// The incarnation has left since the call was sent.
+			return true;
+		}
+
 		if ('running' in reply) {
 			applyListing(options, worker, reply, sentAtMs);
 			return true;
--- a/test/agent-registration.test.ts
+++ b/test/agent-registration.test.ts
@@ -4,9 +4,12 @@
 import {
 	afterEach, expect, it,
 } from 'vitest';
+import {ControlRecordType, controlTopic, encodeControlRecord} from '../src/agents/control-records.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {createSite, jobId} from './site-setup.ts';
-import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
+import {
+	createSpec, createStep, partition, type SimulatedSite,
+} from './simulated-site.ts';
 
 let site: SimulatedSite | undefined;
 
@@ -37,3 +40,29 @@
 	await clock.advance(5000);
 	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
 });
+
+/** Guards against a declaration of loss that is forgotten: the last listing of a worker that has left was taken for one of its successor. */
+it('an agent that is declared lost while its worker is replaced registers again', async () => {
+	site = await createSite(1, 1);
+	const {clock, store} = site;
+	const {agent, worker} = site.hosts.get('host-0')!;
+	const getRegistrations = () => site!.notes.filter(({source, event}) => source === 'host-0' && event === 'registered').length;
+	const announcement = worker.announce();
+	await clock.advance(200);
+	agent!.handleWorkerLeave('host-0-1');
+	agent!.handleAnnouncement({...announcement, workerId: 'host-0-2', sequence: 1});
+	const record = encodeControlRecord({
+		type: ControlRecordType.Lost, host: 'host-0', session: agent!.state.session, epoch: 1,
+	});
+	await site.settle(store.createClient('owner').append({topic: controlTopic, partition}, [record], {timeoutMs: 1000}));
+	await clock.advance(20);
+	expect(agent!.state.mustLetLeasesExpire).toBe(true);
+	// Its listing is answered, later calls are not until its successor is up.
+	worker.isUnresponsive = true;
+	await clock.advance(500);
+	worker.crash();
+	worker.isUnresponsive = false;
+	expect(getRegistrations()).toBe(1);
+	await clock.advance(15_000);
+	expect(getRegistrations()).toBe(2);
+});
