Ignore states of an agent process that another one has replaced

Callers would see tasks in two places: a run that the newer process of an agent has started is taken for lost, because the older one, which still ends, doesn't list it. Cause: a state of another incarnation of the agent than a run was ordered to counted as newer than the run, without a look at which of the two is the newer process. Change: once a new incarnation has answered, answers of earlier ones count as none. Evidence: a test with an owner's links and polls answered by the first, the second and the first process: the third answer was applied before, now it is not, and the next one of the second process is. It fails before. How likely: one connection to each agent and one poll at a time make it improbable with processes of this version; agents that are called over several connections, as those without call streams, can answer so. Price: while only the older process answers, the agent counts as silent.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -3,7 +3,7 @@
 agent's state open, and sends orders.
 */
 import {decodeRegistration} from '../agents/control-records.ts';
-import {getMessage} from '../core/errors.ts';
+import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
 	type AgentRegistration, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest,
@@ -184,9 +184,10 @@
 
 	async #keepWatching(worker: FleetWorker, signal: AbortSignal): Promise<void> {
 		const {clock, note} = this.#options;
+		const replacedLives = new Set<string>();
 		while (!signal.aborted && this.workers.get(worker.host) === worker) {
 			try {
-				await this.#poll(worker, signal);
+				await this.#poll(worker, replacedLives, signal);
 			} catch (error) {
 				if (signal.aborted) {
 					return;
@@ -202,7 +203,7 @@
 		}
 	}
 
-	async #poll(worker: FleetWorker, signal: AbortSignal): Promise<void> {
+	async #poll(worker: FleetWorker, replacedLives: Set<string>, signal: AbortSignal): Promise<void> {
 		const {client, clock, epoch, onSuperseded, onReply, note} = this.#options;
 		const workerId = worker.report?.workerId;
 		const hasProof = workerId !== undefined && this.#options.getCaughtUpAtMs() >= worker.lastReplyAtMs && worker.loss?.session !== worker.session;
@@ -230,6 +231,11 @@
 			return;
 		}
 
+		// A process that still ends does not know what its successor does.
+		if (replacedLives.has(reply.agentLife)) {
+			throw createError(ErrorCode.PeerUnavailable, {step: 'watch agent', peer: worker.host, detail: 'an earlier process of the agent answered'});
+		}
+
 		if (worker.unresponsiveSinceMs !== undefined || (reply.isAnswering && !worker.isAnswering)) {
 			worker.unresponsiveSinceMs = undefined;
 			restartStallDetection(worker, clock.monotonicMs());
@@ -246,6 +252,7 @@
 		}
 
 		if (reply.agentLife !== worker.agentLife) {
+			replacedLives.add(worker.agentLife);
 			worker.processedCrash = 0;
 			worker.storedCrash = 0;
 			worker.agentClock = new PeerClock();
--- a/test/agent-links.test.ts
+++ b/test/agent-links.test.ts
@@ -70,3 +70,15 @@
 	await answer(createState('life-1', 2));
 	expect(applied).toHaveLength(1);
 });
+
+/** Guards against runs that are lost because a process that was replaced does not list what its successor has started. */
+it('a state of an agent process that another one has replaced changes nothing', async () => {
+	const {links, applied, answer} = await createLinks();
+	await answer(createState('life-1', 7));
+	await answer(createState('life-2', 3));
+	await answer(createState('life-1', 8));
+	expect(applied.map(({agentLife}) => agentLife)).toEqual(['life-1', 'life-2']);
+	expect(links.workers.get('host-0')).toMatchObject({agentLife: 'life-2', version: 3});
+	await answer(createState('life-2', 4));
+	expect(links.workers.get('host-0')).toMatchObject({agentLife: 'life-2', version: 4});
+});
