Take no runs for lost whose agent waits for the last ends of its worker

Callers would see: tasks in two places after an agent was restarted while its worker had more ends than it lists at a time. An agent that does not know all ends yet has no list, and an agent without a list counted as one that has granted no lease; but it has read the worker's clock, and renews leases. Change: only an agent that has not read its worker's clock counts so, for the reconciliation of a new owner and for an owner's own runs. Evidence: a new test, a restarted agent whose worker never lists its last end: a long task was lost 7.6 s later while it ran; now it runs on. Why it works: the end of a lease is computed from a reading of that clock. Price: a new owner waits for such an agent until the ends are stored, without a bound.

--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -188,7 +188,7 @@
 	version: number;
 	agentClockMs: number;
 	worker?: WorkerReport;
-	/** Latest reading of the worker's clock. */
+	/** Latest reading of the worker's clock; 0: this process of the agent has not read it. */
 	workerClockMs: number;
 	/** End of the worker's lease, on the worker's clock. */
 	leaseUntilMs: number;
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -43,11 +43,11 @@
 export const getLeaseExpiryMs = (leaseDurationMs: number): number => (leaseDurationMs / (1 - maxClockSlowShare)) + lostSlackMs;
 
 /**
-Whether all leases that earlier processes of an agent granted have expired. Its present process grants none before it lists the
-runs, and had listed none when it built the newest state. An older state says nothing: the agent may have listed them since.
+Whether all leases that earlier processes of an agent granted have expired. Its present process grants none before it has read the
+worker's clock, and had not read it when it built the newest state. An older state says nothing: the agent may have read it since.
 */
-export const haveUnlistedLeasesExpired = ({isListed, stateAsOfMs, agentIncarnationSinceMs}: FleetWorker, leaseDurationMs: number): boolean =>
-	!isListed && agentIncarnationSinceMs !== undefined && stateAsOfMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs);
+export const haveUnlistedLeasesExpired = ({isListed, workerClockMs, stateAsOfMs, agentIncarnationSinceMs}: FleetWorker, leaseDurationMs: number): boolean =>
+	!isListed && workerClockMs === 0 && agentIncarnationSinceMs !== undefined && stateAsOfMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs);
 
 /** Whether more than half of the agents have listed their runs. */
 const isReachingMostAgents = (workers: Map<string, FleetWorker>): boolean => {
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -35,7 +35,7 @@
 	haveOldLeasesExpired: boolean;
 	/** Whether the worker answers its agent. */
 	isAnswering: boolean;
-	/** When the agent's last reply was handled, and the reading of the worker's clock in it. */
+	/** When the agent's last reply was handled, and the reading of the worker's clock in it; 0: this process of the agent has not read it. */
 	lastReplyAtMs: number;
 	workerClockMs: number;
 	/** When the poll was sent whose answer was handled last: the agent built its state after that. */
--- a/test/unlisted-agents.test.ts
+++ b/test/unlisted-agents.test.ts
@@ -2,7 +2,8 @@
 Restarted agents that answer the owner without having listed their worker's runs, because the worker does not answer them.
 */
 import {afterEach, expect, it} from 'vitest';
-import {createSite, jobId} from './site-setup.ts';
+import {RunEnd} from '../src/types/workflows.ts';
+import {createSite, jobId, otherId} from './site-setup.ts';
 import {
 	createSpec, createStep, type AgentHost, type SimulatedSite,
 } from './simulated-site.ts';
@@ -71,3 +72,19 @@
 	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(2);
 	expect(other.worker.running.size).toBe(2);
 });
+
+/** Guards against runs that count as lost while they run: an agent that waits for the last ends of its worker has read its clock, and renews its leases. */
+it('runs of a restarted agent whose worker has more ends than it lists are not lost', async () => {
+	const host = await startTasks(1);
+	host.worker.maxListedEnds = 0;
+	await site.submit(otherId, createSpec([createStep({count: 8, milliCpu: 100, estimateMs: 1000})]));
+	await site.clock.advance(500);
+	for (const taskId of [...host.worker.running.keys()].filter(running => running.startsWith(otherId))) {
+		host.worker.end(taskId, RunEnd.Done);
+	}
+
+	await restartAgent(host.name);
+	await site.clock.advance(20_000);
+	expect(host.worker.running.has(`${jobId}.0.0.0`)).toBe(true);
+	expect(site.notes.filter(({event, fields}) => event === 'run lost' && fields.taskId === `${jobId}.0.0.0`)).toEqual([]);
+});
