Keep a run that its agent has listed although its order is refused

Callers would see a task start elsewhere while it runs, until the next state of the agent shows it again. Cause: an answer that refuses a start withdrew the run whatever had been learned since the order. A state may have shown the run as running before: an order of an earlier owner for the same number, for example, carried out late. Change: a refusal withdraws only runs that no state has shown. Evidence: a test with an owner's tracker, an order that is refused after 100 ms and a state that shows the run before: the run was dropped, now it stays. That refusal after such a state was not seen on a site. Why it works: the next state ends the run if it does not run. Price: none known.

--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -164,7 +164,8 @@
 		}
 
 		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + (refusalPauseMs[refusal!] ?? 0));
-		if (refusal !== OrderRefusal.Unanswered) {
+		// A state that lists the run goes before an answer that does not.
+		if (refusal !== OrderRefusal.Unanswered && run.phase === RunPhase.Starting) {
 			tracker.withdraw(run, worker);
 		}
 	}
--- a/test/site-orders.test.ts
+++ b/test/site-orders.test.ts
@@ -2,7 +2,7 @@
 Orders of an owner, and their expiry.
 */
 import {expect, it} from 'vitest';
-import {type Order} from '../src/types/fleet.ts';
+import {OrderRefusal, type Order} from '../src/types/fleet.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {type AgentLinks} from '../src/workflows/agent-links.ts';
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
@@ -60,3 +60,28 @@
 	tracker.markLost(lost, worker, LossReason.NeverStarted, {nowMs: 4600, evidence: {}});
 	expect(task!.waitingSinceMs).toBe(4600);
 });
+
+/** Guards against a task that starts elsewhere while it runs, because its order is refused after a state has shown the run. */
+it('keeps a run that its agent has listed although the answer to its order is a refusal', async () => {
+	const {model} = load([createWorkflow('0000000000000001', createSpec([createStep()]))]);
+	const worker = createWorker('host-0');
+	const clock = new ManualClock();
+	const tracker = createTracker(model);
+	const links = {
+		workers: new Map([[worker.host, worker]]),
+		getNotAfterMs: () => 1500,
+		async order() {
+			await clock.sleep(100);
+			return {answers: [{isDone: false, refusal: OrderRefusal.NoCapacity}], version: 2};
+		},
+	} as unknown as AgentLinks;
+	const sender = new OrderSender({
+		clock, model, links, tracker, getTicket: ignore, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
+	});
+	const [task] = [...model.getWaitingTasks(0, () => false)];
+	sender.start([{task: task!, worker, isIdleStart: false}]);
+	await clock.advance(50);
+	tracker.confirm(task!.runs[0]!, 2, 50);
+	await clock.advance(100);
+	expect(task!.runs).toHaveLength(1);
+});
