Count a seal for the incarnation that answered it

Callers would see: a task that must not run twice is started again although its worker may have received its first start. Cause: a new owner notes which incarnation of a worker it has sealed after waiting for the answer, and took the one that was listed last. If another listing is handled in between, it is not the one that was sealed; a recorded start there then counts as never received. Change: the incarnation comes from the answer to the seal.

--- a/src/jobs/recovery.ts
+++ b/src/jobs/recovery.ts
@@ -89,9 +89,9 @@
 	await Promise.all(leaseManagers.map(async leaseManager => {
 		try {
 			// The limiter keeps the fleet from being sealed all at once; shards acquired at the same time share its limit.
-			await options.limiter.run(async () => owner.isClosed ? undefined : leaseManager.seal(owner.shard, owner.fencingToken));
-			if (!owner.isClosed) {
-				owner.onSealed(leaseManager.workerId, leaseManager.incarnation!);
+			const snapshot = await options.limiter.run(async () => owner.isClosed ? undefined : leaseManager.seal(owner.shard, owner.fencingToken));
+			if (snapshot && !owner.isClosed) {
+				owner.onSealed(leaseManager.workerId, snapshot.incarnation);
 				sealed.add(leaseManager);
 			}
 		} catch (error) {
