Begin the wait of a recovery anew when the majority is lost

Callers would see: a task in two places in the program's own installation, after a takeover by an entry that has just started. Cause: a new owner may start tasks of unreached workers a certain time after it has sealed a majority of the workers, since the earlier owner finds no majority from then on. The time ran from the first majority, of the workers known at that moment. An entry that has just started knows few; the earlier owner may know more, reach a majority of all, and go on renewing leases. Change: if the sealed workers are no majority of those known any more, the time is forgotten, and begins when they are one again. Evidence: a new test, two of three workers sealed, then four more that do not answer: before, tasks were released after the wait; now only a wait after the majority of the seven. 52 tests of jobs, ownership and recovery pass. Found by reading; not seen in a run. Price: workers that become known and never answer may hold back such tasks until they are dropped from the fleet.

--- a/src/jobs/recovery.ts
+++ b/src/jobs/recovery.ts
@@ -63,9 +63,8 @@
 		const leaseManagers = options.getLeaseManagers();
 		await sealAll(owner, leaseManagers.filter(leaseManager => !sealed.has(leaseManager)), sealed, options);
 		const reached = leaseManagers.filter(leaseManager => sealed.has(leaseManager)).length;
-		if (isMajority(reached, leaseManagers.length)) {
-			quorumAtMs ??= clock.monotonicMs();
-		}
+		// Lost again when more workers become known: the earlier owner may reach a majority of all of them.
+		quorumAtMs = isMajority(reached, leaseManagers.length) ? quorumAtMs ?? clock.monotonicMs() : undefined;
 
 		const isAllReached = reached === leaseManagers.length;
 		// Counted from the majority: from then on an earlier owner without the log can obtain no proof from a majority, and renews no leases.
--- a/test/recover-shard.test.ts
+++ b/test/recover-shard.test.ts
@@ -50,3 +50,34 @@
 	stop();
 	expect(sealed).toEqual([['a', 1]]);
 });
+
+/** Guards against a majority of the workers known at first: the earlier owner may still reach a majority of all, and renew leases. */
+test('the wait begins anew when so many workers become known that those sealed are no majority any more', async () => {
+	const workers: LeaseManager[] = [];
+	const addWorkers = (count: number, isReached: () => boolean) => {
+		for (let index = 0; index < count; index++) {
+			workers.push(createWorker(`worker-${workers.length}`, async () => {
+				if (!isReached()) {
+					throw new Error('no answer');
+				}
+
+				return {incarnation: 1};
+			}));
+		}
+	};
+
+	let isReached = false;
+	addWorkers(2, () => true);
+	addWorkers(1, () => false);
+	const {clock, released, stop} = createRecovery(() => [...workers]);
+	await clock.advance(1000);
+	addWorkers(4, () => isReached);
+	await clock.advance(2 * waitMs);
+	expect(released).toEqual([]);
+	isReached = true;
+	await clock.advance(waitMs - 1000);
+	expect(released).toEqual([]);
+	await clock.advance(3000);
+	expect(released).toHaveLength(1);
+	stop();
+});
