Step down if a newer claim was read while the own one was being checked

Callers would see: two owners that start tasks until the older one writes its next record. Cause: an owner checks the newest claim when its own has been read, and listens for newer ones once it has loaded the jobs. The caller of the check continues one step of the event loop's queue later; a claim that is read in between is noticed by neither. Change: the owner compares the newest claim again right where it begins to listen, without a wait in between. Evidence: a new test applies a newer claim 0 to 4 such steps after the read: before, the owner went on if it was one step; now it steps down each time. 92 tests near it pass. Found by reading; not seen in a run.

--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -161,7 +161,7 @@
 		const {signal} = this.#aborter;
 		const {follower, clock, note, epoch, partition, policy} = this.#options;
 		const claimOffset = await this.#log.claim(signal);
-		if (claimOffset === undefined || signal.aborted) {
+		if (claimOffset === undefined || signal.aborted || follower.fold.epoch > epoch) {
 			this.#stepDown('the claim is fenced');
 			return;
 		}
--- a/test/site-rejoin.test.ts
+++ b/test/site-rejoin.test.ts
@@ -7,7 +7,7 @@
 import {encodeRecord, RecordType, workflowsTopic} from '../src/workflows/records.ts';
 import {createSite, jobId, otherId} from './site-setup.ts';
 import {
-	createSpec, createStep, partition, type SimulatedSite,
+	createSpec, createStep, partition, SimulatedSite,
 } from './simulated-site.ts';
 
 const nextId = '00000000000000a3';
@@ -46,3 +46,32 @@
 	await runJob(nextId);
 	expect([await site.getState(nextId), ...getEpochs().map(epoch => epoch > 1)]).toEqual([WorkflowState.Completed, false, true]);
 });
+
+/** Guards against an owner that reads a newer claim just after its own has been checked and before it listens: it would go on unaware. */
+it.each([0, 1, 2, 3, 4])('an owner that reads a newer claim %i steps after its own steps down', async steps => {
+	site = new SimulatedSite();
+	site.addHost('host-0');
+	const {follower} = site.startEntry('entry-0');
+	const catchUp = follower.catchUp.bind(follower);
+	let isClaimed = false;
+	follower.catchUp = async timeoutMs => {
+		const isDone = await catchUp(timeoutMs);
+		if (isDone && follower.fold.epoch > 0 && !isClaimed) {
+			isClaimed = true;
+			let step = Promise.resolve();
+			for (let index = 0; index < steps; index++) {
+				step = step.then(() => undefined);
+			}
+
+			void step.then(() => {
+				follower.fold.apply({type: RecordType.Claim, epoch: follower.fold.epoch + 1, owner: 'entry-1'}, follower.fold.offset);
+			});
+		}
+
+		return isDone;
+	};
+
+	await site.clock.advance(200);
+	expect(isClaimed).toBe(true);
+	expect(count('deposed')).toBe(1);
+});
