Run the site's programs as real processes on loopback

What ran on the users' machines were the programs entry and agent as processes, with real clocks, sockets and schedulers. Tests run their parts on manual time, and the soak run starts only the programs of the installation with a log of its own.

The harness starts entries and agents from the bundle with settings files, each with an address of its own, serves the stand-in store at one address for each of them and the stand-in workers in the platform's format, announces the workers, and submits, asks for and cancels jobs. What workers and callers see is checked: one place for a task, rising numbers of runs, nothing after a stored success, order of steps, capacity, nothing that nobody submitted, true answers, completion. A violation comes with the lines of all logs that hold the task's id.

The stand-in worker tells when its lease ran out last, which excuses a start after a success that came to be stored later.

--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -74,6 +74,8 @@
 	recent = 0;
 	/** Whether its process is down: connections are refused and nothing is announced. */
 	isDown = false;
+	/** When its lease was last found expired, on its clock. */
+	lapsedAtMs = 0;
 	readonly #options: SiteWorkerOptions;
 	#incarnation = 1;
 	#fence = 0;
@@ -351,6 +353,7 @@
 		const checkMs = 20;
 		this.#options.clock.setTimer(() => {
 			if (this.#clockMs > this.#leaseUntilMs) {
+				this.lapsedAtMs = this.#options.clock.monotonicMs();
 				for (const run of this.running.values()) {
 					this.#end(run, RunEnd.LeaseExpired);
 				}
--- /dev/null
+++ b/test/site-soak/site-soak.ts
@@ -0,0 +1,168 @@
+/**
+A soak run of a site: its programs as real processes, callers and stand-ins, with checks of what the site promises.
+*/
+import {createRandom} from '../../src/utils/seeded-random.ts';
+import {createSystemClock} from '../../src/utils/system-clock.ts';
+import {type Clock} from '../../src/types/clock.ts';
+import {type Random} from '../../src/types/random.ts';
+import {Caller} from './caller.ts';
+import {drawJob, drawLongRunningJob} from './offered-jobs.ts';
+import {PromiseChecker, type KnownJob, type Violation} from './promise-checker.ts';
+import {type LogLine} from './site-processes.ts';
+import {callersHost, pathPrefix, SiteUnderTest} from './site-under-test.ts';
+
+/** Options of a run. */
+export type SiteSoakOptions = {
+	program: string;
+	seed: number;
+	seconds: number;
+	entryCount: number;
+	hostCount: number;
+	areLogsKept: boolean;
+	report: (line: string) => void;
+};
+
+/** Result of a run. */
+export type SiteSoakReport = {
+	violations: Violation[];
+	crashes: string[];
+	counts: Record<string, number>;
+	faults: Map<string, number>;
+	settledAfterMs: number;
+	directory: string;
+	findLines: (text: string) => LogLine[];
+};
+
+const readyBoundMs = 20_000;
+const settleBoundMs = 60_000;
+const logFlushMs = 500;
+const jobsPerHostPerS = 0.3;
+const cancelShare = 0.08;
+const askPauseMs = 200;
+const settlePollMs = 250;
+const maxPolledJobs = 40;
+const secondMs = 1000;
+
+type Run = {clock: Clock; random: Random; site: SiteUnderTest; checker: PromiseChecker; callers: Caller[]; signal: AbortSignal; options: SiteSoakOptions};
+
+/** Runs a soak test. */
+export const runSiteSoak = async (options: SiteSoakOptions): Promise<SiteSoakReport> => {
+	const clock = createSystemClock();
+	const checker = new PromiseChecker(() => clock.monotonicMs());
+	const stopped = new AbortController();
+	const traffic = new AbortController();
+	const {seed, program, entryCount, hostCount, report} = options;
+	const site = new SiteUnderTest({
+		clock, checker, program, entryCount, hostCount, random: createRandom(seed + 1), signal: stopped.signal,
+	});
+	let isPassed = false;
+	let callers: Caller[] = [];
+	try {
+		await site.start();
+		await site.waitUntilReady(readyBoundMs);
+		report('All entries are ready.');
+		callers = site.entries.flatMap((_, index) => [0, 1].map(number => new Caller({
+			clock,
+			random: createRandom(seed + 2 + (index * 2) + number),
+			checker,
+			entries: site.entries.map(({callersAddress}) => callersAddress),
+			host: callersHost,
+			pathPrefix,
+			note(text) {
+				site.processes.note(text);
+			},
+		})));
+		const run: Run = {
+			clock, site, checker, callers, options, random: createRandom(seed), signal: traffic.signal,
+		};
+		const tasks = [submitJobs(run), ...callers.map(async caller => askRepeatedly(run, caller))];
+		await clock.sleep(options.seconds * secondMs);
+		traffic.abort();
+		await Promise.all(tasks);
+		const settledAfterMs = await waitUntilSettled(run);
+		checker.checkEnd(settleBoundMs);
+		await clock.sleep(logFlushMs);
+		isPassed = checker.violations.length === 0 && site.processes.crashes.length === 0;
+		return {
+			violations: checker.violations,
+			crashes: site.processes.crashes,
+			counts: {
+				...checker.counts,
+				jobs: checker.jobs.size,
+				answered: callers.reduce((sum, caller) => sum + caller.counts.answered, 0),
+				unanswered: callers.reduce((sum, caller) => sum + caller.counts.unanswered, 0),
+			},
+			faults: new Map(),
+			settledAfterMs,
+			directory: site.processes.directory,
+			findLines: text => site.processes.findLines(text),
+		};
+	} finally {
+		stopped.abort();
+		for (const caller of callers) {
+			caller.close();
+		}
+
+		await site.stop(options.areLogsKept || !isPassed);
+	}
+};
+
+const pick = <Value>(values: Value[], random: Random): Value => values[random.below(values.length)]!;
+
+/** Submits long-running jobs at once and short ones until the signal aborts, and cancels some. */
+const submitJobs = async ({clock, random, callers, signal, options}: Run): Promise<void> => {
+	const pending: Array<Promise<void>> = [];
+	const {hostCount} = options;
+	for (let index = 0; index < 3; index++) {
+		pending.push(submitAndLeave(pick(callers, random), drawLongRunningJob(random, hostCount)));
+	}
+
+	while (!signal.aborted) {
+		const caller = pick(callers, random);
+		const job = drawJob(random);
+		const cancelAfterMs = random.next() < cancelShare ? random.below(4000) : undefined;
+		pending.push(cancelAfterMs === undefined ? submitAndLeave(caller, job) : submitAndCancel(clock, caller, job, cancelAfterMs));
+		await clock.sleep(2 * random.next() * secondMs / (jobsPerHostPerS * hostCount), signal);
+	}
+
+	await Promise.all(pending);
+};
+
+const submitAndLeave = async (caller: Caller, job: Parameters<Caller['submit']>[0]): Promise<void> => {
+	await caller.submit(job);
+};
+
+const submitAndCancel = async (clock: Clock, caller: Caller, offered: Parameters<Caller['submit']>[0], afterMs: number): Promise<void> => {
+	const job = await caller.submit(offered);
+	await clock.sleep(afterMs);
+	if (job.isAccepted) {
+		await caller.cancel(job);
+	}
+};
+
+const askRepeatedly = async ({clock, random, checker, signal}: Run, caller: Caller): Promise<void> => {
+	while (!signal.aborted) {
+		const jobs = [...checker.jobs.values()].filter(({isAccepted}) => isAccepted);
+		if (jobs.length > 0) {
+			await caller.ask(pick(jobs, random));
+		}
+
+		await clock.sleep(askPauseMs, signal);
+	}
+};
+
+/** Waits until all accepted jobs have settled, or for the bound; resolves to the time that it took. */
+const waitUntilSettled = async ({clock, checker, callers}: Run): Promise<number> => {
+	const startMs = clock.monotonicMs();
+	while (clock.monotonicMs() - startMs < settleBoundMs) {
+		const open: KnownJob[] = [...checker.jobs.values()].filter(job => job.isAccepted && !checker.isSettled(job));
+		if (open.length === 0) {
+			break;
+		}
+
+		await Promise.all(open.slice(0, maxPolledJobs).map(async (job, index) => callers[index % callers.length]!.ask(job)));
+		await clock.sleep(settlePollMs);
+	}
+
+	return Math.round(clock.monotonicMs() - startMs);
+};
--- /dev/null
+++ b/test/site-soak/worker-endpoint.ts
@@ -0,0 +1,155 @@
+/**
+Serves a stand-in worker over HTTP in the platform's format, and sends its announcements to its agent.
+*/
+import {SiteWorker, type SiteWorkerOptions} from '../../src/standin/site-worker.ts';
+import {type Clock} from '../../src/types/clock.ts';
+import {
+	OrderRefusal, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerStart,
+} from '../../src/types/fleet.ts';
+import {type Random} from '../../src/types/random.ts';
+import {createHttpClient} from '../../src/utils/keep-alive-client.ts';
+import {FaultyServer, type ServedAnswer, type ServedCall} from './faulty-server.ts';
+
+/** Options of the endpoint. */
+export type WorkerEndpointOptions = {
+	name: string;
+	clock: Clock;
+	random: Random;
+	worker: Omit<SiteWorkerOptions, 'clock'>;
+	/** Speed of the worker's clock; 0.98 is as slow as the platform allows. */
+	clockRate: number;
+};
+
+type Body = {
+	task: string; run: number; spec: string; untilMs?: number; fence?: number; checkpoint?: string; percent: number; seenUpto?: number; waitMs?: number;
+};
+
+const statusByRefusal: Partial<Record<OrderRefusal, {status: number; reason?: string}>> = {
+	[OrderRefusal.StaleFence]: {status: 409, reason: 'fence'},
+	[OrderRefusal.OldRun]: {status: 409, reason: 'old'},
+	[OrderRefusal.StartTooLate]: {status: 409, reason: 'late'},
+	[OrderRefusal.OtherWorkerIncarnation]: {status: 421},
+};
+const minAnnounceMs = 500;
+const announceSpreadMs = 1000;
+const announceTimeoutMs = 1000;
+
+/** A worker that its agent reaches over HTTP. */
+export class WorkerEndpoint {
+	readonly worker: SiteWorker;
+	readonly server: FaultyServer;
+	readonly #options: WorkerEndpointOptions;
+	readonly #client: WorkerClient;
+
+	constructor(options: WorkerEndpointOptions) {
+		const {clock, clockRate, worker, name} = options;
+		this.#options = options;
+		this.worker = new SiteWorker(name, {...worker, clock: {...clock, monotonicMs: () => clock.monotonicMs() * clockRate}});
+		this.#client = this.worker.createClient();
+		this.server = new FaultyServer({clock, handle: async call => this.#handle(call)});
+	}
+
+	/** Crashes the worker; it returns as another incarnation after `downtimeMs`. */
+	crash(downtimeMs: number): void {
+		this.worker.crash(downtimeMs);
+		this.worker.isDraining = false;
+		this.server.resetConnections();
+	}
+
+	/** Announces the worker to its agent until the signal aborts, then closes the server. */
+	async run(agentAddress: string, signal: AbortSignal): Promise<void> {
+		const {clock, random} = this.#options;
+		const http = createHttpClient(1);
+		while (!signal.aborted) {
+			if (!this.worker.isDown) {
+				await this.#announce(http, agentAddress, signal);
+			}
+
+			await clock.sleep(minAnnounceMs + random.below(announceSpreadMs), signal);
+		}
+
+		http.close();
+		this.server.close();
+	}
+
+	async #announce(http: ReturnType<typeof createHttpClient>, address: string, signal: AbortSignal): Promise<void> {
+		const report = this.worker.announce();
+		try {
+			await http.callJson({
+				address,
+				method: 'PUT',
+				path: `/instances/${report.workerId}`,
+				timeoutMs: announceTimeoutMs,
+				step: 'announce',
+				signal,
+				json: {
+					service: report.service,
+					address: 'worker',
+					zone: report.failureDomain,
+					version: 'v1',
+					slots: 8,
+					state: report.isDraining ? 'draining' : 'ready',
+					coldRemainingMs: 0,
+					capacity: {cpu: report.milliCpu, memMb: report.memoryMb, gpu: report.accelerators},
+					labels: report.labels,
+					seq: report.sequence,
+				},
+			});
+		} catch {
+			// The agent is down, paused or starting.
+		}
+	}
+
+	async #handle({url, headers, body}: ServedCall): Promise<ServedAnswer> {
+		const expected = headers['expect-instance'] as string;
+		const order = JSON.parse(body.toString()) as Body;
+		const fence = order.fence ?? 0;
+		const run = {taskId: order.task, run: order.run};
+		switch (url.pathname) {
+			case '/run-start': {
+				const start: WorkerStart = {...run, input: order.spec, checkpoint: order.checkpoint ?? ''};
+				return this.#format(await this.#client.start(expected, start, {fence, leaseUntilMs: order.untilMs ?? 0}));
+			}
+
+			case '/run-stop': {
+				return this.#format(await this.#client.stop(expected, run, fence));
+			}
+
+			case '/pace': {
+				return this.#format(await this.#client.throttle(expected, {...run, percent: order.percent}, fence));
+			}
+
+			case '/hold': {
+				const listing = await this.#client.renew(expected, {
+					fence, forgetUpTo: order.seenUpto ?? 0, leaseUntilMs: order.untilMs, waitMs: order.waitMs ?? 0,
+				});
+				return 'refusal' in listing ? this.#format({isDone: false, refusal: listing.refusal}) : this.#formatListing(listing);
+			}
+
+			default: {
+				return {status: 404, body: '{}'};
+			}
+		}
+	}
+
+	#format({isDone, refusal, clockMs}: WorkerAnswer): ServedAnswer {
+		const {status, reason}: {status: number; reason?: string} = isDone ? {status: 200} : statusByRefusal[refusal!] ?? {status: 400};
+		return {status, body: JSON.stringify({clockMs: clockMs === undefined ? undefined : Math.floor(clockMs), reason}), headers: this.#getHeaders()};
+	}
+
+	#formatListing({clockMs, running, ended}: WorkerListing): ServedAnswer {
+		return {
+			status: 200,
+			headers: this.#getHeaders(),
+			body: JSON.stringify({
+				clockMs: Math.floor(clockMs),
+				running: running.map(({taskId, run, checkpoint, percent, recent}) => [taskId, run, checkpoint, percent, recent]),
+				ended: ended.map(({number, taskId, run, end, checkpoint}) => [number, taskId, run, end, checkpoint]),
+			}),
+		};
+	}
+
+	#getHeaders(): Record<string, string> {
+		return {'content-type': 'application/json', 'instance-id': this.worker.workerId};
+	}
+}
