Play faults on the site's real processes

A run without faults shows little. The soak run now draws from its seed, and plays side by side, restarts and pauses of agents and entries, an entry that runs a small share of the time, silent, late, lost and reset calls to workers and to the store of one process or of all, slow appends, crashes and departures of workers, cut and slow links between entries and agents, and a new dealing of partitions.

--- a/scripts/site-soak.ts
+++ b/scripts/site-soak.ts
@@ -15,6 +15,7 @@
 		entries: {type: 'string', default: '3'},
 		hosts: {type: 'string', default: '6'},
 		program: {type: 'string', default: 'target/chervilworks-site.cjs'},
+		calm: {type: 'boolean', default: false},
 		keepLogs: {type: 'boolean', default: false},
 	},
 });
@@ -30,6 +31,7 @@
 	seconds: Number(values.seconds),
 	entryCount: Number(values.entries),
 	hostCount: Number(values.hosts),
+	isCalm: values.calm,
 	areLogsKept: values.keepLogs,
 	report(line) {
 		process.stderr.write(`${line}\n`);
--- a/test/site-soak/caller.ts
+++ b/test/site-soak/caller.ts
@@ -15,6 +15,8 @@
 	checker: PromiseChecker;
 	/** Addresses of all entries. */
 	entries: string[];
+	/** Index of the entry that it connects to first. */
+	firstEntry: number;
 	host: string;
 	pathPrefix: string;
 	note: (text: string) => void;
@@ -34,7 +36,7 @@
 
 	constructor(options: CallerOptions) {
 		this.#options = options;
-		this.#entry = options.random.below(options.entries.length);
+		this.#entry = options.firstEntry;
 	}
 
 	/** Submits a job until it is accepted, refused for good, or has had too many attempts. */
--- a/test/site-soak/offered-jobs.ts
+++ b/test/site-soak/offered-jobs.ts
@@ -15,7 +15,7 @@
 	};
 };
 
-const maxWorkMs = 12_000;
+const maxWorkMs = 5000;
 
 /** Draws a job of two steps. */
 export const drawJob = (random: Random): OfferedJob => {
--- a/test/site-soak/site-soak.ts
+++ b/test/site-soak/site-soak.ts
@@ -6,6 +6,7 @@
 import {type Clock} from '../../src/types/clock.ts';
 import {type Random} from '../../src/types/random.ts';
 import {Caller} from './caller.ts';
+import {SoakFaults} from './faults.ts';
 import {drawJob, drawLongRunningJob} from './offered-jobs.ts';
 import {PromiseChecker, type KnownJob, type Violation} from './promise-checker.ts';
 import {type LogLine} from './site-processes.ts';
@@ -18,6 +19,8 @@
 	seconds: number;
 	entryCount: number;
 	hostCount: number;
+	/** Whether no faults are played. */
+	isCalm: boolean;
 	areLogsKept: boolean;
 	report: (line: string) => void;
 };
@@ -41,6 +44,10 @@
 const askPauseMs = 200;
 const settlePollMs = 250;
 const maxPolledJobs = 40;
+const minFaultSeries = 2;
+const hostsPerFaultSeries = 3;
+/** Distance of the seeds of a run's random sources, so that runs with neighbouring seeds share none. */
+const seedStep = 1_000_003;
 const secondMs = 1000;
 
 type Run = {clock: Clock; random: Random; site: SiteUnderTest; checker: PromiseChecker; callers: Caller[]; signal: AbortSignal; options: SiteSoakOptions};
@@ -53,7 +60,7 @@
 	const traffic = new AbortController();
 	const {seed, program, entryCount, hostCount, report} = options;
 	const site = new SiteUnderTest({
-		clock, checker, program, entryCount, hostCount, random: createRandom(seed + 1), signal: stopped.signal,
+		clock, checker, program, entryCount, hostCount, random: createRandom(seed + (seedStep * 2)), signal: stopped.signal,
 	});
 	let isPassed = false;
 	let callers: Caller[] = [];
@@ -63,9 +70,10 @@
 		report('All entries are ready.');
 		callers = site.entries.flatMap((_, index) => [0, 1].map(number => new Caller({
 			clock,
-			random: createRandom(seed + 2 + (index * 2) + number),
+			random: createRandom(seed + (seedStep * (3 + (index * 2) + number))),
 			checker,
 			entries: site.entries.map(({callersAddress}) => callersAddress),
+			firstEntry: index,
 			host: callersHost,
 			pathPrefix,
 			note(text) {
@@ -73,9 +81,13 @@
 			},
 		})));
 		const run: Run = {
-			clock, site, checker, callers, options, random: createRandom(seed), signal: traffic.signal,
+			clock, site, checker, callers, options, random: createRandom(seed + seedStep), signal: traffic.signal,
 		};
-		const tasks = [submitJobs(run), ...callers.map(async caller => askRepeatedly(run, caller))];
+		const faults = new SoakFaults({
+			clock, site, random: createRandom(seed), signal: traffic.signal,
+		});
+		const players = Array.from({length: options.isCalm ? 0 : minFaultSeries + Math.floor(hostCount / hostsPerFaultSeries)}, async () => faults.run());
+		const tasks = [...players, submitJobs(run), ...callers.map(async caller => askRepeatedly(run, caller))];
 		await clock.sleep(options.seconds * secondMs);
 		traffic.abort();
 		await Promise.all(tasks);
@@ -92,7 +104,7 @@
 				answered: callers.reduce((sum, caller) => sum + caller.counts.answered, 0),
 				unanswered: callers.reduce((sum, caller) => sum + caller.counts.unanswered, 0),
 			},
-			faults: new Map(),
+			faults: faults.played,
 			settledAfterMs,
 			directory: site.processes.directory,
 			findLines: text => site.processes.findLines(text),
