Take no start before an agent is registered again after its leases expired

Callers would see: tasks in two places after two changes of the owner. An agent is declared lost, its leases expire, and a new owner that still reads its old registration gives it tasks; the owner before removes that registration, rightly, as the agent has no newer one yet; the next owner does not know the agent and starts the tasks elsewhere. Cause: between the end of its leases and the answer to its new registration an agent took itself for a member, and accepted starts. Change: until it is registered it refuses starts as it does without a lease. Evidence: a new test, an agent whose appends are lost after its leases have expired: it started a task before, and now does so only when it is registered. 281 tests of the simulated site pass. Found by reading what the removal of a registration may meet; not seen in a run. Price: while the store takes no append of the agent but answers its reads, its worker gets no tasks.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -48,6 +48,8 @@
 	lastReportedAtMs = Number.NEGATIVE_INFINITY;
 	/** Offset of the registration in effect; 0 before the first. */
 	session = 0;
+	/** Whether the registration in effect was made since all leases last expired. Without one, owners may not know this agent. */
+	isRegistered = false;
 	/** Declared lost: all leases must expire before any is renewed or any task is started. */
 	mustLetLeasesExpire = false;
 	/** Incarnations of the worker that have ended, with all their runs. */
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -49,7 +49,6 @@
 	each start of the agent, so that delayed orders of an earlier agent process are refused.
 	*/
 	#fence: number;
-	#isRegistered = false;
 	#registrations = 0;
 	/** How often all leases have expired after a declaration of loss or a gap. */
 	#lapses = 0;
@@ -99,7 +98,7 @@
 		this.#loopOptions = {
 			...shared, wakeup: this.#wakeup, maxLeaseMs: options.maxLeaseMs, onLeasesExpired: () => {
 				note('lapsed', {session: this.state.session});
-				this.#isRegistered = false;
+				this.state.isRegistered = false;
 				this.#lapses++;
 			},
 		};
@@ -216,7 +215,7 @@
 	async #keepRegistered(signal: AbortSignal): Promise<void> {
 		const {clock} = this.#options;
 		while (!signal.aborted) {
-			if (!this.#isRegistered) {
+			if (!this.state.isRegistered) {
 				await this.#register(signal);
 				this.#minLostSession = this.state.session;
 			}
@@ -238,7 +237,7 @@
 				if (result.outcome === AppendOutcome.Appended) {
 					this.#registrations++;
 					// An owner may have read the registration and declared it lost before its answer came.
-					this.#isRegistered = this.#lapses === lapsesBefore;
+					this.state.isRegistered = this.#lapses === lapsesBefore;
 					this.state.session = result.offset;
 					this.state.notifyChange();
 					note('registered', {session: result.offset});
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -149,8 +149,10 @@
 			return {isDone: false, refusal: OrderRefusal.Unhealthy};
 		}
 
-		// Without the newest claim, the agent may be taking orders from an owner that was replaced.
-		if (!control.isCaughtUp || clockMs === undefined || !runs.isListed || state.mustLetLeasesExpire || allLeasesExpiredAtMs !== undefined || lease.leaseUntilMs < clockMs + minRemainingLeaseMs) {
+		// Without the newest claim, the agent may be taking orders from an owner that was replaced; without a registration, the next owner does not know it.
+		const isKnown = control.isCaughtUp && state.isRegistered && runs.isListed;
+		const mustLetLeasesExpire = state.mustLetLeasesExpire || allLeasesExpiredAtMs !== undefined;
+		if (!isKnown || mustLetLeasesExpire || clockMs === undefined || lease.leaseUntilMs < clockMs + minRemainingLeaseMs) {
 			return {isDone: false, refusal: OrderRefusal.NoLease};
 		}
 
--- a/test/agent-registration.test.ts
+++ b/test/agent-registration.test.ts
@@ -66,3 +66,24 @@
 	await clock.advance(15_000);
 	expect(getRegistrations()).toBe(2);
 });
+
+/** Guards against runs that a later owner does not know: the registration may be removed as lost until the agent has a new one. */
+it('an agent whose leases have expired takes no start before it has registered again', async () => {
+	site = await createSite(1, 2);
+	const {clock, store, cuts} = site;
+	const isNoted = (event: string) => () => site!.notes.some(note => note.event === event);
+	const first = site.getOwnerName()!;
+	cuts.add(`${first}>host-0`);
+	expect(await site.waitFor(isNoted('loss stored'), 12_000)).toBeDefined();
+	let isLosing = true;
+	store.getFault = ({client, kind}) => isLosing && client === 'host-0' && kind === 'append' ? StoreFault.LoseRequest : StoreFault.None;
+	site.killEntry(first);
+	expect(await site.waitFor(isNoted('lapsed'), 12_000)).toBeDefined();
+	await site.submit(jobId, createSpec([createStep()]));
+	await clock.advance(3000);
+	expect(site.getOwnerName()).toBeDefined();
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(0);
+	isLosing = false;
+	await clock.advance(3000);
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+});
