Remove a registration only as long as no other has followed it

Callers would see: tasks in two places. An agent whose worker has left removes its registration as it stops; the store gives no answer and carries the call out seconds later, when the agent has been started again and has registered; the next owner does not find the agent, takes itself for reconciled, and starts the tasks of that worker elsewhere, with the numbers of the runs that are active there. Cause: the removal had no condition, so it removed whatever registration was there when it was carried out. Change: the removal names the offset up to which the topic was read, as owners' removals do, and is sent only if the newest registration is the process's own. If other agents register at the same time it is tried again, five times at most. Why it works: the next process's registration moves the end of the topic, and the store refuses the late call. Price: one more call to the store when an agent stops whose worker has left; if five tries fail, an owner removes the registration seconds later.

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -33,6 +33,8 @@
 
 const registerTimeoutMs = 1000;
 const registerRetryMs = 200;
+/** Removals fail while other agents register at the same time; an owner removes what is left. */
+const maxRemovalTries = 5;
 /** The fencing token is raised by this when the worker has seen a higher one: the wall clock was set back between two starts of the agent. */
 const fenceIncrementMs = 3_600_000;
 
@@ -253,12 +255,21 @@
 		}
 	}
 
+	/** Removes the registration if it is still this process's: the store may carry the call out late, when the next process has registered. */
 	async #removeRegistration(): Promise<void> {
-		const {store, registration, life, note} = this.#options;
+		const {store, registration: {host}, note} = this.#options;
+		const ref: PartitionRef = {topic: agentsTopic, partition: 0};
 		try {
-			const {outcome} = await store.appendKeyed({topic: agentsTopic, partition: 0}, [{key: registration.host}], {
-				stamp: {producer: `agent-${registration.host}-${life}`, epoch: 1, sequence: this.#registrations}, timeoutMs: registerTimeoutMs,
-			});
+			let outcome = AppendOutcome.NotAtEnd;
+			for (let tries = 0; tries < maxRemovalTries && outcome === AppendOutcome.NotAtEnd; tries++) {
+				const {records, endOffset} = await store.readNewest(ref);
+				if (!records.some(({key, offset}) => key === host && offset === this.state.session)) {
+					return;
+				}
+
+				({outcome} = await store.appendKeyed(ref, [{key: host}], {atOffset: endOffset, timeoutMs: registerTimeoutMs}));
+			}
+
 			note('registration removed', {outcome});
 		} catch (error) {
 			note('registration not removed', {error: getMessage(error)});
