Let an agent forget a crash only once the crashes before it are stored

Callers would see a task take more workers down than its limit: a crash that was counted for it is forgotten. Cause: crashes are reported to the agent as stored by their highest number. A crash that is attributed to no task needs no write and counted as stored at once, also while the write of an earlier crash was on its way; if the owner died then, nobody knew of the earlier one any more. Change: a crash counts as stored once all crashes before it are, as ends of runs do. Evidence: a test whose first crash is not stored yet while a second one needs no write: the agent could forget both, now neither until the first is stored. Why it works: numbers up to one are dropped together, so all of them have to be stored. Price: none known.

--- a/src/workflows/crash-monitor.ts
+++ b/src/workflows/crash-monitor.ts
@@ -34,6 +34,8 @@
 /** Handles the worker crashes of one owner. */
 export class CrashMonitor {
 	readonly #options: CrashMonitorOptions;
+	/** Whether all crashes so far are stored. */
+	#lastStored: Promise<boolean> = Promise.resolve(true);
 
 	constructor(options: CrashMonitorOptions) {
 		this.#options = options;
@@ -56,9 +58,14 @@
 		void this.#store(worker, agentLife, worker.processedCrash, attributed);
 	}
 
-	/** The agent may forget a crash only once the stream holds it, because a later owner needs it. */
+	/** The agent may forget a crash only once the stream holds it and the ones before it, because a later owner needs them. */
 	async #store(worker: FleetWorker, agentLife: string, upTo: number, crashes: AttributedCrash[]): Promise<void> {
-		const isStored = await this.#options.store(crashes);
+		const writes = [this.#lastStored, this.#options.store(crashes)];
+		this.#lastStored = (async () => {
+			const stored = await Promise.all(writes);
+			return stored.every(Boolean);
+		})();
+		const isStored = await this.#lastStored;
 		if (isStored && worker.agentLife === agentLife) {
 			worker.storedCrash = Math.max(worker.storedCrash, upTo);
 		}
--- a/test/crash-monitor.test.ts
+++ b/test/crash-monitor.test.ts
@@ -68,3 +68,36 @@
 	monitor.handleReply(createWorker('host'), reply, 1000);
 	expect(task.lastRun).toBe(3);
 });
+
+/** Guards against a crash that is forgotten by its agent and then lost with the owner: it would count nowhere. */
+it('lets the agent forget a crash only once the crashes before it are stored', async () => {
+	const {model} = load([createWorkflow(id, createSpec([createStep({count: 2})]))]);
+	const tasks = [...model.getWaitingTasks(0, () => false)];
+	let confirmStored: (isStored: boolean) => void = () => undefined;
+	const monitor = new CrashMonitor({
+		clock: new ManualClock(),
+		tracker: {markLost: () => undefined} as unknown as RunTracker,
+		getTask: ({index}) => tasks[index],
+		store: async crashes => crashes.length === 0 || new Promise(resolve => {
+			confirmStored = resolve;
+		}),
+		onLikelyCause: () => undefined,
+		onCrashLimit: () => undefined,
+		note: () => undefined,
+	});
+	const worker = createWorker('host');
+	const settle = async () => new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	monitor.handleReply(worker, createReply('host-1'), 1000);
+	tasks[1]!.isDone = true;
+	const later = createReply('host-2');
+	later.crashed.push({...later.crashed[0]!, number: 2, taskId: `${id}.0.0.1`});
+	later.crashed.shift();
+	monitor.handleReply(worker, later, 2000);
+	await settle();
+	expect(worker.storedCrash).toBe(0);
+	confirmStored(true);
+	await settle();
+	expect(worker.storedCrash).toBe(2);
+});
