Add tests of workers that never answer their restarted agent

Callers would see, without the rule for agents that have not read their worker's clock: tasks that wait for ever, since such an agent answers its owner and ends no run. Change: tests alone. Four scenes of that rule: a worker that is silent since before the restart, one that carries out calls without an answer, or late, and one that has died and announces nothing. The tasks start elsewhere within 9 s and in no second place.

--- a/test/restarted-agent-leases.test.ts
+++ b/test/restarted-agent-leases.test.ts
@@ -7,6 +7,7 @@
 import {AgentState} from '../src/agents/agent-state.ts';
 import {WorkerLease} from '../src/agents/worker-lease.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {OrderFault} from '../src/standin/site-worker.ts';
 import {type WorkerReport} from '../src/types/fleet.ts';
 import {createSite, jobId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
@@ -124,3 +125,31 @@
 	expect(getEarlierUntilMs(false)).toBe(106_000);
 	expect(getEarlierUntilMs(true)).toBe(0);
 });
+
+/** Guards against tasks that wait for ever: no answer of the worker tells the new process what runs there, and its leases end all the same. */
+it.each([
+	['is silent', OrderFault.Drop],
+	['carries out calls without an answer', OrderFault.LoseAnswer],
+	['carries out calls late and without an answer', OrderFault.ExecuteLate],
+	['has died and announces nothing', undefined],
+])('tasks of a worker that %s since before its agent was restarted start elsewhere once its leases have expired', async (_, fault) => {
+	await createBusySite();
+	const {worker} = site!.hosts.get('host-0')!;
+	site!.killAgent('host-0');
+	if (fault === undefined) {
+		worker.isDown = true;
+		worker.crash();
+	} else {
+		worker.getFault = () => fault;
+	}
+
+	await site!.clock.advance(300);
+	site!.startAgent('host-0');
+	const getStarts = () => site!.events.filter(event => event.type === 'started').length;
+	expect(await site!.waitFor(() => getStarts() > 8, 20_000)).toBeLessThan(9000);
+	await site!.clock.advance(3000);
+	expect(getStarts()).toBe(12);
+	worker.getFault = () => OrderFault.None;
+	await site!.clock.advance(5000);
+	expect(getStarts()).toBe(12);
+});
