Register again if the worker ends while its leases are let expire

Callers would see: a host that gets no tasks until its agent is restarted. Its agent is declared lost and lets the leases expire for six seconds; the worker crashes in that time, and the agent never registers again. Cause: the time to wait for is kept with the worker's incarnation, and went with it; the end of the wait was never reached. Change: when the incarnation is gone, its leases are over and the agent registers at once. Evidence: on the simulated site, a crash 1 s into the wait: one registration in 15 s before, two now, and a new job starts there. Why it works: a successor was born after a listing of this process, so no earlier process sent it a lease, and this one starts nothing before it is registered.

--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -81,7 +81,7 @@
 		if (reply.refusal === OrderRefusal.OtherWorkerIncarnation) {
 			note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
 			state.recordCrash(worker, clock.monotonicMs());
-			state.removeWorker(workerId, clock.monotonicMs());
+			removeWorker(options, worker);
 		} else if (reply.refusal === OrderRefusal.StaleFence) {
 			onFenceRefused();
 		} else {
@@ -103,6 +103,14 @@
 	return false;
 };
 
+/** Removes a worker that is gone. Its leases are over, so the agent waits for them no longer. */
+const removeWorker = ({state, clock, onLeasesExpired}: WorkerLoopOptions, worker: WorkerState): void => {
+	state.removeWorker(worker.report.workerId, clock.monotonicMs());
+	if (worker.allLeasesExpiredAtMs !== undefined) {
+		onLeasesExpired();
+	}
+};
+
 /** Describes the runs at the time of the crash, newest first: a run that crashes its worker has usually not run for long. */
 const describeReplaced = (worker: WorkerState, nowMs: number): Record<string, unknown> => {
 	const {report, runs, unresponsiveSinceMs} = worker;
--- a/test/agent-registration.test.ts
+++ b/test/agent-registration.test.ts
@@ -87,3 +87,24 @@
 	await clock.advance(3000);
 	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
 });
+
+/** Guards against a host that no owner uses again: its agent waits for the leases of a worker that is gone. */
+it('an agent whose worker crashes while it lets the leases expire registers again', async () => {
+	site = await createSite(1, 1);
+	const {clock, store} = site;
+	const {agent, worker} = site.hosts.get('host-0')!;
+	const getRegistrations = () => site!.notes.filter(({source, event}) => source === 'host-0' && event === 'registered').length;
+	const record = encodeControlRecord({
+		type: ControlRecordType.Lost, host: 'host-0', session: agent!.state.session, epoch: 1,
+	});
+	await site.settle(store.createClient('owner').append({topic: controlTopic, partition}, [record], {timeoutMs: 1000}));
+	expect(await site.waitFor(() => agent!.state.worker?.allLeasesExpiredAtMs !== undefined, 2000)).toBeDefined();
+	await clock.advance(1000);
+	worker.crash();
+	expect(getRegistrations()).toBe(1);
+	await clock.advance(15_000);
+	expect(getRegistrations()).toBe(2);
+	await site.submit(jobId, createSpec([createStep()]));
+	await clock.advance(3000);
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
+});
