Let an agent process that is being replaced raise its fence no more

Callers would see, at worst, a task in two places: what rests on a worker refusing the calls of earlier agent processes does not hold while two of them overlap. Cause: an agent whose token is refused took its wall clock for set back and raised the token. A process that is shutting down goes on renewing leases; when its successor is obeyed it raised its token above the successor's, which raised its own, and so on. Change: a process that has applied a listing before raises its token only once 3 s have passed since the last one. One that has none raises at once, as after a clock that was set back. Why it works: a worker that refuses a token it has obeyed has seen a higher one since, and only a process that started later has one.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -46,6 +46,8 @@
 	worker: WorkerState | undefined;
 	/** When the state was last sent to an owner. */
 	lastReportedAtMs = Number.NEGATIVE_INFINITY;
+	/** When a listing of a worker was last applied; undefined: none was yet. */
+	listedAtMs?: number;
 	/** Offset of the registration in effect; 0 before the first. */
 	session = 0;
 	/** Whether the registration in effect was made since all leases last expired. Without one, owners may not know this agent. */
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -37,6 +37,11 @@
 const maxRemovalTries = 5;
 /** The fencing token is raised by this when the worker has seen a higher one: the wall clock was set back between two starts of the agent. */
 const fenceIncrementMs = 3_600_000;
+/**
+A worker that refuses the token of a process that workers have obeyed obeys a newer process. Only if this one still runs after that time, which
+is longer than most take to shut down and shorter than leases, is the newer one taken for ended.
+*/
+const successorWaitMs = 3000;
 
 /** The agent. */
 export class Agent {
@@ -88,8 +93,7 @@
 		});
 		const shared = {
 			state: this.state, client, clock, note, getFence: () => this.#fence, onFenceRefused: () => {
-				this.#fence += fenceIncrementMs;
-				note('fence raised', {fence: this.#fence});
+				this.#raiseFence();
 			},
 		};
 		this.#orders = new OrderHandler({
@@ -153,6 +157,16 @@
 		]);
 	}
 
+	/** Raises the fencing token after a refusal, unless another process has replaced this one since the last listing. */
+	#raiseFence(): void {
+		const {clock, note} = this.#options;
+		const {listedAtMs} = this.state;
+		if (listedAtMs === undefined || clock.monotonicMs() - listedAtMs > successorWaitMs) {
+			this.#fence += fenceIncrementMs;
+			note('fence raised', {fence: this.#fence});
+		}
+	}
+
 	/** Called before a read is sent: uses the worker's clock as the time of the proof, and returns a function that applies the proof. */
 	#prepareProof(): (() => void) | undefined {
 		const {worker} = this.state;
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -130,6 +130,7 @@
 	worker.isAnswering = true;
 	worker.unresponsiveSinceMs = undefined;
 	worker.answeredAtMs = clock.monotonicMs();
+	state.listedAtMs = worker.answeredAtMs;
 	worker.lease.recordReading(listing.clockMs, clock.monotonicMs());
 	const isChanged = worker.runs.applyListing(listing, sentAtMs);
 	if (worker.areLeasesExpired || isChanged || wasUnresponsive) {
