Play the wider series also with work on each worker, and keep the series that showed a fault

The wider series had at most a few jobs of some seconds, which fill one worker of three: most faults hit workers without a run. Change: a second load, a job of nine tasks a step that keep all workers busy for five steps. The site keeps a finished job for a minute only; one that is no longer kept counts as completed if all its tasks have succeeded. The checks and the play move to a file of their own.

--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -24,9 +24,7 @@
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {RelayingApi} from '../src/workflows/relaying-api.ts';
 import {ProcessClock} from './simulated-membership.ts';
-import {
-	createAgentClient, createEntryClient, type AgentAnswer, type PathDelays,
-} from './site-calls.ts';
+import {createAgentClient, createEntryClient, type SitePaths} from './site-calls.ts';
 import {createPausableClient} from './pausable-client.ts';
 
 export const service = 'desk';
@@ -102,7 +100,7 @@
 	adviceClient: AdviceClient | undefined;
 	/** Pairs `entry>host` between which no call passes. */
 	readonly cuts = new Set<string>();
-	readonly pathDelays = new Map<string, PathDelays>();
+	readonly pathDelays: SitePaths['pathDelays'] = new Map();
 	/** Whether calls to a suspended agent wait until it continues. */
 	keepsCalls = false;
 	/** Whether callers' calls are relayed to other entries. */
@@ -124,7 +122,7 @@
 
 	/** Delay before an entry sends a call to an agent, and before it handles an answer. */
 	getCallDelayMs = (): number => 0;
-	getAnswerDelayMs: (answer: AgentAnswer) => number = () => 0;
+	getAnswerDelayMs: SitePaths['getAnswerDelayMs'] = () => 0;
 
 	/** Called for each event of the log, at its moment. */
 	onNote: (source: string, event: string, fields: Record<string, unknown>) => void = () => undefined;
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -34,7 +34,7 @@
 	/** Entries whose last call to the store failed. */
 	storeFailing: ReadonlySet<string>;
 	/** Delays of pairs `entry>host`, in addition to those of all pairs. */
-	pathDelays: ReadonlyMap<string, PathDelays>;
+	pathDelays: Map<string, PathDelays>;
 	/** Whether calls to a suspended agent wait in its socket until it continues, instead of being lost. */
 	keepsCalls: boolean;
 	/** How long an entry's thread takes to send a call to an agent. */
--- a/test/site-wide-faults.ts
+++ b/test/site-wide-faults.ts
@@ -1,18 +1,17 @@
 /**
 Wider random series of faults on a simulated site: faults of single paths, late messages and appends, restarts of agents with
-faults on top of them, and suspensions in series. Checks also that no run is taken for lost while it is active.
+faults on top of them, and suspensions in series.
 */
 import fc from 'fast-check';
 import {agentsTopic, controlTopic} from '../src/agents/control-records.ts';
 import {type StoreCall} from '../src/standin/memory-store.ts';
 import {OrderFault} from '../src/standin/site-worker.ts';
-import {WorkflowState} from '../src/types/workflows.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {
 	createSpec, createStep, type AgentHost, type SimulatedSite,
 } from './simulated-site.ts';
 import {
-	createFaultySite, entries, Fault, getOpenJobs, hosts, playStep, recoveryMs, type Step, type SubmittedJobs,
+	entries, Fault, hosts, playStep, type Step, type SubmittedJobs,
 } from './site-faults.ts';
 
 enum WideFault {
@@ -36,9 +35,11 @@
 /** A step of a wider series. `detailMs` sets the delay, the restart or the offset of its fault. */
 export type WideStep = Step<Fault | WideFault> & {detailMs: number};
 
-type EventWatch = (source: string, event: string, fields: Record<string, unknown>) => void;
+/** Called for each event of the log. */
+export type EventWatch = (source: string, event: string, fields: Record<string, unknown>) => void;
 
-type Scene = {
+/** What a step acts on. */
+export type Scene = {
 	site: SimulatedSite;
 	jobs: SubmittedJobs;
 	watches: Set<EventWatch>;
@@ -286,13 +287,15 @@
 
 const isWide = (faultType: Fault | WideFault): faultType is WideFault => faultType in wideFaults;
 
-const playWideStep = async (scene: Scene): Promise<void> => {
+/** Plays one step. */
+export const playWideStep = async (scene: Scene): Promise<void> => {
 	const {site, jobs, step} = scene;
 	const {faultType} = step;
 	await (isWide(faultType) ? wideFaults[faultType](scene) : playStep(site, {...step, faultType}, jobs));
 };
 
-const createScene = (site: SimulatedSite, step: WideStep, shared: Pick<Scene, 'jobs' | 'watches'>): Scene => {
+/** Finds the host and the entry that a step is about. */
+export const createScene = (site: SimulatedSite, step: WideStep, shared: Pick<Scene, 'jobs' | 'watches'>): Scene => {
 	const entryNames = [...entries, site.getOwnerName() ?? entries[0]!];
 	return {
 		...shared,
@@ -316,67 +319,3 @@
 	pauseMs: fc.integer({min: 10, max: 2500}),
 	detailMs: fc.nat(1900),
 }), {minLength: 4, maxLength: 24});
-
-/** Records a violation if a run is taken for lost while it is active or its agent, which answers, lists it. */
-const createLossCheck = (site: SimulatedSite): EventWatch => (source, event, fields) => {
-	if (event !== 'run lost') {
-		return;
-	}
-
-	const {taskId, run, host: hostName, workerId, reason} = fields as {taskId: string; run: number; host: string; workerId: string; reason: string};
-	const {worker, agent, clock} = site.hosts.get(hostName)!;
-	const state = agent?.state.worker;
-	const isActive = worker.workerId === workerId && worker.running.get(taskId)?.start.run === run;
-	const isListed = !clock.isPaused && state?.report.workerId === workerId && state.isAnswering
-		&& [...state.runs.running, ...state.runs.starting].some(row => row.taskId === taskId && row.run === run);
-	if (isActive || isListed) {
-		site.violations.push(`${taskId} run ${run} is lost to ${source} (${reason}) while it is ${isActive ? 'active' : 'listed'} on ${workerId}`);
-	}
-};
-
-const probeId = 'ffffffffffffffff';
-const probeTasks = 6;
-const probeMs = 10_000;
-
-/** Once all faults have ended, a job's tasks start exactly once and no run is lost. */
-const checkSoundSite = async (site: SimulatedSite): Promise<void> => {
-	const notes = site.notes.length;
-	await site.submit(probeId, createSpec([createStep({count: probeTasks, milliCpu: 1500})]));
-	await site.clock.advance(probeMs);
-	const state = await site.getState(probeId);
-	if (state !== WorkflowState.Completed) {
-		site.violations.push(`the job after the faults is ${state}`);
-	}
-
-	const starts = Array.from({length: probeTasks}, (_, member) => site.getStarts(`${probeId}.0.0.${member}`));
-	const lost = site.notes.slice(notes).filter(({event}) => event === 'run lost');
-	if (starts.some(count => count !== 1) || lost.length > 0) {
-		site.violations.push(`after the faults, tasks start ${starts.join(', ')} times and ${lost.length} runs are lost (${[...new Set(lost.map(({fields}) => fields.reason))].join(', ')})`);
-	}
-};
-
-/** Plays a series on a new site, and a time without faults; returns the site, which has stopped, and the accepted jobs that have not completed. */
-export const runWideSeries = async (steps: WideStep[]): Promise<{site: SimulatedSite; open: Array<[string, string]>}> => {
-	const site = await createFaultySite(({taskId, run}) => ({
-		workMs: 300 + (900 * (taskId.codePointAt(15)! % 4)), isFailing: run === 1 && taskId.endsWith('3.0.1.1'),
-	}));
-	site.keepsCalls = true;
-	const jobs: SubmittedJobs = new Map();
-	const watches = new Set<EventWatch>([createLossCheck(site)]);
-	site.onNote = (source, event, fields) => {
-		for (const watch of watches) {
-			watch(source, event, fields);
-		}
-	};
-
-	for (const step of steps) {
-		await playWideStep(createScene(site, step, {jobs, watches}));
-		await site.clock.advance(step.pauseMs);
-	}
-
-	await site.clock.advance(recoveryMs);
-	const open = await getOpenJobs(site, jobs);
-	await checkSoundSite(site);
-	site.stop();
-	return {site, open};
-};
--- a/test/site-wide-property.test.ts
+++ b/test/site-wide-property.test.ts
@@ -4,26 +4,41 @@
 */
 import process from 'node:process';
 import fc from 'fast-check';
-import {expect, it} from 'vitest';
-import {runWideSeries, wideFaultSeries} from './site-wide-faults.ts';
+import {describe, expect, it} from 'vitest';
+import {wideFaultSeries} from './site-wide-faults.ts';
+import {runWideSeries} from './site-wide-series.ts';
 
 const {WIDE_SERIES_SEED: freshSeed, WIDE_SERIES_RUNS: freshRuns} = process.env;
 
-const check = async (parameters: fc.Parameters<unknown>): Promise<void> => {
+const check = async (isBusy: boolean, parameters: fc.Parameters<unknown>): Promise<void> => {
 	await fc.assert(fc.asyncProperty(wideFaultSeries, async steps => {
-		const {site, open} = await runWideSeries(steps);
+		const {site, open} = await runWideSeries(steps, isBusy);
 		expect(site.violations).toEqual([]);
 		expect(open).toEqual([]);
 	}), {endOnFailure: true, ...parameters});
 };
 
-it('violates no invariant and completes all jobs with any wider series of faults', async () => {
-	await check({seed: Number(freshSeed ?? 20), numRuns: Number(freshRuns ?? 50)});
-}, Number.POSITIVE_INFINITY);
+describe.each([
+	{load: 'a few jobs', isBusy: false, runs: 20},
+	{load: 'work on each worker', isBusy: true, runs: 20},
+])('with $load', ({isBusy, runs}) => {
+	it('violates no invariant and completes all jobs with any wider series of faults', async () => {
+		await check(isBusy, {seed: Number(freshSeed ?? 20), numRuns: Number(freshRuns ?? runs)});
+	}, Number.POSITIVE_INFINITY);
+});
 
 /** Guards against runs taken for lost that are active on a sound worker: each series showed it. */
 it.each([
-	[1, '70'], [1, '287'], [2, '480'], [3, '58'],
-])('violates no invariant with series %i:%s', async (seed, path) => {
-	await check({seed, path, numRuns: 1});
+	[1, [70, 287, 1306, 1455]], [2, [480, 1405]], [3, [58, 1079, 1290]], [101, [344, 737, 769]], [102, [392, 1029]], [103, [16, 1318]],
+])('violates no invariant with series of seed %i: %j', async (seed, paths) => {
+	for (const path of paths) {
+		await check(false, {seed, path: String(path), numRuns: 1});
+	}
+});
+
+/** Guards against the same with work on each worker, and against a run's number that is given twice. */
+it.each([
+	7, 19, 20, 31, 55, 61, 64, 84, 92, 122, 159, 261,
+])('violates no invariant with work on each worker and series 202:%i', async path => {
+	await check(true, {seed: 202, path: String(path), numRuns: 1});
 });
--- /dev/null
+++ b/test/site-wide-series.ts
@@ -0,0 +1,106 @@
+/**
+Plays wider series of faults on a simulated site and checks, in addition to its invariants, that no run is taken for lost while it is
+active, and that the site is sound once the faults have ended.
+*/
+import {LookupOutcome} from '../src/types/job-api.ts';
+import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
+import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
+import {
+	createFaultySite, getOpenJobs, recoveryMs, type SubmittedJobs,
+} from './site-faults.ts';
+import {
+	createScene, playWideStep, type EventWatch, type WideStep,
+} from './site-wide-faults.ts';
+
+/** Records a violation if a run is taken for lost while it is active or its agent, which answers, lists it. */
+const createLossCheck = (site: SimulatedSite): EventWatch => (source, event, fields) => {
+	if (event !== 'run lost') {
+		return;
+	}
+
+	const {taskId, run, host: hostName, workerId, reason} = fields as {taskId: string; run: number; host: string; workerId: string; reason: string};
+	const {worker, agent, clock} = site.hosts.get(hostName)!;
+	const state = agent?.state.worker;
+	const isActive = worker.workerId === workerId && worker.running.get(taskId)?.start.run === run;
+	const isListed = !clock.isPaused && state?.report.workerId === workerId && state.isAnswering
+		&& [...state.runs.running, ...state.runs.starting].some(row => row.taskId === taskId && row.run === run);
+	if (isActive || isListed) {
+		site.violations.push(`${taskId} run ${run} is lost to ${source} (${reason}) while it is ${isActive ? 'active' : 'listed'} on ${workerId}`);
+	}
+};
+
+const probeId = 'ffffffffffffffff';
+const probeTasks = 6;
+const probeMs = 10_000;
+
+/** Once all faults have ended, a job's tasks start exactly once and no run is lost. */
+const checkSoundSite = async (site: SimulatedSite): Promise<void> => {
+	const notes = site.notes.length;
+	await site.submit(probeId, createSpec([createStep({count: probeTasks, milliCpu: 1500})]));
+	await site.clock.advance(probeMs);
+	const state = await site.getState(probeId);
+	if (state !== WorkflowState.Completed) {
+		site.violations.push(`the job after the faults is ${state}`);
+	}
+
+	const starts = Array.from({length: probeTasks}, (_, member) => site.getStarts(`${probeId}.0.0.${member}`));
+	const lost = site.notes.slice(notes).filter(({event}) => event === 'run lost');
+	if (starts.some(count => count !== 1) || lost.length > 0) {
+		site.violations.push(`after the faults, tasks start ${starts.join(', ')} times and ${lost.length} runs are lost (${[...new Set(lost.map(({fields}) => fields.reason))].join(', ')})`);
+	}
+};
+
+/** Work that is on the site from the start: tasks of some seconds on each worker, step after step. */
+const background = {
+	id: 'eeeeeeeeeeeeeeee',
+	steps: 5,
+	tasks: 9,
+	milliCpu: 1000,
+	getWorkMs: (taskId: string) => 2000 + (700 * (Number(taskId.at(-1)) % 8)),
+};
+
+/** Time without faults in which the background work ends too. */
+const busyRecoveryMs = 75_000;
+
+const submitBackground = async (site: SimulatedSite, jobs: SubmittedJobs): Promise<void> => {
+	const {id, steps, tasks, milliCpu} = background;
+	const spec = createSpec(Array.from({length: steps}, (_, index) => createStep({count: tasks, milliCpu, after: index === 0 ? [] : [index - 1]})));
+	jobs.set(id, (await site.submit(id, spec)).outcome);
+};
+
+/** Whether all tasks of a job have succeeded; the site keeps a finished job for a minute only. */
+const haveTasksSucceeded = (site: SimulatedSite, id: string): boolean => {
+	const done = new Set(site.events.filter(event => event.type === 'ended' && event.end === RunEnd.Done).map(({taskId}) => taskId));
+	return site.specs.get(id)!.steps.every(({count}, step) => Array.from({length: count}, (_, member) => `${id}.0.${step}.${member}`).every(taskId => done.has(taskId)));
+};
+
+/** Plays a series on a new site, and a time without faults; returns the site, which has stopped, and the accepted jobs that have not completed. */
+export const runWideSeries = async (steps: WideStep[], isBusy = false): Promise<{site: SimulatedSite; open: Array<[string, string]>}> => {
+	const site = await createFaultySite(({taskId, run}) => ({
+		workMs: taskId.startsWith(background.id) ? background.getWorkMs(taskId) : 300 + (900 * (taskId.codePointAt(15)! % 4)),
+		isFailing: run === 1 && taskId.endsWith('3.0.1.1'),
+	}));
+	site.keepsCalls = true;
+	const jobs: SubmittedJobs = new Map();
+	const watches = new Set<EventWatch>([createLossCheck(site)]);
+	site.onNote = (source, event, fields) => {
+		for (const watch of watches) {
+			watch(source, event, fields);
+		}
+	};
+
+	if (isBusy) {
+		await submitBackground(site, jobs);
+	}
+
+	for (const step of steps) {
+		await playWideStep(createScene(site, step, {jobs, watches}));
+		await site.clock.advance(step.pauseMs);
+	}
+
+	await site.clock.advance(isBusy ? busyRecoveryMs : recoveryMs);
+	const open = (await getOpenJobs(site, jobs)).filter(([id, state]) => state !== (LookupOutcome.Absent as string) || !haveTasksSucceeded(site, id));
+	await checkSoundSite(site);
+	site.stop();
+	return {site, open};
+};
