Take a worker that has announced its end for ended once it listens no more

Callers would see: tasks in two places when a worker is taken away. Its last announcement is handled, the owner starts its tasks elsewhere within milliseconds, and the worker still runs them: it ends some time after the announcement, and seconds after it if it got no acknowledgement, as from an agent that is slow or suspended. Cause: the announcement that a worker ends was taken for its end. Change: the agent goes on calling the worker. It counts as ended when the connection is refused, when another incarnation answers, or when its leases have expired. Until then it gets no starts, and its tasks stay where they are. A client of workers tells a refused connection from one that is not accepted in time, as by a busy worker. One new log line, `worker ended`. The test of an owner that takes over after a worker has left now ends the worker, which went on before; its bound is the same. That workers do run on after their last announcement is a reading of the platform's documentation, not seen. Why it works: worker and agent are on one host, so a refused connection shows that no process listens there. If the address of an ended worker neither refuses connections nor answers, they wait until its leases have expired.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -16,6 +16,8 @@
 	forgetUpTo: number;
 	/** Set after the agent was declared lost: no lease is renewed until the worker's clock has passed this reading. */
 	allLeasesExpiredAtMs?: number;
+	/** Whether the worker has announced that it ends. */
+	hasLeft: boolean;
 	/** Whether the worker answered the last renewal. */
 	isAnswering: boolean;
 	/** When a renewal first got no answer; undefined while the worker answers. */
@@ -145,6 +147,15 @@
 		return true;
 	}
 
+	/** Records that an incarnation has announced its end. The current one has ended once it no longer listens: it may need seconds for that. */
+	recordLeave(workerId: string, nowMs: number): void {
+		if (this.worker?.report.workerId === workerId) {
+			this.worker.hasLeft = true;
+		} else {
+			this.removeWorker(workerId, nowMs);
+		}
+	}
+
 	/** Records that an incarnation has ended, with all its runs. */
 	recordGone(workerId: string): void {
 		if (!this.goneWorkerIds.includes(workerId)) {
@@ -199,6 +210,7 @@
 			runs: new WorkerRuns(),
 			forgetUpTo: 0,
 			areLeasesExpired: false,
+			hasLeft: false,
 			isAnswering: true,
 			answeredAtMs: nowMs,
 		};
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -128,7 +128,8 @@
 	handleWorkerLeave(workerId: string): void {
 		this.#options.note('worker left', {workerId});
 		this.#hasWorkerLeft = true;
-		this.state.removeWorker(workerId, this.#options.clock.monotonicMs());
+		this.state.recordLeave(workerId, this.#options.clock.monotonicMs());
+		this.#wakeup.wake();
 	}
 
 	async order(request: OrdersRequest): Promise<OrdersReply> {
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -134,7 +134,7 @@
 		const {client, clock, control, getFence, state, note} = this.#options;
 		const {lease, report, runs, allLeasesExpiredAtMs} = worker;
 		const clockMs = lease.estimateClockMs(clock.monotonicMs());
-		if (report.isDraining) {
+		if (report.isDraining || worker.hasLeft) {
 			return {isDone: false, refusal: OrderRefusal.Draining};
 		}
 
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -2,7 +2,7 @@
 The loop that renews the leases of this host's worker as far as they are proven, lets the worker drop the ends that are
 stored in the log, and lists its runs.
 */
-import {getMessage} from '../core/errors.ts';
+import {ErrorCode, getMessage, isError} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {OrderRefusal, type WorkerClient, type WorkerListing} from '../types/fleet.ts';
 import {type Wakeup} from '../utils/wakeup.ts';
@@ -80,7 +80,10 @@
 
 		if (reply.refusal === OrderRefusal.OtherWorkerIncarnation) {
 			note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
-			state.recordCrash(worker, clock.monotonicMs());
+			if (!worker.hasLeft) {
+				state.recordCrash(worker, clock.monotonicMs());
+			}
+
 			removeWorker(options, worker);
 		} else if (reply.refusal === OrderRefusal.StaleFence) {
 			onFenceRefused();
@@ -88,6 +91,12 @@
 			note('renewal refused', {workerId, refusal: reply.refusal});
 		}
 	} catch (error) {
+		if (worker.hasLeft && isError(error, ErrorCode.PeerUnreached)) {
+			note('worker ended', {workerId});
+			removeWorker(options, worker);
+			return true;
+		}
+
 		if (worker.isAnswering) {
 			worker.isAnswering = false;
 			worker.unresponsiveSinceMs = clock.monotonicMs();
@@ -151,7 +160,8 @@
 };
 
 /** A worker that does not answer still stops its tasks when their leases expire; after that they may start elsewhere. */
-const checkLeaseExpiry = ({state, clock, note}: WorkerLoopOptions, worker: WorkerState): void => {
+const checkLeaseExpiry = (options: WorkerLoopOptions, worker: WorkerState): void => {
+	const {state, clock, note} = options;
 	if (!worker.areLeasesExpired && worker.lease.isExpired(clock.monotonicMs(), expirySlackMs)) {
 		worker.areLeasesExpired = true;
 		const {report: {workerId}, lease, knownSinceMs, answeredAtMs} = worker;
@@ -160,5 +170,8 @@
 			workerId, sentUntilMs: lease.sentUntilMs, earlierUntilMs: lease.earlierUntilMs, sampleClockMs: lease.sampleClockMs, answeredAgoMs: Math.round(nowMs - answeredAtMs), knownForMs: Math.round(nowMs - knownSinceMs), version: state.version,
 		});
 		state.notifyChange();
+		if (worker.hasLeft) {
+			removeWorker(options, worker);
+		}
 	}
 };
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -79,6 +79,10 @@
 /** Returns whether the error is one of this program and has the code. */
 export const isError = (error: unknown, code: ErrorCode): boolean => getErrorCode(error) === code;
 
+/** Whether a call failed because nothing listened at the address. */
+export const isConnectionRefused = (error: unknown): boolean =>
+	error instanceof Error && (VError.cause(error) as {code?: unknown} | null)?.code === 'ECONNREFUSED';
+
 /** Gets the message of any thrown value. */
 export const getMessage = (error: unknown): string => error instanceof Error ? error.message : String(error);
 
--- a/src/platform/worker-calls.ts
+++ b/src/platform/worker-calls.ts
@@ -1,7 +1,9 @@
 /**
 Client of the worker on this host over HTTP, and the decoder of its announcements.
 */
-import {createError, ErrorCode} from '../core/errors.ts';
+import {
+	createError, ErrorCode, getMessage, isConnectionRefused, isError,
+} from '../core/errors.ts';
 import {
 	OrderRefusal, type EndedRow, type RunningRow, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerReport,
 } from '../types/fleet.ts';
@@ -35,9 +37,17 @@
 /** Creates the client of the worker at the address. */
 export const createWorkerClient = (http: HttpClient, address: string): WorkerClient => {
 	const post = async (path: string, json: unknown, workerId: string | undefined, timeoutMs: number): Promise<Reply> => {
-		const answer = await http.callJson({
-			address, method: 'POST', path, json, timeoutMs, step: `call worker ${path}`, headers: workerId === undefined ? {} : {'expect-instance': workerId},
-		});
+		const step = `call worker ${path}`;
+		let answer;
+		try {
+			answer = await http.callJson({
+				address, method: 'POST', path, json, timeoutMs, step, headers: workerId === undefined ? {} : {'expect-instance': workerId},
+			});
+		} catch (error) {
+			// A busy worker may accept no connection for a while.
+			throw isError(error, ErrorCode.PeerUnreached) && !isConnectionRefused(error) ? createError(ErrorCode.PeerUnavailable, {step, detail: getMessage(error)}) : error;
+		}
+
 		return {status: answer.status, json: answer.json, instanceId: answer.headers['instance-id'] as string | undefined};
 	};
 
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -179,7 +179,7 @@
 		const {clock} = this.#options;
 		if (this.isDown) {
 			await clock.sleep(connectionRefusedMs);
-			throw createError(ErrorCode.PeerUnavailable, {step: `${order} at stand-in`, detail: 'connection refused'});
+			throw createError(ErrorCode.PeerUnreached, {step: `${order} at stand-in`, detail: 'connection refused'});
 		}
 
 		const fault = this.isUnresponsive ? OrderFault.Drop : this.getFault(order);
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -117,7 +117,10 @@
 	ticket?: string;
 };
 
-/** Calls to one worker. They throw `peer-unavailable` if there is no answer: the call may have been carried out, or may be later. */
+/**
+Calls to one worker. They throw `peer-unavailable` if there is no answer: the call may have been carried out, or may be later;
+`peer-unreached` if the connection is refused, as no process listens there.
+*/
 export type WorkerClient = {
 	start(workerId: string, start: WorkerStart, terms: {fence: number; leaseUntilMs: number}): Promise<WorkerAnswer>;
 	stop(workerId: string, run: {taskId: string; run: number}, fence: number): Promise<WorkerAnswer>;
--- a/src/utils/keep-alive-client.ts
+++ b/src/utils/keep-alive-client.ts
@@ -95,7 +95,7 @@
 				clearTimeout(connectTimer);
 			});
 		});
-		const fail = (detail: string) => {
+		const fail = (detail: string, cause?: Error) => {
 			if (isSettled) {
 				return;
 			}
@@ -103,7 +103,9 @@
 			isSettled = true;
 			cleanUp();
 			request.destroy();
-			reject(createError(isConnected ? ErrorCode.PeerUnavailable : ErrorCode.PeerUnreached, {step, peer: address, detail}));
+			reject(createError(isConnected ? ErrorCode.PeerUnavailable : ErrorCode.PeerUnreached, {
+				step, peer: address, detail, cause,
+			}));
 		};
 
 		const onAbort = () => {
@@ -131,7 +133,7 @@
 		}
 
 		request.on('error', error => {
-			fail(error.message);
+			fail(error.message, error);
 		});
 		request.on('response', response => {
 			const chunks: Buffer[] = [];
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -95,6 +95,9 @@
 		await startSite(2);
 		const {agent, worker} = site.hosts.get('host-0')!;
 		agent!.handleWorkerLeave(worker.workerId);
+		worker.isDown = true;
+		worker.crash();
+		await site.clock.advance(200);
 		await site.settle(agent!.leave());
 		site.killAgent('host-0');
 		await site.clock.advance(500);
--- a/test/worker-calls.test.ts
+++ b/test/worker-calls.test.ts
@@ -61,6 +61,12 @@
 		await expect(client.renew('i-1', {fence: 7, forgetUpTo: 0, waitMs: 0})).rejects.toSatisfy(isUnanswered);
 	});
 
+	it('tells a refused connection from no answer: no process listens at the address', async () => {
+		const client = await createClient({status: 200, json: {clockMs: 5}});
+		await server!.stop();
+		await expect(client.renew('i-1', {fence: 7, forgetUpTo: 0, waitMs: 0})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.PeerUnreached);
+	});
+
 	it('throws if there is no answer: the order may have been carried out', async () => {
 		const client = await createClient('reset');
 		await expect(client.start('i-1', start, {fence: 7, leaseUntilMs: 1})).rejects.toSatisfy(error => getErrorCode(error) === ErrorCode.PeerUnavailable);
