Take no start from an owner that does not know the agent's newest registration

Callers would see: a task in two places. An agent registers anew after its leases have expired; its owner, which has read neither that nor a state of it, orders a start in that moment and is then cut off. It declares the earlier registration lost, the agent ignores that as over, goes on renewing leases, and 7.6 s later the owner starts the task elsewhere. Cause: that the owner knows no newer registration was taken for there being none. Change: an order names the newest registration that its owner knows; an agent with a newer one refuses starts as it does without a lease. Orders of the version before name none and are taken as before. Evidence: a new test, a start under an earlier registration: carried out before, refused now. Price: a start that is decided in the moment of a registration is refused once.

--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -98,8 +98,9 @@
 		return state.worker?.report.workerId === workerId ? undefined : OrderRefusal.OtherWorkerIncarnation;
 	}
 
-	async #carryOut(order: Order, worker: WorkerState, {capacity, epoch}: OrdersRequest): Promise<WorkerAnswer> {
+	async #carryOut(order: Order, worker: WorkerState, request: OrdersRequest): Promise<WorkerAnswer> {
 		const {client, getFence} = this.#options;
+		const {capacity, epoch} = request;
 		const {workerId} = worker.report;
 		try {
 			switch (order.type) {
@@ -108,7 +109,7 @@
 						return {isDone: false, refusal: OrderRefusal.CapacityReduced};
 					}
 
-					return await this.#start(order.start, worker, epoch);
+					return await this.#start(order.start, worker, request);
 				}
 
 				case OrderType.Stop: {
@@ -130,7 +131,7 @@
 		}
 	}
 
-	async #start(start: WorkerStart, worker: WorkerState, epoch: number): Promise<WorkerAnswer> {
+	async #start(start: WorkerStart, worker: WorkerState, {epoch, session}: OrdersRequest): Promise<WorkerAnswer> {
 		const {client, clock, control, getFence, state, note} = this.#options;
 		const {lease, report, runs, allLeasesExpiredAtMs} = worker;
 		const clockMs = lease.estimateClockMs(clock.monotonicMs());
@@ -149,8 +150,9 @@
 			return {isDone: false, refusal: OrderRefusal.Unhealthy};
 		}
 
-		// Without the newest claim, the agent may be taking orders from an owner that was replaced; without a registration, the next owner does not know it.
-		const isKnown = control.isCaughtUp && state.isRegistered && runs.isListed;
+		// Without the newest claim, the agent may be taking orders from an owner that was replaced. Without a registration the next owner does not
+		// know the agent, and an owner that does not know the newest one would declare another lost, which the agent ignores.
+		const isKnown = control.isCaughtUp && state.isRegistered && (session === undefined || session >= state.session) && runs.isListed;
 		const mustLetLeasesExpire = state.mustLetLeasesExpire || allLeasesExpiredAtMs !== undefined;
 		if (!isKnown || mustLetLeasesExpire || clockMs === undefined || lease.leaseUntilMs < clockMs + minRemainingLeaseMs) {
 			return {isDone: false, refusal: OrderRefusal.NoLease};
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -152,6 +152,8 @@
 	agentLife: string;
 	/** Reading of the agent's clock after which the orders must not be carried out. */
 	notAfterMs: number;
+	/** Newest registration of the agent that the owner knows; undefined from an owner of the previous version. */
+	session?: number;
 	/** Capacity that the owner assumed for the worker when it decided; undefined from an owner of the previous version. */
 	capacity?: Capacity;
 	orders: Order[];
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -109,7 +109,7 @@
 		const {workerId, milliCpu, memoryMb, accelerators} = worker.report!;
 		try {
 			return await client.order(worker.address, {
-				epoch, workerId, agentLife: worker.agentLife, notAfterMs, capacity: {milliCpu, memoryMb, accelerators}, orders,
+				epoch, workerId, agentLife: worker.agentLife, session: worker.session, notAfterMs, capacity: {milliCpu, memoryMb, accelerators}, orders,
 			}, orderTimeoutMs);
 		} catch (error) {
 			note('orders unanswered', {host: worker.host, orders: orders.length, error: getMessage(error)});
--- a/test/agent-registration.test.ts
+++ b/test/agent-registration.test.ts
@@ -6,6 +6,7 @@
 } from 'vitest';
 import {ControlRecordType, controlTopic, encodeControlRecord} from '../src/agents/control-records.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {OrderRefusal, OrderType} from '../src/types/fleet.ts';
 import {createSite, jobId} from './site-setup.ts';
 import {
 	createSpec, createStep, partition, type SimulatedSite,
@@ -108,3 +109,21 @@
 	await clock.advance(3000);
 	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(1);
 });
+
+/** Guards against runs that go on while their owner takes them for lost: it would declare a registration lost that the agent has replaced. */
+it('an agent takes no start from an owner that does not know its newest registration', async () => {
+	site = await createSite(1, 1);
+	const {agent, worker, clock} = site.hosts.get('host-0')!;
+	const {epoch} = site.entries.get('entry-0')!.follower.fold;
+	site.specs.set(jobId, createSpec([createStep()]));
+	const order = async (session: number) => site!.settle(agent!.order({
+		epoch, session, workerId: worker.workerId, agentLife: agent!.state.life, notAfterMs: clock.monotonicMs() + 1000, orders: [{
+			type: OrderType.Start, start: {
+				taskId: `${jobId}.0.0.0`, run: 1, input: '', checkpoint: '',
+			},
+		}],
+	}));
+	agent!.state.session = 7;
+	expect((await order(6)).answers).toEqual([{isDone: false, refusal: OrderRefusal.NoLease}]);
+	expect((await order(7)).answers).toMatchObject([{isDone: true}]);
+});
