Say what became of the run whose number is used again

A violation of the soak run named two equal numbers of a task's runs and not whether the owner could have known the first. It now says whether that run is active, ended, or ended and acknowledged, and on which worker.

--- a/test/site-soak/promise-checker.ts
+++ b/test/site-soak/promise-checker.ts
@@ -33,7 +33,13 @@
 };
 
 type ActiveRun = {workerId: string; run: number};
-type StartedTask = {highestRun: number; startedAtMs: number; active: Map<string, ActiveRun>};
+type StartedTask = {
+	highestRun: number;
+	/** What became of that run, for the text of a violation. */
+	fate: string;
+	startedAtMs: number;
+	active: Map<string, ActiveRun>;
+};
 type Success = {run: number; endedAtMs: number; workerAtMs: number; isStored: boolean};
 
 /** Start orders given before the cancellation may be under way for this long: store down, owner paused, order late. */
@@ -58,6 +64,11 @@
 	/** Records what a worker has done. */
 	recordEvent(event: WorkerEvent, {worker, start}: {worker: SiteWorker; start?: WorkerStart}): void {
 		const {taskId, run, workerId} = event;
+		const known = this.#tasks.get(taskId);
+		if (event.type !== 'started' && known?.highestRun === run) {
+			known.fate = `${event.type} as ${event.end} on ${workerId}`;
+		}
+
 		switch (event.type) {
 			case 'started': {
 				this.#checkStart(taskId, run, worker);
@@ -75,9 +86,8 @@
 				this.counts.lost += event.end === 'lost' ? 1 : 0;
 				if (event.end === RunEnd.Done) {
 					this.counts.successes++;
-					const known = this.#successes.get(taskId);
 					this.#successes.set(taskId, {
-						run, endedAtMs: this.#nowMs(), workerAtMs: event.atMs, isStored: known?.isStored ?? false,
+						run, endedAtMs: this.#nowMs(), workerAtMs: event.atMs, isStored: this.#successes.get(taskId)?.isStored ?? false,
 					});
 				}
 
@@ -156,7 +166,7 @@
 		}
 
 		if (known && run <= known.highestRun) {
-			this.#violate(SitePromise.RunsRise, taskId, `run ${run} starts on ${worker.workerId} after run ${known.highestRun}`);
+			this.#violate(SitePromise.RunsRise, taskId, `run ${run} starts on ${worker.workerId} after run ${known.highestRun}, which is ${known.fate}`);
 		}
 
 		const success = this.#successes.get(taskId);
@@ -166,7 +176,12 @@
 
 		this.#checkJob(taskId, run, worker);
 		this.#checkCapacity(taskId, worker);
-		this.#tasks.set(taskId, {highestRun: Math.max(run, known?.highestRun ?? 0), startedAtMs: this.#nowMs(), active: known?.active ?? new Map<string, ActiveRun>()});
+		this.#tasks.set(taskId, {
+			highestRun: Math.max(run, known?.highestRun ?? 0),
+			fate: `active on ${worker.workerId}`,
+			startedAtMs: this.#nowMs(),
+			active: known?.active ?? new Map<string, ActiveRun>(),
+		});
 	}
 
 	/** Checks that a caller wants the task, and wants it now. */
