Give runs under a new owner numbers above those of earlier owners

A task that had failed three times was started a fourth time, and numbers of runs went back after a change of owner.

The stream holds no starts, and ends without a result (stopped, lapsed) are not stored. An owner that takes over therefore counted from the last number that it found, often from 1 again. Failures are counted by number: two runs with one number that both failed counted as one. A worker refuses numbers that it has seen, so starts there were refused until the count had passed them. And one number of two runs makes logs ambiguous.

Runs of jobs from before an owner's claim now get numbers above its epoch times 10,000, so that numbers rise over owners whatever each has read. The number that the next run must exceed is kept beside what is known of the task, because the checkpoint of a listed run is taken only if its number is higher than the known one. Members of a gang that join active ones keep their number.

Price: numbers have gaps (10,001 is the first of an owner with epoch 1), and an owner that gives one task more than 10,000 numbers reaches into those of the next.

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -101,6 +101,8 @@
 /** One job. */
 export type LiveWorkflow = {
 	folded: FoldedWorkflow;
+	/** Earlier owners may have given its tasks' runs numbers up to this. */
+	lastRun: number;
 	spec: Workflow;
 	/** By occurrence. */
 	occurrences: Map<number, LiveStep[]>;
@@ -117,19 +119,20 @@
 export class LiveModel {
 	readonly workflows = new Map<string, LiveWorkflow>();
 
-	/** Adds all jobs of the fold that have not finished. */
-	load(fold: WorkflowFold, wallMs: number, nowMs: number): void {
+	/** Adds all jobs of the fold that have not finished. Earlier owners may have given runs of their tasks numbers up to `lastRun`. */
+	load(fold: WorkflowFold, wallMs: number, nowMs: number, lastRun = 0): void {
 		for (const folded of fold.workflows.values()) {
 			if (!isFinal(folded.state)) {
-				this.add(folded, wallMs, nowMs);
+				this.add(folded, wallMs, nowMs, Number.POSITIVE_INFINITY, lastRun);
 			}
 		}
 	}
 
 	/** Adds a job. Its age is limited to `maxAgeMs`, because wall clocks of hosts differ and may jump. */
-	add(folded: FoldedWorkflow, wallMs: number, nowMs: number, maxAgeMs = Number.POSITIVE_INFINITY): LiveWorkflow {
+	add(folded: FoldedWorkflow, wallMs: number, nowMs: number, maxAgeMs = Number.POSITIVE_INFINITY, lastRun = 0): LiveWorkflow {
 		const workflow: LiveWorkflow = {
 			folded,
+			lastRun,
 			spec: folded.workflow,
 			occurrences: new Map(),
 			nextOccurrence: 0,
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -8,7 +8,7 @@
 import {type AgentLinks} from './agent-links.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
-	RunPhase, type LiveModel, type LiveRun, type LiveStep,
+	RunPhase, type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
 import {type Start} from './placement.ts';
 import {type RunTracker} from './run-tracker.ts';
@@ -64,13 +64,10 @@
 		const validityMs = getStartValidityMs();
 		const byWorker = new Map<FleetWorker, {runs: LiveRun[]; notAfterMs: number}>();
 		for (const {task, worker} of starts) {
-			const {step} = task;
-			// Members of a gang share the run number.
-			const lastRun = step.spec.isGang ? Math.max(...step.tasks.map(member => member.runs.length > 0 ? member.lastRun - 1 : member.lastRun)) : task.lastRun;
 			// The run and its order have the same expiry: with a later one in the order the run could begin after it was considered lost.
 			const orders = byWorker.get(worker) ?? {runs: [], notAfterMs: links.getNotAfterMs(worker, validityMs)};
 			byWorker.set(worker, orders);
-			orders.runs.push(tracker.addRun(task, worker, lastRun + 1, {nowMs, notAfterMs: orders.notAfterMs}));
+			orders.runs.push(tracker.addRun(task, worker, getLastRun(task) + 1, {nowMs, notAfterMs: orders.notAfterMs}));
 		}
 
 		for (const [worker, {runs, notAfterMs}] of byWorker) {
@@ -170,3 +167,14 @@
 		}
 	}
 }
+
+/** Gets the number that the task's next run must exceed. Members of a gang share the number, also with members that are active already. */
+const getLastRun = ({step, lastRun}: LiveTask): number => {
+	const {spec, tasks, workflow} = step;
+	if (!spec.isGang) {
+		return Math.max(lastRun, workflow.lastRun);
+	}
+
+	const isActive = tasks.some(({runs}) => runs.length > 0);
+	return Math.max(isActive ? 0 : workflow.lastRun, ...tasks.map(member => member.runs.length > 0 ? member.lastRun - 1 : member.lastRun));
+};
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -44,6 +44,9 @@
 /** First hold of a worker that fails tasks which succeed elsewhere; each further hold is twice as long. */
 const firstHoldMs = 1000;
 
+/** Distance of the run numbers of consecutive owners. The stream holds no starts, so an owner can't know which numbers the one before it gave. */
+const runsPerEpoch = 10_000;
+
 /** Runs the jobs of one partition while it holds the newest epoch. */
 export class Owner {
 	readonly model = new LiveModel();
@@ -172,7 +175,7 @@
 			this.#interference.restore(follower.fold.interferencePairs, clock.monotonicMs());
 		}
 
-		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs());
+		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs(), epoch * runsPerEpoch);
 		this.#subscribe(follower);
 		for (const workflow of this.model.workflows.values()) {
 			this.#dueOccurrences.schedule(workflow);
