Keep the series of faults in which two owners gave one run number

Cause: the check of lost runs called a run wrongly lost whose number an older, suspended owner had given to an order that was not carried out, and the newer owner to a run of its own. Change: none of the check. Numbers of consecutive owners no longer meet, and the series passes as it is; it stays as a case.

--- a/test/site-wide-property.test.ts
+++ b/test/site-wide-property.test.ts
@@ -42,3 +42,8 @@
 ])('violates no invariant with work on each worker and series 202:%i', async path => {
 	await check(true, {seed: 202, path: String(path), numRuns: 1});
 });
+
+/** Guards against a run's number that two owners give: the older one's order was not carried out, and the newer one's run was called lost. */
+it('violates no invariant with work on each worker and series 201:939', async () => {
+	await check(true, {seed: 201, path: '939', numRuns: 1});
+});
