Count a worker that refuses renewals for a second as silent

Callers would see: tasks that wait as long as their worker refuses to renew leases, as unhealthy workers do; they have been killed there when their leases expired. New tasks are given to it as well, and each is killed 1.5 s after its start. Cause: a refusal was taken for an answer that shows a sound worker: it got starts, and its lease was extended in the agent's books by each call that it refused, so that the lease never ended. Change: a worker that has listed no runs for a second and refuses renewals counts as one that does not answer, until it lists them again. Why it works: no call moves the end of a silent worker's lease, so it is known to have expired 8.5 s after the last listing at most, by the limits. Price: while a worker refuses renewals but accepts starts, short tasks that would end within 1.5 s wait.

--- a/src/agents/worker-lease.ts
+++ b/src/agents/worker-lease.ts
@@ -31,6 +31,11 @@
 		return this.#leaseUntilMs;
 	}
 
+	/** When the latest reading of the worker's clock was recorded; undefined before the first. */
+	get sampleAtMs(): number | undefined {
+		return this.#sample?.atMs;
+	}
+
 	/** Latest reading of the worker's clock. */
 	get sampleClockMs(): number {
 		return this.#sample?.clockMs ?? 0;
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -33,6 +33,8 @@
 const idleMs = 250;
 /** Added to the computed end of a lease before its tasks count as killed: the worker needs some ms for the kill. */
 const expirySlackMs = 300;
+/** A worker that refuses renewals counts as one without an answer after this; it may refuse single calls. */
+const maxRefusalMs = 1000;
 /** Runs that a log line lists. */
 const maxLoggedRuns = 3;
 
@@ -89,6 +91,9 @@
 			onFenceRefused();
 		} else {
 			note('renewal refused', {workerId, refusal: reply.refusal});
+			if (clock.monotonicMs() - (lease.sampleAtMs ?? worker.knownSinceMs) > maxRefusalMs) {
+				recordNoAnswer(options, worker);
+			}
 		}
 	} catch (error) {
 		if (worker.hasLeft && isError(error, ErrorCode.PeerUnreached)) {
@@ -97,12 +102,7 @@
 			return true;
 		}
 
-		if (worker.isAnswering) {
-			worker.isAnswering = false;
-			worker.unresponsiveSinceMs = clock.monotonicMs();
-			state.notifyChange();
-		}
-
+		recordNoAnswer(options, worker);
 		note('worker unanswered', {
 			workerId, error: getMessage(error), leaseUntilMs, sentUntilMs: lease.sentUntilMs,
 		});
@@ -112,6 +112,15 @@
 	return false;
 };
 
+/** Records that the worker does not list its runs: it gets no starts, and its lease is not extended, until it does again. */
+const recordNoAnswer = ({state, clock}: WorkerLoopOptions, worker: WorkerState): void => {
+	if (worker.isAnswering) {
+		worker.isAnswering = false;
+		worker.unresponsiveSinceMs = clock.monotonicMs();
+		state.notifyChange();
+	}
+};
+
 /** Removes a worker that is gone. Its leases are over, so the agent waits for them no longer. */
 const removeWorker = ({state, clock, onLeasesExpired}: WorkerLoopOptions, worker: WorkerState): void => {
 	state.removeWorker(worker.report.workerId, clock.monotonicMs());
