Give up runs of a worker that fails before its restarted agent knows all its ends

Callers would see: tasks that never start again. An agent is restarted while its worker has more ends than it lists at a time; the agent has read the worker's clock but no list yet, and the worker then fails for good. If the owner changes as well, no task of an earlier owner starts. Cause: two rules for an agent without a list met. It counted as one that renews leases because it has read the clock, and its statement that all leases have expired was read only together with a list. So nothing ended its runs, and a new owner waited for it without a bound. Change: that all leases have expired counts also from an agent without a list, for runs that the owner knows and for a new owner's wait. Why it works: the agent has read the clock, so it counts the leases of earlier processes too; the worker refuses those processes since, and no start is taken without a list. Price: none known.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -148,6 +148,7 @@
 			report: undefined,
 			isListed: false,
 			haveOldLeasesExpired: false,
+			areLeasesExpired: false,
 			isAnswering: false,
 			lastReplyAtMs: Number.NEGATIVE_INFINITY,
 			stateAsOfMs: Number.NEGATIVE_INFINITY,
@@ -269,6 +270,7 @@
 
 		worker.report = reply.worker;
 		worker.isListed = reply.isListed;
+		worker.areLeasesExpired = reply.isOver;
 		worker.isAnswering = reply.isAnswering;
 		worker.agentLife = reply.agentLife;
 		worker.version = reply.version;
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -43,11 +43,15 @@
 export const getLeaseExpiryMs = (leaseDurationMs: number): number => (leaseDurationMs / (1 - maxClockSlowShare)) + lostSlackMs;
 
 /**
-Whether all leases that earlier processes of an agent granted have expired. Its present process grants none before it has read the
+Whether all leases of the runs that an agent has not listed have expired. Its present process grants none before it has read the
 worker's clock, and had not read it when it built the newest state. An older state says nothing: the agent may have read it since.
+Once it has read the clock, its state says when they have expired; it takes no start before it has a list.
 */
-export const haveUnlistedLeasesExpired = ({isListed, workerClockMs, stateAsOfMs, agentIncarnationSinceMs}: FleetWorker, leaseDurationMs: number): boolean =>
-	!isListed && workerClockMs === 0 && agentIncarnationSinceMs !== undefined && stateAsOfMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs);
+export const haveUnlistedLeasesExpired = (worker: FleetWorker, leaseDurationMs: number): boolean => {
+	const {isListed, areLeasesExpired, workerClockMs, stateAsOfMs, agentIncarnationSinceMs} = worker;
+	return !isListed && (areLeasesExpired
+		|| (workerClockMs === 0 && agentIncarnationSinceMs !== undefined && stateAsOfMs - agentIncarnationSinceMs > getLeaseExpiryMs(leaseDurationMs)));
+};
 
 /** Whether more than half of the agents have listed their runs. */
 const isReachingMostAgents = (workers: Map<string, FleetWorker>): boolean => {
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -33,6 +33,8 @@
 	isListed: boolean;
 	/** Whether the agent was declared lost since this owner's claim and all its leases from before have expired. */
 	haveOldLeasesExpired: boolean;
+	/** Whether all leases of the worker had expired when the agent built the newest state. */
+	areLeasesExpired: boolean;
 	/** Whether the worker answers its agent. */
 	isAnswering: boolean;
 	/** When the agent's last reply was handled, and the reading of the worker's clock in it; 0: this process of the agent has not read it. */
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -157,14 +157,10 @@
 
 		// An agent that does not know all runs yet lists the other ends once these are stored.
 		this.#applyEnds(worker, reply.ended, nowMs);
-		if (!reply.isListed) {
-			return;
-		}
-
 		if (reply.isOver) {
 			this.#applyLast(worker, reply, nowMs);
 			this.#markCoveredLost(worker, reply, new Set(), nowMs);
-		} else {
+		} else if (reply.isListed) {
 			this.#markCoveredLost(worker, reply, this.#applyActive(worker, reply, nowMs), nowMs);
 		}
 	}
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -31,6 +31,7 @@
 	},
 	isListed: true,
 	haveOldLeasesExpired: false,
+	areLeasesExpired: false,
 	isAnswering: true,
 	lastReplyAtMs: 0,
 	stateAsOfMs: 0,
--- a/test/unlisted-agents.test.ts
+++ b/test/unlisted-agents.test.ts
@@ -88,3 +88,30 @@
 	expect(host.worker.running.has(`${jobId}.0.0.0`)).toBe(true);
 	expect(site.notes.filter(({event, fields}) => event === 'run lost' && fields.taskId === `${jobId}.0.0.0`)).toEqual([]);
 });
+
+/** Guards against tasks that wait for ever: their worker fails while its restarted agent knows only a part of the ends, so the agent never gets a list. */
+it.each([
+	['owner', false],
+	['new owner', true],
+])('tasks start again with their %s if their worker fails before its restarted agent knows all its ends', async (_, isOwnerReplaced) => {
+	const host = await startTasks(2);
+	const other = [...site.hosts.values()].find(({name}) => name !== host.name)!;
+	other.worker.setMilliCpu(8000);
+	host.worker.maxListedEnds = 0;
+	await site.submit(otherId, createSpec([createStep({count: 8, milliCpu: 100, estimateMs: 1000})]));
+	await site.clock.advance(500);
+	for (const taskId of [...host.worker.running.keys()].filter(running => running.startsWith(otherId))) {
+		host.worker.end(taskId, RunEnd.Done);
+	}
+
+	await restartAgent(host.name);
+	await site.clock.advance(1000);
+	host.worker.isDown = true;
+	if (isOwnerReplaced) {
+		site.killEntry(site.getOwnerName()!);
+	}
+
+	await site.clock.advance(20_000);
+	expect(site.getStarts(`${jobId}.0.0.0`)).toBe(2);
+	expect(other.worker.running.has(`${jobId}.0.0.0`)).toBe(true);
+});
