Play series with faults between workers and their agents, of whole hosts, and of reads

The wider series had no answer of a worker that comes late or out of order, no host that is suspended as a whole, no worker that drains or leaves, no list of ends that is cut short, no announcement that comes late, and no read of the store that is late. The worker's and the store's stand-ins have one more delay each.

--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -81,7 +81,7 @@
 	/** Extra time that a call takes to arrive, as with a busy sender or a slow link. */
 	getDelayMs: (call: StoreCall) => number = () => 0;
 
-	/** Extra time that the response of an append takes to reach its client. */
+	/** Extra time that the response of an append or a read takes to reach its client. */
 	getAnswerDelayMs: (call: StoreCall) => number = () => 0;
 
 	/** Creates a client; fault policies receive its name. */
@@ -97,7 +97,9 @@
 			readNewest: async ref => {
 				await this.#simulateCall(client, 'read', ref);
 				const partition = this.#getPartition(ref);
-				return {records: [...partition.newestByKey.values()], endOffset: partition.oldest + partition.records.length};
+				const newest = {records: [...partition.newestByKey.values()], endOffset: partition.oldest + partition.records.length};
+				await this.#delayAnswer({kind: 'read', ref, client});
+				return newest;
 			},
 			join: async member => this.#join(client, member),
 			getPartitionHolders: async group => {
@@ -193,14 +195,17 @@
 		}
 
 		const result = this.#tryAppend(this.#getPartition(ref), values, options);
-		const answerDelayMs = this.getAnswerDelayMs({kind: 'append', ref, client});
-		if (answerDelayMs > 0) {
-			await this.#clock.sleep(answerDelayMs);
-		}
-
+		await this.#delayAnswer({kind: 'append', ref, client});
 		return result;
 	}
 
+	async #delayAnswer(call: StoreCall): Promise<void> {
+		const delayMs = this.getAnswerDelayMs(call);
+		if (delayMs > 0) {
+			await this.#clock.sleep(delayMs);
+		}
+	}
+
 	#tryAppend(partition: Partition, values: Array<Buffer | KeyedWrite>, {stamp, atOffset}: AppendOptions): AppendResult {
 		const endOffset = partition.oldest + partition.records.length;
 		if (atOffset !== undefined && atOffset !== endOffset) {
@@ -295,11 +300,13 @@
 			throw createError(ErrorCode.StoreUnanswered, {step: 'read at stand-in', detail: 'transfer slower than the read timeout'});
 		}
 
-		return {
+		const page = {
 			records: values.map((value, index) => ({offset: fromOffset + index, value})),
 			oldestOffset: partition.oldest,
 			endOffset: partition.oldest + partition.records.length,
 		};
+		await this.#delayAnswer({kind: 'read', ref, client});
+		return page;
 	}
 
 	async #join(client: string, {group, member, topics, ttlMs, generation}: GroupMember): Promise<GroupAssignment> {
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -96,6 +96,9 @@
 
 	getFault: (order: 'start' | 'stop' | 'renew') => OrderFault = () => OrderFault.None;
 
+	/** How long an answer to its agent is on its way after the order was executed. */
+	getAnswerDelayMs: (order: 'start' | 'stop' | 'renew') => number = () => 0;
+
 	/** Changes its processor capacity; active runs continue. */
 	setMilliCpu(milliCpu: number): void {
 		this.#milliCpu = milliCpu;
@@ -158,7 +161,9 @@
 					throw createError(ErrorCode.PeerUnavailable, {step: 'renew at stand-in', detail: 'connection reset'});
 				}
 
-				return this.#list();
+				const listing = this.#list();
+				await this.#delayAnswer('renew');
+				return listing;
 			},
 		};
 	}
@@ -209,7 +214,19 @@
 			return {isDone: false, refusal: OrderRefusal.OtherWorkerIncarnation};
 		}
 
-		return {...execute(), clockMs: this.#clockMs};
+		const answer = {...execute(), clockMs: this.#clockMs};
+		if (order !== 'renew') {
+			await this.#delayAnswer(order);
+		}
+
+		return answer;
+	}
+
+	async #delayAnswer(order: 'start' | 'stop' | 'renew'): Promise<void> {
+		const delayMs = this.getAnswerDelayMs(order);
+		if (delayMs > 0) {
+			await this.#options.clock.sleep(delayMs);
+		}
 	}
 
 	#checkFence(fence: number): WorkerAnswer | undefined {
--- a/test/site-wide-faults.ts
+++ b/test/site-wide-faults.ts
@@ -14,7 +14,8 @@
 	entries, Fault, hosts, playStep, type Step, type SubmittedJobs,
 } from './site-faults.ts';
 
-enum WideFault {
+/** Kinds of faults of the wider series; the set decides what a seed plays. */
+export enum WideFault {
 	CutPath = 'cut-path',
 	LosePathAnswers = 'lose-path-answers',
 	LatePath = 'late-path',
@@ -33,7 +34,7 @@
 }
 
 /** A step of a wider series. `detailMs` sets the delay, the restart or the offset of its fault. */
-export type WideStep = Step<Fault | WideFault> & {detailMs: number};
+export type WideStep<Type = Fault | WideFault> = Step<Type> & {detailMs: number};
 
 /** Called for each event of the log. */
 export type EventWatch = (source: string, event: string, fields: Record<string, unknown>) => void;
@@ -43,7 +44,7 @@
 	site: SimulatedSite;
 	jobs: SubmittedJobs;
 	watches: Set<EventWatch>;
-	step: WideStep;
+	step: WideStep<unknown>;
 	host: AgentHost;
 	entryName: string;
 	/** Ends the fault after the step's time. */
@@ -51,7 +52,7 @@
 };
 
 /** Spreads delays up to the bound so that consecutive messages overtake each other. */
-const createDelays = (maxMs: number): () => number => {
+export const createDelays = (maxMs: number): () => number => {
 	let calls = 0;
 	return () => Math.floor(maxMs * ((++calls * 0.618) % 1));
 };
@@ -288,14 +289,14 @@
 const isWide = (faultType: Fault | WideFault): faultType is WideFault => faultType in wideFaults;
 
 /** Plays one step. */
-export const playWideStep = async (scene: Scene): Promise<void> => {
-	const {site, jobs, step} = scene;
+export const playWideStep = async (scene: Scene, step: WideStep): Promise<void> => {
+	const {site, jobs} = scene;
 	const {faultType} = step;
 	await (isWide(faultType) ? wideFaults[faultType](scene) : playStep(site, {...step, faultType}, jobs));
 };
 
 /** Finds the host and the entry that a step is about. */
-export const createScene = (site: SimulatedSite, step: WideStep, shared: Pick<Scene, 'jobs' | 'watches'>): Scene => {
+export const createScene = (site: SimulatedSite, step: WideStep<unknown>, shared: Pick<Scene, 'jobs' | 'watches'>): Scene => {
 	const entryNames = [...entries, site.getOwnerName() ?? entries[0]!];
 	return {
 		...shared,
@@ -311,11 +312,17 @@
 
 const frequent = [WideFault.AtEvent, WideFault.AtEvent, Fault.Submit, Fault.Submit, WideFault.SubmitLong, WideFault.SubmitLong];
 
-/** Wider series of faults. */
-export const wideFaultSeries: fc.Arbitrary<WideStep[]> = fc.array(fc.record({
-	faultType: fc.constantFrom<Fault | WideFault>(...Object.values(Fault), ...Object.values(WideFault), ...Object.values(WideFault), ...frequent),
+/** Creates series of steps of the kinds. */
+export const createSeries = <Type>(faultTypes: Type[]): fc.Arbitrary<Array<WideStep<Type>>> => fc.array(fc.record({
+	faultType: fc.constantFrom(...faultTypes),
 	target: fc.nat(11),
 	forMs: fc.integer({min: 200, max: 9000}),
 	pauseMs: fc.integer({min: 10, max: 2500}),
 	detailMs: fc.nat(1900),
 }), {minLength: 4, maxLength: 24});
+
+/** Kinds of the wider series; those that are listed more often come more often. */
+export const wideFaultTypes: Array<Fault | WideFault> = [...Object.values(Fault), ...Object.values(WideFault), ...Object.values(WideFault), ...frequent];
+
+/** Wider series of faults. */
+export const wideFaultSeries = createSeries(wideFaultTypes);
--- a/test/site-wide-property.test.ts
+++ b/test/site-wide-property.test.ts
@@ -5,13 +5,14 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
+import {hostFaultSeries, type HostStep} from './site-host-faults.ts';
 import {wideFaultSeries} from './site-wide-faults.ts';
 import {runWideSeries} from './site-wide-series.ts';
 
 const {WIDE_SERIES_SEED: freshSeed, WIDE_SERIES_RUNS: freshRuns} = process.env;
 
-const check = async (isBusy: boolean, parameters: fc.Parameters<unknown>): Promise<void> => {
-	await fc.assert(fc.asyncProperty(wideFaultSeries, async steps => {
+const check = async (isBusy: boolean, parameters: fc.Parameters<unknown>, series: fc.Arbitrary<HostStep[]> = wideFaultSeries): Promise<void> => {
+	await fc.assert(fc.asyncProperty(series, async steps => {
 		const {site, open} = await runWideSeries(steps, isBusy);
 		expect(site.violations).toEqual([]);
 		expect(open).toEqual([]);
@@ -22,8 +23,11 @@
 	{load: 'a few jobs', isBusy: false, runs: 20},
 	{load: 'work on each worker', isBusy: true, runs: 20},
 ])('with $load', ({isBusy, runs}) => {
-	it('violates no invariant and completes all jobs with any wider series of faults', async () => {
-		await check(isBusy, {seed: Number(freshSeed ?? 20), numRuns: Number(freshRuns ?? runs)});
+	it.each([
+		{kinds: 'wider series of faults', series: wideFaultSeries},
+		{kinds: 'series that has faults of hosts, workers and reads too', series: hostFaultSeries},
+	])('violates no invariant and completes all jobs with any $kinds', async ({series}) => {
+		await check(isBusy, {seed: Number(freshSeed ?? 20), numRuns: Number(freshRuns ?? runs)}, series);
 	}, Number.POSITIVE_INFINITY);
 });
 
--- a/test/site-wide-series.ts
+++ b/test/site-wide-series.ts
@@ -8,9 +8,8 @@
 import {
 	createFaultySite, getOpenJobs, recoveryMs, type SubmittedJobs,
 } from './site-faults.ts';
-import {
-	createScene, playWideStep, type EventWatch, type WideStep,
-} from './site-wide-faults.ts';
+import {playHostStep, type HostStep} from './site-host-faults.ts';
+import {createScene, type EventWatch} from './site-wide-faults.ts';
 
 /** Records a violation if a run is taken for lost while it is active or its agent, which answers, lists it. */
 const createLossCheck = (site: SimulatedSite): EventWatch => (source, event, fields) => {
@@ -75,7 +74,7 @@
 };
 
 /** Plays a series on a new site, and a time without faults; returns the site, which has stopped, and the accepted jobs that have not completed. */
-export const runWideSeries = async (steps: WideStep[], isBusy = false): Promise<{site: SimulatedSite; open: Array<[string, string]>}> => {
+export const runWideSeries = async (steps: HostStep[], isBusy = false): Promise<{site: SimulatedSite; open: Array<[string, string]>}> => {
 	const site = await createFaultySite(({taskId, run}) => ({
 		workMs: taskId.startsWith(background.id) ? background.getWorkMs(taskId) : 300 + (900 * (taskId.codePointAt(15)! % 4)),
 		isFailing: run === 1 && taskId.endsWith('3.0.1.1'),
@@ -94,7 +93,7 @@
 	}
 
 	for (const step of steps) {
-		await playWideStep(createScene(site, step, {jobs, watches}));
+		await playHostStep(createScene(site, step, {jobs, watches}), step);
 		await site.clock.advance(step.pauseMs);
 	}
 
