Declare a lost agent anew if it was restarted with leases from before

Callers would see: tasks in two places. An agent that its owner cannot reach is declared lost; the store drops its history, the declaration with it; the agent is killed and started again, reads the stream to its end, finds no declaration, and renews leases; the owner starts the tasks elsewhere 7.7 s after the declaration. Cause: that the new process finds no declaration was taken for there being none; and the owner counted on it having read one. Change: if an agent that does not answer has registered since its loss was stored or while it was, and its registration says that leases from before may last, the owner declares the new registration lost and waits for its leases anew. A registration after the leases have expired is not declared. Why it works: the declaration is stored while the process runs that it is about; that process reads it, or finds that records are missing, and then lets its leases expire too.

A loss that is not stored yet is left alone: an agent that comes back meanwhile withdraws it by its answer.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -2,7 +2,7 @@
 The owner's connections to the agents of its service: finds them by their registrations, keeps one long poll for each
 agent's state open, and sends orders.
 */
-import {decodeRegistration} from '../agents/control-records.ts';
+import {decodeFirstSession, decodeRegistration} from '../agents/control-records.ts';
 import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
@@ -135,7 +135,11 @@
 		const known = this.workers.get(host);
 		if (known) {
 			known.address = registration.address;
-			known.session = Math.max(known.session, offset);
+			if (offset >= known.session) {
+				known.session = offset;
+				known.firstSession = decodeFirstSession(value, offset);
+			}
+
 			return;
 		}
 
@@ -143,6 +147,7 @@
 			host,
 			address: registration.address,
 			session: offset,
+			firstSession: decodeFirstSession(value, offset),
 			agentLife: '',
 			version: 0,
 			report: undefined,
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -77,10 +77,12 @@
 		const nowMs = clock.monotonicMs();
 		const isReachingMost = isReachingMostAgents(workers);
 		for (const worker of workers.values()) {
-			const {unresponsiveSinceMs, loss, runs, isListed} = worker;
+			const {unresponsiveSinceMs, loss, runs, isListed, session, firstSession} = worker;
 			const boundMs = runs.size > 0 || (!isListed && isReachingMost) ? declareLostAfterMs : removedAfterMs;
-			if (unresponsiveSinceMs !== undefined && !loss && nowMs - unresponsiveSinceMs >= boundMs) {
-				worker.loss = {session: worker.session};
+			// A process that was started since, with leases from before, may have begun when the store had dropped the declaration.
+			const isOutdated = loss?.storedAtMs !== undefined && session > loss.session && firstSession <= loss.session;
+			if (unresponsiveSinceMs !== undefined && (loss ? isOutdated : nowMs - unresponsiveSinceMs >= boundMs)) {
+				worker.loss = {session};
 				void this.#declare(worker, worker.loss);
 			} else if (loss?.storedAtMs !== undefined && nowMs - loss.storedAtMs > getLeaseExpiryMs(leaseDurationMs)) {
 				this.#handleExpiredLeases(worker, loss, nowMs);
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -22,6 +22,8 @@
 	address: string;
 	/** Offset of the agent's newest known registration. */
 	session: number;
+	/** Offset of its first registration since all earlier leases had expired, as of the newest registration that was read. */
+	firstSession: number;
 	/** Incarnation of the agent. */
 	agentLife: string;
 	/** When this incarnation of the agent first answered; undefined before. An earlier one may have renewed leases until then. */
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -24,6 +24,7 @@
 	host,
 	address: host,
 	session: 1,
+	firstSession: 1,
 	agentLife: 'life',
 	version: 1,
 	report: {
