Test that tasks leave a worker that refuses all calls, and outlast short refusals

Callers would see tasks that never start again: their worker refuses every call as unhealthy for longer than a lease, and ends its runs. Change: two tests of a review that had found the same fault by another way. The first failed on the code before refusals counted as silence. Evidence: both pass.

--- /dev/null
+++ b/test/unhealthy-workers.test.ts
@@ -0,0 +1,49 @@
+/**
+Workers that refuse calls as unhealthy for longer than their leases last.
+*/
+import {afterEach, expect, it} from 'vitest';
+import {OrderFault} from '../src/standin/site-worker.ts';
+import {createSite, jobId} from './site-setup.ts';
+import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
+
+const workMs = 120_000;
+const taskId = `${jobId}.0.0.0`;
+
+let site: SimulatedSite;
+
+afterEach(() => {
+	site.stop();
+	expect(site.violations).toEqual([]);
+});
+
+/** Guards against tasks that wait for ever: leases named in refused renewals count as granted, so they never expire for the agent. */
+it('tasks of a worker that refuses renewals start elsewhere once its leases have expired', async () => {
+	site = await createSite(2, 1);
+	site.plan = () => ({workMs});
+	await site.submit(jobId, createSpec([createStep({estimateMs: workMs})]));
+	await site.clock.advance(500);
+	const {worker} = [...site.hosts.values()].find(host => host.worker.running.has(taskId))!;
+	worker.getFault = () => OrderFault.Refuse;
+	await site.clock.advance(10_000);
+	expect(worker.running.size).toBe(0);
+	expect(site.getStarts(taskId)).toBe(2);
+	worker.getFault = () => OrderFault.None;
+	await site.clock.advance(10_000);
+	expect(site.getStarts(taskId)).toBe(2);
+	expect(site.isRunning(taskId)).toBe(true);
+});
+
+/** Guards against runs that end for a short trouble of their worker. */
+it('tasks of a worker that refuses renewals for a time that their leases outlast run on', async () => {
+	site = await createSite(2, 1);
+	site.plan = () => ({workMs});
+	await site.submit(jobId, createSpec([createStep({estimateMs: workMs})]));
+	await site.clock.advance(500);
+	const {worker} = [...site.hosts.values()].find(host => host.worker.running.has(taskId))!;
+	worker.getFault = () => OrderFault.Refuse;
+	await site.clock.advance(3000);
+	worker.getFault = () => OrderFault.None;
+	await site.clock.advance(10_000);
+	expect(worker.running.size).toBe(1);
+	expect(site.getStarts(taskId)).toBe(1);
+});
