Let no checkpoint of an earlier run replace that of a later one

Callers would see work that is done again: a task resumes from an older checkpoint than it had. A host is cut off, its run is given up, a second run elsewhere goes on and reports checkpoints; then the host is back and lists its run, or the end of it, with the checkpoint from before. Cause: the checkpoint that was reported last was taken for the newest. It was stored as well, so that a later owner resumed from it. Change: a task keeps the number of the run that its checkpoint comes from. That of an earlier run is neither taken nor stored. It was not seen on a site. Why it works: a later run starts from the checkpoint known then, so its own are further; numbers rise, also over owners. Price: of two copies of a speculative task the checkpoint of the later copy counts, also if the earlier one is further. After a takeover the newest known run number counts as that of the stored checkpoint.

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -73,6 +73,8 @@
 	/** Crashes up to this run number no longer require quarantine, because a later run outlived its quarantine. */
 	clearedRun: number;
 	checkpoint: string;
+	/** Number of the run that the checkpoint comes from, or of a later one; 0: there is none. */
+	checkpointRun: number;
 	/** The checkpoint that the stream holds. */
 	storedCheckpoint: string;
 	isDone: boolean;
@@ -330,6 +332,7 @@
 		crashes: [...ledger?.crashes ?? []],
 		clearedRun: 0,
 		checkpoint: ledger?.checkpoint ?? '',
+		checkpointRun: ledger && ledger.checkpoint !== '' ? ledger.lastRun : 0,
 		storedCheckpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
 		runs: [],
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -83,6 +83,17 @@
 	run.workedMs += (nowMs - workedUntilMs) * share;
 };
 
+/** Takes the checkpoint of a run, unless there is one of a later run: hosts that were cut off report earlier runs late. Returns whether it is taken. */
+const takeCheckpoint = (task: LiveTask, run: number, checkpoint: string): boolean => {
+	if (checkpoint === '' || run < task.checkpointRun) {
+		return false;
+	}
+
+	task.checkpoint = checkpoint;
+	task.checkpointRun = run;
+	return true;
+};
+
 /** Tracks the active runs of one owner. */
 export class RunTracker {
 	readonly #model: LiveModel;
@@ -189,7 +200,7 @@
 				this.#applyRunning(worker, row, reply, nowMs);
 			} else if (task && row.run > task.lastRun) {
 				task.lastRun = row.run;
-				task.checkpoint = row.checkpoint === '' ? task.checkpoint : row.checkpoint;
+				takeCheckpoint(task, row.run, row.checkpoint);
 				this.#handlers.onStarted(task);
 			}
 		}
@@ -256,10 +267,7 @@
 		run.recent = row.recent;
 		countWork(run, nowMs);
 		this.#handlers.onProgress(run);
-		if (row.checkpoint !== '') {
-			run.task.checkpoint = row.checkpoint;
-		}
-
+		takeCheckpoint(run.task, run.run, row.checkpoint);
 		if (run.phase === RunPhase.Starting) {
 			this.confirm(run, reply.version, nowMs);
 		}
@@ -305,9 +313,9 @@
 
 		const stored: EndedRun[] = [];
 		for (const {number: _, ...end} of newRows) {
-			const isWorthStoring = this.#applyEnd(worker, end, nowMs);
-			if (isWorthStoring) {
-				stored.push(end);
+			const record = this.#applyEnd(worker, end, nowMs);
+			if (record) {
+				stored.push(record);
 			}
 		}
 
@@ -325,10 +333,11 @@
 		}
 	}
 
-	#applyEnd(worker: FleetWorker, end: EndedRun, nowMs: number): boolean {
+	/** Applies the end of a run; returns what is worth storing of it. */
+	#applyEnd(worker: FleetWorker, end: EndedRun, nowMs: number): EndedRun | undefined {
 		const task = this.#findTask(end.taskId);
 		if (!task) {
-			return false;
+			return undefined;
 		}
 
 		const run = this.#findActive(task, worker, end.run);
@@ -340,12 +349,10 @@
 			this.#removeAndRequeue(run, worker, nowMs);
 		}
 
-		if (end.checkpoint !== '') {
-			task.checkpoint = end.checkpoint;
-		}
-
+		// A checkpoint that is not taken must not be stored either: a later owner would resume from it.
+		const record = takeCheckpoint(task, end.run, end.checkpoint) ? end : {...end, checkpoint: ''};
 		if (task.step.spec.isLasting) {
-			return false;
+			return undefined;
 		}
 
 		if (run && (end.end === RunEnd.Done || end.end === RunEnd.Failed)) {
@@ -353,7 +360,7 @@
 			this.#handlers.onOutcome(worker, run, end.end === RunEnd.Done);
 		}
 
-		return this.#applyOutcome(task, end, nowMs);
+		return this.#applyOutcome(task, record, nowMs) ? record : undefined;
 	}
 
 	#applyOutcome(task: LiveTask, end: EndedRun, nowMs: number): boolean {
