Tell owners of the previous version that a part of the ends is a list

Callers would see, while entries and agents are replaced one at a time: tasks in two places, and a host that gets no tasks. An agent of this version is restarted while its worker has more ends than it lists at a time, and the owner is of the version before. Cause: that the agent has no list until all ends are known means something else to such an owner. It stores no ends of an agent without a list, so the agent never comes to know them all; and after a takeover it takes 7.6 s after the first answer for the expiry of all leases, which the agent renews. Change: an owner says with its polls that it stores ends also of an agent without a list. To one that does not, a part of the ends counts as a list, as before. A new test asks an agent as both owners do; it fails before. 102 tests near it pass. Why it works: such an owner gets the states that it got from agents of its version. Starts are still refused until all ends are known. Price: with such an owner, runs whose ends are not listed count as lost and start again, as they did before.

--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -64,7 +64,7 @@
 	async watch(request: WatchRequest, signal: AbortSignal): Promise<WatchReply> {
 		const {state, control, clock} = this.#options;
 		if (!control.observeEpoch(request.epoch, EpochSource.Owner)) {
-			return {...this.#describe(), newerEpoch: control.epoch};
+			return {...this.#describe(request), newerEpoch: control.epoch};
 		}
 
 		this.#applyProof(request);
@@ -78,7 +78,7 @@
 			unsubscribe();
 		}
 
-		return this.#describe();
+		return this.#describe(request);
 	}
 
 	#getRefusal({epoch, agentLife, notAfterMs, workerId}: OrdersRequest): OrderRefusal | undefined {
@@ -214,7 +214,7 @@
 		}
 	}
 
-	#describe(): WatchReply {
+	#describe({storesUnlistedEnds}: WatchRequest): WatchReply {
 		const {state, clock} = this.#options;
 		const {worker} = state;
 		state.lastReportedAtMs = clock.monotonicMs();
@@ -226,7 +226,8 @@
 			worker: worker?.report,
 			workerClockMs: worker?.lease.sampleClockMs ?? 0,
 			leaseUntilMs: worker?.lease.leaseUntilMs ?? 0,
-			isListed: worker?.runs.isListed ?? false,
+			// An owner of the previous version stores ends only with a list, and takes an agent without one for one that renews no leases.
+			isListed: (storesUnlistedEnds ? worker?.runs.isListed : worker?.runs.hasListing) ?? false,
 			isAnswering: worker?.isAnswering ?? false,
 			isOver: worker?.areLeasesExpired ?? false,
 			running: worker?.runs.running ?? [],
--- a/src/agents/worker-runs.ts
+++ b/src/agents/worker-runs.ts
@@ -30,8 +30,14 @@
 	readonly #accepted = new Map<string, {row: RunningRow; atMs: number}>();
 	/** When each start was sent or, for runs that an earlier agent process started, when the run was first listed. */
 	readonly #sinceMs = new Map<string, number>();
+	#hasListing = false;
 	#isListed = false;
 
+	/** Whether a listing has been applied, be it one without all ends. */
+	get hasListing(): boolean {
+		return this.#hasListing;
+	}
+
 	/** Whether all runs are known that were on the worker when this process began: a listing with all ends has been applied. */
 	get isListed(): boolean {
 		return this.#isListed;
@@ -121,6 +127,7 @@
 			|| [...running.keys()].some(key => !this.#running.has(key));
 		this.#running = running;
 		this.#ended = listing.ended;
+		this.#hasListing = true;
 		this.#isListed ||= !listing.hasMoreEnds;
 		return isChanged;
 	}
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -176,6 +176,8 @@
 	forget?: {workerId: string; upTo: number};
 	/** Crashed runs up to this number of the agent's incarnation are stored in the log. */
 	crashesStored: number;
+	/** Whether the owner stores ends also of an agent that does not know all runs of its worker yet; undefined from an owner of the previous version. */
+	storesUnlistedEnds?: boolean;
 	/**
 	Proof for the lease: a reading of the worker's clock after which the store still showed this owner as the newest and the
 	agent's registration (`session`) as not declared lost.
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -220,6 +220,7 @@
 			knownVersion: worker.version,
 			waitMs: pollWaitMs,
 			crashesStored: worker.storedCrash,
+			storesUnlistedEnds: true,
 			...(workerId !== undefined && {forget: {workerId, upTo: worker.storedEnd}}),
 			...(hasProof && {proof: {workerId, clockMs: worker.workerClockMs, session: worker.session}}),
 		}, pollWaitMs + pollSlackMs, signal);
--- a/test/many-ends.test.ts
+++ b/test/many-ends.test.ts
@@ -55,6 +55,27 @@
 	expect(await site.getState(jobId)).toBe('completed');
 });
 
+/** Guards against an owner of the previous version that stores no ends of an agent without a list, and after a takeover takes its leases for expired. */
+it('a restarted agent without all ends has a list for owners of the previous version alone', async () => {
+	site = await createSite(1, 1);
+	site.plan = ({taskId}) => ({workMs: taskId.startsWith(jobId) ? 60_000 : 200});
+	const host = site.hosts.get('host-0')!;
+	host.worker.maxListedEnds = 0;
+	await site.submit(jobId, createSpec([createStep({estimateMs: 60_000})]));
+	await site.submit(otherId, createSpec([createStep({count: 3})]));
+	await site.clock.advance(1000);
+	site.killAgent('host-0');
+	site.startAgent('host-0');
+	await site.clock.advance(1500);
+	const getState = async (storesUnlistedEnds?: boolean) => site!.settle(host.agent!.watch({
+		epoch: 1, agentLife: '', knownVersion: 0, waitMs: 0, crashesStored: 0, storesUnlistedEnds,
+	}, new AbortController().signal));
+	expect(await getState(true)).toMatchObject({isListed: false});
+	const state = await getState();
+	expect(state.isListed).toBe(true);
+	expect(state.running.map(({taskId}) => taskId)).toEqual([`${jobId}.0.0.0`]);
+});
+
 /** Guards against a start without an answer that counts as never begun while its end is not listed yet. */
 it('a start without an answer stays open until all ends are listed', () => {
 	const runs = new WorkerRuns();
