Store the number of a task's newest run also if it ended without a result

Callers would see, while entries are replaced one at a time: tasks that do not start. An owner of this version, whose numbers begin at its epoch times 10,000, is followed by one of the version before, which counts from the highest number in the stream, often from 1. Workers refuse numbers up to the highest that ended there, so starts there are refused thousands of times. Cause: the stream held no ends without a result (stopped, lapsed), and no ends of tasks that last. Change: the end of a task's newest run is stored as well, unless the task is done or its job has ended. The record is the one that ends with a checkpoint have, so older processes read it. The function that takes checkpoints moved to the file of the tasks. Why it works: a worker forgets an end only once it is stored, so each owner either lists the number or reads it. Price: one record for each run that ends without a result, in batches; after a loss of power one for each task that was active.

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -265,6 +265,17 @@
 /** Tasks that start, succeed and fail together: the whole gang, or the task alone. */
 export const getUnit = (task: LiveTask): LiveTask[] => task.step.spec.isGang ? task.step.tasks : [task];
 
+/** Takes the checkpoint of a run, unless there is one of a later run: hosts that were cut off report earlier runs late. Returns whether it is taken. */
+export const takeCheckpoint = (task: LiveTask, run: number, checkpoint: string): boolean => {
+	if (checkpoint === '' || run < task.checkpointRun) {
+		return false;
+	}
+
+	task.checkpoint = checkpoint;
+	task.checkpointRun = run;
+	return true;
+};
+
 /** When an occurrence is due, in ms since 1970; 0 for a job that does not repeat. */
 export const getDueAtMs = ({repeatCount, firstDueMs, intervalMs}: Workflow, occurrence: number): number =>
 	repeatCount > 0 ? firstDueMs + (occurrence * intervalMs) : 0;
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -10,7 +10,7 @@
 } from '../types/workflows.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
-	getUnit, RunPhase, type LiveModel, type LiveRun, type LiveTask,
+	getUnit, RunPhase, takeCheckpoint, type LiveModel, type LiveRun, type LiveTask,
 } from './live-model.ts';
 import {isCoveredBy} from './state-coverage.ts';
 
@@ -83,17 +83,6 @@
 	run.workedMs += (nowMs - workedUntilMs) * share;
 };
 
-/** Takes the checkpoint of a run, unless there is one of a later run: hosts that were cut off report earlier runs late. Returns whether it is taken. */
-const takeCheckpoint = (task: LiveTask, run: number, checkpoint: string): boolean => {
-	if (checkpoint === '' || run < task.checkpointRun) {
-		return false;
-	}
-
-	task.checkpoint = checkpoint;
-	task.checkpointRun = run;
-	return true;
-};
-
 /** Tracks the active runs of one owner. */
 export class RunTracker {
 	readonly #model: LiveModel;
@@ -351,8 +340,10 @@
 
 		// A checkpoint that is not taken must not be stored either: a later owner would resume from it.
 		const record = takeCheckpoint(task, end.run, end.checkpoint) ? end : {...end, checkpoint: ''};
+		// The number is stored with the end of the newest run, also without a result: owners of the previous version go on from the highest stored one.
+		const isNewest = end.run >= task.lastRun && !task.isDone && !task.step.workflow.isFinished;
 		if (task.step.spec.isLasting) {
-			return undefined;
+			return isNewest ? record : undefined;
 		}
 
 		if (run && (end.end === RunEnd.Done || end.end === RunEnd.Failed)) {
@@ -360,7 +351,7 @@
 			this.#handlers.onOutcome(worker, run, end.end === RunEnd.Done);
 		}
 
-		return this.#applyOutcome(task, record, nowMs) ? record : undefined;
+		return this.#applyOutcome(task, record, nowMs) || isNewest ? record : undefined;
 	}
 
 	#applyOutcome(task: LiveTask, end: EndedRun, nowMs: number): boolean {
--- a/test/run-numbers.test.ts
+++ b/test/run-numbers.test.ts
@@ -63,3 +63,31 @@
 	await site.clock.advance(30_000);
 	expect(getStartedRuns().length).toBeLessThanOrEqual(3);
 });
+
+/** Guards against an owner of the previous version that counts from 1 where its workers have seen numbers above the epoch's, and refuse all lower ones. */
+it.each([false, true])('the stream holds the number of a run that has ended without a result, with a task that lasts: %s', async isLasting => {
+	site = await createSite(1, 1);
+	site.plan = () => ({workMs: 60_000});
+	await site.submit(jobId, createSpec([createStep({isLasting})]));
+	await site.clock.advance(500);
+	const {worker} = site.hosts.get('host-0')!;
+	worker.end(taskId, RunEnd.LeaseExpired);
+	await site.clock.advance(500);
+	const getStoredRun = () => site!.entries.get('entry-0')!.follower.fold.workflows.get(jobId)!.ledgers.get(taskId)?.lastRun;
+	expect(getStartedRuns()).toEqual([1, 2]);
+	expect(getStoredRun()).toBe(1);
+	worker.end(taskId, RunEnd.LeaseExpired);
+	await site.clock.advance(500);
+	expect(getStoredRun()).toBe(2);
+});
+
+/** Guards against records that nobody needs: ends of runs that were stopped because their job was cancelled. */
+it('the end of a run of a cancelled job is not stored', async () => {
+	site = await createSite(1, 1);
+	site.plan = () => ({workMs: 60_000});
+	await site.submit(jobId, createSpec([createStep()]));
+	await site.clock.advance(500);
+	await site.cancel(jobId);
+	expect(await site.waitFor(() => site!.events.some(event => event.type === 'forgotten'), 5000)).toBeDefined();
+	expect(site.entries.get('entry-0')!.follower.fold.workflows.get(jobId)!.ledgers.get(taskId)?.lastRun ?? 0).toBe(0);
+});
