Create the soak run's abort signals without a limit on listeners

A run with many callers printed a warning about listeners among its results. Its signals now come from the function that the processes use for theirs.

--- a/test/site-soak/site-soak.ts
+++ b/test/site-soak/site-soak.ts
@@ -1,6 +1,7 @@
 /**
 A soak run of a site: its programs as real processes, callers and stand-ins, with checks of what the site promises.
 */
+import {createAborter} from '../../src/utils/aborter.ts';
 import {createRandom} from '../../src/utils/seeded-random.ts';
 import {createSystemClock} from '../../src/utils/system-clock.ts';
 import {type Clock} from '../../src/types/clock.ts';
@@ -56,8 +57,8 @@
 export const runSiteSoak = async (options: SiteSoakOptions): Promise<SiteSoakReport> => {
 	const clock = createSystemClock();
 	const checker = new PromiseChecker(() => clock.monotonicMs());
-	const stopped = new AbortController();
-	const traffic = new AbortController();
+	const stopped = createAborter();
+	const traffic = createAborter();
 	const {seed, program, entryCount, hostCount, report} = options;
 	const site = new SiteUnderTest({
 		clock, checker, program, entryCount, hostCount, random: createRandom(seed + (seedStep * 2)), signal: stopped.signal,
