Share the set-up of two pairs of tests

Cause: the set-up of two tests each stood twice, in the files on workers that refuse calls and on agents without a list. No check changes.

--- a/test/unhealthy-workers.test.ts
+++ b/test/unhealthy-workers.test.ts
@@ -2,7 +2,7 @@
 Workers that refuse calls as unhealthy for longer than their leases last.
 */
 import {afterEach, expect, it} from 'vitest';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault, type SiteWorker} from '../src/standin/site-worker.ts';
 import {createSite, jobId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
@@ -16,14 +16,20 @@
 	expect(site.violations).toEqual([]);
 });
 
-/** Guards against tasks that wait for ever: leases named in refused renewals count as granted, so they never expire for the agent. */
-it('tasks of a worker that refuses renewals start elsewhere once its leases have expired', async () => {
+/** Starts a long task on a worker that then refuses all calls. */
+const startRefusingWorker = async (): Promise<SiteWorker> => {
 	site = await createSite(2, 1);
 	site.plan = () => ({workMs});
 	await site.submit(jobId, createSpec([createStep({estimateMs: workMs})]));
 	await site.clock.advance(500);
 	const {worker} = [...site.hosts.values()].find(host => host.worker.running.has(taskId))!;
 	worker.getFault = () => OrderFault.Refuse;
+	return worker;
+};
+
+/** Guards against tasks that wait for ever: leases named in refused renewals count as granted, so they never expire for the agent. */
+it('tasks of a worker that refuses renewals start elsewhere once its leases have expired', async () => {
+	const worker = await startRefusingWorker();
 	await site.clock.advance(10_000);
 	expect(worker.running.size).toBe(0);
 	expect(site.getStarts(taskId)).toBe(2);
@@ -35,12 +41,7 @@
 
 /** Guards against runs that end for a short trouble of their worker. */
 it('tasks of a worker that refuses renewals for a time that their leases outlast run on', async () => {
-	site = await createSite(2, 1);
-	site.plan = () => ({workMs});
-	await site.submit(jobId, createSpec([createStep({estimateMs: workMs})]));
-	await site.clock.advance(500);
-	const {worker} = [...site.hosts.values()].find(host => host.worker.running.has(taskId))!;
-	worker.getFault = () => OrderFault.Refuse;
+	const worker = await startRefusingWorker();
 	await site.clock.advance(3000);
 	worker.getFault = () => OrderFault.None;
 	await site.clock.advance(10_000);
--- a/test/unlisted-agents.test.ts
+++ b/test/unlisted-agents.test.ts
@@ -32,6 +32,18 @@
 	site.startAgent(name);
 };
 
+/** Restarts the agent of a worker that lists none of its ends. */
+const restartBeforeEndsAreListed = async ({name, worker}: AgentHost): Promise<void> => {
+	worker.maxListedEnds = 0;
+	await site.submit(otherId, createSpec([createStep({count: 8, milliCpu: 100, estimateMs: 1000})]));
+	await site.clock.advance(500);
+	for (const taskId of [...worker.running.keys()].filter(running => running.startsWith(otherId))) {
+		worker.end(taskId, RunEnd.Done);
+	}
+
+	await restartAgent(name);
+};
+
 /** Guards against an owner that goes by an old state without a list, while the agent has listed its runs and renews their leases. */
 it('tasks of an agent that lists late start nowhere else, although its list reaches the owner seconds late', async () => {
 	const host = await startTasks(2);
@@ -76,14 +88,7 @@
 /** Guards against runs that count as lost while they run: an agent that waits for the last ends of its worker has read its clock, and renews its leases. */
 it('runs of a restarted agent whose worker has more ends than it lists are not lost', async () => {
 	const host = await startTasks(1);
-	host.worker.maxListedEnds = 0;
-	await site.submit(otherId, createSpec([createStep({count: 8, milliCpu: 100, estimateMs: 1000})]));
-	await site.clock.advance(500);
-	for (const taskId of [...host.worker.running.keys()].filter(running => running.startsWith(otherId))) {
-		host.worker.end(taskId, RunEnd.Done);
-	}
-
-	await restartAgent(host.name);
+	await restartBeforeEndsAreListed(host);
 	await site.clock.advance(20_000);
 	expect(host.worker.running.has(`${jobId}.0.0.0`)).toBe(true);
 	expect(site.notes.filter(({event, fields}) => event === 'run lost' && fields.taskId === `${jobId}.0.0.0`)).toEqual([]);
@@ -97,14 +102,7 @@
 	const host = await startTasks(2);
 	const other = [...site.hosts.values()].find(({name}) => name !== host.name)!;
 	other.worker.setMilliCpu(8000);
-	host.worker.maxListedEnds = 0;
-	await site.submit(otherId, createSpec([createStep({count: 8, milliCpu: 100, estimateMs: 1000})]));
-	await site.clock.advance(500);
-	for (const taskId of [...host.worker.running.keys()].filter(running => running.startsWith(otherId))) {
-		host.worker.end(taskId, RunEnd.Done);
-	}
-
-	await restartAgent(host.name);
+	await restartBeforeEndsAreListed(host);
 	await site.clock.advance(1000);
 	host.worker.isDown = true;
 	if (isOwnerReplaced) {
