--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -38,8 +38,8 @@
 /** The fencing token is raised by this when the worker has seen a higher one: the wall clock was set back between two starts of the agent. */
 const fenceIncrementMs = 3_600_000;
 /**
-A worker that refuses the token of a process that workers have obeyed obeys a newer process. Only if this one still runs after that time, which
-is longer than most take to shut down and shorter than leases, is the newer one taken for ended.
+A worker that refuses the token of this process after it has obeyed it has seen the token of a newer process. This process raises its own only if it
+still runs after this time, which is longer than most shutdowns and shorter than a lease.
 */
 const successorWaitMs = 3000;
 
--- a/src/jobs/ownership-manager.ts
+++ b/src/jobs/ownership-manager.ts
@@ -193,7 +193,7 @@
 		const live = this.fold.getLive(nowMs);
 		const claims: Array<{shard: number; fencingToken: number}> = [];
 		for (const shard of getShards()) {
-			// This entry is the owner in the stream of a shard that it has dropped: only itself can see that, so it claims a new token.
+			// The stream names this entry as the owner of a shard that it has dropped. No other entry can see that, so it claims the shard again.
 			const isDropped = isSameOwner(this.fold.getOwner(shard), self);
 			if (this.#owned.has(shard) || !(isDropped || this.fold.isLeaseExpired(shard, nowMs))) {
 				continue;
--- a/src/jobs/recovery.ts
+++ b/src/jobs/recovery.ts
@@ -63,7 +63,7 @@
 		const leaseManagers = options.getLeaseManagers();
 		await sealAll(owner, leaseManagers.filter(leaseManager => !sealed.has(leaseManager)), sealed, options);
 		const reached = leaseManagers.filter(leaseManager => sealed.has(leaseManager)).length;
-		// Lost again when more workers become known: the earlier owner may reach a majority of all of them.
+		// Reset when more workers become known: the earlier owner may reach a majority of all of them.
 		quorumAtMs = isMajority(reached, leaseManagers.length) ? quorumAtMs ?? clock.monotonicMs() : undefined;
 
 		const isAllReached = reached === leaseManagers.length;
--- a/src/platform/worker-calls.ts
+++ b/src/platform/worker-calls.ts
@@ -91,7 +91,7 @@
 	const reason = fields.string('reason', '');
 	const refusal = status === 409 ? refusalByReason[reason] : refusalByStatus[status];
 	if (refusal === undefined) {
-		// Any other answer does not say that nothing was done.
+		// Any other answer leaves open whether the order was carried out.
 		throw createError(ErrorCode.PeerUnavailable, {step: 'read worker answer', detail: `expected a known status and reason, found ${status} ${reason}`});
 	}
 
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -190,10 +190,10 @@
 
 	async #keepWatching(worker: FleetWorker, signal: AbortSignal): Promise<void> {
 		const {clock, note} = this.#options;
-		const replacedLives = new Set<string>();
+		const replacedIncarnations = new Set<string>();
 		while (!signal.aborted && this.workers.get(worker.host) === worker) {
 			try {
-				await this.#poll(worker, replacedLives, signal);
+				await this.#poll(worker, replacedIncarnations, signal);
 			} catch (error) {
 				if (signal.aborted) {
 					return;
@@ -209,7 +209,7 @@
 		}
 	}
 
-	async #poll(worker: FleetWorker, replacedLives: Set<string>, signal: AbortSignal): Promise<void> {
+	async #poll(worker: FleetWorker, replacedIncarnations: Set<string>, signal: AbortSignal): Promise<void> {
 		const {client, clock, epoch, onSuperseded, onReply, note} = this.#options;
 		const workerId = worker.report?.workerId;
 		const hasProof = workerId !== undefined && this.#options.getCaughtUpAtMs() >= worker.lastReplyAtMs && worker.loss?.session !== worker.session;
@@ -238,8 +238,8 @@
 			return;
 		}
 
-		// A process that still ends does not know what its successor does.
-		if (replacedLives.has(reply.agentLife)) {
+		// A process that is still shutting down does not know of the runs that its successor starts.
+		if (replacedIncarnations.has(reply.agentLife)) {
 			throw createError(ErrorCode.PeerUnavailable, {step: 'watch agent', peer: worker.host, detail: 'an earlier process of the agent answered'});
 		}
 
@@ -259,7 +259,7 @@
 		}
 
 		if (reply.agentLife !== worker.agentLife) {
-			replacedLives.add(worker.agentLife);
+			replacedIncarnations.add(worker.agentLife);
 			worker.processedCrash = 0;
 			worker.storedCrash = 0;
 			worker.agentClock = new PeerClock();
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -161,7 +161,7 @@
 		}
 
 		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + (refusalPauseMs[refusal!] ?? 0));
-		// A state that lists the run goes before an answer that does not.
+		// A state that lists the run takes precedence over a refusal.
 		if (refusal !== OrderRefusal.Unanswered && run.phase === RunPhase.Starting) {
 			tracker.withdraw(run, worker);
 		}
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -44,7 +44,7 @@
 /** First hold of a worker that fails tasks which succeed elsewhere; each further hold is twice as long. */
 const firstHoldMs = 1000;
 
-/** Distance of the run numbers of consecutive owners. The stream holds no starts, so an owner can't know which numbers the one before it gave. */
+/** Distance of the run numbers of consecutive owners. Starts are not stored, so an owner cannot know which numbers the one before it gave. */
 const runsPerEpoch = 10_000;
 
 /** Runs the jobs of one partition while it holds the newest epoch. */
--- a/src/workflows/ownership.ts
+++ b/src/workflows/ownership.ts
@@ -88,7 +88,7 @@
 /** A longer gap between heartbeats is logged: half of the time after which the group considers the member dead. */
 const lateHeartbeatMs = ttlMs / 2;
 
-/** What the group may take this entry for. */
+/** Membership of this entry, as the group may see it. */
 enum Membership {
 	/** No join was sent, or a leave was answered since. */
 	None,
