--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -67,7 +67,7 @@
 	readonly #watchers = new Set<() => void>();
 	readonly #leaseMs: number;
 	readonly #maxLeaseMs: number;
-	/** Whether this process has listed a worker that is gone: later incarnations were born in its own time, and no earlier process sent them a lease. */
+	/** Whether this process has listed a worker that is gone: later incarnations started during this process, and no earlier one sent them a lease. */
 	#hasListedGoneWorker = false;
 
 	constructor(life: string, leaseMs: number, maxLeaseMs: number) {
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -38,7 +38,7 @@
 /** The fencing token is raised by this when the worker has seen a higher one: the wall clock was set back between two starts of the agent. */
 const fenceIncrementMs = 3_600_000;
 /**
-A worker that refuses the token of this process after it has obeyed it has seen the token of a newer process. This process raises its own only if it
+A worker that refuses the token of this process after it has accepted it has seen the token of a newer process. This process raises its own only if it
 still runs after this time, which is longer than most shutdowns and shorter than a lease.
 */
 const successorWaitMs = 3000;
--- a/test/overlapping-agents.test.ts
+++ b/test/overlapping-agents.test.ts
@@ -41,8 +41,8 @@
 	expect(site!.events.filter(({type}) => type === 'started')).toHaveLength(4);
 };
 
-/** Guards against a process that ends and outbids the fence of its successor, whose renewals the worker then refuses. */
-it('an agent process raises its fence against no other one that the worker obeys', async () => {
+/** Guards against a process that is shutting down and raises its fence above that of its successor, whose renewals the worker then refuses. */
+it('an agent process does not raise its fence above that of a running process whose calls the worker accepts', async () => {
 	const {host, endFirst} = await startSecondAgent();
 	await site!.clock.advance(1000);
 	expect(countRaisedFences()).toBe(0);
@@ -51,8 +51,8 @@
 	expect(countRaisedFences()).toBe(0);
 });
 
-/** Guards against runs that end with their leases because the worker obeys a process that has ended. */
-it('an agent process raises its fence in time if another one that the worker obeys has ended', async () => {
+/** Guards against runs that end with their leases because the worker accepts only the fence of a process that has ended. */
+it('an agent process raises its fence in time if the process whose calls the worker accepts has ended', async () => {
 	site = await createSite(1, 1);
 	site.plan = () => ({workMs: 100_000});
 	await site.submit(jobId, createSpec([createStep({count: 4, estimateMs: 100_000})]));
--- a/test/restarted-agent-leases.test.ts
+++ b/test/restarted-agent-leases.test.ts
@@ -73,7 +73,7 @@
 });
 
 /** Guards against a crash loop that costs the length of a lease each time: an incarnation that follows a listed one has no earlier lease. */
-it('an agent takes a fresh incarnation that was sent no lease for free as soon as it is silent', async () => {
+it('an agent reports the leases of a fresh incarnation that was sent none as expired as soon as it is silent', async () => {
 	await createBusySite();
 	const {worker} = site!.hosts.get('host-0')!;
 	site!.store.getFault = () => StoreFault.LoseRequest;
--- a/test/site-wide-faults.ts
+++ b/test/site-wide-faults.ts
@@ -172,7 +172,7 @@
 	}
 };
 
-const heal = ({site}: Scene): void => {
+const endFaults = ({site}: Scene): void => {
 	site.cuts.clear();
 	site.lostAnswers.clear();
 	site.pathDelays.clear();
@@ -207,9 +207,9 @@
 
 const reactions: Array<(scene: Scene) => void> = [
 	restartAgent,
-	heal,
+	endFaults,
 	scene => {
-		heal(scene);
+		endFaults(scene);
 		restartAgent(scene);
 	},
 	restartAgentOfSilentWorker,
