Send the states of agents as rows without member names

Cause: an owner's polls bring each agent's whole state several times a second, each row with the names of its members. Counted by call, the states of 15 busy agents were up to 90 KB/s of a downstream of 125 KB/s. At half of that rate the reads of the job stream behind them found no answer within 700 ms: `store lost`, `view too old`, the jobs given up.

Change: an owner says that it accepts rows, and the agent then sends its lists as rows. Owners and agents of the previous version send and get what they did.

--- a/src/plugins/agent-messages.ts
+++ b/src/plugins/agent-messages.ts
@@ -10,6 +10,7 @@
 import {type StreamClient} from '../utils/call-stream-client.ts';
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AgentClient} from '../workflows/agent-links.ts';
+import {decodeWatchReply, encodeWatchReply, type WatchReplyRows} from './agent-state-rows.ts';
 
 /** A message in which the field is absent if a process of the previous version sent it. */
 type FromOlderVersion<Message, Key extends keyof Message> = Omit<Message, Key> & Partial<Pick<Message, Key>>;
@@ -32,8 +33,8 @@
 
 	return {
 		async watch(address, request, timeoutMs, signal) {
-			const reply = await post(address, watchPath, request, {timeoutMs, signal}) as FromOlderVersion<WatchReply, 'crashed'>;
-			return {...reply, crashed: reply.crashed ?? []};
+			const reply = await post(address, watchPath, {...request, acceptsRows: true}, {timeoutMs, signal}) as FromOlderVersion<WatchReply | WatchReplyRows, 'crashed'>;
+			return decodeWatchReply({...reply, crashed: reply.crashed ?? []} as WatchReply | WatchReplyRows);
 		},
 		order: async (address, request, timeoutMs) => await post(address, ordersPath, request, {timeoutMs}) as OrdersReply,
 	};
@@ -42,8 +43,9 @@
 /** Adds the agent's routes to a server. */
 export const serveAgent = (server: JsonServer, agent: Pick<Agent, 'watch' | 'order'>): void => {
 	server.route('POST', watchPath, async ({body, signal}) => {
-		const request = body as FromOlderVersion<WatchRequest, 'crashesStored'>;
-		return {body: await agent.watch({...request, crashesStored: request.crashesStored ?? 0}, signal)};
+		const {acceptsRows, ...request} = body as FromOlderVersion<WatchRequest, 'crashesStored'> & {acceptsRows?: boolean};
+		const reply = await agent.watch({...request, crashesStored: request.crashesStored ?? 0}, signal);
+		return {body: acceptsRows ? encodeWatchReply(reply) : reply};
 	});
 	server.route('POST', ordersPath, async ({body}) => ({body: await agent.order(body as OrdersRequest)}));
 };
