Send the input of a job once to each agent

Cause: each start carried the whole input of its job, once for each task.

The owner leaves the input out of further starts of the job to that incarnation of the agent. A start whose input the agent has dropped is refused as `no-input` and sent again with it. Agents of the previous version get each start whole; an owner of the previous version sends it whole.

--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -7,10 +7,11 @@
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
-	isWithin, OrderRefusal, OrderType, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest, type WorkerAnswer, type WorkerClient, type WorkerStart,
+	isWithin, OrderRefusal, OrderType, type Order, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest, type WorkerAnswer, type OrderedStart, type WorkerClient,
 } from '../types/fleet.ts';
 import {type AgentState, type WorkerState} from './agent-state.ts';
 import {EpochSource, type ControlWatch} from './control-watch.ts';
+import {JobInputs} from './job-inputs.ts';
 
 /** Logs an event. */
 export type AgentLogEvent = (event: string, fields: Record<string, unknown>) => void;
@@ -39,6 +40,7 @@
 /** The handler. */
 export class OrderHandler {
 	readonly #options: OrderHandlerOptions;
+	readonly #inputs = new JobInputs();
 
 	constructor(options: OrderHandlerOptions) {
 		this.#options = options;
@@ -47,6 +49,13 @@
 	/** Carries out all orders of a request concurrently. */
 	async order(request: OrdersRequest): Promise<OrdersReply> {
 		const {state, clock} = this.#options;
+		// Kept also if the orders are refused: the owner leaves out what this agent has received.
+		for (const order of request.orders) {
+			if (order.type === OrderType.Start) {
+				this.#inputs.keep(order.start);
+			}
+		}
+
 		const refusal = this.#getRefusal(request);
 		const answers = refusal === undefined
 			? await Promise.all(request.orders.map(async order => this.#carryOut(order, state.worker!, request)))
@@ -131,10 +140,15 @@
 		}
 	}
 
-	async #start(start: WorkerStart, worker: WorkerState, {epoch, session}: OrdersRequest): Promise<WorkerAnswer> {
+	async #start(order: OrderedStart, worker: WorkerState, {epoch, session}: OrdersRequest): Promise<WorkerAnswer> {
 		const {client, clock, control, getFence, state, note} = this.#options;
 		const {lease, report, runs, allLeasesExpiredAtMs} = worker;
 		const clockMs = lease.estimateClockMs(clock.monotonicMs());
+		const start = this.#inputs.complete(order);
+		if (!start) {
+			return {isDone: false, refusal: OrderRefusal.InputUnknown};
+		}
+
 		if (report.isDraining || worker.hasLeft) {
 			return {isDone: false, refusal: OrderRefusal.Draining};
 		}
@@ -235,6 +249,7 @@
 			starting: worker?.runs.starting ?? [],
 			crashed: [...state.crashed],
 			goneWorkerIds: state.goneWorkerIds,
+			keepsInputs: true,
 		};
 	}
 }
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -94,6 +94,8 @@
 	Ticket = 'ticket',
 	Unhealthy = 'unhealthy',
 	Invalid = 'invalid',
+	/** The start carries no input, and the agent does not know that of the job. */
+	InputUnknown = 'no-input',
 	/** The worker did not answer; a start may still take effect until its lease expires. */
 	Unanswered = 'unanswered',
 }
@@ -117,6 +119,12 @@
 	ticket?: string;
 };
 
+/** Start of one run, as sent to an agent. */
+export type OrderedStart = Omit<WorkerStart, 'input'> & {
+	/** Undefined: the agent keeps the input of the job from an earlier start. */
+	input?: string;
+};
+
 /**
 Calls to one worker. They throw `peer-unavailable` if there is no answer: the call may have been carried out, or may be later;
 `peer-unreached` if the connection is refused, as no process listens there.
@@ -140,7 +148,7 @@
 
 /** An order from an owner to an agent. */
 export type Order
-	= | {type: OrderType.Start; start: WorkerStart}
+	= | {type: OrderType.Start; start: OrderedStart}
 		| {type: OrderType.Stop; taskId: string; run: number}
 		| {type: OrderType.Throttle; taskId: string; run: number; percent: number};
 
@@ -213,6 +221,8 @@
 	crashed: CrashedRun[];
 	/** Earlier incarnations of the worker: all their runs have ended. */
 	goneWorkerIds: string[];
+	/** Whether the agent keeps inputs of jobs, so that further starts may leave them out; undefined from an agent of the previous version. */
+	keepsInputs?: boolean;
 };
 
 /** Registration of an agent in the store. */
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -161,6 +161,7 @@
 			workerClockMs: 0,
 			unresponsiveSinceMs: this.#options.clock.monotonicMs(),
 			runs: new Set(),
+			sentInputs: undefined,
 			health: {spec: {workerId: host}, isHeld: false, isProbing: false},
 			processedEnd: 0,
 			storedEnd: 0,
@@ -264,6 +265,7 @@
 			worker.storedCrash = 0;
 			worker.agentClock = new PeerClock();
 			worker.agentIncarnationSinceMs = worker.lastReplyAtMs;
+			worker.sentInputs = reply.keepsInputs ? new WeakSet() : undefined;
 		}
 
 		worker.agentClock.addReading(reply.agentClockMs, {sentAtMs, handledAtMs: worker.lastReplyAtMs});
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -6,7 +6,7 @@
 import {type WorkflowStep} from '../types/workflows.ts';
 import {type PeerClock} from '../utils/peer-clock.ts';
 import {type Throttles} from './best-effort-interference.ts';
-import {type LiveRun} from './live-model.ts';
+import {type LiveRun, type LiveWorkflow} from './live-model.ts';
 
 /** Declaration that one registration of an agent is lost. */
 export type AgentLoss = {
@@ -51,6 +51,8 @@
 	/** The loss of the agent that is being or was declared; undefined: it counts as present. */
 	loss?: AgentLoss;
 	runs: Set<LiveRun>;
+	/** Jobs whose input was sent to this incarnation of the agent, which keeps it; undefined: the agent keeps no inputs. */
+	sentInputs: WeakSet<LiveWorkflow> | undefined;
 	/** Health by the outcomes of its runs: whether the worker gets no tasks, or a single one as a probe. */
 	health: HealthSubject;
 	/** Ends up to this number have been processed. */
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -3,7 +3,7 @@
 */
 import {type Clock} from '../types/clock.ts';
 import {
-	OrderRefusal, OrderType, type Order, type WorkerAnswer,
+	OrderRefusal, OrderType, type Order, type OrderedStart, type WorkerAnswer,
 } from '../types/fleet.ts';
 import {type AgentLinks} from './agent-links.ts';
 import {type FleetWorker} from './fleet-view.ts';
@@ -124,12 +124,14 @@
 			});
 		}
 
-		const reply = await links.order(worker, runs.map(({task, run}): Order => ({
-			type: OrderType.Start,
-			start: {
-				taskId: task.taskId, run, input: task.step.workflow.spec.input, checkpoint: task.checkpoint, ticket: this.#options.getTicket(task.step, worker.report!.workerId),
-			},
-		})), notAfterMs);
+		const starts = runs.map(run => this.#createStart(worker, run));
+		const reply = await links.order(worker, starts.map((start): Order => ({type: OrderType.Start, start})), notAfterMs);
+		if (!reply) {
+			for (const {task} of runs) {
+				worker.sentInputs?.delete(task.step.workflow);
+			}
+		}
+
 		const nowMs = clock.monotonicMs();
 		for (const [index, run] of runs.entries()) {
 			run.isOrderPending = false;
@@ -140,6 +142,16 @@
 		}
 	}
 
+	/** Creates the start of a run, with the job's input unless the agent keeps it. */
+	#createStart(worker: FleetWorker, {task, run}: LiveRun): OrderedStart {
+		const {step, taskId, checkpoint} = task;
+		const isInputSent = worker.sentInputs?.has(step.workflow) ?? false;
+		worker.sentInputs?.add(step.workflow);
+		return {
+			taskId, run, input: isInputSent ? undefined : step.workflow.spec.input, checkpoint, ticket: this.#options.getTicket(step, worker.report!.workerId),
+		};
+	}
+
 	#handleAnswer(worker: FleetWorker, run: LiveRun, {isDone, refusal}: WorkerAnswer, {version, nowMs}: {version: number; nowMs: number}): void {
 		const {tracker, note, onStaleEpoch} = this.#options;
 		if (!run.task.runs.includes(run)) {
@@ -160,6 +172,10 @@
 			return;
 		}
 
+		if (refusal === OrderRefusal.InputUnknown) {
+			worker.sentInputs?.delete(run.task.step.workflow);
+		}
+
 		worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + (refusalPauseMs[refusal!] ?? 0));
 		// A state that lists the run takes precedence over a refusal.
 		if (refusal !== OrderRefusal.Unanswered && run.phase === RunPhase.Starting) {
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -39,6 +39,7 @@
 	workerClockMs: 0,
 	agentClock: new PeerClock(),
 	runs: new Set(),
+	sentInputs: undefined,
 	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
 	processedEnd: 0,
 	storedEnd: 0,
