Bound the starts on their way by a congestion window

Cause: nothing bounded how many starts were on their way. A new owner with a backlog decided hundreds at once; on a slow link these took seconds, expired on their way, and the owner's heartbeats, appends and reads waited behind them. It lost the partition, and the next owner, with the same backlog, did the same: overload that feeds itself.

Change: the starts that agents have not answered yet are bounded in bytes. Starts are admitted in their order of rank, a gang as a whole; the others are decided anew once half of the window is free. The log line on waiting tasks shows the window, the bytes on their way and how many tasks wait for them (`order-window`).

--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -10,6 +10,7 @@
 import {
 	RunPhase, type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
+import {getOrderBytes, type OrderWindow} from './order-window.ts';
 import {type Start} from './placement.ts';
 import {type RunTracker} from './run-tracker.ts';
 
@@ -19,11 +20,14 @@
 	links: AgentLinks;
 	tracker: RunTracker;
 	model: LiveModel;
+	window: OrderWindow;
 	getTicket: (step: LiveStep, workerId: string) => string | undefined;
 	/** How long a start that is ordered now may stay valid. */
 	getStartValidityMs: () => number;
 	/** An agent knows a newer owner. */
 	onStaleEpoch: () => void;
+	/** Starts were answered: others may be decided. */
+	onAnswered: () => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
@@ -117,7 +121,7 @@
 	}
 
 	async #sendStarts(worker: FleetWorker, runs: LiveRun[], notAfterMs: number): Promise<void> {
-		const {links, clock, note} = this.#options;
+		const {links, clock, note, window, onAnswered} = this.#options;
 		for (const {task, run, workerId, orderedAtMs} of runs) {
 			note('start', {
 				taskId: task.taskId, run, host: worker.host, workerId, waitedMs: Math.round(orderedAtMs - task.waitingSinceMs), checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
@@ -125,7 +129,10 @@
 		}
 
 		const starts = runs.map(run => this.#createStart(worker, run));
+		const inFlight = window.recordSent(getOrderBytes(starts));
 		const reply = await links.order(worker, starts.map((start): Order => ({type: OrderType.Start, start})), notAfterMs);
+		window.recordAnswer(inFlight, reply !== undefined);
+		onAnswered();
 		if (!reply) {
 			for (const {task} of runs) {
 				worker.sentInputs?.delete(task.step.workflow);
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -22,6 +22,7 @@
 import {AgentLossMonitor} from './agent-loss-monitor.ts';
 import {getSchedulableWorkers} from './schedulable-workers.ts';
 import {OrderSender} from './order-sender.ts';
+import {OrderWindow} from './order-window.ts';
 import {OwnerLog} from './owner-log.ts';
 import {type OwnerOptions} from './owner-options.ts';
 import {ThrottleController} from './throttle-controller.ts';
@@ -115,6 +116,7 @@
 		};
 		this.#advice = new AdviceCache({...options, client: options.adviceClient, onAdvice: requestCycle});
 		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
+		const window = new OrderWindow(clock);
 		this.#quarantine = new Quarantine({workers: this.links.workers, note});
 		this.#crashes = new CrashMonitor({
 			clock,
@@ -140,6 +142,7 @@
 			times: this.#runTimes,
 			isAllowed: this.#isAllowed,
 			quarantine: this.#quarantine,
+			window,
 			getWaiting: nowMs => this.#getStartableTasks(nowMs),
 			getWorkers: nowMs => this.#getSchedulableWorkers(nowMs),
 			getRuns: () => [...this.links.workers.values()].flatMap(worker => [...worker.runs]),
@@ -149,7 +152,7 @@
 			},
 		});
 		this.#sender = new OrderSender({
-			...shared, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), getStartValidityMs: () => this.#viewStaleness.getStartValidityMs(), onStaleEpoch: () => {
+			...shared, window, onAnswered: requestCycle, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), getStartValidityMs: () => this.#viewStaleness.getStartValidityMs(), onStaleEpoch: () => {
 				this.#stepDown('an agent refused the epoch');
 			},
 		});
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -11,10 +11,11 @@
 	type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
 import {place, type PlacementResult, type Start} from './placement.ts';
+import {type OrderWindow} from './order-window.ts';
 import {type Policy} from './policy.ts';
 import {type Quarantine} from './quarantine.ts';
 import {type RunTimes} from './run-times.ts';
-import {type IsAllowed, type StepPlacement, type WaitReason} from './step-placement.ts';
+import {WaitReason, type IsAllowed, type StepPlacement} from './step-placement.ts';
 import {createRank, getRemainingWork, type RemainingWork} from './task-order.ts';
 
 /** Options of the cycles. */
@@ -28,6 +29,7 @@
 	meter: WorkMeter;
 	isAllowed: IsAllowed;
 	quarantine: Quarantine;
+	window: OrderWindow;
 	/** Tasks that may start now. */
 	getWaiting: (nowMs: number) => Iterable<LiveTask>;
 	/** Workers that may get new tasks. */
@@ -92,8 +94,12 @@
 
 	#run(): void {
 		const {
-			clock, quarantine, getWaiting, getWorkers, getStartDelayMs, onStarts,
+			clock, quarantine, window, getWaiting, getWorkers, getStartDelayMs, onStarts,
 		} = this.#options;
+		if (!window.hasRoom) {
+			return;
+		}
+
 		const nowMs = clock.monotonicMs();
 		const gapMs = Math.max(0, Math.min(maxGapMs, nowMs - this.#lastAtMs));
 		const times = {nowMs, nextStartDelayMs: gapMs + getStartDelayMs()};
@@ -102,11 +108,17 @@
 			nowMs, waiting: [...getWaiting(nowMs)], schedulable: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, times).starts,
 		});
 		const {starts, waits, spareMilliCpu, refused} = this.#place(quarantined.waiting, quarantined.schedulable, times);
-		for (const {task: {step: {workflow}}, isIdleStart} of starts) {
+		const decided = [...quarantined.starts, ...starts];
+		const admitted = window.admit(decided);
+		for (const {task: {step: {workflow}}, isIdleStart} of admitted.slice(quarantined.starts.length)) {
 			workflow.isStarved = isIdleStart;
 		}
 
-		onStarts([...quarantined.starts, ...starts]);
+		onStarts(admitted);
+		if (admitted.length < decided.length) {
+			waits.set(WaitReason.OrderWindow, decided.length - admitted.length);
+		}
+
 		if (waits.size > 0 && nowMs - this.#loggedAtMs >= logIntervalMs) {
 			this.#loggedAtMs = nowMs;
 			this.#logWaits(waits, spareMilliCpu, refused);
@@ -131,7 +143,7 @@
 	}
 
 	#logWaits(waits: Map<WaitReason, number>, spareMilliCpu: number, refused: StepPlacement[]): void {
-		const {model, getRuns, note} = this.#options;
+		const {model, window, getRuns, note} = this.#options;
 		const runs = getRuns();
 		const bestEffortRuns = runs.filter(run => run.task.step.spec.isFilling);
 		note('tasks wait', {
@@ -143,6 +155,8 @@
 			bestEffortRequestMilliCpu: sum(bestEffortRuns.map(({task: {step: {spec}}}) => spec.milliCpu)),
 			fillingMilliCpu: Math.round(sum(bestEffortRuns.map(({recent}) => recent))),
 			spareMilliCpu: Math.round(spareMilliCpu),
+			startsInFlightBytes: window.inFlightBytes,
+			startWindowBytes: Math.round(window.sizeBytes),
 			backlogCoreMs: Math.round(sum([...this.#remainingWork.values()].map(({remainingCoreMs}) => remainingCoreMs))),
 		});
 	}
--- a/src/workflows/step-placement.ts
+++ b/src/workflows/step-placement.ts
@@ -48,6 +48,8 @@
 	Trial = 'trial',
 	/** The worker would accept the step, but another run of the task is already on its host. */
 	OtherRun = 'other',
+	/** A worker has capacity, but the starts that agents have not answered yet fill the congestion window. */
+	OrderWindow = 'order-window',
 }
 
 const waitReasons = Object.values(WaitReason);
--- a/test/scheduling-cycles.test.ts
+++ b/test/scheduling-cycles.test.ts
@@ -6,6 +6,7 @@
 import {WorkMeter} from '../src/utils/work-meter.ts';
 import {BestEffortInterference} from '../src/workflows/best-effort-interference.ts';
 import {type Start} from '../src/workflows/placement.ts';
+import {OrderWindow} from '../src/workflows/order-window.ts';
 import {createPolicy} from '../src/workflows/policy.ts';
 import {Quarantine} from '../src/workflows/quarantine.ts';
 import {RunTimes} from '../src/workflows/run-times.ts';
@@ -43,6 +44,7 @@
 		policy: createPolicy(),
 		meter: new WorkMeter(clock, ignore),
 		isAllowed: () => true,
+		window: new OrderWindow(clock),
 		quarantine: new Quarantine({workers: new Map([['host', worker]]), note: ignore}),
 		getWaiting: nowMs => model.getWaitingTasks(nowMs, () => false),
 		getWorkers: () => [worker],
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -25,6 +25,7 @@
 import {RelayingApi} from '../src/workflows/relaying-api.ts';
 import {ProcessClock} from './simulated-membership.ts';
 import {createAgentClient, createEntryClient, type SitePaths} from './site-calls.ts';
+import {type SlowLink} from './slow-link.ts';
 import {createPausableClient} from './pausable-client.ts';
 
 export const service = 'desk';
@@ -101,6 +102,7 @@
 	/** Pairs `entry>host` between which no call passes. */
 	readonly cuts = new Set<string>();
 	readonly pathDelays: SitePaths['pathDelays'] = new Map();
+	readonly uplinks = new Map<string, SlowLink>();
 	/** Whether calls to a suspended agent wait until it continues. */
 	keepsCalls = false;
 	/** Whether callers' calls are relayed to other entries. */
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -10,6 +10,7 @@
 import {type QueueConfig} from '../src/types/site.ts';
 import {type AgentClient} from '../src/workflows/agent-links.ts';
 import {createRelayTarget} from '../src/workflows/relaying-api.ts';
+import {type SlowLink} from './slow-link.ts';
 
 /** Delays of the calls between an entry and an agent; asked once for each call. */
 export type PathDelays = {
@@ -35,6 +36,8 @@
 	storeFailing: ReadonlySet<string>;
 	/** Delays of pairs `entry>host`, in addition to those of all pairs. */
 	pathDelays: Map<string, PathDelays>;
+	/** Links that the calls of an entry to agents pass, by entry; without one they take no time. */
+	uplinks: ReadonlyMap<string, SlowLink>;
 	/** Whether calls to a suspended agent wait in its socket until it continues, instead of being lost. */
 	keepsCalls: boolean;
 	/** How long an entry's thread takes to send a call to an agent. */
@@ -67,7 +70,7 @@
 		return act(agent);
 	};
 
-	const call = async <Reply extends WatchReply | OrdersReply>(host: string, act: (agent: Agent) => Promise<Reply>, timeoutMs: number): Promise<Reply> => {
+	const call = async <Reply extends WatchReply | OrdersReply>(host: string, act: (agent: Agent) => Promise<Reply>, {timeoutMs, request}: {timeoutMs: number; request: unknown}): Promise<Reply> => {
 		const path = `${entryName}>${host}`;
 		await clock.sleep(1 + site.getCallDelayMs());
 		const agent = hosts.get(host)?.agent;
@@ -76,8 +79,10 @@
 		}
 
 		const delays = site.pathDelays.get(path);
-		const isPlain = delays === undefined && !site.keepsCalls;
-		const answer = isPlain ? act(agent) : arrive(host, act, {transitMs: delays?.getTransitMs() ?? 0, timeoutMs});
+		const link = site.uplinks.get(entryName);
+		const isPlain = delays === undefined && link === undefined && !site.keepsCalls;
+		const transitMs = (delays?.getTransitMs() ?? 0) + (link?.send(JSON.stringify(request).length) ?? 0);
+		const answer = isPlain ? act(agent) : arrive(host, act, {transitMs, timeoutMs});
 		// A process that died never answers: the caller's timeout ends the call.
 		const reply = structuredClone(await Promise.race([answer, fail(clock, 'call agent', host, timeoutMs)]));
 		await clock.sleep(1 + site.getAnswerDelayMs({entry: entryName, host, reply}) + (delays?.getAnswerMs() ?? 0));
@@ -85,8 +90,8 @@
 	};
 
 	return {
-		watch: async (host, request, timeoutMs, signal) => call(host, async agent => agent.watch(structuredClone(request), signal), timeoutMs),
-		order: async (host, request, timeoutMs) => call(host, async agent => agent.order(structuredClone(request)), timeoutMs),
+		watch: async (host, request, timeoutMs, signal) => call(host, async agent => agent.watch(structuredClone(request), signal), {timeoutMs, request}),
+		order: async (host, request, timeoutMs) => call(host, async agent => agent.order(structuredClone(request)), {timeoutMs, request}),
 	};
 };
 
--- a/test/site-orders.test.ts
+++ b/test/site-orders.test.ts
@@ -8,6 +8,7 @@
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
 import {type LiveModel} from '../src/workflows/live-model.ts';
 import {OrderSender} from '../src/workflows/order-sender.ts';
+import {OrderWindow} from '../src/workflows/order-window.ts';
 import {LossReason, RunTracker} from '../src/workflows/run-tracker.ts';
 import {createWorker, createWorkflow, load} from './site-fleet.ts';
 import {createSpec, createStep} from './simulated-site.ts';
@@ -36,7 +37,7 @@
 		},
 	} as unknown as AgentLinks;
 	const sender = new OrderSender({
-		clock, model, links, tracker: createTracker(model), getTicket: ignore, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note() {
+		clock, model, links, tracker: createTracker(model), window: new OrderWindow(clock), onAnswered: ignore, getTicket: ignore, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note() {
 			clock.advanceSync(5);
 		},
 	});
@@ -76,7 +77,7 @@
 		},
 	} as unknown as AgentLinks;
 	const sender = new OrderSender({
-		clock, model, links, tracker, getTicket: ignore, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
+		clock, model, links, tracker, window: new OrderWindow(clock), onAnswered: ignore, getTicket: ignore, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
 	});
 	const [task] = [...model.getWaitingTasks(0, () => false)];
 	sender.start([{task: task!, worker, isIdleStart: false}]);
