Tell incarnations of a worker apart that share an id

Callers saw (simulated site, a job of 60 tasks, a worker that crashes at 2 s and returns under its id): 8 tasks done twice after their success had been stored, 12 runs taken for lost of which 8 had ended well. A host whose worker the agent had seen go would stand idle until the agent restarts.

Cause: the id stood for the incarnation. The numbers of ends and announcements start anew with each incarnation, so that ends of the new one were taken for known ones and dropped, and its announcements for old ones. Calls name the worker by its id alone, so that the new incarnation executes what was meant for the one before.

Change: the adapter forms the identity of an incarnation from the id and the time of the start (`born`) and takes it apart where the platform wants the id. An agent that gets the listing of another incarnation raises its fencing token and lists again: the worker then refuses every call that is still on its way for its predecessor, and the second listing is complete. Only with that list the predecessor and its runs count as gone; runs that the new one has taken are adopted, not started again. Until a listing shows the same incarnation after a call without an answer, the agent lets the worker drop no ends. A message that an incarnation ends is ignored once the worker announces itself as ready again.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -26,6 +26,8 @@
 	answeredAtMs: number;
 	/** The worker does not answer, and all leases granted to it have expired. */
 	areLeasesExpired: boolean;
+	/** Another incarnation, which answers at the worker's address to calls that were meant for this one. */
+	replacedBy?: string;
 };
 
 const maxGoneWorkerIds = 20;
@@ -125,6 +127,8 @@
 			// Announcements may arrive out of order; the one with the higher sequence is newer.
 			if (report.sequence > known.sequence) {
 				this.worker!.report = report;
+				// A worker that ends has announced before that it drains: the message that it ends came late, from an earlier incarnation with its id.
+				this.worker!.hasLeft &&= report.isDraining;
 				if (known.isDraining !== report.isDraining || !isWithin(known, report) || !isWithin(report, known)) {
 					this.notifyChange();
 				}
@@ -187,8 +191,16 @@
 		this.#crashed = this.#crashed.filter(({number}) => number > upTo);
 	}
 
-	/** Removes an incarnation that ended or whose address another one answers at. If a successor has announced itself, it becomes current. */
-	removeWorker(workerId: string, nowMs: number): void {
+	/** Whether the incarnation has announced itself and becomes current when the present one is removed. */
+	isSuccessor(workerId: string): boolean {
+		return this.#successor?.workerId === workerId;
+	}
+
+	/**
+	Removes an incarnation that ended or whose address another one answers at. If a successor has announced itself, it becomes current;
+	`mayHoldLeases`: it may have executed calls that were meant for the removed one.
+	*/
+	removeWorker(workerId: string, nowMs: number, mayHoldLeases = false): void {
 		if (this.worker?.report.workerId === workerId) {
 			this.#hasListedGoneWorker ||= this.worker.runs.isListed;
 			this.worker = undefined;
@@ -197,16 +209,16 @@
 		this.recordGone(workerId);
 		const successor = this.#successor;
 		if (!this.worker && successor && successor.workerId !== workerId) {
-			this.#setWorker(successor, nowMs);
+			this.#setWorker(successor, nowMs, mayHoldLeases);
 		}
 	}
 
-	#setWorker(report: WorkerReport, nowMs: number): void {
+	#setWorker(report: WorkerReport, nowMs: number, mayHoldLeases = false): void {
 		this.#successor = undefined;
 		this.worker = {
 			report,
 			knownSinceMs: nowMs,
-			lease: new WorkerLease(this.#leaseMs, this.#hasListedGoneWorker ? 0 : this.#maxLeaseMs),
+			lease: new WorkerLease(this.#leaseMs, this.#hasListedGoneWorker && !mayHoldLeases ? 0 : this.#maxLeaseMs),
 			runs: new WorkerRuns(),
 			forgetUpTo: 0,
 			areLeasesExpired: false,
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -102,7 +102,9 @@
 			},
 		});
 		this.#loopOptions = {
-			...shared, wakeup: this.#wakeup, maxLeaseMs: options.maxLeaseMs, onLeasesExpired: () => {
+			...shared, raiseFence: () => {
+				this.#fence++;
+			}, wakeup: this.#wakeup, maxLeaseMs: options.maxLeaseMs, onLeasesExpired: () => {
 				note('lapsed', {session: this.state.session});
 				this.state.isRegistered = false;
 				this.#lapses++;
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -18,6 +18,8 @@
 	getFence: () => number;
 	onFenceRefused: () => void;
 	maxLeaseMs: number;
+	/** Raises the fencing token, so that a restarted worker refuses calls that were meant for its predecessor. */
+	raiseFence: () => void;
 	/** The leases of an agent that was declared lost have expired: it may register again. */
 	onLeasesExpired: () => void;
 	note: AgentLogEvent;
@@ -61,14 +63,16 @@
 	const {state, client, clock, getFence, onFenceRefused, note} = options;
 	const {lease, report: {workerId}} = worker;
 	const sentAtMs = clock.monotonicMs();
-	const leaseUntilMs = !state.mustLetLeasesExpire && worker.allLeasesExpiredAtMs === undefined && lease.leaseUntilMs > 0 ? lease.getRenewalUntilMs(worker.isAnswering) : undefined;
+	const mayBeReplaced = worker.replacedBy !== undefined || !worker.isAnswering;
+	const leaseUntilMs = worker.replacedBy === undefined && !state.mustLetLeasesExpire && worker.allLeasesExpiredAtMs === undefined && lease.leaseUntilMs > 0 ? lease.getRenewalUntilMs(worker.isAnswering) : undefined;
 	if (leaseUntilMs !== undefined) {
 		lease.recordSent(leaseUntilMs);
 	}
 
 	try {
 		const reply = await client.renew(workerId, {
-			fence: getFence(), forgetUpTo: worker.forgetUpTo, leaseUntilMs, waitMs: worker.runs.isListed && lease.leaseUntilMs > 0 ? listWaitMs : 0,
+			// The numbers of ends start anew with each incarnation: a restarted worker would drop ends that were never read.
+			fence: getFence(), forgetUpTo: mayBeReplaced ? 0 : worker.forgetUpTo, leaseUntilMs, waitMs: worker.runs.isListed && lease.leaseUntilMs > 0 ? listWaitMs : 0,
 		});
 		if (state.worker !== worker) {
 			// The incarnation has left since the call was sent.
@@ -76,6 +80,10 @@
 		}
 
 		if ('running' in reply) {
+			if (reply.workerId !== undefined && reply.workerId !== workerId) {
+				return handleRestart(options, worker, reply, sentAtMs);
+			}
+
 			applyListing(options, worker, reply, sentAtMs);
 			return true;
 		}
@@ -112,6 +120,43 @@
 	return false;
 };
 
+/**
+Handles the listing of an incarnation that has the id of the worker. It executes calls that were meant for its predecessor, and
+such calls may still be on their way: a listing is complete only if it answers a call with a higher fencing token, which makes the
+worker refuse them. Until then the predecessor's runs do not count as gone, or they would start elsewhere while they run here.
+Returns whether the restarted worker has become current.
+*/
+const handleRestart = (options: WorkerLoopOptions, worker: WorkerState, listing: WorkerListing, sentAtMs: number): boolean => {
+	const {
+		state, clock, maxLeaseMs, raiseFence, note,
+	} = options;
+	const workerId = listing.workerId!;
+	const isFenced = worker.replacedBy === workerId;
+	if (!isFenced) {
+		worker.replacedBy = workerId;
+		raiseFence();
+		recordNoAnswer(options, worker);
+		// It may have taken the longest lease from a call that was meant for its predecessor.
+		worker.lease.recordSent((worker.lease.estimateClockMs(clock.monotonicMs()) ?? 0) + maxLeaseMs);
+		note('worker restarted', {workerId, before: worker.report.workerId});
+	}
+
+	// Its capacity is known once it has announced itself.
+	if (!isFenced || !state.isSuccessor(workerId)) {
+		return false;
+	}
+
+	worker.runs.removeListed(listing);
+	note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
+	if (!worker.hasLeft) {
+		state.recordCrash(worker, clock.monotonicMs());
+	}
+
+	removeWorker(options, worker, true);
+	applyListing(options, state.worker!, listing, sentAtMs);
+	return true;
+};
+
 /** Records that the worker does not list its runs: it gets no starts, and its lease is not extended, until it does again. */
 const recordNoAnswer = ({state, clock}: WorkerLoopOptions, worker: WorkerState): void => {
 	if (worker.isAnswering) {
@@ -122,8 +167,8 @@
 };
 
 /** Removes a worker that is gone. Its leases are over, so the agent waits for them no longer. */
-const removeWorker = ({state, clock, onLeasesExpired}: WorkerLoopOptions, worker: WorkerState): void => {
-	state.removeWorker(worker.report.workerId, clock.monotonicMs());
+const removeWorker = ({state, clock, onLeasesExpired}: WorkerLoopOptions, worker: WorkerState, mayHoldLeases = false): void => {
+	state.removeWorker(worker.report.workerId, clock.monotonicMs(), mayHoldLeases);
 	if (worker.allLeasesExpiredAtMs !== undefined) {
 		onLeasesExpired();
 	}
--- a/src/agents/worker-runs.ts
+++ b/src/agents/worker-runs.ts
@@ -69,6 +69,14 @@
 		return [...resident].map(([key, {taskId, run}]) => ({taskId, run, ageMs: Math.max(0, atMs - (this.#sinceMs.get(key) ?? atMs))}));
 	}
 
+	/** Removes the runs that another incarnation lists: it has executed the starts that were meant for this one. */
+	removeListed({running, ended}: WorkerListing): void {
+		for (const {taskId, run} of [...running, ...ended]) {
+			this.#running.delete(getKey(taskId, run));
+			this.#starting.delete(getKey(taskId, run));
+		}
+	}
+
 	recordStartSent(taskId: string, run: number, {validUntilMs, nowMs}: {validUntilMs: number; nowMs: number}): void {
 		const key = getKey(taskId, run);
 		this.#sinceMs.set(key, nowMs);
--- a/src/platform/worker-calls.ts
+++ b/src/platform/worker-calls.ts
@@ -10,6 +10,7 @@
 import {RunEnd} from '../types/workflows.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
 import {type HttpClient} from '../utils/keep-alive-client.ts';
+import {formatWorkerId, getInstanceId, hasStartTime} from './worker-identity.ts';
 
 /** Timeout of an order. The worker is on this host and answers in a few ms. */
 const orderTimeoutMs = 700;
@@ -32,7 +33,7 @@
 	503: OrderRefusal.Unhealthy,
 };
 
-type Reply = {status: number; json: unknown; instanceId?: string};
+type Reply = {status: number; json: unknown};
 
 /** Creates the client of the worker at the address. */
 export const createWorkerClient = (http: HttpClient, address: string): WorkerClient => {
@@ -41,14 +42,14 @@
 		let answer;
 		try {
 			answer = await http.callJson({
-				address, method: 'POST', path, json, timeoutMs, step, headers: workerId === undefined ? {} : {'expect-instance': workerId},
+				address, method: 'POST', path, json, timeoutMs, step, headers: workerId === undefined ? {} : {'expect-instance': getInstanceId(workerId)},
 			});
 		} catch (error) {
 			// A busy worker may accept no connection for a while.
 			throw isError(error, ErrorCode.PeerUnreached) && !isConnectionRefused(error) ? createError(ErrorCode.PeerUnavailable, {step, detail: getMessage(error)}) : error;
 		}
 
-		return {status: answer.status, json: answer.json, instanceId: answer.headers['instance-id'] as string | undefined};
+		return {status: answer.status, json: answer.json};
 	};
 
 	return {
@@ -75,7 +76,7 @@
 				...(leaseUntilMs !== undefined && {untilMs: Math.floor(leaseUntilMs)}),
 				...(waitMs > 0 && {waitMs: Math.floor(waitMs)}),
 			}, workerId, waitMs + orderTimeoutMs);
-			return reply.status === 200 ? decodeListing(reply) : {refusal: decodeAnswer(reply).refusal!};
+			return reply.status === 200 ? decodeListing(reply, workerId) : {refusal: decodeAnswer(reply).refusal!};
 		},
 	};
 };
@@ -98,11 +99,12 @@
 	return {isDone: false, refusal, clockMs};
 };
 
-const decodeListing = ({json, instanceId}: Reply): WorkerListing => {
+/** Decodes a listing. One that gives the time of its worker's start may come from another incarnation than the expected one, with the same id. */
+const decodeListing = ({json}: Reply, expectedId: string | undefined): WorkerListing => {
 	const fields = new Fields(json, 'read worker listing');
 	const ended = fields.array('ended', decodeEnded);
 	return {
-		workerId: instanceId,
+		workerId: expectedId !== undefined && hasStartTime(expectedId) && fields.has('born') ? formatWorkerId(getInstanceId(expectedId), fields.nonNegativeInteger('born')) : expectedId,
 		clockMs: fields.number('clockMs'),
 		running: fields.array('running', decodeRunning),
 		ended,
@@ -136,11 +138,11 @@
 Decodes a worker's announcement. Announcements may come from other writers, so one with a missing field, a field of another
 type or an unknown state is rejected. Throws `bad-input`.
 */
-export const decodeAnnouncement = (workerId: string, body: Buffer | string): WorkerReport => {
+export const decodeAnnouncement = (instanceId: string, body: Buffer | string): WorkerReport => {
 	const fields = parseFields(body, 'read announcement');
 	const capacity = fields.fields('capacity');
 	return {
-		workerId,
+		workerId: formatWorkerId(instanceId, fields.has('born') ? fields.nonNegativeInteger('born') : undefined),
 		service: fields.string('service'),
 		failureDomain: fields.string('zone'),
 		isDraining: fields.oneOf('state', Object.values(AnnouncedState)) === AnnouncedState.Draining,
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -9,6 +9,9 @@
 } from '../types/fleet.ts';
 import {RunEnd} from '../types/workflows.ts';
 
+/** Gets the id that calls name; incarnations that share it are told apart by what follows the `@`. */
+const getInstanceId = (workerId: string): string => workerId.split('@')[0]!;
+
 /** Simulated behaviour of a run, set when it starts. */
 export type RunPlan = {
 	/** Run time; undefined: the run continues until it is stopped. */
@@ -78,6 +81,7 @@
 	lapsedAtMs = 0;
 	readonly #options: SiteWorkerOptions;
 	#incarnation = 1;
+	#startedAtMs = 0;
 	#fence = 0;
 	#leaseUntilMs = 0;
 	#ended: EndedRow[] = [];
@@ -94,6 +98,9 @@
 		this.#scheduleLeaseCheck();
 	}
 
+	/** How long a call is on its way before the worker executes it, whichever incarnation it is then. */
+	getTransitMs: (order: 'start' | 'stop' | 'renew') => number = () => 0;
+
 	getFault: (order: 'start' | 'stop' | 'renew') => OrderFault = () => OrderFault.None;
 
 	/** How long an answer to its agent is on its way after the order was executed. */
@@ -111,34 +118,18 @@
 		};
 	}
 
-	/** Crashes the worker, which restarts after `downtimeMs` as a new incarnation without any state. */
+	/** Crashes the worker, which restarts after `downtimeMs` as a new incarnation without any state and with a new id. */
 	crash(downtimeMs = 0): void {
-		for (const {start} of this.running.values()) {
-			this.#reportEnd(start, 'lost');
-		}
-
-		for (const run of this.running.values()) {
-			run.timer?.cancel();
-		}
-
-		this.running.clear();
-		this.#ended = [];
-		this.#endNumber = 0;
-		this.#fence = 0;
-		this.#leaseUntilMs = 0;
-		this.#lastRuns = new Map();
-		this.#incarnation++;
-		this.workerId = this.workerId.replace(/\d+$/, String(this.#incarnation));
-		for (const wake of this.#waiters) {
-			wake();
-		}
+		this.#restart(downtimeMs);
+		this.workerId = getInstanceId(this.workerId).replace(/\d+$/, String(this.#incarnation));
+	}
 
-		if (downtimeMs > 0) {
-			this.isDown = true;
-			this.#options.clock.setTimer(() => {
-				this.isDown = false;
-			}, downtimeMs);
-		}
+	/** The same, but it restarts under the id that it had: calls for its predecessor reach it, and its announcements and its clock start anew. */
+	crashAndKeepId(downtimeMs = 0): void {
+		this.#restart(downtimeMs);
+		this.workerId = `${getInstanceId(this.workerId)}@${this.#incarnation}`;
+		this.#sequence = 0;
+		this.#startedAtMs = this.#options.clock.monotonicMs();
 	}
 
 	/** Creates the client with which its agent calls it. */
@@ -177,7 +168,35 @@
 	}
 
 	get #clockMs(): number {
-		return this.#options.clock.monotonicMs() + clockOffsetMs;
+		return this.#options.clock.monotonicMs() - this.#startedAtMs + clockOffsetMs;
+	}
+
+	#restart(downtimeMs: number): void {
+		for (const {start} of this.running.values()) {
+			this.#reportEnd(start, 'lost');
+		}
+
+		for (const run of this.running.values()) {
+			run.timer?.cancel();
+		}
+
+		this.running.clear();
+		this.#ended = [];
+		this.#endNumber = 0;
+		this.#fence = 0;
+		this.#leaseUntilMs = 0;
+		this.#lastRuns = new Map();
+		this.#incarnation++;
+		for (const wake of this.#waiters) {
+			wake();
+		}
+
+		if (downtimeMs > 0) {
+			this.isDown = true;
+			this.#options.clock.setTimer(() => {
+				this.isDown = false;
+			}, downtimeMs);
+		}
 	}
 
 	async #call(order: 'start' | 'stop' | 'renew', workerId: string | undefined, execute: () => WorkerAnswer): Promise<WorkerAnswer> {
@@ -209,8 +228,12 @@
 			throw createError(ErrorCode.PeerUnavailable, {step: `${order} at stand-in`});
 		}
 
-		await clock.sleep(responseMs);
-		if (workerId !== undefined && workerId !== this.workerId) {
+		await clock.sleep(responseMs + this.getTransitMs(order));
+		if (this.isDown) {
+			throw createError(ErrorCode.PeerUnavailable, {step: `${order} at stand-in`, detail: 'connection reset'});
+		}
+
+		if (workerId !== undefined && getInstanceId(workerId) !== getInstanceId(this.workerId)) {
 			return {isDone: false, refusal: OrderRefusal.OtherWorkerIncarnation};
 		}
 
--- a/test/worker-calls.test.ts
+++ b/test/worker-calls.test.ts
@@ -5,7 +5,9 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {ErrorCode, getErrorCode} from '../src/core/errors.ts';
+import {createAdviceClient} from '../src/platform/advice-calls.ts';
 import {createWorkerClient, decodeAnnouncement} from '../src/platform/worker-calls.ts';
+import {AnnouncedWorkers} from '../src/platform/worker-identity.ts';
 import {OrderRefusal, type WorkerClient} from '../src/types/fleet.ts';
 import {RunEnd} from '../src/types/workflows.ts';
 import {StubServer, type StubResponse} from './stub-server.ts';
@@ -99,6 +101,38 @@
 	});
 });
 
+/** Guards against a worker that restarts under its id and is taken for the incarnation before. */
+describe('incarnations with one id', () => {
+	const listing = {clockMs: 1, running: [], ended: []};
+
+	it.each([
+		['i-1@1700', {...listing, born: 1700}, 'i-1@1700'],
+		['i-1@1700', {...listing, born: 1800}, 'i-1@1800'],
+		['i-1@1700', listing, 'i-1@1700'],
+		['i-1', {...listing, born: 1800}, 'i-1'],
+	])('are told apart in the listing for %s by the time of the start: %j', async (expected, json, workerId) => {
+		const client = await createClient({status: 200, json});
+		expect(await client.renew(expected, {fence: 7, forgetUpTo: 0, waitMs: 0})).toMatchObject({workerId});
+		expect(server!.requests[0]!.headers['expect-instance']).toBe('i-1');
+	});
+
+	it('are resolved to the newest that has announced itself when a message gives the id alone', () => {
+		const announced = new AnnouncedWorkers();
+		expect(announced.getNewest('i-1')).toBe('i-1');
+		announced.record('i-1@1800');
+		announced.record('i-1@1700');
+		announced.record('i-2');
+		expect([announced.getNewest('i-1'), announced.getNewest('i-2')]).toEqual(['i-1@1800', 'i-2']);
+	});
+
+	it('are asked for under their ids at the advice service', async () => {
+		server = await new StubServer(() => ({status: 200, json: {good: [['i-1', 't']], validityMs: 5}})).start();
+		const advice = await createAdviceClient(server.http, server.address).ask('j.0.1', ['i-1@1700', 'i-2']);
+		expect(advice).toEqual({tickets: [{workerId: 'i-1@1700', ticket: 't'}], validMs: 5});
+		expect(JSON.parse(server.requests[0]!.body.toString())).toEqual({step: 'j.0.1', workers: ['i-1', 'i-2']});
+	});
+});
+
 /** Guards against runs taken for lost whose ends are not listed yet: a worker lists 500 ends at a time. */
 it.each([[499, false], [500, true]])('a listing of %i ends may lack others: %s', async (count, hasMoreEnds) => {
 	const client = await createClient({status: 200, json: {clockMs: 1, running: [], ended: Array.from({length: count}, (_, index) => [index + 1, `j.0.1.${index}`, 1, 'done', ''])}});
@@ -116,6 +150,7 @@
 			workerId: 'i-1', service: 's', failureDomain: 'z', isDraining: true, remainingMs: 900, milliCpu: 16_000, memoryMb: 32_768, accelerators: 0, labels: ['a', 'r1-3'], sequence: 4,
 		});
 		expect(decode({state: 'ready'}).isDraining).toBe(false);
+		expect(decode({born: 1700}).workerId).toBe('i-1@1700');
 	});
 
 	/**
@@ -137,6 +172,8 @@
 		{seq: '4'},
 		{seq: undefined},
 		{zone: []},
+		{born: 'today'},
+		{born: 1.5},
 		{remainingMs: 'soon'},
 	])('are rejected with %j', fields => {
 		expect(() => decode(fields)).toThrow();
