Request a cycle after answered starts only if others wait for the window

Cause: each answer to starts requested a scheduling cycle, which on a host that is short of processors takes the time of other work although nothing waited for the congestion window.

Change: the cycles remember whether the window held starts back, and only then an answer requests the next one.

--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -152,7 +152,9 @@
 			},
 		});
 		this.#sender = new OrderSender({
-			...shared, window, onAnswered: requestCycle, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), getStartValidityMs: () => this.#viewStaleness.getStartValidityMs(), onStaleEpoch: () => {
+			...shared, window, onAnswered: () => {
+				this.#cycles.handleStartsAnswered();
+			}, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), getStartValidityMs: () => this.#viewStaleness.getStartValidityMs(), onStaleEpoch: () => {
 				this.#stepDown('an agent refused the epoch');
 			},
 		});
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -60,6 +60,8 @@
 	readonly #options: SchedulingCyclesOptions;
 	readonly #dutyCycle: DutyCycle;
 	#isDue = false;
+	/** Whether starts wait for the congestion window. */
+	#isWindowFull = false;
 	#lastAtMs = Number.POSITIVE_INFINITY;
 	#remainingWork = new Map<LiveStep[], RemainingWork>();
 	#remainingWorkAtMs = Number.NEGATIVE_INFINITY;
@@ -92,11 +94,19 @@
 		}, Math.max(batchDelayMs, this.#dutyCycle.restMs));
 	}
 
+	/** Requests a cycle if starts wait for the congestion window and it has room again. */
+	handleStartsAnswered(): void {
+		if (this.#isWindowFull && this.#options.window.hasRoom) {
+			this.requestCycle();
+		}
+	}
+
 	#run(): void {
 		const {
 			clock, quarantine, window, getWaiting, getWorkers, getStartDelayMs, onStarts,
 		} = this.#options;
-		if (!window.hasRoom) {
+		this.#isWindowFull = !window.hasRoom;
+		if (this.#isWindowFull) {
 			return;
 		}
 
@@ -116,6 +126,7 @@
 
 		onStarts(admitted);
 		if (admitted.length < decided.length) {
+			this.#isWindowFull = true;
 			waits.set(WaitReason.OrderWindow, decided.length - admitted.length);
 		}
 
