Let a restarted worker's leases expire as its predecessor's would have

Cause (found by reading the change before): an agent that was declared lost waits until all leases have expired before it registers again. When its worker restarted under its id meanwhile, the agent took the leases for over with the predecessor, although the new incarnation may have taken one from a call that was meant for the predecessor.

Change: the agent waits anew, from the first reading of the new incarnation's clock.

--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -152,7 +152,9 @@
 		state.recordCrash(worker, clock.monotonicMs());
 	}
 
-	removeWorker(options, worker, true);
+	state.removeWorker(worker.report.workerId, clock.monotonicMs(), true);
+	// Leases that the worker may have taken from such calls expire as those of its predecessor would have.
+	state.mustLetLeasesExpire ||= worker.allLeasesExpiredAtMs !== undefined;
 	applyListing(options, state.worker!, listing, sentAtMs);
 	return true;
 };
@@ -167,8 +169,8 @@
 };
 
 /** Removes a worker that is gone. Its leases are over, so the agent waits for them no longer. */
-const removeWorker = ({state, clock, onLeasesExpired}: WorkerLoopOptions, worker: WorkerState, mayHoldLeases = false): void => {
-	state.removeWorker(worker.report.workerId, clock.monotonicMs(), mayHoldLeases);
+const removeWorker = ({state, clock, onLeasesExpired}: WorkerLoopOptions, worker: WorkerState): void => {
+	state.removeWorker(worker.report.workerId, clock.monotonicMs());
 	if (worker.allLeasesExpiredAtMs !== undefined) {
 		onLeasesExpired();
 	}
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -121,6 +121,24 @@
 		expect(await site.waitFor(() => countDone() === 2, 8000)).toBeDefined();
 	});
 
+	/** Guards against leases of the new incarnation that count as expired with those of its predecessor, whose agent was declared lost. */
+	it('runs each task once if its agent is declared lost around the restart', async () => {
+		for (let atMs = 3000; atMs <= 12_000; atMs += 1000) {
+			site = await createSite(2, 1);
+			await submit(12, 2000);
+			await site.clock.advance(500);
+			site.cuts.add('entry-0>host-0');
+			const {worker} = site.hosts.get('host-0')!;
+			await site.clock.advance(atMs);
+			worker.getTransitMs = order => order === 'start' ? 300 : 0;
+			worker.crashAndKeepId(100);
+			site.cuts.clear();
+			expect(await site.waitFor(() => countDone() >= 12, 60_000)).toBeDefined();
+			expect(site.violations).toEqual([]);
+			site.stop();
+		}
+	});
+
 	/** Guards against all of these at other moments, with several hosts, agents that restart, and calls that take long. */
 	it('violates no invariant whenever it does so', async () => {
 		const restart = fc.record({
