--- a/test/site-evacuation.test.ts
+++ b/test/site-evacuation.test.ts
@@ -6,7 +6,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {decodeSiteConfig, getEvacuatedDomain} from '../src/platform/site-config.ts';
-import {MemoryStore} from '../src/standin/memory-store.ts';
+import {MemoryStore, StoreFault} from '../src/standin/memory-store.ts';
 import {OrderRefusal, OrderType, type WorkerStart} from '../src/types/fleet.ts';
 import {type Evacuations} from '../src/types/site.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
@@ -15,6 +15,9 @@
 import {jobId, otherId} from './site-setup.ts';
 import {createSpec, createStep, SimulatedSite} from './simulated-site.ts';
 
+/** An evacuation is in effect this long after it was acknowledged. */
+const evacuateMs = 5000;
+
 let site: SimulatedSite;
 
 const createSite = async (domains: string[]): Promise<void> => {
@@ -172,6 +175,70 @@
 	});
 });
 
+/** Guards against starts in an evacuated failure domain while the store is away from those that must know of the request, and against hosts that stay evacuated after it. */
+describe.each([
+	['agents', 3500, (client: string) => client.startsWith('host-0')],
+	// An agent that reaches the store must know of the request in time, however long its owner does not.
+	['the owner', 12_000, (client: string) => client === 'entry-0'],
+	['the owner and agents', 3500, (client: string) => client === 'entry-0' || client.startsWith('host-0')],
+	['all entries and agents', 3500, () => true],
+])('hosts of a failure domain whose evacuation changes while the store does not answer %s', (_, outageMs, isCut) => {
+	let isStoreAway = false;
+	let evacuations: Evacuations = {asOf: 5, failureDomains: []};
+
+	/** Changes the evacuations; an entry without the store learns of it once it reaches the store again. */
+	const changeDuringOutage = async (changed: Evacuations): Promise<void> => {
+		const before = evacuations;
+		evacuations = changed;
+		isStoreAway = true;
+		site.getEvacuations = entry => isStoreAway && isCut(entry) ? before : evacuations;
+		await site.clock.advance(outageMs);
+		isStoreAway = false;
+	};
+
+	/** Keeps a backlog larger than the other domain can hold, so that any host that accepts starts gets some. */
+	const createBusySite = async (): Promise<void> => {
+		isStoreAway = false;
+		site = new SimulatedSite();
+		site.store.getFault = ({client}) => isStoreAway && isCut(client) ? StoreFault.LoseRequest : StoreFault.None;
+		site.addHost('host-0', 4000, ['a', 'r1-1'], 'hall-a');
+		site.addHost('host-1', 4000, ['a', 'r1-1'], 'hall-b');
+		// Entries this small ask the group for the longest time until their partitions are assigned anew.
+		site.startEntry('entry-0', 0.01);
+		await site.clock.advance(1500);
+		site.startEntry('entry-1', 0.01);
+		await site.clock.advance(1500);
+		site.plan = () => ({workMs: 400});
+		for (const id of Array.from({length: 4}, (__, index) => createId(index + 1))) {
+			await site.submit(id, createSpec([createStep({count: 100})]));
+		}
+	};
+
+	afterEach(() => {
+		site.stop();
+		expect(site.violations).toEqual([]);
+	});
+
+	it('get no start later than the bound after the request', async () => {
+		evacuations = {asOf: 5, failureDomains: []};
+		await createBusySite();
+		const requestedAtMs = site.clock.monotonicMs();
+		await changeDuringOutage({asOf: 6, failureDomains: ['hall-a']});
+		await site.clock.advance(8000);
+		const {workerId} = site.hosts.get('host-0')!.worker;
+		const late = site.events.filter(event => event.type === 'started' && event.workerId === workerId && event.atMs - requestedAtMs > evacuateMs);
+		expect(late).toEqual([]);
+		expect(getStartsOn('host-1')).toBeGreaterThan(0);
+	});
+
+	it('get starts again after the request was withdrawn', async () => {
+		evacuations = {asOf: 6, failureDomains: ['hall-a']};
+		await createBusySite();
+		await changeDuringOutage({asOf: 7, failureDomains: []});
+		expect(await site.waitFor(() => getStartsOn('host-0') > 0, 8000)).toBeDefined();
+	});
+});
+
 describe('requests to evacuate', () => {
 	it('and their removal are read from the operators\' stream', async () => {
 		const {clock, follower, aborter, request, withdraw} = await follow();
