Test that a restarted worker keeps the ends that nobody has read

Without the guard (ends are dropped up to the predecessor's number after a call without an answer) four tasks ran again after their success had been dropped: 28 ends in place of 24.

--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -109,6 +109,26 @@
 		}
 	});
 
+	/** Guards against ends that the new incarnation drops unread, because it is told to drop those of its predecessor up to a higher number. */
+	it('keeps its first ends until they were read', async () => {
+		site = await createSite(1, 1);
+		const {worker} = site.hosts.get('host-0')!;
+		await submit(20, 100);
+		await site.waitFor(() => countDone() === 20, 10_000);
+		await site.clock.advance(2000);
+		site.plan = () => ({workMs: 50});
+		let transitMs = 100;
+		worker.getTransitMs = order => order === 'start' ? transitMs : 0;
+		void site.submit(otherId, createSpec([createStep({count: 4})]));
+		await site.clock.advance(60);
+		worker.crashAndKeepId(0);
+		transitMs = 0;
+		expect(await site.waitFor(() => countDone() >= 24, 10_000)).toBeDefined();
+		await site.clock.advance(3000);
+		expect(await isCompleted(otherId)).toBe(true);
+		expect(countDone()).toBe(24);
+	});
+
 	/** Guards against a new incarnation that counts as one that ends, because the message of the one before came late. */
 	it('is not ended by the late message of its predecessor that it ends', async () => {
 		site = await createSite(1, 1);
