Keep the message that a worker ends unless it has restarted under its id

A worker that goes on announcing itself until it ends, as test/worker-leave.test.ts has it, was then waited for by its leases: its tasks started elsewhere late.

Change: only a worker that the agent has seen restart under its id takes the message back, since only then it may come from another incarnation.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -18,6 +18,8 @@
 	allLeasesExpiredAtMs?: number;
 	/** Whether the worker has announced that it ends. */
 	hasLeft: boolean;
+	/** Whether an earlier incarnation had its id. */
+	isRestarted: boolean;
 	/** Whether the worker answered the last renewal. */
 	isAnswering: boolean;
 	/** When a renewal first got no answer; undefined while the worker answers. */
@@ -127,8 +129,8 @@
 			// Announcements may arrive out of order; the one with the higher sequence is newer.
 			if (report.sequence > known.sequence) {
 				this.worker!.report = report;
-				// A worker that ends has announced before that it drains: the message that it ends came late, from an earlier incarnation with its id.
-				this.worker!.hasLeft &&= report.isDraining;
+				// The message that it ends names an id only, and came late, from the incarnation that had the id before.
+				this.worker!.hasLeft &&= report.isDraining || !this.worker!.isRestarted;
 				if (known.isDraining !== report.isDraining || !isWithin(known, report) || !isWithin(report, known)) {
 					this.notifyChange();
 				}
@@ -198,9 +200,9 @@
 
 	/**
 	Removes an incarnation that ended or whose address another one answers at. If a successor has announced itself, it becomes current;
-	`mayHoldLeases`: it may have executed calls that were meant for the removed one.
+	`isRestart`: it has the id of the removed one, and may have executed calls that were meant for that.
 	*/
-	removeWorker(workerId: string, nowMs: number, mayHoldLeases = false): void {
+	removeWorker(workerId: string, nowMs: number, isRestart = false): void {
 		if (this.worker?.report.workerId === workerId) {
 			this.#hasListedGoneWorker ||= this.worker.runs.isListed;
 			this.worker = undefined;
@@ -209,20 +211,21 @@
 		this.recordGone(workerId);
 		const successor = this.#successor;
 		if (!this.worker && successor && successor.workerId !== workerId) {
-			this.#setWorker(successor, nowMs, mayHoldLeases);
+			this.#setWorker(successor, nowMs, isRestart);
 		}
 	}
 
-	#setWorker(report: WorkerReport, nowMs: number, mayHoldLeases = false): void {
+	#setWorker(report: WorkerReport, nowMs: number, isRestart = false): void {
 		this.#successor = undefined;
 		this.worker = {
 			report,
 			knownSinceMs: nowMs,
-			lease: new WorkerLease(this.#leaseMs, this.#hasListedGoneWorker && !mayHoldLeases ? 0 : this.#maxLeaseMs),
+			lease: new WorkerLease(this.#leaseMs, this.#hasListedGoneWorker && !isRestart ? 0 : this.#maxLeaseMs),
 			runs: new WorkerRuns(),
 			forgetUpTo: 0,
 			areLeasesExpired: false,
 			hasLeft: false,
+			isRestarted: isRestart,
 			isAnswering: true,
 			answeredAtMs: nowMs,
 		};
