Size the congestion window by the way of starts, not by their answers

Cause: the window shrank when answers were late.

Change: agents say when orders arrived on their clock, and the owner takes the time on the way by its estimate of that clock. An agent of the previous version does not say so; the time until its answer is handled counts as before.

Evidence: the test failed before (the window shrinks after an answer that is handled 1 s late).

--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -49,6 +49,7 @@
 	/** Carries out all orders of a request concurrently. */
 	async order(request: OrdersRequest): Promise<OrdersReply> {
 		const {state, clock} = this.#options;
+		const receivedAtMs = clock.monotonicMs();
 		// Kept also if the orders are refused: the owner leaves out what this agent has received.
 		for (const order of request.orders) {
 			if (order.type === OrderType.Start) {
@@ -66,7 +67,7 @@
 			});
 		}
 
-		return {answers, version: state.version};
+		return {answers, version: state.version, receivedAtMs};
 	}
 
 	/** Answers when the version differs from the one the owner knows, when there are new measurements, or after the wait. */
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -172,6 +172,8 @@
 	answers: WorkerAnswer[];
 	/** Version of the agent's state that includes the effect of the orders. */
 	version: number;
+	/** Reading of the agent's clock when the orders arrived; undefined from an agent of the previous version. */
+	receivedAtMs?: number;
 };
 
 /** Long poll of an owner: the agent replies with its state once that differs from the known version. */
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -3,7 +3,7 @@
 */
 import {type Clock} from '../types/clock.ts';
 import {
-	OrderRefusal, OrderType, type Order, type OrderedStart, type WorkerAnswer,
+	OrderRefusal, OrderType, type Order, type OrderedStart, type OrdersReply, type WorkerAnswer,
 } from '../types/fleet.ts';
 import {type AgentLinks} from './agent-links.ts';
 import {type FleetWorker} from './fleet-view.ts';
@@ -131,7 +131,7 @@
 		const starts = runs.map(run => this.#createStart(worker, run));
 		const inFlight = window.recordSent(getOrderBytes(starts));
 		const reply = await links.order(worker, starts.map((start): Order => ({type: OrderType.Start, start})), notAfterMs);
-		window.recordAnswer(inFlight, reply !== undefined);
+		window.recordAnswer(inFlight, reply && this.#getTransitMs(worker, reply, inFlight.sentAtMs));
 		onAnswered();
 		if (!reply) {
 			for (const {task} of runs) {
@@ -149,6 +149,11 @@
 		}
 	}
 
+	/** Gets how long orders were on their way; for an agent that does not tell, the time until its answer was handled. */
+	#getTransitMs({agentClock}: FleetWorker, {receivedAtMs}: OrdersReply, sentAtMs: number): number {
+		return receivedAtMs === undefined ? this.#options.clock.monotonicMs() - sentAtMs : receivedAtMs - agentClock.estimate(sentAtMs);
+	}
+
 	/** Creates the start of a run, with the job's input unless the agent keeps it. */
 	#createStart(worker: FleetWorker, {task, run}: LiveRun): OrderedStart {
 		const {step, taskId, checkpoint} = task;
--- a/src/workflows/order-window.ts
+++ b/src/workflows/order-window.ts
@@ -24,13 +24,13 @@
 const minWindowBytes = 16_384;
 /** The window grows no further; the largest calls of a cycle to all agents fit. */
 const maxWindowBytes = 8_388_608;
-/** Growth of the window for each window of bytes that is answered in time, once a late answer has ended the first, exponential growth. */
+/** Growth of the window for each window of bytes that is answered in time, once a late call has ended the first, exponential growth. */
 const growthBytes = 8192;
-/** An answer is late after this, unless even the fastest ones take half as long. Reads and heartbeats that wait as long still end in time. */
-const lateAnswerMs = 300;
-/** Bound of that time on hosts on which even the fastest answers take long. */
-const maxLateAnswerMs = 900;
-/** Period over which the fastest answer is taken. */
+/** A call is late after this, unless even the fastest ones take half as long. Reads and heartbeats that wait as long still end in time. */
+const lateTransitMs = 300;
+/** Bound of that time to agents that even the fastest calls take long to reach. */
+const maxLateTransitMs = 900;
+/** Period over which the fastest call is taken. */
 const fastestPeriodMs = 5000;
 /** The window shrinks by at most this factor at a time. */
 const maxShrinkFactor = 0.5;
@@ -52,10 +52,10 @@
 	readonly #clock: Clock;
 	#windowBytes = initialWindowBytes;
 	#inFlightBytes = 0;
-	/** Whether no answer was late yet: the window then doubles with each window of bytes that is answered. */
+	/** Whether no call was late yet: the window then doubles with each window of bytes that is answered. */
 	#isProbing = true;
 	#shrunkAtMs = Number.NEGATIVE_INFINITY;
-	/** Fastest answers of the present period and of the one before. */
+	/** Fastest calls of the present period and of the one before. */
 	#fastestMs = Number.POSITIVE_INFINITY;
 	#lastFastestMs = Number.POSITIVE_INFINITY;
 	#periodStartedAtMs: number;
@@ -105,17 +105,19 @@
 		return {bytes, sentAtMs: this.#clock.monotonicMs(), isWindowUsed: !this.hasRoom};
 	}
 
-	/** Records the answer to a call, or that there is none. */
-	recordAnswer({bytes, sentAtMs, isWindowUsed}: StartsInFlight, isAnswered: boolean): void {
+	/**
+	Records the answer to a call, which was on its way to the agent for `transitMs`; infinity: there is none. The time of the answer's way
+	and handling does not count: on a host that is short of processors it is long however few starts are sent.
+	*/
+	recordAnswer({bytes, sentAtMs, isWindowUsed}: StartsInFlight, transitMs = Number.POSITIVE_INFINITY): void {
 		this.#inFlightBytes -= bytes;
-		const delayMs = isAnswered ? this.#clock.monotonicMs() - sentAtMs : Number.POSITIVE_INFINITY;
-		this.#recordDelay(delayMs);
+		this.#recordTransit(transitMs);
 		if (!isWindowUsed) {
 			return;
 		}
 
 		const lateMs = this.#getLateMs();
-		if (delayMs <= lateMs) {
+		if (transitMs <= lateMs) {
 			this.#windowBytes = Math.min(maxWindowBytes, this.#windowBytes + (this.#isProbing ? bytes : growthBytes * bytes / this.#windowBytes));
 			return;
 		}
@@ -124,11 +126,11 @@
 		// Calls that were sent before the window shrank say nothing about its present size.
 		if (sentAtMs >= this.#shrunkAtMs) {
 			this.#shrunkAtMs = this.#clock.monotonicMs();
-			this.#windowBytes = Math.max(minWindowBytes, this.#windowBytes * Math.max(maxShrinkFactor, lateMs / delayMs));
+			this.#windowBytes = Math.max(minWindowBytes, this.#windowBytes * Math.max(maxShrinkFactor, lateMs / transitMs));
 		}
 	}
 
-	#recordDelay(delayMs: number): void {
+	#recordTransit(transitMs: number): void {
 		const nowMs = this.#clock.monotonicMs();
 		if (nowMs - this.#periodStartedAtMs > fastestPeriodMs) {
 			this.#periodStartedAtMs = nowMs;
@@ -136,13 +138,13 @@
 			this.#fastestMs = Number.POSITIVE_INFINITY;
 		}
 
-		this.#fastestMs = Math.min(this.#fastestMs, delayMs);
+		this.#fastestMs = Math.min(this.#fastestMs, transitMs);
 	}
 
-	/** Answers later than this show a queue on the way, not a slow host. */
+	/** Calls that took longer show a queue on the way. */
 	#getLateMs(): number {
 		const fastestMs = Math.min(this.#fastestMs, this.#lastFastestMs);
-		return Math.min(maxLateAnswerMs, Math.max(lateAnswerMs, Number.isFinite(fastestMs) ? 2 * fastestMs : 0));
+		return Math.min(maxLateTransitMs, Math.max(lateTransitMs, Number.isFinite(fastestMs) ? 2 * fastestMs : 0));
 	}
 }
 
--- a/test/order-window.test.ts
+++ b/test/order-window.test.ts
@@ -14,12 +14,12 @@
 	return [...model.getWaitingTasks(0, () => false)].map(task => ({task, worker, isIdleStart: false}));
 };
 
-/** Sends calls that fill the window, and answers them after the delay. */
-const fill = async (window: OrderWindow, clock: ManualClock, delayMs: number, isAnswered = true): Promise<void> => {
+/** Sends calls that fill the window and are on their way for the time given; infinity: they are not answered. */
+const fill = async (window: OrderWindow, clock: ManualClock, transitMs: number): Promise<void> => {
 	const calls = Array.from({length: 4}, () => window.recordSent(Math.ceil(window.sizeBytes / 4)));
-	await clock.advance(delayMs);
+	await clock.advance(Math.min(1600, transitMs));
 	for (const call of calls) {
-		window.recordAnswer(call, isAnswered);
+		window.recordAnswer(call, transitMs);
 	}
 };
 
@@ -44,7 +44,7 @@
 	const clock = new ManualClock();
 	const window = new OrderWindow(clock);
 	const firstBytes = window.sizeBytes;
-	window.recordAnswer(window.recordSent(100), true);
+	window.recordAnswer(window.recordSent(100), 1);
 	expect(window.sizeBytes).toBe(firstBytes);
 	for (let round = 0; round < 5; round++) {
 		await fill(window, clock, 20);
@@ -53,17 +53,17 @@
 	expect(window.sizeBytes).toBeGreaterThan(4 * firstBytes);
 });
 
-it.each([true, false])('shrinks once for the calls of one round that are late or unanswered (answered: %s)', async isAnswered => {
+it.each([1600, Number.POSITIVE_INFINITY])('shrinks once for the calls of one round that are on their way for %d ms', async transitMs => {
 	const clock = new ManualClock();
 	const window = new OrderWindow(clock);
 	await fill(window, clock, 20);
 	const beforeBytes = window.sizeBytes;
-	await fill(window, clock, 1600, isAnswered);
+	await fill(window, clock, transitMs);
 	expect(window.sizeBytes).toBe(beforeBytes / 2);
 });
 
-/** Guards against a host that is short of processors and starts ever less: there, even the fastest answers take long. */
-it('does not shrink where all answers take long', async () => {
+/** Guards against a window that shrinks without end to agents that even the fastest calls take long to reach. */
+it('does not shrink where all calls take long', async () => {
 	const clock = new ManualClock();
 	const window = new OrderWindow(clock);
 	const firstBytes = window.sizeBytes;
@@ -74,13 +74,13 @@
 	expect(window.sizeBytes).toBeGreaterThanOrEqual(firstBytes);
 });
 
-/** Guards against late answers that other traffic causes: a window that is not used is not their reason. */
-it('does not shrink for a late answer while it is not used', async () => {
+/** Guards against late calls that other traffic causes: a window that is not used is not their reason. */
+it('does not shrink for a late call while it is not used', async () => {
 	const clock = new ManualClock();
 	const window = new OrderWindow(clock);
 	const firstBytes = window.sizeBytes;
 	const call = window.recordSent(1000);
 	await clock.advance(1000);
-	window.recordAnswer(call, true);
+	window.recordAnswer(call, 1000);
 	expect(window.sizeBytes).toBe(firstBytes);
 });
--- a/test/site-orders.test.ts
+++ b/test/site-orders.test.ts
@@ -86,3 +86,29 @@
 	await clock.advance(100);
 	expect(task!.runs).toHaveLength(1);
 });
+
+/** Guards against an owner that is short of processors and starts ever less, because it handles answers late. */
+it('keeps its congestion window where only the handling of an answer takes long', async () => {
+	const {model} = load([createWorkflow('0000000000000001', createSpec([createStep()], {input: 'x'.repeat(40_000)}))]);
+	const worker = createWorker('host-0');
+	const clock = new ManualClock();
+	worker.agentClock.addReading(0, {sentAtMs: 0, handledAtMs: 0});
+	const links = {
+		workers: new Map([[worker.host, worker]]),
+		getNotAfterMs: () => 1500,
+		async order() {
+			await clock.sleep(1000);
+			return {answers: [{isDone: true}], version: 2, receivedAtMs: 5};
+		},
+	} as unknown as AgentLinks;
+	const window = new OrderWindow(clock);
+	const firstBytes = window.sizeBytes;
+	const sender = new OrderSender({
+		clock, model, links, tracker: createTracker(model), window, onAnswered: ignore, getTicket: ignore, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
+	});
+	const [task] = [...model.getWaitingTasks(0, () => false)];
+	sender.start([{task: task!, worker, isIdleStart: false}]);
+	await clock.advance(1100);
+	expect(window.inFlightBytes).toBe(0);
+	expect(window.sizeBytes).toBeGreaterThanOrEqual(firstBytes);
+});
