Join what the fixes wrote twice, and derive the window's first phase

Read-through of the whole change. Twins: the stand-in of a worker had its own format of identities (now src/platform/worker-identity.ts); the end of an incarnation that another one replaces stood in two branches of the worker loop; ids of jobs were formed in four test files, and states of agents written out in two.

--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -89,11 +89,7 @@
 		}
 
 		if (reply.refusal === OrderRefusal.OtherWorkerIncarnation) {
-			note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
-			if (!worker.hasLeft) {
-				state.recordCrash(worker, clock.monotonicMs());
-			}
-
+			recordReplacement(options, worker);
 			removeWorker(options, worker);
 		} else if (reply.refusal === OrderRefusal.StaleFence) {
 			onFenceRefused();
@@ -147,11 +143,7 @@
 	}
 
 	worker.runs.removeListed(listing);
-	note('worker replaced', describeReplaced(worker, clock.monotonicMs()));
-	if (!worker.hasLeft) {
-		state.recordCrash(worker, clock.monotonicMs());
-	}
-
+	recordReplacement(options, worker);
 	state.removeWorker(worker.report.workerId, clock.monotonicMs(), true);
 	// Leases that the worker may have taken from such calls expire as those of its predecessor would have.
 	state.mustLetLeasesExpire ||= worker.allLeasesExpiredAtMs !== undefined;
@@ -168,6 +160,15 @@
 	}
 };
 
+/** Records that another incarnation answers in place of a worker; one that had not announced its end has crashed. */
+const recordReplacement = ({state, clock, note}: WorkerLoopOptions, worker: WorkerState): void => {
+	const nowMs = clock.monotonicMs();
+	note('worker replaced', describeReplaced(worker, nowMs));
+	if (!worker.hasLeft) {
+		state.recordCrash(worker, nowMs);
+	}
+};
+
 /** Removes a worker that is gone. Its leases are over, so the agent waits for them no longer. */
 const removeWorker = ({state, clock, onLeasesExpired}: WorkerLoopOptions, worker: WorkerState): void => {
 	state.removeWorker(worker.report.workerId, clock.monotonicMs());
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -3,15 +3,13 @@
 reports ended runs until the agent acknowledges them, and injects faults into orders.
 */
 import {createError, ErrorCode} from '../core/errors.ts';
+import {formatWorkerId, getInstanceId} from '../platform/worker-identity.ts';
 import {type Clock, type Timer} from '../types/clock.ts';
 import {
 	OrderRefusal, type EndedRow, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerReport, type WorkerStart,
 } from '../types/fleet.ts';
 import {RunEnd} from '../types/workflows.ts';
 
-/** Gets the id that calls name; incarnations that share it are told apart by what follows the `@`. */
-const getInstanceId = (workerId: string): string => workerId.split('@')[0]!;
-
 /** Simulated behaviour of a run, set when it starts. */
 export type RunPlan = {
 	/** Run time; undefined: the run continues until it is stopped. */
@@ -127,7 +125,7 @@
 	/** The same, but it restarts under the id that it had: calls for its predecessor reach it, and its announcements and its clock start anew. */
 	crashAndKeepId(downtimeMs = 0): void {
 		this.#restart(downtimeMs);
-		this.workerId = `${getInstanceId(this.workerId)}@${this.#incarnation}`;
+		this.workerId = formatWorkerId(getInstanceId(this.workerId), this.#incarnation);
 		this.#sequence = 0;
 		this.#startedAtMs = this.#options.clock.monotonicMs();
 	}
@@ -172,12 +170,9 @@
 	}
 
 	#restart(downtimeMs: number): void {
-		for (const {start} of this.running.values()) {
+		for (const {start, timer} of this.running.values()) {
 			this.#reportEnd(start, 'lost');
-		}
-
-		for (const run of this.running.values()) {
-			run.timer?.cancel();
+			timer?.cancel();
 		}
 
 		this.running.clear();
--- a/src/workflows/order-window.ts
+++ b/src/workflows/order-window.ts
@@ -52,8 +52,7 @@
 	readonly #clock: Clock;
 	#windowBytes = initialWindowBytes;
 	#inFlightBytes = 0;
-	/** Whether no call was late yet: the window then doubles with each window of bytes that is answered. */
-	#isProbing = true;
+	/** When a late call last shrank the window; negative infinity: none did yet, and the window doubles with each window of bytes that is answered. */
 	#shrunkAtMs = Number.NEGATIVE_INFINITY;
 	/** Fastest calls of the present period and of the one before. */
 	#fastestMs = Number.POSITIVE_INFINITY;
@@ -118,11 +117,10 @@
 
 		const lateMs = this.#getLateMs();
 		if (transitMs <= lateMs) {
-			this.#windowBytes = Math.min(maxWindowBytes, this.#windowBytes + (this.#isProbing ? bytes : growthBytes * bytes / this.#windowBytes));
+			this.#windowBytes = Math.min(maxWindowBytes, this.#windowBytes + (this.#shrunkAtMs === Number.NEGATIVE_INFINITY ? bytes : growthBytes * bytes / this.#windowBytes));
 			return;
 		}
 
-		this.#isProbing = false;
 		// Calls that were sent before the window shrank say nothing about its present size.
 		if (sentAtMs >= this.#shrunkAtMs) {
 			this.#shrunkAtMs = this.#clock.monotonicMs();
--- a/test/agent-messages.test.ts
+++ b/test/agent-messages.test.ts
@@ -3,14 +3,13 @@
 */
 import {expect, it} from 'vitest';
 import {serveAgent} from '../src/plugins/agent-messages.ts';
-import {type WatchReply, type WatchRequest} from '../src/types/fleet.ts';
+import {type WatchRequest} from '../src/types/fleet.ts';
 import {type JsonServer} from '../src/utils/http-server.ts';
+import {createWatchReply} from './site-fleet.ts';
 
 type Handler = Parameters<JsonServer['route']>[2];
 
-const state: WatchReply = {
-	agentLife: 'life', session: 1, version: 1, agentClockMs: 1, worker: undefined, workerClockMs: 1, leaseUntilMs: 1, isListed: true, isAnswering: true, isOver: false, running: [], ended: [], starting: [], crashed: [], goneWorkerIds: [],
-};
+const state = createWatchReply();
 
 /** Sends a watch request to an agent's server; returns what the agent got and the body of the answer. */
 const watch = async (request: Record<string, unknown>) => {
--- a/test/agent-state-rows.test.ts
+++ b/test/agent-state-rows.test.ts
@@ -6,6 +6,7 @@
 import {decodeWatchReply, encodeWatchReply, type WatchReplyRows} from '../src/plugins/agent-state-rows.ts';
 import {type WatchReply} from '../src/types/fleet.ts';
 import {RunEnd} from '../src/types/workflows.ts';
+import {createWatchReply} from './site-fleet.ts';
 
 const amount = fc.integer({min: 0, max: 100_000});
 const text = fc.string({maxLength: 20});
@@ -53,9 +54,6 @@
 	const row = {
 		taskId: '5c0e7a21d94b36f8.0.1.0', run: 1, checkpoint: '', percent: 50, recent: 0.25,
 	};
-	const state: WatchReply = {
-		agentLife: 'life', session: 1, version: 1, agentClockMs: 1, worker: undefined, workerClockMs: 1, leaseUntilMs: 1, isListed: true, isAnswering: true, isOver: false, running: [], ended: [], starting: [], crashed: [], goneWorkerIds: [],
-	};
-	const getBytes = (running: WatchReply['running']): number => JSON.stringify(encodeWatchReply({...state, running})).length;
+	const getBytes = (running: WatchReply['running']): number => JSON.stringify(encodeWatchReply(createWatchReply({running}))).length;
 	expect(getBytes([row, row]) - getBytes([row])).toBe(JSON.stringify(Object.values(row)).length + 1);
 });
--- a/test/job-inputs.test.ts
+++ b/test/job-inputs.test.ts
@@ -4,7 +4,7 @@
 import {afterEach, expect, it} from 'vitest';
 import {JobInputs} from '../src/agents/job-inputs.ts';
 import {type WatchReply, type WorkerStart} from '../src/types/fleet.ts';
-import {jobId, createSite} from './site-setup.ts';
+import {createJobId, createSite, jobId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
 const start = {
@@ -29,7 +29,7 @@
 
 it('drops the input that was not used for longest', () => {
 	const inputs = new JobInputs();
-	const getTaskId = (index: number) => `${index.toString(16).padStart(16, '0')}.0.0.0`;
+	const getTaskId = (index: number) => `${createJobId(index)}.0.0.0`;
 	const input = 'x'.repeat(500_000);
 	for (let index = 0; index < 5; index++) {
 		inputs.keep({...start, taskId: getTaskId(index), input});
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -25,7 +25,6 @@
 import {RelayingApi} from '../src/workflows/relaying-api.ts';
 import {ProcessClock} from './simulated-membership.ts';
 import {createAgentClient, createEntryClient, type SitePaths} from './site-calls.ts';
-import {type SlowLink} from './slow-link.ts';
 import {createPausableClient} from './pausable-client.ts';
 
 export const service = 'desk';
@@ -102,7 +101,7 @@
 	/** Pairs `entry>host` between which no call passes. */
 	readonly cuts = new Set<string>();
 	readonly pathDelays: SitePaths['pathDelays'] = new Map();
-	readonly uplinks = new Map<string, SlowLink>();
+	readonly uplinks: SitePaths['uplinks'] = new Map();
 	/** Whether calls to a suspended agent wait until it continues. */
 	keepsCalls = false;
 	/** Whether callers' calls are relayed to other entries. */
@@ -228,8 +227,7 @@
 
 	/** Ends the process at once, without its pending work. */
 	killEntry(name: string): void {
-		const entry = this.entries.get(name)!;
-		entry.clock.isPaused = true;
+		this.entries.get(name)!.clock.isPaused = true;
 		this.entries.delete(name);
 	}
 
--- a/test/site-calls.ts
+++ b/test/site-calls.ts
@@ -37,7 +37,7 @@
 	/** Delays of pairs `entry>host`, in addition to those of all pairs. */
 	pathDelays: Map<string, PathDelays>;
 	/** Links that the calls of an entry to agents pass, by entry; without one they take no time. */
-	uplinks: ReadonlyMap<string, SlowLink>;
+	uplinks: Map<string, SlowLink>;
 	/** Whether calls to a suspended agent wait in its socket until it continues, instead of being lost. */
 	keepsCalls: boolean;
 	/** How long an entry's thread takes to send a call to an agent. */
--- a/test/site-capacity.test.ts
+++ b/test/site-capacity.test.ts
@@ -4,7 +4,9 @@
 import {afterEach, expect, it} from 'vitest';
 import {OrderRefusal, OrderType} from '../src/types/fleet.ts';
 import {WorkflowState} from '../src/types/workflows.ts';
-import {createSite, jobId, otherId} from './site-setup.ts';
+import {
+	createJobId, createSite, jobId, otherId,
+} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
 let site: SimulatedSite;
@@ -25,15 +27,13 @@
 	worker.setMilliCpu(milliCpu);
 };
 
-const createId = (number: number): string => number.toString(16).padStart(16, '0');
-
 const isAnyRunning = (host: string): boolean => site.hosts.get(host)!.worker.running.size > 0;
 
 it('are not overcommitted while their owner does not know of the reduced capacity', async () => {
 	site = await createSite(1);
 	site.plan = () => ({workMs: 300});
 	for (let round = 0; round < 20; round++) {
-		const id = createId(round + 1);
+		const id = createJobId(round + 1);
 		await setCapacity('host-0', 1000);
 		await site.submit(id, createSpec([createStep({count: 4})]));
 		await site.clock.advance(400);
@@ -95,18 +95,18 @@
 	})]));
 	await site.clock.advance(500);
 	const steps = [createStep({count: 6, isFilling: true, image: 'fill'}), createStep({count: 4})];
-	await site.submit(createId(1), createSpec(steps));
+	await site.submit(createJobId(1), createSpec(steps));
 	await site.clock.advance(100);
 	await setCapacity('host-0', 0);
 	await site.clock.advance(1500);
-	await site.submit(createId(2), createSpec(steps));
+	await site.submit(createJobId(2), createSpec(steps));
 	await site.clock.advance(800);
-	expect([...site.hosts.get('host-0')!.worker.running.keys()]).not.toContainEqual(expect.stringContaining(createId(2)));
+	expect([...site.hosts.get('host-0')!.worker.running.keys()]).not.toContainEqual(expect.stringContaining(createJobId(2)));
 	await site.clock.advance(9000);
-	expect(await site.getState(createId(1))).toBe(WorkflowState.Completed);
-	expect(await site.getState(createId(2))).toBe(WorkflowState.Completed);
+	expect(await site.getState(createJobId(1))).toBe(WorkflowState.Completed);
+	expect(await site.getState(createJobId(2))).toBe(WorkflowState.Completed);
 	await setCapacity('host-0', 4000);
-	await site.submit(createId(3), createSpec([createStep({count: 8, isFilling: true, image: 'fill'})]));
+	await site.submit(createJobId(3), createSpec([createStep({count: 8, isFilling: true, image: 'fill'})]));
 	await site.clock.advance(500);
-	expect([...site.hosts.get('host-0')!.worker.running.keys()]).toContainEqual(expect.stringContaining(createId(3)));
+	expect([...site.hosts.get('host-0')!.worker.running.keys()]).toContainEqual(expect.stringContaining(createJobId(3)));
 });
--- a/test/site-crashes.test.ts
+++ b/test/site-crashes.test.ts
@@ -6,7 +6,9 @@
 } from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {WorkflowState, type WorkflowStep} from '../src/types/workflows.ts';
-import {createSite, jobId, otherId} from './site-setup.ts';
+import {
+	createJobId, createSite, jobId, otherId,
+} from './site-setup.ts';
 import {
 	createSpec, createStep, queue, SimulatedSite,
 } from './simulated-site.ts';
@@ -22,8 +24,6 @@
 const maxCrashes = 3;
 const crashAfterMs = 10;
 
-const createId = (number: number): string => number.toString(16).padStart(16, '0');
-
 /** Makes every run of a task of these jobs crash its worker; other tasks work for the time given. */
 const planCrashes = (ids: string[], workMs = 1000): void => {
 	site.plan = ({taskId}) => ids.includes(taskId.split('.')[0]!) ? {workMs: undefined, crashAfterMs} : {workMs};
@@ -75,7 +75,7 @@
 
 	it('fails as well when there are other such tasks', async () => {
 		site = await createSite(8);
-		const ids = [1, 2, 3].map(number => createId(number));
+		const ids = [1, 2, 3].map(number => createJobId(number));
 		planCrashes(ids);
 		await submitTasks(otherId, {count: 12});
 		for (const id of ids) {
@@ -150,7 +150,7 @@
 		const hosts = Array.from({length: 160}, (_, index) => site.addHost(`host-${index}`, 16_000));
 		site.startEntry('entry-0');
 		await site.clock.advance(2000);
-		const ids = Array.from({length: 100}, (_, index) => createId(index + 1));
+		const ids = Array.from({length: 100}, (_, index) => createJobId(index + 1));
 		planCrashes(ids);
 		let mostAway = 0;
 		const look = () => {
@@ -191,8 +191,8 @@
 
 	it('does not fail next to tasks that crash one worker after the other', async () => {
 		site = await createSite(4);
-		const culprits = Array.from({length: 6}, (_, index) => createId(index + 1));
-		const ordinary = Array.from({length: 24}, (_, index) => createId(index + 0x1_00));
+		const culprits = Array.from({length: 6}, (_, index) => createJobId(index + 1));
+		const ordinary = Array.from({length: 24}, (_, index) => createJobId(index + 0x1_00));
 		planCrashes(culprits, 3000);
 		for (const [index, id] of ordinary.entries()) {
 			await submitTasks(id, {milliCpu: 500});
@@ -216,7 +216,7 @@
 
 	it('does not fail because of a worker that crashes with any task', async () => {
 		site = await createSite(4);
-		const ids = Array.from({length: 40}, (_, index) => createId(index + 1));
+		const ids = Array.from({length: 40}, (_, index) => createJobId(index + 1));
 		site.plan = ({taskId}) => ({workMs: taskId.startsWith(otherId) ? undefined : 1000});
 		await submitTasks(otherId, {count: 4, isLasting: true, maxPerWorker: 1});
 		await site.clock.advance(500);
--- a/test/site-evacuation.test.ts
+++ b/test/site-evacuation.test.ts
@@ -12,7 +12,7 @@
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {ConfigFollower} from '../src/workflows/config-follower.ts';
-import {jobId, otherId} from './site-setup.ts';
+import {createJobId, jobId, otherId} from './site-setup.ts';
 import {createSpec, createStep, SimulatedSite} from './simulated-site.ts';
 
 /** An evacuation is in effect this long after it was acknowledged. */
@@ -41,10 +41,8 @@
 	return site.events.slice(sinceIndex).filter(event => event.type === 'started' && event.workerId === workerId).length;
 };
 
-const createId = (number: number): string => number.toString(16).padStart(16, '0');
-
 const submitMany = async (count: number, from = 1): Promise<string[]> => {
-	const ids = Array.from({length: count}, (_, index) => createId(from + index));
+	const ids = Array.from({length: count}, (_, index) => createJobId(from + index));
 	for (const id of ids) {
 		await site.submit(id, createSpec([createStep({count: 2})]));
 	}
@@ -209,7 +207,7 @@
 		site.startEntry('entry-1', 0.01);
 		await site.clock.advance(1500);
 		site.plan = () => ({workMs: 400});
-		for (const id of Array.from({length: 4}, (__, index) => createId(index + 1))) {
+		for (const id of Array.from({length: 4}, (__, index) => createJobId(index + 1))) {
 			await site.submit(id, createSpec([createStep({count: 100})]));
 		}
 	};
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -1,6 +1,7 @@
 /**
 Jobs, workers and runs for tests of decisions that need no network.
 */
+import {type WatchReply} from '../src/types/fleet.ts';
 import {type Workflow, type WorkflowSpec} from '../src/types/workflows.ts';
 import {PeerClock} from '../src/utils/peer-clock.ts';
 import {BestEffortInterference} from '../src/workflows/best-effort-interference.ts';
@@ -54,6 +55,11 @@
 	interferenceLearnedAtMs: Number.NEGATIVE_INFINITY,
 });
 
+/** A state of an agent whose worker has not announced itself. */
+export const createWatchReply = (fields: Partial<WatchReply> = {}): WatchReply => ({
+	agentLife: 'life', session: 1, version: 1, agentClockMs: 1, worker: undefined, workerClockMs: 1, leaseUntilMs: 1, isListed: true, isAnswering: true, isOver: false, running: [], ended: [], starting: [], crashed: [], goneWorkerIds: [], ...fields,
+});
+
 export const load = (workflows: Workflow[]): {model: LiveModel; fold: WorkflowFold} => {
 	const fold = new WorkflowFold();
 	for (const [offset, workflow] of workflows.entries()) {
--- a/test/slow-links.test.ts
+++ b/test/slow-links.test.ts
@@ -5,6 +5,7 @@
 import {afterEach, expect, it} from 'vitest';
 import {OrderRefusal} from '../src/types/fleet.ts';
 import {RunEnd} from '../src/types/workflows.ts';
+import {createJobId} from './site-setup.ts';
 import {SimulatedSite, createSpec, createStep} from './simulated-site.ts';
 import {SlowLink} from './slow-link.ts';
 
@@ -15,8 +16,6 @@
 	expect(site.violations).toEqual([]);
 });
 
-const createId = (number: number): string => number.toString(16).padStart(16, '0');
-
 /** Creates a site whose calls to agents and to the store share the uplink of their entry. */
 const createSite = async ({hosts, entries, bytesPerMs}: {hosts: number; entries: number; bytesPerMs: number}): Promise<void> => {
 	site = new SimulatedSite();
@@ -38,7 +37,7 @@
 const submitAll = async (jobs: number, input: string, count: number): Promise<void> => {
 	site.getEvacuations = () => ({asOf: 1, failureDomains: ['hall']});
 	for (let number = 1; number <= jobs; number++) {
-		await site.submit(createId(number), createSpec([createStep({count, milliCpu: 400})], {input}));
+		await site.submit(createJobId(number), createSpec([createStep({count, milliCpu: 400})], {input}));
 	}
 
 	await site.clock.advance(1000);
