Log whom a reconciliation waits for, why runs are stopped and who ordered it

Cause: the record of long-running tasks that were not started does not tell whom the new owner waited for, nor whether the owner that stopped a run had reconciled. Change: 'reconciliation waits' each second with the agents that are missing and the tasks that are held, 'waitedMs' by agent in 'settled', 'isReconciled' in 'run moved', 'run not needed' with its reason, 'stop answered' with the epoch at the agent, 'registration gone' when an owner reads a removal, the longest waiting task in 'tasks wait'. No decision changes.

--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -109,7 +109,7 @@
 	}
 
 	async #carryOut(order: Order, worker: WorkerState, request: OrdersRequest): Promise<WorkerAnswer> {
-		const {client, getFence} = this.#options;
+		const {client, getFence, note} = this.#options;
 		const {capacity, epoch} = request;
 		const {workerId} = worker.report;
 		try {
@@ -125,6 +125,9 @@
 				case OrderType.Stop: {
 					const answer = await client.stop(workerId, order, getFence());
 					this.#options.wake();
+					note('stop answered', {
+						taskId: order.taskId, run: order.run, epoch, isDone: answer.isDone, refusal: answer.refusal,
+					});
 					return this.#checkFence(answer);
 				}
 
@@ -134,7 +137,7 @@
 			}
 		} catch (error) {
 			const {taskId, run} = order.type === OrderType.Start ? order.start : order;
-			this.#options.note('order unanswered', {
+			note('order unanswered', {
 				order: order.type, taskId, run, epoch, error: getMessage(error),
 			});
 			return {isDone: false, refusal: OrderRefusal.Unanswered};
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -124,6 +124,13 @@
 
 	#applyRegistration(host: string, value: Buffer | undefined, offset: number, signal: AbortSignal): void {
 		if (value === undefined) {
+			const known = this.workers.get(host);
+			if (known) {
+				this.#options.note('registration gone', {
+					host, session: known.session, offset, isListed: known.isListed, runs: known.runs.size,
+				});
+			}
+
 			return;
 		}
 
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -88,6 +88,7 @@
 				phase !== RunPhase.Starting && nowMs - stopOrderedAtMs >= stopRetryMs
 				&& (phase === RunPhase.Stopping || task.step.workflow.isFinished || task.isDone || isUnwanted));
 			if (unneeded.length > 0) {
+				this.#noteUnneeded(worker, unneeded);
 				this.stop(worker, unneeded);
 			}
 		}
@@ -120,6 +121,17 @@
 		}
 	}
 
+	/** Logs why runs are stopped that nothing was ordered for yet. */
+	#noteUnneeded(worker: FleetWorker, unneeded: LiveRun[]): void {
+		for (const {phase, task, run, isUnwanted} of unneeded) {
+			if (phase !== RunPhase.Stopping) {
+				this.#options.note('run not needed', {
+					taskId: task.taskId, run, host: worker.host, isJobFinished: task.step.workflow.isFinished, isTaskDone: task.isDone, isUnwanted,
+				});
+			}
+		}
+	}
+
 	async #sendStarts(worker: FleetWorker, runs: LiveRun[], notAfterMs: number): Promise<void> {
 		const {links, clock, note, window, onAnswered} = this.#options;
 		for (const {task, run, workerId, orderedAtMs} of runs) {
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -35,7 +35,7 @@
 import {RunTracker} from './run-tracker.ts';
 import {Reconciliation} from './reconciliation.ts';
 import {type IsAllowed} from './step-placement.ts';
-import {describeFinishedJob} from './task-order.ts';
+import {describeFinishedJob, describeLongestWait} from './task-order.ts';
 import {ViewStaleness} from './view-staleness.ts';
 
 /** Interval of the periodic checks, which react to the passing of time alone. */
@@ -109,7 +109,9 @@
 			this.#cycles.requestCycle();
 		};
 
-		this.#reconciliation = new Reconciliation({...options, links: this.links, onReconciled: requestCycle});
+		this.#reconciliation = new Reconciliation({
+			...options, links: this.links, describeHeldTasks: () => this.#describeHeldTasks(), onReconciled: requestCycle,
+		});
 		this.#runs = this.#createRunTracker(requestCycle);
 		const shared = {
 			clock, note, model, links: this.links, tracker: this.#runs,
@@ -329,6 +331,13 @@
 		}
 	}
 
+	/** Describes the waiting tasks of jobs from before the claim. */
+	#describeHeldTasks(): Record<string, unknown> {
+		const nowMs = this.#options.clock.monotonicMs();
+		const held = [...this.model.getWaitingTasks(nowMs, () => false)].filter(({step}) => step.workflow.folded.offset < this.#claimOffset);
+		return {heldTasks: held.length, ...describeLongestWait(held, nowMs)};
+	}
+
 	#getSchedulableWorkers(nowMs: number): FleetWorker[] {
 		const {policy, getEvacuations} = this.#options;
 		return getSchedulableWorkers(this.links.workers.values(), {nowMs, policy, evacuated: getEvacuations().failureDomains});
@@ -343,7 +352,7 @@
 		});
 		for (const {worker, run} of moves) {
 			this.#options.note('run moved', {
-				taskId: run.task.taskId, run: run.run, host: worker.host, percent: run.percent, pacePercent: run.throttlePercent,
+				taskId: run.task.taskId, run: run.run, host: worker.host, percent: run.percent, pacePercent: run.throttlePercent, isReconciled: this.#reconciliation.isReconciled,
 			});
 			this.#sender.stop(worker, [run]);
 		}
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -16,7 +16,9 @@
 import {type Quarantine} from './quarantine.ts';
 import {type RunTimes} from './run-times.ts';
 import {WaitReason, type IsAllowed, type StepPlacement} from './step-placement.ts';
-import {createRank, getRemainingWork, type RemainingWork} from './task-order.ts';
+import {
+	createRank, describeLongestWait, getRemainingWork, type RemainingWork,
+} from './task-order.ts';
 
 /** Options of the cycles. */
 export type SchedulingCyclesOptions = {
@@ -132,7 +134,8 @@
 
 		if (waits.size > 0 && nowMs - this.#loggedAtMs >= logIntervalMs) {
 			this.#loggedAtMs = nowMs;
-			this.#logWaits(waits, spareMilliCpu, refused);
+			const unplaced = quarantined.waiting.filter(({runs}) => runs.length === 0);
+			this.#logWaits({waits, spareMilliCpu, refused}, describeLongestWait(unplaced, nowMs));
 		}
 	}
 
@@ -153,13 +156,14 @@
 		});
 	}
 
-	#logWaits(waits: Map<WaitReason, number>, spareMilliCpu: number, refused: StepPlacement[]): void {
+	#logWaits({waits, spareMilliCpu, refused}: Omit<PlacementResult, 'starts'>, longestWait: Record<string, unknown>): void {
 		const {model, window, getRuns, note} = this.#options;
 		const runs = getRuns();
 		const bestEffortRuns = runs.filter(run => run.task.step.spec.isFilling);
 		note('tasks wait', {
 			waits: Object.fromEntries(waits),
 			refusals: Object.fromEntries(countRefusals(refused.slice(0, maxExplainedSteps))),
+			...longestWait,
 			jobs: model.workflows.size,
 			running: runs.length,
 			filling: bestEffortRuns.length,
--- a/src/workflows/task-order.ts
+++ b/src/workflows/task-order.ts
@@ -188,3 +188,9 @@
 	isRepeated(spec) ? wallMs - getDueAtMs(spec, occurrence) : nowMs - receivedAtMs;
 
 const isRepeated = ({repeatCount}: Workflow): boolean => repeatCount > 0;
+
+/** Describes the task that has waited longest, for the log. */
+export const describeLongestWait = (waiting: LiveTask[], nowMs: number): Record<string, unknown> => {
+	const [longest] = waiting.toSorted((a, b) => a.waitingSinceMs - b.waitingSinceMs);
+	return longest ? {longestWait: {taskId: longest.taskId, waitedMs: Math.round(nowMs - longest.waitingSinceMs)}} : {};
+};
--- a/test/loss-evidence.test.ts
+++ b/test/loss-evidence.test.ts
@@ -70,3 +70,23 @@
 	expect(await site.waitFor(() => getFields('state late') !== undefined, 8000)).toBeDefined();
 	expect(getFields('state late')!.ageMs).toBeGreaterThan(1000);
 });
+
+it('an owner that waits for an agent after its claim tells which one, and how many tasks wait for it', async () => {
+	site.killAgent('host-0');
+	site.killEntry('entry-0');
+	site.startEntry('entry-1');
+	expect(await site.waitFor(() => getFields('reconciliation waits') !== undefined, 5000)).toBeDefined();
+	expect(getFields('reconciliation waits')).toMatchObject({
+		missing: [{host: 'host-0', hasAnswered: false}], heldTasks: 1, longestWait: {taskId: `${jobId}.0.0.0`},
+	});
+	expect(await site.waitFor(() => site.notes.some(({source, event}) => source === 'entry-1' && event === 'settled'), 20_000)).toBeDefined();
+	const {waitedMs} = site.notes.find(({source, event}) => source === 'entry-1' && event === 'settled')!.fields as {waitedMs: Record<string, number>};
+	expect(waitedMs['host-0']).toBeGreaterThan(5000);
+});
+
+it('a stop tells who ordered it and why', async () => {
+	await site.cancel(jobId);
+	expect(await site.waitFor(() => getFields('stop answered') !== undefined, 3000)).toBeDefined();
+	expect(getFields('run not needed')).toMatchObject({taskId: `${jobId}.0.0.0`, host: 'host-0', isJobFinished: true});
+	expect(getFields('stop answered')).toMatchObject({taskId: `${jobId}.0.0.0`, epoch: 1, isDone: true});
+});
