Test how long tasks wait when workers, agents and hosts go, failing

Cause: callers' long-running tasks stood still for 10 s and more around takeovers; the record says that one owner stopped them and the next did not start them. Bounds are the stated ones: 6 s from the end of the last run, 7 s of calm from the last event of a host.

--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -130,7 +130,7 @@
 
 	plan: (start: WorkerStart) => RunPlan = () => ({workMs: 1000});
 
-	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1'], failureDomain = 'hall'): AgentHost {
+	addHost(name: string, milliCpu = 4000, labels = ['a', 'r1-1'], failureDomain = 'hall', isDown = false): AgentHost {
 		const worker = new SiteWorker(name, {
 			clock: this.clock,
 			report: {
@@ -146,6 +146,7 @@
 		const host: AgentHost = {
 			name, worker, clock: new ProcessClock(this.clock), wallOffsetMs: 0, agent: undefined, aborter: new AbortController(),
 		};
+		worker.isDown = isDown;
 		this.hosts.set(name, host);
 		this.startAgent(name);
 		this.#announce(host);
@@ -181,6 +182,16 @@
 		host.agent = undefined;
 	}
 
+	/** Ends an agent as a signal to stop does: it answers no more calls, leaves, and ends. */
+	async stopAgent(name: string): Promise<void> {
+		const host = this.hosts.get(name)!;
+		const agent = host.agent!;
+		host.agent = undefined;
+		await this.settle(agent.leave());
+		host.aborter.abort();
+		host.clock.isPaused = true;
+	}
+
 	startEntry(name: string, processors = 1): EntryProcess {
 		const clock = new ProcessClock(this.clock);
 		const aborter = new AbortController();
--- /dev/null
+++ b/test/vacant-agents.test.ts
@@ -0,0 +1,54 @@
+/**
+Agents that answer without a worker, because it has ended or has not come yet.
+*/
+import {afterEach, expect, it} from 'vitest';
+import {
+	createLongRunningSite, endWorker, killOwner, replaceOwner, resumeMs, startLongRunningTask, waitForStarts,
+} from './departures.ts';
+import {type SimulatedSite} from './simulated-site.ts';
+
+let site: SimulatedSite;
+
+const getReconciledAfterMs = (source: string): number | undefined => site.notes.find(note => note.source === source && note.event === 'settled')?.fields.tookMs as number | undefined;
+
+afterEach(() => {
+	site.stop();
+	expect(site.violations).toEqual([]);
+});
+
+/** Guards against a new owner that waits for the runs of an agent whose worker has ended: all tasks from before its claim wait with it. */
+it('a task starts again in time after a takeover while an agent has no worker any more', async () => {
+	site = await createLongRunningSite(4, 2);
+	const {taskId, host} = await startLongRunningTask(site, 10);
+	endWorker(site, [...site.hosts.keys()].find(name => name !== host)!);
+	await site.clock.advance(500);
+	killOwner(site);
+	site.hosts.get(host)!.worker.crash();
+	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
+});
+
+/** Guards against the same with the worker of the task itself, whose agent is then stopped: as on a host that is taken away after its work has been moved. */
+it('a task that was moved away from a worker that ends starts again in time although the owner is replaced and the agent stopped', async () => {
+	site = await createLongRunningSite(4, 3);
+	const {taskId, host} = await startLongRunningTask(site, 10);
+	const {worker} = site.hosts.get(host)!;
+	killOwner(site);
+	worker.isDraining = true;
+	expect(await site.waitFor(() => !worker.running.has(taskId), 10_000)).toBeDefined();
+	killOwner(site);
+	await site.clock.advance(700);
+	endWorker(site, host);
+	await site.clock.advance(1000);
+	await site.stopAgent(host);
+	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
+});
+
+/** Guards against a takeover that waits for an agent without a predecessor, whose worker has not come yet. */
+it('a new owner does not wait for an agent on a new host without a worker', async () => {
+	site = await createLongRunningSite(2, 2);
+	site.addHost('host-new', 4000, ['a'], 'hall', true);
+	await site.clock.advance(1000);
+	const next = await replaceOwner(site);
+	await site.clock.advance(3000);
+	expect(getReconciledAfterMs(next)).toBeLessThan(2000);
+});
