Let an agent whose worker has ended count as one that has listed its runs

Cause: an agent without a worker said that it had no list of runs. A new owner waited for it until 7.6 s after its first answer, or, if the agent was stopped meanwhile, until it had been declared lost and the longest lease had passed. Change: an agent without a worker says that all runs are known if it has listed the worker that is gone, or if its host had no registration when it began; starts can then only have come from itself. An owner takes runs for lost that such a state covers. A worker that was announced and is gone without a listing proves nothing: the announcement may be a late one.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -60,6 +60,8 @@
 	isRegistered = false;
 	/** Declared lost: all leases must expire before any is renewed or any task is started. */
 	mustLetLeasesExpire = false;
+	/** Whether no earlier process of this agent can have left runs or leases: the host had no registration when this one began. */
+	isFirstProcess = false;
 	/** Incarnations of the worker that have ended, with all their runs. */
 	readonly goneWorkerIds: string[] = [];
 	/** Runs that were resident when a worker crashed, and that no owner has reported as stored in the log. */
@@ -80,6 +82,14 @@
 		this.#maxLeaseMs = maxLeaseMs;
 	}
 
+	/**
+	Whether nothing can run on the host: it has no worker, and starts could only have come from this process. One that was announced and is
+	gone proves nothing unless it was listed: the announcement may be a late one, from before the incarnation that lives.
+	*/
+	get isVacant(): boolean {
+		return this.worker === undefined && (this.isFirstProcess || this.#hasListedGoneWorker);
+	}
+
 	/** Increases with each change that owners need to know. */
 	get version(): number {
 		return this.#version;
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -206,6 +206,7 @@
 
 	async #runControl(signal: AbortSignal): Promise<void> {
 		const firstSession = await this.#findFirstSession(signal);
+		this.state.isFirstProcess = firstSession === undefined;
 		await this.#register(signal, firstSession);
 		this.#minLostSession = firstSession ?? this.state.session;
 		await Promise.all([this.#control.run(signal), this.#keepRegistered(signal)]);
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -232,7 +232,13 @@
 		}
 	}
 
-	#describe({storesUnlistedEnds}: WatchRequest): WatchReply {
+	/** Whether all runs are known. An owner of the previous version stores ends only with a list, and takes an agent without one for one that renews no leases. */
+	#areRunsKnown({storesUnlistedEnds}: WatchRequest): boolean {
+		const {state: {worker, isVacant}} = this.#options;
+		return isVacant || ((storesUnlistedEnds ? worker?.runs.isListed : worker?.runs.hasListing) ?? false);
+	}
+
+	#describe(request: WatchRequest): WatchReply {
 		const {state, clock} = this.#options;
 		const {worker} = state;
 		state.lastReportedAtMs = clock.monotonicMs();
@@ -244,8 +250,7 @@
 			worker: worker?.report,
 			workerClockMs: worker?.lease.sampleClockMs ?? 0,
 			leaseUntilMs: worker?.lease.leaseUntilMs ?? 0,
-			// An owner of the previous version stores ends only with a list, and takes an agent without one for one that renews no leases.
-			isListed: (storesUnlistedEnds ? worker?.runs.isListed : worker?.runs.hasListing) ?? false,
+			isListed: this.#areRunsKnown(request),
 			isAnswering: worker?.isAnswering ?? false,
 			isOver: worker?.areLeasesExpired ?? false,
 			running: worker?.runs.running ?? [],
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -209,7 +209,7 @@
 	workerClockMs: number;
 	/** End of the worker's lease, on the worker's clock. */
 	leaseUntilMs: number;
-	/** Whether this incarnation of the agent has listed the worker's runs. */
+	/** Whether this incarnation of the agent has listed the worker's runs, or knows that nothing runs on its host because it has no worker. */
 	isListed: boolean;
 	/** Whether the worker answered the last renewal. */
 	isAnswering: boolean;
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -152,6 +152,10 @@
 		}
 
 		if (workerId === undefined) {
+			if (reply.isListed) {
+				this.#markCoveredLost(worker, reply, new Set(), nowMs);
+			}
+
 			return;
 		}
 
--- a/test/vacant-agents.test.ts
+++ b/test/vacant-agents.test.ts
@@ -2,18 +2,21 @@
 Agents that answer without a worker, because it has ended or has not come yet.
 */
 import {afterEach, expect, it} from 'vitest';
+import {AgentState} from '../src/agents/agent-state.ts';
+import {type WorkerReport} from '../src/types/fleet.ts';
 import {
 	createLongRunningSite, endWorker, killOwner, replaceOwner, resumeMs, startLongRunningTask, waitForStarts,
 } from './departures.ts';
 import {type SimulatedSite} from './simulated-site.ts';
 
-let site: SimulatedSite;
+let site: SimulatedSite | undefined;
 
-const getReconciledAfterMs = (source: string): number | undefined => site.notes.find(note => note.source === source && note.event === 'settled')?.fields.tookMs as number | undefined;
+const getReconciledAfterMs = (source: string): number | undefined => site!.notes.find(note => note.source === source && note.event === 'settled')?.fields.tookMs as number | undefined;
 
 afterEach(() => {
-	site.stop();
-	expect(site.violations).toEqual([]);
+	site?.stop();
+	expect(site?.violations ?? []).toEqual([]);
+	site = undefined;
 });
 
 /** Guards against a new owner that waits for the runs of an agent whose worker has ended: all tasks from before its claim wait with it. */
@@ -52,3 +55,27 @@
 	await site.clock.advance(3000);
 	expect(getReconciledAfterMs(next)).toBeLessThan(2000);
 });
+
+/** Guards against an agent that takes a worker for gone with all its runs because of a late announcement, while a later incarnation runs tasks of its predecessor. */
+it.each([
+	{isFirstProcess: false, isListed: false, isVacant: false},
+	{isFirstProcess: false, isListed: true, isVacant: true},
+	{isFirstProcess: true, isListed: false, isVacant: true},
+])('an agent without a worker knows that nothing runs: first process $isFirstProcess, listed $isListed', ({isFirstProcess, isListed, isVacant}) => {
+	const state = new AgentState('life', 7000, 6000);
+	const report: WorkerReport = {
+		workerId: 'i-1', service: 's', failureDomain: 'f', isDraining: false, milliCpu: 1000, memoryMb: 1000, accelerators: 0, labels: [], sequence: 1,
+	};
+	state.isFirstProcess = isFirstProcess;
+	expect(state.isVacant).toBe(isFirstProcess);
+	state.applyAnnouncement(report, 0);
+	expect(state.isVacant).toBe(false);
+	if (isListed) {
+		state.worker!.runs.applyListing({
+			clockMs: 50_000, running: [], ended: [], hasMoreEnds: false,
+		}, 0);
+	}
+
+	state.removeWorker('i-1', 0);
+	expect(state.isVacant).toBe(isVacant);
+});
