Let tasks start before the reconciliation if a run of them was listed since the claim

Callers saw: all tasks from before a takeover stood still while the new owner waited for one agent, 11.2 s after their last run had ended. Cause: one agent without a list held all tasks, also those that cannot be running there. Change: a task of which a run was listed after the claim may start once that run has ended. An earlier owner would have started another one only after that end, which it could have learned only from the same agent. Lists of agents whose worker does not answer, whose leases have expired or which were declared lost do not count; a gang needs all members. The decision is in start-eligibility.ts. Conclusion: fixed for tasks that agents list; others still wait for each agent, since starts are not stored.

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -75,6 +75,8 @@
 	checkpoint: string;
 	/** Number of the run that the checkpoint comes from, or of a later one; 0: there is none. */
 	checkpointRun: number;
+	/** Whether a run of it was listed as running after this owner's claim: no earlier owner has started another one that is active. */
+	isLocated: boolean;
 	/** The checkpoint that the stream holds. */
 	storedCheckpoint: string;
 	isDone: boolean;
@@ -344,6 +346,7 @@
 		clearedRun: 0,
 		checkpoint: ledger?.checkpoint ?? '',
 		checkpointRun: ledger && ledger.checkpoint !== '' ? ledger.lastRun : 0,
+		isLocated: false,
 		storedCheckpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
 		runs: [],
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -35,7 +35,8 @@
 import {RunTracker} from './run-tracker.ts';
 import {Reconciliation} from './reconciliation.ts';
 import {type IsAllowed} from './step-placement.ts';
-import {describeFinishedJob, describeLongestWait} from './task-order.ts';
+import {StartEligibility} from './start-eligibility.ts';
+import {describeFinishedJob} from './task-order.ts';
 import {ViewStaleness} from './view-staleness.ts';
 
 /** Interval of the periodic checks, which react to the passing of time alone. */
@@ -70,10 +71,10 @@
 	readonly #viewStaleness: ViewStaleness;
 	readonly #dueOccurrences: DueOccurrences;
 	readonly #reconciliation: Reconciliation;
+	readonly #eligibility: StartEligibility;
 	readonly #evacuationPublisher: EvacuationPublisher;
 	readonly #relocations: DutyCycle;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: firstHoldMs});
-	#claimOffset = Number.POSITIVE_INFINITY;
 
 	constructor(options: OwnerOptions) {
 		const {clock, epoch, note, follower, policy} = options;
@@ -110,7 +111,10 @@
 		};
 
 		this.#reconciliation = new Reconciliation({
-			...options, links: this.links, describeHeldTasks: () => this.#describeHeldTasks(), onReconciled: requestCycle,
+			...options, links: this.links, describeHeldTasks: () => this.#eligibility.describeHeldTasks(), onReconciled: requestCycle,
+		});
+		this.#eligibility = new StartEligibility({
+			clock, model, reconciliation: this.#reconciliation, viewStaleness: this.#viewStaleness,
 		});
 		this.#runs = this.#createRunTracker(requestCycle);
 		const shared = {
@@ -176,7 +180,7 @@
 			return;
 		}
 
-		this.#claimOffset = claimOffset;
+		this.#eligibility.recordClaim(claimOffset);
 		this.#reconciliation.start();
 		if (policy[Mechanism.InterferenceHandover]) {
 			this.#interference.restore(follower.fold.interferencePairs, clock.monotonicMs());
@@ -318,26 +322,18 @@
 		this.#cycles.requestCycle();
 	}
 
-	/** Tasks of jobs accepted after the claim need not wait for the reconciliation: no earlier owner can have started them. */
 	* #getStartableTasks(nowMs: number): Generator<LiveTask> {
-		if (this.#viewStaleness.isTooStale()) {
+		if (!this.#eligibility.mayStartAny()) {
 			return;
 		}
 
 		for (const task of this.model.getWaitingTasks(nowMs, task => this.#options.policy[Mechanism.StallMoves] && !isQuarantined(task) && wantsCopy(task, nowMs))) {
-			if (this.#reconciliation.isReconciled || task.step.workflow.folded.offset >= this.#claimOffset) {
+			if (this.#eligibility.mayStart(task)) {
 				yield task;
 			}
 		}
 	}
 
-	/** Describes the waiting tasks of jobs from before the claim. */
-	#describeHeldTasks(): Record<string, unknown> {
-		const nowMs = this.#options.clock.monotonicMs();
-		const held = [...this.model.getWaitingTasks(nowMs, () => false)].filter(({step}) => step.workflow.folded.offset < this.#claimOffset);
-		return {heldTasks: held.length, ...describeLongestWait(held, nowMs)};
-	}
-
 	#getSchedulableWorkers(nowMs: number): FleetWorker[] {
 		const {policy, getEvacuations} = this.#options;
 		return getSchedulableWorkers(this.links.workers.values(), {nowMs, policy, evacuated: getEvacuations().failureDomains});
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -12,7 +12,7 @@
 import {
 	getUnit, RunPhase, takeCheckpoint, type LiveModel, type LiveRun, type LiveTask,
 } from './live-model.ts';
-import {isCoveredBy} from './state-coverage.ts';
+import {isCoveredBy, isRecentListing} from './state-coverage.ts';
 
 /** Callbacks of the tracker to its owner. */
 export type RunTrackerHandlers = {
@@ -292,6 +292,7 @@
 		liveRun.throttlePercent = undefined;
 		liveRun.agentLife = reply.agentLife;
 		liveRun.confirmedVersion = reply.version;
+		task.isLocated ||= isRecentListing(worker, reply);
 		this.#handlers.note('run adopted', {
 			taskId, run, host: worker.host, workerId: liveRun.workerId, isUnwanted,
 		});
--- a/test/late-states.test.ts
+++ b/test/late-states.test.ts
@@ -7,8 +7,10 @@
 import {type RunningRow, type WatchReply} from '../src/types/fleet.ts';
 import {RunPhase, type LiveRun, type LiveTask} from '../src/workflows/live-model.ts';
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
-import {RunTracker} from '../src/workflows/run-tracker.ts';
-import {createWorker, createWorkflow, load} from './site-fleet.ts';
+import {type RunTracker} from '../src/workflows/run-tracker.ts';
+import {
+	createTracker, createWorker, createWorkflow, load,
+} from './site-fleet.ts';
 import {createSite, jobId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
@@ -21,7 +23,6 @@
 
 const getNotes = (event: string): SimulatedSite['notes'] => site!.notes.filter(note => note.event === event);
 
-const ignore = () => undefined;
 const orderedAtMs = 1000;
 const notAfterMs = 2500;
 
@@ -29,9 +30,7 @@
 const createOrderedRun = (): {tracker: RunTracker; worker: FleetWorker; task: LiveTask; ordered: LiveRun} => {
 	const {model} = load([createWorkflow(jobId, createSpec([createStep()]))]);
 	const worker = createWorker('host-0');
-	const tracker = new RunTracker(model, {
-		storeEnds: async () => true, onStarted: ignore, findFinishedTask: ignore, onUnknownRun: ignore, onProgress: ignore, onOutcome: ignore, onAttemptsExhausted: ignore, onChange: ignore, note: ignore,
-	});
+	const tracker = createTracker(model);
 	const [task] = [...model.getWaitingTasks(0, () => false)];
 	const ordered = tracker.addRun(task!, worker, 1, {nowMs: orderedAtMs, notAfterMs});
 	return {
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -14,6 +14,7 @@
 import {createPolicy} from '../src/workflows/policy.ts';
 import {RecordType} from '../src/workflows/records.ts';
 import {RunTimes} from '../src/workflows/run-times.ts';
+import {RunTracker} from '../src/workflows/run-tracker.ts';
 import {createRank, getRemainingWork} from '../src/workflows/task-order.ts';
 import {queue} from './simulated-site.ts';
 
@@ -71,6 +72,13 @@
 	return {model, fold};
 };
 
+const ignore = () => undefined;
+
+/** Creates a tracker of the runs of the model's tasks, whose owner does nothing. */
+export const createTracker = (model: LiveModel): RunTracker => new RunTracker(model, {
+	storeEnds: async () => true, onStarted: ignore, findFinishedTask: ignore, onUnknownRun: ignore, onProgress: ignore, onOutcome: ignore, onAttemptsExhausted: ignore, onChange: ignore, note: ignore,
+});
+
 export const placeAll = (model: LiveModel, workers: FleetWorker[], {wallMs = 0, nowMs = 0, nextStartDelayMs = 50, harm: interference = new BestEffortInterference(), times = new RunTimes(), policy = createPolicy()} = {}): Start[] => place({
 	waiting: model.getWaitingTasks(0, () => false),
 	workers,
--- a/test/unreconciled-owners.test.ts
+++ b/test/unreconciled-owners.test.ts
@@ -6,13 +6,21 @@
 import {
 	createLongRunningSite, getLongestGapMs, killOwner, loseHost, resumeMs, startLongRunningTask, waitForStarts,
 } from './departures.ts';
+import {
+	createTracker, createWatchReply, createWorker, createWorkflow, load,
+} from './site-fleet.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 import {createJobId} from './site-setup.ts';
 
-let site: SimulatedSite;
+let created: SimulatedSite | undefined;
+
+const createSite = async (hosts: number, entries: number): Promise<SimulatedSite> => {
+	created = await createLongRunningSite(hosts, entries);
+	return created;
+};
 
 /** Loses a host that does not run the task, as the owner is killed; returns the next owner once it has taken over. */
-const replaceOwnerAsHostIsLost = async (taskHost: string): Promise<string> => {
+const replaceOwnerAsHostIsLost = async (site: SimulatedSite, taskHost: string): Promise<string> => {
 	const next = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
 	killOwner(site);
 	loseHost(site, [...site.hosts.keys()].find(name => name !== taskHost)!);
@@ -21,15 +29,16 @@
 };
 
 afterEach(() => {
-	site.stop();
-	expect(site.violations).toEqual([]);
+	created?.stop();
+	expect(created?.violations ?? []).toEqual([]);
+	created = undefined;
 });
 
 /** Guards against an owner that stops a run whose task it may not start yet: the task then waits until the owner has reconciled. */
 it('a task that is moved away from a draining worker starts again in time although its owner waits for a lost host', async () => {
-	site = await createLongRunningSite(4, 2);
+	const site = await createSite(4, 2);
 	const {taskId, host} = await startLongRunningTask(site, 10);
-	await replaceOwnerAsHostIsLost(host);
+	await replaceOwnerAsHostIsLost(site, host);
 	site.hosts.get(host)!.worker.isDraining = true;
 	expect(await site.waitFor(() => site.getStarts(taskId) === 2, 30_000)).toBeDefined();
 	expect(getLongestGapMs(site, taskId)).toBeLessThan(resumeMs);
@@ -37,9 +46,9 @@
 
 /** Guards against a task that waits for a lost host although its own run was listed after the claim, and has ended since. */
 it('a task whose run ends after the takeover starts again in time although its owner waits for a lost host', async () => {
-	site = await createLongRunningSite(4, 2);
+	const site = await createSite(4, 2);
 	const {taskId, host} = await startLongRunningTask(site, 10);
-	await replaceOwnerAsHostIsLost(host);
+	await replaceOwnerAsHostIsLost(site, host);
 	await site.clock.advance(500);
 	site.hosts.get(host)!.worker.crash();
 	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
@@ -47,7 +56,7 @@
 
 /** Guards against a second run of a task that an agent has not listed: only what was listed after the claim runs nowhere else. */
 it('a task that no agent has listed waits until the owner has reconciled', async () => {
-	site = await createLongRunningSite(4, 2);
+	const site = await createSite(4, 2);
 	const next = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
 	const {taskId, host} = await startLongRunningTask(site, 10);
 	site.cuts.add(`${next}>${host}`);
@@ -58,7 +67,7 @@
 
 /** Guards against an owner that moves a run while its view of the jobs is too old for it to start anything. */
 it('an owner whose view is too old moves no run', async () => {
-	site = await createLongRunningSite(4, 1);
+	const site = await createSite(4, 1);
 	const {taskId, host} = await startLongRunningTask(site, 10);
 	site.store.getFault = ({kind, client, ref}) => client === 'entry-0' && kind === 'read' && ref?.topic === 'workflows' ? StoreFault.LoseRequest : StoreFault.None;
 	expect(await site.waitFor(() => site.notes.some(({event}) => event === 'starts held'), 6000)).toBeDefined();
@@ -71,7 +80,7 @@
 
 /** Guards against members of a gang that start while an agent that has not listed its runs may run the others. */
 it('a gang with a member that no agent has listed waits until the owner has reconciled', async () => {
-	site = await createLongRunningSite(4, 2);
+	const site = await createSite(4, 2);
 	const id = createJobId(11);
 	await site.submit(id, createSpec([createStep({count: 4, isGang: true, milliCpu: 1500})]));
 	await site.clock.advance(1000);
@@ -83,3 +92,21 @@
 	await site.clock.advance(3000);
 	expect(site.events.filter(({type, taskId}) => type === 'started' && taskId.startsWith(id))).toHaveLength(4);
 });
+
+/** Guards against a second run: what an agent lists may have ended, and an earlier owner have started the task elsewhere, if its worker does not answer or it was declared lost. */
+it.each([
+	['answers', {}, undefined, true],
+	['does not answer', {isAnswering: false}, undefined, false],
+	['does not answer and has no leases', {isAnswering: false, isOver: true}, undefined, false],
+	['answers, but whose agent was declared lost', {}, {session: 1}, false],
+])('a task whose run is on a worker that %s is located', (_, state, loss, isLocated) => {
+	const {model} = load([createWorkflow(createJobId(0), createSpec([createStep()]))]);
+	const worker = {...createWorker('host-0'), loss};
+	const [task] = [...model.getWaitingTasks(0, () => false)];
+	createTracker(model).applyReply(worker, createWatchReply({
+		worker: worker.report, running: [{
+			taskId: task!.taskId, run: 1, checkpoint: '', percent: 0, recent: 0,
+		}], ...state,
+	}), 1000);
+	expect(task!.isLocated).toBe(isLocated);
+});
