Move runs only of tasks that the owner may start

Callers saw: long-running tasks stopped in the middle of their work and started again 10 s later or more (LOST). In the record an owner stopped six runs 0.2 s after its takeover, lost the partition 0.4 s later, and the next owner held their tasks for 13 s. Cause: moving a run asked whether a worker has room for its task, not whether this owner may start it: one that has not reconciled, or whose view of the jobs is too old, may not. Evidence: 'run moved' without 'settled' at 59.3 and 81.4 s of the record; unreconciled-owners, where a run was stopped while starts were held. Change: the same eligibility decides on starts and on moves.

--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -339,12 +339,20 @@
 		return getSchedulableWorkers(this.links.workers.values(), {nowMs, policy, evacuated: getEvacuations().failureDomains});
 	}
 
-	/** Stops runs that are stalled, heavily throttled or about to be lost with a draining worker, so that their tasks start elsewhere. */
+	/**
+	Stops runs that are stalled, heavily throttled or about to be lost with a draining worker, so that their tasks start elsewhere; only those
+	of tasks that this owner may start.
+	*/
 	#relocate(): void {
+		if (!this.#eligibility.mayStartAny()) {
+			return;
+		}
+
 		const {clock, policy} = this.#options;
 		const nowMs = clock.monotonicMs();
+		const canPlace = createPlacementCheck(this.#getSchedulableWorkers(nowMs).filter(worker => !this.#quarantine.isClosed(worker)), {interference: this.#interference, isAllowed: this.#isAllowed, policy});
 		const moves = chooseMoves({
-			workers: this.links.workers.values(), nowMs, policy, canPlace: createPlacementCheck(this.#getSchedulableWorkers(nowMs).filter(worker => !this.#quarantine.isClosed(worker)), {interference: this.#interference, isAllowed: this.#isAllowed, policy}),
+			workers: this.links.workers.values(), nowMs, policy, canPlace: task => this.#eligibility.mayStart(task) && canPlace(task),
 		});
 		for (const {worker, run} of moves) {
 			this.#options.note('run moved', {
--- a/src/workflows/relocation.ts
+++ b/src/workflows/relocation.ts
@@ -12,7 +12,7 @@
 export type RelocationInput = {
 	workers: Iterable<FleetWorker>;
 	nowMs: number;
-	/** Whether a schedulable worker that the task does not avoid has free capacity for it. */
+	/** Whether the task may start, and a schedulable worker that it does not avoid has free capacity for it. */
 	canPlace: (task: LiveTask) => boolean;
 	policy: Policy;
 };
