Try removals of registrations again until the store has taken them

Cause: each removal names the end of the topic at which the registration was read. Of two at the same moment the first moves that end, the second is refused, and so is one that the store does not answer; the owner had dropped the agent already and did not try again. Change: one task for each owner removes all registrations that are due by one append and repeats it until they are gone. Owner and agent share the single try (registration-removal.ts).

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -8,12 +8,13 @@
 import {
 	type AgentRegistration, type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest, type WorkerClient, type WorkerReport,
 } from '../types/fleet.ts';
-import {AppendOutcome, type PartitionRef, type StoreClient} from '../types/store.ts';
+import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {Wakeup} from '../utils/wakeup.ts';
 import {AgentState} from './agent-state.ts';
-import {agentsTopic, controlTopic, decodeFirstSession} from './control-records.ts';
+import {controlTopic, decodeFirstSession} from './control-records.ts';
 import {ControlWatch} from './control-watch.ts';
 import {OrderHandler, type AgentLogEvent} from './order-handler.ts';
+import {registrationsRef, tryRemoveRegistrations} from './registration-removal.ts';
 import {runWorkerLoop} from './worker-loop.ts';
 
 /** Options of an agent. */
@@ -220,7 +221,7 @@
 		const {store, clock, registration, note} = this.#options;
 		while (!signal.aborted) {
 			try {
-				const {records} = await store.readNewest({topic: agentsTopic, partition: 0}, signal);
+				const {records} = await store.readNewest(registrationsRef, signal);
 				const previous = records.find(({key}) => key === registration.host);
 				return previous?.value && decodeFirstSession(previous.value, previous.offset);
 			} catch (error) {
@@ -247,11 +248,10 @@
 	async #register(signal: AbortSignal, firstSession?: number): Promise<void> {
 		const {store, registration, life, clock, note} = this.#options;
 		const stamp = {producer: `agent-${registration.host}-${life}`, epoch: 1, sequence: this.#registrations};
-		const ref: PartitionRef = {topic: agentsTopic, partition: 0};
 		const lapsesBefore = this.#lapses;
 		while (!signal.aborted) {
 			try {
-				const result = await store.appendKeyed(ref, [{key: registration.host, value: Buffer.from(JSON.stringify({...registration, firstSession}))}], {
+				const result = await store.appendKeyed(registrationsRef, [{key: registration.host, value: Buffer.from(JSON.stringify({...registration, firstSession}))}], {
 					stamp, timeoutMs: registerTimeoutMs,
 				});
 				if (result.outcome === AppendOutcome.Appended) {
@@ -273,22 +273,18 @@
 		}
 	}
 
-	/** Removes the registration if it is still this process's: the store may carry the call out late, when the next process has registered. */
+	/** Removes the registration if it is still this process's. */
 	async #removeRegistration(): Promise<void> {
 		const {store, registration: {host}, note} = this.#options;
-		const ref: PartitionRef = {topic: agentsTopic, partition: 0};
 		try {
-			let outcome = AppendOutcome.NotAtEnd;
+			let outcome: AppendOutcome | undefined = AppendOutcome.NotAtEnd;
 			for (let tries = 0; tries < maxRemovalTries && outcome === AppendOutcome.NotAtEnd; tries++) {
-				const {records, endOffset} = await store.readNewest(ref);
-				if (!records.some(({key, offset}) => key === host && offset === this.state.session)) {
-					return;
-				}
-
-				({outcome} = await store.appendKeyed(ref, [{key: host}], {atOffset: endOffset, timeoutMs: registerTimeoutMs}));
+				({outcome} = await tryRemoveRegistrations(store, new Map([[host, this.state.session]])));
 			}
 
-			note('registration removed', {outcome});
+			if (outcome !== undefined) {
+				note('registration removed', {outcome});
+			}
 		} catch (error) {
 			note('registration not removed', {error: getMessage(error)});
 		}
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -1,14 +1,13 @@
 /**
 Declares agents lost that do not answer, waits until their leases have expired, and then releases their tasks to start elsewhere.
 */
-import {
-	agentsTopic, controlTopic, ControlRecordType, encodeControlRecord,
-} from '../agents/control-records.ts';
+import {controlTopic, ControlRecordType, encodeControlRecord} from '../agents/control-records.ts';
 import {maxClockSlowShare} from '../agents/worker-lease.ts';
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {type AgentLoss, type FleetWorker} from './fleet-view.ts';
+import {type RegistrationRemover} from './registration-remover.ts';
 import {LossReason, type RunTracker} from './run-tracker.ts';
 
 /** Options of the monitor. */
@@ -20,6 +19,7 @@
 	leaseDurationMs: number;
 	workers: Map<string, FleetWorker>;
 	tracker: RunTracker;
+	remover: RegistrationRemover;
 	signal: AbortSignal;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
@@ -115,7 +115,7 @@
 			worker.loss = undefined;
 		} else if (worker.unresponsiveSinceMs !== undefined) {
 			this.#options.workers.delete(worker.host);
-			void this.#removeRegistration(worker.host, loss);
+			this.#options.remover.remove(worker.host, loss.session);
 		}
 	}
 
@@ -157,19 +157,4 @@
 			await clock.sleep(retryMs, signal);
 		}
 	}
-
-	/** Removes the registration that was declared lost, unless there is a newer one, so that a later owner need not wait for this agent. */
-	async #removeRegistration(host: string, {session}: AgentLoss): Promise<void> {
-		const {store, note} = this.#options;
-		const ref = {topic: agentsTopic, partition: 0};
-		try {
-			const {records, endOffset} = await store.readNewest(ref);
-			if (records.some(record => record.key === host && record.offset === session)) {
-				const result = await store.appendKeyed(ref, [{key: host}], {atOffset: endOffset, timeoutMs: storeTimeoutMs});
-				note('registration removed', {host, outcome: result.outcome});
-			}
-		} catch (error) {
-			note('registration not removed', {host, error: getMessage(error)});
-		}
-	}
 }
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -2,7 +2,7 @@
 Owner of the jobs of one partition: takes the partition over, watches the agents of the workers, and starts, restarts
 and stops tasks.
 */
-import {agentsTopic} from '../agents/control-records.ts';
+import {registrationsRef} from '../agents/registration-removal.ts';
 import {WorkerHealth, type HealthSubject} from '../jobs/worker-health.ts';
 import {type WatchReply} from '../types/fleet.ts';
 import {type TaskRef} from '../types/workflows.ts';
@@ -31,6 +31,7 @@
 import {isQuarantined, Quarantine} from './quarantine.ts';
 import {chooseMoves, wantsCopy} from './relocation.ts';
 import {SchedulingCycles} from './scheduling-cycles.ts';
+import {RegistrationRemover} from './registration-remover.ts';
 import {RunTimes} from './run-times.ts';
 import {RunTracker} from './run-tracker.ts';
 import {Reconciliation} from './reconciliation.ts';
@@ -95,7 +96,7 @@
 		});
 		this.links = new AgentLinks({
 			...options,
-			registrations: {topic: agentsTopic, partition: 0},
+			registrations: registrationsRef,
 			getCaughtUpAtMs: () => follower.fold.epoch === epoch ? follower.caughtUpAtMs : Number.NEGATIVE_INFINITY,
 			onReply: (worker, reply) => {
 				this.#meter.measure('reply', () => {
@@ -164,8 +165,9 @@
 				this.#stepDown('an agent refused the epoch');
 			},
 		});
+		const {signal} = this.#aborter;
 		this.#losses = new AgentLossMonitor({
-			...options, tracker: this.#runs, workers: this.links.workers, signal: this.#aborter.signal,
+			...options, tracker: this.#runs, workers: this.links.workers, signal, remover: new RegistrationRemover({...options, signal}),
 		});
 		this.#throttleController = new ThrottleController({...shared, interference: this.#interference});
 	}
