--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -7,7 +7,6 @@
 import {type WatchReply} from '../types/fleet.ts';
 import {type TaskRef} from '../types/workflows.ts';
 import {createAborter} from '../utils/aborter.ts';
-import {DutyCycle} from '../utils/duty-cycle.ts';
 import {WorkMeter} from '../utils/work-meter.ts';
 import {AdviceCache} from './advice-cache.ts';
 import {AgentLinks} from './agent-links.ts';
@@ -26,13 +25,13 @@
 import {OwnerLog} from './owner-log.ts';
 import {type OwnerOptions} from './owner-options.ts';
 import {ThrottleController} from './throttle-controller.ts';
-import {createPlacementCheck} from './placement.ts';
 import {Mechanism} from './policy.ts';
 import {isQuarantined, Quarantine} from './quarantine.ts';
-import {chooseMoves, wantsCopy} from './relocation.ts';
+import {wantsCopy} from './relocation.ts';
 import {SchedulingCycles} from './scheduling-cycles.ts';
 import {RegistrationRemover} from './registration-remover.ts';
 import {RunTimes} from './run-times.ts';
+import {RunMover} from './run-mover.ts';
 import {RunTracker} from './run-tracker.ts';
 import {Reconciliation} from './reconciliation.ts';
 import {type IsAllowed} from './step-placement.ts';
@@ -42,8 +41,6 @@
 
 /** Interval of the periodic checks, which react to the passing of time alone. */
 const checkIntervalMs = 50;
-/** Limits the search for runs to relocate to 1/20 of the thread's time: one search takes about as long as a scheduling cycle. */
-const relocationRestFactor = 19;
 /** First hold of a worker that fails tasks which succeed elsewhere; each further hold is twice as long. */
 const firstHoldMs = 1000;
 
@@ -74,7 +71,7 @@
 	readonly #reconciliation: Reconciliation;
 	readonly #eligibility: StartEligibility;
 	readonly #evacuationPublisher: EvacuationPublisher;
-	readonly #relocations: DutyCycle;
+	readonly #mover: RunMover;
 	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: firstHoldMs});
 
 	constructor(options: OwnerOptions) {
@@ -86,7 +83,6 @@
 		});
 		this.#viewStaleness = new ViewStaleness(options);
 		this.#dueOccurrences = new DueOccurrences(model, clock);
-		this.#relocations = new DutyCycle(clock, relocationRestFactor);
 		this.#evacuationPublisher = new EvacuationPublisher(options);
 		this.#runTimes = new RunTimes(policy[Mechanism.RunTimes]);
 		this.#log = new OwnerLog({
@@ -169,6 +165,9 @@
 		this.#losses = new AgentLossMonitor({
 			...options, tracker: this.#runs, workers: this.links.workers, signal, remover: new RegistrationRemover({...options, signal}),
 		});
+		this.#mover = new RunMover({
+			...shared, policy, sender: this.#sender, eligibility: this.#eligibility, quarantine: this.#quarantine, interference: this.#interference, isAllowed: this.#isAllowed, getWorkers: nowMs => this.#getSchedulableWorkers(nowMs),
+		});
 		this.#throttleController = new ThrottleController({...shared, interference: this.#interference});
 	}
 
@@ -317,9 +316,7 @@
 
 		this.#log.storeInterference(() => this.#interference.getPairs());
 		this.#advice.update(this.model.getOpenSteps(), this.links.workers.values());
-		this.#relocations.tryRun(() => {
-			this.#relocate();
-		});
+		this.#mover.tryMove();
 		this.#health.releaseHeld(clock.monotonicMs());
 		this.#cycles.requestCycle();
 	}
@@ -341,29 +338,6 @@
 		return getSchedulableWorkers(this.links.workers.values(), {nowMs, policy, evacuated: getEvacuations().failureDomains});
 	}
 
-	/**
-	Stops runs that are stalled, heavily throttled or about to be lost with a draining worker, so that their tasks start elsewhere; only those
-	of tasks that this owner may start.
-	*/
-	#relocate(): void {
-		if (!this.#eligibility.mayStartAny()) {
-			return;
-		}
-
-		const {clock, policy} = this.#options;
-		const nowMs = clock.monotonicMs();
-		const canPlace = createPlacementCheck(this.#getSchedulableWorkers(nowMs).filter(worker => !this.#quarantine.isClosed(worker)), {interference: this.#interference, isAllowed: this.#isAllowed, policy});
-		const moves = chooseMoves({
-			workers: this.links.workers.values(), nowMs, policy, canPlace: task => this.#eligibility.mayStart(task) && canPlace(task),
-		});
-		for (const {worker, run} of moves) {
-			this.#options.note('run moved', {
-				taskId: run.task.taskId, run: run.run, host: worker.host, percent: run.percent, pacePercent: run.throttlePercent, isReconciled: this.#reconciliation.isReconciled,
-			});
-			this.#sender.stop(worker, [run]);
-		}
-	}
-
 	#handleReply(worker: FleetWorker, reply: WatchReply): void {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#losses.readmit(worker);
--- a/src/workflows/start-eligibility.ts
+++ b/src/workflows/start-eligibility.ts
@@ -32,6 +32,11 @@
 		this.#claimOffset = claimOffset;
 	}
 
+	/** Whether every agent has listed its runs, or its leases from before the claim have expired. */
+	get isReconciled(): boolean {
+		return this.#options.reconciliation.isReconciled;
+	}
+
 	/** Whether the view of the jobs is recent enough to start anything. */
 	mayStartAny(): boolean {
 		return !this.#options.viewStaleness.isTooStale();
@@ -39,7 +44,7 @@
 
 	/** Whether no run of the task can be active that this owner does not know of. */
 	mayStart(task: LiveTask): boolean {
-		return this.#options.reconciliation.isReconciled || this.#isNew(task) || getUnit(task).every(({isLocated}) => isLocated);
+		return this.isReconciled || this.#isNew(task) || getUnit(task).every(({isLocated}) => isLocated);
 	}
 
 	/** Describes the waiting tasks that may not start before the reconciliation, for the log. */
