Let owners hear that the registration of an agent was removed

Callers saw: tasks that a host had run, or whose end nobody had read, did not start for 11.7 s after the host had left in order; after a takeover in that moment all tasks waited. In the record an agent removed its registration at 83.05 s, and the owner declared it lost at 87.57. Cause: an owner ignored records without a value. It went on asking the agent, declared it lost after 4 s and waited for its leases, though the store had said that it had gone: an agent removes its registration once its worker has ended, an owner once all leases have expired. Change: the agent is dropped and its runs are lost ('agent-gone') if the removal is newer than the registration known. What was removed while the stream was not read shows in the next read of all registrations.

--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -116,9 +116,9 @@
 		};
 	}
 
-	/** Appends a keyed record as an operator does, without a producer stamp or faults. */
-	put(ref: PartitionRef, key: string, value: Buffer): void {
-		this.#appendRecords(this.#getPartition(ref), [{key, value}]);
+	/** Appends a keyed record as an operator does, without a producer stamp or faults; without a value, the key is deleted. */
+	put(ref: PartitionRef, key: string, value?: Buffer): void {
+		this.#appendRecords(this.#getPartition(ref), [{key, ...(value && {value})}]);
 	}
 
 	/** Moves each partition of a group to the next member, without a call from any member. */
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -30,6 +30,8 @@
 	/** Start of the last store read that reached the end of the stream and showed this owner as the newest. */
 	getCaughtUpAtMs: () => number;
 	onReply: (worker: FleetWorker, reply: WatchReply) => void;
+	/** The agent's registration was removed: nothing runs on its worker any more. The worker is not among the known ones any more. */
+	onRemoved: (worker: FleetWorker) => void;
 	onSuperseded: (newerEpoch: number) => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
@@ -82,13 +84,7 @@
 
 					this.#registryOffset = Math.max(this.#registryOffset, records.length > 0 ? records.at(-1)!.offset + 1 : Math.min(endOffset, this.#registryOffset));
 				} else {
-					const {records, endOffset} = await store.readNewest(registrations, signal);
-					for (const {key, value, offset} of records) {
-						this.#applyRegistration(key, value, offset, signal);
-					}
-
-					this.#registryOffset = endOffset;
-					this.#isRegistryRead = true;
+					await this.#readAll(signal);
 				}
 			} catch (error) {
 				if (signal.aborted) {
@@ -124,13 +120,7 @@
 
 	#applyRegistration(host: string, value: Buffer | undefined, offset: number, signal: AbortSignal): void {
 		if (value === undefined) {
-			const known = this.workers.get(host);
-			if (known) {
-				this.#options.note('registration gone', {
-					host, session: known.session, offset, isListed: known.isListed, runs: known.runs.size,
-				});
-			}
-
+			this.#applyRemoval(host, offset);
 			return;
 		}
 
@@ -186,6 +176,36 @@
 		void this.#keepWatching(worker, signal);
 	}
 
+	/** Drops an agent whose registration was removed, at the offset or before; one that has registered since stays. */
+	#applyRemoval(host: string, offset: number): void {
+		const {note, onRemoved} = this.#options;
+		const worker = this.workers.get(host);
+		if (worker && worker.session < offset) {
+			note('registration gone', {
+				host, session: worker.session, offset, isListed: worker.isListed, runs: worker.runs.size,
+			});
+			this.workers.delete(host);
+			onRemoved(worker);
+		}
+	}
+
+	/** Reads the newest registration of each agent. What has no registration any more was removed while the stream was not read. */
+	async #readAll(signal: AbortSignal): Promise<void> {
+		const {store, registrations} = this.#options;
+		const {records, endOffset} = await store.readNewest(registrations, signal);
+		for (const {key, value, offset} of records) {
+			this.#applyRegistration(key, value, offset, signal);
+		}
+
+		const registered = new Set(records.map(({key}) => key));
+		for (const host of [...this.workers.keys()].filter(known => !registered.has(known))) {
+			this.#applyRemoval(host, endOffset);
+		}
+
+		this.#registryOffset = endOffset;
+		this.#isRegistryRead = true;
+	}
+
 	/** Decodes a registration; an invalid one is logged and ignored. */
 	#decode(host: string, value: Buffer): AgentRegistration | undefined {
 		try {
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -106,6 +106,15 @@
 		}
 	}
 
+	/**
+	Handles the removal of an agent's registration: the agent removes it once its worker has ended, and an owner once all leases of a lost
+	agent have expired.
+	*/
+	handleRemoval(worker: FleetWorker): void {
+		const {tracker, clock} = this.#options;
+		tracker.markAllLost(worker, LossReason.AgentGone, {nowMs: clock.monotonicMs(), evidence: {session: worker.session}});
+	}
+
 	/** Handles the expiry of a lost agent's leases. The agent may have registered again without having answered yet. */
 	#handleExpiredLeases(worker: FleetWorker, loss: AgentLoss, nowMs: number): void {
 		const {session} = worker;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -99,6 +99,9 @@
 					this.#handleReply(worker, reply);
 				});
 			},
+			onRemoved: worker => {
+				this.#losses.handleRemoval(worker);
+			},
 			onSuperseded: newerEpoch => {
 				this.#stepDown(`an agent knows epoch ${newerEpoch}`);
 			},
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -41,6 +41,7 @@
 	WorkerCrashed = 'worker-crashed',
 	LeasesExpired = 'leases-over',
 	AgentLost = 'agent-lost',
+	AgentGone = 'agent-gone',
 	NotListed = 'not-listed',
 	NeverStarted = 'never-started',
 }
--- a/test/agent-links.test.ts
+++ b/test/agent-links.test.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {afterEach, expect, it} from 'vitest';
 import {agentsTopic} from '../src/agents/control-records.ts';
-import {MemoryStore} from '../src/standin/memory-store.ts';
+import {MemoryStore, StoreFault} from '../src/standin/memory-store.ts';
 import {type WatchReply} from '../src/types/fleet.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {AgentLinks} from '../src/workflows/agent-links.ts';
@@ -19,6 +19,12 @@
 
 const registrations = {topic: agentsTopic, partition: 0};
 
+const register = (store: MemoryStore, host: string): void => {
+	store.put(registrations, host, Buffer.from(JSON.stringify({
+		host, address: host, service: 'desk', failureDomain: 'hall',
+	})));
+};
+
 const createState = (agentLife: string, version: number): WatchReply => ({
 	agentLife, session: 0, version, agentClockMs: 0, worker: createWorker('host-0').report, workerClockMs: 0, leaseUntilMs: 0, isListed: true, isAnswering: true, isOver: false, running: [], ended: [], starting: [], crashed: [], goneWorkerIds: [],
 });
@@ -27,10 +33,9 @@
 const createLinks = async () => {
 	const clock = new ManualClock();
 	const store = new MemoryStore(clock);
-	store.put(registrations, 'host-0', Buffer.from(JSON.stringify({
-		host: 'host-0', address: 'host-0', service: 'desk', failureDomain: 'hall',
-	})));
+	register(store, 'host-0');
 	const applied: WatchReply[] = [];
+	const removed: string[] = [];
 	const polls: Array<(reply: WatchReply) => void> = [];
 	const links = new AgentLinks({
 		store: store.createClient('entry-0'),
@@ -48,6 +53,9 @@
 		onReply(_, reply) {
 			applied.push(reply);
 		},
+		onRemoved({host}) {
+			removed.push(host);
+		},
 		onSuperseded: () => undefined,
 		note: () => undefined,
 	});
@@ -58,7 +66,9 @@
 		await clock.advance(200);
 	};
 
-	return {links, applied, answer};
+	return {
+		links, applied, answer, removed, store, clock,
+	};
 };
 
 /** Guards against a run that no agent knows any more but that its task waits for: it would stay on a worker that nobody watches. */
@@ -82,3 +92,27 @@
 	await answer(createState('life-2', 4));
 	expect(links.workers.get('host-0')).toMatchObject({agentLife: 'life-2', version: 4});
 });
+
+/** Guards against a removal that is not heard, also if the store was away when it came, or that is taken for one of a later registration. */
+it.each([
+	['while the stream is read', StoreFault.None],
+	['while the store is away', StoreFault.Refuse],
+])('an agent whose registration is removed %s is dropped, and one that has registered again stays', async (_, fault) => {
+	const {links, removed, store, clock} = await createLinks();
+	register(store, 'host-1');
+	await clock.advance(500);
+	expect([...links.workers.keys()]).toEqual(['host-0', 'host-1']);
+	store.getFault = () => fault;
+	await clock.advance(3000);
+	store.put(registrations, 'host-0');
+	store.put(registrations, 'host-1');
+	register(store, 'host-1');
+	links.workers.get('host-1')!.session = 4;
+	store.getFault = () => StoreFault.None;
+	await clock.advance(500);
+	expect(removed).toEqual(['host-0']);
+	expect([...links.workers.keys()]).toEqual(['host-1']);
+	store.put(registrations, 'host-1');
+	await clock.advance(500);
+	expect(removed).toEqual(['host-0', 'host-1']);
+});
