Let an agent that is stopped wait for a worker that has said that it ends

Callers saw: after a takeover nothing started for 12.8 s, because the registration of an agent was left that had been stopped 0.1 s after its worker's message that it ends. Cause: the agent removes its registration only if it has found that the worker listens no more, which takes some 0.1 s after that message. Change: the stopping agent waits for it, up to a second.

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -33,6 +33,9 @@
 };
 
 const registerTimeoutMs = 1000;
+/** How long an agent that is told to stop waits for the end of a worker that has announced it. */
+const maxWorkerEndMs = 1000;
+const workerEndCheckMs = 20;
 const registerRetryMs = 200;
 /** Removals fail while other agents register at the same time; an owner removes what is left. */
 const maxRemovalTries = 5;
@@ -148,6 +151,7 @@
 	later owners need not wait for its leases. An agent that is only restarted keeps its registration.
 	*/
 	async leave(): Promise<void> {
+		await this.#waitForWorkerEnd();
 		if (this.state.worker === undefined && this.#hasWorkerLeft) {
 			await this.#removeRegistration();
 		}
@@ -273,6 +277,15 @@
 		}
 	}
 
+	/** A worker that has said that it ends may take some more ms until it no longer listens. */
+	async #waitForWorkerEnd(): Promise<void> {
+		const {clock} = this.#options;
+		const untilMs = clock.monotonicMs() + maxWorkerEndMs;
+		while (this.state.worker?.hasLeft && clock.monotonicMs() < untilMs) {
+			await clock.sleep(workerEndCheckMs);
+		}
+	}
+
 	/** Removes the registration if it is still this process's. */
 	async #removeRegistration(): Promise<void> {
 		const {store, registration: {host}, note} = this.#options;
