Wait with a lost agent's tasks until later owners would know of the loss

Cause: a task of which an agent lists a run may start before the reconciliation, unless that agent was declared lost. An owner counted a loss from the answer of the control stream on, and the record for later owners could come after the start of the tasks elsewhere. Change: a loss counts only once that record is stored too; the leases are still waited for from the earlier answer on. The bound on kept losses is above the agents of a region.

--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -22,7 +22,7 @@
 	tracker: RunTracker;
 	remover: RegistrationRemover;
 	signal: AbortSignal;
-	/** Stores for later owners that the declaration of a loss is stored. */
+	/** Stores for later owners that the declaration of a loss is stored; resolves to whether it is. */
 	storeLoss: (host: string, session: number) => Promise<boolean>;
 	follower: WorkflowFollower;
 	note: (event: string, fields: Record<string, unknown>) => void;
@@ -158,11 +158,15 @@
 			try {
 				const result = await store.append({topic: controlTopic, partition}, [record], {timeoutMs: storeTimeoutMs});
 				if (result.outcome === AppendOutcome.Appended) {
-					loss.storedAtMs = clock.monotonicMs();
+					const storedAtMs = clock.monotonicMs();
 					note('loss stored', {
-						host, session, newestSession: worker.session, lostSession: worker.loss?.session, tookMs: Math.round(loss.storedAtMs - declaredAtMs),
+						host, session, newestSession: worker.session, lostSession: worker.loss?.session, tookMs: Math.round(storedAtMs - declaredAtMs),
 					});
-					void storeLoss(host, session);
+					// A later owner must know of the loss before tasks start elsewhere: the agent may still list their runs.
+					if (await storeLoss(host, session)) {
+						loss.storedAtMs = storedAtMs;
+					}
+
 					return;
 				}
 			} catch (error) {
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -12,7 +12,7 @@
 export type AgentLoss = {
 	/** Session of the registration. */
 	readonly session: number;
-	/** When it was known to be stored: its answer was handled, or the record of an earlier owner read; undefined before. */
+	/** When the declaration was known to be stored: its answer was handled, or the record of an earlier owner read. Undefined until later owners know of it too. */
 	storedAtMs?: number;
 };
 
--- a/src/workflows/stored-losses.ts
+++ b/src/workflows/stored-losses.ts
@@ -15,8 +15,8 @@
 	readonly readAtMs: number;
 };
 
-/** Bound on the agents whose loss is kept. All entries drop the same ones, or a later owner would not know of a loss that the one after it counts. */
-const maxAgents = 1000;
+/** Bound on the agents whose loss is kept: more than a region has. All entries drop the same ones, or a later owner would not know of a loss that the one after it counts. */
+const maxAgents = 10_000;
 
 /** The newest loss of each agent. */
 export class StoredLosses {
--- a/test/known-losses.test.ts
+++ b/test/known-losses.test.ts
@@ -203,17 +203,18 @@
 	expect(site.clock.monotonicMs() - storedAtMs).toBeLessThan(2500 + getLeaseExpiryMs(leaseDurationMs) + slackMs);
 });
 
-/** Guards against registrations that are read again after the agent was given up, by an owner that cannot know the loss from the stream yet. */
-it('an agent is given up only when the record of its loss was read back', async () => {
+/** Guards against tasks that start elsewhere, and agents that are given up, while a later owner would not know of the loss and could give proofs. */
+it('the tasks of a lost agent wait until the record of its loss is stored and read back', async () => {
 	site = await createLongRunningSite(4, 1);
 	const owner = site.getOwnerName()!;
 	loseAppends(owner, workflowsTopic);
 	const {host} = await loseTask();
 	await site.clock.advance(getLeaseExpiryMs(leaseDurationMs) + slackMs);
-	expect(getNotes('run lost').some(({fields}) => fields.taskId === taskId)).toBe(true);
+	expect(getNotes('run lost')).toEqual([]);
 	expect(getNotes('registration removed')).toEqual([]);
 	site.store.getFault = () => StoreFault.None;
 	await waitForNote('registration removed', 2000);
+	expect(getNotes('run lost').some(({fields}) => fields.taskId === taskId)).toBe(true);
 	expect(getNotes('loss known').filter(({fields}) => fields.host === host)).toEqual([]);
 });
 
@@ -285,11 +286,11 @@
 
 it('a fold keeps a bounded number of losses', () => {
 	const fold = new WorkflowFold();
-	for (let index = 0; index <= 1000; index++) {
+	for (let index = 0; index <= 10_000; index++) {
 		lose(fold, `host-${index}`, index, 100);
 	}
 
 	expect(fold.losses.get('host-0')).toBeUndefined();
 	expect(fold.losses.get('host-1')).toBeDefined();
-	expect(fold.losses.get('host-1000')).toBeDefined();
+	expect(fold.losses.get('host-10000')).toBeDefined();
 });
