Let agents that are told to stop leave their last state in the store

Cause: an agent that gets SIGTERM knows what runs and until when leases can last, and said nothing. Owners found out by 4 s of silence and then waited for the longest lease, each new owner from the beginning. Change: the agent renews nothing and takes no start from then on, and replaces its registration by one with its departure: the runs, the unread ends, and how long its leases may still last. An owner applies that state, waits for the leases, and removes the registration at the end of the topic that it has read; a restarted agent registers before it renews, so the store decides which of the two came first. Runs of a departed agent do not make their tasks located. Conclusion: fixed for hosts that go with a signal.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -62,6 +62,8 @@
 	mustLetLeasesExpire = false;
 	/** Whether no earlier process of this agent can have left runs or leases: the host had no registration when this one began. */
 	isFirstProcess = false;
+	/** Told to stop: no lease is renewed and no task started any more. */
+	isLeaving = false;
 	/** Incarnations of the worker that have ended, with all their runs. */
 	readonly goneWorkerIds: string[] = [];
 	/** Runs that were resident when a worker crashed, and that no owner has reported as stored in the log. */
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -2,7 +2,7 @@
 An agent: the process on a worker's host that makes all calls to that worker. It registers itself in the store, renews the
 worker's leases while it has proof that it was not declared lost, and carries out the orders of the service's owner.
 */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
@@ -11,10 +11,10 @@
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {Wakeup} from '../utils/wakeup.ts';
 import {AgentState} from './agent-state.ts';
-import {controlTopic, decodeFirstSession} from './control-records.ts';
+import {controlTopic, decodeFirstSession, encodeRegistration} from './control-records.ts';
 import {ControlWatch} from './control-watch.ts';
 import {OrderHandler, type AgentLogEvent} from './order-handler.ts';
-import {registrationsRef, tryRemoveRegistrations} from './registration-removal.ts';
+import {registrationsRef, tryWriteRegistrations} from './registration-writes.ts';
 import {runWorkerLoop} from './worker-loop.ts';
 
 /** Options of an agent. */
@@ -36,9 +36,13 @@
 /** How long an agent that is told to stop waits for the end of a worker that has announced it. */
 const maxWorkerEndMs = 1000;
 const workerEndCheckMs = 20;
+/** A stopping agent renews no leases, so it does not wait longer for a store that is away: it may be restarted. */
+const maxDepartureMs = 1000;
 const registerRetryMs = 200;
-/** Removals fail while other agents register at the same time; an owner removes what is left. */
-const maxRemovalTries = 5;
+/** Such writes fail while other agents register at the same time; an owner removes what is left. */
+const maxWriteTries = 5;
+/** Owners read the registrations of all agents at each takeover. */
+const maxRegistrationBytes = 65_536;
 /** The fencing token is raised by this when the worker has seen a higher one: the wall clock was set back between two starts of the agent. */
 const fenceIncrementMs = 3_600_000;
 /**
@@ -63,7 +67,8 @@
 	#registrations = 0;
 	/** How often all leases have expired after a declaration of loss or a gap. */
 	#lapses = 0;
-	#hasWorkerLeft = false;
+	/** Offset of the first registration whose leases may not have expired, as stored with the present one; undefined: the present one. */
+	#firstSession: number | undefined;
 	/** Loss declarations about registrations before this offset are ignored: their leases have already expired. */
 	#minLostSession = 0;
 	#isStoreReached: boolean | undefined;
@@ -120,7 +125,6 @@
 	handleAnnouncement(report: WorkerReport): void {
 		const previous = this.state.worker?.report;
 		if (this.state.applyAnnouncement(report, this.#options.clock.monotonicMs())) {
-			this.#hasWorkerLeft = false;
 			this.#options.note('worker came', {
 				workerId: report.workerId, before: previous?.workerId, milliCpu: report.milliCpu, memoryMb: report.memoryMb, labels: report.labels,
 			});
@@ -133,7 +137,6 @@
 	/** Handles the worker's message that it ends. */
 	handleWorkerLeave(workerId: string): void {
 		this.#options.note('worker left', {workerId});
-		this.#hasWorkerLeft = true;
 		this.state.recordLeave(workerId, this.#options.clock.monotonicMs());
 		this.#wakeup.wake();
 	}
@@ -147,13 +150,18 @@
 	}
 
 	/**
-	Removes the registration at shutdown if the worker has left: such an agent does not come back, and without a registration
-	later owners need not wait for its leases. An agent that is only restarted keeps its registration.
+	Tells owners at shutdown, which cannot ask this agent any more. If nothing can run on its host, its registration is removed. Otherwise
+	it says in its registration what runs and until when leases may last: its host may go for good, or a restarted agent goes on.
 	*/
 	async leave(): Promise<void> {
+		const {state} = this;
+		state.isLeaving = true;
 		await this.#waitForWorkerEnd();
-		if (this.state.worker === undefined && this.#hasWorkerLeft) {
-			await this.#removeRegistration();
+		if (state.isVacant) {
+			await this.#writeRegistration('registration removed', () => undefined);
+		} else if (state.worker && state.isRegistered) {
+			const {clock} = this.#options;
+			await Promise.race([this.#writeRegistration('departure stored', () => this.#createDeparture()), clock.sleep(maxDepartureMs)]);
 		}
 	}
 
@@ -240,7 +248,7 @@
 	async #keepRegistered(signal: AbortSignal): Promise<void> {
 		const {clock} = this.#options;
 		while (!signal.aborted) {
-			if (!this.state.isRegistered) {
+			if (!this.state.isRegistered && !this.state.isLeaving) {
 				await this.#register(signal);
 				this.#minLostSession = this.state.session;
 			}
@@ -255,11 +263,12 @@
 		const lapsesBefore = this.#lapses;
 		while (!signal.aborted) {
 			try {
-				const result = await store.appendKeyed(registrationsRef, [{key: registration.host, value: Buffer.from(JSON.stringify({...registration, firstSession}))}], {
+				const result = await store.appendKeyed(registrationsRef, [{key: registration.host, value: encodeRegistration({...registration, firstSession})}], {
 					stamp, timeoutMs: registerTimeoutMs,
 				});
 				if (result.outcome === AppendOutcome.Appended) {
 					this.#registrations++;
+					this.#firstSession = firstSession;
 					// An owner may have read the registration and declared it lost before its answer came.
 					this.state.isRegistered = this.#lapses === lapsesBefore;
 					this.state.session = result.offset;
@@ -286,23 +295,33 @@
 		}
 	}
 
-	/** Removes the registration if it is still this process's. */
-	async #removeRegistration(): Promise<void> {
+	/** Replaces or removes the registration if it is still this process's. */
+	async #writeRegistration(event: string, createValue: () => Buffer | undefined): Promise<void> {
 		const {store, registration: {host}, note} = this.#options;
 		try {
 			let outcome: AppendOutcome | undefined = AppendOutcome.NotAtEnd;
-			for (let tries = 0; tries < maxRemovalTries && outcome === AppendOutcome.NotAtEnd; tries++) {
-				({outcome} = await tryRemoveRegistrations(store, new Map([[host, this.state.session]])));
+			for (let tries = 0; tries < maxWriteTries && outcome === AppendOutcome.NotAtEnd; tries++) {
+				({outcome} = await tryWriteRegistrations(store, new Map([[host, this.state.session]]), createValue));
 			}
 
 			if (outcome !== undefined) {
-				note('registration removed', {outcome});
+				note(event, {outcome});
 			}
 		} catch (error) {
-			note('registration not removed', {error: getMessage(error)});
+			note('registration not changed', {error: getMessage(error)});
 		}
 	}
 
+	/** Creates the registration with what owners need to know of the runs on a worker whose agent has stopped. */
+	#createDeparture(): Buffer {
+		const {registration, clock, leaseDurationMs} = this.#options;
+		const {state} = this;
+		const leaseMs = state.worker?.lease.getRemainingMs(clock.monotonicMs()) ?? leaseDurationMs;
+		const departing = {...registration, firstSession: this.#firstSession ?? state.session};
+		const value = encodeRegistration({...departing, departure: {leaseMs, state: this.#orders.describeState()}});
+		return value.length <= maxRegistrationBytes ? value : encodeRegistration({...departing, departure: {leaseMs}});
+	}
+
 	#logStoreState(isReached: boolean, detail: string): void {
 		if (isReached !== this.#isStoreReached) {
 			this.#isStoreReached = isReached;
--- a/src/agents/control-records.ts
+++ b/src/agents/control-records.ts
@@ -3,9 +3,10 @@
 */
 import {Buffer} from 'node:buffer';
 import {createError, ErrorCode} from '../core/errors.ts';
-import {type AgentRegistration} from '../types/fleet.ts';
+import {type AgentDeparture, type AgentRegistration} from '../types/fleet.ts';
 import {type Evacuations} from '../types/site.ts';
-import {parseFields} from '../utils/fields.ts';
+import {parseFields, type Fields} from '../utils/fields.ts';
+import {decodeDeparture, encodeDeparture} from './departure-records.ts';
 
 /** Topic of the control streams; each service has its own partition. */
 export const controlTopic = 'control';
@@ -71,10 +72,27 @@
 	}
 };
 
+/** Encodes an agent's registration. */
+export const encodeRegistration = ({departure, ...registration}: AgentRegistration): Buffer =>
+	Buffer.from(JSON.stringify({...registration, ...(departure && {departure: encodeDeparture(departure)})}));
+
+/** One that is not valid, or of another version, is left out: owners then find that the agent is silent. */
+const tryDecodeDeparture = (fields: Fields): AgentDeparture | undefined => {
+	try {
+		return decodeDeparture(fields.fields('departure'));
+	} catch {
+		return undefined;
+	}
+};
+
 /** Decodes an agent's registration. Throws `bad-input`. */
 export const decodeRegistration = (value: Buffer): AgentRegistration => {
 	const fields = parseFields(value, 'read agent registration');
 	return {
-		host: fields.string('host'), address: fields.string('address'), service: fields.string('service'), failureDomain: fields.string('failureDomain'),
+		host: fields.string('host'),
+		address: fields.string('address'),
+		service: fields.string('service'),
+		failureDomain: fields.string('failureDomain'),
+		departure: fields.has('departure') ? tryDecodeDeparture(fields) : undefined,
 	};
 };
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -91,6 +91,11 @@
 		return this.#describe(request);
 	}
 
+	/** Describes the state, with all that is known of the worker's runs. */
+	describeState(): WatchReply {
+		return this.#describe({storesUnlistedEnds: true});
+	}
+
 	#getRefusal({epoch, agentLife, notAfterMs, workerId}: OrdersRequest): OrderRefusal | undefined {
 		const {state, control, clock} = this.#options;
 		if (!control.observeEpoch(epoch, EpochSource.Owner)) {
@@ -170,7 +175,7 @@
 
 		// Without the newest claim, the agent may be taking orders from an owner that was replaced. Without a registration the next owner does not
 		// know the agent, and an owner that does not know the newest one would declare another lost, which the agent ignores.
-		const isKnown = control.isCaughtUp && state.isRegistered && (session === undefined || session >= state.session) && runs.isListed;
+		const isKnown = !state.isLeaving && control.isCaughtUp && state.isRegistered && (session === undefined || session >= state.session) && runs.isListed;
 		const mustLetLeasesExpire = state.mustLetLeasesExpire || allLeasesExpiredAtMs !== undefined;
 		if (!isKnown || mustLetLeasesExpire || clockMs === undefined || lease.leaseUntilMs < clockMs + minRemainingLeaseMs) {
 			return {isDone: false, refusal: OrderRefusal.NoLease};
@@ -233,12 +238,12 @@
 	}
 
 	/** Whether all runs are known. An owner of the previous version stores ends only with a list, and takes an agent without one for one that renews no leases. */
-	#areRunsKnown({storesUnlistedEnds}: WatchRequest): boolean {
+	#areRunsKnown({storesUnlistedEnds}: Pick<WatchRequest, 'storesUnlistedEnds'>): boolean {
 		const {state: {worker, isVacant}} = this.#options;
 		return isVacant || ((storesUnlistedEnds ? worker?.runs.isListed : worker?.runs.hasListing) ?? false);
 	}
 
-	#describe(request: WatchRequest): WatchReply {
+	#describe(request: Pick<WatchRequest, 'storesUnlistedEnds'>): WatchReply {
 		const {state, clock} = this.#options;
 		const {worker} = state;
 		state.lastReportedAtMs = clock.monotonicMs();
--- a/src/agents/worker-lease.ts
+++ b/src/agents/worker-lease.ts
@@ -88,14 +88,23 @@
 		this.#sentUntilMs = Math.max(this.#sentUntilMs, untilMs);
 	}
 
+	/** Longest time for which leases sent to the worker may still last, on the worker's clock; undefined: its clock was not read. */
+	getRemainingMs(nowMs: number): number | undefined {
+		return this.#sample && Math.max(0, this.#getSentMs(this.#sample.clockMs) - ((nowMs - this.#sample.atMs) * (1 - maxClockSlowShare)));
+	}
+
 	/** Whether every lease that this or an earlier agent process sent to a worker that does not answer has certainly expired, even if the worker's clock is slow. */
 	isExpired(nowMs: number, slackMs: number): boolean {
 		if (!this.#sample) {
 			return false;
 		}
 
-		const remainingMs = Math.max(0, Math.max(this.#sentUntilMs, this.#earlierUntilMs) - this.#sample.clockMs);
-		return nowMs - this.#sample.atMs > (remainingMs / (1 - maxClockSlowShare)) + slackMs;
+		return nowMs - this.#sample.atMs > (this.#getSentMs(this.#sample.clockMs) / (1 - maxClockSlowShare)) + slackMs;
+	}
+
+	/** How long after a reading of the worker's clock the latest lease ends. */
+	#getSentMs(clockMs: number): number {
+		return Math.max(0, Math.max(this.#sentUntilMs, this.#earlierUntilMs) - clockMs);
 	}
 }
 
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -64,7 +64,8 @@
 	const {lease, report: {workerId}} = worker;
 	const sentAtMs = clock.monotonicMs();
 	const mayBeReplaced = worker.replacedBy !== undefined || !worker.isAnswering;
-	const leaseUntilMs = worker.replacedBy === undefined && !state.mustLetLeasesExpire && worker.allLeasesExpiredAtMs === undefined && lease.leaseUntilMs > 0 ? lease.getRenewalUntilMs(worker.isAnswering) : undefined;
+	const mayRenew = worker.replacedBy === undefined && !state.isLeaving && !state.mustLetLeasesExpire && worker.allLeasesExpiredAtMs === undefined;
+	const leaseUntilMs = mayRenew && lease.leaseUntilMs > 0 ? lease.getRenewalUntilMs(worker.isAnswering) : undefined;
 	if (leaseUntilMs !== undefined) {
 		lease.recordSent(leaseUntilMs);
 	}
--- a/src/plugins/agent-messages.ts
+++ b/src/plugins/agent-messages.ts
@@ -4,13 +4,13 @@
 */
 import {createError, ErrorCode} from '../core/errors.ts';
 import {type Agent} from '../agents/agent.ts';
+import {decodeWatchReply, encodeWatchReply, type WatchReplyRows} from '../agents/agent-state-rows.ts';
 import {
 	type OrdersReply, type OrdersRequest, type WatchReply, type WatchRequest,
 } from '../types/fleet.ts';
 import {type StreamClient} from '../utils/call-stream-client.ts';
 import {type JsonServer} from '../utils/http-server.ts';
 import {type AgentClient} from '../workflows/agent-links.ts';
-import {decodeWatchReply, encodeWatchReply, type WatchReplyRows} from './agent-state-rows.ts';
 
 /** A message in which the field is absent if a process of the previous version sent it. */
 type FromOlderVersion<Message, Key extends keyof Message> = Omit<Message, Key> & Partial<Pick<Message, Key>>;
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -227,6 +227,14 @@
 	keepsInputs?: boolean;
 };
 
+/** What an agent that is told to stop leaves behind: from then on it renews no lease and carries out no start. */
+export type AgentDeparture = {
+	/** Longest time for which leases may still last, on the worker's clock. */
+	leaseMs: number;
+	/** Its last state; undefined: too large to be stored. */
+	state?: WatchReply;
+};
+
 /** Registration of an agent in the store. */
 export type AgentRegistration = {
 	host: string;
@@ -235,4 +243,6 @@
 	failureDomain: string;
 	/** Offset of the host's first registration since all earlier leases had expired; undefined: this one. */
 	firstSession?: number;
+	/** Set once the agent has been told to stop. */
+	departure?: AgentDeparture;
 };
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -10,6 +10,7 @@
 } from '../types/fleet.ts';
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
 import {PeerClock} from '../utils/peer-clock.ts';
+import {getLeaseExpiryMs} from './agent-loss-monitor.ts';
 import {type AgentLoss, type FleetWorker} from './fleet-view.ts';
 import {type StoredLoss} from './stored-losses.ts';
 
@@ -33,6 +34,8 @@
 	/** Start of the last store read that reached the end of the stream and showed this owner as the newest. */
 	getCaughtUpAtMs: () => number;
 	onReply: (worker: FleetWorker, reply: WatchReply) => void;
+	/** The agent has been told to stop, and this was its last state. */
+	onDeparture: (worker: FleetWorker, state: WatchReply) => void;
 	/** The agent's registration was removed: nothing runs on its worker any more. The worker is not among the known ones any more. */
 	onRemoved: (worker: FleetWorker) => void;
 	onSuperseded: (newerEpoch: number) => void;
@@ -138,14 +141,22 @@
 			if (offset >= known.session) {
 				known.session = offset;
 				known.firstSession = decodeFirstSession(value, offset);
+				this.#applyDeparture(known, registration, offset);
 			}
 
 			return;
 		}
 
-		const worker: FleetWorker = {
+		const worker = this.#createWorker(registration, value, offset);
+		this.workers.set(host, worker);
+		this.#applyDeparture(worker, registration, offset);
+		void this.#keepWatching(worker, signal);
+	}
+
+	#createWorker({host, address}: AgentRegistration, value: Buffer, offset: number): FleetWorker {
+		return {
 			host,
-			address: registration.address,
+			address,
 			session: offset,
 			firstSession: decodeFirstSession(value, offset),
 			agentLife: '',
@@ -161,6 +172,7 @@
 			workerClockMs: 0,
 			unresponsiveSinceMs: this.#options.clock.monotonicMs(),
 			loss: this.#restoreLoss(host, offset),
+			replacedLives: new Set(),
 			runs: new Set(),
 			sentInputs: undefined,
 			health: {spec: {workerId: host}, isHeld: false, isProbing: false},
@@ -176,8 +188,27 @@
 			bestEffortUsage: [],
 			interferenceLearnedAtMs: Number.NEGATIVE_INFINITY,
 		};
-		this.workers.set(host, worker);
-		void this.#keepWatching(worker, signal);
+	}
+
+	/** Applies the last state of an agent that has been told to stop; a state of a process that another one has replaced counts for nothing. */
+	#applyDeparture(worker: FleetWorker, {departure}: AgentRegistration, offset: number): void {
+		if (!departure) {
+			return;
+		}
+
+		const {clock, note, onDeparture} = this.#options;
+		const {leaseMs, state} = departure;
+		const nowMs = clock.monotonicMs();
+		worker.departure = {session: offset, leasesExpireAtMs: nowMs + getLeaseExpiryMs(leaseMs), isRemovalRequested: false};
+		worker.unresponsiveSinceMs ??= nowMs;
+		note('agent departs', {
+			host: worker.host, session: offset, leaseMs: Math.round(leaseMs), isListed: state?.isListed, runs: state?.running.length,
+		});
+		const isNewest = state !== undefined && !worker.replacedLives.has(state.agentLife) && (state.agentLife !== worker.agentLife || state.version >= worker.version);
+		if (isNewest) {
+			this.#applyState(worker, state);
+			onDeparture(worker, state);
+		}
 	}
 
 	/** Drops an agent whose registration was removed, at the offset or before; one that has registered since stays. */
@@ -235,10 +266,9 @@
 
 	async #keepWatching(worker: FleetWorker, signal: AbortSignal): Promise<void> {
 		const {clock, note} = this.#options;
-		const replacedIncarnations = new Set<string>();
 		while (!signal.aborted && this.workers.get(worker.host) === worker) {
 			try {
-				await this.#poll(worker, replacedIncarnations, signal);
+				await this.#poll(worker, signal);
 			} catch (error) {
 				if (signal.aborted) {
 					return;
@@ -254,7 +284,7 @@
 		}
 	}
 
-	async #poll(worker: FleetWorker, replacedIncarnations: Set<string>, signal: AbortSignal): Promise<void> {
+	async #poll(worker: FleetWorker, signal: AbortSignal): Promise<void> {
 		const {client, clock, epoch, onSuperseded, onReply, note} = this.#options;
 		const workerId = worker.report?.workerId;
 		const hasProof = workerId !== undefined && this.#options.getCaughtUpAtMs() >= worker.lastReplyAtMs && worker.loss?.session !== worker.session;
@@ -284,7 +314,7 @@
 		}
 
 		// A process that is still shutting down does not know of the runs that its successor starts.
-		if (replacedIncarnations.has(reply.agentLife)) {
+		if (worker.replacedLives.has(reply.agentLife)) {
 			throw createError(ErrorCode.PeerUnavailable, {step: 'watch agent', peer: worker.host, detail: 'an earlier process of the agent answered'});
 		}
 
@@ -298,13 +328,27 @@
 		worker.stateAsOfMs = sentAtMs;
 		worker.workerClockMs = reply.workerClockMs;
 		worker.session = Math.max(worker.session, reply.session);
-		if (reply.worker && reply.worker.workerId !== workerId) {
+		this.#applyState(worker, reply);
+		worker.agentClock.addReading(reply.agentClockMs, {sentAtMs, handledAtMs: worker.lastReplyAtMs});
+		const ageMs = worker.agentClock.estimate(worker.lastReplyAtMs) - reply.agentClockMs;
+		if (ageMs > lateStateMs) {
+			note('state late', {
+				host: worker.host, ageMs: Math.round(ageMs), agentLife: reply.agentLife, version: reply.version, isOver: reply.isOver,
+			});
+		}
+
+		onReply(worker, reply);
+	}
+
+	/** Takes over what a state says of the agent and its worker. */
+	#applyState(worker: FleetWorker, reply: WatchReply): void {
+		if (reply.worker && reply.worker.workerId !== worker.report?.workerId) {
 			worker.processedEnd = 0;
 			worker.storedEnd = 0;
 		}
 
 		if (reply.agentLife !== worker.agentLife) {
-			replacedIncarnations.add(worker.agentLife);
+			worker.replacedLives.add(worker.agentLife);
 			worker.processedCrash = 0;
 			worker.storedCrash = 0;
 			worker.agentClock = new PeerClock();
@@ -312,20 +356,11 @@
 			worker.sentInputs = reply.keepsInputs ? new WeakSet() : undefined;
 		}
 
-		worker.agentClock.addReading(reply.agentClockMs, {sentAtMs, handledAtMs: worker.lastReplyAtMs});
-		const ageMs = worker.agentClock.estimate(worker.lastReplyAtMs) - reply.agentClockMs;
-		if (ageMs > lateStateMs) {
-			note('state late', {
-				host: worker.host, ageMs: Math.round(ageMs), agentLife: reply.agentLife, version: reply.version, isOver: reply.isOver,
-			});
-		}
-
 		worker.report = reply.worker;
 		worker.isListed = reply.isListed;
 		worker.areLeasesExpired = reply.isOver;
 		worker.isAnswering = reply.isAnswering;
 		worker.agentLife = reply.agentLife;
 		worker.version = reply.version;
-		onReply(worker, reply);
 	}
 }
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -6,7 +6,7 @@
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
-import {type AgentLoss, type FleetWorker} from './fleet-view.ts';
+import {hasDeparted, type AgentLoss, type FleetWorker} from './fleet-view.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {type RegistrationRemover} from './registration-remover.ts';
 import {LossReason, type RunTracker} from './run-tracker.ts';
@@ -81,6 +81,11 @@
 		const nowMs = clock.monotonicMs();
 		const isReachingMost = isReachingMostAgents(workers);
 		for (const worker of workers.values()) {
+			if (hasDeparted(worker)) {
+				this.#checkDeparture(worker, nowMs);
+				continue;
+			}
+
 			const {unresponsiveSinceMs, loss, runs, isListed, session, firstSession} = worker;
 			const boundMs = runs.size > 0 || (!isListed && isReachingMost) ? declareLostAfterMs : removedAfterMs;
 			// A process that was started since, with leases from before, may have begun when the store had dropped the declaration.
@@ -104,7 +109,7 @@
 	*/
 	readmit(worker: FleetWorker): void {
 		const {host, session, loss} = worker;
-		if (loss && session > loss.session) {
+		if (loss && session > loss.session && !hasDeparted(worker)) {
 			this.#options.note('agent back', {host, session, lostSession: loss.session});
 			worker.loss = undefined;
 		}
@@ -119,6 +124,17 @@
 		tracker.markAllLost(worker, LossReason.AgentGone, {nowMs: clock.monotonicMs(), evidence: {session: worker.session}});
 	}
 
+	/**
+	Requests the removal of the registration of an agent that has stopped, once its leases have expired. A process that has been started since
+	registers before it renews any: if the store takes the removal, there is none, and the removal is read as any other.
+	*/
+	#checkDeparture({host, departure}: FleetWorker, nowMs: number): void {
+		if (departure && nowMs > departure.leasesExpireAtMs && !departure.isRemovalRequested) {
+			departure.isRemovalRequested = true;
+			this.#options.remover.remove(host, departure.session);
+		}
+	}
+
 	/** Handles the expiry of a lost agent's leases. The agent may have registered again without having answered yet. */
 	#handleExpiredLeases(worker: FleetWorker, loss: AgentLoss, nowMs: number): void {
 		const {host, session} = worker;
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -16,6 +16,16 @@
 	storedAtMs?: number;
 };
 
+/** Departure of an agent, as read from its registration. */
+export type FleetDeparture = {
+	/** Session of the registration. */
+	readonly session: number;
+	/** When all leases that the agent had granted have expired. */
+	readonly leasesExpireAtMs: number;
+	/** Whether the removal of the registration was requested. */
+	isRemovalRequested: boolean;
+};
+
 /** One worker with its agent, as last reported. */
 export type FleetWorker = {
 	host: string;
@@ -50,6 +60,10 @@
 	unresponsiveSinceMs?: number;
 	/** The loss of the agent that is being or was declared; undefined: it counts as present. */
 	loss?: AgentLoss;
+	/** The departure of the agent under its newest registration, or an older one. */
+	departure?: FleetDeparture;
+	/** Incarnations of the agent that another one has replaced. */
+	replacedLives: Set<string>;
 	runs: Set<LiveRun>;
 	/** Jobs whose input was sent to this incarnation of the agent, which keeps it; undefined: the agent keeps no inputs. */
 	sentInputs: WeakSet<LiveWorkflow> | undefined;
@@ -79,6 +93,9 @@
 	interferenceLearnedAtMs: number;
 };
 
+/** Whether the agent has been told to stop, and no later process of it has registered. */
+export const hasDeparted = ({departure, session}: FleetWorker): boolean => departure !== undefined && departure.session >= session;
+
 /** Processors that a task of the step takes from a worker's capacity: best-effort tasks take none. */
 export const getReservedMilliCpu = (step: WorkflowStep): number => step.isFilling ? 0 : step.milliCpu;
 
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -2,7 +2,7 @@
 Owner of the jobs of one partition: takes the partition over, watches the agents of the workers, and starts, restarts
 and stops tasks.
 */
-import {registrationsRef} from '../agents/registration-removal.ts';
+import {registrationsRef} from '../agents/registration-writes.ts';
 import {WorkerHealth, type HealthSubject} from '../jobs/worker-health.ts';
 import {type WatchReply} from '../types/fleet.ts';
 import {type TaskRef} from '../types/workflows.ts';
@@ -100,6 +100,9 @@
 					this.#handleReply(worker, reply);
 				});
 			},
+			onDeparture: (worker, state) => {
+				this.#runs.applyReply(worker, state, clock.monotonicMs());
+			},
 			onRemoved: worker => {
 				this.#losses.handleRemoval(worker);
 			},
@@ -115,7 +118,7 @@
 			...options, links: this.links, describeHeldTasks: () => this.#eligibility.describeHeldTasks(), onReconciled: requestCycle,
 		});
 		this.#eligibility = new StartEligibility({
-			clock, model, reconciliation: this.#reconciliation, viewStaleness: this.#viewStaleness,
+			...options, model, reconciliation: this.#reconciliation, viewStaleness: this.#viewStaleness,
 		});
 		this.#runs = this.#createRunTracker(requestCycle);
 		const shared = {
--- a/src/workflows/registration-remover.ts
+++ b/src/workflows/registration-remover.ts
@@ -2,7 +2,7 @@
 Removes the registrations of agents that are gone for good, so that later owners do not wait for them. All that are due are removed by one
 append, which is tried again until the store has taken it: of two removals at the same moment, the first would move the end that the second names.
 */
-import {tryRemoveRegistrations} from '../agents/registration-removal.ts';
+import {tryWriteRegistrations} from '../agents/registration-writes.ts';
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
@@ -53,7 +53,7 @@
 	async #tryOnce(sessions: ReadonlyMap<string, number>): Promise<boolean> {
 		const {store, note} = this.#options;
 		try {
-			const {hosts, outcome} = await tryRemoveRegistrations(store, sessions);
+			const {hosts, outcome} = await tryWriteRegistrations(store, sessions);
 			for (const host of hosts) {
 				note('registration removed', {host, outcome});
 			}
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -280,6 +280,7 @@
 			return undefined;
 		}
 
+		task.isLocated ||= isRecentListing(worker, reply);
 		const active = this.#findActive(task, worker, run);
 		if (active) {
 			return active;
@@ -293,7 +294,6 @@
 		liveRun.throttlePercent = undefined;
 		liveRun.agentLife = reply.agentLife;
 		liveRun.confirmedVersion = reply.version;
-		task.isLocated ||= isRecentListing(worker, reply);
 		this.#handlers.note('run adopted', {
 			taskId, run, host: worker.host, workerId: liveRun.workerId, isUnwanted,
 		});
--- a/src/workflows/schedulable-workers.ts
+++ b/src/workflows/schedulable-workers.ts
@@ -2,14 +2,16 @@
 Selects the workers that may get new tasks: they are reachable, do not drain, are not evacuated, and do not fail tasks that
 succeed elsewhere.
 */
-import {type FleetWorker} from './fleet-view.ts';
+import {hasDeparted, type FleetWorker} from './fleet-view.ts';
 import {Mechanism, type Policy} from './policy.ts';
 
 /** An agent without a reply for this long gets no orders. */
 const maxReplyAgeMs = 1500;
 
-const isReachable = ({isListed, isAnswering, unresponsiveSinceMs, lastReplyAtMs, loss, blockedUntilMs}: FleetWorker, nowMs: number): boolean =>
-	isListed && isAnswering && unresponsiveSinceMs === undefined && nowMs - lastReplyAtMs < maxReplyAgeMs && loss === undefined && blockedUntilMs <= nowMs;
+const isReachable = (worker: FleetWorker, nowMs: number): boolean => {
+	const {isListed, isAnswering, unresponsiveSinceMs, lastReplyAtMs, loss, blockedUntilMs} = worker;
+	return isListed && isAnswering && unresponsiveSinceMs === undefined && nowMs - lastReplyAtMs < maxReplyAgeMs && loss === undefined && !hasDeparted(worker) && blockedUntilMs <= nowMs;
+};
 
 /**
 Whether the worker is held down because it failed tasks that succeed elsewhere, or already runs the one task that probes
--- a/src/workflows/start-eligibility.ts
+++ b/src/workflows/start-eligibility.ts
@@ -3,6 +3,8 @@
 
 Starts are not stored, so a task from before the claim may have a run that an earlier owner started on an agent which has not listed its
 runs yet. A task of which a run was listed after the claim has no other: an earlier owner would have started one only after the end of that run.
+Once that run has ended, an earlier owner that has not read the claim may see the end too, and start the task for as long as its view of the
+jobs is not too old.
 */
 import {type Clock} from '../types/clock.ts';
 import {getUnit, type LiveModel, type LiveTask} from './live-model.ts';
@@ -16,12 +18,15 @@
 	model: LiveModel;
 	reconciliation: Reconciliation;
 	viewStaleness: ViewStaleness;
+	/** Time within which a cancelled job must have stopped: an owner starts nothing that is valid longer after the last read that showed it as the newest. */
+	cancelMs: number;
 };
 
 /** Eligibility of the tasks of one owner. */
 export class StartEligibility {
 	readonly #options: StartEligibilityOptions;
 	#claimOffset = Number.POSITIVE_INFINITY;
+	#claimedAtMs = Number.POSITIVE_INFINITY;
 
 	constructor(options: StartEligibilityOptions) {
 		this.#options = options;
@@ -30,6 +35,7 @@
 	/** Records the claim: no earlier owner can have started a task of a job accepted after it. */
 	recordClaim(claimOffset: number): void {
 		this.#claimOffset = claimOffset;
+		this.#claimedAtMs = this.#options.clock.monotonicMs();
 	}
 
 	/** Whether every agent has listed its runs, or its leases from before the claim have expired. */
@@ -44,7 +50,7 @@
 
 	/** Whether no run of the task can be active that this owner does not know of. */
 	mayStart(task: LiveTask): boolean {
-		return this.isReconciled || this.#isNew(task) || getUnit(task).every(({isLocated}) => isLocated);
+		return this.isReconciled || this.#isNew(task) || (this.#areEarlierStartsExpired() && getUnit(task).every(({isLocated}) => isLocated));
 	}
 
 	/** Describes the waiting tasks that may not start before the reconciliation, for the log. */
@@ -55,6 +61,12 @@
 		return {heldTasks: held.length, ...describeLongestWait(held, nowMs)};
 	}
 
+	/** Whether no start of an owner that has not read the claim can be valid any more. */
+	#areEarlierStartsExpired(): boolean {
+		const {clock, cancelMs} = this.#options;
+		return clock.monotonicMs() - this.#claimedAtMs > cancelMs;
+	}
+
 	#isNew({step}: LiveTask): boolean {
 		return step.workflow.folded.offset >= this.#claimOffset;
 	}
--- a/test/agent-links.test.ts
+++ b/test/agent-links.test.ts
@@ -54,6 +54,7 @@
 		onReply(_, reply) {
 			applied.push(reply);
 		},
+		onDeparture: () => undefined,
 		onRemoved({host}) {
 			removed.push(host);
 		},
--- a/test/agent-state-rows.test.ts
+++ b/test/agent-state-rows.test.ts
@@ -3,7 +3,7 @@
 */
 import fc from 'fast-check';
 import {expect, it} from 'vitest';
-import {decodeWatchReply, encodeWatchReply, type WatchReplyRows} from '../src/plugins/agent-state-rows.ts';
+import {decodeWatchReply, encodeWatchReply, type WatchReplyRows} from '../src/agents/agent-state-rows.ts';
 import {type WatchReply} from '../src/types/fleet.ts';
 import {RunEnd} from '../src/types/workflows.ts';
 import {createWatchReply} from './site-fleet.ts';
--- a/test/stopped-agents.test.ts
+++ b/test/stopped-agents.test.ts
@@ -1,13 +1,18 @@
 /**
 Agents that are told to stop while their worker lives: they may come back, or their host may go for good.
 */
+import {Buffer} from 'node:buffer';
 import {afterEach, expect, it} from 'vitest';
+import {agentsTopic, decodeRegistration, encodeRegistration} from '../src/agents/control-records.ts';
+import {WorkerLease} from '../src/agents/worker-lease.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {RunEnd} from '../src/types/workflows.ts';
 import {
 	calmMs, createLongRunningSite, endWorker, getHostOf, getLongestGapMs, killOwner, loseHost, replaceOwner, resumeMs, startLongRunningTask, waitForStarts,
 } from './departures.ts';
+import {createWatchReply, createWorker} from './site-fleet.ts';
 import {createJobId} from './site-setup.ts';
-import {type SimulatedSite} from './simulated-site.ts';
+import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
 let site: SimulatedSite;
 
@@ -133,3 +138,113 @@
 	await site.stopAgent(host);
 	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
 });
+
+/** Guards against tasks in two places, and lost registrations, if an agent comes back at the moment when the leases of its predecessor expire. */
+it.each([5000, 5800, 6200, 6500, 6600, 6650, 6700, 6800, 7500])('an agent that registers %i ms after its predecessor was stopped is known to a later owner', async forMs => {
+	site = await createLongRunningSite(3, 2);
+	const host = getHostOf(site, taskId);
+	await site.stopAgent(host);
+	await site.clock.advance(forMs - 200);
+	site.store.getDelayMs = ({kind, client}) => kind === 'append' && client === host ? 200 : 0;
+	site.startAgent(host);
+	await site.clock.advance(3000);
+	const ids = [30, 31, 32, 33, 34, 35].map(number => createJobId(number));
+	for (const id of ids) {
+		await site.submit(id, site.specs.get(createJobId(0))!);
+	}
+
+	await site.clock.advance(500);
+	expect(site.hosts.get(host)!.worker.running.size).toBeGreaterThan(0);
+	await replaceOwner(site);
+	await site.clock.advance(15_000);
+	expect(ids.map(id => site.getStarts(`${id}.0.0.0`))).toEqual(ids.map(() => 1));
+});
+
+/** Guards against an agent that spends its leases on a store that is away, although it is only restarted. */
+it('an agent stops within two seconds while the store is away', async () => {
+	site = await createLongRunningSite(2, 1);
+	site.store.getFault = () => StoreFault.LoseRequest;
+	const startMs = site.clock.monotonicMs();
+	await site.stopAgent('host-0');
+	expect(site.clock.monotonicMs() - startMs).toBeLessThan(2000);
+});
+
+/** Guards against runs that are adopted from the last state of a process that another one has replaced. */
+it('a departure that is read after the next process has answered changes nothing', async () => {
+	site = await createLongRunningSite(3, 1);
+	const host = getHostOf(site, taskId);
+	site.store.getAnswerDelayMs = ({kind, ref, client}) => kind === 'read' && client === 'entry-0' && ref?.topic === agentsTopic ? 4000 : 0;
+	await site.clock.advance(2500);
+	await site.stopAgent(host);
+	site.startAgent(host);
+	await site.clock.advance(1500);
+	site.hosts.get(host)!.worker.end(taskId, RunEnd.Failed);
+	await site.clock.advance(1500);
+	expect(site.getStarts(taskId)).toBe(2);
+	site.store.getAnswerDelayMs = () => 0;
+	await site.clock.advance(15_000);
+	expect(site.getStarts(taskId)).toBe(2);
+	expect(getLosses()).toEqual([]);
+});
+
+/** Guards against a departure that another version or writer stored, and that hides the agent. */
+it('a registration with a departure that cannot be read counts without it', () => {
+	const registration = {
+		host: 'a', address: 'b', service: 'c', failureDomain: 'd',
+	};
+	expect(decodeRegistration(Buffer.from(JSON.stringify({...registration, departure: {leaseMs: 'long'}})))).toEqual(registration);
+	expect(decodeRegistration(Buffer.from(JSON.stringify({...registration, departure: {leaseMs: 5, state: {agentLife: 1}}})))).toEqual(registration);
+	expect(decodeRegistration(encodeRegistration({...registration, departure: {leaseMs: 5}}))).toEqual({...registration, departure: {leaseMs: 5}});
+});
+
+it('a departure is read as it was stored', () => {
+	const state = createWatchReply({
+		worker: {...createWorker('host-0').report!, remainingMs: undefined},
+		running: [{
+			taskId: 'a.0.0.0', run: 2, checkpoint: 'c', percent: 40, recent: 0.5,
+		}],
+		ended: [{
+			number: 3, taskId: 'a.0.0.1', run: 1, end: RunEnd.Stopped, checkpoint: '',
+		}],
+		starting: [{taskId: 'a.0.0.2', run: 7}],
+		goneWorkerIds: ['i-0'],
+	});
+	const registration = {
+		host: 'a', address: 'b', service: 'c', failureDomain: 'd', departure: {leaseMs: 1234.5, state},
+	};
+	expect(decodeRegistration(encodeRegistration(registration))).toEqual(registration);
+});
+
+/** Guards against a state that is too large for owners that read all registrations: without it they wait for the leases. */
+it('an agent with very many runs stores a departure without them', async () => {
+	site = await createLongRunningSite(2, 2);
+	const {worker, agent} = site.hosts.get('host-0')!;
+	worker.setMilliCpu(4_000_000);
+	await site.clock.advance(1000);
+	await site.submit(createJobId(40), createSpec([createStep({
+		count: 2500, milliCpu: 10, memoryMb: 10, isLasting: true,
+	})]));
+	await site.clock.advance(3000);
+	expect(agent!.state.worker!.runs.running.length).toBeGreaterThan(2000);
+	await site.stopAgent('host-0');
+	await site.clock.advance(100);
+	const {records} = await site.settle(site.store.createClient('test').readNewest({topic: agentsTopic, partition: 0}));
+	const {departure} = decodeRegistration(records.find(({key}) => key === 'host-0')!.value);
+	expect(departure!.leaseMs).toBeGreaterThan(4000);
+	expect(departure!.state).toBeUndefined();
+	await site.clock.advance(8000);
+	expect(worker.running.size).toBe(0);
+});
+
+/** Guards against leases that are taken for over too early: the worker's clock may be slow. */
+it('a lease says for how long it may still last', () => {
+	const lease = new WorkerLease(7000, 6000);
+	expect(lease.getRemainingMs(1000)).toBeUndefined();
+	lease.recordReading(100_000, 1000);
+	expect(lease.getRemainingMs(1000)).toBe(6000);
+	lease.extendByProof(101_000);
+	lease.recordSent(108_000);
+	expect(lease.getRemainingMs(1000)).toBe(8000);
+	expect(lease.getRemainingMs(2000)).toBe(7020);
+	expect(lease.getRemainingMs(60_000)).toBe(0);
+});
--- a/test/unreconciled-owners.test.ts
+++ b/test/unreconciled-owners.test.ts
@@ -95,13 +95,14 @@
 
 /** Guards against a second run: what an agent lists may have ended, and an earlier owner have started the task elsewhere, if its worker does not answer or it was declared lost. */
 it.each([
-	['answers', {}, undefined, true],
-	['does not answer', {isAnswering: false}, undefined, false],
-	['does not answer and has no leases', {isAnswering: false, isOver: true}, undefined, false],
-	['answers, but whose agent was declared lost', {}, {session: 1}, false],
-])('a task whose run is on a worker that %s is located', (_, state, loss, isLocated) => {
+	['answers', {}, {}, true],
+	['does not answer', {isAnswering: false}, {}, false],
+	['does not answer and has no leases', {isAnswering: false, isOver: true}, {}, false],
+	['answers, but whose agent was declared lost', {}, {loss: {session: 1}}, false],
+	['answers, but whose agent has stopped', {}, {departure: {session: 1, leasesExpireAtMs: 9000, isRemovalRequested: false}}, false],
+])('a task whose run is on a worker that %s is located', (_, state, fields, isLocated) => {
 	const {model} = load([createWorkflow(createJobId(0), createSpec([createStep()]))]);
-	const worker = {...createWorker('host-0'), loss};
+	const worker = {...createWorker('host-0'), ...fields};
 	const [task] = [...model.getWaitingTasks(0, () => false)];
 	createTracker(model).applyReply(worker, createWatchReply({
 		worker: worker.report, running: [{
