Let an agent say that nothing runs once it has outlived the leases of its predecessor

Callers would have seen: after each takeover all tasks from before it waited for 7.6 s, as long as an agent was there that had been restarted without a worker, or knew one by a late announcement alone; 12.9 s if it had been stopped. Cause: the wait for leases of earlier processes began anew with each owner's first answer of the agent, however long that had run; and an agent without a worker that was not known to be vacant stored nothing when it was told to stop. Change: an agent is vacant, or reports the leases as expired, once its process has run for longer than the longest lease and has read no clock of a worker. One that is told to stop always stores a departure if it is registered.

--- a/src/agents/agent-state.ts
+++ b/src/agents/agent-state.ts
@@ -2,7 +2,7 @@
 State of an agent: its worker, the lease that it holds for the worker, the worker's runs, and the version that owners long-poll.
 */
 import {isWithin, type CrashedRun, type WorkerReport} from '../types/fleet.ts';
-import {WorkerLease} from './worker-lease.ts';
+import {getLeaseExpiryMs, WorkerLease} from './worker-lease.ts';
 import {WorkerRuns} from './worker-runs.ts';
 
 /** What the agent knows of one incarnation of the worker. */
@@ -73,13 +73,15 @@
 	#successor: WorkerReport | undefined;
 	#version = 1;
 	readonly #watchers = new Set<() => void>();
+	readonly #startedAtMs: number;
 	readonly #leaseMs: number;
 	readonly #maxLeaseMs: number;
 	/** Whether this process has listed a worker that is gone: later incarnations started during this process, and no earlier one sent them a lease. */
 	#hasListedGoneWorker = false;
 
-	constructor(life: string, leaseMs: number, maxLeaseMs: number) {
+	constructor(life: string, {startedAtMs, leaseMs, maxLeaseMs}: {startedAtMs: number; leaseMs: number; maxLeaseMs: number}) {
 		this.life = life;
+		this.#startedAtMs = startedAtMs;
 		this.#leaseMs = leaseMs;
 		this.#maxLeaseMs = maxLeaseMs;
 	}
@@ -88,8 +90,14 @@
 	Whether nothing can run on the host: it has no worker, and starts could only have come from this process. One that was announced and is
 	gone proves nothing unless it was listed: the announcement may be a late one, from before the incarnation that lives.
 	*/
-	get isVacant(): boolean {
-		return this.worker === undefined && (this.isFirstProcess || this.#hasListedGoneWorker);
+	isVacant(nowMs: number): boolean {
+		return this.worker === undefined && (this.isFirstProcess || this.#hasListedGoneWorker || this.#areEarlierLeasesExpired(nowMs));
+	}
+
+	/** Whether nothing runs on a worker that does not answer: all leases have expired, those of earlier processes too if this one has sent none. */
+	areLeasesExpired(nowMs: number): boolean {
+		const {worker} = this;
+		return worker !== undefined && (worker.areLeasesExpired || (worker.lease.sampleAtMs === undefined && this.#areEarlierLeasesExpired(nowMs)));
 	}
 
 	/** Increases with each change that owners need to know. */
@@ -227,6 +235,11 @@
 		}
 	}
 
+	/** An earlier process ended before this one began, and so renewed no lease since. */
+	#areEarlierLeasesExpired(nowMs: number): boolean {
+		return nowMs - this.#startedAtMs > getLeaseExpiryMs(this.#leaseMs);
+	}
+
 	#setWorker(report: WorkerReport, nowMs: number, isRestart = false): void {
 		this.#successor = undefined;
 		this.worker = {
--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -76,7 +76,7 @@
 	constructor(options: AgentOptions) {
 		const {clock, store, client, note, registration, partition} = options;
 		this.#options = options;
-		this.state = new AgentState(options.life, options.leaseDurationMs, options.maxLeaseMs);
+		this.state = new AgentState(options.life, {startedAtMs: clock.monotonicMs(), leaseMs: options.leaseDurationMs, maxLeaseMs: options.maxLeaseMs});
 		this.#fence = clock.now().getTime();
 		this.#control = new ControlWatch({
 			store,
@@ -157,10 +157,10 @@
 		const {state} = this;
 		state.isLeaving = true;
 		await this.#waitForWorkerEnd();
-		if (state.isVacant) {
+		const {clock} = this.#options;
+		if (state.isVacant(clock.monotonicMs())) {
 			await this.#writeRegistration('registration removed', () => undefined);
-		} else if (state.worker && state.isRegistered) {
-			const {clock} = this.#options;
+		} else if (state.isRegistered) {
 			await Promise.race([this.#writeRegistration('departure stored', () => this.#createDeparture()), clock.sleep(maxDepartureMs)]);
 		}
 	}
--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -239,8 +239,9 @@
 
 	/** Whether all runs are known. An owner of the previous version stores ends only with a list, and takes an agent without one for one that renews no leases. */
 	#areRunsKnown({storesUnlistedEnds}: Pick<WatchRequest, 'storesUnlistedEnds'>): boolean {
-		const {state: {worker, isVacant}} = this.#options;
-		return isVacant || ((storesUnlistedEnds ? worker?.runs.isListed : worker?.runs.hasListing) ?? false);
+		const {state, clock} = this.#options;
+		const {worker} = state;
+		return state.isVacant(clock.monotonicMs()) || ((storesUnlistedEnds ? worker?.runs.isListed : worker?.runs.hasListing) ?? false);
 	}
 
 	#describe(request: Pick<WatchRequest, 'storesUnlistedEnds'>): WatchReply {
@@ -257,7 +258,7 @@
 			leaseUntilMs: worker?.lease.leaseUntilMs ?? 0,
 			isListed: this.#areRunsKnown(request),
 			isAnswering: worker?.isAnswering ?? false,
-			isOver: worker?.areLeasesExpired ?? false,
+			isOver: state.areLeasesExpired(clock.monotonicMs()),
 			running: worker?.runs.running ?? [],
 			ended: worker ? worker.runs.ended.filter(row => row.number > worker.forgetUpTo) : [],
 			starting: worker?.runs.starting ?? [],
--- a/src/agents/worker-lease.ts
+++ b/src/agents/worker-lease.ts
@@ -7,6 +7,11 @@
 
 /** A worker's clock may run slow by at most this share. */
 export const maxClockSlowShare = 0.02;
+/** Added to a lease before tasks start elsewhere: calls and ending a run take some ms. */
+const expirySlackMs = 500;
+
+/** Longest time after which a lease of this length has expired, even if the worker's clock is slow, and its runs have ended. */
+export const getLeaseExpiryMs = (leaseMs: number): number => (leaseMs / (1 - maxClockSlowShare)) + expirySlackMs;
 
 /** Lease of one incarnation of a worker. */
 export class WorkerLease {
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -10,7 +10,7 @@
 } from '../types/fleet.ts';
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
 import {PeerClock} from '../utils/peer-clock.ts';
-import {getLeaseExpiryMs} from './agent-loss-monitor.ts';
+import {getLeaseExpiryMs} from '../agents/worker-lease.ts';
 import {type AgentLoss, type FleetWorker} from './fleet-view.ts';
 import {type StoredLoss} from './stored-losses.ts';
 
--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -2,7 +2,7 @@
 Declares agents lost that do not answer, waits until their leases have expired, and then releases their tasks to start elsewhere.
 */
 import {controlTopic, ControlRecordType, encodeControlRecord} from '../agents/control-records.ts';
-import {maxClockSlowShare} from '../agents/worker-lease.ts';
+import {getLeaseExpiryMs} from '../agents/worker-lease.ts';
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
@@ -38,14 +38,9 @@
 listed its runs while the owner reaches few agents: the owner itself may be cut off or late, and a declaration ends the runs.
 */
 const removedAfterMs = 8000;
-/** Added to the longest lease before tasks of a lost agent start elsewhere: calls and ending a run take some ms. */
-const lostSlackMs = 500;
 const retryMs = 150;
 const storeTimeoutMs = 1000;
 
-/** Longest time that leases last after a claim or a declaration was stored. */
-export const getLeaseExpiryMs = (leaseDurationMs: number): number => (leaseDurationMs / (1 - maxClockSlowShare)) + lostSlackMs;
-
 /**
 Whether all leases of the runs that an agent has not listed have expired. Its present process grants none before it has read the
 worker's clock, and had not read it when it built the newest state. An older state says nothing: the agent may have read it since.
--- a/test/declared-losses.test.ts
+++ b/test/declared-losses.test.ts
@@ -2,9 +2,8 @@
 Declarations of loss that outlive the owner which stored them.
 */
 import {afterEach, expect, it} from 'vitest';
-import {leaseDurationMs} from '../src/agents/worker-lease.ts';
+import {getLeaseExpiryMs, leaseDurationMs} from '../src/agents/worker-lease.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
-import {getLeaseExpiryMs} from '../src/workflows/agent-loss-monitor.ts';
 import {
 	createLongRunningSite, getHostOf, killOwner, loseHost, replaceOwner,
 } from './departures.ts';
--- a/test/known-losses.test.ts
+++ b/test/known-losses.test.ts
@@ -3,10 +3,9 @@
 */
 import {afterEach, expect, it} from 'vitest';
 import {controlTopic} from '../src/agents/control-records.ts';
-import {leaseDurationMs} from '../src/agents/worker-lease.ts';
+import {getLeaseExpiryMs, leaseDurationMs} from '../src/agents/worker-lease.ts';
 import {MemoryStore, StoreFault} from '../src/standin/memory-store.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
-import {getLeaseExpiryMs} from '../src/workflows/agent-loss-monitor.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
 import {OwnerLog} from '../src/workflows/owner-log.ts';
--- a/test/restarted-agent-leases.test.ts
+++ b/test/restarted-agent-leases.test.ts
@@ -105,7 +105,7 @@
 /** Guards against an incarnation taken for fresh because one was announced before it: that announcement may be older than this process. */
 it('an incarnation is fresh only if this process has listed the one before it', () => {
 	const getEarlierUntilMs = (isListed: boolean): number => {
-		const state = new AgentState('life', 7000, 6000);
+		const state = new AgentState('life', {startedAtMs: 0, leaseMs: 7000, maxLeaseMs: 6000});
 		const report = (workerId: string): WorkerReport => ({
 			workerId, service: 's', failureDomain: 'f', isDraining: false, milliCpu: 1000, memoryMb: 1000, accelerators: 0, labels: [], sequence: 1,
 		});
--- a/test/site-inputs.test.ts
+++ b/test/site-inputs.test.ts
@@ -154,7 +154,7 @@
 	that crashed before. If that one became current, all runs of the live incarnation would be started elsewhere as well.
 	*/
 	it('does not make the live incarnation count as gone', () => {
-		const state = new AgentState('life', 7000, 6000);
+		const state = new AgentState('life', {startedAtMs: 0, leaseMs: 7000, maxLeaseMs: 6000});
 		expect(state.applyAnnouncement(report('i-2', 1), 0)).toBe(true);
 		expect(state.applyAnnouncement(report('i-1', 90), 0)).toBe(false);
 		expect(state.worker?.report.workerId).toBe('i-2');
@@ -162,7 +162,7 @@
 	});
 
 	it('takes effect once the worker\'s answer shows that the previous incarnation is gone', () => {
-		const state = new AgentState('life', 7000, 6000);
+		const state = new AgentState('life', {startedAtMs: 0, leaseMs: 7000, maxLeaseMs: 6000});
 		state.applyAnnouncement(report('i-1', 5), 0);
 		state.applyAnnouncement(report('i-2', 1), 0);
 		state.removeWorker('i-1', 0);
--- a/test/vacant-agents.test.ts
+++ b/test/vacant-agents.test.ts
@@ -62,14 +62,14 @@
 	{isFirstProcess: false, isListed: true, isVacant: true},
 	{isFirstProcess: true, isListed: false, isVacant: true},
 ])('an agent without a worker knows that nothing runs: first process $isFirstProcess, listed $isListed', ({isFirstProcess, isListed, isVacant}) => {
-	const state = new AgentState('life', 7000, 6000);
+	const state = new AgentState('life', {startedAtMs: 0, leaseMs: 7000, maxLeaseMs: 6000});
 	const report: WorkerReport = {
 		workerId: 'i-1', service: 's', failureDomain: 'f', isDraining: false, milliCpu: 1000, memoryMb: 1000, accelerators: 0, labels: [], sequence: 1,
 	};
 	state.isFirstProcess = isFirstProcess;
-	expect(state.isVacant).toBe(isFirstProcess);
+	expect(state.isVacant(100)).toBe(isFirstProcess);
 	state.applyAnnouncement(report, 0);
-	expect(state.isVacant).toBe(false);
+	expect(state.isVacant(100)).toBe(false);
 	if (isListed) {
 		state.worker!.runs.applyListing({
 			clockMs: 50_000, running: [], ended: [], hasMoreEnds: false,
@@ -77,5 +77,51 @@
 	}
 
 	state.removeWorker('i-1', 0);
-	expect(state.isVacant).toBe(isVacant);
+	expect(state.isVacant(100)).toBe(isVacant);
+});
+
+/** Guards against an agent that never learns that nothing runs: it was restarted after its worker had ended, and each new owner waits for it anew. */
+it.each([
+	['is still there', false],
+	['was stopped', true],
+])('a task starts again in time after a takeover although an agent that was restarted without a worker %s', async (_, isStopped) => {
+	site = await createLongRunningSite(4, 2);
+	const {taskId, host} = await startLongRunningTask(site, 10);
+	const idle = [...site.hosts.keys()].find(name => name !== host)!;
+	site.killAgent(idle);
+	site.hosts.get(idle)!.worker.isDown = true;
+	site.hosts.get(idle)!.worker.crash();
+	site.startAgent(idle);
+	await site.clock.advance(20_000);
+	if (isStopped) {
+		await site.stopAgent(idle);
+	}
+
+	killOwner(site);
+	site.hosts.get(host)!.worker.crash();
+	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
+});
+
+/** Guards against the same with a late announcement, which names a worker that does not live any more. */
+it('a task starts again in time after a takeover although a restarted agent knows a worker only by a late announcement', async () => {
+	site = await createLongRunningSite(4, 2);
+	const {taskId, host} = await startLongRunningTask(site, 10);
+	const idle = site.hosts.get([...site.hosts.keys()].find(name => name !== host)!)!;
+	const report = idle.worker.announce();
+	site.killAgent(idle.name);
+	idle.worker.isDown = true;
+	idle.worker.crash();
+	site.startAgent(idle.name);
+	idle.agent!.handleAnnouncement(report);
+	await site.clock.advance(20_000);
+	killOwner(site);
+	site.hosts.get(host)!.worker.crash();
+	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
+});
+
+/** Guards against a restarted agent that takes its host for vacant while the leases of its predecessor last. */
+it('a restarted agent is not vacant before the leases of its predecessor have expired', () => {
+	const state = new AgentState('life', {startedAtMs: 1000, leaseMs: 7000, maxLeaseMs: 6000});
+	expect(state.isVacant(1000 + (7000 / 0.98) + 500)).toBe(false);
+	expect(state.isVacant(1000 + (7000 / 0.98) + 501)).toBe(true);
 });
