Apply a departure only if no other process of the agent has answered

Callers would have seen: tasks of a sound host ended every 7.7 s, for as long as an owner lived. Not seen on a site; found by review. Cause: a new owner that had heard only the process after the one that departed took the departure for newer, put the old state in place of the living one's, and then refused each answer of the living process as one of a process that had been replaced. Change: the state of a departure counts only for a process that the owner knows as the present one, or if it has heard none.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -190,7 +190,7 @@
 		};
 	}
 
-	/** Applies the last state of an agent that has been told to stop; a state of a process that another one has replaced counts for nothing. */
+	/** Applies the last state of an agent that has been told to stop, unless another process of it has answered: that one may be newer. */
 	#applyDeparture(worker: FleetWorker, {departure}: AgentRegistration, offset: number): void {
 		if (!departure) {
 			return;
@@ -204,8 +204,7 @@
 		note('agent departs', {
 			host: worker.host, session: offset, leaseMs: Math.round(leaseMs), isListed: state?.isListed, runs: state?.running.length,
 		});
-		const isNewest = state !== undefined && !worker.replacedLives.has(state.agentLife) && (state.agentLife !== worker.agentLife || state.version >= worker.version);
-		if (isNewest) {
+		if (state && (worker.agentLife === '' || (state.agentLife === worker.agentLife && state.version >= worker.version))) {
 			this.#applyState(worker, state);
 			onDeparture(worker, state);
 		}
--- a/test/stopped-agents.test.ts
+++ b/test/stopped-agents.test.ts
@@ -248,3 +248,26 @@
 	expect(lease.getRemainingMs(2000)).toBe(7020);
 	expect(lease.getRemainingMs(60_000)).toBe(0);
 });
+
+/** Guards against an agent that is shut out for as long as its owner lives, since the last state of its predecessor was read after its own first answer. */
+it('a departure that a new owner reads after the next process has answered leaves that process known', async () => {
+	site = await createLongRunningSite(4, 2);
+	const host = getHostOf(site, taskId);
+	const next = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
+	site.cuts.add(`${next}>${host}`);
+	killOwner(site);
+	expect(await site.waitFor(() => site.notes.some(({source, event}) => source === next && event === 'took over'), 8000)).toBeDefined();
+	await site.clock.advance(100);
+	site.store.getAnswerDelayMs = ({kind, ref, client}) => kind === 'read' && client === next && ref?.topic === agentsTopic ? 500 : 0;
+	site.store.getDelayMs = ({kind, client, ref}) => kind === 'append' && client === host && ref?.topic === agentsTopic && site.hosts.get(host)!.agent ? 2500 : 0;
+	await site.clock.advance(2100);
+	await site.stopAgent(host);
+	site.startAgent(host);
+	site.cuts.clear();
+	await site.clock.advance(3500);
+	site.store.getAnswerDelayMs = () => 0;
+	site.store.getDelayMs = () => 0;
+	await site.clock.advance(20_000);
+	expect(site.notes.filter(({event}) => event === 'agent lost')).toEqual([]);
+	expect(site.getStarts(taskId)).toBe(1);
+});
