Ask for no longer lease than the worker grants

Callers would have seen: tasks of a host that was taken away just after a takeover started 7.21 s later, with 7 s allowed. Found by review. Cause: renewals asked for a lease up to 7 s after the proof, which the worker shortens to 6 s; an agent that stops told the longer one. Change: a renewal names at most the longest lease from now on, by the lower estimate of the worker's clock. Leases that the worker grants are the same.

--- a/src/agents/worker-lease.ts
+++ b/src/agents/worker-lease.ts
@@ -81,11 +81,14 @@
 	}
 
 	/**
-	Gets the end of the lease for the next renewal. While the worker does not answer, the end is not moved: a call without an
-	answer may be carried out seconds later, and a lease extended by each such call would never be known to have expired.
+	Gets the end of the lease for the next renewal: at most `maxLeaseMs` from now, which is what the worker grants. While the worker does not
+	answer, the end is not moved: a call without an answer may be carried out seconds later, and a lease extended by each such call would
+	never be known to have expired.
 	*/
-	getRenewalUntilMs(isAnswering: boolean): number {
-		return isAnswering ? this.#leaseUntilMs : Math.min(this.#leaseUntilMs, this.#sentUntilMs);
+	getRenewalUntilMs({isAnswering, nowMs, maxLeaseMs}: {isAnswering: boolean; nowMs: number; maxLeaseMs: number}): number {
+		const clockMs = this.estimateClockMs(nowMs);
+		const untilMs = clockMs === undefined ? this.#leaseUntilMs : Math.min(this.#leaseUntilMs, clockMs + maxLeaseMs);
+		return isAnswering ? untilMs : Math.min(untilMs, this.#sentUntilMs);
 	}
 
 	/** Records that a call with this end of the lease is being sent. */
--- a/src/agents/worker-loop.ts
+++ b/src/agents/worker-loop.ts
@@ -60,12 +60,12 @@
 };
 
 const renew = async (options: WorkerLoopOptions, worker: WorkerState): Promise<boolean> => {
-	const {state, client, clock, getFence, onFenceRefused, note} = options;
+	const {state, client, clock, getFence, onFenceRefused, maxLeaseMs, note} = options;
 	const {lease, report: {workerId}} = worker;
 	const sentAtMs = clock.monotonicMs();
 	const mayBeReplaced = worker.replacedBy !== undefined || !worker.isAnswering;
 	const mayRenew = worker.replacedBy === undefined && !state.isLeaving && !state.mustLetLeasesExpire && worker.allLeasesExpiredAtMs === undefined;
-	const leaseUntilMs = mayRenew && lease.leaseUntilMs > 0 ? lease.getRenewalUntilMs(worker.isAnswering) : undefined;
+	const leaseUntilMs = mayRenew && lease.leaseUntilMs > 0 ? lease.getRenewalUntilMs({isAnswering: worker.isAnswering, nowMs: sentAtMs, maxLeaseMs}) : undefined;
 	if (leaseUntilMs !== undefined) {
 		lease.recordSent(leaseUntilMs);
 	}
--- a/test/restarted-agent-leases.test.ts
+++ b/test/restarted-agent-leases.test.ts
@@ -96,8 +96,8 @@
 	expect(lease.isExpired(6300, 300)).toBe(false);
 	expect(lease.isExpired(6500, 300)).toBe(true);
 	lease.extendByProof(103_000);
-	expect(lease.getRenewalUntilMs(false)).toBe(0);
-	lease.recordSent(lease.getRenewalUntilMs(true));
+	expect(lease.getRenewalUntilMs({isAnswering: false, nowMs: 3000, maxLeaseMs: 7000})).toBe(0);
+	lease.recordSent(lease.getRenewalUntilMs({isAnswering: true, nowMs: 3000, maxLeaseMs: 7000}));
 	expect(lease.isExpired(10_400, 300)).toBe(false);
 	expect(lease.isExpired(10_500, 300)).toBe(true);
 });
--- a/test/site-decisions.test.ts
+++ b/test/site-decisions.test.ts
@@ -156,9 +156,9 @@
 		const lease = new WorkerLease(7000);
 		lease.recordReading(100_000, 0);
 		lease.extendByProof(100_000);
-		lease.recordSent(lease.getRenewalUntilMs(true));
+		lease.recordSent(lease.getRenewalUntilMs({isAnswering: true, nowMs: 0, maxLeaseMs: 7000}));
 		lease.extendByProof(103_000);
-		lease.recordSent(lease.getRenewalUntilMs(false));
+		lease.recordSent(lease.getRenewalUntilMs({isAnswering: false, nowMs: 0, maxLeaseMs: 7000}));
 		expect(lease.isExpired(7000, 300)).toBe(false);
 		expect(lease.isExpired(7500, 300)).toBe(true);
 	});
--- a/test/stopped-agents.test.ts
+++ b/test/stopped-agents.test.ts
@@ -25,6 +25,8 @@
 	loseHost(site, name);
 };
 
+const isStartedAgain = () => site.getStarts(taskId) === 2;
+
 const getLosses = () => site.notes.filter(({event}) => event === 'run lost');
 
 afterEach(() => {
@@ -271,3 +273,32 @@
 	expect(site.notes.filter(({event}) => event === 'agent lost')).toEqual([]);
 	expect(site.getStarts(taskId)).toBe(1);
 });
+
+/** Guards against leases beyond what a worker grants: an agent that stops just after a read of the store would leave them longer than its tasks may wait. */
+it('an agent that stops at any moment after a takeover lets its tasks start in time', async () => {
+	const tookMs: number[] = [];
+	for (let phaseMs = 0; phaseMs <= 1200; phaseMs += 100) {
+		site = await createLongRunningSite(4, 2);
+		const host = getHostOf(site, taskId);
+		await replaceOwner(site);
+		await site.clock.advance(phaseMs);
+		await site.stopAgent(host);
+		const stoppedAtMs = site.clock.monotonicMs();
+		loseHost(site, host);
+		await site.waitFor(isStartedAgain, 40_000);
+		tookMs.push(site.clock.monotonicMs() - stoppedAtMs);
+		site.stop();
+	}
+
+	expect(Math.max(...tookMs)).toBeLessThan(calmMs);
+});
+
+/** Guards against leases that a renewal on its way extends after the agent has told how long they last. */
+it('a renewal asks for no longer lease than the worker grants', () => {
+	const lease = new WorkerLease(7000);
+	lease.recordReading(100_000, 1000);
+	lease.extendByProof(100_000);
+	expect(lease.getRenewalUntilMs({isAnswering: true, nowMs: 1000, maxLeaseMs: 6000})).toBe(106_000);
+	expect(lease.getRenewalUntilMs({isAnswering: true, nowMs: 2500, maxLeaseMs: 6000})).toBe(107_000);
+	expect(lease.getRenewalUntilMs({isAnswering: false, nowMs: 2500, maxLeaseMs: 6000})).toBe(0);
+});
