Stop the older of two listed runs of a task, whichever is heard first

Callers would have seen: a run in the middle of its work stopped after a takeover. Cause: the run that was adopted second counted as the one too many. An agent whose worker has not listed all ends yet still lists runs that have ended, and if it answers first, the run that is active on another host was stopped. Change: the run with the highest number stays, since a task is started again only when its last run can no longer be active.

--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -278,6 +278,19 @@
 	return true;
 };
 
+/**
+Marks the older active runs of a task as unwanted; returns the number of the newest one. An owner starts a task again only when its last run
+can no longer be active, so it is the older one that an agent still lists although it has ended.
+*/
+export const keepNewestRun = ({runs}: LiveTask, run: number): number => {
+	const newest = Math.max(run, ...runs.map(other => other.run));
+	for (const other of runs) {
+		other.isUnwanted ||= other.run < newest;
+	}
+
+	return newest;
+};
+
 /** When an occurrence is due, in ms since 1970; 0 for a job that does not repeat. */
 export const getDueAtMs = ({repeatCount, firstDueMs, intervalMs}: Workflow, occurrence: number): number =>
 	repeatCount > 0 ? firstDueMs + (occurrence * intervalMs) : 0;
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -10,7 +10,7 @@
 } from '../types/workflows.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
-	getUnit, RunPhase, takeCheckpoint, type LiveModel, type LiveRun, type LiveTask,
+	getUnit, keepNewestRun, RunPhase, takeCheckpoint, type LiveModel, type LiveRun, type LiveTask,
 } from './live-model.ts';
 import {isCoveredBy, hasRecentListing} from './state-coverage.ts';
 
@@ -286,7 +286,7 @@
 			return active;
 		}
 
-		const isUnwanted = task.step.workflow.isFinished || task.isDone || (task.runs.length > 0 && !task.step.spec.isSpeculative);
+		const isUnwanted = task.step.workflow.isFinished || task.isDone || (!task.step.spec.isSpeculative && keepNewestRun(task, run) !== run);
 		const liveRun = this.addRun(task, worker, run, {nowMs, notAfterMs: 0});
 		liveRun.isOrderPending = false;
 		liveRun.isUnwanted = isUnwanted;
--- a/test/old-listings.test.ts
+++ b/test/old-listings.test.ts
@@ -83,3 +83,21 @@
 	});
 	expect(site.getStarts(taskId)).toBe(2);
 });
+
+/** Guards against an owner that stops the run that is active because another agent, which it hears first, lists one that has ended. */
+it('an older run that is listed first stops no newer one', async () => {
+	const {worker} = await createSiteWithHost();
+	worker.maxListedEnds = 1;
+	worker.isUnresponsive = true;
+	expect(await site.waitFor(() => site.getStarts(taskId) === 2, 20_000)).toBeDefined();
+	const second = getHostOf(site, taskId);
+	const next = [...site.entries.keys()].find(name => name !== site.getOwnerName())!;
+	site.pathDelays.set(`${next}>${second}`, {getTransitMs: () => 0, getAnswerMs: () => 150});
+	killOwner(site);
+	worker.isUnresponsive = false;
+	expect(await site.waitFor(() => site.notes.some(({source, event}) => source === next && event === 'took over'), 8000)).toBeDefined();
+	await site.clock.advance(8000);
+	expect(site.notes.filter(({event, fields}) => event === 'run not needed' && fields.host === second)).toEqual([]);
+	expect(site.getStarts(taskId)).toBe(2);
+	expect(site.hosts.get(second)!.worker.running.has(taskId)).toBe(true);
+});
