Fence declarations of loss by the epoch of the owner

Callers would have seen: tasks of a sound host ended, although their owner was in touch with it. Found by review. Cause: only the claim was written to the control stream under the owner's epoch. An owner that was paused, and replaced meanwhile, declared an agent lost as it went on, and the agent let its leases expire. Change: declarations are appended as the same producer, behind the claim, so the store refuses them once a newer owner has claimed. A number whose append was not answered is left out: the store would answer the next record with its result.

--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -1,11 +1,12 @@
 /**
 Declares agents lost that do not answer, waits until their leases have expired, and then releases their tasks to start elsewhere.
 */
-import {controlTopic, ControlRecordType, encodeControlRecord} from '../agents/control-records.ts';
+import {ControlRecordType, type ControlRecord} from '../agents/control-records.ts';
 import {getLeaseExpiryMs} from '../agents/worker-lease.ts';
 import {getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
-import {AppendOutcome, type StoreClient} from '../types/store.ts';
+import {AppendOutcome} from '../types/store.ts';
+import {type ControlWriter} from './control-writer.ts';
 import {hasDeparted, type AgentLoss, type FleetWorker} from './fleet-view.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {type RegistrationRemover} from './registration-remover.ts';
@@ -13,15 +14,17 @@
 
 /** Options of the monitor. */
 export type AgentLossMonitorOptions = {
-	store: StoreClient;
 	clock: Clock;
-	partition: number;
+	/** Appends to the control stream; a newer owner's claim fences it off. */
+	control: ControlWriter;
 	epoch: number;
 	leaseDurationMs: number;
 	workers: Map<string, FleetWorker>;
 	tracker: RunTracker;
 	remover: RegistrationRemover;
 	signal: AbortSignal;
+	/** There is a newer owner. */
+	onFenced: () => void;
 	/** Stores for later owners that the declaration of a loss is stored; resolves to whether it is. */
 	storeLoss: (host: string, session: number) => Promise<boolean>;
 	follower: WorkflowFollower;
@@ -39,7 +42,6 @@
 */
 const removedAfterMs = 8000;
 const retryMs = 150;
-const storeTimeoutMs = 1000;
 
 /**
 Whether all leases of the runs that an agent has not listed have expired. Its present process grants none before it has read the
@@ -157,18 +159,23 @@
 	leases. The answer counts for this loss alone, which may have been withdrawn meanwhile.
 	*/
 	async #declare(worker: FleetWorker, loss: AgentLoss): Promise<void> {
-		const {store, partition, epoch, clock, note, signal, storeLoss} = this.#options;
+		const {epoch, control, clock, note, signal, storeLoss, onFenced} = this.#options;
 		const {host} = worker;
 		const {session} = loss;
 		note('agent lost', {host, session, runs: worker.runs.size});
-		const record = encodeControlRecord({
+		const record: ControlRecord = {
 			type: ControlRecordType.Lost, host, session, epoch,
-		});
+		};
 		const declaredAtMs = clock.monotonicMs();
 		while (!signal.aborted && worker.loss === loss) {
 			try {
-				const result = await store.append({topic: controlTopic, partition}, [record], {timeoutMs: storeTimeoutMs});
-				if (result.outcome === AppendOutcome.Appended) {
+				const outcome = await control.append(record);
+				if (outcome === AppendOutcome.Fenced) {
+					onFenced();
+					return;
+				}
+
+				if (outcome === AppendOutcome.Appended) {
 					const storedAtMs = clock.monotonicMs();
 					note('loss stored', {
 						host, session, newestSession: worker.session, lostSession: worker.loss?.session, tookMs: Math.round(storedAtMs - declaredAtMs),
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -9,6 +9,7 @@
 import {type Clock} from '../types/clock.ts';
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {type EndedRun} from '../types/workflows.ts';
+import {claimSequence, ownerProducer} from './control-writer.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {dropExpired, getDueSnapshots} from './snapshot-writer.ts';
 import {
@@ -31,8 +32,6 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** Producer name of all owners: their epochs differ, and the store fences off those with an older one. */
-const ownerProducer = 'owner';
 /** Records are batched for this long: one call stores them all and wakes all readers once. */
 const gatherMs = 15;
 const startedIntervalMs = 400;
@@ -189,7 +188,7 @@
 		const {store, partition, epoch, host, note} = this.#options;
 		try {
 			const {outcome} = await store.append({topic: controlTopic, partition}, [encodeControlRecord({type: ControlRecordType.Claim, epoch, owner: host})], {
-				stamp: {producer: ownerProducer, epoch, sequence: 0}, timeoutMs: storeTimeoutMs,
+				stamp: {producer: ownerProducer, epoch, sequence: claimSequence}, timeoutMs: storeTimeoutMs,
 			});
 			if (outcome === AppendOutcome.Fenced) {
 				return false;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -10,6 +10,7 @@
 import {WorkMeter} from '../utils/work-meter.ts';
 import {AdviceCache} from './advice-cache.ts';
 import {AgentLinks} from './agent-links.ts';
+import {ControlWriter} from './control-writer.ts';
 import {CrashMonitor} from './crash-monitor.ts';
 import {DueOccurrences} from './due-occurrences.ts';
 import {EvacuationPublisher} from './evacuation-publisher.ts';
@@ -174,7 +175,9 @@
 		});
 		const {signal} = this.#aborter;
 		this.#losses = new AgentLossMonitor({
-			...options, tracker: this.#runs, workers: this.links.workers, signal, storeLoss: async (host, session) => this.#log.storeLoss(host, session), remover: new RegistrationRemover({...options, signal}),
+			...options, tracker: this.#runs, workers: this.links.workers, signal, storeLoss: async (host, session) => this.#log.storeLoss(host, session), remover: new RegistrationRemover({...options, signal}), control: new ControlWriter(options), onFenced: () => {
+				this.#stepDown('the control stream has a newer owner');
+			},
 		});
 		this.#mover = new RunMover({
 			...shared, policy, sender: this.#sender, eligibility: this.#eligibility, quarantine: this.#quarantine, interference: this.#interference, isAllowed: this.#isAllowed, getWorkers: nowMs => this.#getSchedulableWorkers(nowMs),
--- a/test/declared-losses.test.ts
+++ b/test/declared-losses.test.ts
@@ -1,9 +1,15 @@
 /**
 Declarations of loss that outlive the owner which stored them.
 */
+import {Buffer} from 'node:buffer';
 import {afterEach, expect, it} from 'vitest';
+import {
+	controlTopic, ControlRecordType, decodeControlRecord, type ControlRecord,
+} from '../src/agents/control-records.ts';
 import {getLeaseExpiryMs, leaseDurationMs} from '../src/agents/worker-lease.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {AppendOutcome} from '../src/types/store.ts';
+import {claimSequence, ControlWriter, ownerProducer} from '../src/workflows/control-writer.ts';
 import {
 	createLongRunningSite, getHostOf, killOwner, loseHost, replaceOwner,
 } from './departures.ts';
@@ -85,3 +91,45 @@
 	await site.clock.advance(20_000);
 	expect(site.getStarts(taskId)).toBe(2);
 });
+
+/** Guards against a declaration of an owner that was paused and has been replaced: it ends the runs of an agent that works under the next one. */
+it('an owner that was replaced while it was paused declares no agent lost', async () => {
+	site = await createLongRunningSite(4, 2);
+	const host = getHostOf(site, taskId);
+	const owner = site.getOwnerName()!;
+	const {clock} = site.entries.get(owner)!;
+	site.cuts.add(`${owner}>${host}`);
+	expect(await site.waitFor(() => site.notes.some(({event}) => event === 'agent silent'), 5000)).toBeDefined();
+	clock.isPaused = true;
+	site.cuts.clear();
+	const notes = site.notes.length;
+	expect(await site.waitFor(() => site.notes.slice(notes).some(({source, event}) => source !== owner && event === 'settled'), 10_000)).toBeDefined();
+	await site.clock.advance(4000);
+	clock.resume();
+	await site.clock.advance(15_000);
+	expect(site.notes.filter(({event}) => event === 'declared lost')).toEqual([]);
+	expect(site.getStarts(taskId)).toBe(1);
+});
+
+/** Guards against a record that counts as stored since the store has answered for the one before it, whose answer was lost. */
+it.each([StoreFault.LoseAnswer, StoreFault.LoseRequest, StoreFault.ExecuteLate])('a record that follows an append with %s is stored itself', async fault => {
+	site = await createLongRunningSite(1, 1);
+	const ref = {topic: controlTopic, partition: 3};
+	const store = site.store.createClient('owner');
+	const writer = new ControlWriter({store, partition: 3, epoch: 7});
+	const createLoss = (host: string): ControlRecord => ({
+		type: ControlRecordType.Lost, host, session: 1, epoch: 7,
+	});
+	await site.settle(store.append(ref, [Buffer.from('claim')], {stamp: {producer: ownerProducer, epoch: 7, sequence: claimSequence}, timeoutMs: 1000}));
+	expect(await site.settle(writer.append(createLoss('a')))).toBe(AppendOutcome.Appended);
+	site.store.getFault = () => fault;
+	await expect(site.settle(writer.append(createLoss('b')).catch(() => AppendOutcome.Refused))).resolves.toBe(AppendOutcome.Refused);
+	site.store.getFault = () => StoreFault.None;
+	expect(await site.settle(writer.append(createLoss('c')))).toBe(AppendOutcome.Appended);
+	await site.clock.advance(5000);
+	const {records} = await site.settle(store.read(ref, 1, {waitMs: 0}));
+	const hosts = records.map(({value}) => (decodeControlRecord(value) as {host: string}).host);
+	expect(hosts.filter(name => name === 'c')).toHaveLength(1);
+	await site.settle(store.append(ref, [], {stamp: {producer: ownerProducer, epoch: 8, sequence: claimSequence}, timeoutMs: 1000}));
+	expect(await site.settle(writer.append(createLoss('d')))).toBe(AppendOutcome.Fenced);
+});
