--- a/test/site-host-faults.ts
+++ b/test/site-host-faults.ts
@@ -9,7 +9,8 @@
 	createDelays, createSeries, playWideStep, wideFaultTypes, type Scene, type WideFault, type WideStep,
 } from './site-wide-faults.ts';
 
-enum HostFault {
+/** Kinds of faults of hosts, workers and reads. */
+export enum HostFault {
 	LateWorkerAnswers = 'late-worker-answers',
 	SuspendHost = 'suspend-host',
 	DrainWorker = 'drain-worker',
--- a/test/site-wide-series.ts
+++ b/test/site-wide-series.ts
@@ -12,7 +12,7 @@
 import {createScene, type EventWatch} from './site-wide-faults.ts';
 
 /** Records a violation if a run is taken for lost while it is active or its agent, which answers, lists it. */
-const createLossCheck = (site: SimulatedSite): EventWatch => (source, event, fields) => {
+export const createLossCheck = (site: SimulatedSite): EventWatch => (source, event, fields) => {
 	if (event !== 'run lost') {
 		return;
 	}
@@ -29,9 +29,10 @@
 };
 
 /** When a start was ordered, and when the lease of each worker had last lapsed by then. */
-type Order = {atMs: number; lapsedAtMs: Map<string, number>};
+export type Order = {atMs: number; lapsedAtMs: Map<string, number>};
 
-const createOrderWatch = (site: SimulatedSite, orders: Map<string, Order>): EventWatch => (_, event, {taskId, run}) => {
+/** Records when each start was ordered. */
+export const createOrderWatch = (site: SimulatedSite, orders: Map<string, Order>): EventWatch => (_, event, {taskId, run}) => {
 	if (event === 'start') {
 		orders.set(`${String(taskId)} run ${String(run)}`, {
 			atMs: site.clock.monotonicMs(), lapsedAtMs: new Map([...site.hosts.values()].map(({worker}) => [worker.workerId, worker.lapsedAtMs])),
@@ -43,7 +44,7 @@
 Whether a violation is a start that was ordered before the task's success was stored, after the lease of the worker that had succeeded
 had lapsed: the rules except it, since the order was on its way when the end came in.
 */
-const isOrderedBeforeSuccess = (site: SimulatedSite, violation: string, orders: Map<string, Order>): boolean => {
+export const isOrderedBeforeSuccess = (site: SimulatedSite, violation: string, orders: Map<string, Order>): boolean => {
 	const [, started, taskId] = /^((\S+) run \d+) is started after an owner has stored the task's success$/.exec(violation) ?? [];
 	const order = started === undefined ? undefined : orders.get(started);
 	const stored = site.events.find(event => event.type === 'forgotten' && event.taskId === taskId && event.end === RunEnd.Done);
@@ -56,7 +57,7 @@
 const probeMs = 10_000;
 
 /** Once all faults have ended, a job's tasks start exactly once and no run is lost. */
-const checkSoundSite = async (site: SimulatedSite): Promise<void> => {
+export const checkSoundSite = async (site: SimulatedSite): Promise<void> => {
 	const notes = site.notes.length;
 	await site.submit(probeId, createSpec([createStep({count: probeTasks, milliCpu: 1500})]));
 	await site.clock.advance(probeMs);
@@ -73,7 +74,7 @@
 };
 
 /** Work that is on the site from the start: tasks of some seconds on each worker, step after step. */
-const background = {
+export const background = {
 	id: 'eeeeeeeeeeeeeeee',
 	steps: 5,
 	tasks: 9,
@@ -82,16 +83,17 @@
 };
 
 /** Time without faults in which the background work ends too. */
-const busyRecoveryMs = 75_000;
+export const busyRecoveryMs = 75_000;
 
-const submitBackground = async (site: SimulatedSite, jobs: SubmittedJobs): Promise<void> => {
+/** Submits the background work. */
+export const submitBackground = async (site: SimulatedSite, jobs: SubmittedJobs): Promise<void> => {
 	const {id, steps, tasks, milliCpu} = background;
 	const spec = createSpec(Array.from({length: steps}, (_, index) => createStep({count: tasks, milliCpu, after: index === 0 ? [] : [index - 1]})));
 	jobs.set(id, (await site.submit(id, spec)).outcome);
 };
 
 /** Whether all tasks of a job have succeeded; the site keeps a finished job for a minute only. */
-const haveTasksSucceeded = (site: SimulatedSite, id: string): boolean => {
+export const haveTasksSucceeded = (site: SimulatedSite, id: string): boolean => {
 	const done = new Set(site.events.filter(event => event.type === 'ended' && event.end === RunEnd.Done).map(({taskId}) => taskId));
 	return site.specs.get(id)!.steps.every(({count}, step) => Array.from({length: count}, (_, member) => `${id}.0.${step}.${member}`).every(taskId => done.has(taskId)));
 };
