--- a/test/lost-hosts.test.ts
+++ b/test/lost-hosts.test.ts
@@ -10,6 +10,8 @@
 
 let site: SimulatedSite;
 
+const hasOwner = () => site.getOwnerName() !== undefined;
+
 const taskId = `${createJobId(0)}.0.0.0`;
 
 afterEach(() => {
@@ -31,3 +33,18 @@
 	loseHost(site, getHostOf(site, taskId));
 	expect(await site.waitFor(() => site.getStarts(taskId) === 2, 30_000)).toBeLessThan(calmMs);
 });
+
+/** Guards against owners that each count the silence of an agent anew: none of them declares it lost. */
+it('a task of a lost host starts again in time although owners change every three seconds', async () => {
+	site = await createLongRunningSite(4, 3);
+	loseHost(site, getHostOf(site, taskId));
+	for (let change = 0; change < 4; change++) {
+		await site.clock.advance(2500);
+		const dead = killOwner(site);
+		await site.clock.advance(300);
+		site.startEntry(dead);
+		expect(await site.waitFor(hasOwner, 5000)).toBeDefined();
+	}
+
+	expect(await site.waitFor(() => site.getStarts(taskId) === 2, 30_000)).toBeLessThan(calmMs);
+});
