Let a stopping agent try its last write again

Callers saw: in runs of a site's programs as real processes long-running tasks stood still for up to 11.3 s of calm after a host had left in order. Cause: an agent whose worker had ended tried once to remove its registration. One refused read of the store, or an outage of a moment, and owners took it for silent, declared it lost and waited for its leases, with most of its time to stop unused. Change: the write is tried again for 4 s if nothing can run on the host, for 1 s if leases are running out.

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -36,11 +36,13 @@
 /** How long an agent that is told to stop waits for the end of a worker that has announced it. */
 const maxWorkerEndMs = 1000;
 const workerEndCheckMs = 20;
+/** Shorter than the time that a process has to stop. */
+const maxRemovalMs = 4000;
 /** A stopping agent renews no leases, so it does not wait longer for a store that is away: it may be restarted. */
 const maxDepartureMs = 1000;
 const registerRetryMs = 200;
-/** Such writes fail while other agents register at the same time; an owner removes what is left. */
-const maxWriteTries = 5;
+/** Pause before such a write is tried again: it fails while other agents register at the same time. */
+const writeRetryMs = 50;
 /** Owners read the registrations of all agents at each takeover. */
 const maxRegistrationBytes = 65_536;
 /** The fencing token is raised by this when the worker has seen a higher one: the wall clock was set back between two starts of the agent. */
@@ -159,9 +161,9 @@
 		await this.#waitForWorkerEnd();
 		const {clock} = this.#options;
 		if (state.isVacant(clock.monotonicMs())) {
-			await this.#writeRegistration('registration removed', () => undefined);
+			await this.#writeRegistration('registration removed', () => undefined, maxRemovalMs);
 		} else if (state.isRegistered) {
-			await Promise.race([this.#writeRegistration('departure stored', () => this.#createDeparture()), clock.sleep(maxDepartureMs)]);
+			await Promise.race([this.#writeRegistration('departure stored', () => this.#createDeparture(), maxDepartureMs), clock.sleep(maxDepartureMs)]);
 		}
 	}
 
@@ -295,20 +297,26 @@
 		}
 	}
 
-	/** Replaces or removes the registration if it is still this process's. */
-	async #writeRegistration(event: string, createValue: () => Buffer | undefined): Promise<void> {
-		const {store, registration: {host}, note} = this.#options;
-		try {
-			let outcome: AppendOutcome | undefined = AppendOutcome.NotAtEnd;
-			for (let tries = 0; tries < maxWriteTries && outcome === AppendOutcome.NotAtEnd; tries++) {
-				({outcome} = await tryWriteRegistrations(store, new Map([[host, this.state.session]]), createValue));
-			}
+	/** Replaces or removes the registration if it is still this process's; tries again until then, as the store may be away for a moment. */
+	async #writeRegistration(event: string, createValue: () => Buffer | undefined, forMs: number): Promise<void> {
+		const {store, clock, registration: {host}, note} = this.#options;
+		const untilMs = clock.monotonicMs() + forMs;
+		while (clock.monotonicMs() < untilMs) {
+			try {
+				const {outcome} = await tryWriteRegistrations(store, new Map([[host, this.state.session]]), createValue);
+				if (outcome === undefined) {
+					return;
+				}
 
-			if (outcome !== undefined) {
 				note(event, {outcome});
+				if (outcome === AppendOutcome.Appended) {
+					return;
+				}
+			} catch (error) {
+				note('registration not changed', {error: getMessage(error)});
 			}
-		} catch (error) {
-			note('registration not changed', {error: getMessage(error)});
+
+			await clock.sleep(writeRetryMs);
 		}
 	}
 
--- a/test/registration-removals.test.ts
+++ b/test/registration-removals.test.ts
@@ -109,3 +109,16 @@
 	expect(site.getStarts(taskId)).toBe(1);
 	expect(site.hosts.get(host)!.worker.running.size).toBeGreaterThan(0);
 });
+
+/** Guards against an agent that gives its registration up to an owner's declaration of loss because the store is away as it stops. */
+it.each([StoreFault.Refuse, StoreFault.LoseRequest])('an agent whose worker has ended removes its registration although the store answers with %s at first', async fault => {
+	site = await createLongRunningSite(3, 1);
+	endWorker(site, 'host-1');
+	await site.clock.advance(500);
+	site.store.getFault = ({client}) => client === 'host-1' ? fault : StoreFault.None;
+	site.clock.setTimer(() => {
+		site.store.getFault = () => StoreFault.None;
+	}, 1500);
+	await site.stopAgent('host-1');
+	expect(await getRegisteredHosts()).toEqual(['host-0', 'host-2']);
+});
--- a/test/unreconciled-owners.test.ts
+++ b/test/unreconciled-owners.test.ts
@@ -3,6 +3,10 @@
 */
 import {afterEach, expect, it} from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {ManualClock} from '../src/utils/manual-clock.ts';
+import {type Reconciliation} from '../src/workflows/reconciliation.ts';
+import {StartEligibility} from '../src/workflows/start-eligibility.ts';
+import {type ViewStaleness} from '../src/workflows/view-staleness.ts';
 import {
 	createLongRunningSite, getLongestGapMs, killOwner, loseHost, resumeMs, startLongRunningTask, waitForStarts,
 } from './departures.ts';
@@ -112,3 +116,22 @@
 	}), 1000);
 	expect(task!.isLocated).toBe(isLocated);
 });
+
+/** Guards against a second run: an owner that has not read the claim may have seen the end of the run too, and start the task for some seconds more. */
+it('a located task starts only when no start of an earlier owner can be valid any more', async () => {
+	const {model} = load([createWorkflow(createJobId(0), createSpec([createStep()]))]);
+	const clock = new ManualClock();
+	const eligibility = new StartEligibility({
+		clock, model, cancelMs: 3000, reconciliation: {isReconciled: false} as Reconciliation, viewStaleness: {isTooStale: () => false} as ViewStaleness,
+	});
+	eligibility.recordClaim(100);
+	const [task] = [...model.getWaitingTasks(0, () => false)];
+	await clock.advance(3001);
+	expect(eligibility.mayStart(task!)).toBe(false);
+	task!.isLocated = true;
+	expect(eligibility.mayStart(task!)).toBe(true);
+	eligibility.recordClaim(100);
+	expect(eligibility.mayStart(task!)).toBe(false);
+	await clock.advance(3000);
+	expect(eligibility.mayStart(task!)).toBe(false);
+});
