--- a/scripts/site-soak.ts
+++ b/scripts/site-soak.ts
@@ -3,6 +3,10 @@
 was broken.
 
 Needs `target/chervilworks-site.cjs`, which `npm run soak:site -- --seed 1 --seconds 20 --entries 3 --hosts 6` builds first.
+
+Hosts leave in all runs, until the end or for the first `--departureSeconds`. With `--unannouncedLosses` some also go without a word, agent
+and worker killed together: a known fault, after which tasks wait for up to 12.8 s (`test/lost-hosts.test.ts` in `KNOWN-RED.txt`). It is off by
+default, and so in the short run of the checks.
 */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -16,6 +20,8 @@
 		hosts: {type: 'string', default: '6'},
 		program: {type: 'string', default: 'target/chervilworks-site.cjs'},
 		calm: {type: 'boolean', default: false},
+		departureSeconds: {type: 'string'},
+		unannouncedLosses: {type: 'boolean', default: false},
 		keepLogs: {type: 'boolean', default: false},
 	},
 });
@@ -32,6 +38,8 @@
 	entryCount: Number(values.entries),
 	hostCount: Number(values.hosts),
 	isCalm: values.calm,
+	departureSeconds: Number(values.departureSeconds ?? values.seconds),
+	hasUnannouncedLosses: values.unannouncedLosses,
 	areLogsKept: values.keepLogs,
 	report(line) {
 		process.stderr.write(`${line}\n`);
--- a/test/site-soak/link-proxy.ts
+++ b/test/site-soak/link-proxy.ts
@@ -11,6 +11,8 @@
 export class LinkProxy {
 	/** Whether bytes are held back in both directions. */
 	isCut = false;
+	/** Whether the host is gone: open connections stay without a word, and new ones get no answer. */
+	isHostGone = false;
 	/** Delay of each chunk towards the target, and back. */
 	delayMs = 0;
 	backDelayMs = 0;
@@ -47,6 +49,12 @@
 	}
 
 	#accept(client: Socket): void {
+		if (this.isHostGone) {
+			this.#sockets.add(client);
+			client.on('error', () => undefined);
+			return;
+		}
+
 		const target = connect(this.#target);
 		for (const [from, to] of [[client, target], [target, client]] as const) {
 			this.#sockets.add(from);
@@ -54,7 +62,9 @@
 			from.on('error', () => undefined);
 			from.once('close', () => {
 				this.#sockets.delete(from);
-				to.destroy();
+				if (!this.isHostGone) {
+					to.destroy();
+				}
 			});
 		}
 
