Narrow what the eligibility of tasks asks of the reconciliation and the view

Cause: a test of it needed type assertions, which the linter refuses. Change: two members are picked. No behaviour.

--- a/src/workflows/start-eligibility.ts
+++ b/src/workflows/start-eligibility.ts
@@ -16,8 +16,8 @@
 export type StartEligibilityOptions = {
 	clock: Clock;
 	model: LiveModel;
-	reconciliation: Reconciliation;
-	viewStaleness: ViewStaleness;
+	reconciliation: Pick<Reconciliation, 'isReconciled'>;
+	viewStaleness: Pick<ViewStaleness, 'isTooStale'>;
 	/** Time within which a cancelled job must have stopped: an owner starts nothing that is valid longer after the last read that showed it as the newest. */
 	cancelMs: number;
 };
--- a/test/unreconciled-owners.test.ts
+++ b/test/unreconciled-owners.test.ts
@@ -4,9 +4,7 @@
 import {afterEach, expect, it} from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
-import {type Reconciliation} from '../src/workflows/reconciliation.ts';
 import {StartEligibility} from '../src/workflows/start-eligibility.ts';
-import {type ViewStaleness} from '../src/workflows/view-staleness.ts';
 import {
 	createLongRunningSite, getLongestGapMs, killOwner, loseHost, resumeMs, startLongRunningTask, waitForStarts,
 } from './departures.ts';
@@ -122,7 +120,7 @@
 	const {model} = load([createWorkflow(createJobId(0), createSpec([createStep()]))]);
 	const clock = new ManualClock();
 	const eligibility = new StartEligibility({
-		clock, model, cancelMs: 3000, reconciliation: {isReconciled: false} as Reconciliation, viewStaleness: {isTooStale: () => false} as ViewStaleness,
+		clock, model, cancelMs: 3000, reconciliation: {isReconciled: false}, viewStaleness: {isTooStale: () => false},
 	});
 	eligibility.recordClaim(100);
 	const [task] = [...model.getWaitingTasks(0, () => false)];
