Test that a stopping agent renews no lease and carries out no start

Cause: with either guard taken out no test failed. Change: a test of an agent that goes on for seconds after its departure, and a start that is sent to one. Conclusion: two guards that were untested are tested.

--- a/test/stopped-agents.test.ts
+++ b/test/stopped-agents.test.ts
@@ -6,6 +6,7 @@
 import {agentsTopic, decodeRegistration, encodeRegistration} from '../src/agents/control-records.ts';
 import {WorkerLease} from '../src/agents/worker-lease.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
+import {OrderRefusal, OrderType} from '../src/types/fleet.ts';
 import {RunEnd} from '../src/types/workflows.ts';
 import {
 	calmMs, createLongRunningSite, endWorker, getHostOf, getLongestGapMs, killOwner, loseHost, replaceOwner, resumeMs, startLongRunningTask, waitForStarts,
@@ -141,14 +142,18 @@
 it('an agent that stops starts nothing after it has said what runs', async () => {
 	site = await createLongRunningSite(2, 1);
 	const {agent, worker} = site.hosts.get('host-0')!;
+	const {state} = agent!;
 	const leaving = agent!.leave();
 	await site.clock.advance(20);
-	const {state} = agent!;
 	const reply = await site.settle(agent!.order({
-		epoch: 1, workerId: worker.workerId, agentLife: state.life, notAfterMs: site.clock.monotonicMs() + 1500, session: state.session, orders: [],
+		epoch: 1, workerId: worker.workerId, agentLife: state.life, notAfterMs: site.clock.monotonicMs() + 1500, session: state.session, orders: [{
+			type: OrderType.Start, start: {
+				taskId: `${createJobId(1)}.0.0.9`, run: 1, input: 'text', checkpoint: '',
+			},
+		}],
 	}));
 	await site.settle(leaving);
-	expect(reply.answers).toEqual([]);
+	expect(reply.answers).toEqual([{isDone: false, refusal: OrderRefusal.NoLease}]);
 	await site.submit(createJobId(20), site.specs.get(createJobId(0))!);
 	await site.clock.advance(2000);
 	expect(getHostOf(site, `${createJobId(20)}.0.0.0`)).toBe('host-1');
@@ -324,3 +329,12 @@
 	expect(lease.getRenewalUntilMs({isAnswering: true, nowMs: 2500, maxLeaseMs: 6000})).toBe(107_000);
 	expect(lease.getRenewalUntilMs({isAnswering: false, nowMs: 2500, maxLeaseMs: 6000})).toBe(0);
 });
+
+/** Guards against tasks in two places: an agent that goes on for some seconds after its departure extends leases that owners take for expired. */
+it('an agent that stops slowly renews no lease after its departure', async () => {
+	site = await createLongRunningSite(3, 1);
+	const host = getHostOf(site, taskId);
+	await site.settle(site.hosts.get(host)!.agent!.leave());
+	expect(await site.waitFor(isStartedAgain, 10_000)).toBeDefined();
+	expect(site.hosts.get(host)!.worker.running.size).toBe(0);
+});
