Keep the time of a departure that is read again

Callers would have seen: tasks of a host that was taken away waited longer with each outage of the store. Found by reading. Cause: after a failed read an owner reads all registrations again, and counted the leases of a departed agent anew. Change: a departure that is known is not applied again.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -196,7 +196,7 @@
 
 	/** Applies the last state of an agent that has been told to stop, unless another process of it has answered: that one may be newer. */
 	#applyDeparture(worker: FleetWorker, {departure}: AgentRegistration, offset: number): void {
-		if (!departure) {
+		if (!departure || worker.departure?.session === offset) {
 			return;
 		}
 
--- a/test/agent-links.test.ts
+++ b/test/agent-links.test.ts
@@ -3,7 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {afterEach, expect, it} from 'vitest';
-import {agentsTopic} from '../src/agents/control-records.ts';
+import {agentsTopic, encodeRegistration} from '../src/agents/control-records.ts';
 import {MemoryStore, StoreFault} from '../src/standin/memory-store.ts';
 import {type WatchReply} from '../src/types/fleet.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
@@ -120,3 +120,18 @@
 	await clock.advance(500);
 	expect(removed).toEqual(['host-0', 'host-1']);
 });
+
+/** Guards against leases of a departed agent that are counted anew whenever the registrations are read again, as after an outage of the store. */
+it('a departure that is read again keeps its time', async () => {
+	const {links, store, clock} = await createLinks();
+	store.put(registrations, 'host-0', encodeRegistration({
+		host: 'host-0', address: 'host-0', service: 'desk', failureDomain: 'hall', departure: {leaseMs: 5000},
+	}));
+	await clock.advance(500);
+	const {leasesExpireAtMs} = links.workers.get('host-0')!.departure!;
+	store.getFault = () => StoreFault.Refuse;
+	await clock.advance(3000);
+	store.getFault = () => StoreFault.None;
+	await clock.advance(500);
+	expect(links.workers.get('host-0')!.departure!.leasesExpireAtMs).toBe(leasesExpireAtMs);
+});
