Use the usual term for replaced processes of an agent, and move a step of tests to its like

Change: one rename, and the stop of an agent stands beside the other ways in which hosts go. No behaviour.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -176,7 +176,7 @@
 			workerClockMs: 0,
 			unresponsiveSinceMs: this.#options.clock.monotonicMs(),
 			loss: this.#restoreLoss(host, offset),
-			replacedLives: new Set(),
+			replacedIncarnations: new Set(),
 			runs: new Set(),
 			sentInputs: undefined,
 			health: {spec: {workerId: host}, isHeld: false, isProbing: false},
@@ -323,7 +323,7 @@
 		}
 
 		// A process that is still shutting down does not know of the runs that its successor starts.
-		if (worker.replacedLives.has(reply.agentLife)) {
+		if (worker.replacedIncarnations.has(reply.agentLife)) {
 			throw createError(ErrorCode.PeerUnavailable, {step: 'watch agent', peer: worker.host, detail: 'an earlier process of the agent answered'});
 		}
 
@@ -358,7 +358,7 @@
 		}
 
 		if (reply.agentLife !== worker.agentLife) {
-			worker.replacedLives.add(worker.agentLife);
+			worker.replacedIncarnations.add(worker.agentLife);
 			worker.processedCrash = 0;
 			worker.storedCrash = 0;
 			worker.agentClock = new PeerClock();
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -65,7 +65,7 @@
 	/** The departure of the agent under its newest registration, or an older one. */
 	departure?: FleetDeparture;
 	/** Incarnations of the agent that another one has replaced. */
-	replacedLives: Set<string>;
+	replacedIncarnations: Set<string>;
 	runs: Set<LiveRun>;
 	/** Jobs whose input was sent to this incarnation of the agent, which keeps it; undefined: the agent keeps no inputs. */
 	sentInputs: WeakSet<LiveWorkflow> | undefined;
--- a/test/departures.ts
+++ b/test/departures.ts
@@ -56,6 +56,16 @@
 	agent?.handleWorkerLeave(workerId);
 };
 
+/** Ends an agent as a signal to stop does: it answers no more calls, leaves, and ends. */
+export const stopAgent = async (site: SimulatedSite, name: string): Promise<void> => {
+	const host = site.hosts.get(name)!;
+	const agent = host.agent!;
+	host.agent = undefined;
+	await site.settle(agent.leave());
+	host.aborter.abort();
+	host.clock.isPaused = true;
+};
+
 /** A host goes for good without a word: its worker, its runs and its agent. */
 export const loseHost = (site: SimulatedSite, name: string): void => {
 	const {worker, agent} = site.hosts.get(name)!;
--- a/test/old-listings.test.ts
+++ b/test/old-listings.test.ts
@@ -7,7 +7,9 @@
 import {agentsTopic} from '../src/agents/control-records.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {OwnerLog} from '../src/workflows/owner-log.ts';
-import {createLongRunningSite, getHostOf, killOwner} from './departures.ts';
+import {
+	createLongRunningSite, getHostOf, killOwner, stopAgent,
+} from './departures.ts';
 import {createJobId} from './site-setup.ts';
 import {type AgentHost, type SimulatedSite} from './simulated-site.ts';
 
@@ -54,7 +56,7 @@
 	const host = await createSiteWithHost();
 	const {name} = host;
 	if (isStopped) {
-		await site.stopAgent(name);
+		await stopAgent(site, name);
 	} else {
 		site.killAgent(name);
 	}
--- a/test/registration-removals.test.ts
+++ b/test/registration-removals.test.ts
@@ -5,7 +5,7 @@
 import {agentsTopic} from '../src/agents/control-records.ts';
 import {StoreFault, type StoreCall} from '../src/standin/memory-store.ts';
 import {
-	createLongRunningSite, endWorker, getHostOf, killOwner, loseHost, replaceOwner, resumeMs, startLongRunningTask, waitForStarts,
+	createLongRunningSite, endWorker, getHostOf, killOwner, loseHost, replaceOwner, resumeMs, startLongRunningTask, stopAgent, waitForStarts,
 } from './departures.ts';
 import {createJobId} from './site-setup.ts';
 import {type SimulatedSite} from './simulated-site.ts';
@@ -36,7 +36,7 @@
 	await site.clock.advance(300);
 	endWorker(site, host);
 	await site.clock.advance(1000);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
 	expect(site.notes.filter(({event}) => event === 'agent lost')).toEqual([]);
 });
@@ -54,7 +54,7 @@
 	await site.clock.advance(300);
 	endWorker(site, leaving);
 	await site.clock.advance(100);
-	await site.stopAgent(leaving);
+	await stopAgent(site, leaving);
 	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
 });
 
@@ -98,7 +98,7 @@
 	await site.clock.advance(500);
 	site.store.getAnswerDelayMs = ({kind, ref, client}) => kind === 'read' && client === 'entry-0' && ref?.topic === agentsTopic ? 2500 : 0;
 	await site.clock.advance(2500);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	site.hosts.get(host)!.worker.isDown = false;
 	site.startAgent(host);
 	await site.clock.advance(3000);
@@ -119,6 +119,6 @@
 	site.clock.setTimer(() => {
 		site.store.getFault = () => StoreFault.None;
 	}, 1500);
-	await site.stopAgent('host-1');
+	await stopAgent(site, 'host-1');
 	expect(await getRegisteredHosts()).toEqual(['host-0', 'host-2']);
 });
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -157,7 +157,6 @@
 		const host = this.hosts.get(name)!;
 		host.aborter = new AbortController();
 		host.clock = new ProcessClock(this.clock, host.wallOffsetMs);
-		const life = `life-${++this.#incarnations}`;
 		const agent = new Agent({
 			registration: {
 				host: name, address: name, service, failureDomain: 'hall',
@@ -166,7 +165,7 @@
 			store: createPausableClient(host.clock, this.store.createClient(name)),
 			client: createPausableClient(host.clock, host.worker.createClient()),
 			clock: host.clock,
-			life,
+			life: `life-${++this.#incarnations}`,
 			leaseDurationMs,
 			maxLeaseMs: 6000,
 			note: this.#createNote(name),
@@ -182,16 +181,6 @@
 		host.agent = undefined;
 	}
 
-	/** Ends an agent as a signal to stop does: it answers no more calls, leaves, and ends. */
-	async stopAgent(name: string): Promise<void> {
-		const host = this.hosts.get(name)!;
-		const agent = host.agent!;
-		host.agent = undefined;
-		await this.settle(agent.leave());
-		host.aborter.abort();
-		host.clock.isPaused = true;
-	}
-
 	startEntry(name: string, processors = 1): EntryProcess {
 		const clock = new ProcessClock(this.clock);
 		const aborter = new AbortController();
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -40,7 +40,7 @@
 	stateAsOfMs: 0,
 	workerClockMs: 0,
 	agentClock: new PeerClock(),
-	replacedLives: new Set(),
+	replacedIncarnations: new Set(),
 	runs: new Set(),
 	sentInputs: undefined,
 	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
--- a/test/stopped-agents.test.ts
+++ b/test/stopped-agents.test.ts
@@ -9,7 +9,7 @@
 import {OrderRefusal, OrderType} from '../src/types/fleet.ts';
 import {RunEnd} from '../src/types/workflows.ts';
 import {
-	calmMs, createLongRunningSite, endWorker, getHostOf, getLongestGapMs, killOwner, loseHost, replaceOwner, resumeMs, startLongRunningTask, waitForStarts,
+	calmMs, createLongRunningSite, endWorker, getHostOf, getLongestGapMs, killOwner, loseHost, replaceOwner, resumeMs, startLongRunningTask, stopAgent, waitForStarts,
 } from './departures.ts';
 import {createWatchReply, createWorker} from './site-fleet.ts';
 import {createJobId} from './site-setup.ts';
@@ -21,7 +21,7 @@
 
 /** The agent of a host is told to stop, and the host goes for good a second later. */
 const removeHost = async (name: string): Promise<void> => {
-	await site.stopAgent(name);
+	await stopAgent(site, name);
 	await site.clock.advance(1000);
 	loseHost(site, name);
 };
@@ -104,7 +104,7 @@
 it.each([300, 1200, 3000])('an agent that comes back after %i ms finds its runs, and none is lost', async forMs => {
 	site = await createLongRunningSite(4, 1);
 	const host = getHostOf(site, taskId);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	await site.clock.advance(forMs);
 	site.startAgent(host);
 	await site.clock.advance(15_000);
@@ -117,7 +117,7 @@
 it('tasks of a stopped agent whose worker lives start elsewhere once their leases have expired', async () => {
 	site = await createLongRunningSite(4, 2);
 	const host = getHostOf(site, taskId);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	await replaceOwner(site);
 	expect(await site.waitFor(() => site.getStarts(taskId) === 2, 20_000)).toBeDefined();
 	expect(getLongestGapMs(site, taskId)).toBeLessThan(resumeMs);
@@ -128,7 +128,7 @@
 	site = await createLongRunningSite(3, 2);
 	const host = getHostOf(site, taskId);
 	site.store.getFault = ({kind, client}) => kind === 'append' && client === host ? fault : StoreFault.None;
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	site.store.getFault = () => StoreFault.None;
 	site.startAgent(host);
 	await site.clock.advance(5000);
@@ -164,7 +164,7 @@
 	site = await createLongRunningSite(4, 1);
 	const host = getHostOf(site, taskId);
 	endWorker(site, host);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
 });
 
@@ -172,7 +172,7 @@
 it.each([5000, 5800, 6200, 6500, 6600, 6650, 6700, 6800, 7500])('an agent that registers %i ms after its predecessor was stopped is known to a later owner', async forMs => {
 	site = await createLongRunningSite(3, 2);
 	const host = getHostOf(site, taskId);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	await site.clock.advance(forMs - 200);
 	site.store.getDelayMs = ({kind, client}) => kind === 'append' && client === host ? 200 : 0;
 	site.startAgent(host);
@@ -194,7 +194,7 @@
 	site = await createLongRunningSite(2, 1);
 	site.store.getFault = () => StoreFault.LoseRequest;
 	const startMs = site.clock.monotonicMs();
-	await site.stopAgent('host-0');
+	await stopAgent(site, 'host-0');
 	expect(site.clock.monotonicMs() - startMs).toBeLessThan(2000);
 });
 
@@ -204,7 +204,7 @@
 	const host = getHostOf(site, taskId);
 	site.store.getAnswerDelayMs = ({kind, ref, client}) => kind === 'read' && client === 'entry-0' && ref?.topic === agentsTopic ? 4000 : 0;
 	await site.clock.advance(2500);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	site.startAgent(host);
 	await site.clock.advance(1500);
 	site.hosts.get(host)!.worker.end(taskId, RunEnd.Failed);
@@ -255,7 +255,7 @@
 	})]));
 	await site.clock.advance(3000);
 	expect(agent!.state.worker!.runs.running.length).toBeGreaterThan(2000);
-	await site.stopAgent('host-0');
+	await stopAgent(site, 'host-0');
 	await site.clock.advance(100);
 	const {records} = await site.settle(site.store.createClient('test').readNewest({topic: agentsTopic, partition: 0}));
 	const {departure} = decodeRegistration(records.find(({key}) => key === 'host-0')!.value);
@@ -290,7 +290,7 @@
 	site.store.getAnswerDelayMs = ({kind, ref, client}) => kind === 'read' && client === next && ref?.topic === agentsTopic ? 500 : 0;
 	site.store.getDelayMs = ({kind, client, ref}) => kind === 'append' && client === host && ref?.topic === agentsTopic && site.hosts.get(host)!.agent ? 2500 : 0;
 	await site.clock.advance(2100);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	site.startAgent(host);
 	site.cuts.clear();
 	await site.clock.advance(3500);
@@ -309,7 +309,7 @@
 		const host = getHostOf(site, taskId);
 		await replaceOwner(site);
 		await site.clock.advance(phaseMs);
-		await site.stopAgent(host);
+		await stopAgent(site, host);
 		const stoppedAtMs = site.clock.monotonicMs();
 		loseHost(site, host);
 		await site.waitFor(isStartedAgain, 40_000);
--- a/test/vacant-agents.test.ts
+++ b/test/vacant-agents.test.ts
@@ -5,7 +5,7 @@
 import {AgentState} from '../src/agents/agent-state.ts';
 import {type WorkerReport} from '../src/types/fleet.ts';
 import {
-	createLongRunningSite, endWorker, killOwner, replaceOwner, resumeMs, startLongRunningTask, waitForStarts,
+	createLongRunningSite, endWorker, killOwner, replaceOwner, resumeMs, startLongRunningTask, stopAgent, waitForStarts,
 } from './departures.ts';
 import {type SimulatedSite} from './simulated-site.ts';
 
@@ -42,7 +42,7 @@
 	await site.clock.advance(700);
 	endWorker(site, host);
 	await site.clock.advance(1000);
-	await site.stopAgent(host);
+	await stopAgent(site, host);
 	expect(await waitForStarts(site, taskId, 2)).toBeLessThan(resumeMs);
 });
 
@@ -94,7 +94,7 @@
 	site.startAgent(idle);
 	await site.clock.advance(20_000);
 	if (isStopped) {
-		await site.stopAgent(idle);
+		await stopAgent(site, idle);
 	}
 
 	killOwner(site);
