Name departures in three comments, and shorten two

Cause: comments of the fold and of the owner's log named losses where departures are meant too. Change: five comments. The comparison of code without comments shows no changed structure and no changed text. Conclusion: read through.

--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -34,13 +34,13 @@
 	/** Start of the last store read that reached the end of the stream and showed this owner as the newest. */
 	getCaughtUpAtMs: () => number;
 	onReply: (worker: FleetWorker, reply: WatchReply) => void;
-	/** Gets when a departure was first read by an owner. */
+	/** Gets the newest departure that an owner has read and stored. */
 	getStoredDeparture: (host: string) => SessionRecord | undefined;
 	/** The agent has been told to stop. */
 	onDeparture: (worker: FleetWorker) => void;
 	/** The last state of such an agent. */
 	onLastState: (worker: FleetWorker, state: WatchReply) => void;
-	/** The agent's registration was removed: nothing runs on its worker any more. The worker is not among the known ones any more. */
+	/** The agent's registration was removed: nothing runs on its worker any more, and the links have dropped it. */
 	onRemoved: (worker: FleetWorker) => void;
 	onSuperseded: (newerEpoch: number) => void;
 	note: (event: string, fields: Record<string, unknown>) => void;
@@ -350,7 +350,7 @@
 		onReply(worker, reply);
 	}
 
-	/** Takes over what a state says of the agent and its worker. */
+	/** Applies what a state says of the agent and its worker. */
 	#applyState(worker: FleetWorker, reply: WatchReply): void {
 		if (reply.worker && reply.worker.workerId !== worker.report?.workerId) {
 			worker.processedEnd = 0;
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -105,7 +105,7 @@
 		this.listener?.onGap();
 	}
 
-	/** Applies the record at the offset. `readAtMs`: a reading of the monotonic clock after it was read; without one, losses are ignored. */
+	/** Applies the record at the offset. `readAtMs`: a reading of the monotonic clock after it was read; without one, losses and departures are ignored. */
 	apply(record: WorkflowRecord, offset: number, readAtMs?: number): void {
 		this.offset = offset + 1;
 		switch (record.type) {
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -1,5 +1,5 @@
 /**
-Writes an owner's records to the jobs stream: its claim, ends of runs, started jobs, checkpoints, interference, losses and snapshots.
+Writes an owner's records to the jobs stream: its claim, ends of runs, started jobs, checkpoints, interference, losses, departures and snapshots.
 */
 import {
 	controlTopic, ControlRecordType, encodeControlRecord,
