--- a/review/common/site.js
+++ b/review/common/site.js
@@ -147,8 +147,8 @@
 		this.note(`operator: config version ${config.version} acknowledged: ${JSON.stringify(config.routes.map(({pathPrefix, service}) => ({pathPrefix, service})))}`);
 	}
 
-	/** Adds a side machine: an agent and the minion that it calls. `planRun` says what a run does; `onStart` is called for each start. */
-	async addMinion({service, planRun, onStart}) {
+	/** Adds a side machine: an agent and the minion that it calls. `planRun` says what a run does; `onStart` is called for each start, `onLoss` for each run that is lost with its minion. */
+	async addMinion({service, planRun, onStart, onLoss}) {
 		const index = this.#minionCount++;
 		const name = `side-${service}-${index + 1}`;
 		const zone = zones[index % zones.length];
@@ -168,6 +168,8 @@
 					this.#handleEvent(event, service);
 					if (event.type === 'started') {
 						onStart?.(minion, event);
+					} else if (event.end === 'lost') {
+						onLoss?.(event);
 					}
 				},
 				maxLeaseMs: bounds.maxHoldMs,
@@ -234,9 +236,10 @@
 		return answer;
 	}
 
-	/** Ends all processes and writes the record. */
+	/** Writes the record and ends all processes. */
 	async stop() {
 		this.#isStopping = true;
+		writeFileSync(this.#recordPath, `${this.#lines.join('\n')}\n`);
 		this.#aborter.abort();
 		const ends = [...this.#children].map(async child => new Promise(resolve => {
 			child.once('exit', resolve);
@@ -245,7 +248,6 @@
 		await Promise.all(ends);
 		this.#storeServer?.server.close();
 		rmSync(this.#directory, {recursive: true, force: true});
-		writeFileSync(this.#recordPath, `${this.#lines.join('\n')}\n`);
 	}
 
 	async #runEndpoint(endpoint, agentAddress) {
