Review case 3: tasks of a crash wait in quarantine without a bound

The case: each run that was young as its minion went makes its task a suspect; suspects start two at a time on a site of 11 minions, those of long-running steps last, and nothing bounds their wait.

--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,23 +1,25 @@
 /**
-Case 3: three times a minion crashes shortly after the start of the same task, which lasts. Its job is then shown as failed, and its other tasks
-are stopped, though no run has ended failed.
+Case 3: one minion crashes while tasks on it are young, and is back after a second. All of them are quarantined and start again one after the
+other, the long-running ones last: these have nothing running for longer than the rule allows, on a site that is nearly empty.
 */
 import {runCase, sleep} from '../common/site.js';
 
 const prefix = '/lohu930/';
 const service = 'lading-desk';
 const minions = 11;
-const crashes = 3;
+const lastingTasks = 2;
+const jobs = 10;
+const tasksPerJob = 20;
+const workMs = 900;
 const crashAfterMs = 300;
-/** Length of the disruption as in the site file's list of troubles. */
-const downMs = 4500;
-const tasks = 6;
-const otherWorkMs = 900;
+const downMs = 1000;
 const id = '5c0e7a21d94b36f8';
-const boundMs = 45_000;
-const pollMs = 1000;
-
-const countFailures = ({events}) => events.filter(({type, taskId, end}) => type === 'ended' && taskId.startsWith(id) && end === 'failed').length;
+/** A task that lasts has to have a run from here on after the end of its last one. */
+const resumeMs = 6000;
+/** Nothing else may have happened for this time before, and for the time that the task has nothing running. */
+const calmMs = 4000;
+const idleMs = 3000;
+const watchMs = 30_000;
 
 await runCase(3, async (site, isTroubled) => {
 	await site.start({
@@ -25,7 +27,7 @@
 		config: {
 			version: 7,
 			routes: [{
-				name: 'issue', host: 'nony24.example', pathPrefix: prefix, service, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 1000, timeoutMs: 3000,
+				name: 'issue', host: 'nony24.example', pathPrefix: prefix, service, priority: 0, maxAttempts: 4, stretch: 1.5, targetLatencyMs: 250, timeoutMs: 3000,
 			}],
 			services: [{name: service, enforcesCapacity: false}],
 			limits: {
@@ -33,17 +35,18 @@
 			},
 		},
 	});
-	let crashed = 0;
+	let backAtMs;
 	const onStart = (minion, {taskId}) => {
-		if (isTroubled && crashed < crashes && taskId === `${id}.0.0.0`) {
-			crashed++;
+		if (isTroubled && backAtMs === undefined && taskId.startsWith(id)) {
+			backAtMs = Number.POSITIVE_INFINITY;
 			setTimeout(() => {
 				site.crash(minion, downMs);
+				backAtMs = site.nowMs + downMs;
 			}, crashAfterMs);
 		}
 	};
 
-	const planRun = ({input}) => ({workMs: input === 'watch' ? undefined : otherWorkMs});
+	const planRun = ({input}) => ({workMs: input === 'watch' ? undefined : workMs});
 	for (let index = 0; index < minions; index++) {
 		await site.addMinion({service, planRun, onStart});
 	}
@@ -54,34 +57,54 @@
 
 	// All agents have registered by then.
 	await sleep(4000);
-	const path = `${prefix}${id}`;
-	const {status} = await site.call(site.entries[0], 'POST', path, {
-		spec: 'watch', steps: [{
-			count: tasks, cpu: 3200, memMb: 6400, longRunning: true,
+	const submit = async index => site.call(site.entries[0], 'POST', `${prefix}${(0x6B_0E_7A_21_D9_4B_30_00n + BigInt(index)).toString(16)}`, {
+		spec: 'check', steps: [{
+			count: tasksPerJob, cpu: 240, memMb: 480, estimateMs: workMs,
 		}],
 	});
-	if (status !== 200) {
+	const answers = [];
+	for (let index = 0; index < jobs; index++) {
+		if (index === jobs / 2) {
+			await sleep(20);
+			answers.push(site.call(site.entries[0], 'POST', `${prefix}${id}`, {
+				spec: 'watch', steps: [{
+					count: lastingTasks, cpu: 3200, memMb: 6400, longRunning: true,
+				}],
+			}));
+			await sleep(20);
+		}
+
+		answers.push(submit(index));
+	}
+
+	const accepted = await Promise.all(answers);
+	await sleep(watchMs);
+	await site.call(site.entries[1], 'GET', `${prefix}${id}`);
+	if (accepted.some(({status}) => status !== 200) || (isTroubled && backAtMs === undefined)) {
 		return 2;
 	}
 
-	const endMs = site.nowMs + boundMs;
-	for (let index = 0; site.nowMs < endMs; index++) {
-		// The other jobs of the site.
-		const other = `${prefix}${(0x6B_0E_7A_21_D9_4B_30_00n + BigInt(index)).toString(16).padStart(16, '0')}`;
-		site.call(site.entries[index % 3], 'POST', other, {
-			spec: 'check', steps: [{
-				count: 6, cpu: 240, memMb: 480, estimateMs: otherWorkMs,
-			}],
-		});
-		const {body} = await site.call(site.entries[index % 3], 'GET', path);
-		const failures = countFailures(site);
-		if (body.includes('"failed"')) {
-			site.note(`LOST: the job is shown as failed after ${failures} ends failed of its tasks and ${crashed} crashes of minions`);
-			return failures === 0 ? 1 : 2;
+	let isBroken = false;
+	for (let index = 0; index < lastingTasks; index++) {
+		const taskId = `${id}.0.0.${index}`;
+		const events = site.events.filter(event => event.taskId === taskId);
+		if (events.length === 0) {
+			return 2;
 		}
 
-		await sleep(pollMs);
+		for (const [position, {type, atMs, end}] of events.entries()) {
+			if (type === 'ended') {
+				const untilMs = events[position + 1]?.atMs ?? site.nowMs;
+				const fromMs = Math.max(atMs + resumeMs, backAtMs + calmMs);
+				site.note(`${taskId} had nothing running for ${Math.round(untilMs - atMs)} ms after its run ended ${end}`);
+				if (untilMs - fromMs >= idleMs) {
+					isBroken = true;
+					const lateMs = Math.round(untilMs - fromMs);
+					site.note(`LOST: ${taskId} has nothing running for ${lateMs} ms more, from ${resumeMs} ms after that end and ${calmMs} ms after the minion is back; ${idleMs} are allowed`);
+				}
+			}
+		}
 	}
 
-	return crashed === (isTroubled ? crashes : 0) ? 0 : 2;
+	return isBroken ? 1 : 0;
 });
