Review case 2: a scheduled job's state outgrows a record and stops its service

The case: the owner stores the whole state of a job in one record a third of `keep_s` after its submission. A scheduled job with some 2,500 finished tasks has over `recordBytes`; the store rejects the append, and the writer repeats it for ever in front of all other records of the service. After `keep_s` and a restart of the entries, accepted jobs are unknown.

--- a/review/common/site.js
+++ b/review/common/site.js
@@ -9,7 +9,7 @@
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
-import {request as sendRequest} from 'node:http';
+import {createServer as createHttpServer, request as sendRequest} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -19,7 +19,7 @@
 import {MemoryStore} from '../../src/standin/memory-store';
 import {createRandom} from '../../src/utils/seeded-random';
 import {createSystemClock} from '../../src/utils/system-clock';
-import {serveStore} from '../../test/perf/store-server';
+import {formatStoreError, handleStoreCall} from '../../test/perf/store-server';
 import {WorkerEndpoint} from '../../test/site-soak/worker-endpoint';
 
 /** Bounds of the sheet of Clydeside Lading, as the settings of its processes give them. */
@@ -64,10 +64,16 @@
 const network = `127.${64 + ((process.pid >> 8) & 127)}.${process.pid & 255}`;
 const firstSideByte = 50;
 const partitions = 8;
+/** The longest record that the platform's store takes, and the length of the field in front of each. */
+const recordBytes = 262_144;
+const lengthBytes = 4;
+const expiryIntervalMs = 500;
+const summaryMs = 5000;
 const zones = ['leith-hall', 'govan-hall', 'grange-hall'];
 const callersHost = 'nony24.example';
 const readyPollMs = 100;
 const deadlineMs = 3000;
+const graceMs = 6000;
 const clientTimeoutMs = 4000;
 
 export const sleep = async ms => new Promise(resolve => {
@@ -89,6 +95,79 @@
 	return ports;
 };
 
+/** Whether the body of an append has a record that is longer than the store takes. */
+const hasLongRecord = body => {
+	for (let position = 0; position < body.length;) {
+		const length = body.readUInt32BE(position);
+		if (length > recordBytes) {
+			return true;
+		}
+
+		position += lengthBytes + length;
+	}
+
+	return false;
+};
+
+/**
+Serves the project's stand-in store, and adds what it lacks: records that are too long are rejected, and records expire after `keepS`.
+`onRejected` is called for each append with a record that is too long.
+*/
+const serveStore = async (store, {keepS, onRejected}) => {
+	const client = store.createClient('http');
+	// Ends of the partitions over time: what lies before the end of `keepS` ago has expired.
+	const partitionsByName = new Map();
+	const noteEnd = (url, {end}) => {
+		const ref = {topic: url.searchParams.get('topic'), partition: Number(url.searchParams.get('part') ?? 0)};
+		const name = `${ref.topic} ${ref.partition}`;
+		const known = partitionsByName.get(name) ?? {ref, first: 0, ends: []};
+		partitionsByName.set(name, known);
+		known.ends.push({atMs: performance.now(), end});
+	};
+
+	const getFirst = url => partitionsByName.get(`${url.searchParams.get('topic')} ${Number(url.searchParams.get('part') ?? 0)}`)?.first ?? 0;
+	const timer = setInterval(() => {
+		for (const known of partitionsByName.values()) {
+			while (known.ends.length > 0 && performance.now() - known.ends[0].atMs > keepS * 1000) {
+				known.first = Math.max(known.first, known.ends.shift().end);
+				store.trim(known.ref, known.first);
+			}
+		}
+	}, expiryIntervalMs);
+	const server = createHttpServer(async (request, response) => {
+		const url = new URL(request.url, 'http://store');
+		let answer;
+		try {
+			const body = Buffer.concat(await request.toArray());
+			if (url.pathname === '/log-append' && hasLongRecord(body)) {
+				onRejected(url, body);
+				answer = {status: 413, body: '{}'};
+			} else {
+				answer = await handleStoreCall(client, {url, body});
+			}
+
+			if (answer.status === 200 && url.pathname === '/log-append' && !url.searchParams.get('topic').startsWith('keyed.')) {
+				noteEnd(url, JSON.parse(answer.body));
+			} else if (answer.status === 200 && url.pathname === '/log-read') {
+				answer.body.writeBigUInt64BE(BigInt(getFirst(url)), 8);
+			}
+		} catch (error) {
+			answer = formatStoreError(error);
+			answer.body = JSON.stringify(answer.status === 410 ? {first: getFirst(url)} : {});
+		}
+
+		response.writeHead(answer.status);
+		response.end(answer.body);
+	});
+	await new Promise(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	server.once('close', () => {
+		clearInterval(timer);
+	});
+	return {server, address: `127.0.0.1:${server.address().port}`};
+};
+
 /** The site of one case. */
 export class Site {
 	/** Starts and ends of runs as the minions saw them. */
@@ -107,6 +186,10 @@
 	#minionCount = 0;
 	#store;
 	#storeServer;
+	#rejectedAppends = 0;
+	#keepS;
+	#summarizedId;
+	#sums = {};
 	#roles = parse(readFileSync('deploy/system.toml', 'utf8')).roles;
 
 	constructor(recordPath) {
@@ -133,8 +216,14 @@
 	}
 
 	/** Starts the store and the entries. */
-	async start({entries, config}) {
-		this.#storeServer = await serveStore(this.#store);
+	async start({entries, config, keepS = 300}) {
+		this.#keepS = keepS;
+		this.#storeServer = await serveStore(this.#store, {
+			keepS,
+			onRejected: (url, body) => {
+				this.#noteRejected(url, body);
+			},
+		});
 		this.declare(config);
 		for (let index = 0; index < entries; index++) {
 			await this.#addEntry(index);
@@ -250,11 +339,37 @@
 		rmSync(this.#directory, {recursive: true, force: true});
 	}
 
+	#noteRejected(url, body) {
+		const count = ++this.#rejectedAppends;
+		if (count === 1 || count % 100 === 0) {
+			this.note(`store: append number ${count} rejected with 413, ${body.length} bytes, a record of over ${recordBytes}: ${url.pathname}${url.search}`);
+		}
+	}
+
 	async #runEndpoint(endpoint, agentAddress) {
 		await endpoint.run(agentAddress, this.#aborter.signal);
 	}
 
+	/** Writes the runs of a job into the record as sums, not one by one. */
+	summarize(id) {
+		this.#summarizedId = id;
+		const timer = setInterval(() => {
+			const counts = Object.entries(this.#sums).map(([what, count]) => `${count} ${what}`).join(', ');
+			this.#sums = {};
+			this.note(`minions: runs of ${id} in the last ${summaryMs / 1000} s: ${counts || 'none'}`);
+		}, summaryMs);
+		this.#aborter.signal.addEventListener('abort', () => {
+			clearInterval(timer);
+		});
+	}
+
 	#handleEvent(event, service) {
+		if (event.taskId.startsWith(this.#summarizedId)) {
+			const what = event.type === 'ended' ? `ended ${event.end}` : event.type.replace('forgotten', 'taken note of');
+			this.#sums[what] = (this.#sums[what] ?? 0) + 1;
+			return;
+		}
+
 		if (event.type === 'forgotten') {
 			this.note(`minion ${event.workerId}: end of ${event.taskId} run ${event.run} taken note of`);
 			return;
@@ -264,14 +379,33 @@
 		this.note(`minion ${event.workerId}: ${event.taskId} run ${event.run} ${event.type}${'end' in event ? ` ${event.end}` : ''}`);
 	}
 
+	/** Stops an entry with SIGTERM as the platform does, and starts it again once it has ended. */
+	async restartEntry(entry) {
+		const {name, role, child} = entry.process;
+		this.note(`${name} gets SIGTERM`);
+		const end = new Promise(resolve => {
+			child.once('exit', resolve);
+		});
+		entry.process.isStopping = true;
+		child.kill('SIGTERM');
+		const timer = setTimeout(() => {
+			child.kill('SIGKILL');
+		}, graceMs);
+		await end;
+		clearTimeout(timer);
+		this.note(`${name} has ended and starts again`);
+		entry.process = this.#launch(name, role);
+	}
+
 	async #addEntry(index) {
 		const name = `frontend-${index + 1}`;
 		const ip = `${network}.${1 + index}`;
 		const [callers, ready, internal, metrics] = await getFreePorts(ip, 4);
-		this.entries.push({
+		const entry = {
 			name, ip, callers, ready,
-		});
-		this.#spawn(name, 'entry', `${this.#formatHead({
+		};
+		this.entries.push(entry);
+		entry.process = this.#spawn(name, 'entry', `${this.#formatHead({
 			name, ip, zone: zones[index % zones.length], ports: [internal, metrics],
 		})}
 [listenAddrs]
@@ -304,29 +438,38 @@
 readsPerS = 2000
 parts = ${partitions}
 appendMs = 4.0
-recordBytes = 262144
+recordBytes = ${recordBytes}
 callBytes = 2097152
-keep_s = 300
+keep_s = ${this.#keepS}
 minTtlMs = 1000`;
 	}
 
 	#spawn(name, role, settings) {
 		const settingsPath = path.join(this.#directory, `${name}.toml`);
 		writeFileSync(settingsPath, settings);
+		return this.#launch(name, role);
+	}
+
+	#launch(name, role) {
+		const settingsPath = path.join(this.#directory, `${name}.toml`);
 		const [command, ...args] = this.#roles[role].run.split(' ');
 		const child = spawn(command === 'node' ? process.execPath : command, args, {
 			env: {PATH: process.env.PATH, HOME: process.env.HOME, CHERVILWORKS_BOOT: settingsPath}, stdio: ['ignore', 'ignore', 'pipe'],
 		});
+		const launched = {
+			name, role, child, isStopping: false,
+		};
 		this.#children.add(child);
 		child.stderr.on('data', data => {
 			this.note(`${name} writes on standard error: ${data}`);
 		});
 		child.once('exit', (code, signal) => {
 			this.#children.delete(child);
-			if (!this.#isStopping) {
+			if (!this.#isStopping && !launched.isStopping) {
 				this.note(`${name} ended by itself: code ${code}, signal ${signal}`);
 			}
 		});
+		return launched;
 	}
 
 	async #send({ip, port, method, path: target, json, headers}) {
