Move the health of an owner's workers to a module of its own

Change: FleetHealth records ends, logs changes and releases held workers; the owner calls it. No behaviour changes.

--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -4,7 +4,6 @@
 */
 import {registrationsRef} from '../agents/registration-writes.ts';
 import {Feature} from '../core/site-features.ts';
-import {WorkerHealth, type HealthSubject} from '../jobs/worker-health.ts';
 import {type WatchReply} from '../types/fleet.ts';
 import {type TaskRef} from '../types/workflows.ts';
 import {createAborter} from '../utils/aborter.ts';
@@ -17,6 +16,7 @@
 import {DueOccurrences} from './due-occurrences.ts';
 import {createFoldListener} from './fold-listener.ts';
 import {EvacuationPublisher} from './evacuation-publisher.ts';
+import {FleetHealth} from './fleet-health.ts';
 import {BestEffortInterference} from './best-effort-interference.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
@@ -47,9 +47,6 @@
 
 /** Interval of the periodic checks, which react to the passing of time alone. */
 const checkIntervalMs = 50;
-/** First hold of a worker that fails tasks which succeed elsewhere; each further hold is twice as long. */
-const firstHoldMs = 1000;
-
 /** Distance of the run numbers of consecutive owners. Starts are not stored, so an owner cannot know which numbers the one before it gave. */
 const runsPerEpoch = 10_000;
 
@@ -82,7 +79,7 @@
 	/** Undefined: admission is off. */
 	readonly #forecasts: ForecastPublisher | undefined;
 	readonly #updateColdWorkers: ColdWorkerUpdate;
-	readonly #health = new WorkerHealth<HealthSubject>({maxTries: 1, holdMs: firstHoldMs});
+	readonly #health: FleetHealth;
 
 	constructor(options: OwnerOptions) {
 		const {clock, epoch, note, follower, policy} = options;
@@ -91,6 +88,7 @@
 		this.#meter = new WorkMeter(clock, times => {
 			note('owner work', {jobs: model.workflows.size, ...times});
 		});
+		this.#health = new FleetHealth({clock, note, getFleetSize: () => this.links.workers.size});
 		this.#viewStaleness = new ViewStaleness(options);
 		this.#dueOccurrences = new DueOccurrences(model, clock);
 		this.#evacuationPublisher = new EvacuationPublisher({...options, describeHolds: domain => this.#mover.describeHolds(domain)});
@@ -151,7 +149,7 @@
 			getTask: ref => this.#findTask(ref),
 			store: async crashes => this.#log.storeCrashes(crashes),
 			onLikelyCause: (worker, task) => {
-				this.#noteHealth(worker, task, false);
+				this.#health.recordEnd(worker, task, false);
 			},
 			onCrashLimit: task => {
 				this.#failJob(task);
@@ -283,7 +281,7 @@
 					task.avoidedHosts.add(worker.host);
 				}
 
-				this.#noteHealth(worker, task, isSuccess);
+				this.#health.recordEnd(worker, task, isSuccess);
 				if (!isSuccess && !worker.health.isHeld) {
 					this.#runTimes.observeFailure(run);
 				}
@@ -296,16 +294,6 @@
 		});
 	}
 
-	#noteHealth({host, health}: FleetWorker, {ref}: LiveTask, isSuccess: boolean): void {
-		const {clock, note} = this.#options;
-		const isChanged = this.#health.recordEnd({
-			jobId: ref.workflowId, worker: health, isSuccess, nowMs: clock.monotonicMs(), fleetSize: this.links.workers.size,
-		});
-		if (isChanged) {
-			note('worker health', {host, isHeld: health.isHeld, isProbing: health.isProbing});
-		}
-	}
-
 	#failJob({ref, taskId, failedRuns, crashes, step: {workflow}}: LiveTask): void {
 		this.#options.note('job failed', {
 			id: ref.workflowId, taskId, failures: failedRuns.size, crashes: crashes.length,
@@ -324,7 +312,7 @@
 	}
 
 	#runPeriodicChecks(): void {
-		const {clock, policy} = this.#options;
+		const {policy} = this.#options;
 		this.#dueOccurrences.openDueOccurrences();
 		this.#reconciliation.check();
 		this.#losses.check();
@@ -339,7 +327,7 @@
 		this.#log.storeInterference(() => this.#interference.getPairs());
 		this.#advice.update(this.model.getOpenSteps(), this.links.workers.values());
 		this.#mover.tryMove();
-		this.#health.releaseHeld(clock.monotonicMs());
+		this.#health.releaseHeld();
 		this.#forecasts?.update();
 		this.#cycles.requestCycle();
 	}
