Keep all jobs of a queue in one order when it is sent to another service

Cause: each call computed the partition of a job from the service that the queue has in the configuration of that entry at that moment. The stream that had accepted the job was no longer asked, and its order, which makes repeated submissions one job, did not cover the other stream.

Change: a queue has a home, the service that it had when its first job came, stored once by a conditional append in keyed.queues. Submissions, refusals and cancellations go to the home's stream; the owner there transfers jobs of another service to that service's stream and passes cancellations and ends on. States, counts, the time waited since a refusal and records that are submitted again use the same lookup, which asks two partitions at most.

Why it works: one stream orders all submissions of an id, whichever configuration an entry has, and the first one fixes the service. Looking into both partitions before writing would not do: two entries may both look before either writes.

A queue that never changes costs one append for its first job, one read at the start of an entry and a long poll each 5 s.

Open: jobs do not leave a service that has lost its workers; an entry of the build before goes by its configuration during an upgrade.

--- a/src/measure/scheduling-simulation.ts
+++ b/src/measure/scheduling-simulation.ts
@@ -14,6 +14,7 @@
 import {createRandom} from '../utils/seeded-random.ts';
 import {type AgentClient} from '../workflows/agent-links.ts';
 import {WorkflowFollower} from '../workflows/follower.ts';
+import {QueueHomes} from '../workflows/queue-homes.ts';
 import {Owner} from '../workflows/owner.ts';
 import {type Policy} from '../workflows/policy.ts';
 import {
@@ -319,7 +320,7 @@
 		order: async (host, request) => call(host, async agent => agent.order(structuredClone(request))),
 	};
 	const owner = new Owner({
-		store, clock, client, adviceClient: undefined, follower, partition, host: 'entry', epoch, leaseDurationMs, cancelMs: 3000, getEvacuations: () => simulation.evacuations, getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, isOwned: () => true, policy, features, onSuperseded: () => undefined, onGap: () => undefined, note,
+		store, clock, client, adviceClient: undefined, follower, partition, partitions: 1, getFollower: () => follower, host: 'entry', epoch, leaseDurationMs, cancelMs: 3000, getEvacuations: () => simulation.evacuations, getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, isOwned: () => true, policy, features, onSuperseded: () => undefined, onGap: () => undefined, note,
 	});
 	const run = async () => {
 		await follower.catchUp(secondMs);
@@ -329,7 +330,9 @@
 	void run();
 	const {next} = createRandom(epoch);
 	const api = new WorkflowApi({
-		store, clock, partitions: 1, producer: `entry-${epoch}`, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => false, onWriterEvent: () => undefined, admission: features[Feature.Admission] ? {refusesLate: features[Feature.LateRefusals], random: {next}, note} : undefined,
+		store, clock, partitions: 1, homes: new QueueHomes({
+			store, clock, onHome: () => undefined, note,
+		}), producer: `entry-${epoch}`, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => false, onWriterEvent: () => undefined, admission: features[Feature.Admission] ? {refusesLate: features[Feature.LateRefusals], random: {next}, note} : undefined,
 	});
 	return {
 		follower, owner, api, epoch, stop() {
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -28,6 +28,7 @@
 import {formatMember, Ownership} from '../workflows/ownership.ts';
 import {createPolicy} from '../workflows/policy.ts';
 import {findQueue} from '../workflows/queues.ts';
+import {QueueHomes} from '../workflows/queue-homes.ts';
 import {RelayingApi} from '../workflows/relaying-api.ts';
 import {workflowsTopic} from '../workflows/records.ts';
 import {createAgentClient} from './agent-messages.ts';
@@ -56,7 +57,7 @@
 	}
 
 	note('features', {on: Object.values(Feature).filter(feature => features[feature])});
-	const {config, jobs, ownership, directory, isStoreLost, isStoreFailing, isCaughtUp, getStalenessMs, describeView} = createComponents(parts, features, () => routing?.router.isForwarding ?? false);
+	const {config, homes, jobs, ownership, directory, isStoreLost, isStoreFailing, isCaughtUp, getStalenessMs, describeView} = createComponents(parts, features, () => routing?.router.isForwarding ?? false);
 	let isLeaving = false;
 	const isReady = () => !isLeaving && isCaughtUp() && !isStoreLost() && !(routing ? routing.router.isWithdrawn(load.isOverloaded) : load.isOverloaded);
 	const fallback = createRelayingApi(parts, {jobs, directory, isStoreLost});
@@ -88,6 +89,7 @@
 	await listen(readiness, readinessAddress);
 	await listen(callers, callersAddress);
 	void config.run(signal);
+	void homes.run(signal);
 	void ownership.run(signal);
 	void directory.run(signal);
 	void routing?.router.run(signal);
@@ -181,10 +183,19 @@
 			followServices(siteConfig);
 		},
 	});
+	const homes = new QueueHomes({
+		store,
+		clock,
+		note,
+		onHome(service) {
+			getFollower(getPartition(service, partitions));
+		},
+	});
 	const jobs = new WorkflowApi({
 		store,
 		clock,
 		partitions,
+		homes,
 		maxCallBytes,
 		getFollower,
 		isStoreLost,
@@ -227,6 +238,8 @@
 			client,
 			adviceClient,
 			partition,
+			partitions,
+			getFollower,
 			epoch,
 			maxCallBytes,
 			retentionMs,
@@ -249,6 +262,6 @@
 		store, clock, life: incarnation, note, registration: createRegistration(parts),
 	});
 	return {
-		config, jobs, ownership, directory, isStoreLost, isCaughtUp, getStalenessMs, describeView, isStoreFailing: () => unreachableSinceMs.size > 0,
+		config, homes, jobs, ownership, directory, isStoreLost, isCaughtUp, getStalenessMs, describeView, isStoreFailing: () => unreachableSinceMs.size > 0,
 	};
 };
--- a/src/workflows/fold-listener.ts
+++ b/src/workflows/fold-listener.ts
@@ -14,6 +14,8 @@
 	follower: WorkflowFollower;
 	model: LiveModel;
 	dueOccurrences: DueOccurrences;
+	/** Takes a job that another partition runs; returns whether one does. */
+	transfer: (folded: FoldedWorkflow) => boolean;
 	/** A job was added to the model. */
 	onAdded: () => void;
 	onFinished: (folded: FoldedWorkflow) => void;
@@ -24,8 +26,12 @@
 };
 
 /** Creates the listener of one owner. */
-export const createFoldListener = ({clock, epoch, follower, model, dueOccurrences, onAdded, onFinished, onGap, stepDown, note}: FoldListenerOptions): FoldListener => ({
+export const createFoldListener = ({clock, epoch, follower, model, dueOccurrences, transfer, onAdded, onFinished, onGap, stepDown, note}: FoldListenerOptions): FoldListener => ({
 	onSubmit(folded) {
+		if (transfer(folded)) {
+			return;
+		}
+
 		const {workflow, offset} = folded;
 		note('job taken', {
 			id: workflow.id, offset, queue: workflow.queue, steps: workflow.steps.map(step => step.count), ageMs: clock.now().getTime() - workflow.receivedAtMs,
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -28,6 +28,8 @@
 	writtenAtMs: number;
 	/** Whether that snapshot holds the job's final state. */
 	hasFinalSnapshot: boolean;
+	/** Whether the job is in the stream of its own service as well, whose owner runs it. */
+	isTransferred: boolean;
 };
 
 /** Callbacks of a fold to the owner of its partition. */
@@ -183,6 +185,14 @@
 
 				break;
 			}
+
+			case RecordType.Transferred: {
+				for (const id of record.ids) {
+					this.#markTransferred(id);
+				}
+
+				break;
+			}
 		}
 	}
 
@@ -205,7 +215,7 @@
 		}
 
 		const folded: FoldedWorkflow = {
-			workflow, offset, hasBegun: false, state: WorkflowState.Queued, ledgers: new Map(), remaining: countUnits(workflow, countOccurrences(workflow)), writtenAtMs: workflow.receivedAtMs, hasFinalSnapshot: false,
+			workflow, offset, hasBegun: false, state: WorkflowState.Queued, ledgers: new Map(), remaining: countUnits(workflow, countOccurrences(workflow)), writtenAtMs: workflow.receivedAtMs, hasFinalSnapshot: false, isTransferred: false,
 		};
 		this.workflows.set(workflow.id, folded);
 		this.listener?.onSubmit(folded);
@@ -216,7 +226,7 @@
 
 	/** Adds a job from its snapshot if its earlier records are gone. */
 	#applySnapshot(snapshot: WorkflowSnapshot, offset: number): void {
-		const {workflow, state, hasBegun, remaining, ledgers, writtenAtMs} = snapshot;
+		const {workflow, state, hasBegun, remaining, ledgers, writtenAtMs, isTransferred = false} = snapshot;
 		const known = this.workflows.get(workflow.id);
 		if (known) {
 			this.#mergeSnapshot(known, snapshot);
@@ -224,7 +234,7 @@
 		}
 
 		const folded: FoldedWorkflow = {
-			workflow, offset, state, hasBegun, remaining, ledgers: new Map(ledgers), writtenAtMs, hasFinalSnapshot: isFinal(state),
+			workflow, offset, state, hasBegun, remaining, ledgers: new Map(ledgers), writtenAtMs, hasFinalSnapshot: isFinal(state), isTransferred,
 		};
 		this.workflows.set(workflow.id, folded);
 		const nextOffset = this.offset;
@@ -243,8 +253,9 @@
 	Adds to a known job what its snapshot has in addition. The job may be known from an earlier snapshot that lacks a record which the
 	store has dropped since: an owner writes snapshots of what it has read, and another entry's record may precede the snapshot.
 	*/
-	#mergeSnapshot(known: FoldedWorkflow, {state, hasBegun, ledgers, writtenAtMs}: WorkflowSnapshot): void {
+	#mergeSnapshot(known: FoldedWorkflow, {state, hasBegun, ledgers, writtenAtMs, isTransferred = false}: WorkflowSnapshot): void {
 		known.writtenAtMs = writtenAtMs;
+		known.isTransferred ||= isTransferred;
 		known.hasFinalSnapshot = isFinal(state);
 		if (isFinal(state)) {
 			this.#finish(known, state);
@@ -298,6 +309,15 @@
 		}
 	}
 
+	#markTransferred(id: string): void {
+		const folded = this.workflows.get(id);
+		if (folded) {
+			folded.isTransferred = true;
+		} else {
+			this.#keepUntilSnapshot(id, {type: RecordType.Transferred, ids: [id]});
+		}
+	}
+
 	#applyEnd({taskId, run, end, checkpoint}: EndedRun): void {
 		const ref = parseTaskId(taskId);
 		const folded = ref && this.workflows.get(ref.workflowId);
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -125,10 +125,10 @@
 export class LiveModel {
 	readonly workflows = new Map<string, LiveWorkflow>();
 
-	/** Adds all jobs of the fold that have not finished. Earlier owners may have given runs of their tasks numbers up to `lastRun`. */
-	load(fold: WorkflowFold, wallMs: number, nowMs: number, lastRun = 0): void {
+	/** Adds the included jobs of the fold that have not finished. Earlier owners may have given runs of their tasks numbers up to `lastRun`. */
+	load(fold: WorkflowFold, wallMs: number, nowMs: number, lastRun = 0, isIncluded = (_: FoldedWorkflow) => true): void {
 		for (const folded of fold.workflows.values()) {
-			if (!isFinal(folded.state)) {
+			if (isIncluded(folded) && !isFinal(folded.state)) {
 				this.add(folded, wallMs, nowMs, Number.POSITIVE_INFINITY, lastRun);
 			}
 		}
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -15,7 +15,7 @@
 import {type WorkflowFollower} from './follower.ts';
 import {dropExpired, getDueSnapshots} from './snapshot-writer.ts';
 import {
-	encodeRecord, RecordType, workflowsTopic, type AttributedCrash, type InterferencePair, type RunCheckpoint, type WorkflowRecord,
+	encodeRecord, RecordType, workflowsTopic, type AttributedCrash, type InterferencePair, type RunCheckpoint, type WorkflowRecord, type WorkflowSnapshot,
 } from './records.ts';
 
 /** Options of the log. */
@@ -131,6 +131,16 @@
 		return this.#write({type: RecordType.AgentDeparted, host, session});
 	}
 
+	/** Stores that the job is in the stream of its own service; resolves to whether that is stored. */
+	async storeTransferred(id: string): Promise<boolean> {
+		return this.#write({type: RecordType.Transferred, ids: [id]});
+	}
+
+	/** Stores a snapshot; resolves to whether it is stored. */
+	async storeSnapshot(job: WorkflowSnapshot): Promise<boolean> {
+		return this.#write({type: RecordType.Snapshot, job});
+	}
+
 	/** Records that the first run of a job has started; `sendStarted` stores it. */
 	recordStarted(id: string): void {
 		this.#started.add(id);
--- a/src/workflows/owner-options.ts
+++ b/src/workflows/owner-options.ts
@@ -20,6 +20,10 @@
 	adviceClient: AdviceClient | undefined;
 	follower: WorkflowFollower;
 	partition: number;
+	/** Number of partitions. */
+	partitions: number;
+	/** Gets the follower of any partition. */
+	getFollower: (partition: number) => WorkflowFollower;
 	/** Host of this entry. */
 	host: string;
 	/** Higher than that of all earlier owners. */
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -21,6 +21,7 @@
 import {type FleetWorker} from './fleet-view.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {getTotalCapacity} from './job-objective.ts';
+import {JobTransfers} from './job-transfers.ts';
 import {LiveModel, type LiveTask} from './live-model.ts';
 import {AgentLossMonitor} from './agent-loss-monitor.ts';
 import {createForecastPublisher, type ForecastPublisher} from './forecast-publisher.ts';
@@ -76,6 +77,7 @@
 	readonly #eligibility: StartEligibility;
 	readonly #evacuationPublisher: EvacuationPublisher;
 	readonly #mover: RunMover;
+	readonly #transfers: JobTransfers;
 	/** Undefined: admission is off. */
 	readonly #forecasts: ForecastPublisher | undefined;
 	readonly #updateColdWorkers: ColdWorkerUpdate;
@@ -100,6 +102,7 @@
 				this.#stepDown('the stream has a newer owner');
 			},
 		});
+		this.#transfers = new JobTransfers(options, this.#log);
 		this.links = new AgentLinks({
 			...options,
 			registrations: registrationsRef,
@@ -215,11 +218,12 @@
 			this.#interference.restore(follower.fold.interferencePairs, clock.monotonicMs());
 		}
 
-		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs(), epoch * runsPerEpoch);
+		this.model.load(follower.fold, clock.now().getTime(), clock.monotonicMs(), epoch * runsPerEpoch, folded => !this.#transfers.add(folded));
 		follower.fold.listener = createFoldListener({
 			...this.#options,
 			model: this.model,
 			dueOccurrences: this.#dueOccurrences,
+			transfer: folded => this.#transfers.add(folded),
 			onAdded: () => {
 				this.#cycles.requestCycle();
 			},
@@ -318,6 +322,7 @@
 		this.#losses.check();
 		this.#evacuationPublisher.update(this.links.workers.values());
 		this.#sender.stopUnneededRuns();
+		this.#transfers.update();
 		this.#log.sendStarted();
 		this.#log.writeSnapshots();
 		if (policy[Mechanism.RunCheckpoints]) {
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -41,6 +41,8 @@
 	Forecast = 'forecast',
 	/** An entry refuses a job, unless it is in the stream already. */
 	Refused = 'refused',
+	/** Jobs that are in the stream of their own service as well, whose owner runs them; written by the owner. */
+	Transferred = 'transferred',
 }
 
 /** A worker crash that is attributed to a task. */
@@ -73,6 +75,8 @@
 	ledgers: Array<[unitId: string, ledger: TaskLedger]>;
 	/** Wall clock time of the owner when it wrote the snapshot. */
 	writtenAtMs: number;
+	/** Whether the owner of another partition runs the job; undefined: it does not. */
+	isTransferred?: boolean | undefined;
 };
 
 /** State of a task with at least one ended, crashed or checkpointed run. A gang has one ledger for all of its members. */
@@ -97,7 +101,7 @@
 		| {type: RecordType.Cancel | RecordType.Refused; id: string}
 		| {type: RecordType.Ends; ends: EndedRun[]}
 		| {type: RecordType.Crashes; crashes: AttributedCrash[]}
-		| {type: RecordType.Started; ids: string[]}
+		| {type: RecordType.Started | RecordType.Transferred; ids: string[]}
 		| {type: RecordType.Snapshot; job: WorkflowSnapshot}
 		| {type: RecordType.Checkpoints; runs: RunCheckpoint[]}
 		| {type: RecordType.Interference; pairs: InterferencePair[]}
@@ -142,7 +146,8 @@
 			return {type, crashes: fields.array('crashes', value => ({taskId: new Fields(value, step).string('taskId'), ...decodeCrash(value)}))};
 		}
 
-		case RecordType.Started: {
+		case RecordType.Started:
+		case RecordType.Transferred: {
 			return {type, ids: fields.strings('ids')};
 		}
 
@@ -232,6 +237,7 @@
 	remaining: fields.has('remaining') ? fields.nonNegativeInteger('remaining') : undefined,
 	ledgers: fields.array('ledgers', decodeLedger),
 	writtenAtMs: fields.number('writtenAtMs'),
+	isTransferred: fields.has('isTransferred') ? fields.boolean('isTransferred') : undefined,
 });
 
 const decodeLedger = (value: unknown): [string, TaskLedger] => {
--- a/src/workflows/snapshot-writer.ts
+++ b/src/workflows/snapshot-writer.ts
@@ -3,7 +3,7 @@
 */
 import {type Clock} from '../types/clock.ts';
 import {isFinal, type FoldedWorkflow, type WorkflowFold} from './fold.ts';
-import {RecordType, type WorkflowRecord} from './records.ts';
+import {RecordType, type WorkflowRecord, type WorkflowSnapshot} from './records.ts';
 
 /** A snapshot is due after this share of the store's retention, which leaves time for two retries. */
 const snapshotShare = 1 / 3;
@@ -29,8 +29,9 @@
 	return records;
 };
 
-const createSnapshot = ({workflow, state, hasBegun, remaining, ledgers}: FoldedWorkflow, writtenAtMs: number) => ({
-	workflow, state, hasBegun, remaining, ledgers: [...ledgers], writtenAtMs,
+/** Creates a snapshot of a job, as of the wall clock time. */
+export const createSnapshot = ({workflow, state, hasBegun, remaining, ledgers, isTransferred}: FoldedWorkflow, writtenAtMs: number): WorkflowSnapshot => ({
+	workflow, state, hasBegun, remaining, ledgers: [...ledgers], writtenAtMs, ...(isTransferred && {isTransferred}),
 });
 
 /** Drops finished jobs from the fold whose last snapshot is older than the retention. */
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -4,11 +4,13 @@
 A job is accepted once its record is in the stream. The outcome is "not accepted" only if the job never will be: no record was sent, or the
 store refused it. Otherwise the outcome is unknown, and the caller submits again under the same id.
 
+All jobs of a queue are appended to its home partition, whatever service operators send it to: a job that is submitted again is one job, also
+between entries of different configurations.
+
 Refusals of jobs that are known not to be served are records too. The order of the stream decides between a refusal and attempts at other
 entries: a submission that was sent without knowing of a refusal in front of it is void, and nobody runs it.
 */
 import {ProducerWriter, WriteOutcome, type WriterEventHandler} from '../core/producer-writer.ts';
-import {getPartition} from '../core/partitions.ts';
 import {type Clock} from '../types/clock.ts';
 import {
 	LookupOutcome, SubmitOutcome, type JobApi, type StateReply, type SubmitReply,
@@ -17,9 +19,11 @@
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
 import {type StoreClient} from '../types/store.ts';
 import {WorkflowState, type Workflow, type WorkflowSpec} from '../types/workflows.ts';
-import {isFinal, type FoldedWorkflow} from './fold.ts';
+import {isFinal} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {decideAdmission, type Refusal} from './job-admission.ts';
+import {isRecent, JobPlaces} from './job-places.ts';
+import {type QueueHomes} from './queue-homes.ts';
 import {encodeRecord, RecordType, workflowsTopic} from './records.ts';
 
 /** Admission of jobs at one entry. */
@@ -35,6 +39,7 @@
 	store: StoreClient;
 	clock: Clock;
 	partitions: number;
+	homes: Pick<QueueHomes, 'get' | 'claim' | 'refresh'>;
 	/** Name of this entry's producer; differs for each start of the process. */
 	producer: string;
 	maxCallBytes: number;
@@ -53,8 +58,6 @@
 const recordExpiryMs = 400;
 /** Retry interval proposed to callers: a few retries this far apart outlast an outage of the store. */
 const retryAfterMs = 2000;
-/** Counts and states that callers get may be this old. */
-const maxStalenessMs = 2000;
 /** Time-out of reading to the end of the stream; after it the state of a job that was not found is unknown. */
 const catchUpMs = 1200;
 /** Accepted jobs whose records this entry may not have read yet. */
@@ -65,6 +68,7 @@
 /** Job API of one entry. */
 export class WorkflowApi implements JobApi {
 	readonly #options: WorkflowApiOptions;
+	readonly #places: JobPlaces;
 	readonly #writers = new Map<number, ProducerWriter>();
 	/** Jobs whose outcome was reported as unknown: their record may still be stored. */
 	readonly #open = new Set<string>();
@@ -75,6 +79,7 @@
 
 	constructor(options: WorkflowApiOptions) {
 		this.#options = options;
+		this.#places = new JobPlaces(options);
 	}
 
 	getConfig(): SiteConfig | undefined {
@@ -82,10 +87,12 @@
 	}
 
 	async submit(queue: QueueConfig, id: string, spec: WorkflowSpec, timeoutMs: number): Promise<SubmitReply> {
-		const partition = this.#getPartition(queue);
-		// Without admission nothing would submit a job again whose record is void, so its records are always valid.
-		const asOf = this.#options.admission && this.#options.getFollower(partition).fold.offset;
-		if (this.#find(queue, id)) {
+		const {admission, homes, clock, getFollower} = this.#options;
+		const endAtMs = clock.monotonicMs() + timeoutMs;
+		const hasHome = homes.get(queue) !== undefined;
+		// Without admission nothing would submit a job again whose record is void, so its records are always valid. Without a home no stream is known to have been read.
+		const asOf = admission && (hasHome ? getFollower(this.#places.getHomePartition(queue)).fold.offset : 0);
+		if (this.#places.getJob(queue, id)) {
 			return {outcome: SubmitOutcome.Accepted};
 		}
 
@@ -99,7 +106,10 @@
 			return {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'the store is not reached'};
 		}
 
-		const endAtMs = this.#options.clock.monotonicMs() + timeoutMs;
+		if (!hasHome && await homes.claim(queue, timeoutMs) === undefined) {
+			return {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'the store takes no home of the queue'};
+		}
+
 		const refusal = this.#decide(queue, id, spec);
 		const refused = refusal && await this.#refuse(queue, id, refusal, timeoutMs);
 		if (refused) {
@@ -107,7 +117,7 @@
 		}
 
 		const workflow = this.#createWorkflow(queue, id, spec);
-		const outcome = await this.#write(partition, encodeRecord({type: RecordType.Submit, workflow, asOf}), Math.max(1, endAtMs - this.#options.clock.monotonicMs()));
+		const outcome = await this.#write(this.#places.getHomePartition(queue), encodeRecord({type: RecordType.Submit, workflow, asOf}), Math.max(1, endAtMs - clock.monotonicMs()));
 		if (outcome === WriteOutcome.Stored) {
 			return this.#confirm(queue, workflow, {endAtMs, timeoutMs});
 		}
@@ -122,14 +132,17 @@
 	}
 
 	async getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<StateReply> {
-		const follower = this.#options.getFollower(this.#getPartition(queue));
-		const known = this.#find(queue, id);
-		if (known && (isFinal(known.state) || isRecent(follower))) {
+		const places = this.#places;
+		const known = places.getJob(queue, id);
+		if (known && (isFinal(known.state) || places.isRecent(queue, id))) {
 			return {outcome: LookupOutcome.Found, state: known.state};
 		}
 
-		const isCaughtUp = await follower.catchUp(Math.min(catchUpMs, timeoutMs));
-		const found = this.#find(queue, id);
+		const {homes, clock} = this.#options;
+		const endAtMs = clock.monotonicMs() + Math.min(catchUpMs, timeoutMs);
+		const isHomeKnown = homes.get(queue) !== undefined || await homes.refresh(endAtMs - clock.monotonicMs());
+		const isCaughtUp = await places.catchUp(queue, id, endAtMs - clock.monotonicMs()) && isHomeKnown;
+		const found = places.getJob(queue, id);
 		if (found) {
 			return {outcome: LookupOutcome.Found, state: found.state, isOld: !isCaughtUp && !isFinal(found.state)};
 		}
@@ -144,7 +157,7 @@
 	async cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome> {
 		const startedAtMs = this.#options.clock.monotonicMs();
 		// The record cancels a known job however old its state is, so only an unknown one has to be read.
-		const known = this.#find(queue, id);
+		const known = this.#places.getJob(queue, id);
 		if (!known && this.#resubmitting.has(id)) {
 			// A cancellation has no effect on a job whose record follows it.
 			return LookupOutcome.Unknown;
@@ -160,19 +173,19 @@
 		}
 
 		const remainingMs = Math.max(1, timeoutMs - (this.#options.clock.monotonicMs() - startedAtMs));
-		const written = await this.#write(this.#getPartition(queue), encodeRecord({type: RecordType.Cancel, id}), remainingMs);
-		return written === WriteOutcome.Stored ? LookupOutcome.Found : LookupOutcome.Unknown;
+		const record = encodeRecord({type: RecordType.Cancel, id});
+		const written = await Promise.all(this.#places.getHolders(queue, id).map(async partition => this.#write(partition, record, remainingMs)));
+		return written.length > 0 && written.every(cancelled => cancelled === WriteOutcome.Stored) ? LookupOutcome.Found : LookupOutcome.Unknown;
 	}
 
 	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
-		const follower = this.#options.getFollower(this.#getPartition(queue));
-		return isRecent(follower) || await follower.catchUp(Math.min(catchUpMs, timeoutMs)) ? follower.fold.countPending(queue.name) : undefined;
+		return this.#places.countPending(queue, Math.min(catchUpMs, timeoutMs));
 	}
 
 	/** Decides on a job by what the newest owner has published; undefined: it is accepted. */
 	#decide(queue: QueueConfig, id: string, spec: WorkflowSpec): Refusal | undefined {
 		const {clock, admission, getConfig} = this.#options;
-		const follower = this.#options.getFollower(this.#getPartition(queue));
+		const follower = this.#options.getFollower(this.#places.getServicePartition(queue));
 		const read = follower.fold.admission.forecast;
 		if (!admission || !read || !isRecent(follower)) {
 			return undefined;
@@ -199,7 +212,7 @@
 
 	/** Stores a refusal, and reads whether the job is in the stream before it. Resolves to undefined if the store does not take it. */
 	async #refuse(queue: QueueConfig, id: string, {reason, retryAfterMs: afterMs}: Refusal, timeoutMs: number): Promise<SubmitReply | undefined> {
-		const partition = this.#getPartition(queue);
+		const partition = this.#places.getHomePartition(queue);
 		const endAtMs = this.#options.clock.monotonicMs() + timeoutMs;
 		const outcome = await this.#write(partition, encodeRecord({type: RecordType.Refused, id}), timeoutMs);
 		if (outcome === WriteOutcome.NotStored) {
@@ -211,12 +224,12 @@
 			return {outcome: SubmitOutcome.Unknown, reason: 'an earlier record of it may be stored'};
 		}
 
-		return this.#find(queue, id) ? {outcome: SubmitOutcome.Accepted} : {outcome: SubmitOutcome.Refused, retryAfterMs: afterMs, reason};
+		return this.#places.getJob(queue, id) ? {outcome: SubmitOutcome.Accepted} : {outcome: SubmitOutcome.Refused, retryAfterMs: afterMs, reason};
 	}
 
 	/** Reply for a job whose record is stored: valid, unless the job was refused since the attempt came. */
 	async #confirm(queue: QueueConfig, workflow: Workflow, {endAtMs, timeoutMs}: {endAtMs: number; timeoutMs: number}): Promise<SubmitReply> {
-		const partition = this.#getPartition(queue);
+		const partition = this.#places.getHomePartition(queue);
 		const leftMs = endAtMs - this.#options.clock.monotonicMs();
 		if (!this.#options.admission || timeoutMs - leftMs <= maxPromptMs) {
 			this.#addPromised(partition, workflow);
@@ -227,7 +240,7 @@
 			return {outcome: SubmitOutcome.Unknown, reason: 'its record was not read in time'};
 		}
 
-		return this.#find(queue, workflow.id) ? {outcome: SubmitOutcome.Accepted} : {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'another entry has refused it'};
+		return this.#places.getJob(queue, workflow.id) ? {outcome: SubmitOutcome.Accepted} : {outcome: SubmitOutcome.NotAccepted, retryAfterMs, reason: 'another entry has refused it'};
 	}
 
 	#createWorkflow(queue: QueueConfig, id: string, spec: WorkflowSpec): Workflow {
@@ -249,7 +262,7 @@
 
 	/** Time since the first refusal of the job was read. */
 	#getWaitedMs(queue: QueueConfig, id: string): number {
-		const refused = this.#options.getFollower(this.#getPartition(queue)).fold.admission.getRefusal(id);
+		const refused = this.#options.getFollower(this.#places.getHomePartition(queue)).fold.admission.getRefusal(id);
 		return refused?.firstReadAtMs === undefined ? 0 : this.#options.clock.monotonicMs() - refused.firstReadAtMs;
 	}
 
@@ -291,14 +304,6 @@
 		this.#resubmitting.delete(id);
 	}
 
-	#getPartition(queue: QueueConfig): number {
-		return getPartition(queue.service, this.#options.partitions);
-	}
-
-	#find(queue: QueueConfig, id: string): FoldedWorkflow | undefined {
-		return this.#options.getFollower(this.#getPartition(queue)).fold.workflows.get(id);
-	}
-
 	async #write(partition: number, value: Parameters<ProducerWriter['write']>[0], timeoutMs: number): Promise<WriteOutcome> {
 		let writer = this.#writers.get(partition);
 		if (!writer) {
@@ -312,5 +317,3 @@
 		return writer.write(value, timeoutMs);
 	}
 }
-
-const isRecent = ({stalenessMs}: WorkflowFollower): boolean => stalenessMs !== undefined && stalenessMs <= maxStalenessMs;
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -20,7 +20,7 @@
 } from '../src/types/workflows.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {WorkflowApi} from '../src/workflows/workflow-api.ts';
-import {WorkflowFollower} from '../src/workflows/follower.ts';
+import {QueueHomes} from '../src/workflows/queue-homes.ts';
 import {Owner} from '../src/workflows/owner.ts';
 import {formatMember, Ownership} from '../src/workflows/ownership.ts';
 import {createPolicy} from '../src/workflows/policy.ts';
@@ -29,6 +29,7 @@
 import {ProcessClock} from './simulated-membership.ts';
 import {type AgentHost, type EntryProcess} from './simulated-processes.ts';
 import {createAgentClient, createEntryClient, type SitePaths} from './site-calls.ts';
+import {createFollowers} from './simulated-followers.ts';
 import {createPausableClient} from './pausable-client.ts';
 
 export const service = 'desk';
@@ -92,6 +93,10 @@
 	/** Entries that have not reached the store for a while. */
 	readonly storeLost = new Set<string>();
 	readonly specs = new Map<string, WorkflowSpec>();
+	/** Services that the entries know which start from now on. */
+	services = [service];
+	/** Service of the workers that are added from now on. */
+	workerService = service;
 	/** Random numbers of all entries. */
 	random: Pick<Random, 'next'> = {next: () => 0.5};
 	/** Features of the entries that start from now on. */
@@ -117,7 +122,7 @@
 		const worker = new SiteWorker(name, {
 			clock: this.clock,
 			report: {
-				service, failureDomain, milliCpu, memoryMb: 64_000, accelerators: 0, labels,
+				service: this.workerService, failureDomain, milliCpu, memoryMb: 64_000, accelerators: 0, labels,
 			},
 			plan: start => this.plan(start),
 			onEvent: event => {
@@ -140,11 +145,12 @@
 		const host = this.hosts.get(name)!;
 		host.aborter = new AbortController();
 		host.clock = new ProcessClock(this.clock, host.wallOffsetMs);
+		const {service: hostService} = host.worker.announce();
 		const agent = new Agent({
 			registration: {
-				host: name, address: name, service, failureDomain: 'hall',
+				host: name, address: name, service: hostService, failureDomain: 'hall',
 			},
-			partition,
+			partition: getPartition(hostService, partitions),
 			store: createPausableClient(host.clock, this.store.createClient(name)),
 			client: createPausableClient(host.clock, host.worker.createClient()),
 			clock: host.clock,
@@ -170,11 +176,19 @@
 		const store = createPausableClient(clock, this.store.createClient(name));
 		const life = `${name}-${++this.#incarnations}`;
 		const note = this.#createNote(name);
-		const follower = new WorkflowFollower({
-			store, clock, ref: {topic: workflowsTopic, partition}, onStoreState: ignore, onInvalid: ignore,
+		const {followers, getFollower} = createFollowers(store, clock, aborter.signal);
+		for (const followed of this.services) {
+			getFollower(getPartition(followed, partitions));
+		}
+
+		const follower = getFollower(partition);
+		const homes = new QueueHomes({
+			store, clock, note, onHome(home) {
+				getFollower(getPartition(home, partitions));
+			},
 		});
 		const jobs = new WorkflowApi({
-			store, clock, partitions, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => this.storeLost.has(name), onWriterEvent: ignore, admission: this.features[Feature.Admission] ? {refusesLate: this.features[Feature.LateRefusals], random: this.random, note} : undefined,
+			store, clock, partitions, homes, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower, isStoreLost: () => this.storeLost.has(name), onWriterEvent: ignore, admission: this.features[Feature.Admission] ? {refusesLate: this.features[Feature.LateRefusals], random: this.random, note} : undefined,
 		});
 		const relay = new RelayingApi({
 			local: jobs, clock, note, client: createEntryClient(this, name), isStoreLost: () => this.storeLost.has(name), getOthers: () => [...this.entries.keys()].filter(other => other !== name).map(other => ({host: other, address: other})),
@@ -193,13 +207,13 @@
 			},
 			isAlive: async (address, incarnation) => this.entries.get(address)?.life === incarnation,
 			minTtlMs: 1000,
-			getCaughtUpAtMs: () => follower.caughtUpAtMs,
-			hasService: used => used === partition,
+			getCaughtUpAtMs: () => Math.min(...[...followers.values()].map(({caughtUpAtMs}) => caughtUpAtMs)),
+			hasService: used => followers.has(used),
 			createOwner: (owned, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
-				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower, isOwned: () => true, policy: createPolicy(), features: this.features,
+				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
 			}),
 		});
-		void follower.run(aborter.signal);
+		void homes.run(aborter.signal);
 		void ownership.run(aborter.signal);
 		const entry = {
 			name, life, clock, aborter, jobs, relay, follower, ownership,
@@ -219,17 +233,17 @@
 		return [...this.entries.values()].find(({ownership}) => ownership.owners.has(partition))?.name;
 	}
 
-	async submit(id: string, spec: WorkflowSpec, entryName?: string): Promise<SubmitReply> {
+	async submit(id: string, spec: WorkflowSpec, entryName?: string, asQueue = queue): Promise<SubmitReply> {
 		this.specs.set(id, spec);
-		return this.settle(this.#getJobs(entryName).submit(queue, id, spec, 2500));
+		return this.settle(this.#getJobs(entryName).submit(asQueue, id, spec, 2500));
 	}
 
-	async cancel(id: string, entryName?: string): Promise<LookupOutcome> {
-		return this.settle(this.#getJobs(entryName).cancel(queue, id, 2500));
+	async cancel(id: string, entryName?: string, asQueue = queue): Promise<LookupOutcome> {
+		return this.settle(this.#getJobs(entryName).cancel(asQueue, id, 2500));
 	}
 
-	async getState(id: string, entryName?: string): Promise<WorkflowState | LookupOutcome> {
-		const {outcome, state} = await this.settle(this.#getJobs(entryName).getState(queue, id, 2500));
+	async getState(id: string, entryName?: string, asQueue = queue): Promise<WorkflowState | LookupOutcome> {
+		const {outcome, state} = await this.settle(this.#getJobs(entryName).getState(asQueue, id, 2500));
 		return outcome === LookupOutcome.Found ? state! : outcome;
 	}
 
