Bound the wait of tasks that were young when their worker crashed

Cause: each suspect of a crash waits for a quarantine of its own, suspects hold at most a tenth of the workers, and nothing bounds the wait. Long-running tasks are last in the order, since none of their step is ever done.

Change: the share of the workers grows to a half if suspects would wait for longer than 4.5 s, one suspect of each job at a time, as long as few workers are away and no second job is a cause. Suspects of one crash that have waited for 4.5 s, 4 s after the last crash, start beside each other on the workers that suspects may hold. The wait counts from the crash, also for the next owner. A task fails at its third prompt crash if that was in quarantine on a sound host; a run is the newest on its worker only if it is so by 100 ms, as those that start together are not evidence against one of them.

Why it works: at most one job on a crashed worker is likely to be the cause, so trying a task of each at once costs one more worker. The start beside others bounds what the trial by itself does not, and a crash there leaves few suspects.

Open: while workers go on crashing the bound counts from the last crash; all young tasks wait for up to 4.5 s when all workers lose power at once.

--- a/src/workflows/crash-monitor.ts
+++ b/src/workflows/crash-monitor.ts
@@ -29,6 +29,9 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
+/** Runs that started together differ by less: none of them is the newest. */
+const minAgeGapMs = 100;
+
 type TaskOnWorker = ResidentTask & {task: LiveTask};
 
 /** Handles the worker crashes of one owner. */
@@ -93,16 +96,17 @@
 
 	#findTasks({host, hasSucceededSinceCrash}: FleetWorker, rows: CrashedRun[]): TaskOnWorker[] {
 		const resident: TaskOnWorker[] = [];
+		const atMs = this.#options.clock.now().getTime();
 		for (const {taskId, run, ageMs} of rows) {
 			const ref = parseTaskId(taskId);
 			const task = ref && this.#options.getTask(ref);
 			if (task) {
 				// Members of a gang are one unit: none of them counts as newer than the others.
-				const isNewest = rows.every(row => row.ageMs > ageMs || getUnit(task).some(member => member.taskId === row.taskId));
+				const isNewest = rows.every(row => row.ageMs > ageMs + minAgeGapMs || getUnit(task).some(member => member.taskId === row.taskId));
 				resident.push({
 					task,
 					crash: {
-						run, ageMs: Math.round(ageMs), isNewest, host, isHostProven: hasSucceededSinceCrash, atMs: this.#options.clock.now().getTime(),
+						run, ageMs: Math.round(ageMs), isNewest, host, isHostProven: hasSucceededSinceCrash, atMs,
 					},
 					earlier: task.crashes.filter(crash => crash.run < run),
 				});
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -119,7 +119,7 @@
 		const times = {nowMs, nextStartDelayMs: gapMs + getStartDelayMs()};
 		this.#lastAtMs = nowMs;
 		const quarantined = quarantine.arrange({
-			nowMs, waiting: [...getWaiting(nowMs)], schedulable: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, times).starts,
+			nowMs, wallMs: clock.now().getTime(), waiting: [...getWaiting(nowMs)], schedulable: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, times).starts,
 		});
 		const {starts, waits, spareMilliCpu, refused} = this.#place(quarantined.waiting, quarantined.schedulable, times);
 		const decided = [...quarantined.starts, ...starts];
