Keep the jobs of an owner that begins to follow a further partition

An entry begins to follow a partition while it owns jobs: operators add a service, or the owner of a queue's home transfers a job to a service that its configuration does not have yet. Until that partition was read to its end, the entry counted as one that had missed records: it was not ready, left the group and released all of its jobs (`jobs given up`, reason `records missed`).

Cause: the age of an entry's view is the oldest of its followers', and a follower that has read nothing yet is infinitely old.

Evidence: the new test, with reads of the further partition 600 ms late: `jobs given up` on the code before, not with the fix.

Change: Followers holds the followers of an entry; once all were read to their ends, one that comes later counts after it was read. An owner of that partition reads it to its end before it starts anything, as before. The simulated site uses the same class.

Why it works: what the entry knows of the partitions that it owns does not depend on the new one.

Test: test/queue-service-changes.test.ts, "is transferred by an owner that did not know its service, and keeps its jobs": failed before (1 of 19), passes now.

--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -24,6 +24,7 @@
 import {EntryDirectory} from '../workflows/entry-directory.ts';
 import {WorkflowApi} from '../workflows/workflow-api.ts';
 import {WorkflowFollower} from '../workflows/follower.ts';
+import {Followers} from '../workflows/followers.ts';
 import {Owner} from '../workflows/owner.ts';
 import {formatMember, Ownership} from '../workflows/ownership.ts';
 import {createPolicy} from '../workflows/policy.ts';
@@ -131,38 +132,33 @@
 	const {partitions, maxCallBytes, minMemberTtlMs, retentionMs} = site.store;
 	const client = createAgentClient(streams);
 	const adviceClient = site.adviceAddress === undefined ? undefined : createAdviceClient(http, site.adviceAddress);
-	const followers = new Map<number, WorkflowFollower>();
 	const unreachableSinceMs = new Map<number, number>();
 	const isStoreLost = () => [...unreachableSinceMs.values()].some(sinceMs => clock.monotonicMs() - sinceMs > storeUnreachableAfterMs);
-	const getFollower = (partition: number): WorkflowFollower => {
-		let follower = followers.get(partition);
-		if (!follower) {
-			follower = new WorkflowFollower({
-				store,
-				clock,
-				ref: {topic: workflowsTopic, partition},
-				isSlowed: isLate,
-				onStoreState(isReached, detail) {
-					if (isReached === unreachableSinceMs.has(partition)) {
-						note(isReached ? 'store reached' : 'store lost', {partition, detail});
-					}
-
-					if (isReached) {
-						unreachableSinceMs.delete(partition);
-					} else if (!unreachableSinceMs.has(partition)) {
-						unreachableSinceMs.set(partition, clock.monotonicMs());
-					}
-				},
-				onInvalid(offset, detail) {
-					note('job record not valid', {partition, offset, detail});
-				},
-			});
-			followers.set(partition, follower);
-			void follower.run(signal);
-		}
+	const followers = new Followers(partition => {
+		const follower = new WorkflowFollower({
+			store,
+			clock,
+			ref: {topic: workflowsTopic, partition},
+			isSlowed: isLate,
+			onStoreState(isReached, detail) {
+				if (isReached === unreachableSinceMs.has(partition)) {
+					note(isReached ? 'store reached' : 'store lost', {partition, detail});
+				}
 
+				if (isReached) {
+					unreachableSinceMs.delete(partition);
+				} else if (!unreachableSinceMs.has(partition)) {
+					unreachableSinceMs.set(partition, clock.monotonicMs());
+				}
+			},
+			onInvalid(offset, detail) {
+				note('job record not valid', {partition, offset, detail});
+			},
+		});
+		void follower.run(signal);
 		return follower;
-	};
+	});
+	const getFollower = (partition: number): WorkflowFollower => followers.get(partition);
 
 	const followServices = ({services}: SiteConfig) => {
 		for (const {name} of services) {
@@ -209,13 +205,13 @@
 	/** Describes what this entry has read of the queue's partition, for the log. */
 	const describeView = (queueName: string | undefined) => {
 		const queue = config.config?.queues.find(({name}) => name === queueName);
-		const follower = queue && followers.get(getPartition(queue.service, partitions));
+		const follower = queue && getFollower(getPartition(queue.service, partitions));
 		return follower && {offset: follower.fold.offset, isCaughtUp: follower.isCaughtUp, stalenessMs: roundDefined(follower.stalenessMs)};
 	};
 
 	/** Staleness of the oldest view; undefined: one is not complete yet. */
-	const getStalenessMs = () => isCaughtUp() ? clock.monotonicMs() - Math.min(clock.monotonicMs(), ...[...followers.values()].map(({caughtUpAtMs}) => caughtUpAtMs)) : undefined;
-	const isCaughtUp = () => config.config !== undefined && [...followers.values()].every(follower => follower.isCaughtUp);
+	const getStalenessMs = () => isCaughtUp() ? clock.monotonicMs() - Math.min(clock.monotonicMs(), followers.caughtUpAtMs) : undefined;
+	const isCaughtUp = () => config.config !== undefined && followers.areCaughtUp;
 	const ownership = new Ownership({
 		store,
 		clock,
@@ -231,7 +227,7 @@
 		isAlive: async (address, memberIncarnation) => isProcessAlive(http, address, memberIncarnation),
 		minTtlMs: minMemberTtlMs,
 		hasService: partition => followers.has(partition),
-		getCaughtUpAtMs: () => isCaughtUp() ? Math.min(...[...followers.values()].map(({caughtUpAtMs}) => caughtUpAtMs)) : Number.NEGATIVE_INFINITY,
+		getCaughtUpAtMs: () => isCaughtUp() ? followers.caughtUpAtMs : Number.NEGATIVE_INFINITY,
 		createOwner: (partition, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
 			store,
 			clock,
--- a/test/queue-service-changes.test.ts
+++ b/test/queue-service-changes.test.ts
@@ -256,6 +256,21 @@
 		expect(await site.getState(jobId, 'entry-1', moved)).toBe(WorkflowState.Completed);
 	});
 
+	/** Guards against an owner that begins to follow a further partition, whose reads are slow, and releases all of its jobs as if it had missed records. */
+	it('is transferred by an owner that did not know its service, and keeps its jobs', async () => {
+		await startSite(1);
+		site.killEntry('entry-0');
+		site.services = [service];
+		site.startEntry('entry-1');
+		await site.clock.advance(8000);
+		site.store.getDelayMs = ({kind, ref}) => kind === 'read' && ref?.partition === getPartition(newService, 8) ? 600 : 0;
+		await site.submit(otherId, createSpec([createStep()]), 'entry-1');
+		expect((await site.submit(jobId, spec, 'entry-1', moved)).outcome).toBe(SubmitOutcome.Accepted);
+		await site.clock.advance(6000);
+		expect(site.notes.filter(({source, event}) => source === 'entry-1' && event === 'jobs given up')).toEqual([]);
+		expect(getStartCounts()).toEqual([1, 1]);
+	});
+
 	/** Guards against a stream of the first service that loses its jobs: a repeated submission would run again. */
 	it('is remembered by the stream that accepted it for as long as it lasts', async () => {
 		await startSite();
--- a/test/simulated-followers.ts
+++ b/test/simulated-followers.ts
@@ -4,23 +4,17 @@
 import {type Clock} from '../src/types/clock.ts';
 import {type StoreClient} from '../src/types/store.ts';
 import {WorkflowFollower} from '../src/workflows/follower.ts';
+import {Followers} from '../src/workflows/followers.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 
 /** Creates the followers; they follow until the signal aborts. */
 export const createFollowers = (store: StoreClient, clock: Clock, signal: AbortSignal) => {
-	const followers = new Map<number, WorkflowFollower>();
-	const getFollower = (partition: number): WorkflowFollower => {
-		let follower = followers.get(partition);
-		if (!follower) {
-			follower = new WorkflowFollower({
-				store, clock, ref: {topic: workflowsTopic, partition}, onStoreState: () => undefined, onInvalid: () => undefined,
-			});
-			followers.set(partition, follower);
-			void follower.run(signal);
-		}
-
+	const followers = new Followers(partition => {
+		const follower = new WorkflowFollower({
+			store, clock, ref: {topic: workflowsTopic, partition}, onStoreState: () => undefined, onInvalid: () => undefined,
+		});
+		void follower.run(signal);
 		return follower;
-	};
-
-	return {followers, getFollower};
+	});
+	return {followers, getFollower: (partition: number): WorkflowFollower => followers.get(partition)};
 };
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -207,7 +207,7 @@
 			},
 			isAlive: async (address, incarnation) => this.entries.get(address)?.life === incarnation,
 			minTtlMs: 1000,
-			getCaughtUpAtMs: () => Math.min(...[...followers.values()].map(({caughtUpAtMs}) => caughtUpAtMs)),
+			getCaughtUpAtMs: () => followers.caughtUpAtMs,
 			hasService: used => followers.has(used),
 			createOwner: (owned, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
 				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
