Count the pending jobs of a queue that never moved in one pass

Cause: counting went through the lookup of each job also where all jobs of the queue are in one partition, and left the fold's own count to tests. Change: with one partition the fold counts.

--- a/src/workflows/job-places.ts
+++ b/src/workflows/job-places.ts
@@ -83,7 +83,11 @@
 	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
 		const partitions = this.#getPartitions(queue);
 		const isKnown = partitions.every(partition => isRecent(this.#options.getFollower(partition))) || await this.#catchUpAll(partitions, timeoutMs);
-		return isKnown ? this.#countPending(queue) : undefined;
+		if (!isKnown) {
+			return undefined;
+		}
+
+		return partitions.length === 1 ? this.#options.getFollower(partitions[0]!).fold.countPending(queue.name) : this.#countPending(queue);
 	}
 
 	#countPending(queue: QueueConfig): number {
