Claim the homes of declared queues before their first jobs

Cause: the first job of a queue waited for the claim of its home, some 8 ms, and an entry whose calls to the store fail at that moment could not accept it. Change: an entry claims homes for all new queues of a configuration in one append, up to 50; the claim with the first job stays.

--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -177,6 +177,7 @@
 		onConfig(siteConfig, offset) {
 			note('configuration in force', {version: siteConfig.version, offset, queues: siteConfig.queues.length});
 			followServices(siteConfig);
+			void homes.prepare(siteConfig.queues);
 		},
 	});
 	const homes = new QueueHomes({
--- a/src/workflows/queue-homes.ts
+++ b/src/workflows/queue-homes.ts
@@ -44,6 +44,11 @@
 /** A claim that the store has refused for this long is given up, so that the caller tries another entry. */
 const claimExpiryMs = 400;
 const appendTimeoutMs = 900;
+const prepareTimeoutMs = 1000;
+/** More entries than this rarely claim at once. */
+const maxPrepareTries = 4;
+/** Of a configuration with more new queues few are likely to get jobs, and homes are never dropped. */
+const maxPrepared = 50;
 /** Longest key that the store takes. */
 const maxKeyBytes = 255;
 
@@ -111,6 +116,22 @@
 		}
 	}
 
+	/** Claims homes for declared queues that have none, so that their first jobs need not wait for it. A claim that fails is made again with the first job. */
+	async prepare(queues: QueueConfig[]): Promise<void> {
+		const missing = new Map(queues.filter(queue => this.get(queue) === undefined).map(queue => [getKey(queue), queue.service]));
+		for (let tries = 0; tries < maxPrepareTries && missing.size > 0 && missing.size <= maxPrepared; tries++) {
+			const outcome = await this.#tryClaim(missing, prepareTimeoutMs);
+			for (const key of this.#services.keys()) {
+				missing.delete(key);
+			}
+
+			this.#options.note('queue homes claimed', {outcome, missing: missing.size});
+			if (outcome !== ClaimOutcome.NotAtEnd) {
+				return;
+			}
+		}
+	}
+
 	/** Makes the queue's present service its home unless it has one; resolves to its home, or to undefined if the store does not take the claim in time. */
 	async claim(queue: QueueConfig, timeoutMs: number): Promise<string | undefined> {
 		const known = this.get(queue);
@@ -136,7 +157,7 @@
 		const {clock, note} = this.#options;
 		const startedAtMs = clock.monotonicMs();
 		for (let tookMs = 0; tookMs < timeoutMs; tookMs = clock.monotonicMs() - startedAtMs) {
-			const outcome = await this.#tryClaim(key, service, timeoutMs - tookMs);
+			const outcome = await this.#tryClaim(new Map([[key, service]]), timeoutMs - tookMs);
 			const home = this.#services.get(key);
 			if (home !== undefined) {
 				note('queue home', {queue: name, service, home});
@@ -157,7 +178,7 @@
 	}
 
 	/** Appends at the end of what was read: of two entries that claim at once, the store takes the record of one. */
-	async #tryClaim(key: string, service: string, timeoutMs: number): Promise<ClaimOutcome> {
+	async #tryClaim(services: Map<string, string>, timeoutMs: number): Promise<ClaimOutcome> {
 		const {store, clock} = this.#options;
 		const aborter = new AbortController();
 		const timer = clock.setTimer(() => {
@@ -168,13 +189,17 @@
 				await this.#readAll(aborter.signal);
 			}
 
-			if (this.#services.has(key)) {
+			const missing = [...services].filter(([key]) => !this.#services.has(key));
+			if (missing.length === 0) {
 				return ClaimOutcome.NotAtEnd;
 			}
 
-			const {outcome} = await store.appendKeyed(ref, [{key, value: Buffer.from(JSON.stringify({service}))}], {atOffset: this.#knownToOffset!, timeoutMs: Math.min(appendTimeoutMs, timeoutMs)});
+			const {outcome} = await store.appendKeyed(ref, missing.map(([key, service]) => ({key, value: Buffer.from(JSON.stringify({service}))})), {atOffset: this.#knownToOffset!, timeoutMs: Math.min(appendTimeoutMs, timeoutMs)});
 			if (outcome === AppendOutcome.Appended) {
-				this.#add(key, service);
+				for (const [key, service] of missing) {
+					this.#add(key, service);
+				}
+
 				return ClaimOutcome.Stored;
 			}
 
--- a/test/queue-homes.test.ts
+++ b/test/queue-homes.test.ts
@@ -107,3 +107,19 @@
 	await clock.advance(8000);
 	expect(homes).toEqual(['bureau', queue.service]);
 });
+
+it('entries claim the homes of declared queues before any job comes, and agree on them', async () => {
+	const entries = [0, 1, 2].map(index => createHomes(`entry-${index}`).entry);
+	const queues = ['/a/', '/b/', '/c/'].map(pathPrefix => ({...queue, pathPrefix}));
+	await settle(Promise.all(entries.map(async (entry, index) => entry.prepare(index === 0 ? queues : queues.map(({pathPrefix}) => ({...moved, pathPrefix}))))));
+	const {append} = store.calls;
+	const claimed = await settle(Promise.all(entries.map(async entry => Promise.all(queues.map(async used => entry.claim(used, 1000))))));
+	expect(store.calls.append).toBe(append);
+	expect(new Set(claimed.map(homes => homes.join(' '))).size).toBe(1);
+});
+
+/** Guards against records that are kept for ever, of the thousands of routes of a large configuration. */
+it('no homes are claimed for many new queues at once', async () => {
+	await settle(createHomes('entry-0').entry.prepare(Array.from({length: 51}, (_, index) => ({...queue, pathPrefix: `/${index}/`}))));
+	expect(store.calls.append).toBe(0);
+});
