--- /dev/null
+++ b/test/crash-suspects-property.test.ts
@@ -0,0 +1,114 @@
+/**
+Tasks that were young when workers crashed, during random series of crashes beside tasks that crash their workers: all start again in time.
+*/
+import process from 'node:process';
+import fc from 'fast-check';
+import {expect, it} from 'vitest';
+import {RunEnd, WorkflowState, type WorkflowSpec} from '../src/types/workflows.ts';
+import {createJobId} from './site-setup.ts';
+import {createSpec, createStep, SimulatedSite} from './simulated-site.ts';
+
+/** Callers count a task as lost that has nothing running for 3 s once the site has been calm for 4 s; for a long-running one 3 s, from 6 s after its last run. */
+const maxIdleMs = 7000;
+const maxLastingIdleMs = 9000;
+/** A task fails at its third crash; a crash of its worker for another cause may add one. */
+const maxStarts = 5;
+/** Downtime of a worker that a task has crashed. */
+const culpritDownMs = 2500;
+const watchId = createJobId(0xA1);
+const culprit = createJobId(0xC1);
+const settleMs = 40_000;
+
+const {CRASH_SERIES_SEED: seed = '61', CRASH_SERIES_RUNS: runs = '40'} = process.env;
+
+const series = fc.record({
+	hosts: fc.integer({min: 3, max: 14}),
+	jobs: fc.array(fc.record({count: fc.integer({min: 1, max: 30}), milliCpu: fc.constantFrom(50, 240, 1800), isGang: fc.boolean()}), {minLength: 1, maxLength: 10}),
+	crashes: fc.array(fc.record({afterMs: fc.integer({min: 20, max: 3000}), count: fc.integer({min: 1, max: 14}), downMs: fc.constantFrom(300, 1000, 3500)}), {minLength: 1, maxLength: 4}),
+	culpritAfterMs: fc.option(fc.constantFrom(10, 200, 450)),
+	isOwnerLost: fc.boolean(),
+});
+
+/** Longest time from the end of a run that did not succeed, or from the moment given if that is later, to the next start of its task. */
+const getIdleMs = (site: SimulatedSite, id: string, fromMs: number): number => {
+	const endedAtMs = new Map<string, number>();
+	const {isGang} = site.specs.get(id)!.steps[0]!;
+	let longestMs = 0;
+	for (const event of site.events.filter(({taskId}) => taskId.startsWith(id))) {
+		// The end of one member stands for the gang, whose other runs end in other ways then.
+		if (isGang && event.type === 'ended' && event.end === RunEnd.Done) {
+			return longestMs;
+		}
+
+		if (event.type === 'started') {
+			longestMs = Math.max(longestMs, event.atMs - Math.max(fromMs, endedAtMs.get(event.taskId) ?? event.atMs));
+			endedAtMs.delete(event.taskId);
+		} else if (event.type === 'ended' && event.end !== RunEnd.Done) {
+			endedAtMs.set(event.taskId, event.atMs);
+		}
+	}
+
+	return Math.max(longestMs, ...[...endedAtMs.values()].map(atMs => site.clock.monotonicMs() - Math.max(fromMs, atMs)));
+};
+
+it('tasks of crashed workers start again in time, whatever crashes beside them', async () => {
+	await fc.assert(fc.asyncProperty(series, async ({hosts, jobs, crashes, culpritAfterMs, isOwnerLost}) => {
+		const site = new SimulatedSite();
+		site.plan = ({taskId}) => taskId.startsWith(culprit) ? {workMs: undefined, crashAfterMs: culpritAfterMs!} : {workMs: taskId.startsWith(watchId) ? undefined : 900};
+		for (let index = 0; index < hosts; index++) {
+			site.addHost(`host-${index}`, 16_000);
+		}
+
+		for (const name of ['entry-0', 'entry-1', 'entry-2']) {
+			site.startEntry(name);
+		}
+
+		await site.clock.advance(3000);
+		const specs: Array<[id: string, spec: WorkflowSpec]> = [
+			...jobs.map(({count, ...step}, index): [string, WorkflowSpec] => [createJobId(0x1_00 + index), createSpec([createStep({...step, count: step.isGang ? Math.min(4, count) : count})])]),
+			[watchId, createSpec([createStep({count: 2, milliCpu: 3200, isLasting: true})])],
+		];
+		if (culpritAfterMs !== null) {
+			specs.splice(1, 0, [culprit, createSpec([createStep({milliCpu: 240})])]);
+		}
+
+		const {jobs: api} = site.entries.get('entry-0')!;
+		for (const [id, spec] of specs) {
+			site.specs.set(id, spec);
+			void api.submit(site.queue, id, spec, 2500);
+		}
+
+		for (const {afterMs, count, downMs} of crashes) {
+			await site.clock.advance(afterMs);
+			for (const {worker} of [...site.hosts.values()].slice(0, count)) {
+				if (!worker.isDown) {
+					worker.crash(downMs);
+				}
+			}
+		}
+
+		let tookOverMs = 0;
+		if (isOwnerLost) {
+			await site.clock.advance(1500);
+			site.killEntry(site.getOwnerName()!);
+			tookOverMs = await site.waitFor(() => site.getOwnerName() !== undefined, 10_000) ?? Number.POSITIVE_INFINITY;
+		}
+
+		await site.clock.advance(settleMs);
+		const lastLossMs = site.events.findLast(event => event.type === 'ended' && event.end === 'lost')?.atMs ?? 0;
+		const calmAtMs = lastLossMs + Math.max(culpritDownMs, ...crashes.map(({downMs}) => downMs)) + tookOverMs;
+		for (const [id] of specs) {
+			const state = await site.getState(id, [...site.entries.keys()].at(-1));
+			if (id === culprit) {
+				expect(state).toBe(WorkflowState.Failed);
+				expect(site.getStarts(`${culprit}.0.0.0`)).toBeLessThanOrEqual(maxStarts);
+			} else {
+				expect(state).toBe(id === watchId ? WorkflowState.Running : WorkflowState.Completed);
+				expect(getIdleMs(site, id, calmAtMs)).toBeLessThan(id === watchId ? maxLastingIdleMs : maxIdleMs);
+			}
+		}
+
+		site.stop();
+		expect(site.violations).toEqual([]);
+	}), {seed: Number(seed), numRuns: Number(runs), endOnFailure: true});
+});
