--- a/src/workflows/queue-homes.ts
+++ b/src/workflows/queue-homes.ts
@@ -1,5 +1,5 @@
 /**
-Home of each queue: the service whose partition decides which jobs of the queue exist. It is set once, when the queue's first job comes, and
+Home of each queue: the service whose partition decides which jobs of the queue exist. It is set once, when the queue is first declared, and
 stays when operators send the queue to another service. Entries that differ in their configuration then still append to one stream, whose
 order makes all submissions of an id one job.
 */
