--- a/src/measure/capacity-config.ts
+++ b/src/measure/capacity-config.ts
@@ -46,6 +46,6 @@
 	type: ConfigRecordType.Publish,
 	id: `change-${index}-${baseOffset}-${suffix}`,
 	author: 'operator',
-	publishedAt: '2026-01-01T00:00:00.000Z',
+	publishedAt: new Date(0).toISOString(),
 	sections: {[getName(index)]: {baseOffset, values: {region: 'scot-central', checkDeadlineMs: `${1000 + (index % 1000)}`}}},
 });
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -206,7 +206,8 @@
 	/** Describes what this entry has read of the queue's partition, for the log. */
 	const describeView = (queueName: string | undefined) => {
 		const queue = config.config?.queues.find(({name}) => name === queueName);
-		const follower = queue && getFollower(getPartition(queue.service, partitions));
+		const partition = queue && getPartition(queue.service, partitions);
+		const follower = partition !== undefined && followers.has(partition) ? getFollower(partition) : undefined;
 		return follower && {offset: follower.fold.offset, isCaughtUp: follower.isCaughtUp, stalenessMs: roundDefined(follower.stalenessMs)};
 	};
 
--- a/src/workflows/crash-attribution.ts
+++ b/src/workflows/crash-attribution.ts
@@ -26,7 +26,6 @@
 const maxSoundHostCrashes = 2;
 /** A task also fails after this many crashes in quarantine on any hosts, unless all of its crashes were on one host. */
 const maxQuarantineCrashes = 3;
-
 /** A task also fails at this many crashes soon after its starts, if the last one was in quarantine on a sound host. */
 const maxPromptCrashes = 3;
 
@@ -66,30 +65,32 @@
 	let quarantineCrashes = 0;
 	let soundCrashes = 0;
 	let promptCrashes = 0;
+	let hasFailedPromptly = false;
 	for (const crash of crashes.toSorted((a, b) => a.run - b.run)) {
 		promptCrashes += crash.ageMs <= promptCrashMs ? 1 : 0;
 		if (isInQuarantine(crash, earlier)) {
 			const isSound = isHostSound(crash, earlier);
 			quarantineCrashes++;
 			soundCrashes += isSound ? 1 : 0;
-			if (isSound && promptCrashes >= maxPromptCrashes && crash.ageMs <= promptCrashMs) {
-				return true;
-			}
+			hasFailedPromptly ||= isSound && crash.ageMs <= promptCrashMs && promptCrashes >= maxPromptCrashes;
 		}
 
 		earlier.push(crash);
 		hosts.add(crash.host);
 	}
 
-	return soundCrashes >= maxSoundHostCrashes || (quarantineCrashes >= maxQuarantineCrashes && hosts.size > 1);
+	return hasFailedPromptly || soundCrashes >= maxSoundHostCrashes || (quarantineCrashes >= maxQuarantineCrashes && hosts.size > 1);
 };
 
 /** Whether one of the crashes is evidence against the task: it was in quarantine, and so apart from other suspects. */
 export const hasCrashedInQuarantine = (crashes: TaskCrash[]): boolean =>
 	crashes.some((crash, index) => isInQuarantine(crash, crashes.slice(0, index)));
 
-/** Identifies a crash of a worker: all tasks that it is attributed to have the same key. */
-export const getCrashKey = ({host, atMs}: TaskCrash): string => `${host} ${atMs}`;
+/** Identifies the newest of the crashes: all tasks that a crash of a worker is attributed to have the same key for it. */
+export const getNewestCrashKey = (crashes: TaskCrash[]): string => {
+	const {host, atMs} = crashes.at(-1)!;
+	return `${host} ${atMs}`;
+};
 
 /** Chooses the tasks that a crash is attributed to: only the one in quarantine if there is one, else all with a recent start. */
 export const chooseSuspects = <Resident extends ResidentTask>(resident: Resident[]): Resident[] => {
--- a/src/workflows/fleet-health.ts
+++ b/src/workflows/fleet-health.ts
@@ -36,7 +36,7 @@
 		}
 	}
 
-	/** Lets workers whose hold is over take a task again. */
+	/** Releases workers whose hold has expired; each then gets one task as a probe. */
 	releaseHeld(): void {
 		this.#health.releaseHeld(this.#options.clock.monotonicMs());
 	}
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -6,6 +6,7 @@
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
 import {AdmissionRecords} from './admission-records.ts';
+import {AwaitedRecords} from './awaited-records.ts';
 import {addCrash, isCrashLimitReached} from './crash-attribution.ts';
 import {
 	RecordType, type AttributedCrash, type InterferencePair, type RunCheckpoint, type TaskLedger, type WorkflowSnapshot, type WorkflowRecord,
@@ -71,11 +72,7 @@
 	offset = 0;
 	/** All records from this offset on were read. */
 	knownFromOffset = 0;
-	/**
-	Records of unknown jobs, by job: the store has dropped their first record, and their snapshot follows later in the stream.
-	They are applied after the snapshot; a reader that starts between the two would otherwise miss a cancellation.
-	*/
-	readonly #awaitingSnapshot = new Map<string, WorkflowRecord[]>();
+	readonly #awaitingSnapshot = new AwaitedRecords();
 
 	/**
 	Starts anew at the oldest record that the store retains, because it has dropped records that were not read: jobs may have been
@@ -133,7 +130,7 @@
 				if (folded) {
 					this.#finish(folded, WorkflowState.Cancelled);
 				} else {
-					this.#keepUntilSnapshot(record.id, record);
+					this.#awaitingSnapshot.add(record.id, record);
 				}
 
 				break;
@@ -196,11 +193,11 @@
 		}
 	}
 
-	/** Counts the jobs of a queue that have not started. */
-	countPending(queue: string): number {
+	/** Counts the jobs of a queue that have not started, by the states that `getState` gives. */
+	countPending(queue: string, getState = ({state}: FoldedWorkflow): WorkflowState | undefined => state): number {
 		let count = 0;
-		for (const {workflow, state} of this.workflows.values()) {
-			if (workflow.queue === queue && state === WorkflowState.Queued) {
+		for (const folded of this.workflows.values()) {
+			if (folded.workflow.queue === queue && getState(folded) === WorkflowState.Queued) {
 				count++;
 			}
 		}
@@ -238,12 +235,11 @@
 		};
 		this.workflows.set(workflow.id, folded);
 		const nextOffset = this.offset;
-		for (const record of this.#awaitingSnapshot.get(workflow.id) ?? []) {
+		for (const record of this.#awaitingSnapshot.take(workflow.id)) {
 			this.apply(record, offset);
 		}
 
 		this.offset = nextOffset;
-		this.#awaitingSnapshot.delete(workflow.id);
 		if (!isFinal(folded.state)) {
 			this.listener?.onSubmit(folded);
 		}
@@ -294,12 +290,6 @@
 		}
 	}
 
-	#keepUntilSnapshot(id: string, record: WorkflowRecord): void {
-		const records = this.#awaitingSnapshot.get(id) ?? [];
-		records.push(record);
-		this.#awaitingSnapshot.set(id, records);
-	}
-
 	#markStarted(folded: FoldedWorkflow | undefined): void {
 		if (folded && !folded.hasBegun) {
 			folded.hasBegun = true;
@@ -314,7 +304,7 @@
 		if (folded) {
 			folded.isTransferred = true;
 		} else {
-			this.#keepUntilSnapshot(id, {type: RecordType.Transferred, ids: [id]});
+			this.#awaitingSnapshot.add(id, {type: RecordType.Transferred, ids: [id]});
 		}
 	}
 
@@ -323,7 +313,7 @@
 		const folded = ref && this.workflows.get(ref.workflowId);
 		const step = folded?.workflow.steps[ref!.step];
 		if (ref && !folded) {
-			this.#keepUntilSnapshot(ref.workflowId, {
+			this.#awaitingSnapshot.add(ref.workflowId, {
 				type: RecordType.Ends, ends: [{
 					taskId, run, end, checkpoint,
 				}],
@@ -364,7 +354,7 @@
 		const folded = ref && this.workflows.get(ref.workflowId);
 		const step = folded?.workflow.steps[ref!.step];
 		if (ref && !folded) {
-			this.#keepUntilSnapshot(ref.workflowId, {type: RecordType.Crashes, crashes: [{taskId, ...crash}]});
+			this.#awaitingSnapshot.add(ref.workflowId, {type: RecordType.Crashes, crashes: [{taskId, ...crash}]});
 		}
 
 		if (!ref || !folded || !step) {
--- a/src/workflows/job-places.ts
+++ b/src/workflows/job-places.ts
@@ -5,7 +5,6 @@
 import {getPartition} from '../core/partitions.ts';
 import {type Clock} from '../types/clock.ts';
 import {type QueueConfig} from '../types/site.ts';
-import {WorkflowState} from '../types/workflows.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {type QueueHomes} from './queue-homes.ts';
@@ -83,35 +82,17 @@
 	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
 		const partitions = this.#getPartitions(queue);
 		const isKnown = partitions.every(partition => isRecent(this.#options.getFollower(partition))) || await this.#catchUpAll(partitions, timeoutMs);
-		if (!isKnown) {
-			return undefined;
-		}
-
-		return partitions.length === 1 ? this.#options.getFollower(partitions[0]!).fold.countPending(queue.name) : this.#countPending(queue);
+		return isKnown ? this.#countPending(queue) : undefined;
 	}
 
 	#countPending(queue: QueueConfig): number {
+		const {getFollower} = this.#options;
 		const home = this.getHomePartition(queue);
 		const partition = this.getServicePartition(queue);
-		const {fold} = this.#options.getFollower(home);
-		let count = 0;
-		for (const accepted of fold.workflows.values()) {
-			if (accepted.workflow.queue === queue.name && !isFinal(accepted.state) && this.#getLive(home, accepted).state === WorkflowState.Queued) {
-				count++;
-			}
-		}
-
-		if (partition === home) {
-			return count;
-		}
-
-		for (const {workflow, state} of this.#options.getFollower(partition).fold.workflows.values()) {
-			if (workflow.queue === queue.name && state === WorkflowState.Queued && !fold.workflows.has(workflow.id)) {
-				count++;
-			}
-		}
-
-		return count;
+		const {fold} = getFollower(home);
+		const count = fold.countPending(queue.name, accepted => this.#getLive(home, accepted).state);
+		// Jobs that only the other stream has are those of versions that know no homes.
+		return partition === home ? count : count + getFollower(partition).fold.countPending(queue.name, ({workflow: {id}, state}) => fold.workflows.has(id) ? undefined : state);
 	}
 
 	/** Partitions that have unfinished jobs of the queue. */
--- a/src/workflows/job-transfers.ts
+++ b/src/workflows/job-transfers.ts
@@ -1,5 +1,5 @@
 /**
-Hands jobs of the owned partition's stream over to the partitions of their services: operators have sent the jobs' queue to a service of
+Transfers jobs of the owned partition's stream to the partitions of their services: operators have sent the jobs' queue to a service of
 another partition, whose owner runs them. The next owner may repeat all that is written here, since a job that is in a stream is not added again.
 */
 import {getPartition} from '../core/partitions.ts';
@@ -9,8 +9,9 @@
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {isRunIn} from './job-places.ts';
+import {type OwnerLog} from './owner-log.ts';
 import {
-	encodeRecord, RecordType, workflowsTopic, type WorkflowRecord, type WorkflowSnapshot,
+	encodeRecord, RecordType, workflowsTopic, type WorkflowRecord,
 } from './records.ts';
 import {createSnapshot} from './snapshot-writer.ts';
 
@@ -27,11 +28,8 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** What the transfers write to the owned partition's stream. */
-export type TransferLog = {
-	storeTransferred: (id: string) => Promise<boolean>;
-	storeSnapshot: (job: WorkflowSnapshot) => Promise<boolean>;
-};
+/** What the transfers write to the owned partition's stream with. */
+export type TransferLog = Pick<OwnerLog, 'storeTransferred' | 'storeSnapshot'>;
 
 /** Kinds of records that a transfer writes. */
 type DueRecord = RecordType.Submit | RecordType.Transferred | RecordType.Snapshot | RecordType.Cancel;
--- a/src/workflows/quarantine-limits.ts
+++ b/src/workflows/quarantine-limits.ts
@@ -4,7 +4,7 @@
 At most one of the jobs on a crashed worker is likely to have caused the crash. Trying a task of each at once therefore costs one more worker at
 most, while suspects of several crashes cost one each.
 */
-import {getCrashKey, hasCrashedInQuarantine} from './crash-attribution.ts';
+import {hasCrashedInQuarantine} from './crash-attribution.ts';
 import {type LiveTask} from './live-model.ts';
 
 /** Share of the workers that may be held by suspects or unresponsive at the same time, while all suspects start in time. */
@@ -42,9 +42,6 @@
 export const countFreeCrashes = ({workers, unresponsive}: Pick<SuspectLoad, 'workers' | 'unresponsive'>): number =>
 	Math.max(1, Math.ceil(maxHeldShare * workers) - unresponsive);
 
-/** Gets the key of the crash that the task was last suspected for. */
-export const getSuspectedCrash = ({crashes}: LiveTask): string => getCrashKey(crashes.at(-1)!);
-
 /** Jobs whose tasks have crashed workers by themselves, while there are suspects. */
 export class CrashCauses {
 	readonly #jobs = new Set<string>();
--- a/src/workflows/quarantine.ts
+++ b/src/workflows/quarantine.ts
@@ -3,7 +3,7 @@
 time. A further crash then identifies its culprit and ends few other runs, and suspects never hold more than a share of the
 workers. A suspect waits for its quarantine for a bounded time.
 */
-import {getQuarantineMs, isSuspect} from './crash-attribution.ts';
+import {getNewestCrashKey, getQuarantineMs, isSuspect} from './crash-attribution.ts';
 import {
 	getFreeCapacity, isFitting, isSuited, type FleetWorker,
 } from './fleet-view.ts';
@@ -12,7 +12,7 @@
 } from './live-model.ts';
 import {type Start} from './placement.ts';
 import {
-	countFreeCrashes, countFreeWorkers, CrashCauses, getSuspectedCrash, type SuspectLoad,
+	countFreeCrashes, countFreeWorkers, CrashCauses, type SuspectLoad,
 } from './quarantine-limits.ts';
 
 /** Options of the quarantine. */
@@ -200,7 +200,7 @@
 		const starts = this.#startTogether(waiting.filter(suspect => this.#isOverdue(suspect, nowMs)), load, cycle);
 		const {crashes, jobs} = this.#getTried();
 		for (const suspect of waiting) {
-			const crash = getSuspectedCrash(suspect);
+			const crash = getNewestCrashKey(suspect.crashes);
 			const {workflowId} = suspect.ref;
 			const isUrgent = !jobs.has(workflowId) && !this.#causes.areMany;
 			const maxWorkers = countFreeWorkers({...load, closed: this.#closed.size}, isUrgent);
@@ -259,7 +259,7 @@
 	#getTried(): {crashes: Set<string>; jobs: Set<string>} {
 		const tried = [...this.#suspects.keys()].filter(suspect => this.#reserved.has(suspect) || getUnit(suspect).some(({runs}) => runs.length > 0));
 		return {
-			crashes: new Set(tried.map(suspect => getSuspectedCrash(suspect))),
+			crashes: new Set(tried.map(suspect => getNewestCrashKey(suspect.crashes))),
 			jobs: new Set(tried.map(({ref}) => ref.workflowId)),
 		};
 	}
--- a/src/workflows/queue-homes.ts
+++ b/src/workflows/queue-homes.ts
@@ -101,18 +101,12 @@
 			return false;
 		}
 
-		const aborter = new AbortController();
-		const timer = this.#options.clock.setTimer(() => {
-			aborter.abort();
-		}, timeoutMs);
 		try {
-			await this.#readAll(aborter.signal);
+			await this.#readAllWithin(timeoutMs);
 			return true;
 		} catch {
 			// The callers of this method report an outcome that is not known.
 			return false;
-		} finally {
-			timer.cancel();
 		}
 	}
 
@@ -179,14 +173,10 @@
 
 	/** Appends at the end of what was read: of two entries that claim at once, the store takes the record of one. */
 	async #tryClaim(services: Map<string, string>, timeoutMs: number): Promise<ClaimOutcome> {
-		const {store, clock} = this.#options;
-		const aborter = new AbortController();
-		const timer = clock.setTimer(() => {
-			aborter.abort();
-		}, timeoutMs);
+		const {store} = this.#options;
 		try {
 			if (this.#knownToOffset === undefined) {
-				await this.#readAll(aborter.signal);
+				await this.#readAllWithin(timeoutMs);
 			}
 
 			const missing = [...services].filter(([key]) => !this.#services.has(key));
@@ -204,7 +194,7 @@
 			}
 
 			if (outcome === AppendOutcome.NotAtEnd) {
-				await this.#readAll(aborter.signal);
+				await this.#readAllWithin(timeoutMs);
 				return ClaimOutcome.NotAtEnd;
 			}
 
@@ -212,8 +202,6 @@
 		} catch (error) {
 			// Without an answer the record may be stored: the next attempt then finds that the partition does not end where it expects.
 			return isError(error, ErrorCode.StoreRefused) ? ClaimOutcome.Refused : ClaimOutcome.Unanswered;
-		} finally {
-			timer.cancel();
 		}
 	}
 
@@ -230,6 +218,18 @@
 		}
 	}
 
+	async #readAllWithin(timeoutMs: number): Promise<void> {
+		const aborter = new AbortController();
+		const timer = this.#options.clock.setTimer(() => {
+			aborter.abort();
+		}, timeoutMs);
+		try {
+			await this.#readAll(aborter.signal);
+		} finally {
+			timer.cancel();
+		}
+	}
+
 	async #readAll(signal: AbortSignal): Promise<void> {
 		const {records, endOffset} = await this.#options.store.readNewest(ref, signal);
 		for (const {key, value} of records) {
--- a/test/crash-suspects-property.test.ts
+++ b/test/crash-suspects-property.test.ts
@@ -4,17 +4,15 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {expect, it} from 'vitest';
-import {RunEnd, WorkflowState, type WorkflowSpec} from '../src/types/workflows.ts';
+import {WorkflowState, type WorkflowSpec} from '../src/types/workflows.ts';
+import {
+	culpritDownMs, getLastCrashMs, getLongestIdleMs, maxIdleMs, maxLastingIdleMs,
+} from './idle-times.ts';
 import {createJobId} from './site-setup.ts';
 import {createSpec, createStep, SimulatedSite} from './simulated-site.ts';
 
-/** Callers count a task as lost that has nothing running for 3 s once the site has been calm for 4 s; for a long-running one 3 s, from 6 s after its last run. */
-const maxIdleMs = 7000;
-const maxLastingIdleMs = 9000;
 /** A task fails at its third crash; a crash of its worker for another cause may add one. */
 const maxStarts = 5;
-/** Downtime of a worker that a task has crashed. */
-const culpritDownMs = 2500;
 const watchId = createJobId(0xA1);
 const culprit = createJobId(0xC1);
 const settleMs = 40_000;
@@ -29,28 +27,6 @@
 	isOwnerLost: fc.boolean(),
 });
 
-/** Longest time from the end of a run that did not succeed, or from the moment given if that is later, to the next start of its task. */
-const getIdleMs = (site: SimulatedSite, id: string, fromMs: number): number => {
-	const endedAtMs = new Map<string, number>();
-	const {isGang} = site.specs.get(id)!.steps[0]!;
-	let longestMs = 0;
-	for (const event of site.events.filter(({taskId}) => taskId.startsWith(id))) {
-		// The end of one member stands for the gang, whose other runs end in other ways then.
-		if (isGang && event.type === 'ended' && event.end === RunEnd.Done) {
-			return longestMs;
-		}
-
-		if (event.type === 'started') {
-			longestMs = Math.max(longestMs, event.atMs - Math.max(fromMs, endedAtMs.get(event.taskId) ?? event.atMs));
-			endedAtMs.delete(event.taskId);
-		} else if (event.type === 'ended' && event.end !== RunEnd.Done) {
-			endedAtMs.set(event.taskId, event.atMs);
-		}
-	}
-
-	return Math.max(longestMs, ...[...endedAtMs.values()].map(atMs => site.clock.monotonicMs() - Math.max(fromMs, atMs)));
-};
-
 it('tasks of crashed workers start again in time, whatever crashes beside them', async () => {
 	await fc.assert(fc.asyncProperty(series, async ({hosts, jobs, crashes, culpritAfterMs, isOwnerLost}) => {
 		const site = new SimulatedSite();
@@ -95,8 +71,7 @@
 		}
 
 		await site.clock.advance(settleMs);
-		const lastLossMs = site.events.findLast(event => event.type === 'ended' && event.end === 'lost')?.atMs ?? 0;
-		const calmAtMs = lastLossMs + Math.max(culpritDownMs, ...crashes.map(({downMs}) => downMs)) + tookOverMs;
+		const calmAtMs = getLastCrashMs(site) + Math.max(culpritDownMs, ...crashes.map(({downMs}) => downMs)) + tookOverMs;
 		for (const [id] of specs) {
 			const state = await site.getState(id, [...site.entries.keys()].at(-1));
 			if (id === culprit) {
@@ -104,7 +79,7 @@
 				expect(site.getStarts(`${culprit}.0.0.0`)).toBeLessThanOrEqual(maxStarts);
 			} else {
 				expect(state).toBe(id === watchId ? WorkflowState.Running : WorkflowState.Completed);
-				expect(getIdleMs(site, id, calmAtMs)).toBeLessThan(id === watchId ? maxLastingIdleMs : maxIdleMs);
+				expect(getLongestIdleMs(site, [id], calmAtMs)).toBeLessThan(id === watchId ? maxLastingIdleMs : maxIdleMs);
 			}
 		}
 
--- a/test/crash-suspects.test.ts
+++ b/test/crash-suspects.test.ts
@@ -4,18 +4,15 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {RunEnd, WorkflowState, type WorkflowSpec} from '../src/types/workflows.ts';
+import {WorkflowState, type WorkflowSpec} from '../src/types/workflows.ts';
+import {
+	culpritDownMs, getLastCrashMs, getLongestIdleMs, maxIdleMs, maxLastingIdleMs,
+} from './idle-times.ts';
 import {createJobId, otherId} from './site-setup.ts';
 import {createSpec, createStep, SimulatedSite} from './simulated-site.ts';
 
-/** Callers count a task as lost that has nothing running for 3 s once the site has been calm for 4 s. */
-const maxIdleMs = 7000;
-/** The same for a long-running task: 3 s, from 6 s after its last run. */
-const maxLastingIdleMs = 9000;
 const maxCrashes = 3;
 const downMs = 1000;
-/** Downtime of a worker that a task has crashed. */
-const culpritDownMs = 2500;
 const culpritIds = [0xC1, 0xC2, 0xC3].map(number => createJobId(number));
 const watchId = createJobId(0xA1);
 const jobIds = Array.from({length: 10}, (_, index) => createJobId(0x1_00 + index));
@@ -80,26 +77,6 @@
 	}
 };
 
-/** Longest time from the end of a run that did not succeed, or from the moment given if that is later, to the next start of its task. */
-const getLongestIdleMs = (ids: string[], fromMs = 0): number => {
-	const endedAtMs = new Map<string, number>();
-	const idleMs = [0];
-	for (const event of site.events.filter(({taskId}) => ids.includes(taskId.split('.')[0]!))) {
-		const {taskId, atMs} = event;
-		if (event.type === 'started') {
-			idleMs.push(atMs - Math.max(fromMs, endedAtMs.get(taskId) ?? atMs));
-			endedAtMs.delete(taskId);
-		} else if (event.type === 'ended' && event.end !== RunEnd.Done) {
-			endedAtMs.set(taskId, atMs);
-		}
-	}
-
-	const nowMs = site.clock.monotonicMs();
-	return Math.max(...idleMs, ...[...endedAtMs.values()].map(atMs => nowMs - Math.max(fromMs, atMs)));
-};
-
-const getLastCrashMs = (): number => site.events.findLast(event => event.type === 'ended' && event.end === 'lost')?.atMs ?? 0;
-
 const expectCompleted = async (ids: string[]): Promise<void> => {
 	for (const id of ids) {
 		expect(await site.getState(id)).toBe(WorkflowState.Completed);
@@ -114,8 +91,8 @@
 		await site.clock.advance(300);
 		crash(getBusiest(1));
 		await site.clock.advance(20_000);
-		expect(getLongestIdleMs(jobIds)).toBeLessThan(maxIdleMs);
-		expect(getLongestIdleMs([watchId])).toBeLessThan(maxLastingIdleMs);
+		expect(getLongestIdleMs(site, jobIds)).toBeLessThan(maxIdleMs);
+		expect(getLongestIdleMs(site, [watchId])).toBeLessThan(maxLastingIdleMs);
 		await expectCompleted(jobIds);
 	});
 
@@ -127,9 +104,9 @@
 		await site.clock.advance(downMs + 2000);
 		crash(getBusiest(count));
 		await site.clock.advance(25_000);
-		const calmAtMs = getLastCrashMs() + downMs;
-		expect(getLongestIdleMs(jobIds, calmAtMs)).toBeLessThan(maxIdleMs);
-		expect(getLongestIdleMs([watchId], calmAtMs)).toBeLessThan(maxLastingIdleMs);
+		const calmAtMs = getLastCrashMs(site) + downMs;
+		expect(getLongestIdleMs(site, jobIds, calmAtMs)).toBeLessThan(maxIdleMs);
+		expect(getLongestIdleMs(site, [watchId], calmAtMs)).toBeLessThan(maxLastingIdleMs);
 		await expectCompleted(jobIds);
 	});
 
@@ -154,9 +131,9 @@
 			}
 		}
 
-		const calmAtMs = getLastCrashMs() + culpritDownMs;
-		expect(getLongestIdleMs(jobIds, calmAtMs)).toBeLessThan(maxIdleMs);
-		expect(getLongestIdleMs([watchId], calmAtMs)).toBeLessThan(maxLastingIdleMs);
+		const calmAtMs = getLastCrashMs(site) + culpritDownMs;
+		expect(getLongestIdleMs(site, jobIds, calmAtMs)).toBeLessThan(maxIdleMs);
+		expect(getLongestIdleMs(site, [watchId], calmAtMs)).toBeLessThan(maxLastingIdleMs);
 		await expectCompleted(jobIds);
 	});
 
@@ -166,7 +143,7 @@
 		await site.clock.advance(300);
 		crash([site.hosts.get('host-0')!, site.hosts.get('host-1')!]);
 		await site.clock.advance(20_000);
-		expect(getLongestIdleMs(jobIds)).toBeLessThan(maxIdleMs);
+		expect(getLongestIdleMs(site, jobIds)).toBeLessThan(maxIdleMs);
 		await expectCompleted(jobIds.slice(0, 3));
 	});
 
@@ -176,7 +153,7 @@
 		await site.clock.advance(300);
 		crash(getBusiest(2));
 		await site.clock.advance(20_000);
-		expect(getLongestIdleMs(jobIds)).toBeLessThan(maxIdleMs);
+		expect(getLongestIdleMs(site, jobIds)).toBeLessThan(maxIdleMs);
 		await expectCompleted(jobIds);
 	});
 
@@ -186,7 +163,7 @@
 		await site.clock.advance(300);
 		crash(getBusiest(1));
 		await site.clock.advance(20_000);
-		expect(getLongestIdleMs(jobIds)).toBeLessThan(maxIdleMs);
+		expect(getLongestIdleMs(site, jobIds)).toBeLessThan(maxIdleMs);
 		await expectCompleted(jobIds);
 	});
 
@@ -196,7 +173,7 @@
 		await site.clock.advance(300);
 		crash(getBusiest(1));
 		await site.clock.advance(20_000);
-		expect(getLongestIdleMs(jobIds)).toBeLessThan(maxIdleMs);
+		expect(getLongestIdleMs(site, jobIds)).toBeLessThan(maxIdleMs);
 		await expectCompleted(jobIds.slice(0, 4));
 	});
 
@@ -211,7 +188,7 @@
 		const tookOverMs = await site.waitFor(() => site.getOwnerName() !== undefined, 10_000);
 		expect(tookOverMs).toBeDefined();
 		await site.clock.advance(25_000);
-		expect(getLongestIdleMs([...jobIds, watchId])).toBeLessThan(maxIdleMs + tookOverMs!);
+		expect(getLongestIdleMs(site, [...jobIds, watchId])).toBeLessThan(maxIdleMs + tookOverMs!);
 		await expectCompleted(jobIds);
 	});
 
