--- a/review/common-2/site.ts
+++ b/review/common-2/site.ts
@@ -118,7 +118,8 @@
 	readonly #store = new MemoryStore(createSystemClock(), partitions);
 	readonly #commands = readCommands();
 	readonly #directory = mkdtempSync(join(tmpdir(), 'review-'));
-	readonly #network = `127.${64 + (process.pid % 100)}.${(process.pid >> 8) % 250}`;
+	// Addresses of its own, so that runs side by side do not meet.
+	readonly #network = `127.${64 + ((process.pid >> 8) & 127)}.${process.pid & 255}`;
 	readonly #programs: Program[] = [];
 	readonly #entries: string[] = [];
 	readonly #gangs = new Gangs();
