--- a/src/agents/order-handler.ts
+++ b/src/agents/order-handler.ts
@@ -153,11 +153,19 @@
 		const {client, clock, control, getFence, state, note} = this.#options;
 		const {lease, report, runs, allLeasesExpiredAtMs} = worker;
 		const clockMs = lease.estimateClockMs(clock.monotonicMs());
-		const start = this.#inputs.complete(order);
-		if (!start) {
+		const jobStart = this.#inputs.complete(order);
+		if (!jobStart) {
 			return {isDone: false, refusal: OrderRefusal.InputUnknown};
 		}
 
+		const {service, ...start} = jobStart;
+		if (service !== undefined && service !== report.service) {
+			note('start of another service', {
+				taskId: start.taskId, run: start.run, epoch, service, ownService: report.service,
+			});
+			return {isDone: false, refusal: OrderRefusal.OtherService};
+		}
+
 		if (report.isDraining || worker.hasLeft) {
 			return {isDone: false, refusal: OrderRefusal.Draining};
 		}
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -188,6 +188,11 @@
 			getFollower(getPartition(service, partitions));
 		},
 	});
+	const getHomeOf = (queueName: string): string | undefined => {
+		const queue = config.config?.queues.find(({name}) => name === queueName);
+		return queue && homes.get(queue);
+	};
+
 	const jobs = new WorkflowApi({
 		store,
 		clock,
@@ -252,6 +257,7 @@
 			features,
 			host: site.hostName,
 			follower: getFollower(partition),
+			getHome: getHomeOf,
 			isOwned: ({service}) => getPartition(service, partitions) === partition,
 		}),
 	});
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -82,6 +82,7 @@
 	#endNumber = 0;
 	#sequence = 0;
 	#milliCpu: number;
+	#service: string;
 	#lastRuns = new Map<string, number>();
 	readonly #waiters = new Set<() => void>();
 
@@ -89,6 +90,7 @@
 		this.workerId = `${name}-1`;
 		this.#options = options;
 		this.#milliCpu = options.report.milliCpu;
+		this.#service = options.report.service;
 		this.#scheduleLeaseCheck();
 	}
 
@@ -105,10 +107,15 @@
 		this.#milliCpu = milliCpu;
 	}
 
+	/** Changes the service that it announces: operators have given its host to another one. */
+	setService(service: string): void {
+		this.#service = service;
+	}
+
 	/** Returns the next announcement of the worker. */
 	announce(): WorkerReport {
 		return {
-			...this.#options.report, milliCpu: this.#milliCpu, workerId: this.workerId, isDraining: this.isDraining, remainingMs: this.remainingMs, warmupRemainingMs: this.warmupRemainingMs, sequence: ++this.#sequence,
+			...this.#options.report, service: this.#service, milliCpu: this.#milliCpu, workerId: this.workerId, isDraining: this.isDraining, remainingMs: this.remainingMs, warmupRemainingMs: this.warmupRemainingMs, sequence: ++this.#sequence,
 		};
 	}
 
--- a/src/types/admission.ts
+++ b/src/types/admission.ts
@@ -39,9 +39,11 @@
 	labels: string[];
 };
 
-/** Forecast of one owner. */
+/** Forecast of one owner for one service. */
 export type BacklogForecast = {
 	epoch: number;
+	/** Undefined: of an owner of the previous version, which did not tell the services of its partition apart. */
+	service: string | undefined;
 	queues: QueueForecast[];
 	/** Undefined: not completely known. */
 	fleet: WorkerShape[] | undefined;
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -91,6 +91,8 @@
 	OldRun = 'old-run',
 	StartTooLate = 'late',
 	NoCapacity = 'no-room',
+	/** The job runs on workers of another service. */
+	OtherService = 'other-service',
 	/** The worker's capacity is now smaller than the owner assumed. */
 	CapacityReduced = 'shrunk',
 	Ticket = 'ticket',
@@ -125,6 +127,8 @@
 export type OrderedStart = Omit<WorkerStart, 'input'> & {
 	/** Undefined: the agent keeps the input of the job from an earlier start. */
 	input?: string;
+	/** Service whose workers may run the job, sent with the input; undefined from an owner of the previous version. */
+	service?: string;
 };
 
 /**
--- a/src/workflows/admission-records.ts
+++ b/src/workflows/admission-records.ts
@@ -1,5 +1,5 @@
 /**
-What the jobs stream holds for the admission of jobs: the newest owner's forecast, and refused jobs by id.
+What the jobs stream holds for the admission of jobs: the newest owner's forecast for each service, and refused jobs by id.
 
 A submission that was sent without knowledge of a refusal that precedes it is void: it belongs to an attempt from before the caller was
 answered that the job is not run.
@@ -26,23 +26,25 @@
 
 /** Admission records of one partition. */
 export class AdmissionRecords {
-	/** Forecast of the newest owner; undefined: it has published none. */
-	forecast: ReadForecast | undefined;
+	/** Forecasts of the newest owner by service, as far as it has published them. */
+	readonly forecasts = new Map<string, ReadForecast>();
 	/** Called when a submission is void. */
 	onVoidSubmission: ((id: string) => void) | undefined;
 	readonly #refusals = new Map<string, RefusedJob>();
 
-	/** Applies a forecast, unless it is of an earlier owner than the newest one, which has that epoch. */
+	/** Applies a forecast, unless it is of an earlier owner than the newest one, which has that epoch, or for no service in particular. */
 	applyForecast(forecast: BacklogForecast, newestEpoch: number, writtenAfterMs: number | undefined): void {
-		if (forecast.epoch >= newestEpoch && writtenAfterMs !== undefined) {
-			this.forecast = {forecast, writtenAfterMs};
+		if (forecast.service !== undefined && forecast.epoch >= newestEpoch && writtenAfterMs !== undefined) {
+			this.forecasts.set(forecast.service, {forecast, writtenAfterMs});
 		}
 	}
 
-	/** Drops the forecast of earlier owners. */
+	/** Drops the forecasts of earlier owners. */
 	handleClaim(epoch: number): void {
-		if (this.forecast && this.forecast.forecast.epoch < epoch) {
-			this.forecast = undefined;
+		for (const [service, {forecast}] of this.forecasts) {
+			if (forecast.epoch < epoch) {
+				this.forecasts.delete(service);
+			}
 		}
 	}
 
--- a/src/workflows/advice-cache.ts
+++ b/src/workflows/advice-cache.ts
@@ -54,14 +54,13 @@
 	Requests missing tickets, as far as the limit on concurrent calls allows, and removes steps that ended. Advice delays the
 	first start of a step, so steps request it as soon as they are known; ready steps go first.
 	*/
-	update(openSteps: LiveStep[], workers: Iterable<FleetWorker>): void {
+	update(openSteps: LiveStep[], getWorkers: (service: string) => Iterable<FleetWorker>): void {
 		this.#prune();
 		const steps = openSteps.filter(step => step.workflow.spec.needsAdvice).toSorted((a, b) => Number(b.isReady) - Number(a.isReady));
 		if (steps.length === 0) {
 			return;
 		}
 
-		const workerIds = [...workers].flatMap(({report}) => report ? [report.workerId] : []);
 		const nowMs = this.#options.clock.monotonicMs();
 		for (const step of steps) {
 			if (this.#calls >= maxCalls) {
@@ -69,7 +68,7 @@
 			}
 
 			const entry = this.#getOrCreate(step);
-			const missing = entry.isRequesting || entry.retryAtMs > nowMs ? [] : this.#getMissing(step, entry, workerIds);
+			const missing = entry.isRequesting || entry.retryAtMs > nowMs ? [] : this.#getMissing(step, entry, getWorkers(step.workflow.service));
 			if (missing.length > 0) {
 				void this.#request(step, entry, missing.slice(0, maxWorkers));
 			}
@@ -97,8 +96,8 @@
 	}
 
 	/** Workers that were never named in a request, and approved ones whose ticket has expired. */
-	#getMissing(step: LiveStep, entry: Entry, workerIds: string[]): string[] {
-		return workerIds.filter(workerId => !entry.askedWorkerIds.has(workerId)
+	#getMissing(step: LiveStep, entry: Entry, workers: Iterable<FleetWorker>): string[] {
+		return [...workers].flatMap(({report}) => report ? [report.workerId] : []).filter(workerId => !entry.askedWorkerIds.has(workerId)
 			|| (entry.tickets.has(workerId) && this.getTicket(step, workerId) === undefined));
 	}
 
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -1,5 +1,5 @@
 /**
-The owner's connections to the agents of its service: finds them by their registrations, keeps one long poll for each
+The owner's connections to the agents of its services: finds them by their registrations, keeps one long poll for each
 agent's state open, and sends orders.
 */
 import {decodeFirstSession, decodeRegistration} from '../agents/control-records.ts';
@@ -12,6 +12,7 @@
 import {PeerClock} from '../utils/peer-clock.ts';
 import {getLeaseExpiryMs} from '../agents/worker-lease.ts';
 import {type AgentLoss, type FleetWorker} from './fleet-view.ts';
+import {ServiceFleets} from './service-fleets.ts';
 import {type SessionRecord} from './session-records.ts';
 
 /** Calls to agents. They throw `peer-unavailable` if there is no answer. */
@@ -67,7 +68,9 @@
 
 /** Connections of one owner. */
 export class AgentLinks {
-	readonly workers = new Map<string, FleetWorker>();
+	readonly fleets = new ServiceFleets();
+	/** Workers of all services, by host. */
+	readonly workers = this.fleets.workers;
 	readonly #options: AgentLinksOptions;
 	#registryOffset = 0;
 	#isRegistryRead = false;
@@ -143,6 +146,7 @@
 		if (known) {
 			known.address = registration.address;
 			if (offset >= known.session) {
+				this.#changeService(known, registration);
 				known.session = offset;
 				known.firstSession = decodeFirstSession(value, offset);
 				this.#applyDeparture(known, registration, offset);
@@ -152,14 +156,24 @@
 		}
 
 		const worker = this.#createWorker(registration, value, offset);
-		this.workers.set(host, worker);
+		this.fleets.add(worker);
 		this.#applyDeparture(worker, registration, offset);
 		void this.#keepWatching(worker, signal);
 	}
 
-	#createWorker({host, address}: AgentRegistration, value: Buffer, offset: number): FleetWorker {
+	/** Moves a worker to the service of a newer registration: operators may give its host to another service. */
+	#changeService(worker: FleetWorker, {service}: AgentRegistration): void {
+		if (service !== worker.service) {
+			this.#options.note('service changed', {host: worker.host, from: worker.service, service});
+			worker.service = service;
+			this.fleets.add(worker);
+		}
+	}
+
+	#createWorker({host, address, service}: AgentRegistration, value: Buffer, offset: number): FleetWorker {
 		return {
 			host,
+			service,
 			address,
 			session: offset,
 			firstSession: decodeFirstSession(value, offset),
@@ -228,7 +242,7 @@
 			note('registration gone', {
 				host, session: worker.session, offset, isListed: worker.isListed, runs: worker.runs.size,
 			});
-			this.workers.delete(host);
+			this.fleets.remove(worker);
 			onRemoved(worker);
 		}
 	}
--- a/src/workflows/evacuation-mover.ts
+++ b/src/workflows/evacuation-mover.ts
@@ -9,13 +9,14 @@
 import {type BestEffortInterference} from './best-effort-interference.ts';
 import {StopCause, type DisruptionBudget} from './disruption-budget.ts';
 import {
-	chooseEvacuationMoves, createCapacitySearch, type EvacuationHolds,
+	chooseEvacuationMoves, createCapacitySearch, type EvacuationHold, type EvacuationHolds,
 } from './evacuation-moves.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {RunPhase, type LiveTask} from './live-model.ts';
 import {type OrderSender} from './order-sender.ts';
 import {type Policy} from './policy.ts';
-import {isQuarantined, type Quarantine} from './quarantine.ts';
+import {isQuarantined} from './quarantine.ts';
+import {groupByService, type ServicePool, type ServicePools} from './service-pools.ts';
 import {type StartEligibility} from './start-eligibility.ts';
 import {type IsAllowed} from './step-placement.ts';
 import {type ViewStaleness} from './view-staleness.ts';
@@ -27,14 +28,12 @@
 	links: AgentLinks;
 	sender: OrderSender;
 	eligibility: StartEligibility;
-	quarantine: Quarantine;
+	pools: ServicePools;
 	interference: BestEffortInterference;
 	isAllowed: IsAllowed;
 	policy: Policy;
 	budget: DisruptionBudget;
 	getEvacuations: () => Evacuations;
-	/** Workers that may get new tasks. */
-	getWorkers: (nowMs: number) => FleetWorker[];
 	/** Tasks that may start now. */
 	getWaiting: (nowMs: number) => Iterable<LiveTask>;
 	viewStaleness: Pick<ViewStaleness, 'getStartValidityMs'>;
@@ -81,29 +80,41 @@
 	}
 
 	#move(failureDomains: string[]): void {
-		const {
-			clock, links, sender, quarantine, budget, getWorkers, getWaiting, note,
-		} = this.#options;
+		const {clock, links, pools, getWaiting} = this.#options;
 		const nowMs = clock.monotonicMs();
 		this.#forgetArrived();
-		const workers = [...links.workers.values()].filter(({report}) => report !== undefined && failureDomains.includes(report.failureDomain));
-		this.#recordCheckpoints(workers);
+		const evacuated = [...links.workers.values()].filter(({report}) => report !== undefined && failureDomains.includes(report.failureDomain));
+		this.#recordCheckpoints(evacuated);
+		this.#holds = new Map();
+		const waiting = groupByService(getWaiting(nowMs));
+		const moving = groupByService(this.#moving.keys());
+		for (const pool of pools.all) {
+			const workers = evacuated.filter(({service}) => service === pool.service);
+			if (workers.length > 0) {
+				this.#moveWithin(pool, {workers, waiting: waiting.get(pool.service) ?? [], moving: moving.get(pool.service) ?? []}, nowMs);
+			}
+		}
+	}
+
+	/** Moves runs of one service: tasks of another that find no capacity do not hold them up. */
+	#moveWithin(pool: ServicePool, {workers, waiting, moving}: {workers: FleetWorker[]; waiting: LiveTask[]; moving: LiveTask[]}, nowMs: number): void {
+		const {sender, budget, note} = this.#options;
 		const canStartAny = this.#canStartAny();
 		const {moves, holds} = chooseEvacuationMoves({
 			workers,
 			nowMs,
-			moving: this.#moving.keys(),
+			moving,
 			mayStart: task => canStartAny && !isQuarantined(task) && this.#options.eligibility.mayStart(task),
 			hasNewCheckpoint: task => task.checkpoint !== this.#checkpoints.get(task),
 			reserveCapacity: createCapacitySearch({
-				...this.#options, workers: getWorkers(nowMs).filter(worker => !quarantine.isClosed(worker)), waiting: new Set([...getWaiting(nowMs), ...this.#moving.keys()]),
+				...this.#options, workers: pool.getOpen(nowMs), waiting: new Set([...waiting, ...moving]),
 			}),
 			mayStop: task => budget.mayStop(task, nowMs, StopCause.Evacuation),
 			recordStop(task) {
 				budget.recordStop(task);
 			},
 		});
-		this.#holds = holds;
+		addHolds(this.#holds, holds);
 		for (const {worker, run} of moves) {
 			const {task} = run;
 			note('run evacuated', {
@@ -143,3 +154,13 @@
 		this.#checkpoints = checkpoints;
 	}
 }
+
+const addHolds = (totals: EvacuationHolds, added: EvacuationHolds): void => {
+	for (const [domain, counts] of added) {
+		const total = totals.get(domain) ?? new Map<EvacuationHold, number>();
+		totals.set(domain, total);
+		for (const [hold, count] of counts) {
+			total.set(hold, (total.get(hold) ?? 0) + count);
+		}
+	}
+};
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -1,5 +1,5 @@
 /**
-The owner's view of the workers of its service: their capacity, their active runs, and whether they accept more.
+The owner's view of the workers of its services: their capacity, their active runs, and whether they accept more.
 */
 import {type HealthSubject} from '../jobs/worker-health.ts';
 import {type Capacity, type WorkerReport} from '../types/fleet.ts';
@@ -29,6 +29,8 @@
 /** One worker with its agent, as last reported. */
 export type FleetWorker = {
 	host: string;
+	/** Service of its newest known registration: the only one whose tasks may start there. */
+	service: string;
 	address: string;
 	/** Offset of the agent's newest known registration. */
 	session: number;
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -60,7 +60,7 @@
 	listener: FoldListener | undefined;
 	/** Interference between images as the owner last stored it. */
 	interferencePairs: InterferencePair[] = [];
-	/** The newest owner's forecast, and refused jobs. */
+	/** The newest owner's forecasts, and refused jobs. */
 	readonly admission = new AdmissionRecords();
 	/** Agents that owners have declared lost. */
 	readonly losses = new SessionRecords();
--- a/src/workflows/forecast-publisher.ts
+++ b/src/workflows/forecast-publisher.ts
@@ -22,8 +22,11 @@
 	epoch: number;
 	model: LiveModel;
 	times: RunTimes;
+	/** Service that the forecast is for: the capacity and the backlog of another service of the partition are of no use to its jobs. */
+	service: string;
 	/** Whether the forecast waits are published; otherwise only the sizes of the workers. */
 	publishesWaits: boolean;
+	/** Workers of the service. */
 	getWorkers: () => Iterable<FleetWorker>;
 	/** Whether all workers of the service are known. */
 	isFleetKnown: () => boolean;
@@ -34,7 +37,8 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-const updateIntervalMs = 1000;
+/** Interval for updates. */
+export const forecastUpdateIntervalMs = 1000;
 /** Interval of the forecast where it is only logged: it takes a pass over all open jobs. */
 const loggedForecastIntervalMs = 5000;
 /** Entries ignore older forecasts, so one is published even if nothing has changed. */
@@ -51,14 +55,13 @@
 const minWaitChangeMs = 500;
 const minChangeShare = 0.2;
 
-/** Publisher of one owner. */
+/** Publisher of one owner for one service. */
 export class ForecastPublisher {
 	readonly #options: ForecastPublisherOptions;
 	readonly #forecaster = new BacklogForecaster();
 	readonly #inventory: FleetInventory;
 	/** What was forecast for a job when it came; undefined: it came before this owner. */
 	readonly #forecastsMs = new WeakMap<LiveWorkflow, number | undefined>();
-	#updatedAtMs = Number.NEGATIVE_INFINITY;
 	#forecastAtMs = Number.NEGATIVE_INFINITY;
 	#publishedAtMs = Number.NEGATIVE_INFINITY;
 	#published: BacklogForecast | undefined;
@@ -69,16 +72,11 @@
 		this.#inventory = new FleetInventory(options.clock.monotonicMs());
 	}
 
-	/** Updates the forecast if it is due; to be called periodically. */
+	/** Updates the forecast; to be called at the interval for updates. */
 	update(): void {
 		const {clock, getWorkers, isFleetKnown, publishesWaits} = this.#options;
 		const nowMs = clock.monotonicMs();
-		if (nowMs - this.#updatedAtMs < updateIntervalMs) {
-			return;
-		}
-
-		this.#updatedAtMs = nowMs;
-		if (nowMs - this.#forecastAtMs >= (publishesWaits ? updateIntervalMs : loggedForecastIntervalMs)) {
+		if (nowMs - this.#forecastAtMs >= (publishesWaits ? forecastUpdateIntervalMs : loggedForecastIntervalMs)) {
 			this.#updateForecast(nowMs);
 		}
 
@@ -103,8 +101,9 @@
 	#updateForecast(nowMs: number): void {
 		const isFirst = this.#forecastAtMs === Number.NEGATIVE_INFINITY;
 		this.#forecastAtMs = nowMs;
-		for (const workflow of this.#options.model.workflows.values()) {
-			if (!this.#forecastsMs.has(workflow)) {
+		const {model, service} = this.#options;
+		for (const workflow of model.workflows.values()) {
+			if (workflow.service === service && !this.#forecastsMs.has(workflow)) {
 				this.#forecastsMs.set(workflow, isFirst ? undefined : this.#getForecastMs(workflow));
 			}
 		}
@@ -117,8 +116,8 @@
 	}
 
 	#getBacklogs(nowMs: number): JobBacklog[] {
-		const {model, times} = this.#options;
-		return model.getOpenOccurrences().map(steps => {
+		const {model, times, service} = this.#options;
+		return model.getOpenOccurrences().filter(([step]) => step!.workflow.service === service).map(steps => {
 			const {workflow: {spec, receivedAtMs}} = steps[0]!;
 			const {totalCoreMs, remainingCoreMs, criticalPathMs} = getRemainingWork(steps, times);
 			return {
@@ -135,8 +134,10 @@
 	}
 
 	#publish(fleet: WorkerShape[] | undefined, nowMs: number): void {
-		const {epoch, publishesWaits, getStalenessMs, note} = this.#options;
-		const forecast = fitToRecord({epoch, fleet, queues: publishesWaits ? this.#forecaster.forecasts.slice(0, maxQueues) : []});
+		const {epoch, service, publishesWaits, getStalenessMs, note} = this.#options;
+		const forecast = fitToRecord({
+			epoch, service, fleet, queues: publishesWaits ? this.#forecaster.forecasts.slice(0, maxQueues) : [],
+		});
 		const isDue = nowMs - this.#publishedAtMs >= maxIntervalMs || !this.#published || hasChanged(this.#published, forecast);
 		const isEmpty = !forecast.fleet && forecast.queues.length === 0;
 		if (!isDue || isEmpty || this.#isStoring || (getStalenessMs() ?? Number.POSITIVE_INFINITY) > maxStalenessMs) {
@@ -148,6 +149,7 @@
 		void this.#store(forecast);
 		note('backlog forecast', {
 			epoch,
+			service,
 			shapes: forecast.fleet?.length,
 			queues: this.#forecaster.forecasts.slice(0, maxQueues).map(({queue, waits, measuredJobs, lowestRatio, medianRatio}) => ({
 				queue, waitsMs: waits.map(({waitMs}) => waitMs), measuredJobs, lowestRatio, medianRatio,
@@ -162,10 +164,10 @@
 	}
 }
 
-/** Creates the publisher of an owner; undefined: admission is off. */
+/** Creates the publisher of an owner for one service; undefined: admission is off. */
 export const createForecastPublisher = (
 	{clock, epoch, features, follower, note}: Pick<OwnerOptions, 'clock' | 'epoch' | 'features' | 'follower' | 'note'>,
-	parts: Pick<ForecastPublisherOptions, 'model' | 'times' | 'getWorkers' | 'isFleetKnown' | 'store'>,
+	parts: Pick<ForecastPublisherOptions, 'service' | 'model' | 'times' | 'getWorkers' | 'isFleetKnown' | 'store'>,
 ): ForecastPublisher | undefined => features[Feature.Admission]
 	? new ForecastPublisher({
 		...parts, clock, epoch, note, getStalenessMs: () => follower.stalenessMs, publishesWaits: features[Feature.LateRefusals],
--- a/src/workflows/forecast-rows.ts
+++ b/src/workflows/forecast-rows.ts
@@ -1,5 +1,8 @@
 /**
 Encoding of a forecast as rows of numbers: all entries read it, some over slow links.
+
+Entries of the previous version apply the members `queues` and `fleet` to the jobs of all services, so a forecast for one service has its rows in
+members that they do not know.
 */
 import {type BacklogForecast, type QueueForecast, type WorkerShape} from '../types/admission.ts';
 import {Fields} from '../utils/fields.ts';
@@ -7,20 +10,23 @@
 /** Name of the operation in errors. */
 const step = 'read forecast';
 
-type EncodedForecast = {epoch: number; queues: unknown[][]; fleet?: unknown[][]};
+type EncodedForecast = {epoch: number; queues: []; service: string | undefined; waits: unknown[][]; workers?: unknown[][]};
 
 /** Encodes a forecast. */
-export const encodeForecast = ({epoch, queues, fleet}: BacklogForecast): EncodedForecast => ({
+export const encodeForecast = ({epoch, service, queues, fleet}: BacklogForecast): EncodedForecast => ({
 	epoch,
-	queues: queues.map(({queue, measuredJobs, lowestRatio, medianRatio, waits}) => [queue, measuredJobs, lowestRatio, medianRatio, ...waits.flatMap(({fromCoreMs, waitMs}) => [fromCoreMs, waitMs])]),
-	...(fleet && {fleet: fleet.map(({milliCpu, memoryMb, accelerators, workers, labels}) => [milliCpu, memoryMb, accelerators, workers, ...labels])}),
+	queues: [],
+	service,
+	waits: queues.map(({queue, measuredJobs, lowestRatio, medianRatio, waits}) => [queue, measuredJobs, lowestRatio, medianRatio, ...waits.flatMap(({fromCoreMs, waitMs}) => [fromCoreMs, waitMs])]),
+	...(fleet && {workers: fleet.map(({milliCpu, memoryMb, accelerators, workers, labels}) => [milliCpu, memoryMb, accelerators, workers, ...labels])}),
 });
 
 /** Decodes a forecast. Throws `bad-input`. */
 export const decodeForecast = (fields: Fields): BacklogForecast => ({
 	epoch: fields.nonNegativeInteger('epoch'),
-	queues: fields.array('queues', decodeQueue),
-	fleet: fields.has('fleet') ? fields.array('fleet', decodeShape) : undefined,
+	service: fields.has('service') ? fields.string('service') : undefined,
+	queues: fields.array('waits', decodeQueue),
+	fleet: fields.has('workers') ? fields.array('workers', decodeShape) : undefined,
 });
 
 const queueColumns = 4;
--- a/src/workflows/job-places.ts
+++ b/src/workflows/job-places.ts
@@ -27,6 +27,11 @@
 export const isRunIn = (partition: number, {workflow, hasBegun, isTransferred}: FoldedWorkflow, partitions: number): boolean =>
 	getPartition(workflow.service, partitions) === partition || (hasBegun && !isTransferred);
 
+/** Gets the service whose workers run the tasks of a job in the partition's stream. */
+export const getRunService = ({workflow: {queue, service}}: FoldedWorkflow, {partition, partitions, getHome}: {partition: number; partitions: number; getHome: (queue: string) => string | undefined}): string =>
+	// Such a job was started by an owner of a version that transfers none, on workers of the queue's home.
+	getPartition(service, partitions) === partition ? service : getHome(queue) ?? service;
+
 /** Whether the follower's view is recent enough for callers. */
 export const isRecent = ({stalenessMs}: WorkflowFollower): boolean => stalenessMs !== undefined && stalenessMs <= maxStalenessMs;
 
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -110,6 +110,8 @@
 	/** Earlier owners may have given its tasks' runs numbers up to this. */
 	lastRun: number;
 	spec: Workflow;
+	/** Service whose workers run its tasks: the one that it was accepted for. */
+	service: string;
 	/** By occurrence. */
 	occurrences: Map<number, LiveStep[]>;
 	nextOccurrence: number;
@@ -124,6 +126,12 @@
 /** Jobs of one partition that have not finished, and finished ones with active runs. */
 export class LiveModel {
 	readonly workflows = new Map<string, LiveWorkflow>();
+	readonly #getService: (folded: FoldedWorkflow) => string;
+
+	/** `getService`: gets the service whose workers run the tasks of a job. */
+	constructor(getService: (folded: FoldedWorkflow) => string = ({workflow}) => workflow.service) {
+		this.#getService = getService;
+	}
 
 	/** Adds the included jobs of the fold that have not finished. Earlier owners may have given runs of their tasks numbers up to `lastRun`. */
 	load(fold: WorkflowFold, wallMs: number, nowMs: number, lastRun = 0, isIncluded = (_: FoldedWorkflow) => true): void {
@@ -140,6 +148,7 @@
 			folded,
 			lastRun,
 			spec: folded.workflow,
+			service: this.#getService(folded),
 			occurrences: new Map(),
 			nextOccurrence: 0,
 			isFinished: false,
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -47,6 +47,8 @@
 	[OrderRefusal.Unanswered]: 500,
 	[OrderRefusal.Draining]: 1000,
 	[OrderRefusal.Evacuated]: 500,
+	// The agent's registration, which tells its service, is read within this.
+	[OrderRefusal.OtherService]: 1000,
 };
 
 /** Sends the orders of one owner. */
@@ -174,10 +176,11 @@
 	/** Creates the start of a run, with the job's input unless the agent keeps it. */
 	#createStart(worker: FleetWorker, {task, run}: LiveRun): OrderedStart {
 		const {step, taskId, checkpoint} = task;
+		const {spec, service} = step.workflow;
 		const isInputSent = worker.sentInputs?.has(step.workflow) ?? false;
 		worker.sentInputs?.add(step.workflow);
 		return {
-			taskId, run, input: isInputSent ? undefined : step.workflow.spec.input, checkpoint, ticket: this.#options.getTicket(step, worker.report!.workerId),
+			taskId, run, ...(!isInputSent && {input: spec.input, service}), checkpoint, ticket: this.#options.getTicket(step, worker.report!.workerId),
 		};
 	}
 
--- a/src/workflows/owner-options.ts
+++ b/src/workflows/owner-options.ts
@@ -37,6 +37,8 @@
 	maxCallBytes: number;
 	/** How long the store retains records. */
 	retentionMs: number;
+	/** Gets the service that is the home of a queue; undefined: it is not known. */
+	getHome: (queue: string) => string | undefined;
 	/** Whether the agent's service belongs to the owned partition. */
 	isOwned: (registration: AgentRegistration) => boolean;
 	policy: Policy;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -12,27 +12,25 @@
 import {AgentLinks} from './agent-links.ts';
 import {ControlWriter} from './control-writer.ts';
 import {CrashMonitor} from './crash-monitor.ts';
-import {createColdWorkerUpdate, type ColdWorkerUpdate} from './cold-workers.ts';
 import {DueOccurrences} from './due-occurrences.ts';
 import {createFoldListener} from './fold-listener.ts';
 import {EvacuationPublisher} from './evacuation-publisher.ts';
-import {FleetHealth} from './fleet-health.ts';
 import {BestEffortInterference} from './best-effort-interference.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {getTotalCapacity} from './job-objective.ts';
+import {getRunService} from './job-places.ts';
 import {JobTransfers} from './job-transfers.ts';
 import {LiveModel, type LiveTask} from './live-model.ts';
 import {AgentLossMonitor} from './agent-loss-monitor.ts';
-import {createForecastPublisher, type ForecastPublisher} from './forecast-publisher.ts';
-import {getSchedulableWorkers} from './schedulable-workers.ts';
+import {createForecastPublisher} from './forecast-publisher.ts';
 import {OrderSender} from './order-sender.ts';
 import {OrderWindow} from './order-window.ts';
 import {OwnerLog} from './owner-log.ts';
 import {type OwnerOptions} from './owner-options.ts';
 import {ThrottleController} from './throttle-controller.ts';
 import {Mechanism} from './policy.ts';
-import {isQuarantined, Quarantine} from './quarantine.ts';
+import {isQuarantined} from './quarantine.ts';
 import {wantsCopy} from './relocation.ts';
 import {SchedulingCycles} from './scheduling-cycles.ts';
 import {RegistrationRemover} from './registration-remover.ts';
@@ -40,7 +38,7 @@
 import {RunMover} from './run-mover.ts';
 import {RunTracker} from './run-tracker.ts';
 import {Reconciliation} from './reconciliation.ts';
-import {SlowWorkers} from './slow-runs.ts';
+import {ServicePools} from './service-pools.ts';
 import {type IsAllowed} from './step-placement.ts';
 import {StartEligibility} from './start-eligibility.ts';
 import {describeFinishedJob} from './task-order.ts';
@@ -53,7 +51,7 @@
 
 /** Runs the jobs of one partition while it holds the newest epoch. */
 export class Owner {
-	readonly model = new LiveModel();
+	readonly model: LiveModel;
 	readonly links: AgentLinks;
 	readonly #options: OwnerOptions;
 	readonly #runs: RunTracker;
@@ -61,14 +59,13 @@
 	readonly #sender: OrderSender;
 	readonly #losses: AgentLossMonitor;
 	readonly #crashes: CrashMonitor;
-	readonly #quarantine: Quarantine;
 	readonly #throttleController: ThrottleController;
 	readonly #advice: AdviceCache;
 	readonly #isAllowed: IsAllowed;
 	readonly #cycles: SchedulingCycles;
 	readonly #interference = new BestEffortInterference();
 	readonly #runTimes: RunTimes;
-	readonly #slowWorkers: SlowWorkers;
+	readonly #pools: ServicePools;
 	readonly #aborter = createAborter();
 	readonly #meter: WorkMeter;
 	readonly #viewStaleness: ViewStaleness;
@@ -78,25 +75,19 @@
 	readonly #evacuationPublisher: EvacuationPublisher;
 	readonly #mover: RunMover;
 	readonly #transfers: JobTransfers;
-	/** Undefined: admission is off. */
-	readonly #forecasts: ForecastPublisher | undefined;
-	readonly #updateColdWorkers: ColdWorkerUpdate;
-	readonly #health: FleetHealth;
 
 	constructor(options: OwnerOptions) {
 		const {clock, epoch, note, follower, policy} = options;
-		const {model} = this;
+		const model = new LiveModel(folded => getRunService(folded, options));
+		this.model = model;
 		this.#options = options;
 		this.#meter = new WorkMeter(clock, times => {
 			note('owner work', {jobs: model.workflows.size, ...times});
 		});
-		this.#health = new FleetHealth({clock, note, getFleetSize: () => this.links.workers.size});
 		this.#viewStaleness = new ViewStaleness(options);
 		this.#dueOccurrences = new DueOccurrences(model, clock);
 		this.#evacuationPublisher = new EvacuationPublisher({...options, describeHolds: domain => this.#mover.describeHolds(domain)});
-		this.#updateColdWorkers = createColdWorkerUpdate(options);
 		this.#runTimes = new RunTimes(policy[Mechanism.RunTimes], options.features[Feature.RunTimeTails]);
-		this.#slowWorkers = new SlowWorkers({times: this.#runTimes, note});
 		this.#log = new OwnerLog({
 			...options, onFenced: () => {
 				this.#stepDown('the stream has a newer owner');
@@ -144,15 +135,23 @@
 		this.#advice = new AdviceCache({...options, client: options.adviceClient, onAdvice: requestCycle});
 		this.#isAllowed = (step, workerId) => !step.workflow.spec.needsAdvice || this.#advice.getTicket(step, workerId) !== undefined;
 		const window = new OrderWindow(clock);
-		this.#quarantine = new Quarantine({workers: this.links.workers, note});
+		const pools = new ServicePools({
+			...options,
+			fleets: this.links.fleets,
+			times: this.#runTimes,
+			createForecasts: ({service, workers}) => createForecastPublisher(options, {
+				service, model, times: this.#runTimes, getWorkers: () => workers.values(), isFleetKnown: () => this.links.isRegistryRead && this.#eligibility.isReconciled, store: async forecast => this.#log.storeForecast(forecast),
+			}),
+		});
+		this.#pools = pools;
 		this.#crashes = new CrashMonitor({
 			clock,
 			note,
 			tracker: this.#runs,
 			getTask: ref => this.#findTask(ref),
 			store: async crashes => this.#log.storeCrashes(crashes),
-			onLikelyCause: (worker, task) => {
-				this.#health.recordEnd(worker, task, false);
+			onLikelyCause(worker, task) {
+				pools.get(worker.service).health.recordEnd(worker, task, false);
 			},
 			onCrashLimit: task => {
 				this.#failJob(task);
@@ -168,14 +167,16 @@
 			interference: this.#interference,
 			times: this.#runTimes,
 			isAllowed: this.#isAllowed,
-			quarantine: this.#quarantine,
+			pools,
 			window,
 			getWaiting: nowMs => this.#getStartableTasks(nowMs),
-			getWorkers: nowMs => this.#getSchedulableWorkers(nowMs),
 			getRuns: () => [...this.links.workers.values()].flatMap(worker => [...worker.runs]),
 			getStartDelayMs: () => this.#sender.startDelayMs,
 			onStarts: starts => {
-				this.#slowWorkers.noteCopies(starts, clock.monotonicMs());
+				for (const start of starts) {
+					pools.get(start.worker.service).slowWorkers.noteCopies([start], clock.monotonicMs());
+				}
+
 				this.#sender.start(starts);
 			},
 		});
@@ -193,12 +194,9 @@
 			},
 		});
 		this.#mover = new RunMover({
-			...options, ...shared, times: this.#runTimes, sender: this.#sender, eligibility: this.#eligibility, quarantine: this.#quarantine, interference: this.#interference, isAllowed: this.#isAllowed, getWorkers: nowMs => this.#getSchedulableWorkers(nowMs),
+			...options, ...shared, times: this.#runTimes, sender: this.#sender, eligibility: this.#eligibility, pools, interference: this.#interference, isAllowed: this.#isAllowed,
 			reconciliation: this.#reconciliation, viewStaleness: this.#viewStaleness, getWaiting: nowMs => this.#getStartableTasks(nowMs),
 		});
-		this.#forecasts = createForecastPublisher(options, {
-			model, times: this.#runTimes, getWorkers: () => this.links.workers.values(), isFleetKnown: () => this.links.isRegistryRead && this.#eligibility.isReconciled, store: async forecast => this.#log.storeForecast(forecast),
-		});
 		this.#throttleController = new ThrottleController({...shared, interference: this.#interference});
 	}
 
@@ -285,7 +283,7 @@
 					task.avoidedHosts.add(worker.host);
 				}
 
-				this.#health.recordEnd(worker, task, isSuccess);
+				this.#pools.get(worker.service).health.recordEnd(worker, task, isSuccess);
 				if (!isSuccess && !worker.health.isHeld) {
 					this.#runTimes.observeFailure(run);
 				}
@@ -330,10 +328,9 @@
 		}
 
 		this.#log.storeInterference(() => this.#interference.getPairs());
-		this.#advice.update(this.model.getOpenSteps(), this.links.workers.values());
+		this.#advice.update(this.model.getOpenSteps(), service => this.links.fleets.get(service).values());
 		this.#mover.tryMove();
-		this.#health.releaseHeld();
-		this.#forecasts?.update();
+		this.#pools.update();
 		this.#cycles.requestCycle();
 	}
 
@@ -349,12 +346,6 @@
 		}
 	}
 
-	#getSchedulableWorkers(nowMs: number): FleetWorker[] {
-		const {policy, getEvacuations} = this.#options;
-		const workers = [...this.links.workers.values()];
-		return this.#slowWorkers.leaveOut(this.#updateColdWorkers(workers, getSchedulableWorkers(workers, {nowMs, policy, evacuated: getEvacuations().failureDomains}), nowMs), nowMs);
-	}
-
 	#handleReply(worker: FleetWorker, reply: WatchReply): void {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#losses.readmit(worker);
@@ -381,8 +372,9 @@
 	#finishWorkflow(folded: FoldedWorkflow): void {
 		const workflow = this.model.workflows.get(folded.workflow.id);
 		if (workflow) {
-			this.#forecasts?.recordEnd(workflow);
-			this.#options.note('job over', describeFinishedJob(workflow, this.#runTimes, {nowMs: this.#options.clock.monotonicMs(), capacity: getTotalCapacity(this.links.workers.values())}));
+			const pool = this.#pools.get(workflow.service);
+			pool.forecasts?.recordEnd(workflow);
+			this.#options.note('job over', describeFinishedJob(workflow, this.#runTimes, {nowMs: this.#options.clock.monotonicMs(), capacity: getTotalCapacity(pool.workers.values())}));
 			workflow.isFinished = true;
 			this.#sender.stopUnneededRuns();
 			this.#cycles.requestCycle();
--- a/src/workflows/run-mover.ts
+++ b/src/workflows/run-mover.ts
@@ -51,10 +51,10 @@
 
 	#move(): void {
 		const {
-			clock, links, sender, eligibility, quarantine, interference, isAllowed, policy, times, getWorkers, note,
+			clock, links, sender, eligibility, pools, interference, isAllowed, policy, times, note,
 		} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const canPlace = createPlacementCheck(getWorkers(nowMs).filter(worker => !quarantine.isClosed(worker)), {interference, isAllowed, policy});
+		const canPlace = pools.dispatch(pool => createPlacementCheck(pool.getOpen(nowMs), {interference, isAllowed, policy}));
 		const moves = chooseMoves({
 			workers: links.workers.values(), nowMs, policy, times, canPlace: task => eligibility.mayStart(task) && canPlace(task), tryStop: (task, cause) => this.budget.tryStop(task, nowMs, cause),
 		});
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -1,27 +1,38 @@
 /**
-Scheduling cycles: batch changes, decide starts in order of rank, and log why other tasks wait.
+Scheduling cycles: batch changes, decide starts in order of rank for each service, and log why other tasks wait.
 */
 import {type Clock} from '../types/clock.ts';
 import {DutyCycle} from '../utils/duty-cycle.ts';
 import {sum} from '../utils/sum.ts';
 import {type WorkMeter} from '../utils/work-meter.ts';
 import {type BestEffortInterference} from './best-effort-interference.ts';
-import {type FleetWorker} from './fleet-view.ts';
 import {getTotalCapacity} from './job-objective.ts';
 import {type RefusalCause} from './interference-refusals.ts';
 import {
 	type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
-import {place, type PlacementResult, type Start} from './placement.ts';
+import {
+	place, type PlacementInput, type PlacementResult, type Start,
+} from './placement.ts';
 import {type OrderWindow} from './order-window.ts';
 import {type Policy} from './policy.ts';
-import {type Quarantine} from './quarantine.ts';
+import {type QuarantineResult} from './quarantine.ts';
 import {type RunTimes} from './run-times.ts';
+import {groupByService, type ServicePool} from './service-pools.ts';
 import {WaitReason, type IsAllowed, type StepPlacement} from './step-placement.ts';
 import {
 	createRank, describeLongestWait, getRemainingWork, type RemainingWork,
 } from './task-order.ts';
 
+/** What a cycle needs of the pool of a service. */
+export type SchedulingPool = Pick<ServicePool, 'service' | 'quarantine' | 'getSchedulable'>;
+
+/** What a cycle needs of the pools. */
+export type SchedulingPools = {
+	readonly all: SchedulingPool[];
+	get: (service: string) => SchedulingPool;
+};
+
 /** Options of the cycles. */
 export type SchedulingCyclesOptions = {
 	clock: Clock;
@@ -32,12 +43,10 @@
 	policy: Policy;
 	meter: WorkMeter;
 	isAllowed: IsAllowed;
-	quarantine: Quarantine;
+	pools: SchedulingPools;
 	window: OrderWindow;
 	/** Tasks that may start now. */
 	getWaiting: (nowMs: number) => Iterable<LiveTask>;
-	/** Workers that may get new tasks. */
-	getWorkers: (nowMs: number) => FleetWorker[];
 	/** Active runs on all workers. */
 	getRuns: () => LiveRun[];
 	/** Delay between a decision and the delivery of a start. */
@@ -46,6 +55,8 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
+type CycleTimes = {nowMs: number; nextStartDelayMs: number};
+
 /** Changes are batched for this long before a cycle. */
 const batchDelayMs = 4;
 /** Caps scheduling at a quarter of the thread so that replies are still handled. */
@@ -67,7 +78,9 @@
 	/** Whether starts wait for the congestion window. */
 	#isWindowFull = false;
 	#lastAtMs = Number.POSITIVE_INFINITY;
-	#remainingWork = new Map<LiveStep[], RemainingWork>();
+	/** Work of the open occurrences, by service. */
+	#remainingWork = new Map<string, Map<LiveStep[], RemainingWork>>();
+	#cycles = 0;
 	#remainingWorkAtMs = Number.NEGATIVE_INFINITY;
 	#loggedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -106,9 +119,7 @@
 	}
 
 	#run(): void {
-		const {
-			clock, quarantine, window, getWaiting, getWorkers, getStartDelayMs, onStarts,
-		} = this.#options;
+		const {clock, window, getWaiting, getStartDelayMs, onStarts} = this.#options;
 		this.#isWindowFull = !window.hasRoom;
 		if (this.#isWindowFull) {
 			return;
@@ -118,17 +129,17 @@
 		const gapMs = Math.max(0, Math.min(maxGapMs, nowMs - this.#lastAtMs));
 		const times = {nowMs, nextStartDelayMs: gapMs + getStartDelayMs()};
 		this.#lastAtMs = nowMs;
-		const quarantined = quarantine.arrange({
-			nowMs, wallMs: clock.now().getTime(), waiting: [...getWaiting(nowMs)], schedulable: getWorkers(nowMs), place: (tasks, workers) => this.#place(tasks, workers, times).starts,
-		});
-		const {starts, waits, spareMilliCpu, refused} = this.#place(quarantined.waiting, quarantined.schedulable, times);
-		const decided = [...quarantined.starts, ...starts];
+		const waiting = groupByService(getWaiting(nowMs));
+		const placed = this.#getPools(waiting.keys()).map(pool => this.#runPool(pool, waiting.get(pool.service) ?? [], times));
+		const suspectStarts = placed.flatMap(({quarantined}) => quarantined.starts);
+		const decided = [...suspectStarts, ...placed.flatMap(({placement}) => placement.starts)];
 		const admitted = window.admit(decided);
-		for (const {task: {step: {workflow}}, isIdleStart} of admitted.slice(quarantined.starts.length)) {
+		for (const {task: {step: {workflow}}, isIdleStart} of admitted.slice(suspectStarts.length)) {
 			workflow.isStarved = isIdleStart;
 		}
 
 		onStarts(admitted);
+		const waits = sumWaits(placed.map(({placement}) => placement.waits));
 		if (admitted.length < decided.length) {
 			this.#isWindowFull = true;
 			waits.set(WaitReason.OrderWindow, decided.length - admitted.length);
@@ -136,16 +147,37 @@
 
 		if (waits.size > 0 && nowMs - this.#loggedAtMs >= logIntervalMs) {
 			this.#loggedAtMs = nowMs;
-			const unplaced = quarantined.waiting.filter(({runs}) => runs.length === 0);
-			this.#logWaits({waits, spareMilliCpu, refused}, describeLongestWait(unplaced, nowMs));
+			const unplaced = placed.flatMap(({quarantined}) => quarantined.waiting).filter(({runs}) => runs.length === 0);
+			const spareMilliCpu = sum(placed.map(({placement}) => placement.spareMilliCpu));
+			this.#logWaits({waits, spareMilliCpu, refused: placed.flatMap(({placement}) => placement.refused)}, describeLongestWait(unplaced, nowMs));
+		}
+	}
+
+	/** Gets the pools, each cycle from another one on: where the congestion window is short, no service is always the last. */
+	#getPools(services: Iterable<string>): SchedulingPool[] {
+		const {pools} = this.#options;
+		for (const service of services) {
+			pools.get(service);
 		}
+
+		const {all} = pools;
+		const first = this.#cycles++ % Math.max(1, all.length);
+		return [...all.slice(first), ...all.slice(0, first)];
 	}
 
-	#place(waiting: LiveTask[], workers: FleetWorker[], {nowMs, nextStartDelayMs}: {nowMs: number; nextStartDelayMs: number}): PlacementResult {
+	/** Decides the starts of one service. */
+	#runPool(pool: SchedulingPool, waiting: LiveTask[], times: CycleTimes): {quarantined: QuarantineResult; placement: PlacementResult} {
+		const {clock} = this.#options;
+		const quarantined = pool.quarantine.arrange({
+			nowMs: times.nowMs, wallMs: clock.now().getTime(), waiting, schedulable: pool.getSchedulable(times.nowMs), place: (tasks, workers) => this.#place(pool, {waiting: tasks, workers}, times).starts,
+		});
+		return {quarantined, placement: this.#place(pool, {waiting: quarantined.waiting, workers: quarantined.schedulable}, times)};
+	}
+
+	#place({service}: SchedulingPool, input: Pick<PlacementInput, 'waiting' | 'workers'>, {nowMs, nextStartDelayMs}: CycleTimes): PlacementResult {
 		const {clock, interference, times, policy, isAllowed} = this.#options;
 		return place({
-			waiting,
-			workers,
+			...input,
 			nowMs,
 			nextStartDelayMs,
 			interference,
@@ -153,7 +185,7 @@
 			policy,
 			getTaskMs: step => times.getTaskMs(step),
 			createRank: spareMilliCpu => createRank({
-				nowMs, spareMilliCpu, policy, times, wallMs: clock.now().getTime(), remainingWork: this.#getRemainingWork(nowMs),
+				nowMs, spareMilliCpu, policy, times, wallMs: clock.now().getTime(), remainingWork: this.#getRemainingWork(nowMs).get(service) ?? new Map<LiveStep[], RemainingWork>(),
 			}),
 		});
 	}
@@ -174,22 +206,36 @@
 			spareMilliCpu: Math.round(spareMilliCpu),
 			startsInFlightBytes: window.inFlightBytes,
 			startWindowBytes: Math.round(window.sizeBytes),
-			backlogCoreMs: Math.round(sum([...this.#remainingWork.values()].map(({remainingCoreMs}) => remainingCoreMs))),
+			backlogCoreMs: Math.round(sum([...this.#remainingWork.values()].flatMap(works => [...works.values()]).map(({remainingCoreMs}) => remainingCoreMs))),
 		});
 	}
 
-	#getRemainingWork(nowMs: number): Map<LiveStep[], RemainingWork> {
+	#getRemainingWork(nowMs: number): Map<string, Map<LiveStep[], RemainingWork>> {
 		if (nowMs - this.#remainingWorkAtMs >= remainingWorkIntervalMs) {
-			const {model, times, getWorkers} = this.#options;
-			const options = {nowMs, capacity: times.hasTails ? getTotalCapacity(getWorkers(nowMs)) : undefined};
+			const {model, times, pools} = this.#options;
+			const capacities = new Map(times.hasTails ? pools.all.map(pool => [pool.service, getTotalCapacity(pool.getSchedulable(nowMs))]) : []);
 			this.#remainingWorkAtMs = nowMs;
-			this.#remainingWork = new Map(model.getOpenOccurrences().map(steps => [steps, getRemainingWork(steps, times, options)]));
+			this.#remainingWork = new Map();
+			for (const steps of model.getOpenOccurrences()) {
+				const {service} = steps[0]!.workflow;
+				const works = this.#remainingWork.get(service) ?? new Map<LiveStep[], RemainingWork>();
+				this.#remainingWork.set(service, works.set(steps, getRemainingWork(steps, times, {nowMs, capacity: capacities.get(service)})));
+			}
 		}
 
 		return this.#remainingWork;
 	}
 }
 
+const sumWaits = (counts: Array<PlacementResult['waits']>): PlacementResult['waits'] => {
+	const waits: PlacementResult['waits'] = new Map();
+	for (const [reason, count] of counts.flatMap(each => [...each])) {
+		waits.set(reason, (waits.get(reason) ?? 0) + count);
+	}
+
+	return waits;
+};
+
 /** Counts the pairs of a step and a worker that are ruled out for interference, by cause. */
 const countRefusals = (refused: StepPlacement[]): Map<RefusalCause, number> => {
 	const totals = new Map<RefusalCause, number>();
--- a/src/workflows/step-placement.ts
+++ b/src/workflows/step-placement.ts
@@ -34,7 +34,7 @@
 
 /** Why a waiting task does not start, ordered from the furthest from a start to the nearest. */
 export enum WaitReason {
-	/** No schedulable worker has the required label, size or advice ticket. */
+	/** No schedulable worker of the service has the required label, size or advice ticket. */
 	NoWorker = 'no-worker',
 	NoCapacity = 'room',
 	/** Every worker with capacity already has the maximum number of tasks of the step. */
@@ -175,7 +175,7 @@
 const getObstacle = (step: LiveStep, candidate: Candidate, options: StepPlacementOptions): WaitReason | undefined => {
 	const {spec} = step;
 	const {worker, freeCapacity, taskCounts} = candidate;
-	if (!isSuited(spec, worker.report!) || !options.isAllowed(step, worker.report!.workerId)) {
+	if (worker.service !== step.workflow.service || !isSuited(spec, worker.report!) || !options.isAllowed(step, worker.report!.workerId)) {
 		return WaitReason.NoWorker;
 	}
 
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -186,7 +186,7 @@
 	#decide(queue: QueueConfig, id: string, spec: WorkflowSpec): Refusal | undefined {
 		const {clock, admission, getConfig} = this.#options;
 		const follower = this.#options.getFollower(this.#places.getServicePartition(queue));
-		const read = follower.fold.admission.forecast;
+		const read = follower.fold.admission.forecasts.get(queue.service);
 		if (!admission || !read || !isRecent(follower)) {
 			return undefined;
 		}
--- a/test/backlog-forecast.test.ts
+++ b/test/backlog-forecast.test.ts
@@ -134,6 +134,7 @@
 	it('is decoded as it was encoded', () => {
 		const forecast = {
 			epoch: 7,
+			service: 'desk',
 			queues: [{
 				queue: 'build', measuredJobs: 12, lowestRatio: 0.4, medianRatio: 1.2, waits: [{fromCoreMs: 10, waitMs: 20}, {fromCoreMs: 30, waitMs: 40}],
 			}],
--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -210,14 +210,18 @@
 it('takes a forecast from before it last reached the end for as old as it may be', async () => {
 	const clock = new ManualClock();
 	const store = new MemoryStore(clock, 1);
-	const publish = async () => store.createClient('owner').append(ref, [encodeRecord({type: RecordType.Forecast, forecast: {epoch: 1, queues: [], fleet: undefined}})], {timeoutMs: 1000});
+	const publish = async () => store.createClient('owner').append(ref, [encodeRecord({
+		type: RecordType.Forecast, forecast: {
+			epoch: 1, service: 'desk', queues: [], fleet: undefined,
+		},
+	})], {timeoutMs: 1000});
 	void publish();
 	await clock.advance(60_000);
 	const aborter = new AbortController();
 	const follower = new WorkflowFollower({
 		store: store.createClient('entry'), clock, ref, onInvalid: () => undefined, onStoreState: () => undefined,
 	});
-	const getAgeMs = () => clock.monotonicMs() - follower.fold.admission.forecast!.writtenAfterMs;
+	const getAgeMs = () => clock.monotonicMs() - follower.fold.admission.forecasts.get('desk')!.writtenAfterMs;
 	void follower.run(aborter.signal);
 	await clock.advance(1000);
 	expect(getAgeMs()).toBeGreaterThan(60_000);
--- a/test/job-admission.test.ts
+++ b/test/job-admission.test.ts
@@ -29,7 +29,7 @@
 	spec,
 	queue: {name: 'issue', stretch: 2, targetLatencyMs: 500},
 	forecast: {
-		epoch: 1, queues: [busyQueue], fleet, ...forecast,
+		epoch: 1, service: 'desk', queues: [busyQueue], fleet, ...forecast,
 	},
 	forecastAgeMs: 1000,
 	waitedMs: 0,
--- a/test/scheduling-cycles.test.ts
+++ b/test/scheduling-cycles.test.ts
@@ -14,7 +14,7 @@
 import {
 	createWorker, createWorkflow, load, run,
 } from './site-fleet.ts';
-import {createSpec, createStep} from './simulated-site.ts';
+import {createSpec, createStep, queue} from './simulated-site.ts';
 
 const ignore = () => undefined;
 const bestEffortStep = createStep({isFilling: true, image: 'heavy'});
@@ -34,6 +34,7 @@
 	interference.restore([{
 		server: 'serve', filler: 'heavy', mean: 0.4, deviation: 0.01,
 	}], 0);
+	const pool = {service: queue.service, quarantine: new Quarantine({workers: new Map([['host', worker]]), note: ignore}), getSchedulable: () => [worker]};
 	const started: Array<{step: number; atMs: number}> = [];
 	const cycles = new SchedulingCycles({
 		clock,
@@ -45,9 +46,8 @@
 		meter: new WorkMeter(clock, ignore),
 		isAllowed: () => true,
 		window: new OrderWindow(clock),
-		quarantine: new Quarantine({workers: new Map([['host', worker]]), note: ignore}),
+		pools: {all: [pool], get: () => pool},
 		getWaiting: nowMs => model.getWaitingTasks(nowMs, () => false),
-		getWorkers: () => [worker],
 		getRuns: () => [...worker.runs],
 		getStartDelayMs: () => 10,
 		onStarts(starts: Start[]) {
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -93,10 +93,14 @@
 	/** Entries that have not reached the store for a while. */
 	readonly storeLost = new Set<string>();
 	readonly specs = new Map<string, WorkflowSpec>();
+	/** Services to which a configuration has sent the queue of a job, by job. */
+	readonly jobServices = new Map<string, Set<string>>();
 	/** Services that the entries know which start from now on. */
 	services = [service];
 	/** Service of the workers that are added from now on. */
 	workerService = service;
+	/** Queues of the configuration beside the first one. */
+	moreQueues: QueueConfig[] = [];
 	/** Random numbers of all entries. */
 	random: Pick<Random, 'next'> = {next: () => 0.5};
 	/** Features of the entries that start from now on. */
@@ -210,7 +214,7 @@
 			getCaughtUpAtMs: () => followers.caughtUpAtMs,
 			hasService: used => followers.has(used),
 			createOwner: (owned, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
-				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
+				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), getHome: name => [queue, ...this.moreQueues].filter(known => known.name === name).map(known => homes.get(known))[0], isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
 			}),
 		});
 		void homes.run(aborter.signal);
@@ -235,6 +239,7 @@
 
 	async submit(id: string, spec: WorkflowSpec, entryName?: string, asQueue = queue): Promise<SubmitReply> {
 		this.specs.set(id, spec);
+		this.jobServices.set(id, (this.jobServices.get(id) ?? new Set()).add(asQueue.service));
 		return this.settle(this.#getJobs(entryName).submit(asQueue, id, spec, 2500));
 	}
 
@@ -378,11 +383,20 @@
 			}
 		}
 
+		const {service: workerService} = this.#getHostOf(workerId).worker.announce();
+		if (this.jobServices.get(workflowId)?.has(workerService) === false) {
+			this.violations.push(`${taskId} run ${run} is started on ${workerId} of ${workerService}, to which no configuration sends its queue`);
+		}
+
 		this.#checkCapacity(workerId);
 	}
 
+	#getHostOf(workerId: string): AgentHost {
+		return [...this.hosts.values()].find(({worker}) => worker.workerId === workerId)!;
+	}
+
 	#checkCapacity(workerId: string): void {
-		const host = [...this.hosts.values()].find(({worker}) => worker.workerId === workerId)!;
+		const host = this.#getHostOf(workerId);
 		let milliCpu = 0;
 		for (const taskId of host.worker.running.keys()) {
 			const ref = parseTaskId(taskId)!;
--- a/test/site-admission.test.ts
+++ b/test/site-admission.test.ts
@@ -17,7 +17,7 @@
 	createJobId, createSite, jobId, otherId,
 } from './site-setup.ts';
 import {
-	createSpec, createStep, partition, queue, SimulatedSite,
+	createSpec, createStep, partition, queue, service, SimulatedSite,
 } from './simulated-site.ts';
 
 const fleetKnownMs = 11_000;
@@ -44,11 +44,15 @@
 
 /** Stores a forecast as the owner of that epoch would. */
 const publish = async (epoch = getEpoch(), queues = longWaits): Promise<void> => {
-	await site.settle(site.store.createClient('owner').append(ref, [encodeRecord({type: RecordType.Forecast, forecast: {epoch, queues, fleet: undefined}})], {timeoutMs: 1000}));
+	await site.settle(site.store.createClient('owner').append(ref, [encodeRecord({
+		type: RecordType.Forecast, forecast: {
+			epoch, service, queues, fleet: undefined,
+		},
+	})], {timeoutMs: 1000}));
 	await site.clock.advance(100);
 };
 
-const getForecast = (name: string) => site.entries.get(name)!.follower.fold.admission.forecast?.forecast;
+const getForecast = (name: string) => site.entries.get(name)!.follower.fold.admission.forecasts.get(service)?.forecast;
 
 const submitAt = async (name: string, id = jobId): Promise<SubmitReply> => site.submit(id, late, name);
 
@@ -158,7 +162,7 @@
 	/** Another entry has accepted it just before, and the one that decides on the next attempt has not read that. */
 	it('is accepted if its record precedes the refusal and was not read yet', async () => {
 		await publish();
-		site.entries.get('entry-0')!.follower.fold.admission.forecast = undefined;
+		site.entries.get('entry-0')!.follower.fold.admission.forecasts.clear();
 		site.store.getFault = ({kind, client}) => kind === 'read' && client === 'entry-1' ? StoreFault.LoseRequest : StoreFault.None;
 		await site.clock.advance(800);
 		expect((await submitAt('entry-0')).outcome).toBe(SubmitOutcome.Accepted);
@@ -174,7 +178,7 @@
 	it('never runs for an earlier attempt at another entry that had no answer', async () => {
 		await publish();
 		const {admission} = site.entries.get('entry-0')!.follower.fold;
-		admission.forecast = undefined;
+		admission.forecasts.clear();
 		site.store.getFault = ({kind, ref: called, client}) => kind === 'append' && called?.topic === workflowsTopic && client === 'entry-0' ? StoreFault.ExecuteLate : StoreFault.None;
 		const first = site.entries.get('entry-0')!.jobs.submit(queue, jobId, late, 500);
 		await site.clock.advance(700);
@@ -283,7 +287,7 @@
 	it('is ignored once it is old', async () => {
 		await publish();
 		for (const {follower} of site.entries.values()) {
-			follower.fold.admission.forecast!.writtenAfterMs -= 12_000;
+			follower.fold.admission.forecasts.get(service)!.writtenAfterMs -= 12_000;
 		}
 
 		expect((await submitAt('entry-0')).outcome).toBe(SubmitOutcome.Accepted);
@@ -314,7 +318,7 @@
 		const seconds = site.clock.monotonicMs() / 1000;
 		expect(published.length).toBeGreaterThan((seconds / 5) - 4);
 		expect(published.length).toBeLessThanOrEqual(seconds);
-		const {forecast} = site.entries.get('entry-0')!.follower.fold.admission.forecast!;
+		const {forecast} = site.entries.get('entry-0')!.follower.fold.admission.forecasts.get(service)!;
 		expect(encodeRecord({type: RecordType.Forecast, forecast}).byteLength).toBeLessThan(1000);
 		expect(forecast.queues[0]!.measuredJobs).toBeGreaterThan(10);
 	});
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -24,6 +24,7 @@
 
 export const createWorker = (host: string, milliCpu = 4000, labels = ['a', 'r1-1']): FleetWorker => ({
 	host,
+	service: queue.service,
 	address: host,
 	session: 1,
 	firstSession: 1,
--- a/test/site-inputs.test.ts
+++ b/test/site-inputs.test.ts
@@ -38,7 +38,7 @@
 	{type: RecordType.Refused, id: workflow.id},
 	{
 		type: RecordType.Forecast, forecast: {
-			epoch: 3, queues: [{
+			epoch: 3, service: 'desk', queues: [{
 				queue: 'issue', measuredJobs: 60, lowestRatio: 0.5, medianRatio: 1, waits: [{fromCoreMs: 10, waitMs: 20}],
 			}], fleet: [{
 				milliCpu: 4000, memoryMb: 8000, accelerators: 0, workers: 2, labels: ['a'],
