Start all members of a gang with one checkpoint

What callers saw: a worker that runs a member of a checkpointing gang crashes and is back after a second, and the gang never works again.

Cause: the owner kept a checkpoint for each task and sent each member its own. After a crash the member of the crashed worker has the value that was listed last, the others the newer one that came with their ends. Workers refuse a start with another value than the members that are there have. The ledger in the stream has one value for the gang.

Evidence: in the record of the case run 3 is ordered with the checkpoint of the second second for one member and of the third for the others; all refusals name "another checkpoint than the other members".

Change: a checkpoint is taken for the unit, which is the whole gang. Of several values the one of the latest run counts, then that of the latest progress in it, then that of an end; each is valid, and an older one only costs work. A run keeps the value that its start carries. The stream gets a value once for the gang, no longer once for each member.

Tests: the stand-in for workers has gangs and checkpoints as the platform's pages describe them, and the simulated site reports each start with another checkpoint than the members that are there have. Types and events of the stand-in have moved to files of their own; no test changes what it checks.

--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -4,43 +4,14 @@
 */
 import {createError, ErrorCode} from '../core/errors.ts';
 import {formatWorkerId, getInstanceId} from '../platform/worker-identity.ts';
-import {type Clock, type Timer} from '../types/clock.ts';
 import {
-	OrderRefusal, type EndedRow, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerReport, type WorkerStart,
+	OrderRefusal, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerReport, type WorkerStart,
 } from '../types/fleet.ts';
 import {RunEnd} from '../types/workflows.ts';
-import {getPercent, type RunPlan} from './run-plan.ts';
-
-/** Events of runs, for the checks of tests; `forgotten` means that the agent has acknowledged the end. */
-export type WorkerEvent
-	= | {type: 'started'; taskId: string; run: number; workerId: string; atMs: number}
-		| {type: 'ended'; taskId: string; run: number; workerId: string; end: RunEnd | 'lost'; atMs: number}
-		| {type: 'forgotten'; taskId: string; run: number; workerId: string; end: RunEnd; atMs: number};
-
-/** Faults to inject into an order. */
-export enum OrderFault {
-	None = 'none',
-	/** The order is executed, but its response is lost. */
-	LoseAnswer = 'lose-answer',
-	/** The order gets no response and is executed some seconds later. */
-	ExecuteLate = 'do-late',
-	/** The order never arrives. */
-	Drop = 'drop',
-	/** The worker is unhealthy: it refuses the order and does nothing. */
-	Refuse = 'refuse',
-}
-
-/** Options of a worker. */
-export type SiteWorkerOptions = {
-	clock: Clock;
-	report: Omit<WorkerReport, 'sequence' | 'workerId' | 'isDraining'>;
-	plan: (start: WorkerStart) => RunPlan;
-	onEvent: (event: WorkerEvent) => void;
-	maxLeaseMs: number;
-	stopMs: number;
-};
-
-type Running = {start: WorkerStart; startedAtMs: number; plan: RunPlan; timer?: Timer; percent: number};
+import {getSavedMs} from './run-plan.ts';
+import {getRunCheckpoint, listRun, type SimulatedRun} from './simulated-run.ts';
+import {WorkerEnds} from './worker-ends.ts';
+import {OrderFault, type SiteWorkerOptions} from './worker-options.ts';
 
 const responseMs = 1;
 const lateExecutionMs = 4000;
@@ -66,7 +37,7 @@
 	maxListedEnds = 500;
 	/** Whether the worker crashes soon after the start of any run. */
 	isCrashLooping = false;
-	readonly running = new Map<string, Running>();
+	readonly running = new Map<string, SimulatedRun>();
 	/** Recent measurement that it reports for each run: processors in use or tail latency. */
 	recent = 0;
 	/** Whether its process is down: connections are refused and nothing is announced. */
@@ -78,8 +49,7 @@
 	#startedAtMs = 0;
 	#fence = 0;
 	#leaseUntilMs = 0;
-	#ended: EndedRow[] = [];
-	#endNumber = 0;
+	#ended = new WorkerEnds();
 	#sequence = 0;
 	#milliCpu: number;
 	#service: string;
@@ -175,12 +145,12 @@
 	#restart(downtimeMs: number): void {
 		for (const {start, timer} of this.running.values()) {
 			this.#reportEnd(start, 'lost');
+			this.#options.gangs?.remove(start, 'lost');
 			timer?.cancel();
 		}
 
 		this.running.clear();
-		this.#ended = [];
-		this.#endNumber = 0;
+		this.#ended = new WorkerEnds();
 		this.#fence = 0;
 		this.#leaseUntilMs = 0;
 		this.#lastRuns = new Map();
@@ -277,30 +247,55 @@
 			return {isDone: false, refusal: OrderRefusal.StartTooLate};
 		}
 
-		this.#extendLease(leaseUntilMs);
-		const {clock, plan, onEvent} = this.#options;
-		const run: Running = {
-			start, startedAtMs: clock.monotonicMs(), plan: plan(start), percent: 0,
+		const {clock, plan, onEvent, gangs} = this.#options;
+		const {taskId, checkpoint} = start;
+		const run: SimulatedRun = {start, worksSinceMs: undefined, plan: plan(start)};
+		const begin = () => {
+			this.#begin(run);
+		};
+
+		const end = (how: RunEnd) => {
+			this.#end(run, how);
 		};
-		this.running.set(start.taskId, run);
-		this.#lastRuns.set(start.taskId, start.run);
+
+		const {gangSize} = run.plan;
+		this.running.set(taskId, run);
+		const member = {
+			taskId, run: start.run, checkpoint, begin, end,
+		};
+		if (gangs && gangSize !== undefined && !gangs.add(member, gangSize)) {
+			this.running.delete(taskId);
+			return {isDone: false, refusal: OrderRefusal.Invalid};
+		}
+
+		this.#extendLease(leaseUntilMs);
+		this.#lastRuns.set(taskId, start.run);
 		onEvent({
-			type: 'started', taskId: start.taskId, run: start.run, workerId: this.workerId, atMs: clock.monotonicMs(),
+			type: 'started', taskId, run: start.run, workerId: this.workerId, atMs: clock.monotonicMs(),
 		});
-		const crashAfterMs = this.isCrashLooping ? crashLoopAfterMs : run.plan.crashAfterMs;
+		if (!gangs || gangSize === undefined) {
+			begin();
+		}
+
+		return {isDone: true};
+	}
+
+	#begin(run: SimulatedRun): void {
+		const {clock} = this.#options;
+		const {start, plan} = run;
+		run.worksSinceMs = clock.monotonicMs();
+		const crashAfterMs = this.isCrashLooping ? crashLoopAfterMs : plan.crashAfterMs;
 		if (crashAfterMs !== undefined) {
 			run.timer = clock.setTimer(() => {
 				if (this.running.get(start.taskId) === run) {
 					this.crash(crashDowntimeMs);
 				}
 			}, crashAfterMs);
-		} else if (run.plan.workMs !== undefined) {
+		} else if (plan.workMs !== undefined) {
 			run.timer = clock.setTimer(() => {
-				this.#end(run, run.plan.isFailing ? RunEnd.Failed : RunEnd.Done);
-			}, run.plan.workMs);
+				this.#end(run, plan.isFailing ? RunEnd.Failed : RunEnd.Done);
+			}, Math.max(0, plan.workMs - getSavedMs(plan, start.checkpoint)));
 		}
-
-		return {isDone: true};
 	}
 
 	#stop(taskId: string, runNumber: number, fence: number): WorkerAnswer {
@@ -320,17 +315,18 @@
 		return {isDone: true};
 	}
 
-	#end(run: Running, end: RunEnd): void {
+	#end(run: SimulatedRun, end: RunEnd): void {
 		if (this.running.get(run.start.taskId) !== run) {
 			return;
 		}
 
 		run.timer?.cancel();
 		this.running.delete(run.start.taskId);
-		this.#ended.push({
-			number: ++this.#endNumber, taskId: run.start.taskId, run: run.start.run, end, checkpoint: '',
+		this.#ended.add({
+			taskId: run.start.taskId, run: run.start.run, end, checkpoint: getRunCheckpoint(run, this.#options.clock.monotonicMs()),
 		});
 		this.#reportEnd(run.start, end);
+		this.#options.gangs?.remove(run.start, end);
 		for (const wake of this.#waiters) {
 			wake();
 		}
@@ -349,19 +345,15 @@
 	}
 
 	#forget(upTo: number): void {
-		for (const {taskId, run, end, number} of this.#ended) {
-			if (number <= upTo) {
-				this.#options.onEvent({
-					type: 'forgotten', taskId, run, end, workerId: this.workerId, atMs: this.#options.clock.monotonicMs(),
-				});
-			}
+		for (const {taskId, run, end} of this.#ended.forget(upTo)) {
+			this.#options.onEvent({
+				type: 'forgotten', taskId, run, end, workerId: this.workerId, atMs: this.#options.clock.monotonicMs(),
+			});
 		}
-
-		this.#ended = this.#ended.filter(({number}) => number > upTo);
 	}
 
 	async #waitForEnd(waitMs: number): Promise<void> {
-		if (waitMs > 0 && this.#ended.length === 0) {
+		if (waitMs > 0 && this.#ended.count === 0) {
 			const aborter = new AbortController();
 			const wake = () => {
 				aborter.abort();
@@ -378,11 +370,9 @@
 		return {
 			workerId: this.workerId,
 			clockMs: this.#clockMs,
-			running: [...this.running.values()].map(({start: {taskId, run}, startedAtMs, plan}) => ({
-				taskId, run, checkpoint: '', recent: this.recent, percent: getPercent(plan, nowMs - startedAtMs),
-			})),
-			ended: this.#ended.slice(0, this.maxListedEnds),
-			hasMoreEnds: this.#ended.length > this.maxListedEnds,
+			running: [...this.running.values()].map(run => listRun(run, nowMs, this.recent)),
+			ended: this.#ended.list(this.maxListedEnds),
+			hasMoreEnds: this.#ended.count > this.maxListedEnds,
 		};
 	}
 
--- a/src/workflows/crash-monitor.ts
+++ b/src/workflows/crash-monitor.ts
@@ -10,9 +10,8 @@
 import {type FleetWorker} from './fleet-view.ts';
 import {getUnit, type LiveTask} from './live-model.ts';
 import {type AttributedCrash} from './records.ts';
-import {
-	describeState, LossReason, type LossFinding, type RunTracker,
-} from './run-tracker.ts';
+import {describeState} from './run-evidence.ts';
+import {LossReason, type LossFinding, type RunTracker} from './run-tracker.ts';
 
 /** Options of the monitor. */
 export type CrashMonitorOptions = {
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -27,6 +27,8 @@
 	/** Incarnation of the agent that the order was sent to. */
 	agentLife: string;
 	phase: RunPhase;
+	/** Checkpoint that its start carries, if this owner orders it. */
+	checkpoint: string;
 	/** When the start was ordered. */
 	orderedAtMs: number;
 	/** The agent has not answered the order yet. */
@@ -77,6 +79,8 @@
 	checkpoint: string;
 	/** Number of the run that the checkpoint comes from, or of a later one; 0: there is none. */
 	checkpointRun: number;
+	/** Progress of that run at the checkpoint; infinity: the run had ended. */
+	checkpointPercent: number;
 	/** Whether a run of it is listed as running by a listing that was requested after this owner's claim: no earlier owner has started another one that is active. */
 	isLocated: boolean;
 	/** The checkpoint that the stream holds. */
@@ -217,8 +221,11 @@
 		const checkpoints: RunCheckpoint[] = [];
 		for (const workflow of this.workflows.values()) {
 			for (const {task, run} of workflow.isFinished ? [] : getActiveRuns(workflow)) {
-				if (task.checkpoint !== task.storedCheckpoint && !task.isDone) {
-					task.storedCheckpoint = task.checkpoint;
+				if (!task.isDone && task.checkpoint !== task.storedCheckpoint) {
+					for (const member of getUnit(task)) {
+						member.storedCheckpoint = task.checkpoint;
+					}
+
 					checkpoints.push({taskId: task.taskId, run, checkpoint: task.checkpoint});
 				}
 			}
@@ -278,17 +285,6 @@
 /** Tasks that start, succeed and fail together: the whole gang, or the task alone. */
 export const getUnit = (task: LiveTask): LiveTask[] => task.step.spec.isGang ? task.step.tasks : [task];
 
-/** Takes the checkpoint of a run, unless there is one of a later run: hosts that were cut off report earlier runs late. Returns whether it is taken. */
-export const takeCheckpoint = (task: LiveTask, run: number, checkpoint: string): boolean => {
-	if (checkpoint === '' || run < task.checkpointRun) {
-		return false;
-	}
-
-	task.checkpoint = checkpoint;
-	task.checkpointRun = run;
-	return true;
-};
-
 /**
 Marks the older active runs of a task as unwanted; returns the number of the newest one. An owner starts a task again only when its last run
 can no longer be active, so it is the older one that an agent still lists although it has ended.
@@ -370,6 +366,7 @@
 		clearedRun: 0,
 		checkpoint: ledger?.checkpoint ?? '',
 		checkpointRun: ledger && ledger.checkpoint !== '' ? ledger.lastRun : 0,
+		checkpointPercent: 0,
 		isLocated: false,
 		storedCheckpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -141,9 +141,9 @@
 
 	async #sendStarts(worker: FleetWorker, runs: LiveRun[], notAfterMs: number): Promise<void> {
 		const {links, clock, note, window, onAnswered} = this.#options;
-		for (const {task, run, workerId, orderedAtMs} of runs) {
+		for (const {task, run, workerId, orderedAtMs, checkpoint} of runs) {
 			note('start', {
-				taskId: task.taskId, run, host: worker.host, workerId, waitedMs: Math.round(orderedAtMs - task.waitingSinceMs), checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
+				taskId: task.taskId, run, host: worker.host, workerId, waitedMs: Math.round(orderedAtMs - task.waitingSinceMs), checkpoint: checkpoint === '' ? undefined : checkpoint,
 			});
 		}
 
@@ -174,8 +174,8 @@
 	}
 
 	/** Creates the start of a run, with the job's input unless the agent keeps it. */
-	#createStart(worker: FleetWorker, {task, run}: LiveRun): OrderedStart {
-		const {step, taskId, checkpoint} = task;
+	#createStart(worker: FleetWorker, {task, run, checkpoint}: LiveRun): OrderedStart {
+		const {step, taskId} = task;
 		const {spec, service} = step.workflow;
 		const isInputSent = worker.sentInputs?.has(step.workflow) ?? false;
 		worker.sentInputs?.add(step.workflow);
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -8,11 +8,13 @@
 import {
 	parseTaskId, RunEnd, type EndedRun, type TaskRef,
 } from '../types/workflows.ts';
+import {takeCheckpoint} from './checkpoints.ts';
 import {isCold} from './cold-workers.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {
-	getUnit, keepNewestRun, RunPhase, takeCheckpoint, type LiveModel, type LiveRun, type LiveTask,
+	getUnit, keepNewestRun, RunPhase, type LiveModel, type LiveRun, type LiveTask,
 } from './live-model.ts';
+import {describeRun, describeState} from './run-evidence.ts';
 import {isCoveredBy, hasRecentListing} from './state-coverage.ts';
 
 /** Callbacks of the tracker to its owner. */
@@ -50,18 +52,6 @@
 /** When runs were found to be lost, and what showed it; the evidence goes to the log. */
 export type LossFinding = {nowMs: number; evidence: Record<string, unknown>};
 
-/** Describes the state of an agent in a reply: which one it is, and how long ago the agent built it. */
-export const describeState = ({agentClock}: FleetWorker, {agentLife, version, agentClockMs, isOver}: WatchReply, nowMs: number): Record<string, unknown> => ({
-	state: {
-		agentLife, version, agentClockMs: Math.round(agentClockMs), isOver, ageMs: Math.round(agentClock.estimate(nowMs) - agentClockMs),
-	},
-});
-
-/** Describes what this owner knows of a run's start. */
-const describeRun = ({phase, isOrderPending, orderedAtMs, notAfterMs, confirmedVersion, agentLife}: LiveRun, nowMs: number): Record<string, unknown> => ({
-	phase, isOrderPending, orderedAgoMs: Math.round(nowMs - orderedAtMs), notAfterMs: Math.round(notAfterMs), confirmedVersion, orderedLife: agentLife,
-});
-
 // After its first failure a task is retried at once; from the second on it waits, so that a task that fails right at its
 // start does not use up all starts.
 const retryDelayMs = 100;
@@ -104,6 +94,7 @@
 			workerId: worker.report!.workerId,
 			agentLife: worker.agentLife,
 			phase: RunPhase.Starting,
+			checkpoint: task.checkpoint,
 			orderedAtMs: terms.nowMs,
 			isOrderPending: true,
 			notAfterMs: terms.notAfterMs,
@@ -196,7 +187,7 @@
 				this.#applyRunning(worker, row, reply, nowMs);
 			} else if (task && row.run > task.lastRun) {
 				task.lastRun = row.run;
-				takeCheckpoint(task, row.run, row.checkpoint);
+				takeCheckpoint(task, row);
 				this.#handlers.onStarted(task);
 			}
 		}
@@ -265,7 +256,7 @@
 		run.wasCold = run.wasCold === true || isCold(worker);
 		countWork(run, nowMs);
 		this.#handlers.onProgress(run);
-		takeCheckpoint(run.task, run.run, row.checkpoint);
+		takeCheckpoint(run.task, row);
 		if (run.phase === RunPhase.Starting) {
 			this.confirm(run, reply.version, nowMs);
 		}
@@ -348,7 +339,7 @@
 		}
 
 		// A checkpoint that is not taken must not be stored either: a later owner would resume from it.
-		const record = takeCheckpoint(task, end.run, end.checkpoint) ? end : {...end, checkpoint: ''};
+		const record = takeCheckpoint(task, end) ? end : {...end, checkpoint: ''};
 		// The number is stored with the end of the newest run, also without a result: owners of the previous version go on from the highest stored one.
 		const isNewest = end.run >= task.lastRun && !task.isDone && !task.step.workflow.isFinished;
 		if (task.step.spec.isLasting) {
--- a/test/late-states.test.ts
+++ b/test/late-states.test.ts
@@ -3,7 +3,8 @@
 */
 import {afterEach, expect, it} from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
-import {OrderFault, type SiteWorker} from '../src/standin/site-worker.ts';
+import {type SiteWorker} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {type RunningRow, type WatchReply} from '../src/types/fleet.ts';
 import {RunPhase, type LiveRun, type LiveTask} from '../src/workflows/live-model.ts';
 import {type FleetWorker} from '../src/workflows/fleet-view.ts';
--- a/test/refused-renewals.test.ts
+++ b/test/refused-renewals.test.ts
@@ -4,7 +4,7 @@
 import {
 	afterEach, expect, it,
 } from 'vitest';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {createSite, jobId, otherId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
--- a/test/restarted-agent-leases.test.ts
+++ b/test/restarted-agent-leases.test.ts
@@ -7,7 +7,7 @@
 import {AgentState} from '../src/agents/agent-state.ts';
 import {WorkerLease} from '../src/agents/worker-lease.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {type WorkerReport} from '../src/types/fleet.ts';
 import {createSite, jobId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -9,7 +9,9 @@
 import {Feature, setAllFeatures} from '../src/core/site-features.ts';
 import {MemoryStore} from '../src/standin/memory-store.ts';
 import {type RunPlan} from '../src/standin/run-plan.ts';
-import {SiteWorker, type WorkerEvent} from '../src/standin/site-worker.ts';
+import {SiteWorker} from '../src/standin/site-worker.ts';
+import {type WorkerEvent} from '../src/standin/worker-options.ts';
+import {WorkerGangs} from '../src/standin/worker-gangs.ts';
 import {type AdviceClient} from '../src/types/advice.ts';
 import {LookupOutcome, type JobApi, type SubmitReply} from '../src/types/job-api.ts';
 import {type WorkerStart} from '../src/types/fleet.ts';
@@ -35,6 +37,8 @@
 export const service = 'desk';
 const partitions = 8;
 export const partition = getPartition(service, partitions);
+/** How long members of a gang wait for each other. */
+export const gangTimeoutMs = 3000;
 /** No task of a cancelled job starts later than this after the cancellation. */
 export const cancelMs = 3000;
 
@@ -105,6 +109,12 @@
 	random: Pick<Random, 'next'> = {next: () => 0.5};
 	/** Features of the entries that start from now on. */
 	features = setAllFeatures(true);
+	/** Work between two checkpoints of tasks that write them; undefined: they write none. */
+	checkpointMs: number | undefined;
+	readonly #gangs = new WorkerGangs(this.clock, gangTimeoutMs, ({taskId, run, checkpoint}) => {
+		this.violations.push(`${taskId} run ${run} is ordered with another checkpoint than the members of its gang that are there: ${checkpoint}`);
+	});
+
 	readonly #runs = new Map<string, {workerId: string; run: number}>();
 	readonly #done = new Set<string>();
 	readonly #forgottenDone = new Set<string>();
@@ -128,12 +138,13 @@
 			report: {
 				service: this.workerService, failureDomain, milliCpu, memoryMb: 64_000, accelerators: 0, labels,
 			},
-			plan: start => this.plan(start),
+			plan: start => ({...this.#getStepPlan(start), ...this.plan(start)}),
 			onEvent: event => {
 				this.#checkEvent(event);
 			},
 			maxLeaseMs: 6000,
 			stopMs: 100,
+			gangs: this.#gangs,
 		});
 		const host: AgentHost = {
 			name, worker, clock: new ProcessClock(this.clock), wallOffsetMs: 0, agent: undefined, aborter: new AbortController(),
@@ -328,6 +339,12 @@
 		};
 	}
 
+	#getStepPlan({taskId}: WorkerStart): Partial<RunPlan> {
+		const ref = parseTaskId(taskId)!;
+		const step = this.specs.get(ref.workflowId)?.steps[ref.step];
+		return {...(step?.isGang && {gangSize: step.count}), ...(step?.isCheckpointing && {checkpointMs: this.checkpointMs})};
+	}
+
 	#checkEvent(event: WorkerEvent): void {
 		this.events.push(event);
 		const ref = parseTaskId(event.taskId)!;
--- a/test/site-budgets.test.ts
+++ b/test/site-budgets.test.ts
@@ -3,7 +3,7 @@
 */
 import {afterEach, expect, it} from 'vitest';
 import {Feature, setAllFeatures} from '../src/core/site-features.ts';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {killOwner} from './departures.ts';
 import {
 	countStops, createDomainSite, getHosts, getMostAwayAtStops, submitLongRunning,
--- a/test/site-faults.ts
+++ b/test/site-faults.ts
@@ -3,7 +3,7 @@
 */
 import fc from 'fast-check';
 import {StoreFault} from '../src/standin/memory-store.ts';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {SubmitOutcome} from '../src/types/job-api.ts';
 import {WorkflowState} from '../src/types/workflows.ts';
 import {createSpec, createStep, SimulatedSite} from './simulated-site.ts';
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -97,7 +97,7 @@
 
 export const run = (task: LiveTask, worker: FleetWorker, fields: Partial<LiveRun> = {}): LiveRun => {
 	const live: LiveRun = {
-		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, orderedAtMs: 0, isOrderPending: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, basePercent: 0, workedMs: 0, workedUntilMs: 0, recent: 0, progressAtMs: 0, stopOrderedAtMs: 0, isUnwanted: false, throttlePercent: 100, ...fields,
+		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, checkpoint: '', orderedAtMs: 0, isOrderPending: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, basePercent: 0, workedMs: 0, workedUntilMs: 0, recent: 0, progressAtMs: 0, stopOrderedAtMs: 0, isUnwanted: false, throttlePercent: 100, ...fields,
 	};
 	task.runs.push(live);
 	worker.runs.add(live);
--- a/test/site-soak/promise-checker.ts
+++ b/test/site-soak/promise-checker.ts
@@ -1,7 +1,8 @@
 /**
 Checks what the site promises from what its workers and callers see.
 */
-import {type SiteWorker, type WorkerEvent} from '../../src/standin/site-worker.ts';
+import {type SiteWorker} from '../../src/standin/site-worker.ts';
+import {type WorkerEvent} from '../../src/standin/worker-options.ts';
 import {type WorkerStart} from '../../src/types/fleet.ts';
 import {parseTaskId, RunEnd, WorkflowState} from '../../src/types/workflows.ts';
 import {Interruptions} from './interruptions.ts';
--- a/test/site-soak/worker-endpoint.ts
+++ b/test/site-soak/worker-endpoint.ts
@@ -1,7 +1,8 @@
 /**
 Serves a stand-in worker over HTTP in the platform's format, and sends its announcements to its agent.
 */
-import {SiteWorker, type SiteWorkerOptions} from '../../src/standin/site-worker.ts';
+import {SiteWorker} from '../../src/standin/site-worker.ts';
+import {type SiteWorkerOptions} from '../../src/standin/worker-options.ts';
 import {type Clock} from '../../src/types/clock.ts';
 import {
 	OrderRefusal, type WorkerAnswer, type WorkerClient, type WorkerListing, type WorkerReport, type WorkerStart,
--- a/test/site-takeover.test.ts
+++ b/test/site-takeover.test.ts
@@ -5,7 +5,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {StoreFault} from '../src/standin/memory-store.ts';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
 import {createSite, jobId, otherId} from './site-setup.ts';
 import {
--- a/test/site-wide-faults.ts
+++ b/test/site-wide-faults.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import {agentsTopic, controlTopic} from '../src/agents/control-records.ts';
 import {type StoreCall} from '../src/standin/memory-store.ts';
-import {OrderFault} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {SubmitOutcome} from '../src/types/job-api.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {type AgentHost} from './simulated-processes.ts';
--- a/test/unhealthy-workers.test.ts
+++ b/test/unhealthy-workers.test.ts
@@ -2,7 +2,8 @@
 Workers that refuse calls as unhealthy for longer than their leases last.
 */
 import {afterEach, expect, it} from 'vitest';
-import {OrderFault, type SiteWorker} from '../src/standin/site-worker.ts';
+import {type SiteWorker} from '../src/standin/site-worker.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {createSite, jobId} from './site-setup.ts';
 import {createSpec, createStep, type SimulatedSite} from './simulated-site.ts';
 
