Stop gangs that do not become whole, and start them anew

What waits holds its capacity.

Cause: placement starts a gang whole or not at all, and nothing of it while a member has a run. A member whose start was refused is therefore never added, and nothing stops the others.

Change: runs of a gang are stopped like other unneeded runs if a member has none under the number of the others and the owner could start it, or if 1.8 s after its order (three fifths of what members wait) a member is not listed by an agent that was asked since. The gang then starts anew under one higher number. The event `gang incomplete` says why.

Why it works: a working gang has all of its members, so a gang with one missing does no work that a stop could end; and what this owner may not start, it does not stop.

--- a/src/measure/scheduling-simulation.ts
+++ b/src/measure/scheduling-simulation.ts
@@ -320,7 +320,7 @@
 		order: async (host, request) => call(host, async agent => agent.order(structuredClone(request))),
 	};
 	const owner = new Owner({
-		store, clock, client, adviceClient: undefined, follower, partition, partitions: 1, getFollower: () => follower, host: 'entry', epoch, leaseDurationMs, cancelMs: 3000, getEvacuations: () => simulation.evacuations, getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, getHome: () => undefined,
+		store, clock, client, adviceClient: undefined, follower, partition, partitions: 1, getFollower: () => follower, host: 'entry', epoch, leaseDurationMs, gangTimeoutMs: 3000, cancelMs: 3000, getEvacuations: () => simulation.evacuations, getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, getHome: () => undefined,
 		isOwned: () => true, policy, features, onSuperseded: () => undefined, onGap: () => undefined, note,
 	});
 	const run = async () => {
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -247,6 +247,7 @@
 			maxCallBytes,
 			retentionMs,
 			leaseDurationMs,
+			gangTimeoutMs: site.bounds.gangTimeoutMs,
 			cancelMs: site.bounds.cancelMs,
 			getEvacuations: () => config.evacuations,
 			getHeartbeatAtMs,
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -7,6 +7,7 @@
 } from '../types/fleet.ts';
 import {type AgentLinks} from './agent-links.ts';
 import {type FleetWorker} from './fleet-view.ts';
+import {type IncompleteGangs} from './incomplete-gangs.ts';
 import {
 	RunPhase, type LiveModel, type LiveRun, type LiveStep, type LiveTask,
 } from './live-model.ts';
@@ -21,6 +22,7 @@
 	tracker: RunTracker;
 	model: LiveModel;
 	window: OrderWindow;
+	incompleteGangs: Pick<IncompleteGangs, 'has'>;
 	/** Whether a stop without effect may be ordered again. */
 	mayRepeatStop: (run: LiveRun, nowMs: number) => boolean;
 	getTicket: (step: LiveStep, workerId: string) => string | undefined;
@@ -83,14 +85,14 @@
 		}
 	}
 
-	/** Stops runs of finished jobs, copies of tasks that are done, and other unneeded runs; drops finished jobs. */
+	/** Stops runs of finished jobs, copies of tasks that are done, members of gangs that do not become whole, and other unneeded runs; drops finished jobs. */
 	stopUnneededRuns(): void {
-		const {links, model, clock, mayRepeatStop} = this.#options;
+		const {links, model, clock, incompleteGangs, mayRepeatStop} = this.#options;
 		const nowMs = clock.monotonicMs();
 		for (const worker of links.workers.values()) {
 			const unneeded = [...worker.runs].filter(run => {
 				const {phase, task, isUnwanted, stopOrderedAtMs} = run;
-				const isNeeded = !task.step.workflow.isFinished && !task.isDone && !isUnwanted;
+				const isNeeded = !task.step.workflow.isFinished && !task.isDone && !isUnwanted && !incompleteGangs.has(run);
 				return phase !== RunPhase.Starting && nowMs - stopOrderedAtMs >= stopRetryMs
 					&& (!isNeeded || (phase === RunPhase.Stopping && mayRepeatStop(run, nowMs)));
 			});
--- a/src/workflows/owner-options.ts
+++ b/src/workflows/owner-options.ts
@@ -29,6 +29,8 @@
 	/** Higher than that of all earlier owners. */
 	epoch: number;
 	leaseDurationMs: number;
+	/** How long members of a gang wait for each other on their workers. */
+	gangTimeoutMs: number;
 	/** Time within which a cancelled job must have stopped. */
 	cancelMs: number;
 	getEvacuations: () => Evacuations;
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -20,6 +20,7 @@
 import {isFinal, type FoldedWorkflow} from './fold.ts';
 import {getTotalCapacity} from './job-objective.ts';
 import {getRunService} from './job-places.ts';
+import {IncompleteGangs} from './incomplete-gangs.ts';
 import {JobTransfers} from './job-transfers.ts';
 import {LiveModel, type LiveTask} from './live-model.ts';
 import {AgentLossMonitor} from './agent-loss-monitor.ts';
@@ -181,7 +182,7 @@
 			},
 		});
 		this.#sender = new OrderSender({
-			...shared, window, onAnswered: () => {
+			...shared, window, incompleteGangs: new IncompleteGangs({...options, getWorker: host => this.links.workers.get(host), mayStart: task => this.#eligibility.mayStartAny() && this.#eligibility.mayStart(task)}), onAnswered: () => {
 				this.#cycles.handleStartsAnswered();
 			}, getTicket: (step, workerId) => this.#advice.getTicket(step, workerId), mayRepeatStop: (run, nowMs) => this.#mover.budget.mayRepeatStop(run, nowMs), getStartValidityMs: () => this.#viewStaleness.getStartValidityMs(), onStaleEpoch: () => {
 				this.#stepDown('an agent refused the epoch');
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -7,13 +7,14 @@
 } from 'vitest';
 import {type WatchReply} from '../src/types/fleet.ts';
 import {RunEnd, WorkflowState} from '../src/types/workflows.ts';
+import {OrderFault} from '../src/standin/worker-options.ts';
 import {type LiveTask} from '../src/workflows/live-model.ts';
-import {createSite, jobId} from './site-setup.ts';
+import {createSite, jobId, otherId} from './site-setup.ts';
 import {
 	createTracker, createWatchReply, createWorker, createWorkflow, load,
 } from './site-fleet.ts';
 import {
-	createSpec, createStep, type SimulatedSite,
+	createSpec, createStep, gangTimeoutMs, type SimulatedSite,
 } from './simulated-site.ts';
 
 const size = 4;
@@ -26,9 +27,9 @@
 
 let site: SimulatedSite | undefined;
 
-const startSite = async (entries = 2, checkpointMs: number | undefined = 1000): Promise<SimulatedSite> => {
+const startSite = async (entries = 2): Promise<SimulatedSite> => {
 	site = await createSite(hosts, entries);
-	site.checkpointMs = checkpointMs;
+	site.checkpointMs = 1000;
 	site.plan = () => ({workMs});
 	return site;
 };
@@ -70,6 +71,21 @@
 		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
 	});
 
+	it.each([0, 1500])('works again when a second one crashes %d ms later, also beside other gangs', async apartMs => {
+		const played = await startSite();
+		await played.submit(jobId, spec);
+		await played.submit(otherId, spec);
+		await played.waitFor(() => isWhole(played) && isWhole(played, otherId), 2000);
+		await played.clock.advance(3300);
+		const members = getMemberHosts(played);
+		crash(played, members[0]!);
+		await played.clock.advance(apartMs);
+		crash(played, members[2]!);
+		await played.clock.advance(25_000);
+		expect([await played.getState(jobId), await played.getState(otherId)]).toEqual([WorkflowState.Completed, WorkflowState.Completed]);
+		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
+	});
+
 	it('works again when the owner is lost with it', async () => {
 		const played = await startSite(3);
 		await played.submit(jobId, spec);
@@ -83,7 +99,8 @@
 	});
 
 	it('starts from the beginning if it writes no checkpoints', async () => {
-		const played = await startSite(2, undefined);
+		const played = await startSite();
+		played.checkpointMs = undefined;
 		await played.submit(jobId, spec);
 		await played.clock.advance(3400);
 		crash(played, getMemberHosts(played)[0]!);
@@ -109,6 +126,80 @@
 	});
 });
 
+describe('a gang of which a member does not start', () => {
+	/** Guards against members that wait for one whose start was refused, until the workers end them. */
+	it.each([1, 3])('is stopped and starts again in time if a worker refuses %d starts', async refusals => {
+		const played = await startSite();
+		let refused = 0;
+		const getFault = (order: string) => order === 'start' && refused++ < refusals ? OrderFault.Refuse : OrderFault.None;
+		for (const {worker} of [...played.hosts.values()].slice(0, 2)) {
+			worker.getFault = getFault;
+		}
+
+		await played.submit(jobId, spec);
+		expect(await played.waitFor(() => isWhole(played), gangTimeoutMs)).toBeDefined();
+		await played.clock.advance(workMs + 500);
+		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
+		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
+		expect(played.notes.filter(({event}) => event === 'gang incomplete').length).toBeGreaterThan(0);
+	});
+
+	/** The outcome of a lost start is not known before it has expired: the others are stopped before they have waited for too long. */
+	it.each([OrderFault.Drop, OrderFault.ExecuteLate])('is stopped before its members give up if a start has no answer (%s)', async fault => {
+		const played = await startSite();
+		let starts = 0;
+		played.hosts.get('host-0')!.worker.getFault = order => order === 'start' && starts++ === 0 ? fault : OrderFault.None;
+		await played.submit(jobId, spec);
+		expect(await played.waitFor(() => getLastRun(played) > 1 && isWhole(played), 8000)).toBeDefined();
+		await played.clock.advance(workMs + 500);
+		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
+		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
+	});
+
+	it('works although the answer to a start is lost', async () => {
+		const played = await startSite();
+		let starts = 0;
+		played.hosts.get('host-0')!.worker.getFault = order => order === 'start' && starts++ === 0 ? OrderFault.LoseAnswer : OrderFault.None;
+		await played.submit(jobId, spec);
+		await played.clock.advance(workMs + 1500);
+		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
+		expect(getLastRun(played) % 10_000).toBe(1);
+	});
+
+	/** Guards against an owner that waits for members which the owner before has not started. */
+	it('is stopped by the next owner, if its owner is lost between two orders', async () => {
+		const played = await startSite(3);
+		const owner = played.getOwnerName()!;
+		played.cuts.add(`${owner}>host-0`);
+		played.cuts.add(`${owner}>host-1`);
+		await played.submit(jobId, spec, [...played.entries.keys()].find(name => name !== owner));
+		await played.waitFor(() => getMemberHosts(played).length > 0, 2000);
+		played.killEntry(owner);
+		await played.clock.advance(25_000);
+		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
+	});
+
+	/** Guards against a worker that crashes between the starts of two members. */
+	it('starts again if a worker crashes while it is started', async () => {
+		const played = await startSite();
+		const victim = played.hosts.get('host-2')!.worker;
+		let isCrashed = false;
+		victim.getFault = order => {
+			if (order === 'start' && !isCrashed) {
+				isCrashed = true;
+				victim.crash(1000);
+			}
+
+			return OrderFault.None;
+		};
+
+		await played.submit(jobId, spec);
+		await played.clock.advance(workMs + 8000);
+		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
+		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
+	});
+});
+
 describe('checkpoints of the members of a gang', () => {
 	const members = [0, 1, 2];
 	type Step = {member: number; run: number; percent: number; isEnd: boolean; isEmpty: boolean};
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -225,7 +225,7 @@
 			getCaughtUpAtMs: () => followers.caughtUpAtMs,
 			hasService: used => followers.has(used),
 			createOwner: (owned, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
-				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), getHome: name => [queue, ...this.moreQueues].filter(known => known.name === name).map(known => homes.get(known))[0], isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
+				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, gangTimeoutMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), getHome: name => [queue, ...this.moreQueues].filter(known => known.name === name).map(known => homes.get(known))[0], isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
 			}),
 		});
 		void homes.run(aborter.signal);
--- a/test/site-orders.test.ts
+++ b/test/site-orders.test.ts
@@ -37,7 +37,7 @@
 		},
 	} as unknown as AgentLinks;
 	const sender = new OrderSender({
-		clock, model, links, tracker: createTracker(model), window: new OrderWindow(clock), onAnswered: ignore, getTicket: ignore, mayRepeatStop: () => true, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note() {
+		clock, model, links, tracker: createTracker(model), window: new OrderWindow(clock), incompleteGangs: {has: () => false}, onAnswered: ignore, getTicket: ignore, mayRepeatStop: () => true, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note() {
 			clock.advanceSync(5);
 		},
 	});
@@ -77,7 +77,7 @@
 		},
 	} as unknown as AgentLinks;
 	const sender = new OrderSender({
-		clock, model, links, tracker, window: new OrderWindow(clock), onAnswered: ignore, getTicket: ignore, mayRepeatStop: () => true, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
+		clock, model, links, tracker, window: new OrderWindow(clock), incompleteGangs: {has: () => false}, onAnswered: ignore, getTicket: ignore, mayRepeatStop: () => true, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
 	});
 	const [task] = [...model.getWaitingTasks(0, () => false)];
 	sender.start([{task: task!, worker, isIdleStart: false}]);
@@ -104,7 +104,7 @@
 	const window = new OrderWindow(clock);
 	const firstBytes = window.sizeBytes;
 	const sender = new OrderSender({
-		clock, model, links, tracker: createTracker(model), window, onAnswered: ignore, getTicket: ignore, mayRepeatStop: () => true, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
+		clock, model, links, tracker: createTracker(model), window, onAnswered: ignore, incompleteGangs: {has: () => false}, getTicket: ignore, mayRepeatStop: () => true, getStartValidityMs: () => 1500, onStaleEpoch: ignore, note: ignore,
 	});
 	const [task] = [...model.getWaitingTasks(0, () => false)];
 	sender.start([{task: task!, worker, isIdleStart: false}]);
