Drop lost hosts from the fleet of their service

What callers would see: an owner that has dropped a lost host still counts it among its service's workers, as one that does not answer, so that fewer suspects of crashes are tried and for longer than needed.

Cause: the monitor of lost agents deleted the host from the map of all workers, and not from that of its service.

Change: only the fleets change either map; others see them as read-only.

Evidence: the new test, which fails before.

Conclusion: the type no longer allows the mistake.

--- a/src/workflows/agent-loss-monitor.ts
+++ b/src/workflows/agent-loss-monitor.ts
@@ -11,6 +11,7 @@
 import {type WorkflowFollower} from './follower.ts';
 import {type RegistrationRemover} from './registration-remover.ts';
 import {LossReason, type RunTracker} from './run-tracker.ts';
+import {type ServiceFleets} from './service-fleets.ts';
 
 /** Options of the monitor. */
 export type AgentLossMonitorOptions = {
@@ -19,7 +20,7 @@
 	control: ControlWriter;
 	epoch: number;
 	leaseDurationMs: number;
-	workers: Map<string, FleetWorker>;
+	fleets: ServiceFleets;
 	tracker: RunTracker;
 	remover: RegistrationRemover;
 	signal: AbortSignal;
@@ -55,7 +56,7 @@
 };
 
 /** Whether more than half of the agents have listed their runs. */
-const isReachingMostAgents = (workers: Map<string, FleetWorker>): boolean => {
+const isReachingMostAgents = (workers: ReadonlyMap<string, FleetWorker>): boolean => {
 	let listed = 0;
 	for (const worker of workers.values()) {
 		listed += worker.isListed ? 1 : 0;
@@ -74,7 +75,7 @@
 
 	/** Checks all agents; to be called periodically. */
 	check(): void {
-		const {clock, workers, leaseDurationMs} = this.#options;
+		const {clock, fleets: {workers}, leaseDurationMs} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const isReachingMost = isReachingMostAgents(workers);
 		for (const worker of workers.values()) {
@@ -141,7 +142,7 @@
 			worker.loss = undefined;
 		} else if (worker.unresponsiveSinceMs !== undefined && this.#options.follower.fold.losses.get(host)?.session === loss.session) {
 			// Read back by now: if the registration is read again, the loss is still known, and no proof is given.
-			this.#options.workers.delete(host);
+			this.#options.fleets.remove(worker);
 			this.#options.remover.remove(host, loss.session);
 		}
 	}
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -190,7 +190,7 @@
 		});
 		const {signal} = this.#aborter;
 		this.#losses = new AgentLossMonitor({
-			...options, tracker: this.#runs, workers: this.links.workers, signal, storeLoss: async (host, session) => this.#log.storeLoss(host, session), remover: new RegistrationRemover({...options, signal}), control: new ControlWriter(options), onFenced: () => {
+			...options, tracker: this.#runs, fleets: this.links.fleets, signal, storeLoss: async (host, session) => this.#log.storeLoss(host, session), remover: new RegistrationRemover({...options, signal}), control: new ControlWriter(options), onFenced: () => {
 				this.#stepDown('the control stream has a newer owner');
 			},
 		});
--- a/src/workflows/service-fleets.ts
+++ b/src/workflows/service-fleets.ts
@@ -5,10 +5,14 @@
 
 /** Workers of one owner. */
 export class ServiceFleets {
-	/** Workers of all services, by host. */
-	readonly workers = new Map<string, FleetWorker>();
+	readonly #workers = new Map<string, FleetWorker>();
 	readonly #byService = new Map<string, Map<string, FleetWorker>>();
 
+	/** Workers of all services, by host. */
+	get workers(): ReadonlyMap<string, FleetWorker> {
+		return this.#workers;
+	}
+
 	/** Services that have or had a worker. */
 	get services(): Iterable<string> {
 		return this.#byService.keys();
@@ -22,13 +26,13 @@
 	/** Adds a worker, or moves it to the fleet of the service that it has now. */
 	add(worker: FleetWorker): void {
 		this.remove(worker);
-		this.workers.set(worker.host, worker);
+		this.#workers.set(worker.host, worker);
 		this.#get(worker.service).set(worker.host, worker);
 	}
 
 	/** Removes the worker of this host. */
 	remove({host}: FleetWorker): void {
-		this.workers.delete(host);
+		this.#workers.delete(host);
 		for (const fleet of this.#byService.values()) {
 			fleet.delete(host);
 		}
--- a/test/agent-links.test.ts
+++ b/test/agent-links.test.ts
@@ -80,7 +80,7 @@
 	const {links, applied, answer} = await createLinks();
 	await answer(createState('life-1', 1));
 	expect(applied).toHaveLength(1);
-	links.workers.delete('host-0');
+	links.fleets.remove(links.workers.get('host-0')!);
 	await answer(createState('life-1', 2));
 	expect(applied).toHaveLength(1);
 });
--- a/test/shared-partitions.test.ts
+++ b/test/shared-partitions.test.ts
@@ -270,6 +270,18 @@
 });
 
 describe('limits that are shares of a fleet', () => {
+	/** Guards against lost hosts that go on to count as unresponsive workers of their service. */
+	it('do not count a host that is lost for good', async () => {
+		addHosts(service, 3);
+		await startSite(1);
+		site.killAgent(`${service}-0`);
+		site.hosts.get(`${service}-0`)!.worker.crash();
+		await site.clock.advance(30_000);
+		const {links} = getOwner();
+		expect([...links.workers.keys()]).toEqual([`${service}-1`, `${service}-2`]);
+		expect([...links.fleets.get(service).keys()]).toEqual([`${service}-1`, `${service}-2`]);
+	});
+
 	/** Guards against suspects of a crash that hold workers of another service, or are held back for want of workers there. */
 	it('keep quarantined tasks and workers held for their health apart', async () => {
 		addHosts(service, 3);
