Fail calls to an unusable address as not sent

What callers would see: an entry that relays a call to an address with a port out of range or a control character answers 504, as if the call might have been carried out, and does not ask the next entry.

Cause: `http.request` throws a plain RangeError or TypeError for such an address, and an address without a port is a `bad-input`; both clients pass that on, while their callers tell by `peer-unreached` that nothing was sent (relaying, routing, the worker's end).

Why it works: the errors are thrown before any connection is opened.

--- a/src/utils/call-stream-client.ts
+++ b/src/utils/call-stream-client.ts
@@ -4,7 +4,7 @@
 */
 import {request as sendRequest} from 'node:http';
 import {type Socket} from 'node:net';
-import {createError, ErrorCode} from '../core/errors.ts';
+import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {parseAddress} from './address.ts';
 import {
 	callStreamPath, callStreamProtocol, formatLine, readLines, type CallLine,
@@ -221,9 +221,20 @@
 		return stream;
 	};
 
+	/** Throws `peer-unreached` for an address that no connection can be made to. */
+	const openStream = ({address, step}: StreamCall): PeerStream => {
+		try {
+			return getStream(address);
+		} catch (error) {
+			throw createError(ErrorCode.PeerUnreached, {
+				step, peer: address, detail: getMessage(error), cause: error,
+			});
+		}
+	};
+
 	return {
 		async call(call) {
-			const answer = await getStream(call.address).send(call);
+			const answer = await openStream(call).send(call);
 			if (answer) {
 				return answer;
 			}
