Refuse stored numbers beyond which nothing can rise

What operators would see: one record of another writer in the control or the jobs stream, with an epoch of 2^53 - 1, and no task of the service starts again; with a run number of that size one job never ends and later ones stay queued; with a job of 2^50 tasks all entries end by themselves, one after the other.

Cause: decoders take every non-negative integer. Epochs and run numbers only rise, so each later one is older than that, or is not exact any more and refused by the next reader; tasks are created one by one.

Change: stored epochs end where the runs of an owner could no longer be numbered (2^52 / 10,000), run numbers at 2^52, and tasks of a step where they end for callers. A record beyond is skipped and logged, as one of another type; rows of a departure with such a number are left out.

Why it works: half of the exact integers remain for runs above the highest stored one.

An epoch below the bound and above the real ones still stops a service.

--- a/src/agents/control-records.ts
+++ b/src/agents/control-records.ts
@@ -3,6 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {createError, ErrorCode} from '../core/errors.ts';
+import {maxEpoch} from '../core/record-limits.ts';
 import {type AgentDeparture, type AgentRegistration} from '../types/fleet.ts';
 import {type Evacuations} from '../types/site.ts';
 import {parseFields, type Fields} from '../utils/fields.ts';
@@ -35,7 +36,7 @@
 export const decodeControlRecord = (value: Buffer): ControlRecord => {
 	const fields = parseFields(value, 'read control record');
 	const type = fields.oneOf('type', Object.values(ControlRecordType));
-	const epoch = fields.nonNegativeInteger('epoch');
+	const epoch = fields.integerUpTo('epoch', maxEpoch);
 	switch (type) {
 		case ControlRecordType.Claim: {
 			return {type, epoch, owner: fields.string('owner')};
--- a/src/agents/departure-records.ts
+++ b/src/agents/departure-records.ts
@@ -3,6 +3,7 @@
 */
 import {type AgentDeparture, type WatchReply, type WorkerReport} from '../types/fleet.ts';
 import {RunEnd} from '../types/workflows.ts';
+import {maxRunNumber} from '../core/record-limits.ts';
 import {Fields} from '../utils/fields.ts';
 import {encodeWatchReply} from './agent-state-rows.ts';
 
@@ -19,6 +20,9 @@
 	...(fields.has('state') && {state: decodeState(fields.fields('state'))}),
 });
 
+/** A row with a higher number is left out: the next run of its task would have none. */
+const isRunNumber = ({run}: {run: number}): boolean => run <= maxRunNumber;
+
 const decodeState = (fields: Fields): WatchReply => {
 	const rows = fields.fields('rows');
 	return {
@@ -37,17 +41,17 @@
 			return {
 				taskId: row.string(0), run: row.nonNegativeInteger(1), checkpoint: row.string(2), percent: row.number(3), recent: row.number(4),
 			};
-		}),
+		}).filter(row => isRunNumber(row)),
 		ended: rows.array('ended', item => {
 			const row = new Fields(item, step);
 			return {
 				number: row.nonNegativeInteger(0), taskId: row.string(1), run: row.nonNegativeInteger(2), end: row.oneOf(3, Object.values(RunEnd)), checkpoint: row.string(4),
 			};
-		}),
+		}).filter(row => isRunNumber(row)),
 		starting: rows.array('starting', item => {
 			const row = new Fields(item, step);
 			return {taskId: row.string(0), run: row.nonNegativeInteger(1)};
-		}),
+		}).filter(row => isRunNumber(row)),
 		crashed: [],
 		goneWorkerIds: fields.strings('goneWorkerIds'),
 	};
--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -7,6 +7,7 @@
 import {
 	createError, ErrorCode, getErrorCode, getMessage,
 } from '../core/errors.ts';
+import {maxSteps, maxTasksPerStep} from '../core/record-limits.ts';
 import {type Clock} from '../types/clock.ts';
 import {LookupOutcome, SubmitOutcome, type JobApi} from '../types/job-api.ts';
 import {type QueueConfig} from '../types/site.ts';
@@ -18,8 +19,6 @@
 const defaultDeadlineMs = 3000;
 /** Subtracted from a caller's deadline, as time for the answer to reach the caller. */
 const answerReserveMs = 150;
-const maxSteps = 1000;
-const maxTasksPerStep = 100_000;
 const idPattern = /^[\da-f]{16}$/i;
 
 type Answer = {status: number; body?: {pendingCount?: number; state?: WorkflowState}; retryAfterMs?: number};
--- a/src/utils/fields.ts
+++ b/src/utils/fields.ts
@@ -41,6 +41,11 @@
 		return this.#get(key, fallback, value => Number.isSafeInteger(value) && value >= 0, 'an integer of at least 0');
 	}
 
+	/** An integer from 0 to `max`. */
+	integerUpTo(key: string | number, max: number): number {
+		return this.#get<number>(key, undefined, value => Number.isSafeInteger(value) && value >= 0 && value <= max, `an integer from 0 to ${max}`);
+	}
+
 	boolean(key: string | number, fallback?: boolean): boolean {
 		return this.#get(key, fallback, value => typeof value === 'boolean', 'true or false');
 	}
--- a/src/workflows/forecast-rows.ts
+++ b/src/workflows/forecast-rows.ts
@@ -5,6 +5,7 @@
 members that they do not know.
 */
 import {type BacklogForecast, type QueueForecast, type WorkerShape} from '../types/admission.ts';
+import {maxEpoch} from '../core/record-limits.ts';
 import {Fields} from '../utils/fields.ts';
 
 /** Name of the operation in errors. */
@@ -23,7 +24,7 @@
 
 /** Decodes a forecast. Throws `bad-input`. */
 export const decodeForecast = (fields: Fields): BacklogForecast => ({
-	epoch: fields.nonNegativeInteger('epoch'),
+	epoch: fields.integerUpTo('epoch', maxEpoch),
 	service: fields.has('service') ? fields.string('service') : undefined,
 	queues: fields.array('waits', decodeQueue),
 	fleet: fields.has('workers') ? fields.array('workers', decodeShape) : undefined,
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -3,6 +3,7 @@
 and stops tasks.
 */
 import {registrationsRef} from '../agents/registration-writes.ts';
+import {runsPerEpoch} from '../core/record-limits.ts';
 import {Feature} from '../core/site-features.ts';
 import {type WatchReply} from '../types/fleet.ts';
 import {type TaskRef} from '../types/workflows.ts';
@@ -47,8 +48,6 @@
 
 /** Interval of the periodic checks, which react to the passing of time alone. */
 const checkIntervalMs = 50;
-/** Distance of the run numbers of consecutive owners. Starts are not stored, so an owner cannot know which numbers the one before it gave. */
-const runsPerEpoch = 10_000;
 
 /** Runs the jobs of one partition while it holds the newest epoch. */
 export class Owner {
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -6,6 +6,7 @@
 import {
 	RunEnd, WorkflowState, type EndedRun, type TaskCrash, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
+import {maxEpoch, maxRunNumber, maxTasksPerStep} from '../core/record-limits.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
 import {decodeForecast, encodeForecast} from './forecast-rows.ts';
 
@@ -119,7 +120,7 @@
 		case RecordType.Claim: {
 			return {
 				type,
-				epoch: fields.nonNegativeInteger('epoch'),
+				epoch: fields.integerUpTo('epoch', maxEpoch),
 				owner: fields.string('owner'),
 				knownFromOffset: fields.has('knownFromOffset') ? fields.nonNegativeInteger('knownFromOffset') : undefined,
 			};
@@ -189,7 +190,7 @@
 });
 
 const decodeStep = (fields: Fields): WorkflowStep => ({
-	count: fields.nonNegativeInteger('count'),
+	count: fields.integerUpTo('count', maxTasksPerStep),
 	milliCpu: fields.nonNegativeNumber('milliCpu'),
 	memoryMb: fields.nonNegativeNumber('memoryMb'),
 	accelerators: fields.nonNegativeNumber('accelerators'),
@@ -214,20 +215,20 @@
 const decodeEnd = (value: unknown): EndedRun => {
 	const fields = new Fields(value, step);
 	return {
-		taskId: fields.string('taskId'), run: fields.nonNegativeInteger('run'), end: fields.oneOf('end', Object.values(RunEnd)), checkpoint: fields.string('checkpoint'),
+		taskId: fields.string('taskId'), run: fields.integerUpTo('run', maxRunNumber), end: fields.oneOf('end', Object.values(RunEnd)), checkpoint: fields.string('checkpoint'),
 	};
 };
 
 const decodeCrash = (value: unknown): TaskCrash => {
 	const fields = new Fields(value, step);
 	return {
-		run: fields.nonNegativeInteger('run'), ageMs: fields.nonNegativeNumber('ageMs'), isNewest: fields.boolean('isNewest'), host: fields.string('host'), isHostProven: fields.boolean('isHostProven'), atMs: fields.number('atMs'),
+		run: fields.integerUpTo('run', maxRunNumber), ageMs: fields.nonNegativeNumber('ageMs'), isNewest: fields.boolean('isNewest'), host: fields.string('host'), isHostProven: fields.boolean('isHostProven'), atMs: fields.number('atMs'),
 	};
 };
 
 const decodeCheckpoint = (value: unknown): RunCheckpoint => {
 	const fields = new Fields(value, step);
-	return {taskId: fields.string('taskId'), run: fields.nonNegativeInteger('run'), checkpoint: fields.string('checkpoint')};
+	return {taskId: fields.string('taskId'), run: fields.integerUpTo('run', maxRunNumber), checkpoint: fields.string('checkpoint')};
 };
 
 const decodeSnapshot = (fields: Fields): WorkflowSnapshot => ({
@@ -244,7 +245,7 @@
 	const row = new Fields(value, step);
 	const ledger = row.fields(1);
 	return [row.string(0), {
-		isDone: ledger.boolean('isDone'), failedRuns: ledger.nonNegativeIntegers('failedRuns'), crashes: ledger.has('crashes') ? ledger.array('crashes', decodeCrash) : [], lastRun: ledger.nonNegativeInteger('lastRun'), checkpoint: ledger.string('checkpoint'),
+		isDone: ledger.boolean('isDone'), failedRuns: ledger.nonNegativeIntegers('failedRuns'), crashes: ledger.has('crashes') ? ledger.array('crashes', decodeCrash) : [], lastRun: ledger.integerUpTo('lastRun', maxRunNumber), checkpoint: ledger.string('checkpoint'),
 	}];
 };
 
