Ignore registrations that no process can have written

What callers would see: another writer leaves one odd registration among those of the agents, and after the loss of an owner no task of an earlier job starts for 7 s and more; with a departure whose lease is a number too large none ever starts.

Cause: a registration was followed as soon as its members had the right types. An address that nobody can have makes a host that is silent, and a new owner waits for silent hosts; a lease of 1e300 ms is waited for; with another host than its key it was one host in one place and another in the next. Registrations of entries had the same gap: routing counts with the processors that one claims.

Change: registrations are read in one place, which ignores those that no agent can have written: another host than the key, an address that cannot be called, a first session later than itself, a lease longer than agents grant. The same for entries. Each is logged once for each process and counted; they do not count as workers when an entry weighs whether it is large enough. Homes of queues are logged once, too.

Why it works: what an agent writes passes each check by construction; a departure leaves what is left of leases that end at most the longest lease from then.

Conclusion: a plausible registration of a host that does not exist is still waited for.

--- a/src/agents/agent.ts
+++ b/src/agents/agent.ts
@@ -11,7 +11,7 @@
 import {AppendOutcome, type StoreClient} from '../types/store.ts';
 import {Wakeup} from '../utils/wakeup.ts';
 import {AgentState} from './agent-state.ts';
-import {controlTopic, decodeFirstSession, encodeRegistration} from './control-records.ts';
+import {controlTopic, encodeRegistration, getFirstSession} from './control-records.ts';
 import {ControlWatch} from './control-watch.ts';
 import {OrderHandler, type AgentLogEvent} from './order-handler.ts';
 import {registrationsRef, tryWriteRegistrations} from './registration-writes.ts';
@@ -237,7 +237,7 @@
 			try {
 				const {records} = await store.readNewest(registrationsRef, signal);
 				const previous = records.find(({key}) => key === registration.host);
-				return previous?.value && decodeFirstSession(previous.value, previous.offset);
+				return previous?.value && getFirstSession(previous.value, previous.offset);
 			} catch (error) {
 				note('registration not read', {error: getMessage(error)});
 				await clock.sleep(registerRetryMs, signal);
--- a/src/agents/control-records.ts
+++ b/src/agents/control-records.ts
@@ -64,10 +64,13 @@
 	return value;
 };
 
-/** Decodes the offset of the host's first registration since all earlier leases had expired; the registration's own if it is not valid. */
-export const decodeFirstSession = (value: Buffer, offset: number): number => {
+/** Decodes the offset of the host's first registration since all earlier leases had expired; by default the registration's own. Throws `bad-input`. */
+export const decodeFirstSession = (value: Buffer, offset: number): number => parseFields(value, 'read agent registration').nonNegativeInteger('firstSession', offset);
+
+/** The same for a registration that may be another writer's: one that is not valid gives its own offset. */
+export const getFirstSession = (value: Buffer, offset: number): number => {
 	try {
-		return parseFields(value, 'read agent registration').nonNegativeInteger('firstSession', offset);
+		return Math.min(offset, decodeFirstSession(value, offset));
 	} catch {
 		return offset;
 	}
--- a/src/measure/scheduling-simulation.ts
+++ b/src/measure/scheduling-simulation.ts
@@ -5,6 +5,7 @@
 import {Agent} from '../agents/agent.ts';
 import {createError, ErrorCode} from '../core/errors.ts';
 import {Feature, type Features} from '../core/site-features.ts';
+import {RegistrationReader} from '../agents/registration-reader.ts';
 import {leaseDurationMs} from '../agents/worker-lease.ts';
 import {MemoryStore, StoreFault} from '../standin/memory-store.ts';
 import {InterferenceWorker} from '../standin/interference-worker.ts';
@@ -320,7 +321,7 @@
 		order: async (host, request) => call(host, async agent => agent.order(structuredClone(request))),
 	};
 	const owner = new Owner({
-		store, clock, client, adviceClient: undefined, follower, partition, partitions: 1, getFollower: () => follower, host: 'entry', epoch, leaseDurationMs, gangTimeoutMs: 3000, cancelMs: 3000, getEvacuations: () => simulation.evacuations, getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, getHome: () => undefined,
+		store, clock, client, adviceClient: undefined, follower, partition, partitions: 1, getFollower: () => follower, host: 'entry', epoch, leaseDurationMs, gangTimeoutMs: 3000, cancelMs: 3000, getEvacuations: () => simulation.evacuations, getHeartbeatAtMs: () => Number.NEGATIVE_INFINITY, maxCallBytes: 2_000_000, retentionMs: 300_000, getHome: () => undefined, reader: new RegistrationReader({maxLeaseMs: leaseDurationMs, isAddress: () => true, note}),
 		isOwned: () => true, policy, features, onSuperseded: () => undefined, onGap: () => undefined, note,
 	});
 	const run = async () => {
--- a/src/plugins/site-agent.ts
+++ b/src/plugins/site-agent.ts
@@ -10,28 +10,10 @@
 import {createWorkerClient} from '../platform/worker-calls.ts';
 import {type SiteSettings} from '../types/site.ts';
 import {createJsonServer, close, listen} from '../utils/http-server.ts';
+import {OnceReporter} from '../utils/once-reporter.ts';
 import {serveAgent} from './agent-messages.ts';
 import {runSiteProcess} from './site-process.ts';
 
-const maxReportedWriters = 100;
-
-/** Reports each sender of invalid announcements only once, because a worker announces itself every second. */
-class InvalidWriterReporter {
-	readonly #writers = new Set<string>();
-	readonly #onFirst: (writer: string, reason: string) => void;
-
-	constructor(onFirst: (writer: string, reason: string) => void) {
-		this.#onFirst = onFirst;
-	}
-
-	reportOnce(writer: string, reason: string): void {
-		if (!this.#writers.has(writer) && this.#writers.size < maxReportedWriters) {
-			this.#writers.add(writer);
-			this.#onFirst(writer, reason);
-		}
-	}
-}
-
 /** Runs the role until SIGTERM or SIGINT. */
 export const runSiteAgent = async (site: SiteSettings): Promise<void> => runSiteProcess('agent', site, async ({
 	clock, http, note, metrics, incarnation, internalAddress, signal,
@@ -54,7 +36,7 @@
 		maxLeaseMs: site.bounds.maxLeaseMs,
 		note,
 	});
-	const invalid = new InvalidWriterReporter((writer, reason) => {
+	const invalid = new OnceReporter((writer, reason) => {
 		note('announcement not valid', {writer, reason});
 	});
 	const announcements = createAnnounceServer(clock, {
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -4,6 +4,7 @@
 */
 import {createServer} from 'node:http';
 import {agentsTopic} from '../agents/control-records.ts';
+import {RegistrationReader} from '../agents/registration-reader.ts';
 import {leaseDurationMs} from '../agents/worker-lease.ts';
 import {createError, ErrorCode} from '../core/errors.ts';
 import {getPartition} from '../core/partitions.ts';
@@ -16,6 +17,7 @@
 import {createStoreClient} from '../platform/store-calls.ts';
 import {type JobApi} from '../types/job-api.ts';
 import {type SiteConfig, type SiteSettings} from '../types/site.ts';
+import {isPeerAddress} from '../utils/address.ts';
 import {createRandom} from '../utils/seeded-random.ts';
 import {type HttpClient} from '../utils/keep-alive-client.ts';
 import {close, createJsonServer, listen} from '../utils/http-server.ts';
@@ -219,6 +221,7 @@
 	/** Staleness of the oldest view; undefined: one is not complete yet. */
 	const getStalenessMs = () => isCaughtUp() ? clock.monotonicMs() - Math.min(clock.monotonicMs(), followers.caughtUpAtMs) : undefined;
 	const isCaughtUp = () => config.config !== undefined && followers.areCaughtUp;
+	const reader = new RegistrationReader({maxLeaseMs: Math.max(leaseDurationMs, site.bounds.maxLeaseMs), isAddress: isPeerAddress, note});
 	const ownership = new Ownership({
 		store,
 		clock,
@@ -229,7 +232,7 @@
 		processors: site.processors,
 		async countWorkers() {
 			const {records} = await store.readNewest({topic: agentsTopic, partition: 0});
-			return records.length;
+			return reader.count(records);
 		},
 		isAlive: async (address, memberIncarnation) => isProcessAlive(http, address, memberIncarnation),
 		minTtlMs: minMemberTtlMs,
@@ -259,12 +262,13 @@
 			host: site.hostName,
 			follower: getFollower(partition),
 			getHome: getHomeOf,
+			reader,
 			isOwned: ({service}) => getPartition(service, partitions) === partition,
 		}),
 	});
 	metrics.addGauge('chervilworks_partitions_owned', 'Partitions that this entry owns.', () => ownership.owners.size);
 	const directory = new EntryDirectory({
-		store, clock, life: incarnation, note, registration: createRegistration(parts),
+		store, clock, life: incarnation, note, isAddress: isPeerAddress, registration: createRegistration(parts),
 	});
 	return {
 		config, homes, jobs, ownership, directory, isStoreLost, isCaughtUp, getStalenessMs, describeView, isStoreFailing: () => unreachableSinceMs.size > 0,
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -2,7 +2,7 @@
 The owner's connections to the agents of its services: finds them by their registrations, keeps one long poll for each
 agent's state open, and sends orders.
 */
-import {decodeFirstSession, decodeRegistration} from '../agents/control-records.ts';
+import {type ReadRegistration, type RegistrationReader} from '../agents/registration-reader.ts';
 import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
@@ -25,6 +25,7 @@
 export type AgentLinksOptions = {
 	store: StoreClient;
 	registrations: PartitionRef;
+	reader: RegistrationReader;
 	/** Whether the registered agent's service belongs to the partition of this owner. */
 	isOwned: (registration: AgentRegistration) => boolean;
 	client: AgentClient;
@@ -137,8 +138,9 @@
 			return;
 		}
 
-		const registration = this.#decode(host, value);
-		if (!registration || !this.#options.isOwned(registration)) {
+		const {reader, isOwned} = this.#options;
+		const registration = reader.read(host, value, offset);
+		if (!registration || !isOwned(registration)) {
 			return;
 		}
 
@@ -148,14 +150,14 @@
 			if (offset >= known.session) {
 				this.#changeService(known, registration);
 				known.session = offset;
-				known.firstSession = decodeFirstSession(value, offset);
+				known.firstSession = registration.firstSession;
 				this.#applyDeparture(known, registration, offset);
 			}
 
 			return;
 		}
 
-		const worker = this.#createWorker(registration, value, offset);
+		const worker = this.#createWorker(registration, offset);
 		this.fleets.add(worker);
 		this.#applyDeparture(worker, registration, offset);
 		void this.#keepWatching(worker, signal);
@@ -170,13 +172,13 @@
 		}
 	}
 
-	#createWorker({host, address, service}: AgentRegistration, value: Buffer, offset: number): FleetWorker {
+	#createWorker({host, address, service, firstSession}: ReadRegistration, offset: number): FleetWorker {
 		return {
 			host,
 			service,
 			address,
 			session: offset,
-			firstSession: decodeFirstSession(value, offset),
+			firstSession,
 			agentLife: '',
 			version: 0,
 			report: undefined,
@@ -277,16 +279,6 @@
 		return {session, storedAtMs: readAtMs};
 	}
 
-	/** Decodes a registration; an invalid one is logged and ignored. */
-	#decode(host: string, value: Buffer): AgentRegistration | undefined {
-		try {
-			return decodeRegistration(value);
-		} catch (error) {
-			this.#options.note('registration not valid', {host, error: getMessage(error)});
-			return undefined;
-		}
-	}
-
 	async #keepWatching(worker: FleetWorker, signal: AbortSignal): Promise<void> {
 		const {clock, note} = this.#options;
 		while (!signal.aborted && this.workers.get(worker.host) === worker) {
--- a/src/workflows/entry-directory.ts
+++ b/src/workflows/entry-directory.ts
@@ -3,11 +3,12 @@
 The last ones read stay in use while the store does not answer.
 */
 import {Buffer} from 'node:buffer';
-import {getMessage} from '../core/errors.ts';
+import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {type EntryRegistration} from '../types/entries.ts';
 import {AppendOutcome, type PartitionRef, type StoreClient} from '../types/store.ts';
 import {parseFields, type Fields} from '../utils/fields.ts';
+import {OnceReporter} from '../utils/once-reporter.ts';
 
 /** Options of the directory. */
 export type EntryDirectoryOptions = {
@@ -16,6 +17,8 @@
 	registration: EntryRegistration;
 	/** Incarnation: differs for each start of the process. */
 	life: string;
+	/** Whether an entry may be called at the address. */
+	isAddress: (address: string) => boolean;
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
@@ -23,6 +26,11 @@
 const refreshMs = 10_000;
 const retryMs = 500;
 const storeTimeoutMs = 1000;
+const maxDetailChars = 200;
+
+/** No host has more processors, or a faster link: routing would send all work to an entry that claims to. */
+const maxProcessors = 10_000;
+const maxLinkMbps = 10_000_000;
 
 /** Decodes a registration. Throws `bad-input`. */
 export const decodeEntry = (value: Buffer): EntryRegistration => {
@@ -32,6 +40,17 @@
 	};
 };
 
+/** Decodes the registration of a host. Throws `bad-input`, also for what no entry can have written. */
+const decodeEntryOf = (key: string, value: Buffer, isAddress: (address: string) => boolean): EntryRegistration => {
+	const entry = decodeEntry(value);
+	const {host, address, processors = 0, linkMbps = 0} = entry;
+	if (host !== key || !isAddress(address) || processors > maxProcessors || linkMbps > maxLinkMbps) {
+		throw createError(ErrorCode.BadInput, {step: 'read entry registration', detail: `not of an entry on ${key}: ${JSON.stringify(entry).slice(0, maxDetailChars)}`});
+	}
+
+	return entry;
+};
+
 /** What only routing needs: a registration without it, or with other types, still names an entry to relay to. */
 const decodeSize = (fields: Fields): Pick<EntryRegistration, 'failureDomain' | 'processors' | 'linkMbps'> => {
 	try {
@@ -49,11 +68,15 @@
 export class EntryDirectory {
 	readonly #options: EntryDirectoryOptions;
 	#others: EntryRegistration[] = [];
+	readonly #invalid: OnceReporter;
 	#writes = 0;
 	#isLeaving = false;
 
 	constructor(options: EntryDirectoryOptions) {
 		this.#options = options;
+		this.#invalid = new OnceReporter((host, error) => {
+			options.note('entry registration not valid', {host, error});
+		});
 	}
 
 	/** The other entries, as last read. */
@@ -107,7 +130,7 @@
 		const {store, registration, note} = this.#options;
 		try {
 			const {records} = await store.readNewest(ref, signal);
-			this.#others = records.flatMap(({key, value}) => key === registration.host ? [] : this.#decode(key, value));
+			this.#others = records.flatMap(({key, value, offset}) => key === registration.host ? [] : this.#decode(key, value, offset));
 			// A late call of an earlier incarnation may have removed the registration.
 			return records.some(({key}) => key === registration.host) || await this.#register();
 		} catch (error) {
@@ -119,12 +142,12 @@
 		}
 	}
 
-	/** Decodes a registration; an invalid one is logged and ignored. */
-	#decode(host: string, value: Buffer): EntryRegistration[] {
+	/** Decodes a registration; an invalid one is logged once and ignored. */
+	#decode(host: string, value: Buffer, offset: number): EntryRegistration[] {
 		try {
-			return [decodeEntry(value)];
+			return [decodeEntryOf(host, value, this.#options.isAddress)];
 		} catch (error) {
-			this.#options.note('entry registration not valid', {host, error: getMessage(error)});
+			this.#invalid.reportOnce(host, getMessage(error), `${host} ${offset}`);
 			return [];
 		}
 	}
--- a/src/workflows/owner-options.ts
+++ b/src/workflows/owner-options.ts
@@ -1,6 +1,7 @@
 /**
 Options of the owner of a partition.
 */
+import {type RegistrationReader} from '../agents/registration-reader.ts';
 import {type Features} from '../core/site-features.ts';
 import {type AdviceClient} from '../types/advice.ts';
 import {type Clock} from '../types/clock.ts';
@@ -41,6 +42,8 @@
 	retentionMs: number;
 	/** Gets the service that is the home of a queue; undefined: it is not known. */
 	getHome: (queue: string) => string | undefined;
+	/** Reads the registrations of agents. */
+	reader: RegistrationReader;
 	/** Whether the agent's service belongs to the owned partition. */
 	isOwned: (registration: AgentRegistration) => boolean;
 	policy: Policy;
--- a/src/workflows/queue-homes.ts
+++ b/src/workflows/queue-homes.ts
@@ -12,6 +12,7 @@
 import {type QueueConfig} from '../types/site.ts';
 import {AppendOutcome, type PartitionRef, type StoreClient} from '../types/store.ts';
 import {parseFields} from '../utils/fields.ts';
+import {OnceReporter} from '../utils/once-reporter.ts';
 
 /** Options of the homes. */
 export type QueueHomesOptions = {
@@ -66,10 +67,14 @@
 	readonly #claims = new Map<string, Promise<string | undefined>>();
 	/** All homes that were claimed before this offset are known; undefined: nothing was read yet. */
 	#knownToOffset: number | undefined;
+	readonly #invalid: OnceReporter;
 	#isReached: boolean | undefined;
 
 	constructor(options: QueueHomesOptions) {
 		this.#options = options;
+		this.#invalid = new OnceReporter((key, error) => {
+			options.note('queue home not valid', {key, error});
+		});
 	}
 
 	/** Gets the service that is the queue's home; undefined: none is known to this entry. */
@@ -247,7 +252,7 @@
 		try {
 			this.#add(key, parseFields(value, 'read home of queue').string('service'));
 		} catch (error) {
-			this.#options.note('queue home not valid', {key, error: getMessage(error)});
+			this.#invalid.reportOnce(key, getMessage(error));
 		}
 	}
 
--- a/test/agent-links.test.ts
+++ b/test/agent-links.test.ts
@@ -3,6 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {afterEach, expect, it} from 'vitest';
+import {RegistrationReader} from '../src/agents/registration-reader.ts';
 import {agentsTopic, encodeRegistration} from '../src/agents/control-records.ts';
 import {MemoryStore, StoreFault} from '../src/standin/memory-store.ts';
 import {type WatchReply} from '../src/types/fleet.ts';
@@ -40,6 +41,7 @@
 	const links = new AgentLinks({
 		store: store.createClient('entry-0'),
 		registrations,
+		reader: new RegistrationReader({maxLeaseMs: 7000, isAddress: () => true, note: () => undefined}),
 		isOwned: () => true,
 		client: {
 			watch: async () => new Promise(resolve => {
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -4,6 +4,7 @@
 */
 import {Agent} from '../src/agents/agent.ts';
 import {agentsTopic} from '../src/agents/control-records.ts';
+import {RegistrationReader} from '../src/agents/registration-reader.ts';
 import {leaseDurationMs} from '../src/agents/worker-lease.ts';
 import {getPartition} from '../src/core/partitions.ts';
 import {Feature, setAllFeatures} from '../src/core/site-features.ts';
@@ -208,6 +209,8 @@
 		const relay = new RelayingApi({
 			local: jobs, clock, note, client: createEntryClient(this, name), isStoreLost: () => this.storeLost.has(name), getOthers: () => [...this.entries.keys()].filter(other => other !== name).map(other => ({host: other, address: other})),
 		});
+		// The host's name is the address of its agent.
+		const reader = new RegistrationReader({maxLeaseMs: leaseDurationMs, isAddress: address => /^[\w-]+$/.test(address), note});
 		const ownership = new Ownership({
 			store,
 			clock,
@@ -218,14 +221,14 @@
 			processors,
 			async countWorkers() {
 				const {records} = await store.readNewest({topic: agentsTopic, partition: 0});
-				return records.length;
+				return reader.count(records);
 			},
 			isAlive: async (address, incarnation) => this.entries.get(address)?.life === incarnation,
 			minTtlMs: 1000,
 			getCaughtUpAtMs: () => followers.caughtUpAtMs,
 			hasService: used => followers.has(used),
 			createOwner: (owned, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
-				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, gangTimeoutMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), getHome: name => [queue, ...this.moreQueues].filter(known => known.name === name).map(known => homes.get(known))[0], isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
+				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, gangTimeoutMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), reader, getHome: name => [queue, ...this.moreQueues].filter(known => known.name === name).map(known => homes.get(known))[0], isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
 			}),
 		});
 		void homes.run(aborter.signal);
--- a/test/site-relay.test.ts
+++ b/test/site-relay.test.ts
@@ -312,7 +312,7 @@
 
 const startDirectories = (store: MemoryStore, clock: ManualClock, signal: AbortSignal): EntryDirectory[] => ['a', 'b'].map(host => {
 	const directory = new EntryDirectory({
-		store: store.createClient(host), clock, life: 'life', registration: {host, address: `${host}:1`}, note: () => undefined,
+		store: store.createClient(host), clock, isAddress: () => true, life: 'life', registration: {host, address: `${host}:1`}, note: () => undefined,
 	});
 	void directory.run(signal);
 	return directory;
