Open a bounded number of due occurrences of a job

What callers and operators would see: one job with a `repeatCount` of 1,000,000,000 that are all due, and the entries end by themselves, one after the other, for as long as the job's record is kept.

Cause: an owner creates the tasks of all occurrences that are due, in one go. Neither callers nor records have a bound for `repeatCount`, and a job of 1,000 steps may have 100,000 tasks in each.

Evidence: two entries, one such job of one task: both ended with SIGABRT within 20 s.

Change: of one job occurrences with 10,000 open tasks at most are opened; what is due beyond that is looked at again each 0.2 s. The first occurrence is opened whatever its size. A job has 100,000 tasks in all of its steps together at most, where each step might have as many before. Looking whether a job is about to be idle has moved to a module of its own, unchanged.

Why it works: what is opened at a time is bounded, and complete occurrences do not count, so that all of them are opened in the end.

--- a/src/platform/caller-server.ts
+++ b/src/platform/caller-server.ts
@@ -7,13 +7,14 @@
 import {
 	createError, ErrorCode, getErrorCode, getMessage,
 } from '../core/errors.ts';
-import {maxSteps, maxTasksPerStep} from '../core/record-limits.ts';
+import {maxSteps, maxTasks} from '../core/record-limits.ts';
 import {type Clock} from '../types/clock.ts';
 import {LookupOutcome, SubmitOutcome, type JobApi} from '../types/job-api.ts';
 import {type QueueConfig} from '../types/site.ts';
 import {type WorkflowSpec, type WorkflowState, type WorkflowStep} from '../types/workflows.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
 import {readBody} from '../utils/http-server.ts';
+import {sum} from '../utils/sum.ts';
 
 /** Deadline of a request without the `deadline-ms` header. */
 const defaultDeadlineMs = 3000;
@@ -157,6 +158,11 @@
 		throw createError(ErrorCode.BadInput, {step: 'read job', detail: `no steps or too many: got ${steps.length} steps`});
 	}
 
+	const tasks = sum(steps.map(({count}) => count));
+	if (tasks > maxTasks) {
+		throw createError(ErrorCode.BadInput, {step: 'read job', detail: `expected at most ${maxTasks} tasks, found ${tasks}`});
+	}
+
 	return {
 		input: fields.string('spec', ''),
 		steps,
@@ -187,8 +193,8 @@
 		isFilling: fields.boolean('fills', false),
 		maxAway: fields.has('mayMiss') ? fields.nonNegativeInteger('mayMiss') : undefined,
 	};
-	if (step.count > maxTasksPerStep || step.after.some(earlier => earlier >= index)) {
-		throw createError(ErrorCode.BadInput, {step: 'read job', detail: `step ${index}: too many tasks, or a dependency on itself or a later step`});
+	if (step.after.some(earlier => earlier >= index)) {
+		throw createError(ErrorCode.BadInput, {step: 'read job', detail: `step ${index}: a dependency on itself or a later step`});
 	}
 
 	return step;
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -4,6 +4,7 @@
 import {
 	formatTaskId, type TaskCrash, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
+import {sum} from '../utils/sum.ts';
 import {
 	countOccurrences, getUnitId, isFinal, type FoldedWorkflow, type WorkflowFold,
 } from './fold.ts';
@@ -127,6 +128,11 @@
 	isStarved: boolean;
 };
 
+/** Tasks of due occurrences of one job that may be open at a time; the first occurrence is opened whatever its size. */
+const maxOpenTasks = 10_000;
+/** Interval of looking whether more can be opened. */
+const reopenDelayMs = 200;
+
 /** Jobs of one partition that have not finished, and finished ones with active runs. */
 export class LiveModel {
 	readonly workflows = new Map<string, LiveWorkflow>();
@@ -171,16 +177,24 @@
 		return workflow;
 	}
 
-	/** Opens the job's due occurrences; returns when the next one is due, undefined if there is none. */
+	/**
+	Opens the job's due occurrences; returns when to open the next one, undefined if there is none. Of a job with very many that are due at once, some
+	are opened once others are complete: all of them would not fit into memory.
+	*/
 	openDueOccurrences(workflow: LiveWorkflow, wallMs: number, nowMs: number): number | undefined {
 		const total = countOccurrences(workflow.spec);
+		let openTasks = sum([...workflow.occurrences.values()].map(steps => countOpenTasks(steps)));
 		while (!workflow.isFinished && workflow.nextOccurrence < total) {
 			const dueAtMs = getDueAtMs(workflow.spec, workflow.nextOccurrence);
 			if (dueAtMs > wallMs) {
 				return dueAtMs;
 			}
 
-			this.#open(workflow, workflow.nextOccurrence, nowMs);
+			if (openTasks >= maxOpenTasks) {
+				return wallMs + reopenDelayMs;
+			}
+
+			openTasks += this.#open(workflow, workflow.nextOccurrence, nowMs);
 			workflow.nextOccurrence++;
 		}
 
@@ -265,7 +279,8 @@
 		}
 	}
 
-	#open(workflow: LiveWorkflow, occurrence: number, nowMs: number): void {
+	/** Opens an occurrence; returns the number of its tasks that are not done. */
+	#open(workflow: LiveWorkflow, occurrence: number, nowMs: number): number {
 		const steps = workflow.spec.steps.map((spec, index): LiveStep => {
 			const step: LiveStep = {
 				workflow, occurrence, index, spec, loadKey: `${workflow.spec.id}.${index}`, tasks: [], remaining: 0, isReady: false,
@@ -279,6 +294,7 @@
 		});
 		workflow.occurrences.set(occurrence, steps);
 		markReadySteps(workflow, occurrence, nowMs);
+		return countOpenTasks(steps);
 	}
 }
 
@@ -303,7 +319,7 @@
 	repeatCount > 0 ? firstDueMs + (occurrence * intervalMs) : 0;
 
 /** Active runs of a job. */
-function * getActiveRuns(workflow: LiveWorkflow): Generator<LiveRun> {
+export function * getActiveRuns(workflow: LiveWorkflow): Generator<LiveRun> {
 	for (const steps of workflow.occurrences.values()) {
 		for (const step of steps) {
 			for (const task of step.tasks) {
@@ -316,41 +332,6 @@
 /** Whether the job has no active run. */
 export const isIdle = (workflow: LiveWorkflow): boolean => getActiveRuns(workflow).next().done === true;
 
-const fullPercent = 100;
-
-/** A job has at most this many active runs that are expected to have ended, however late their ends are reported. */
-const maxUnreportedEnds = 2;
-
-/**
-Whether the run is expected to end within the given time, by its speed since `basePercent`: it may have been resumed or adopted.
-On a busy owner the first report may come after the end: a run without progress counts as ended after the usual run time, unless
-it is throttled to 0.
-*/
-const isEndingWithin = ({percent, basePercent, workedMs, progressAtMs, orderedAtMs, throttlePercent, task: {step}}: LiveRun, withinMs: number, {nowMs, getTaskMs}: IdleOptions): boolean =>
-	percent > basePercent
-		? (workedMs * (fullPercent - percent) / (percent - basePercent)) - (nowMs - progressAtMs) < withinMs
-		: throttlePercent !== 0 && nowMs - orderedAtMs > getTaskMs(step);
-
-/** What `isIdleWithin` depends on. */
-export type IdleOptions = {
-	nowMs: number;
-	/** Predicts the run time of a task of the step at full speed. */
-	getTaskMs: (step: LiveStep) => number;
-};
-
-/** Whether the job has no active run, or only a few that are expected to end within the given time. */
-export const isIdleWithin = (workflow: LiveWorkflow, withinMs: number, options: IdleOptions): boolean => {
-	let ending = 0;
-	for (const run of getActiveRuns(workflow)) {
-		ending++;
-		if (ending > maxUnreportedEnds || !isEndingWithin(run, withinMs, options)) {
-			return false;
-		}
-	}
-
-	return true;
-};
-
 const createTask = (step: LiveStep, index: number, nowMs: number): LiveTask => {
 	const ref: TaskRef = {
 		workflowId: step.workflow.spec.id, occurrence: step.occurrence, step: step.index, index,
@@ -377,6 +358,8 @@
 	};
 };
 
+const countOpenTasks = (steps: LiveStep[]): number => sum(steps.map(({remaining}) => remaining));
+
 const markReadySteps = (workflow: LiveWorkflow, occurrence: number, nowMs: number): void => {
 	const steps = workflow.occurrences.get(occurrence)!;
 	// A step without tasks is complete at once and may make later steps ready in the same pass: a step depends only on lower indexes.
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -4,9 +4,8 @@
 import {type FleetWorker} from './fleet-view.ts';
 import {type BestEffortInterference} from './best-effort-interference.ts';
 import {getRequestedShare} from './interference-throttling.ts';
-import {
-	isIdleWithin, type IdleOptions, type LiveStep, type LiveTask, type LiveWorkflow,
-} from './live-model.ts';
+import {isIdleWithin, type IdleOptions} from './job-idleness.ts';
+import {type LiveStep, type LiveTask, type LiveWorkflow} from './live-model.ts';
 import {createCandidate, getSpareMilliCpu, type Candidate} from './placement-candidates.ts';
 import {Mechanism, type Policy} from './policy.ts';
 import {
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -6,7 +6,7 @@
 import {
 	RunEnd, WorkflowState, type EndedRun, type TaskCrash, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
-import {maxEpoch, maxRunNumber, maxTasksPerStep} from '../core/record-limits.ts';
+import {maxEpoch, maxRunNumber, maxTasks} from '../core/record-limits.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
 import {decodeForecast, encodeForecast} from './forecast-rows.ts';
 
@@ -190,7 +190,7 @@
 });
 
 const decodeStep = (fields: Fields): WorkflowStep => ({
-	count: fields.integerUpTo('count', maxTasksPerStep),
+	count: fields.integerUpTo('count', maxTasks),
 	milliCpu: fields.nonNegativeNumber('milliCpu'),
 	memoryMb: fields.nonNegativeNumber('memoryMb'),
 	accelerators: fields.nonNegativeNumber('accelerators'),
