List the workers that advice is asked for once a check

Cause: with pools by service, the ids of a service's workers were listed anew for each step that needs advice, in each check of the owner (20 a second), where one list served all steps before.

Change: one list for each service and check.

Conclusion: no decision differs with one service; this takes away the one added cost that was found by reading.

--- a/src/workflows/advice-cache.ts
+++ b/src/workflows/advice-cache.ts
@@ -62,13 +62,20 @@
 		}
 
 		const nowMs = this.#options.clock.monotonicMs();
+		const idsByService = new Map<string, string[]>();
+		const getWorkerIds = (service: string): string[] => {
+			const ids = idsByService.get(service) ?? [...getWorkers(service)].flatMap(({report}) => report ? [report.workerId] : []);
+			idsByService.set(service, ids);
+			return ids;
+		};
+
 		for (const step of steps) {
 			if (this.#calls >= maxCalls) {
 				return;
 			}
 
 			const entry = this.#getOrCreate(step);
-			const missing = entry.isRequesting || entry.retryAtMs > nowMs ? [] : this.#getMissing(step, entry, getWorkers(step.workflow.service));
+			const missing = entry.isRequesting || entry.retryAtMs > nowMs ? [] : this.#getMissing(step, entry, getWorkerIds(step.workflow.service));
 			if (missing.length > 0) {
 				void this.#request(step, entry, missing.slice(0, maxWorkers));
 			}
@@ -96,8 +103,8 @@
 	}
 
 	/** Workers that were never named in a request, and approved ones whose ticket has expired. */
-	#getMissing(step: LiveStep, entry: Entry, workers: Iterable<FleetWorker>): string[] {
-		return [...workers].flatMap(({report}) => report ? [report.workerId] : []).filter(workerId => !entry.askedWorkerIds.has(workerId)
+	#getMissing(step: LiveStep, entry: Entry, workerIds: string[]): string[] {
+		return workerIds.filter(workerId => !entry.askedWorkerIds.has(workerId)
 			|| (entry.tickets.has(workerId) && this.getTicket(step, workerId) === undefined));
 	}
 
