--- a/src/agents/control-records.ts
+++ b/src/agents/control-records.ts
@@ -14,6 +14,9 @@
 /** Keyed topic of the agents' registrations. */
 export const agentsTopic = 'keyed.agents';
 
+/** Name of the operation in errors. */
+const registrationStep = 'read agent registration';
+
 /** Kinds of control records. */
 export enum ControlRecordType {
 	Claim = 'claim',
@@ -64,13 +67,13 @@
 	return value;
 };
 
-/** Decodes the offset of the host's first registration since all earlier leases had expired; by default the registration's own. Throws `bad-input`. */
-export const decodeFirstSession = (value: Buffer, offset: number): number => parseFields(value, 'read agent registration').nonNegativeInteger('firstSession', offset);
-
-/** The same for a registration that may be another writer's: one that is not valid gives its own offset. */
+/**
+Gets the offset of the host's first registration since all earlier leases had expired, from its previous registration. One that another writer has
+replaced may give none, or one that has not come yet: then it is the registration's own.
+*/
 export const getFirstSession = (value: Buffer, offset: number): number => {
 	try {
-		return Math.min(offset, decodeFirstSession(value, offset));
+		return Math.min(offset, parseFields(value, registrationStep).nonNegativeInteger('firstSession', offset));
 	} catch {
 		return offset;
 	}
@@ -91,12 +94,13 @@
 
 /** Decodes an agent's registration. Throws `bad-input`. */
 export const decodeRegistration = (value: Buffer): AgentRegistration => {
-	const fields = parseFields(value, 'read agent registration');
+	const fields = parseFields(value, registrationStep);
 	return {
 		host: fields.string('host'),
 		address: fields.string('address'),
 		service: fields.string('service'),
 		failureDomain: fields.string('failureDomain'),
+		firstSession: fields.has('firstSession') ? fields.nonNegativeInteger('firstSession') : undefined,
 		departure: fields.has('departure') ? tryDecodeDeparture(fields) : undefined,
 	};
 };
--- a/src/agents/job-inputs.ts
+++ b/src/agents/job-inputs.ts
@@ -9,7 +9,7 @@
 type JobInput = {input: string; service: string | undefined};
 
 /** A start with all that its job has in common; `service` is undefined if it was ordered by an owner of the previous version. */
-export type JobStart = WorkerStart & JobInput;
+type JobStart = WorkerStart & JobInput;
 
 /** Bound on the characters of all inputs; the least recently used are dropped. */
 const maxChars = 2_000_000;
--- a/src/agents/registration-reader.ts
+++ b/src/agents/registration-reader.ts
@@ -1,13 +1,14 @@
 /**
-Reads registrations of agents, which other writers may have put among them. One that no agent can have written is ignored and logged once: nobody waits
-for its host, and the others are followed.
+Reads registrations of agents, which other writers may have put among them. One that no agent can have written is ignored and logged once: owners do
+not wait for its host, and follow the others.
 */
 import {type Buffer} from 'node:buffer';
 import {createError, ErrorCode, getMessage} from '../core/errors.ts';
+import {checkRegisteredHost} from '../core/registrations.ts';
 import {type AgentRegistration} from '../types/fleet.ts';
 import {type KeyedRecord} from '../types/store.ts';
 import {OnceReporter} from '../utils/once-reporter.ts';
-import {decodeFirstSession, decodeRegistration} from './control-records.ts';
+import {decodeRegistration} from './control-records.ts';
 import {getLeaseExpiryMs} from './worker-lease.ts';
 
 /** Options of the reader. */
@@ -22,6 +23,8 @@
 /** A registration as read, with the offset of the host's first one since all earlier leases had expired. */
 export type ReadRegistration = AgentRegistration & {firstSession: number};
 
+const step = 'read agent registration';
+
 /** Reader of one process. */
 export class RegistrationReader {
 	readonly #options: RegistrationReaderOptions;
@@ -37,9 +40,10 @@
 	/** Decodes the registration of a host; undefined if it is not valid. */
 	read(host: string, value: Buffer, offset: number): ReadRegistration | undefined {
 		try {
-			const registration = {...decodeRegistration(value), firstSession: decodeFirstSession(value, offset)};
-			this.#check(host, registration, offset);
-			return registration;
+			const registration = decodeRegistration(value);
+			const {firstSession = offset} = registration;
+			this.#check(host, {...registration, firstSession}, offset);
+			return {...registration, firstSession};
 		} catch (error) {
 			this.#invalid.reportOnce(host, getMessage(error), `${host} ${offset}`);
 			return undefined;
@@ -51,28 +55,18 @@
 		return records.filter(({key, value, offset}) => this.read(key, value, offset) !== undefined).length;
 	}
 
-	/** Checks what an agent cannot have written. Throws `bad-input`. */
-	#check(key: string, {host, address, firstSession, departure}: ReadRegistration, offset: number): void {
+	/** Checks that an agent may have written it. Throws `bad-input`. */
+	#check(key: string, registration: ReadRegistration, offset: number): void {
 		const {maxLeaseMs, isAddress} = this.#options;
-		if (host !== key) {
-			throw createRegistrationError(`expected host ${key}, found ${host}`);
-		}
-
-		if (!isAddress(address)) {
-			throw createRegistrationError(`expected an address with a host and a port, found ${address}`);
-		}
-
+		const {firstSession, departure} = registration;
+		checkRegisteredHost(registration, {key, isAddress, step});
 		if (firstSession > offset) {
-			throw createRegistrationError(`expected a first session up to ${offset}, found ${firstSession}`);
+			throw createError(ErrorCode.BadInput, {step, detail: `expected a first session up to ${offset}, found ${firstSession}`});
 		}
 
-		// What is left of a lease is computed for the slowest clock.
+		// Agents round the rest of a lease up for the slowest worker clock.
 		if (departure && departure.leaseMs > getLeaseExpiryMs(maxLeaseMs)) {
-			throw createRegistrationError(`expected a lease of at most ${maxLeaseMs} ms, found ${departure.leaseMs} ms`);
+			throw createError(ErrorCode.BadInput, {step, detail: `expected a lease of at most ${maxLeaseMs} ms, found ${departure.leaseMs} ms`});
 		}
 	}
 }
-
-const maxDetailChars = 200;
-
-const createRegistrationError = (detail: string): Error => createError(ErrorCode.BadInput, {step: 'read agent registration', detail: detail.slice(0, maxDetailChars)});
--- a/src/core/record-limits.ts
+++ b/src/core/record-limits.ts
@@ -9,6 +9,6 @@
 export const maxRunNumber = 2 ** 52;
 /** Highest epoch whose runs can be numbered. */
 export const maxEpoch = Math.floor(maxRunNumber / runsPerEpoch);
-/** Steps of a job, and tasks of all its steps together. */
+/** Steps of a job, and tasks of all its steps together; of a stored job, which an earlier version may have accepted, tasks of each step. */
 export const maxSteps = 1000;
 export const maxTasks = 100_000;
--- a/src/standin/site-worker.ts
+++ b/src/standin/site-worker.ts
@@ -26,6 +26,8 @@
 /** The worker, with faults that tests set. */
 export class SiteWorker {
 	workerId: string;
+	/** Service that it announces. */
+	service: string;
 	isDraining = false;
 	/** What it announces while it drains: the time until it ends. */
 	remainingMs?: number;
@@ -52,7 +54,6 @@
 	#ended = new WorkerEnds();
 	#sequence = 0;
 	#milliCpu: number;
-	#service: string;
 	#lastRuns = new Map<string, number>();
 	readonly #waiters = new Set<() => void>();
 
@@ -60,7 +61,7 @@
 		this.workerId = `${name}-1`;
 		this.#options = options;
 		this.#milliCpu = options.report.milliCpu;
-		this.#service = options.report.service;
+		this.service = options.report.service;
 		this.#scheduleLeaseCheck();
 	}
 
@@ -77,15 +78,10 @@
 		this.#milliCpu = milliCpu;
 	}
 
-	/** Changes the service that it announces: operators have given its host to another one. */
-	setService(service: string): void {
-		this.#service = service;
-	}
-
 	/** Returns the next announcement of the worker. */
 	announce(): WorkerReport {
 		return {
-			...this.#options.report, service: this.#service, milliCpu: this.#milliCpu, workerId: this.workerId, isDraining: this.isDraining, remainingMs: this.remainingMs, warmupRemainingMs: this.warmupRemainingMs, sequence: ++this.#sequence,
+			...this.#options.report, service: this.service, milliCpu: this.#milliCpu, workerId: this.workerId, isDraining: this.isDraining, remainingMs: this.remainingMs, warmupRemainingMs: this.warmupRemainingMs, sequence: ++this.#sequence,
 		};
 	}
 
@@ -250,20 +246,17 @@
 		const {clock, plan, onEvent, gangs} = this.#options;
 		const {taskId, checkpoint} = start;
 		const run: SimulatedRun = {start, worksSinceMs: undefined, plan: plan(start)};
-		const begin = () => {
-			this.#begin(run);
-		};
-
-		const end = (how: RunEnd) => {
-			this.#end(run, how);
-		};
-
 		const {gangSize} = run.plan;
+		const gang = gangSize === undefined ? undefined : gangs;
 		this.running.set(taskId, run);
-		const member = {
-			taskId, run: start.run, checkpoint, begin, end,
-		};
-		if (gangs && gangSize !== undefined && !gangs.add(member, gangSize)) {
+		const isJoined = gang?.add({
+			taskId, run: start.run, checkpoint, begin: () => {
+				this.#begin(run);
+			}, end: end => {
+				this.#end(run, end);
+			},
+		}, gangSize!);
+		if (isJoined === false) {
 			this.running.delete(taskId);
 			return {isDone: false, refusal: OrderRefusal.Invalid};
 		}
@@ -273,8 +266,8 @@
 		onEvent({
 			type: 'started', taskId, run: start.run, workerId: this.workerId, atMs: clock.monotonicMs(),
 		});
-		if (!gangs || gangSize === undefined) {
-			begin();
+		if (!gang) {
+			this.#begin(run);
 		}
 
 		return {isDone: true};
--- a/src/utils/call-stream-client.ts
+++ b/src/utils/call-stream-client.ts
@@ -2,14 +2,13 @@
 Client of call streams: sends all calls to a peer over one connection. On a small host, a call over a keep-alive HTTP connection
 takes several times as much processor time. Peers of a version that does not support call streams are called over HTTP.
 */
-import {request as sendRequest} from 'node:http';
 import {type Socket} from 'node:net';
-import {createError, ErrorCode, getMessage} from '../core/errors.ts';
-import {parseAddress} from './address.ts';
+import {createError, ErrorCode} from '../core/errors.ts';
 import {
 	callStreamPath, callStreamProtocol, formatLine, readLines, type CallLine,
 } from './call-stream.ts';
 import {type CountBytes, type HttpClient} from './keep-alive-client.ts';
+import {createPeerRequest} from './peer-request.ts';
 import {afterPendingInput, type TurnScheduler} from './turn-scheduler.ts';
 
 /** A call to a peer. */
@@ -50,13 +49,12 @@
 	#socket: Socket | undefined;
 	#lastNumber = 0;
 
-	constructor(address: string, {turnScheduler, countBytes, onClosed}: {turnScheduler: TurnScheduler; countBytes: CountBytes; onClosed: () => void}) {
+	/** `step` is for the error message. Throws `peer-unreached` for an address that no connection can be made to. */
+	constructor(peer: {address: string; step: string}, {turnScheduler, countBytes, onClosed}: {turnScheduler: TurnScheduler; countBytes: CountBytes; onClosed: () => void}) {
 		this.#turnScheduler = turnScheduler;
 		this.#countBytes = countBytes;
 		this.#onClosed = onClosed;
-		const request = sendRequest({
-			...parseAddress(address), path: callStreamPath, headers: {connection: 'Upgrade', upgrade: callStreamProtocol}, agent: false,
-		});
+		const request = createPeerRequest(peer, {path: callStreamPath, headers: {connection: 'Upgrade', upgrade: callStreamProtocol}, agent: false});
 		this.#abortConnect = () => {
 			request.destroy();
 		};
@@ -202,10 +200,10 @@
 /** Creates the client; `http` is used for peers that do not support call streams. */
 export const createStreamClient = (http: HttpClient, turnScheduler: TurnScheduler, countBytes: CountBytes = () => undefined): StreamClient => {
 	const streams = new Map<string, PeerStream>();
-	const getStream = (address: string): PeerStream => {
+	const getStream = ({address, step}: StreamCall): PeerStream => {
 		let stream = streams.get(address);
 		if (!stream) {
-			const created = new PeerStream(address, {
+			const created = new PeerStream({address, step}, {
 				turnScheduler,
 				countBytes,
 				onClosed() {
@@ -221,20 +219,9 @@
 		return stream;
 	};
 
-	/** Throws `peer-unreached` for an address that no connection can be made to. */
-	const openStream = ({address, step}: StreamCall): PeerStream => {
-		try {
-			return getStream(address);
-		} catch (error) {
-			throw createError(ErrorCode.PeerUnreached, {
-				step, peer: address, detail: getMessage(error), cause: error,
-			});
-		}
-	};
-
 	return {
 		async call(call) {
-			const answer = await openStream(call).send(call);
+			const answer = await getStream(call).send(call);
 			if (answer) {
 				return answer;
 			}
--- a/src/utils/keep-alive-client.ts
+++ b/src/utils/keep-alive-client.ts
@@ -3,11 +3,9 @@
 connections to its peer are closed.
 */
 import {Buffer} from 'node:buffer';
-import {
-	Agent, request as sendRequest, type ClientRequest, type IncomingHttpHeaders,
-} from 'node:http';
-import {createError, ErrorCode, getMessage} from '../core/errors.ts';
-import {parseAddress} from './address.ts';
+import {Agent, type IncomingHttpHeaders} from 'node:http';
+import {createError, ErrorCode} from '../core/errors.ts';
+import {createPeerRequest} from './peer-request.ts';
 import {afterPendingInput, TurnScheduler} from './turn-scheduler.ts';
 
 /** A call to a peer. */
@@ -65,27 +63,12 @@
 		}
 	};
 
-	/** Throws `peer-unreached` for an address that no connection can be made to. */
-	const createRequest = ({address, method, path, headers, step}: HttpCall, bodyBytes: number | undefined): ClientRequest => {
-		try {
-			return sendRequest({
-				...parseAddress(address),
-				method,
-				path,
-				agent: getAgent(address),
-				headers: {...headers, ...(bodyBytes !== undefined && {'content-length': String(bodyBytes)})},
-			});
-		} catch (error) {
-			throw createError(ErrorCode.PeerUnreached, {
-				step, peer: address, detail: getMessage(error), cause: error,
-			});
-		}
-	};
-
 	const call = async (options: HttpCall): Promise<HttpAnswer> => new Promise((resolve, reject) => {
-		const {address, body, timeoutMs, connectTimeoutMs, signal, step} = options;
+		const {address, method, path, headers, body, timeoutMs, connectTimeoutMs, signal, step} = options;
 		const bodyBytes = body === undefined ? undefined : Buffer.byteLength(body);
-		const request = createRequest(options, bodyBytes);
+		const request = createPeerRequest(options, {
+			method, path, agent: getAgent(address), headers: {...headers, ...(bodyBytes !== undefined && {'content-length': String(bodyBytes)})},
+		});
 		let isSettled = false;
 		let isConnected = false;
 		let connectTimer: NodeJS.Timeout | undefined;
--- a/src/utils/once-reporter.ts
+++ b/src/utils/once-reporter.ts
@@ -4,6 +4,8 @@
 
 /** Bound on the inputs that are told apart. */
 const maxReported = 100;
+/** Bound on the reason that is reported: it may quote the input. */
+const maxReasonChars = 300;
 
 /** Reports of one kind. */
 export class OnceReporter {
@@ -18,7 +20,7 @@
 	reportOnce(source: string, reason: string, key = source): void {
 		if (!this.#reported.has(key) && this.#reported.size < maxReported) {
 			this.#reported.add(key);
-			this.#onFirst(source, reason);
+			this.#onFirst(source, reason.slice(0, maxReasonChars));
 		}
 	}
 }
--- a/src/workflows/advice-cache.ts
+++ b/src/workflows/advice-cache.ts
@@ -5,6 +5,7 @@
 import {getMessage} from '../core/errors.ts';
 import {type AdviceClient} from '../types/advice.ts';
 import {type Clock} from '../types/clock.ts';
+import {createOnce} from '../utils/create-once.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {type LiveStep} from './live-model.ts';
 
@@ -62,13 +63,7 @@
 		}
 
 		const nowMs = this.#options.clock.monotonicMs();
-		const idsByService = new Map<string, string[]>();
-		const getWorkerIds = (service: string): string[] => {
-			const ids = idsByService.get(service) ?? [...getWorkers(service)].flatMap(({report}) => report ? [report.workerId] : []);
-			idsByService.set(service, ids);
-			return ids;
-		};
-
+		const getWorkerIds = createOnce((service: string) => [...getWorkers(service)].flatMap(({report}) => report ? [report.workerId] : []));
 		for (const step of steps) {
 			if (this.#calls >= maxCalls) {
 				return;
--- a/src/workflows/agent-links.ts
+++ b/src/workflows/agent-links.ts
@@ -2,7 +2,7 @@
 The owner's connections to the agents of its services: finds them by their registrations, keeps one long poll for each
 agent's state open, and sends orders.
 */
-import {type ReadRegistration, type RegistrationReader} from '../agents/registration-reader.ts';
+import {type RegistrationReader} from '../agents/registration-reader.ts';
 import {createError, ErrorCode, getMessage} from '../core/errors.ts';
 import {type Clock} from '../types/clock.ts';
 import {
@@ -11,7 +11,7 @@
 import {type PartitionRef, type StoreClient} from '../types/store.ts';
 import {PeerClock} from '../utils/peer-clock.ts';
 import {getLeaseExpiryMs} from '../agents/worker-lease.ts';
-import {type AgentLoss, type FleetWorker} from './fleet-view.ts';
+import {createFleetWorker, type AgentLoss, type FleetWorker} from './fleet-view.ts';
 import {ServiceFleets} from './service-fleets.ts';
 import {type SessionRecord} from './session-records.ts';
 
@@ -157,7 +157,8 @@
 			return;
 		}
 
-		const worker = this.#createWorker(registration, offset);
+		const worker = createFleetWorker({...registration, session: offset, nowMs: this.#options.clock.monotonicMs()});
+		worker.loss = this.#restoreLoss(host, offset);
 		this.fleets.add(worker);
 		this.#applyDeparture(worker, registration, offset);
 		void this.#keepWatching(worker, signal);
@@ -172,44 +173,6 @@
 		}
 	}
 
-	#createWorker({host, address, service, firstSession}: ReadRegistration, offset: number): FleetWorker {
-		return {
-			host,
-			service,
-			address,
-			session: offset,
-			firstSession,
-			agentLife: '',
-			version: 0,
-			report: undefined,
-			isListed: false,
-			haveOldLeasesExpired: false,
-			areLeasesExpired: false,
-			isAnswering: false,
-			lastReplyAtMs: Number.NEGATIVE_INFINITY,
-			stateAsOfMs: Number.NEGATIVE_INFINITY,
-			agentClock: new PeerClock(),
-			workerClockMs: 0,
-			unresponsiveSinceMs: this.#options.clock.monotonicMs(),
-			loss: this.#restoreLoss(host, offset),
-			replacedIncarnations: new Set(),
-			runs: new Set(),
-			sentInputs: undefined,
-			health: {spec: {workerId: host}, isHeld: false, isProbing: false},
-			processedEnd: 0,
-			storedEnd: 0,
-			hasSucceededSinceCrash: false,
-			processedCrash: 0,
-			storedCrash: 0,
-			blockedUntilMs: 0,
-			unknownRunStopAtMs: Number.NEGATIVE_INFINITY,
-			throttles: new Map(),
-			isBestEffortStopped: false,
-			bestEffortUsage: [],
-			interferenceLearnedAtMs: Number.NEGATIVE_INFINITY,
-		};
-	}
-
 	/** Applies the last state of an agent that has been told to stop, unless another process of it has answered: that one may be newer. */
 	#applyDeparture(worker: FleetWorker, {departure}: AgentRegistration, offset: number): void {
 		if (!departure || worker.departure?.session === offset) {
--- a/src/workflows/entry-directory.ts
+++ b/src/workflows/entry-directory.ts
@@ -4,6 +4,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {createError, ErrorCode, getMessage} from '../core/errors.ts';
+import {checkRegisteredHost} from '../core/registrations.ts';
 import {type Clock} from '../types/clock.ts';
 import {type EntryRegistration} from '../types/entries.ts';
 import {AppendOutcome, type PartitionRef, type StoreClient} from '../types/store.ts';
@@ -26,7 +27,8 @@
 const refreshMs = 10_000;
 const retryMs = 500;
 const storeTimeoutMs = 1000;
-const maxDetailChars = 200;
+/** Name of the operation in errors. */
+const step = 'read entry registration';
 
 /** No host has more processors, or a faster link: routing would send all work to an entry that claims to. */
 const maxProcessors = 10_000;
@@ -34,18 +36,19 @@
 
 /** Decodes a registration. Throws `bad-input`. */
 export const decodeEntry = (value: Buffer): EntryRegistration => {
-	const fields = parseFields(value, 'read entry registration');
+	const fields = parseFields(value, step);
 	return {
 		host: fields.string('host'), address: fields.string('address'), ...decodeSize(fields),
 	};
 };
 
-/** Decodes the registration of a host. Throws `bad-input`, also for what no entry can have written. */
+/** Decodes the registration of a host. Throws `bad-input`, also for one that no entry can have written. */
 const decodeEntryOf = (key: string, value: Buffer, isAddress: (address: string) => boolean): EntryRegistration => {
 	const entry = decodeEntry(value);
-	const {host, address, processors = 0, linkMbps = 0} = entry;
-	if (host !== key || !isAddress(address) || processors > maxProcessors || linkMbps > maxLinkMbps) {
-		throw createError(ErrorCode.BadInput, {step: 'read entry registration', detail: `not of an entry on ${key}: ${JSON.stringify(entry).slice(0, maxDetailChars)}`});
+	const {processors = 0, linkMbps = 0} = entry;
+	checkRegisteredHost(entry, {key, isAddress, step});
+	if (processors > maxProcessors || linkMbps > maxLinkMbps) {
+		throw createError(ErrorCode.BadInput, {step, detail: `expected at most ${maxProcessors} processors and ${maxLinkMbps} Mbit/s, found ${processors} and ${linkMbps}`});
 	}
 
 	return entry;
--- a/src/workflows/evacuation-mover.ts
+++ b/src/workflows/evacuation-mover.ts
@@ -5,6 +5,7 @@
 import {Feature, type Features} from '../core/site-features.ts';
 import {type Evacuations} from '../types/site.ts';
 import {DutyCycle} from '../utils/duty-cycle.ts';
+import {addCounts} from '../utils/group-by.ts';
 import {orderValidityMs, type AgentLinks} from './agent-links.ts';
 import {type BestEffortInterference} from './best-effort-interference.ts';
 import {StopCause, type DisruptionBudget} from './disruption-budget.ts';
@@ -88,7 +89,7 @@
 		this.#holds = new Map();
 		const waiting = groupByService(getWaiting(nowMs));
 		const moving = groupByService(this.#moving.keys());
-		for (const pool of pools.all) {
+		for (const pool of pools.getAll()) {
 			const workers = evacuated.filter(({service}) => service === pool.service);
 			if (workers.length > 0) {
 				this.#moveWithin(pool, {workers, waiting: waiting.get(pool.service) ?? [], moving: moving.get(pool.service) ?? []}, nowMs);
@@ -105,7 +106,7 @@
 			nowMs,
 			moving,
 			mayStart: task => canStartAny && !isQuarantined(task) && this.#options.eligibility.mayStart(task),
-			hasNewCheckpoint: task => task.checkpoint !== this.#checkpoints.get(task),
+			hasNewCheckpoint: task => task.checkpoint.value !== this.#checkpoints.get(task),
 			reserveCapacity: createCapacitySearch({
 				...this.#options, workers: pool.getOpen(nowMs), waiting: new Set([...waiting, ...moving]),
 			}),
@@ -114,7 +115,12 @@
 				budget.recordStop(task);
 			},
 		});
-		addHolds(this.#holds, holds);
+		for (const [domain, counts] of holds) {
+			const totals = this.#holds.get(domain) ?? new Map<EvacuationHold, number>();
+			this.#holds.set(domain, totals);
+			addCounts(totals, counts);
+		}
+
 		for (const {worker, run} of moves) {
 			const {task} = run;
 			note('run evacuated', {
@@ -147,20 +153,10 @@
 		const checkpoints = new Map<LiveTask, string>();
 		for (const {task} of workers.flatMap(worker => [...worker.runs])) {
 			if (task.step.spec.isCheckpointing) {
-				checkpoints.set(task, this.#checkpoints.get(task) ?? task.checkpoint);
+				checkpoints.set(task, this.#checkpoints.get(task) ?? task.checkpoint.value);
 			}
 		}
 
 		this.#checkpoints = checkpoints;
 	}
 }
-
-const addHolds = (totals: EvacuationHolds, added: EvacuationHolds): void => {
-	for (const [domain, counts] of added) {
-		const total = totals.get(domain) ?? new Map<EvacuationHold, number>();
-		totals.set(domain, total);
-		for (const [hold, count] of counts) {
-			total.set(hold, (total.get(hold) ?? 0) + count);
-		}
-	}
-};
--- a/src/workflows/fleet-view.ts
+++ b/src/workflows/fleet-view.ts
@@ -4,7 +4,7 @@
 import {type HealthSubject} from '../jobs/worker-health.ts';
 import {type Capacity, type WorkerReport} from '../types/fleet.ts';
 import {type WorkflowStep} from '../types/workflows.ts';
-import {type PeerClock} from '../utils/peer-clock.ts';
+import {PeerClock} from '../utils/peer-clock.ts';
 import {type Throttles} from './best-effort-interference.ts';
 import {type LiveRun, type LiveWorkflow} from './live-model.ts';
 
@@ -104,6 +104,42 @@
 	interferenceLearnedAtMs: number;
 };
 
+/** Creates the view of a worker whose agent has registered and has not answered yet. */
+export const createFleetWorker = ({host, service, address, session, firstSession, nowMs}: Pick<FleetWorker, 'host' | 'service' | 'address' | 'session' | 'firstSession'> & {nowMs: number}): FleetWorker => ({
+	host,
+	service,
+	address,
+	session,
+	firstSession,
+	agentLife: '',
+	version: 0,
+	report: undefined,
+	isListed: false,
+	haveOldLeasesExpired: false,
+	areLeasesExpired: false,
+	isAnswering: false,
+	lastReplyAtMs: Number.NEGATIVE_INFINITY,
+	stateAsOfMs: Number.NEGATIVE_INFINITY,
+	agentClock: new PeerClock(),
+	workerClockMs: 0,
+	unresponsiveSinceMs: nowMs,
+	replacedIncarnations: new Set(),
+	runs: new Set(),
+	sentInputs: undefined,
+	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
+	processedEnd: 0,
+	storedEnd: 0,
+	hasSucceededSinceCrash: false,
+	processedCrash: 0,
+	storedCrash: 0,
+	blockedUntilMs: 0,
+	unknownRunStopAtMs: Number.NEGATIVE_INFINITY,
+	throttles: new Map(),
+	isBestEffortStopped: false,
+	bestEffortUsage: [],
+	interferenceLearnedAtMs: Number.NEGATIVE_INFINITY,
+});
+
 /** Whether the agent has been told to stop, and no later process of it has registered. */
 export const hasDeparted = ({departure, session}: FleetWorker): boolean => departure !== undefined && departure.session >= session;
 
--- a/src/workflows/forecast-publisher.ts
+++ b/src/workflows/forecast-publisher.ts
@@ -37,7 +37,7 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** Interval for updates. */
+/** Interval at which the forecasts of all services of an owner are updated. */
 export const forecastUpdateIntervalMs = 1000;
 /** Interval of the forecast where it is only logged: it takes a pass over all open jobs. */
 const loggedForecastIntervalMs = 5000;
@@ -72,11 +72,11 @@
 		this.#inventory = new FleetInventory(options.clock.monotonicMs());
 	}
 
-	/** Updates the forecast; to be called at the interval for updates. */
+	/** Updates the forecast; to be called every `forecastUpdateIntervalMs`. */
 	update(): void {
 		const {clock, getWorkers, isFleetKnown, publishesWaits} = this.#options;
 		const nowMs = clock.monotonicMs();
-		if (nowMs - this.#forecastAtMs >= (publishesWaits ? forecastUpdateIntervalMs : loggedForecastIntervalMs)) {
+		if (publishesWaits || nowMs - this.#forecastAtMs >= loggedForecastIntervalMs) {
 			this.#updateForecast(nowMs);
 		}
 
--- a/src/workflows/incomplete-gangs.ts
+++ b/src/workflows/incomplete-gangs.ts
@@ -1,5 +1,5 @@
 /**
-Finds gangs that do not become whole: a member's start was refused, lost or never ordered, and the others hold their capacity and wait for it. Their
+Finds gangs that stay incomplete: a member's start was refused, lost or never ordered, and the others hold their capacity and wait for it. Their
 runs are stopped, and the gang starts anew under one higher run number.
 
 A member is not started again beside those that wait: a run number that its worker has seen is refused there, and after a takeover the owner does not
@@ -22,7 +22,7 @@
 	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
-/** Why a gang does not become whole. */
+/** Why a gang stays incomplete. */
 export enum IncompleteReason {
 	/** A member has no run under the number of the others. */
 	MemberMissing = 'member-missing',
@@ -47,7 +47,7 @@
 		this.#options = options;
 	}
 
-	/** Whether the run is of a gang that does not become whole. */
+	/** Whether the run is of a gang that stays incomplete. */
 	has({task: {step}}: LiveRun): boolean {
 		if (!step.spec.isGang) {
 			return false;
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -8,7 +8,7 @@
 import {
 	countOccurrences, getUnitId, isFinal, type FoldedWorkflow, type WorkflowFold,
 } from './fold.ts';
-import {type RunCheckpoint} from './records.ts';
+import {type RunCheckpoint, type TaskLedger} from './records.ts';
 
 /** Phases of a run. */
 export enum RunPhase {
@@ -28,8 +28,6 @@
 	/** Incarnation of the agent that the order was sent to. */
 	agentLife: string;
 	phase: RunPhase;
-	/** Checkpoint that its start carries, if this owner orders it. */
-	checkpoint: string;
 	/** When the start was ordered. */
 	orderedAtMs: number;
 	/** The agent has not answered the order yet. */
@@ -64,6 +62,18 @@
 	throttlePercent?: number;
 };
 
+/** Newest checkpoint of a task or a gang. */
+export type UnitCheckpoint = {
+	/** Empty: there is none. */
+	value: string;
+	/** Number of the run that it comes from, or of a later one; 0: there is none. */
+	run: number;
+	/** Progress of that run at the checkpoint; infinity: the run had ended. */
+	percent: number;
+	/** The value that the stream holds. */
+	storedValue: string;
+};
+
 /** One task. */
 export type LiveTask = {
 	ref: TaskRef;
@@ -77,15 +87,10 @@
 	crashes: TaskCrash[];
 	/** Crashes up to this run number no longer require quarantine, because a later run outlived its quarantine. */
 	clearedRun: number;
-	checkpoint: string;
-	/** Number of the run that the checkpoint comes from, or of a later one; 0: there is none. */
-	checkpointRun: number;
-	/** Progress of that run at the checkpoint; infinity: the run had ended. */
-	checkpointPercent: number;
+	/** The members of a gang share it. */
+	checkpoint: UnitCheckpoint;
 	/** Whether a run of it is listed as running by a listing that was requested after this owner's claim: no earlier owner has started another one that is active. */
 	isLocated: boolean;
-	/** The checkpoint that the stream holds. */
-	storedCheckpoint: string;
 	isDone: boolean;
 	runs: LiveRun[];
 	/** Hosts of workers on which it failed or stalled. */
@@ -235,12 +240,10 @@
 		const checkpoints: RunCheckpoint[] = [];
 		for (const workflow of this.workflows.values()) {
 			for (const {task, run} of workflow.isFinished ? [] : getActiveRuns(workflow)) {
-				if (!task.isDone && task.checkpoint !== task.storedCheckpoint) {
-					for (const member of getUnit(task)) {
-						member.storedCheckpoint = task.checkpoint;
-					}
-
-					checkpoints.push({taskId: task.taskId, run, checkpoint: task.checkpoint});
+				const {value, storedValue} = task.checkpoint;
+				if (!task.isDone && value !== storedValue) {
+					task.checkpoint.storedValue = value;
+					checkpoints.push({taskId: task.taskId, run, checkpoint: value});
 				}
 			}
 		}
@@ -332,6 +335,13 @@
 /** Whether the job has no active run. */
 export const isIdle = (workflow: LiveWorkflow): boolean => getActiveRuns(workflow).next().done === true;
 
+const createCheckpoint = (ledger: TaskLedger | undefined): UnitCheckpoint => {
+	const value = ledger?.checkpoint ?? '';
+	return {
+		value, run: value === '' ? 0 : ledger!.lastRun, percent: 0, storedValue: value,
+	};
+};
+
 const createTask = (step: LiveStep, index: number, nowMs: number): LiveTask => {
 	const ref: TaskRef = {
 		workflowId: step.workflow.spec.id, occurrence: step.occurrence, step: step.index, index,
@@ -345,11 +355,8 @@
 		failedRuns: new Set(ledger?.failedRuns),
 		crashes: [...ledger?.crashes ?? []],
 		clearedRun: 0,
-		checkpoint: ledger?.checkpoint ?? '',
-		checkpointRun: ledger && ledger.checkpoint !== '' ? ledger.lastRun : 0,
-		checkpointPercent: 0,
+		checkpoint: step.spec.isGang && step.tasks.length > 0 ? step.tasks[0]!.checkpoint : createCheckpoint(ledger),
 		isLocated: false,
-		storedCheckpoint: ledger?.checkpoint ?? '',
 		isDone: ledger?.isDone ?? false,
 		runs: [],
 		avoidedHosts: new Set(),
--- a/src/workflows/order-sender.ts
+++ b/src/workflows/order-sender.ts
@@ -85,7 +85,7 @@
 		}
 	}
 
-	/** Stops runs of finished jobs, copies of tasks that are done, members of gangs that do not become whole, and other unneeded runs; drops finished jobs. */
+	/** Stops runs of finished jobs, copies of tasks that are done, members of incomplete gangs, and other unneeded runs; drops finished jobs. */
 	stopUnneededRuns(): void {
 		const {links, model, clock, incompleteGangs, mayRepeatStop} = this.#options;
 		const nowMs = clock.monotonicMs();
@@ -143,9 +143,9 @@
 
 	async #sendStarts(worker: FleetWorker, runs: LiveRun[], notAfterMs: number): Promise<void> {
 		const {links, clock, note, window, onAnswered} = this.#options;
-		for (const {task, run, workerId, orderedAtMs, checkpoint} of runs) {
+		for (const {task, run, workerId, orderedAtMs} of runs) {
 			note('start', {
-				taskId: task.taskId, run, host: worker.host, workerId, waitedMs: Math.round(orderedAtMs - task.waitingSinceMs), checkpoint: checkpoint === '' ? undefined : checkpoint,
+				taskId: task.taskId, run, host: worker.host, workerId, waitedMs: Math.round(orderedAtMs - task.waitingSinceMs), checkpoint: task.checkpoint.value || undefined,
 			});
 		}
 
@@ -176,13 +176,13 @@
 	}
 
 	/** Creates the start of a run, with the job's input unless the agent keeps it. */
-	#createStart(worker: FleetWorker, {task, run, checkpoint}: LiveRun): OrderedStart {
-		const {step, taskId} = task;
+	#createStart(worker: FleetWorker, {task, run}: LiveRun): OrderedStart {
+		const {step, taskId, checkpoint} = task;
 		const {spec, service} = step.workflow;
 		const isInputSent = worker.sentInputs?.has(step.workflow) ?? false;
 		worker.sentInputs?.add(step.workflow);
 		return {
-			taskId, run, ...(!isInputSent && {input: spec.input, service}), checkpoint, ticket: this.#options.getTicket(step, worker.report!.workerId),
+			taskId, run, ...(!isInputSent && {input: spec.input, service}), checkpoint: checkpoint.value, ticket: this.#options.getTicket(step, worker.report!.workerId),
 		};
 	}
 
--- a/src/workflows/order-window.ts
+++ b/src/workflows/order-window.ts
@@ -154,7 +154,7 @@
 	getBytes(starts: Start[]): number {
 		let bytes = 0;
 		for (const {worker, task: {checkpoint, step: {workflow}}} of starts) {
-			bytes += checkpoint.length + overheadBytes;
+			bytes += checkpoint.value.length + overheadBytes;
 			if (!this.#isInputSent(worker, workflow)) {
 				bytes += workflow.spec.input.length;
 			}
--- a/src/workflows/placement.ts
+++ b/src/workflows/placement.ts
@@ -1,6 +1,7 @@
 /**
 Decides which waiting tasks start now, and on which workers. Pure: tasks, workers and the time are arguments.
 */
+import {groupBy} from '../utils/group-by.ts';
 import {type FleetWorker} from './fleet-view.ts';
 import {type BestEffortInterference} from './best-effort-interference.ts';
 import {getRequestedShare} from './interference-throttling.ts';
@@ -109,19 +110,7 @@
 };
 
 /** Groups tasks by step. */
-export const groupBySteps = (tasks: Iterable<LiveTask>): Map<LiveStep, LiveTask[]> => {
-	const groups = new Map<LiveStep, LiveTask[]>();
-	for (const task of tasks) {
-		const group = groups.get(task.step);
-		if (group) {
-			group.push(task);
-		} else {
-			groups.set(task.step, [task]);
-		}
-	}
-
-	return groups;
-};
+export const groupBySteps = (tasks: Iterable<LiveTask>): Map<LiveStep, LiveTask[]> => groupBy(tasks, ({step}) => step);
 
 /** Groups tasks by step and orders the steps by rank; all tasks of a step have the same rank. */
 const rankSteps = (tasks: LiveTask[], rank: GetRank): Array<[LiveStep, LiveTask[]]> => {
--- a/src/workflows/run-tracker.ts
+++ b/src/workflows/run-tracker.ts
@@ -94,7 +94,6 @@
 			workerId: worker.report!.workerId,
 			agentLife: worker.agentLife,
 			phase: RunPhase.Starting,
-			checkpoint: task.checkpoint,
 			orderedAtMs: terms.nowMs,
 			isOrderPending: true,
 			notAfterMs: terms.notAfterMs,
@@ -103,7 +102,7 @@
 			basePercent: 0,
 			workedMs: 0,
 			// The progress of a resumed run is unknown until its first listing.
-			workedUntilMs: task.checkpoint === '' ? terms.nowMs : undefined,
+			workedUntilMs: task.checkpoint.value === '' ? terms.nowMs : undefined,
 			recent: 0,
 			progressAtMs: terms.nowMs,
 			stopOrderedAtMs: Number.NEGATIVE_INFINITY,
--- a/src/workflows/scheduling-cycles.ts
+++ b/src/workflows/scheduling-cycles.ts
@@ -3,6 +3,7 @@
 */
 import {type Clock} from '../types/clock.ts';
 import {DutyCycle} from '../utils/duty-cycle.ts';
+import {addCounts} from '../utils/group-by.ts';
 import {sum} from '../utils/sum.ts';
 import {type WorkMeter} from '../utils/work-meter.ts';
 import {type BestEffortInterference} from './best-effort-interference.ts';
@@ -29,7 +30,7 @@
 
 /** What a cycle needs of the pools. */
 export type SchedulingPools = {
-	readonly all: SchedulingPool[];
+	getAll: () => SchedulingPool[];
 	get: (service: string) => SchedulingPool;
 };
 
@@ -139,7 +140,8 @@
 		}
 
 		onStarts(admitted);
-		const waits = sumWaits(placed.map(({placement}) => placement.waits));
+		const waits: PlacementResult['waits'] = new Map();
+		addCounts(waits, placed.flatMap(({placement}) => [...placement.waits]));
 		if (admitted.length < decided.length) {
 			this.#isWindowFull = true;
 			waits.set(WaitReason.OrderWindow, decided.length - admitted.length);
@@ -160,7 +162,7 @@
 			pools.get(service);
 		}
 
-		const {all} = pools;
+		const all = pools.getAll();
 		const first = this.#cycles++ % Math.max(1, all.length);
 		return [...all.slice(first), ...all.slice(0, first)];
 	}
@@ -213,7 +215,7 @@
 	#getRemainingWork(nowMs: number): Map<string, Map<LiveStep[], RemainingWork>> {
 		if (nowMs - this.#remainingWorkAtMs >= remainingWorkIntervalMs) {
 			const {model, times, pools} = this.#options;
-			const capacities = new Map(times.hasTails ? pools.all.map(pool => [pool.service, getTotalCapacity(pool.getSchedulable(nowMs))]) : []);
+			const capacities = new Map(times.hasTails ? pools.getAll().map(pool => [pool.service, getTotalCapacity(pool.getSchedulable(nowMs))]) : []);
 			this.#remainingWorkAtMs = nowMs;
 			this.#remainingWork = new Map();
 			for (const steps of model.getOpenOccurrences()) {
@@ -227,22 +229,11 @@
 	}
 }
 
-const sumWaits = (counts: Array<PlacementResult['waits']>): PlacementResult['waits'] => {
-	const waits: PlacementResult['waits'] = new Map();
-	for (const [reason, count] of counts.flatMap(each => [...each])) {
-		waits.set(reason, (waits.get(reason) ?? 0) + count);
-	}
-
-	return waits;
-};
-
 /** Counts the pairs of a step and a worker that are ruled out for interference, by cause. */
 const countRefusals = (refused: StepPlacement[]): Map<RefusalCause, number> => {
 	const totals = new Map<RefusalCause, number>();
 	for (const placement of refused) {
-		for (const [cause, count] of placement.countRefusals()) {
-			totals.set(cause, (totals.get(cause) ?? 0) + count);
-		}
+		addCounts(totals, placement.countRefusals());
 	}
 
 	return totals;
--- a/src/workflows/service-pools.ts
+++ b/src/workflows/service-pools.ts
@@ -5,6 +5,8 @@
 import {type Clock} from '../types/clock.ts';
 import {type Features} from '../core/site-features.ts';
 import {type Evacuations} from '../types/site.ts';
+import {createOnce} from '../utils/create-once.ts';
+import {groupBy} from '../utils/group-by.ts';
 import {createColdWorkerUpdate, type ColdWorkerUpdate} from './cold-workers.ts';
 import {FleetHealth} from './fleet-health.ts';
 import {type FleetWorker} from './fleet-view.ts';
@@ -77,8 +79,8 @@
 		this.#options = options;
 	}
 
-	/** Pools of all services that have or had a worker or a job here. */
-	get all(): ServicePool[] {
+	/** Gets the pools of all services that have or had a worker, and of those that were asked for; creates them if need be. */
+	getAll(): ServicePool[] {
 		for (const service of this.#options.fleets.services) {
 			this.get(service);
 		}
@@ -98,15 +100,15 @@
 
 	/** Releases workers whose hold for their health has expired, and updates the forecasts if they are due; to be called periodically. */
 	update(): void {
-		const {all} = this;
-		for (const {health} of all) {
+		const pools = this.getAll();
+		for (const {health} of pools) {
 			health.releaseHeld();
 		}
 
 		const nowMs = this.#options.clock.monotonicMs();
 		if (nowMs - this.#forecastsUpdatedAtMs >= forecastUpdateIntervalMs) {
 			this.#forecastsUpdatedAtMs = nowMs;
-			for (const {forecasts} of all) {
+			for (const {forecasts} of pools) {
 				forecasts?.update();
 			}
 		}
@@ -114,28 +116,10 @@
 
 	/** Creates a function that applies to each task the function of its service's pool, which is created on first use. */
 	dispatch<Result>(create: (pool: ServicePool) => (task: LiveTask) => Result): (task: LiveTask) => Result {
-		const functions = new Map<string, (task: LiveTask) => Result>();
-		return task => {
-			const {service} = task.step.workflow;
-			const apply = functions.get(service) ?? create(this.get(service));
-			functions.set(service, apply);
-			return apply(task);
-		};
+		const getFunction = createOnce((service: string) => create(this.get(service)));
+		return task => getFunction(task.step.workflow.service)(task);
 	}
 }
 
 /** Groups tasks by the service that runs their jobs. */
-export const groupByService = (tasks: Iterable<LiveTask>): Map<string, LiveTask[]> => {
-	const groups = new Map<string, LiveTask[]>();
-	for (const task of tasks) {
-		const {service} = task.step.workflow;
-		const group = groups.get(service);
-		if (group) {
-			group.push(task);
-		} else {
-			groups.set(service, [task]);
-		}
-	}
-
-	return groups;
-};
+export const groupByService = (tasks: Iterable<LiveTask>): Map<string, LiveTask[]> => groupBy(tasks, ({step: {workflow}}) => workflow.service);
--- a/src/workflows/slow-runs.ts
+++ b/src/workflows/slow-runs.ts
@@ -41,7 +41,7 @@
 /** Whether a run with a checkpoint is expected to end clearly later where it is than on another worker. */
 export const isMoveUseful = (run: LiveRun, {times, nowMs}: SlowRunOptions): boolean => {
 	const {phase, workerId, percent, task: {checkpoint, step: {spec}}} = run;
-	if (phase !== RunPhase.Running || !spec.isCheckpointing || checkpoint === '' || spec.isSpeculative || !times.speeds.isSlow(workerId, nowMs)) {
+	if (phase !== RunPhase.Running || !spec.isCheckpointing || checkpoint.value === '' || spec.isSpeculative || !times.speeds.isSlow(workerId, nowMs)) {
 		return false;
 	}
 
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -1,5 +1,5 @@
 /**
-Gangs whose members start with one checkpoint, are whole or stopped in time, and work again after crashes, refusals, lost orders and takeovers.
+Gangs whose members start with one checkpoint, are complete or stopped in time, and work again after crashes, refusals, lost orders and takeovers.
 */
 import fc from 'fast-check';
 import {
@@ -48,7 +48,7 @@
 const getLastRun = ({events}: SimulatedSite): number => Math.max(...events.filter(({type}) => type === 'started').map(({run}) => run));
 
 /** Whether all members run under one number. */
-const isWhole = ({hosts: all}: SimulatedSite, id = jobId): boolean => {
+const isComplete = ({hosts: all}: SimulatedSite, id = jobId): boolean => {
 	const runs = [...all.values()].flatMap(({worker}) => [...worker.running.values()]).filter(({start}) => start.taskId.startsWith(id)).map(({start}) => start.run);
 	return runs.length === size && new Set(runs).size === 1;
 };
@@ -62,10 +62,10 @@
 	it.each(Array.from({length: 24}, (_, index) => 2000 + (index * 97)))('works again, %d ms after its start', async crashAfterMs => {
 		const played = await startSite();
 		await played.submit(jobId, spec);
-		await played.waitFor(() => isWhole(played), 2000);
+		await played.waitFor(() => isComplete(played), 2000);
 		await played.clock.advance(crashAfterMs);
 		crash(played, getMemberHosts(played)[1]!);
-		expect(await played.waitFor(() => getLastRun(played) > 1 && isWhole(played), 4000)).toBeDefined();
+		expect(await played.waitFor(() => getLastRun(played) > 1 && isComplete(played), 4000)).toBeDefined();
 		await played.clock.advance(workMs);
 		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
 		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
@@ -75,7 +75,7 @@
 		const played = await startSite();
 		await played.submit(jobId, spec);
 		await played.submit(otherId, spec);
-		await played.waitFor(() => isWhole(played) && isWhole(played, otherId), 2000);
+		await played.waitFor(() => isComplete(played) && isComplete(played, otherId), 2000);
 		await played.clock.advance(3300);
 		const members = getMemberHosts(played);
 		crash(played, members[0]!);
@@ -104,7 +104,7 @@
 		await played.submit(jobId, spec);
 		await played.clock.advance(3400);
 		crash(played, getMemberHosts(played)[0]!);
-		expect(await played.waitFor(() => getLastRun(played) > 1 && isWhole(played), 4000)).toBeDefined();
+		expect(await played.waitFor(() => getLastRun(played) > 1 && isComplete(played), 4000)).toBeDefined();
 		await played.clock.advance(workMs + 1000);
 		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
 	});
@@ -137,7 +137,7 @@
 		}
 
 		await played.submit(jobId, spec);
-		expect(await played.waitFor(() => isWhole(played), gangTimeoutMs)).toBeDefined();
+		expect(await played.waitFor(() => isComplete(played), gangTimeoutMs)).toBeDefined();
 		await played.clock.advance(workMs + 500);
 		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
 		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
@@ -150,7 +150,7 @@
 		let starts = 0;
 		played.hosts.get('host-0')!.worker.getFault = order => order === 'start' && starts++ === 0 ? fault : OrderFault.None;
 		await played.submit(jobId, spec);
-		expect(await played.waitFor(() => getLastRun(played) > 1 && isWhole(played), 8000)).toBeDefined();
+		expect(await played.waitFor(() => getLastRun(played) > 1 && isComplete(played), 8000)).toBeDefined();
 		await played.clock.advance(workMs + 500);
 		expect(await played.getState(jobId)).toBe(WorkflowState.Completed);
 		expect(countEnds(played, RunEnd.GangTimeout)).toBe(0);
@@ -236,7 +236,7 @@
 		tracker.applyReply(workers[member]!, createWatchReply({worker: report, version: number + 1, ...rows}), number);
 	};
 
-	const getCheckpoints = (tasks: LiveTask[]): string[] => [...new Set(tasks.map(({checkpoint}) => checkpoint))];
+	const getCheckpoints = (tasks: LiveTask[]): string[] => [...new Set(tasks.map(({checkpoint}) => checkpoint.value))];
 
 	/** Guards against a member that starts with another value than the rest, in whichever order their values come. */
 	it('are one value at any moment, and what the stream gets is that value', () => {
@@ -250,7 +250,7 @@
 				expect(getCheckpoints(gang.tasks)).toHaveLength(1);
 				const stored = gang.model.takeUnstoredCheckpoints();
 				expect(stored.length).toBeLessThanOrEqual(1);
-				expect(stored.every(({checkpoint}) => checkpoint === gang.tasks[0]!.checkpoint)).toBe(true);
+				expect(stored.every(({checkpoint}) => checkpoint === gang.tasks[0]!.checkpoint.value)).toBe(true);
 			}
 		}), {seed: 67});
 	});
--- a/test/late-checkpoints.test.ts
+++ b/test/late-checkpoints.test.ts
@@ -51,7 +51,7 @@
 it('the end of an earlier run does not replace the checkpoint of a later one, nor is it stored', () => {
 	const {tracker, lost, task, stored} = createSecondRun('second');
 	tracker.applyReply(lost, createState(lost, {ended: [lapsed]}), 700);
-	expect(task.checkpoint).toBe('second');
+	expect(task.checkpoint.value).toBe('second');
 	expect(stored).toEqual([]);
 });
 
@@ -63,14 +63,14 @@
 			taskId, run: 1, checkpoint: 'first', percent: 20, recent: 0,
 		}],
 	}), 700);
-	expect(task.checkpoint).toBe('second');
+	expect(task.checkpoint.value).toBe('second');
 });
 
 /** Guards against work that is lost because a later run has begun but reported no checkpoint yet. */
 it('the checkpoint of an earlier run is taken while a later one has none', () => {
 	const {tracker, lost, task, stored} = createSecondRun('');
 	tracker.applyReply(lost, createState(lost, {ended: [lapsed]}), 700);
-	expect(task.checkpoint).toBe('first');
+	expect(task.checkpoint.value).toBe('first');
 	expect(stored).toHaveLength(1);
 });
 
@@ -78,5 +78,5 @@
 it('checkpoints of one run replace each other', () => {
 	const {tracker, current, task} = createSecondRun('second');
 	tracker.applyReply(current, createState(current, {ended: [{...lapsed, run: 2, checkpoint: 'third'}]}), 700);
-	expect(task.checkpoint).toBe('third');
+	expect(task.checkpoint.value).toBe('third');
 });
--- a/test/late-states.test.ts
+++ b/test/late-states.test.ts
@@ -91,7 +91,7 @@
 		tracker.applyReply(worker, createExpiredState(worker, rows), 1200);
 		expect(task.runs).toHaveLength(0);
 		expect(task.lastRun).toBe(lastRun);
-		expect(task.checkpoint).toBe('running' in rows ? 'half' : '');
+		expect(task.checkpoint.value).toBe('running' in rows ? 'half' : '');
 	}
 });
 
@@ -101,7 +101,7 @@
 	tracker.confirm(ordered, 4, 1100);
 	tracker.applyReply(worker, createExpiredState(worker, {running: [createRow(1, 'half')]}), 1200);
 	expect(task.runs).toHaveLength(0);
-	expect(task.checkpoint).toBe('half');
+	expect(task.checkpoint.value).toBe('half');
 });
 
 /** Guards against a run number that is used again after a takeover from a worker whose leases have expired. */
--- a/test/scheduling-cycles.test.ts
+++ b/test/scheduling-cycles.test.ts
@@ -46,7 +46,7 @@
 		meter: new WorkMeter(clock, ignore),
 		isAllowed: () => true,
 		window: new OrderWindow(clock),
-		pools: {all: [pool], get: () => pool},
+		pools: {getAll: () => [pool], get: () => pool},
 		getWaiting: nowMs => model.getWaitingTasks(nowMs, () => false),
 		getRuns: () => [...worker.runs],
 		getStartDelayMs: () => 10,
--- a/test/shared-partitions.test.ts
+++ b/test/shared-partitions.test.ts
@@ -44,7 +44,6 @@
 	expect([neighbour, third].map(name => getPartition(name, 8))).toEqual([partition, partition]);
 	site = new SimulatedSite();
 	site.services = [service, neighbour, third];
-	site.moreQueues = [otherQueue, thirdQueue];
 });
 
 afterEach(() => {
@@ -342,7 +341,7 @@
 		await startSite(1);
 		const host = site.hosts.get(`${service}-0`)!;
 		host.worker.crash(500);
-		host.worker.setService(neighbour);
+		host.worker.service = neighbour;
 		site.killAgent(host.name);
 		site.startAgent(host.name);
 		for (let index = 0; index < 4; index++) {
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -19,7 +19,7 @@
 import {type Random} from '../src/types/random.ts';
 import {type Evacuations, type QueueConfig} from '../src/types/site.ts';
 import {
-	parseTaskId, RunEnd, type WorkflowSpec, type WorkflowState, type WorkflowStep,
+	parseTaskId, type WorkflowSpec, type WorkflowState, type WorkflowStep,
 } from '../src/types/workflows.ts';
 import {ManualClock} from '../src/utils/manual-clock.ts';
 import {WorkflowApi} from '../src/workflows/workflow-api.ts';
@@ -29,6 +29,7 @@
 import {createPolicy} from '../src/workflows/policy.ts';
 import {workflowsTopic} from '../src/workflows/records.ts';
 import {RelayingApi} from '../src/workflows/relaying-api.ts';
+import {SiteInvariants} from './site-invariants.ts';
 import {ProcessClock} from './simulated-membership.ts';
 import {type AgentHost, type EntryProcess} from './simulated-processes.ts';
 import {createAgentClient, createEntryClient, type SitePaths} from './site-calls.ts';
@@ -80,7 +81,6 @@
 	readonly entries = new Map<string, EntryProcess>();
 	readonly hosts = new Map<string, AgentHost>();
 	readonly notes: Array<{source: string; event: string; fields: Record<string, unknown>}> = [];
-	readonly violations: string[] = [];
 	readonly events: WorkerEvent[] = [];
 	adviceClient: AdviceClient | undefined;
 	/** Pairs `entry>host` between which no call passes. */
@@ -97,30 +97,37 @@
 	readonly storeFailing = new Set<string>();
 	/** Entries that have not reached the store for a while. */
 	readonly storeLost = new Set<string>();
-	readonly specs = new Map<string, WorkflowSpec>();
-	/** Services to which a configuration has sent the queue of a job, by job. */
-	readonly jobServices = new Map<string, Set<string>>();
+	readonly invariants = new SiteInvariants(() => [...this.hosts.values()].map(({worker}) => worker));
 	/** Services that the entries know which start from now on. */
 	services = [service];
 	/** Service of the workers that are added from now on. */
 	workerService = service;
-	/** Queues of the configuration beside the first one. */
-	moreQueues: QueueConfig[] = [];
 	/** Random numbers of all entries. */
 	random: Pick<Random, 'next'> = {next: () => 0.5};
 	/** Features of the entries that start from now on. */
 	features = setAllFeatures(true);
 	/** Work between two checkpoints of tasks that write them; undefined: they write none. */
 	checkpointMs: number | undefined;
-	readonly #gangs = new WorkerGangs(this.clock, gangTimeoutMs, ({taskId, run, checkpoint}) => {
-		this.violations.push(`${taskId} run ${run} is ordered with another checkpoint than the members of its gang that are there: ${checkpoint}`);
+	readonly #gangs = new WorkerGangs(this.clock, gangTimeoutMs, member => {
+		this.invariants.reportMismatch(member);
 	});
 
-	readonly #runs = new Map<string, {workerId: string; run: number}>();
-	readonly #done = new Set<string>();
-	readonly #forgottenDone = new Set<string>();
 	#incarnations = 0;
 
+	get violations(): string[] {
+		return this.invariants.violations;
+	}
+
+	/** Jobs as submitted, by id. */
+	get specs(): Map<string, WorkflowSpec> {
+		return this.invariants.specs;
+	}
+
+	/** Services to which a configuration has sent the queue of a job, by job. */
+	get jobServices(): Map<string, Set<string>> {
+		return this.invariants.jobServices;
+	}
+
 	/** Evacuations as an entry knows them; tests replace this. */
 	getEvacuations: (entry: string) => Evacuations = () => ({asOf: 0, failureDomains: []});
 
@@ -141,7 +148,8 @@
 			},
 			plan: start => ({...this.#getStepPlan(start), ...this.plan(start)}),
 			onEvent: event => {
-				this.#checkEvent(event);
+				this.events.push(event);
+				this.invariants.checkEvent(event);
 			},
 			maxLeaseMs: 6000,
 			stopMs: 100,
@@ -228,7 +236,7 @@
 			getCaughtUpAtMs: () => followers.caughtUpAtMs,
 			hasService: used => followers.has(used),
 			createOwner: (owned, epoch, {onSuperseded, onGap, getHeartbeatAtMs}) => new Owner({
-				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, gangTimeoutMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), reader, getHome: name => [queue, ...this.moreQueues].filter(known => known.name === name).map(known => homes.get(known))[0], isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
+				store, clock, client: createPausableClient(clock, createAgentClient(this, name)), partition: owned, partitions, getFollower, epoch, adviceClient: this.adviceClient, maxCallBytes: 2_000_000, retentionMs: 60_000, leaseDurationMs, gangTimeoutMs, cancelMs, getEvacuations: () => this.getEvacuations(name), getHeartbeatAtMs, note, onSuperseded, onGap, host: name, follower: getFollower(owned), reader, getHome: name => name === queue.name ? homes.get(queue) : undefined, isOwned: registration => getPartition(registration.service, partitions) === owned, policy: createPolicy(), features: this.features,
 			}),
 		});
 		void homes.run(aborter.signal);
@@ -347,85 +355,4 @@
 		const step = this.specs.get(ref.workflowId)?.steps[ref.step];
 		return {...(step?.isGang && {gangSize: step.count}), ...(step?.isCheckpointing && {checkpointMs: this.checkpointMs})};
 	}
-
-	#checkEvent(event: WorkerEvent): void {
-		this.events.push(event);
-		const ref = parseTaskId(event.taskId)!;
-		const step = this.specs.get(ref.workflowId)?.steps[ref.step];
-		switch (event.type) {
-			case 'started': {
-				this.#checkStart(event, step);
-				this.#runs.set(event.taskId, event);
-				break;
-			}
-
-			case 'ended': {
-				this.#runs.delete(event.taskId);
-				if (event.end === RunEnd.Done) {
-					this.#done.add(event.taskId);
-				}
-
-				break;
-			}
-
-			case 'forgotten': {
-				if (event.end === RunEnd.Done) {
-					this.#forgottenDone.add(event.taskId);
-				}
-
-				break;
-			}
-		}
-	}
-
-	#checkStart({taskId, run, workerId}: {taskId: string; run: number; workerId: string}, step: WorkflowStep | undefined): void {
-		const {workflowId, occurrence} = parseTaskId(taskId)!;
-		if (!step) {
-			this.violations.push(`${taskId} is started without a submitted job`);
-			return;
-		}
-
-		const other = this.#runs.get(taskId);
-		if (other && !step.isSpeculative) {
-			this.violations.push(`${taskId} run ${run} is started on ${workerId} while run ${other.run} is active on ${other.workerId}`);
-		}
-
-		if (this.#forgottenDone.has(taskId)) {
-			this.violations.push(`${taskId} run ${run} is started after an owner has stored the task's success`);
-		}
-
-		for (const earlier of step.after) {
-			const {count} = this.specs.get(workflowId)!.steps[earlier]!;
-			for (let member = 0; member < count; member++) {
-				if (!this.#done.has(`${workflowId}.${occurrence}.${earlier}.${member}`)) {
-					this.violations.push(`${taskId} is started before ${workflowId}.${occurrence}.${earlier}.${member} has succeeded`);
-				}
-			}
-		}
-
-		const {service: workerService} = this.#getHostOf(workerId).worker.announce();
-		if (this.jobServices.get(workflowId)?.has(workerService) === false) {
-			this.violations.push(`${taskId} run ${run} is started on ${workerId} of ${workerService}, to which no configuration sends its queue`);
-		}
-
-		this.#checkCapacity(workerId);
-	}
-
-	#getHostOf(workerId: string): AgentHost {
-		return [...this.hosts.values()].find(({worker}) => worker.workerId === workerId)!;
-	}
-
-	#checkCapacity(workerId: string): void {
-		const host = this.#getHostOf(workerId);
-		let milliCpu = 0;
-		for (const taskId of host.worker.running.keys()) {
-			const ref = parseTaskId(taskId)!;
-			const step = this.specs.get(ref.workflowId)!.steps[ref.step]!;
-			milliCpu += step.isFilling ? 0 : step.milliCpu;
-		}
-
-		if (milliCpu > host.worker.announce().milliCpu) {
-			this.violations.push(`${workerId} has runs for ${milliCpu} thousandths of a core`);
-		}
-	}
 }
--- a/test/site-checkpoints.test.ts
+++ b/test/site-checkpoints.test.ts
@@ -22,10 +22,10 @@
 describe('checkpoints of active runs', () => {
 	it('are written to the stream once each', () => {
 		const {model, task} = create();
-		task.checkpoint = 'first';
+		task.checkpoint.value = 'first';
 		expect(model.takeUnstoredCheckpoints()).toEqual([{taskId: 'a.0.0.0', run: 3, checkpoint: 'first'}]);
 		expect(model.takeUnstoredCheckpoints()).toEqual([]);
-		task.checkpoint = 'second';
+		task.checkpoint.value = 'second';
 		expect(model.takeUnstoredCheckpoints()).toHaveLength(1);
 	});
 
@@ -39,8 +39,8 @@
 		const next = new LiveModel();
 		next.load(fold, 0, 0);
 		const [task, other] = [...next.getWaitingTasks(0, () => false)];
-		expect(task).toMatchObject({checkpoint: 'saved', lastRun: 3});
-		expect(other).toMatchObject({checkpoint: '', lastRun: 0});
+		expect(task).toMatchObject({checkpoint: {value: 'saved'}, lastRun: 3});
+		expect(other).toMatchObject({checkpoint: {value: ''}, lastRun: 0});
 	});
 
 	it('do not change a task that has succeeded meanwhile, or add an unknown job', () => {
--- a/test/site-fleet.ts
+++ b/test/site-fleet.ts
@@ -3,9 +3,8 @@
 */
 import {type WatchReply} from '../src/types/fleet.ts';
 import {type Workflow, type WorkflowSpec} from '../src/types/workflows.ts';
-import {PeerClock} from '../src/utils/peer-clock.ts';
 import {BestEffortInterference} from '../src/workflows/best-effort-interference.ts';
-import {type FleetWorker} from '../src/workflows/fleet-view.ts';
+import {createFleetWorker, type FleetWorker} from '../src/workflows/fleet-view.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
 import {
 	LiveModel, RunPhase, type LiveRun, type LiveTask,
@@ -23,39 +22,20 @@
 });
 
 export const createWorker = (host: string, milliCpu = 4000, labels = ['a', 'r1-1']): FleetWorker => ({
-	host,
-	service: queue.service,
-	address: host,
-	session: 1,
-	firstSession: 1,
+	...createFleetWorker({
+		host, service: queue.service, address: host, session: 1, firstSession: 1, nowMs: 0,
+	}),
 	agentLife: 'life',
 	version: 1,
 	report: {
 		workerId: `${host}-1`, service: queue.service, failureDomain: 'hall', isDraining: false, milliCpu, memoryMb: 64_000, accelerators: 0, labels, sequence: 1,
 	},
 	isListed: true,
-	haveOldLeasesExpired: false,
-	areLeasesExpired: false,
 	isAnswering: true,
 	lastReplyAtMs: 0,
 	stateAsOfMs: 0,
-	workerClockMs: 0,
-	agentClock: new PeerClock(),
-	replacedIncarnations: new Set(),
-	runs: new Set(),
-	sentInputs: undefined,
-	health: {spec: {workerId: host}, isHeld: false, isProbing: false},
-	processedEnd: 0,
-	storedEnd: 0,
-	hasSucceededSinceCrash: false,
-	processedCrash: 0,
-	storedCrash: 0,
-	blockedUntilMs: 0,
+	unresponsiveSinceMs: undefined,
 	unknownRunStopAtMs: 0,
-	throttles: new Map(),
-	isBestEffortStopped: false,
-	bestEffortUsage: [],
-	interferenceLearnedAtMs: Number.NEGATIVE_INFINITY,
 });
 
 /** A state of an agent whose worker has not announced itself. */
@@ -97,7 +77,7 @@
 
 export const run = (task: LiveTask, worker: FleetWorker, fields: Partial<LiveRun> = {}): LiveRun => {
 	const live: LiveRun = {
-		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, checkpoint: '', orderedAtMs: 0, isOrderPending: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, basePercent: 0, workedMs: 0, workedUntilMs: 0, recent: 0, progressAtMs: 0, stopOrderedAtMs: 0, isUnwanted: false, throttlePercent: 100, ...fields,
+		task, run: 1, host: worker.host, workerId: worker.report!.workerId, agentLife: 'life', phase: RunPhase.Running, orderedAtMs: 0, isOrderPending: false, notAfterMs: 0, confirmedVersion: 1, percent: 0, basePercent: 0, workedMs: 0, workedUntilMs: 0, recent: 0, progressAtMs: 0, stopOrderedAtMs: 0, isUnwanted: false, throttlePercent: 100, ...fields,
 	};
 	task.runs.push(live);
 	worker.runs.add(live);
--- a/test/slow-workers.test.ts
+++ b/test/slow-workers.test.ts
@@ -233,7 +233,7 @@
 		const step = createJob('a', {count: 6, isCheckpointing: true});
 		for (const live of play(times, step, workers, {factors: oneSlow, elapsedMs: nowMs, workMs})) {
 			live.progressAtMs = nowMs;
-			live.task.checkpoint = checkpoint;
+			live.task.checkpoint.value = checkpoint;
 		}
 
 		return {times, workers};
