Move the state of one job out of the fold

Change: FoldedWorkflow and the functions on one job (isFinal, getUnitId, countOccurrences, creation) are in folded-workflow.ts; no behaviour changes.

Conclusion: none beyond the move.

--- a/src/workflows/fold-listener.ts
+++ b/src/workflows/fold-listener.ts
@@ -3,7 +3,8 @@
 */
 import {type Clock} from '../types/clock.ts';
 import {type DueOccurrences} from './due-occurrences.ts';
-import {type FoldedWorkflow, type FoldListener} from './fold.ts';
+import {type FoldListener} from './fold.ts';
+import {type FoldedWorkflow} from './folded-workflow.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {type LiveModel} from './live-model.ts';
 
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -3,35 +3,19 @@
 same order, so all derive the same state.
 */
 import {
-	parseTaskId, RunEnd, WorkflowState, type EndedRun, type TaskRef, type Workflow, type WorkflowStep,
+	parseTaskId, RunEnd, WorkflowState, type EndedRun, type Workflow,
 } from '../types/workflows.ts';
 import {AdmissionRecords} from './admission-records.ts';
 import {AwaitedRecords} from './awaited-records.ts';
 import {addCrash, isCrashLimitReached} from './crash-attribution.ts';
+import {
+	createFolded, getUnitId, isFinal, type FoldedWorkflow,
+} from './folded-workflow.ts';
 import {
 	RecordType, type AttributedCrash, type InterferencePair, type RunCheckpoint, type TaskLedger, type WorkflowSnapshot, type WorkflowRecord,
 } from './records.ts';
 import {SessionRecords} from './session-records.ts';
-import {countUnits, getLedger} from './unit-ledgers.ts';
-
-/** State of one job. */
-export type FoldedWorkflow = {
-	workflow: Workflow;
-	/** Offset of the record that the job was added with. */
-	offset: number;
-	hasBegun: boolean;
-	state: WorkflowState;
-	/** By the id of the unit: a task, or a gang. */
-	ledgers: Map<string, TaskLedger>;
-	/** Number of units that have not succeeded; undefined: the job has long-running tasks and never completes by itself. */
-	remaining: number | undefined;
-	/** Wall clock time of the job's newest snapshot, or of its submission. */
-	writtenAtMs: number;
-	/** Whether that snapshot holds the job's final state. */
-	hasFinalSnapshot: boolean;
-	/** Whether the job is in the stream of its own service as well, whose owner runs it. */
-	isTransferred: boolean;
-};
+import {getLedger} from './unit-ledgers.ts';
 
 /** Callbacks of a fold to the owner of its partition. */
 export type FoldListener = {
@@ -43,17 +27,6 @@
 	onGap: () => void;
 };
 
-/** Id of the unit that succeeds or fails as one: a task, or a gang under the id of its first task. */
-export const getUnitId = ({workflowId, occurrence, step, index}: TaskRef, {isGang}: WorkflowStep): string =>
-	`${workflowId}.${occurrence}.${step}.${isGang ? 0 : index}`;
-
-/** Number of times that the steps of a job run. */
-export const countOccurrences = ({repeatCount}: Workflow): number => Math.max(1, repeatCount);
-
-/** Whether the state never changes again. */
-export const isFinal = (state: WorkflowState): boolean =>
-	state === WorkflowState.Completed || state === WorkflowState.Failed || state === WorkflowState.Cancelled;
-
 /** Folded state of one partition. */
 export class WorkflowFold {
 	readonly workflows = new Map<string, FoldedWorkflow>();
@@ -211,9 +184,7 @@
 			return;
 		}
 
-		const folded: FoldedWorkflow = {
-			workflow, offset, hasBegun: false, state: WorkflowState.Queued, ledgers: new Map(), remaining: countUnits(workflow, countOccurrences(workflow)), writtenAtMs: workflow.receivedAtMs, hasFinalSnapshot: false, isTransferred: false,
-		};
+		const folded = createFolded(workflow, offset);
 		this.workflows.set(workflow.id, folded);
 		this.listener?.onSubmit(folded);
 		if (folded.remaining === 0) {
--- a/src/workflows/job-places.ts
+++ b/src/workflows/job-places.ts
@@ -5,7 +5,7 @@
 import {getPartition} from '../core/partitions.ts';
 import {type Clock} from '../types/clock.ts';
 import {type QueueConfig} from '../types/site.ts';
-import {isFinal, type FoldedWorkflow} from './fold.ts';
+import {isFinal, type FoldedWorkflow} from './folded-workflow.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {type QueueHomes} from './queue-homes.ts';
 
--- a/src/workflows/job-transfers.ts
+++ b/src/workflows/job-transfers.ts
@@ -6,7 +6,7 @@
 import {ProducerWriter} from '../core/producer-writer.ts';
 import {type Clock} from '../types/clock.ts';
 import {type StoreClient} from '../types/store.ts';
-import {isFinal, type FoldedWorkflow} from './fold.ts';
+import {isFinal, type FoldedWorkflow} from './folded-workflow.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {isRunIn} from './job-places.ts';
 import {type OwnerLog} from './owner-log.ts';
--- a/src/workflows/live-model.ts
+++ b/src/workflows/live-model.ts
@@ -5,9 +5,10 @@
 	formatTaskId, type TaskCrash, type TaskRef, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
 import {sum} from '../utils/sum.ts';
+import {type WorkflowFold} from './fold.ts';
 import {
-	countOccurrences, getUnitId, isFinal, type FoldedWorkflow, type WorkflowFold,
-} from './fold.ts';
+	countOccurrences, getUnitId, isFinal, type FoldedWorkflow,
+} from './folded-workflow.ts';
 import {type RunCheckpoint, type TaskLedger} from './records.ts';
 
 /** Phases of a run. */
--- a/src/workflows/owner.ts
+++ b/src/workflows/owner.ts
@@ -18,7 +18,7 @@
 import {EvacuationPublisher} from './evacuation-publisher.ts';
 import {BestEffortInterference} from './best-effort-interference.ts';
 import {type FleetWorker} from './fleet-view.ts';
-import {isFinal, type FoldedWorkflow} from './fold.ts';
+import {isFinal, type FoldedWorkflow} from './folded-workflow.ts';
 import {getTotalCapacity} from './job-objective.ts';
 import {getRunService} from './job-places.ts';
 import {IncompleteGangs} from './incomplete-gangs.ts';
--- a/src/workflows/routing-api.ts
+++ b/src/workflows/routing-api.ts
@@ -10,7 +10,7 @@
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
 import {type WorkflowSpec} from '../types/workflows.ts';
 import {type EntryRouter, type RoutedReply} from './entry-router.ts';
-import {isFinal} from './fold.ts';
+import {isFinal} from './folded-workflow.ts';
 
 /** Options of the API. */
 export type RoutingApiOptions = {
--- a/src/workflows/snapshot-writer.ts
+++ b/src/workflows/snapshot-writer.ts
@@ -2,7 +2,8 @@
 Chooses the jobs to write snapshots of: the store retains records for some minutes, and jobs run for hours.
 */
 import {type Clock} from '../types/clock.ts';
-import {isFinal, type FoldedWorkflow, type WorkflowFold} from './fold.ts';
+import {type WorkflowFold} from './fold.ts';
+import {isFinal, type FoldedWorkflow} from './folded-workflow.ts';
 import {RecordType, type WorkflowRecord, type WorkflowSnapshot} from './records.ts';
 
 /** A snapshot is due after this share of the store's retention, which leaves time for two retries. */
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -19,7 +19,7 @@
 import {type QueueConfig, type SiteConfig} from '../types/site.ts';
 import {type StoreClient} from '../types/store.ts';
 import {WorkflowState, type Workflow, type WorkflowSpec} from '../types/workflows.ts';
-import {isFinal} from './fold.ts';
+import {isFinal} from './folded-workflow.ts';
 import {type WorkflowFollower} from './follower.ts';
 import {decideAdmission, type Refusal} from './job-admission.ts';
 import {isRecent, JobPlaces} from './job-places.ts';
