Store cancellations of jobs that are not known yet

What callers saw: a client got no answer to a job from an entry that was frozen, cancelled it at another one and was answered 410.

Cause: a cancellation was stored only if its job was known. "No such job" was proven by a read of the stream, which says nothing of attempts that are on their way: in the socket of a frozen process, in a writer's queue or with the store.

Change: the cancellation of an unknown id is a record with its wall clock time, stored before it is answered. A submission of the id that was received up to two minutes after it makes a cancelled job; that is decided from the two records alone, so all readers agree, in any order of the records and their copies. The owner writes cancellations again before the store drops them. 20,000 of a partition are kept at most; one more of an unknown id is answered 503, and none is dropped. A queue without a home gets one first. The answer of an entry of an earlier version, which stores nothing, is not passed on. The cancellation of a job that its entry submits again is no longer a case of its own.

Why it works: every attempt, whatever its path, ends as a record of the queue's home stream, and the cancellation is in that stream before it is acknowledged.

--- a/src/measure/scheduling-simulation.ts
+++ b/src/measure/scheduling-simulation.ts
@@ -334,7 +334,7 @@
 	const api = new WorkflowApi({
 		store, clock, partitions: 1, homes: new QueueHomes({
 			store, clock, onHome: () => undefined, note,
-		}), producer: `entry-${epoch}`, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => false, onWriterEvent: () => undefined, admission: features[Feature.Admission] ? {refusesLate: features[Feature.LateRefusals], random: {next}, note} : undefined,
+		}), producer: `entry-${epoch}`, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower: () => follower, isStoreLost: () => false, onWriterEvent: () => undefined, note, admission: features[Feature.Admission] ? {refusesLate: features[Feature.LateRefusals], random: {next}, note} : undefined,
 	});
 	return {
 		follower, owner, api, epoch, stop() {
--- a/src/plugins/entry-messages.ts
+++ b/src/plugins/entry-messages.ts
@@ -27,6 +27,13 @@
 /** Share of the time of a call that the entry which it is forwarded to may use. */
 const servedShare = 0.8;
 
+/** Reply to a cancellation. `isStored`: the cancellation of an id without a job is in the stream. */
+type CancelReply = {outcome: LookupOutcome; isStored?: boolean};
+
+/** Versions that cancel known jobs only answer "absent" without a record, and an attempt that is on its way may still run. */
+const decodeCancelReply = ({outcome, isStored}: CancelReply): LookupOutcome =>
+	outcome === LookupOutcome.Absent && !isStored ? LookupOutcome.Unknown : outcome;
+
 /** Creates the client of the calling entry. */
 export const createEntryClient = (http: HttpClient): EntryClient => {
 	const post = async (address: string, path: string, json: Record<string, unknown>, timeoutMs: number): Promise<unknown> => {
@@ -43,10 +50,7 @@
 	return {
 		submit: async (address, job, timeoutMs) => await post(address, submitPath, job, timeoutMs) as SubmitReply,
 		getState: async (address, job, timeoutMs) => await post(address, statePath, job, timeoutMs) as StateReply,
-		async cancel(address, job, timeoutMs) {
-			const {outcome} = await post(address, cancelPath, job, timeoutMs) as {outcome: LookupOutcome};
-			return outcome;
-		},
+		cancel: async (address, job, timeoutMs) => decodeCancelReply(await post(address, cancelPath, job, timeoutMs) as CancelReply),
 		async countPending(address, queue, timeoutMs) {
 			const {pendingCount} = await post(address, countPath, {queue}, timeoutMs) as {pendingCount?: number};
 			return pendingCount;
@@ -75,7 +79,7 @@
 	return {
 		submit: async (address, job, timeoutMs) => decode(await post(address, submitPath, job, timeoutMs), reply => reply as SubmitReply),
 		getState: async (address, job, timeoutMs) => decode(await post(address, statePath, job, timeoutMs), reply => reply as StateReply),
-		cancel: async (address, job, timeoutMs) => decode(await post(address, cancelPath, job, timeoutMs), ({outcome}) => outcome as LookupOutcome),
+		cancel: async (address, job, timeoutMs) => decode(await post(address, cancelPath, job, timeoutMs), reply => decodeCancelReply(reply as CancelReply)),
 		countPending: async (address, queue, timeoutMs) => decode(await post(address, countPath, {queue}, timeoutMs), ({pendingCount}) => pendingCount as number | undefined),
 		async getLoad(address, timeoutMs) {
 			const {status, json} = await streams.call({
@@ -146,7 +150,10 @@
 	server.route('POST', cancelPath, async ({body}) => {
 		const {queue, id, timeoutMs, ...options} = body as RelayedJob & {timeoutMs: number};
 		const config = findQueue(queue);
-		return serve('cancel', options, async () => ({outcome: config ? await target.cancel(config, id, timeoutMs) : LookupOutcome.Unknown}));
+		return serve('cancel', options, async (): Promise<CancelReply> => {
+			const outcome = config ? await target.cancel(config, id, timeoutMs) : LookupOutcome.Unknown;
+			return {outcome, ...(outcome === LookupOutcome.Absent && {isStored: true})};
+		});
 	});
 	server.route('POST', countPath, async ({body}) => {
 		const {queue, timeoutMs, ...options} = body as {queue: string; timeoutMs: number};
--- a/src/plugins/site-entry.ts
+++ b/src/plugins/site-entry.ts
@@ -204,6 +204,7 @@
 		getFollower,
 		isStoreLost,
 		producer: `${site.hostName}-${incarnation}`,
+		note,
 		admission: features[Feature.Admission] ? {refusesLate: features[Feature.LateRefusals], random: createRandom(), note} : undefined,
 		getConfig: () => config.config,
 		onWriterEvent(event, detail) {
--- a/src/types/job-api.ts
+++ b/src/types/job-api.ts
@@ -47,6 +47,7 @@
 	/** Resolves within `timeoutMs`. */
 	submit(queue: QueueConfig, id: string, spec: WorkflowSpec, timeoutMs: number): Promise<SubmitReply>;
 	getState(queue: QueueConfig, id: string, timeoutMs: number): Promise<StateReply>;
+	/** Resolves to absent if there is no such job, and no attempt to submit it that is on its way will run. */
 	cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome>;
 	/** Counts the accepted jobs of the queue that have started no task yet; undefined: no recent count is known within `timeoutMs`. */
 	countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined>;
--- /dev/null
+++ b/src/workflows/cancellations.ts
@@ -0,0 +1,97 @@
+/**
+Cancelled ids of the jobs of one partition. A cancellation may overtake attempts to submit its job, which are still on their way in another
+process or to the store, so it holds for each submission of the id, whichever of their records comes first.
+*/
+import {type Workflow} from '../types/workflows.ts';
+
+/** A cancelled id, and the wall clock time of the entry that took the cancellation. */
+export type Cancellation = [id: string, cancelledAtMs: number];
+
+type KeptCancellation = {
+	cancelledAtMs: number;
+	/** Wall clock time at which its newest record was written. */
+	writtenAtMs: number;
+};
+
+/** Longer than an attempt is under way: the frozen processes, cut links and late appends that it meets add up to less. */
+const keepMs = 120_000;
+/** Wall clocks of hosts differ by less. */
+const maxClockErrorMs = 30_000;
+/** Bounds memory, and what an owner writes again. */
+const maxCancellations = 20_000;
+/** A cancellation is written again after this share of the store's retention. */
+const rewriteShare = 1 / 3;
+/** Cancellations of one record, which stays well below the store's limit. */
+const maxRewritten = 200;
+
+/** Cancellations of one partition. */
+export class Cancellations {
+	/** The ones that were written longest ago are first. */
+	readonly #kept = new Map<string, KeptCancellation>();
+
+	/** Adds a cancellation as it was read. */
+	add([id, cancelledAtMs]: Cancellation): void {
+		const known = this.#kept.get(id);
+		if (known && known.cancelledAtMs >= cancelledAtMs) {
+			return;
+		}
+
+		this.#keep(id, {cancelledAtMs, writtenAtMs: cancelledAtMs});
+		this.#dropExpired(cancelledAtMs);
+	}
+
+	/** Whether a submission of the job is one of a cancelled id. Depends on records alone, so that all readers of the stream agree. */
+	includes({id, receivedAtMs}: Workflow): boolean {
+		const known = this.#kept.get(id);
+		return known !== undefined && receivedAtMs <= known.cancelledAtMs + keepMs;
+	}
+
+	/** Whether another cancellation of the id adds nothing, because the known one holds for long enough. */
+	isRecent(id: string, wallMs: number): boolean {
+		const known = this.#kept.get(id);
+		return known !== undefined && wallMs <= known.cancelledAtMs + (keepMs / 2);
+	}
+
+	/** Whether cancellations of unknown jobs may be added: those that are kept are not dropped for them. */
+	hasRoom(wallMs: number): boolean {
+		this.#dropExpired(wallMs);
+		return this.#kept.size < maxCancellations;
+	}
+
+	/** Takes the cancellations to write again, before the store drops their records. */
+	takeDue(wallMs: number, retentionMs: number): Cancellation[] {
+		const due: Cancellation[] = [];
+		for (const [id, {cancelledAtMs, writtenAtMs}] of this.#kept) {
+			if (due.length >= maxRewritten || wallMs - writtenAtMs <= retentionMs * rewriteShare) {
+				break;
+			}
+
+			if (isExpired(cancelledAtMs, wallMs)) {
+				this.#kept.delete(id);
+			} else {
+				this.#keep(id, {cancelledAtMs, writtenAtMs: wallMs});
+				due.push([id, cancelledAtMs]);
+			}
+		}
+
+		return due;
+	}
+
+	#keep(id: string, kept: KeptCancellation): void {
+		// A map keeps the place of a key that is set again.
+		this.#kept.delete(id);
+		this.#kept.set(id, kept);
+	}
+
+	#dropExpired(wallMs: number): void {
+		for (const [id, {cancelledAtMs}] of this.#kept) {
+			if (!isExpired(cancelledAtMs, wallMs)) {
+				return;
+			}
+
+			this.#kept.delete(id);
+		}
+	}
+}
+
+const isExpired = (cancelledAtMs: number, wallMs: number): boolean => wallMs - cancelledAtMs > keepMs + maxClockErrorMs;
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -7,6 +7,7 @@
 } from '../types/workflows.ts';
 import {AdmissionRecords} from './admission-records.ts';
 import {AwaitedRecords} from './awaited-records.ts';
+import {Cancellations} from './cancellations.ts';
 import {addCrash, isCrashLimitReached} from './crash-attribution.ts';
 import {
 	createFolded, getUnitId, isFinal, type FoldedWorkflow,
@@ -35,6 +36,7 @@
 	interferencePairs: InterferencePair[] = [];
 	/** The newest owner's forecasts, and refused jobs. */
 	readonly admission = new AdmissionRecords();
+	readonly cancellations = new Cancellations();
 	/** Agents that owners have declared lost. */
 	readonly losses = new SessionRecords();
 	/** Agents whose departure an owner has read. */
@@ -99,11 +101,14 @@
 			}
 
 			case RecordType.Cancel: {
-				const folded = this.workflows.get(record.id);
-				if (folded) {
-					this.#finish(folded, WorkflowState.Cancelled);
-				} else {
-					this.#awaitingSnapshot.add(record.id, record);
+				this.#cancel(record);
+				break;
+			}
+
+			case RecordType.Cancellations: {
+				for (const row of record.rows) {
+					this.cancellations.add(row);
+					this.#finishIfCancelled(this.workflows.get(row[0]));
 				}
 
 				break;
@@ -186,6 +191,11 @@
 
 		const folded = createFolded(workflow, offset);
 		this.workflows.set(workflow.id, folded);
+		if (this.cancellations.includes(workflow)) {
+			folded.state = WorkflowState.Cancelled;
+			return;
+		}
+
 		this.listener?.onSubmit(folded);
 		if (folded.remaining === 0) {
 			this.#finish(folded, WorkflowState.Completed);
@@ -211,6 +221,7 @@
 		}
 
 		this.offset = nextOffset;
+		this.#finishIfCancelled(folded);
 		if (!isFinal(folded.state)) {
 			this.listener?.onSubmit(folded);
 		}
@@ -261,6 +272,25 @@
 		}
 	}
 
+	#cancel({id, cancelledAtMs}: {id: string; cancelledAtMs?: number | undefined}): void {
+		if (cancelledAtMs !== undefined) {
+			this.cancellations.add([id, cancelledAtMs]);
+		}
+
+		const folded = this.workflows.get(id);
+		if (folded) {
+			this.#finish(folded, WorkflowState.Cancelled);
+		} else if (cancelledAtMs === undefined) {
+			this.#awaitingSnapshot.add(id, {type: RecordType.Cancel, id});
+		}
+	}
+
+	#finishIfCancelled(folded: FoldedWorkflow | undefined): void {
+		if (folded && this.cancellations.includes(folded.workflow)) {
+			this.#finish(folded, WorkflowState.Cancelled);
+		}
+	}
+
 	#markStarted(folded: FoldedWorkflow | undefined): void {
 		if (folded && !folded.hasBegun) {
 			folded.hasBegun = true;
--- a/src/workflows/job-places.ts
+++ b/src/workflows/job-places.ts
@@ -61,9 +61,10 @@
 		return accepted ? this.#getLive(home, accepted) : this.#get(this.getServicePartition(queue), id);
 	}
 
-	/** Partitions whose streams are known to have the job. */
+	/** Partitions whose streams are known to have the job, or the one that decides on an unknown job. */
 	getHolders(queue: QueueConfig, id: string): number[] {
-		return this.#getCandidates(queue, id).filter(partition => this.#get(partition, id) !== undefined);
+		const holders = this.#getCandidates(queue, id).filter(partition => this.#get(partition, id) !== undefined);
+		return holders.length > 0 ? holders : [this.getHomePartition(queue)];
 	}
 
 	/** Whether what is known of the job is recent; with an unknown job, whether it is recent that there is none. */
--- a/src/workflows/owner-log.ts
+++ b/src/workflows/owner-log.ts
@@ -190,9 +190,14 @@
 		return this.#write({type: RecordType.Forecast, forecast});
 	}
 
-	/** Writes snapshots of jobs whose records the store will drop, and forgets expired jobs. */
+	/** Writes snapshots of jobs and cancellations whose records the store will drop, and forgets expired ones. */
 	writeSnapshots(): void {
 		const {follower: {fold}, clock, retentionMs} = this.#options;
+		const rows = fold.cancellations.takeDue(clock.now().getTime(), retentionMs);
+		if (rows.length > 0) {
+			void this.#write({type: RecordType.Cancellations, rows});
+		}
+
 		for (const record of getDueSnapshots(fold, clock, retentionMs)) {
 			void this.#write(record);
 		}
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -8,6 +8,7 @@
 } from '../types/workflows.ts';
 import {maxEpoch, maxRunNumber, maxTasks} from '../core/record-limits.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
+import {type Cancellation} from './cancellations.ts';
 import {decodeForecast, encodeForecast} from './forecast-rows.ts';
 
 /** Name of the operation in errors. */
@@ -22,6 +23,8 @@
 	Claim = 'claim',
 	Submit = 'submit',
 	Cancel = 'cancel',
+	/** Cancellations that an owner writes again before the store drops their records. */
+	Cancellations = 'cancellations',
 	/** Ends of runs; written by the owner. */
 	Ends = 'ends',
 	/** Worker crashes that are attributed to tasks; written by the owner. */
@@ -99,7 +102,10 @@
 		/** `asOf`: the entry had read the stream up to this offset when the attempt came. */
 		| {type: RecordType.Submit; workflow: Workflow; asOf?: number | undefined}
 		| {type: RecordType.Forecast; forecast: BacklogForecast}
-		| {type: RecordType.Cancel | RecordType.Refused; id: string}
+		/** `cancelledAtMs`: wall clock time of the entry; undefined: the entry is of a version that cancels known jobs only. */
+		| {type: RecordType.Cancel; id: string; cancelledAtMs?: number | undefined}
+		| {type: RecordType.Cancellations; rows: Cancellation[]}
+		| {type: RecordType.Refused; id: string}
 		| {type: RecordType.Ends; ends: EndedRun[]}
 		| {type: RecordType.Crashes; crashes: AttributedCrash[]}
 		| {type: RecordType.Started | RecordType.Transferred; ids: string[]}
@@ -130,7 +136,14 @@
 			return {type, workflow: decodeWorkflow(fields.fields('workflow')), asOf: fields.has('asOf') ? fields.nonNegativeInteger('asOf') : undefined};
 		}
 
-		case RecordType.Cancel:
+		case RecordType.Cancel: {
+			return {type, id: fields.string('id'), cancelledAtMs: fields.has('cancelledAtMs') ? fields.number('cancelledAtMs') : undefined};
+		}
+
+		case RecordType.Cancellations: {
+			return {type, rows: fields.array('rows', decodeCancellation)};
+		}
+
 		case RecordType.Refused: {
 			return {type, id: fields.string('id')};
 		}
@@ -212,6 +225,11 @@
 
 const getOptionalText = (fields: Fields, key: string): string | undefined => fields.has(key) ? fields.string(key) : undefined;
 
+const decodeCancellation = (value: unknown): Cancellation => {
+	const row = new Fields(value, step);
+	return [row.string(0), row.number(1)];
+};
+
 const decodeEnd = (value: unknown): EndedRun => {
 	const fields = new Fields(value, step);
 	return {
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -9,6 +9,8 @@
 
 Refusals of jobs that are known not to be served are records too. The order of the stream decides between a refusal and attempts at other
 entries: a submission that was sent without knowing of a refusal in front of it is void, and nobody runs it.
+
+A cancellation is a record whether or not the job is known: attempts to submit it may be on their way, and end as one cancelled job.
 */
 import {ProducerWriter, WriteOutcome, type WriterEventHandler} from '../core/producer-writer.ts';
 import {type Clock} from '../types/clock.ts';
@@ -50,6 +52,7 @@
 	onWriterEvent: WriterEventHandler;
 	/** Undefined: no job is refused while the store is reached. */
 	admission?: AdmissionOptions | undefined;
+	note: (event: string, fields: Record<string, unknown>) => void;
 };
 
 /** Records are batched for this long: at the peak some ten a second come to an entry. */
@@ -87,7 +90,7 @@
 	}
 
 	async submit(queue: QueueConfig, id: string, spec: WorkflowSpec, timeoutMs: number): Promise<SubmitReply> {
-		const {admission, homes, clock, getFollower} = this.#options;
+		const {admission, homes, clock, getFollower, note} = this.#options;
 		const endAtMs = clock.monotonicMs() + timeoutMs;
 		const hasHome = homes.get(queue) !== undefined;
 		// Without admission nothing would submit a job again whose record is void, so its records are always valid. Without a home no stream is known to have been read.
@@ -117,6 +120,10 @@
 		}
 
 		const workflow = this.#createWorkflow(queue, id, spec);
+		if (getFollower(this.#places.getHomePartition(queue)).fold.cancellations.includes(workflow)) {
+			note('cancelled id submitted', {id, queue: queue.name});
+		}
+
 		const outcome = await this.#write(this.#places.getHomePartition(queue), encodeRecord({type: RecordType.Submit, workflow, asOf}), Math.max(1, endAtMs - clock.monotonicMs()));
 		if (outcome === WriteOutcome.Stored) {
 			return this.#confirm(queue, workflow, {endAtMs, timeoutMs});
@@ -155,33 +162,66 @@
 	}
 
 	async cancel(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome> {
-		const startedAtMs = this.#options.clock.monotonicMs();
+		const {clock, isStoreLost} = this.#options;
+		const endAtMs = clock.monotonicMs() + timeoutMs;
+		const getLeftMs = () => Math.max(1, endAtMs - clock.monotonicMs());
 		// The record cancels a known job however old its state is, so only an unknown one has to be read.
 		const known = this.#places.getJob(queue, id);
-		if (!known && this.#resubmitting.has(id)) {
-			// A cancellation has no effect on a job whose record follows it.
-			return LookupOutcome.Unknown;
-		}
-
 		const {outcome, state} = known ? {outcome: LookupOutcome.Found, state: known.state} : await this.getState(queue, id, timeoutMs);
-		if (outcome !== LookupOutcome.Found || isFinal(state!)) {
+		if (outcome === LookupOutcome.Unknown || (outcome === LookupOutcome.Found && isFinal(state!))) {
 			return outcome;
 		}
 
-		if (this.#options.isStoreLost()) {
+		if (isStoreLost()) {
 			return LookupOutcome.Unknown;
 		}
 
-		const remainingMs = Math.max(1, timeoutMs - (this.#options.clock.monotonicMs() - startedAtMs));
-		const record = encodeRecord({type: RecordType.Cancel, id});
-		const written = await Promise.all(this.#places.getHolders(queue, id).map(async partition => this.#write(partition, record, remainingMs)));
-		return written.length > 0 && written.every(cancelled => cancelled === WriteOutcome.Stored) ? LookupOutcome.Found : LookupOutcome.Unknown;
+		if (outcome === LookupOutcome.Absent) {
+			return this.#cancelUnknown(queue, id, getLeftMs());
+		}
+
+		return await this.#writeCancellation(queue, id, getLeftMs()) ? outcome : LookupOutcome.Unknown;
 	}
 
 	async countPending(queue: QueueConfig, timeoutMs: number): Promise<number | undefined> {
 		return this.#places.countPending(queue, Math.min(catchUpMs, timeoutMs));
 	}
 
+	/** Cancels an id without a job; resolves to absent only if that is stored, and no attempt that is on its way will run. */
+	async #cancelUnknown(queue: QueueConfig, id: string, timeoutMs: number): Promise<LookupOutcome> {
+		const {clock, homes, getFollower, note} = this.#options;
+		const endAtMs = clock.monotonicMs() + timeoutMs;
+		// An attempt that is on its way may claim a home that is not known here.
+		if (await homes.claim(queue, timeoutMs) === undefined) {
+			return LookupOutcome.Unknown;
+		}
+
+		const {cancellations} = getFollower(this.#places.getHomePartition(queue)).fold;
+		const wallMs = clock.now().getTime();
+		if (cancellations.isRecent(id, wallMs)) {
+			return LookupOutcome.Absent;
+		}
+
+		if (!cancellations.hasRoom(wallMs)) {
+			note('cancellation refused', {id, queue: queue.name, reason: 'too many cancelled ids'});
+			return LookupOutcome.Unknown;
+		}
+
+		if (!await this.#writeCancellation(queue, id, Math.max(1, endAtMs - clock.monotonicMs()))) {
+			return LookupOutcome.Unknown;
+		}
+
+		note('unknown id cancelled', {id, queue: queue.name});
+		return this.#places.getJob(queue, id) ? LookupOutcome.Found : LookupOutcome.Absent;
+	}
+
+	/** Writes a cancellation to each stream that has the job, or to that which decides on it; resolves to whether all of them have stored it. */
+	async #writeCancellation(queue: QueueConfig, id: string, timeoutMs: number): Promise<boolean> {
+		const record = encodeRecord({type: RecordType.Cancel, id, cancelledAtMs: this.#options.clock.now().getTime()});
+		const outcomes = await Promise.all(this.#places.getHolders(queue, id).map(async partition => this.#write(partition, record, timeoutMs)));
+		return outcomes.every(outcome => outcome === WriteOutcome.Stored);
+	}
+
 	/** Decides on a job by what the newest owner has published; undefined: it is accepted. */
 	#decide(queue: QueueConfig, id: string, spec: WorkflowSpec): Refusal | undefined {
 		const {clock, admission, getConfig} = this.#options;
--- a/test/simulated-site.ts
+++ b/test/simulated-site.ts
@@ -212,7 +212,7 @@
 			},
 		});
 		const jobs = new WorkflowApi({
-			store, clock, partitions, homes, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower, isStoreLost: () => this.storeLost.has(name), onWriterEvent: ignore, admission: this.features[Feature.Admission] ? {refusesLate: this.features[Feature.LateRefusals], random: this.random, note} : undefined,
+			store, clock, partitions, homes, producer: life, maxCallBytes: 2_000_000, getConfig: () => undefined, getFollower, isStoreLost: () => this.storeLost.has(name), onWriterEvent: ignore, note, admission: this.features[Feature.Admission] ? {refusesLate: this.features[Feature.LateRefusals], random: this.random, note} : undefined,
 		});
 		const relay = new RelayingApi({
 			local: jobs, clock, note, client: createEntryClient(this, name), isStoreLost: () => this.storeLost.has(name), getOthers: () => [...this.entries.keys()].filter(other => other !== name).map(other => ({host: other, address: other})),
