Cancel a job in the stream of its transfer as well

What callers would see: a client cancels a job of a queue that operators have sent to another service, is answered 200, and the job's tasks start on workers of that service seconds later.

The cancellation went to the streams known to have the job. While its transfer is on its way that is the home's alone, and the other stream gets it from the owner of the home only after the job has shown up there.

Evidence: the new test, on the code before: the store carries the transfer out 3 s late, the owner of the home is killed after the cancellation, and the three tasks start.

Change: a cancellation is written to the home and to the stream of the service that the job has, or would get.

Why it works: a stream that does not have the job keeps the cancellation for its submission.

Figures: one more record for a cancellation where a queue's home and its service are in two partitions; none otherwise.

--- a/src/workflows/job-places.ts
+++ b/src/workflows/job-places.ts
@@ -61,27 +61,28 @@
 		return accepted ? this.#getLive(home, accepted) : this.#get(this.getServicePartition(queue), id);
 	}
 
-	/** Partitions whose streams are known to have the job, or the one that decides on an unknown job. */
-	getHolders(queue: QueueConfig, id: string): number[] {
-		const holders = this.#getCandidates(queue, id).filter(partition => this.#get(partition, id) !== undefined);
-		return holders.length > 0 ? holders : [this.getHomePartition(queue)];
+	/** Partitions that may have the job: a queue's home and one other, however often the queue has changed its service. */
+	getCandidates(queue: QueueConfig, id: string): number[] {
+		const home = this.getHomePartition(queue);
+		const accepted = this.#get(home, id);
+		return [...new Set([home, accepted ? getPartition(accepted.workflow.service, this.#options.partitions) : this.getServicePartition(queue)])];
 	}
 
 	/** Whether what is known of the job is recent; with an unknown job, whether it is recent that there is none. */
 	isRecent(queue: QueueConfig, id: string): boolean {
-		return this.#getCandidates(queue, id).every(partition => isRecent(this.#options.getFollower(partition)));
+		return this.getCandidates(queue, id).every(partition => isRecent(this.#options.getFollower(partition)));
 	}
 
 	/** Reads all that says where the job is and how far it is, as of the call; resolves to false if the store does not answer in time. */
 	async catchUp(queue: QueueConfig, id: string, timeoutMs: number): Promise<boolean> {
 		const {clock} = this.#options;
 		const endAtMs = clock.monotonicMs() + timeoutMs;
-		const partitions = this.#getCandidates(queue, id);
+		const partitions = this.getCandidates(queue, id);
 		if (!await this.#catchUpAll(partitions, timeoutMs)) {
 			return false;
 		}
 
-		return this.#catchUpAll(this.#getCandidates(queue, id).filter(partition => !partitions.includes(partition)), endAtMs - clock.monotonicMs());
+		return this.#catchUpAll(this.getCandidates(queue, id).filter(partition => !partitions.includes(partition)), endAtMs - clock.monotonicMs());
 	}
 
 	/** Counts the queue's jobs that have not started; undefined: no recent count is known in time. */
@@ -114,13 +115,6 @@
 		return [...partitions];
 	}
 
-	/** Partitions that may have the job: a queue's home and one other, however often the queue has changed its service. */
-	#getCandidates(queue: QueueConfig, id: string): number[] {
-		const home = this.getHomePartition(queue);
-		const accepted = this.#get(home, id);
-		return [...new Set([home, accepted ? getPartition(accepted.workflow.service, this.#options.partitions) : this.getServicePartition(queue)])];
-	}
-
 	/** The job as the owner that runs it has stored it. */
 	#getLive(home: number, accepted: FoldedWorkflow): FoldedWorkflow {
 		const {partitions} = this.#options;
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -215,10 +215,10 @@
 		return this.#places.getJob(queue, id) ? LookupOutcome.Found : LookupOutcome.Absent;
 	}
 
-	/** Writes a cancellation to each stream that has the job, or to that which decides on it; resolves to whether all of them have stored it. */
+	/** Writes a cancellation to each stream that has the job, or may have it later; resolves to whether all of them have stored it. */
 	async #writeCancellation(queue: QueueConfig, id: string, timeoutMs: number): Promise<boolean> {
 		const record = encodeRecord({type: RecordType.Cancel, id, cancelledAtMs: this.#options.clock.now().getTime()});
-		const outcomes = await Promise.all(this.#places.getHolders(queue, id).map(async partition => this.#write(partition, record, timeoutMs)));
+		const outcomes = await Promise.all(this.#places.getCandidates(queue, id).map(async partition => this.#write(partition, record, timeoutMs)));
 		return outcomes.every(outcome => outcome === WriteOutcome.Stored);
 	}
 
--- a/test/cancelled-submissions.test.ts
+++ b/test/cancelled-submissions.test.ts
@@ -6,6 +6,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {getPartition} from '../src/core/partitions.ts';
 import {createEntryClient} from '../src/plugins/entry-messages.ts';
 import {StoreFault} from '../src/standin/memory-store.ts';
 import {LookupOutcome, SubmitOutcome} from '../src/types/job-api.ts';
@@ -17,11 +18,13 @@
 	createJobId, createSite, jobId, otherId,
 } from './site-setup.ts';
 import {
-	createSpec, createStep, partition, queue, type SimulatedSite,
+	createSpec, createStep, partition, queue, service, SimulatedSite,
 } from './simulated-site.ts';
 
 const ref = {topic: workflowsTopic, partition};
 const feed = createSpec([createStep({count: 3, isLasting: true})]);
+const newService = 'bureau';
+const moved = {...queue, service: newService};
 
 let site: SimulatedSite;
 
@@ -178,6 +181,35 @@
 	await expectNoStart();
 });
 
+/** Guards against a job that runs on another service, because its cancellation overtook its transfer and the owner that transferred it is gone. */
+it('a job that is cancelled while its transfer is on its way never runs, also if the owner of its home dies', async () => {
+	site = new SimulatedSite();
+	site.services = [service, newService];
+	site.plan = () => ({workMs: undefined});
+	for (const workerService of site.services) {
+		site.workerService = workerService;
+		site.addHost(`${workerService}-0`);
+	}
+
+	for (const name of ['entry-0', 'entry-1', 'entry-2']) {
+		site.startEntry(name);
+	}
+
+	await site.clock.advance(3000);
+	// Makes the first service the home of the queue.
+	await site.submit(otherId, createSpec([createStep({isLasting: true})]), 'entry-0');
+	const target = getPartition(newService, 8);
+	const owner = site.getOwnerName()!;
+	const reader = getReaders().find(name => !site.entries.get(name)!.ownership.owners.has(target))!;
+	site.store.getFault = ({kind, client, ref: called}) => kind === 'append' && client === owner && called?.partition === target ? StoreFault.ExecuteLate : StoreFault.None;
+	expect((await site.submit(jobId, feed, reader, moved)).outcome).toBe(SubmitOutcome.Accepted);
+	await site.clock.advance(300);
+	expect(await site.cancel(jobId, reader, moved)).toBe(LookupOutcome.Found);
+	site.killEntry(owner);
+	site.store.getFault = () => StoreFault.None;
+	await expectNoStart(jobId, moved);
+});
+
 describe('a cancellation that cannot be stored', () => {
 	it.each([
 		['the store takes nothing', StoreFault.Refuse],
