Let callers of the soak run cancel before they know of acceptance

Cause: the soak run cancelled only jobs that it knew as accepted, at the entry of the same caller, so it could not find that an acknowledged cancellation did not hold for a submission on its way.

Change: callers of their own hand a lasting job in, cancel it at another entry 0 to 1.5 s later without waiting for the answer, and half of them hand it in again at a third entry. A 410 is an acknowledgement, and nothing of such a job may start 20 s after it or run in the end. Random sources of their own leave the series of each seed as it is.

--- a/test/site-soak/caller.ts
+++ b/test/site-soak/caller.ts
@@ -58,6 +58,11 @@
 		return job;
 	}
 
+	/** Submits a job once, whatever comes of it. */
+	async submitOnce(job: KnownJob): Promise<void> {
+		job.isAccepted = await this.#call('POST', job) === 200 || job.isAccepted;
+	}
+
 	async ask(job: KnownJob): Promise<void> {
 		await this.#call('GET', job);
 	}
@@ -69,7 +74,8 @@
 		note(`${job.id} is being cancelled`);
 		for (let attempt = 0; attempt < maxAttempts && job.cancelledAtMs === undefined; attempt++) {
 			const status = await this.#call('DELETE', job);
-			if (status === 200) {
+			// A job that was accepted is known: the checker reports a 410.
+			if (status === 200 || status === 410) {
 				job.cancelledAtMs = clock.monotonicMs();
 			}
 
--- a/test/site-soak/offered-jobs.ts
+++ b/test/site-soak/offered-jobs.ts
@@ -54,6 +54,9 @@
 	};
 };
 
+/** Draws a job whose tasks run until it is cancelled, and that its caller cancels before it knows whether it was accepted: no run of it is owed. */
+export const drawAbandonedJob = (random: Random): OfferedJob => ({...drawLongRunningJob(random, 1 + random.below(2), 0), isLongRunning: false});
+
 /** What a worker does with a run. */
 export const planRun = ({input, run}: WorkerStart): RunPlan => {
 	const work = /work (\d+)/.exec(input);
--- a/test/site-soak/promise-checker.ts
+++ b/test/site-soak/promise-checker.ts
@@ -139,6 +139,11 @@
 		}
 	}
 
+	/** Whether the site owes something to the job's caller: it has accepted the job, or has acknowledged its cancellation. */
+	isOwed({isAccepted, cancelledAtMs}: KnownJob): boolean {
+		return isAccepted || cancelledAtMs !== undefined;
+	}
+
 	/** Whether the job has reached what its caller wants: all tasks done, long-running ones at work, nothing left of a cancelled one. */
 	isSettled(job: KnownJob): boolean {
 		if (job.cancelSentAtMs !== undefined) {
@@ -159,7 +164,7 @@
 			const wasStarted = this.#getTaskIds(job).some(taskId => this.#tasks.has(taskId));
 			if (job.isRefusedOnly && wasStarted) {
 				this.#violate(SitePromise.OnlySubmitted, job.id, 'started, and all its submissions were refused');
-			} else if (job.isAccepted && !this.isSettled(job)) {
+			} else if (this.isOwed(job) && !this.isSettled(job)) {
 				const undone = this.#getUndone(job);
 				const state = job.cancelSentAtMs === undefined ? job.lastState : 'cancelled';
 				this.#violate(SitePromise.Completed, undone[0] ?? job.id, `not settled ${boundMs} ms after the last fault: ${state}, ${undone.length} tasks not done`);
--- a/test/site-soak/site-soak.ts
+++ b/test/site-soak/site-soak.ts
@@ -8,6 +8,7 @@
 import {type Random} from '../../src/types/random.ts';
 import {Caller} from './caller.ts';
 import {HostDepartures} from './departures.ts';
+import {cancelEarly} from './early-cancellations.ts';
 import {SoakFaults} from './faults.ts';
 import {calmBoundMs} from './interruptions.ts';
 import {drawJob, drawLongRunningJob} from './offered-jobs.ts';
@@ -80,22 +81,26 @@
 	});
 	let isPassed = false;
 	let callers: Caller[] = [];
+	let earlyCallers: Caller[] = [];
 	try {
 		await site.start();
 		await site.waitUntilReady(readyBoundMs);
 		report('All entries are ready.');
-		callers = site.entries.flatMap((_, index) => [0, 1].map(number => new Caller({
+		const createCaller = (firstEntry: number, random: Random) => new Caller({
 			clock,
-			random: createRandom(seed + (seedStep * (3 + (index * 2) + number))),
+			random,
 			checker,
 			entries: site.entries.map(({callersAddress}) => callersAddress),
-			firstEntry: index,
+			firstEntry,
 			host: callersHost,
 			pathPrefix,
 			note(text) {
 				site.processes.note(text);
 			},
-		})));
+		});
+		callers = site.entries.flatMap((_, index) => [0, 1].map(number => createCaller(index, createRandom(seed + (seedStep * (3 + (index * 2) + number))))));
+		// With random sources of their own, they leave all else that a seed plays as it is.
+		earlyCallers = site.entries.map((_, index) => createCaller(index, createRandom(seed - (seedStep * (3 + index)))));
 		const run: Run = {
 			clock, site, checker, callers, options, random: createRandom(seed + seedStep), signal: traffic.signal,
 		};
@@ -107,7 +112,7 @@
 			clock, site, interruptions, random: createRandom(seed - seedStep), hasUnannouncedLosses: options.hasUnannouncedLosses,
 		});
 		const tasks = [
-			...options.isCalm ? [] : [playRounds(run, faults, departures)], submitJobs(run), submitLongRunningJobs(run), ...callers.map(async caller => askRepeatedly(run, caller)),
+			...options.isCalm ? [] : [playRounds(run, faults, departures)], submitJobs(run), submitLongRunningJobs(run), cancelEarly({...run, callers: earlyCallers, random: createRandom(seed - (seedStep * 2))}), ...callers.map(async caller => askRepeatedly(run, caller)),
 		];
 		await clock.sleep(options.seconds * secondMs);
 		traffic.abort();
@@ -133,7 +138,7 @@
 		};
 	} finally {
 		stopped.abort();
-		for (const caller of callers) {
+		for (const caller of [...callers, ...earlyCallers]) {
 			caller.close();
 		}
 
@@ -225,7 +230,7 @@
 const waitUntilSettled = async ({clock, checker, callers}: Run): Promise<number> => {
 	const startMs = clock.monotonicMs();
 	while (clock.monotonicMs() - startMs < settleBoundMs) {
-		const open: KnownJob[] = [...checker.jobs.values()].filter(job => job.isAccepted && !checker.isSettled(job));
+		const open: KnownJob[] = [...checker.jobs.values()].filter(job => checker.isOwed(job) && !checker.isSettled(job));
 		if (open.length === 0) {
 			break;
 		}
