Store cancellations of unknown jobs in the own installation too

What callers would see: an operator cancels a job whose submission had no answer yet, is told that it is not found, and the job runs.

Cause: the same as for the entries of a site, on the path of the program's own installation. JobSubmissions.cancel wrote nothing for an id that its entry had not read.

Change: the cancellation is written and read back before the answer, and an acceptance that is written within an hour makes a cancelled job.

Why it works: the log orders both, and each reader of the log applies the cancellation to the acceptance after it.

Conclusion: fixed; never seen in use.

--- a/src/workflows/cancellations.ts
+++ b/src/core/cancellations.ts
@@ -1,8 +1,7 @@
 /**
-Cancelled ids of the jobs of one partition. A cancellation may overtake attempts to submit its job, which are still on their way in another
+Cancelled ids of the jobs of one stream. A cancellation may overtake attempts to submit its job, which are still on their way in another
 process or to the store, so it holds for each submission of the id, whichever of their records comes first.
 */
-import {type Workflow} from '../types/workflows.ts';
 
 /** A cancelled id, and the wall clock time of the entry that took the cancellation. */
 export type Cancellation = [id: string, cancelledAtMs: number];
@@ -13,21 +12,30 @@
 	writtenAtMs: number;
 };
 
-/** Longer than an attempt is under way: the frozen processes, cut links and late appends that it meets add up to less. */
-const keepMs = 120_000;
+/** Options of cancellations. */
+export type CancellationsOptions = {
+	/** How long a cancellation holds: longer than an attempt is under way. */
+	keepMs: number;
+	/** Bounds memory, and what is written again. */
+	maxIds: number;
+};
+
 /** Wall clocks of hosts differ by less. */
 const maxClockErrorMs = 30_000;
-/** Bounds memory, and what an owner writes again. */
-const maxCancellations = 20_000;
 /** A cancellation is written again after this share of the store's retention. */
 const rewriteShare = 1 / 3;
 /** Cancellations of one record, which stays well below the store's limit. */
 const maxRewritten = 200;
 
-/** Cancellations of one partition. */
+/** Cancellations of one stream. */
 export class Cancellations {
 	/** The ones that were written longest ago are first. */
 	readonly #kept = new Map<string, KeptCancellation>();
+	readonly #options: CancellationsOptions;
+
+	constructor(options: CancellationsOptions) {
+		this.#options = options;
+	}
 
 	/** Adds a cancellation as it was read. */
 	add([id, cancelledAtMs]: Cancellation): void {
@@ -40,22 +48,22 @@
 		this.#dropExpired(cancelledAtMs);
 	}
 
-	/** Whether a submission of the job is one of a cancelled id. Depends on records alone, so that all readers of the stream agree. */
-	includes({id, receivedAtMs}: Workflow): boolean {
+	/** Whether a submission at that wall clock time is one of a cancelled id. Depends on records alone, so that all readers of the stream agree. */
+	includes(id: string, submittedAtMs: number): boolean {
 		const known = this.#kept.get(id);
-		return known !== undefined && receivedAtMs <= known.cancelledAtMs + keepMs;
+		return known !== undefined && submittedAtMs <= known.cancelledAtMs + this.#options.keepMs;
 	}
 
 	/** Whether another cancellation of the id adds nothing, because the known one holds for long enough. */
 	isRecent(id: string, wallMs: number): boolean {
 		const known = this.#kept.get(id);
-		return known !== undefined && wallMs <= known.cancelledAtMs + (keepMs / 2);
+		return known !== undefined && wallMs <= known.cancelledAtMs + (this.#options.keepMs / 2);
 	}
 
 	/** Whether cancellations of unknown jobs may be added: those that are kept are not dropped for them. */
 	hasRoom(wallMs: number): boolean {
 		this.#dropExpired(wallMs);
-		return this.#kept.size < maxCancellations;
+		return this.#kept.size < this.#options.maxIds;
 	}
 
 	/** Takes the cancellations to write again, before the store drops their records. */
@@ -66,7 +74,7 @@
 				break;
 			}
 
-			if (isExpired(cancelledAtMs, wallMs)) {
+			if (this.#isExpired(cancelledAtMs, wallMs)) {
 				this.#kept.delete(id);
 			} else {
 				this.#keep(id, {cancelledAtMs, writtenAtMs: wallMs});
@@ -85,13 +93,15 @@
 
 	#dropExpired(wallMs: number): void {
 		for (const [id, {cancelledAtMs}] of this.#kept) {
-			if (!isExpired(cancelledAtMs, wallMs)) {
+			if (!this.#isExpired(cancelledAtMs, wallMs)) {
 				return;
 			}
 
 			this.#kept.delete(id);
 		}
 	}
-}
 
-const isExpired = (cancelledAtMs: number, wallMs: number): boolean => wallMs - cancelledAtMs > keepMs + maxClockErrorMs;
+	#isExpired(cancelledAtMs: number, wallMs: number): boolean {
+		return wallMs - cancelledAtMs > this.#options.keepMs + maxClockErrorMs;
+	}
+}
--- a/src/jobs/job-fold.ts
+++ b/src/jobs/job-fold.ts
@@ -1,6 +1,7 @@
 /**
 Fold of the jobs stream. Every reader derives the same jobs, even if records were appended twice, late, or by a paused owner.
 */
+import {Cancellations} from '../core/cancellations.ts';
 import {type JobSpec} from '../types/jobs.ts';
 import {
 	JobEntryType, type Dispatch, type JobEntry, type JobRecord, type TaskEnd,
@@ -31,9 +32,17 @@
 	end?: TaskEnd;
 };
 
+/** An entry that is cut off from the log for an hour appends what it has accepted afterwards. */
+const cancellationKeepMs = 3_600_000;
+const maxCancelledIds = 100_000;
+
 /** Jobs derived from the jobs stream. */
 export class JobFold {
 	readonly jobs = new Map<string, FoldedJob>();
+	/** Cancelled ids without a job. */
+	readonly cancellations = new Cancellations({keepMs: cancellationKeepMs, maxIds: maxCancelledIds});
+	/** Called when the cancellation of an id without a job was read. */
+	onUnknownCancelled: ((jobId: string) => void) | undefined;
 	/** Offset of the last record applied. */
 	offset = -1;
 	readonly #byShard = new Map<number, Map<string, FoldedJob>>();
@@ -89,6 +98,11 @@
 
 			case JobEntryType.Cancel: {
 				const job = this.jobs.get(entry.jobId);
+				if (!job) {
+					this.cancellations.add([entry.jobId, writtenAtMs]);
+					this.onUnknownCancelled?.(entry.jobId);
+				}
+
 				if (!job || job.isCancelled) {
 					return undefined;
 				}
@@ -210,6 +224,11 @@
 		const job: FoldedJob = {
 			spec, shard, offset, publishedAtMs, isCancelled: false, ends: new Map(), dispatches: new Map(),
 		};
+		if (this.cancellations.includes(spec.jobId, publishedAtMs)) {
+			job.isCancelled = true;
+			job.finishedAtMs = publishedAtMs;
+		}
+
 		this.jobs.set(spec.jobId, job);
 		let jobs = this.#byShard.get(shard);
 		if (!jobs) {
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -28,6 +28,9 @@
 
 	constructor(options: JobSubmissionsOptions) {
 		this.#options = options;
+		options.fold.onUnknownCancelled = jobId => {
+			this.onChange(jobId);
+		};
 	}
 
 	/** Resolves once the job is in the log. Submitting the same job again has no effect; a different job under the same id is refused. */
@@ -48,12 +51,9 @@
 		return job;
 	}
 
-	/** Resolves once the cancellation is in the log. */
+	/** Resolves once the cancellation is in the log. Throws `not-found` if there is no such job; attempts to submit it that are on their way never run. */
 	async cancel(jobId: string): Promise<FoldedJob> {
-		const job = this.#options.fold.jobs.get(jobId);
-		if (!job) {
-			throw createError(ErrorCode.NotFound, {step: 'cancel job', peer: jobId});
-		}
+		const job = this.#options.fold.jobs.get(jobId) ?? await this.#cancelUnknown(jobId);
 
 		if (!job.isCancelled && job.finishedAtMs === undefined) {
 			await this.#write({type: JobEntryType.Cancel, jobId}, jobId, () => job.isCancelled || job.finishedAtMs !== undefined);
@@ -69,6 +69,27 @@
 		}
 	}
 
+	/** Cancels an id without a job; resolves to its job if that was in the log all the same. */
+	async #cancelUnknown(jobId: string): Promise<FoldedJob> {
+		const {clock, fold, metrics} = this.#options;
+		const isCancelled = () => fold.cancellations.isRecent(jobId, clock.now().getTime());
+		if (!isCancelled()) {
+			if (!fold.cancellations.hasRoom(clock.now().getTime())) {
+				metrics.count(Metric.JobsRefused, 'too-many-cancelled');
+				throw createError(ErrorCode.Refused, {step: 'cancel job', peer: jobId, detail: 'too many ids without a job were cancelled'});
+			}
+
+			await this.#write({type: JobEntryType.Cancel, jobId}, jobId, () => fold.jobs.has(jobId) || isCancelled());
+		}
+
+		const job = fold.jobs.get(jobId);
+		if (!job) {
+			throw createError(ErrorCode.NotFound, {step: 'cancel job', peer: jobId});
+		}
+
+		return job;
+	}
+
 	/** Writes an entry and waits until it is read back: only then its place in the log, before or after others, is certain. */
 	async #write(entry: JobEntry, jobId: string, isDone: () => boolean): Promise<void> {
 		const {clock, metrics, writer, submitTimeoutMs} = this.#options;
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -2,12 +2,12 @@
 State of the jobs, derived by replaying (folding) the records of the jobs stream. Every entry folds the same records in the
 same order, so all derive the same state.
 */
+import {Cancellations} from '../core/cancellations.ts';
 import {
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type Workflow,
 } from '../types/workflows.ts';
 import {AdmissionRecords} from './admission-records.ts';
 import {AwaitedRecords} from './awaited-records.ts';
-import {Cancellations} from './cancellations.ts';
 import {addCrash, isCrashLimitReached} from './crash-attribution.ts';
 import {
 	createFolded, getUnitId, isFinal, type FoldedWorkflow,
@@ -28,6 +28,10 @@
 	onGap: () => void;
 };
 
+/** The frozen processes, cut links and late appends that an attempt to submit a job meets add up to less. */
+const cancellationKeepMs = 120_000;
+const maxCancelledIds = 20_000;
+
 /** Folded state of one partition. */
 export class WorkflowFold {
 	readonly workflows = new Map<string, FoldedWorkflow>();
@@ -36,7 +40,7 @@
 	interferencePairs: InterferencePair[] = [];
 	/** The newest owner's forecasts, and refused jobs. */
 	readonly admission = new AdmissionRecords();
-	readonly cancellations = new Cancellations();
+	readonly cancellations = new Cancellations({keepMs: cancellationKeepMs, maxIds: maxCancelledIds});
 	/** Agents that owners have declared lost. */
 	readonly losses = new SessionRecords();
 	/** Agents whose departure an owner has read. */
@@ -191,7 +195,7 @@
 
 		const folded = createFolded(workflow, offset);
 		this.workflows.set(workflow.id, folded);
-		if (this.cancellations.includes(workflow)) {
+		if (this.cancellations.includes(workflow.id, workflow.receivedAtMs)) {
 			folded.state = WorkflowState.Cancelled;
 			return;
 		}
@@ -286,7 +290,7 @@
 	}
 
 	#finishIfCancelled(folded: FoldedWorkflow | undefined): void {
-		if (folded && this.cancellations.includes(folded.workflow)) {
+		if (folded && this.cancellations.includes(folded.workflow.id, folded.workflow.receivedAtMs)) {
 			this.#finish(folded, WorkflowState.Cancelled);
 		}
 	}
--- a/src/workflows/records.ts
+++ b/src/workflows/records.ts
@@ -6,9 +6,9 @@
 import {
 	RunEnd, WorkflowState, type EndedRun, type TaskCrash, type Workflow, type WorkflowStep,
 } from '../types/workflows.ts';
+import {type Cancellation} from '../core/cancellations.ts';
 import {maxEpoch, maxRunNumber, maxTasks} from '../core/record-limits.ts';
 import {Fields, parseFields} from '../utils/fields.ts';
-import {type Cancellation} from './cancellations.ts';
 import {decodeForecast, encodeForecast} from './forecast-rows.ts';
 
 /** Name of the operation in errors. */
--- a/src/workflows/workflow-api.ts
+++ b/src/workflows/workflow-api.ts
@@ -120,7 +120,7 @@
 		}
 
 		const workflow = this.#createWorkflow(queue, id, spec);
-		if (getFollower(this.#places.getHomePartition(queue)).fold.cancellations.includes(workflow)) {
+		if (getFollower(this.#places.getHomePartition(queue)).fold.cancellations.includes(id, workflow.receivedAtMs)) {
 			note('cancelled id submitted', {id, queue: queue.name});
 		}
 
--- a/test/cancellations.test.ts
+++ b/test/cancellations.test.ts
@@ -4,8 +4,8 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
+import {Cancellations} from '../src/core/cancellations.ts';
 import {WorkflowState, type Workflow} from '../src/types/workflows.ts';
-import {Cancellations} from '../src/workflows/cancellations.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
 import {createFolded} from '../src/workflows/folded-workflow.ts';
 import {
@@ -88,7 +88,7 @@
 describe('cancellations', () => {
 	/** Guards against a time in which the store retains no record of a cancellation that still matters. */
 	it('are written again before the store drops their records, until no attempt can be on its way', () => {
-		const cancellations = new Cancellations();
+		const cancellations = new Cancellations({keepMs: 120_000, maxIds: 20_000});
 		cancellations.add([jobId, startMs]);
 		let writtenAtMs = startMs;
 		let lastWrittenAtMs = startMs;
@@ -106,7 +106,7 @@
 	});
 
 	it('of the most that are kept are written again in time, in records far below the limit of the store', () => {
-		const cancellations = new Cancellations();
+		const cancellations = new Cancellations({keepMs: 120_000, maxIds: 20_000});
 		for (let index = 0; index < 20_000; index++) {
 			cancellations.add([index.toString(16).padStart(16, '0'), startMs]);
 		}
