--- a/test/forwarded-calls.test.ts
+++ b/test/forwarded-calls.test.ts
@@ -9,7 +9,7 @@
 	createForwardClient, decodeLoad, serveEntry, type HandedAdmission,
 } from '../src/plugins/entry-messages.ts';
 import {type ForwardClient} from '../src/types/entries.ts';
-import {SubmitOutcome} from '../src/types/job-api.ts';
+import {LookupOutcome, SubmitOutcome} from '../src/types/job-api.ts';
 import {createStreamClient, type StreamClient} from '../src/utils/call-stream-client.ts';
 import {createJsonServer, type JsonServer} from '../src/utils/http-server.ts';
 import {createHttpClient} from '../src/utils/keep-alive-client.ts';
@@ -101,6 +101,18 @@
 	expect(await client.getLoad(address, 1000)).toBeUndefined();
 });
 
+/** Guards against the "absent" of a process of the version before, which stores no cancellation of an unknown job. */
+it('to cancel an unknown job are passed on as absent only if the other entry has stored the cancellation', async () => {
+	jobs.read = {outcome: LookupOutcome.Absent};
+	const address = await serve();
+	expect(await client.cancel(address, job, 1000)).toMatchObject({reply: LookupOutcome.Absent});
+	const earlier = createJsonServer(createSystemClock());
+	earlier.route('POST', '/v1/entry/cancel', () => ({body: {outcome: LookupOutcome.Absent}}));
+	const earlierAddress = await earlier.listen('127.0.0.1:0');
+	expect(await client.cancel(earlierAddress, job, 1000)).toMatchObject({reply: LookupOutcome.Unknown});
+	await earlier.close();
+});
+
 it('throw that nothing was sent if no connection is made', async () => {
 	const address = await serve();
 	await server.close();
