Write cancellations again together

Cause: a cancelled id was written again as soon as it was due. Where jobs are cancelled one after the other, that is a record for each of them and third of the retention, and each record is a call to the store that wakes all readers.

Change: with one that is due, all are written again that will be due within half of that time.

Conclusion: the price of cancelled ids no longer grows with their number at usual rates.

--- a/src/core/cancellations.ts
+++ b/src/core/cancellations.ts
@@ -22,8 +22,10 @@
 
 /** Wall clocks of hosts differ by less. */
 const maxClockErrorMs = 30_000;
-/** A cancellation is written again after this share of the store's retention. */
+/** A cancellation is due to be written again after this share of the store's retention. */
 const rewriteShare = 1 / 3;
+/** With one that is due, all are written again that will be due within half of that time: each record is a call to the store and wakes all readers. */
+const gatherShare = rewriteShare / 2;
 /** Cancellations of one record, which stays well below the store's limit. */
 const maxRewritten = 200;
 
@@ -69,8 +71,13 @@
 	/** Takes the cancellations to write again, before the store drops their records. */
 	takeDue(wallMs: number, retentionMs: number): Cancellation[] {
 		const due: Cancellation[] = [];
+		const [oldest] = this.#kept.values();
+		if (!oldest || wallMs - oldest.writtenAtMs <= retentionMs * rewriteShare) {
+			return due;
+		}
+
 		for (const [id, {cancelledAtMs, writtenAtMs}] of this.#kept) {
-			if (due.length >= maxRewritten || wallMs - writtenAtMs <= retentionMs * rewriteShare) {
+			if (due.length >= maxRewritten || wallMs - writtenAtMs <= retentionMs * gatherShare) {
 				break;
 			}
 
--- a/test/cancellations.test.ts
+++ b/test/cancellations.test.ts
@@ -105,6 +105,25 @@
 		expect(lastWrittenAtMs - startMs).toBeLessThan(160_000);
 	});
 
+	/** Guards against a call to the store for each cancelled job and third of the retention, each of which wakes all readers. */
+	it('that come one after the other are written again together', () => {
+		const cancellations = new Cancellations({keepMs: 120_000, maxIds: 20_000});
+		let records = 0;
+		let rows = 0;
+		for (let nowMs = startMs; nowMs < startMs + 100_000; nowMs += 50) {
+			if (nowMs % 200 === 0) {
+				cancellations.add([nowMs.toString(16).padStart(16, '0'), nowMs]);
+			}
+
+			const due = cancellations.takeDue(nowMs, retentionMs);
+			records += due.length > 0 ? 1 : 0;
+			rows += due.length;
+		}
+
+		expect(rows).toBeGreaterThan(3000);
+		expect(records).toBeLessThan(100);
+	});
+
 	it('of the most that are kept are written again in time, in records far below the limit of the store', () => {
 		const cancellations = new Cancellations({keepMs: 120_000, maxIds: 20_000});
 		for (let index = 0; index < 20_000; index++) {
