Keep the options of a site's cancelled ids beside their class

Change: the two constants are the exported options siteCancellations; no behaviour changes.

Conclusion: none beyond the move.

--- a/src/core/cancellations.ts
+++ b/src/core/cancellations.ts
@@ -20,6 +20,9 @@
 	maxIds: number;
 };
 
+/** Options for the jobs of a site's partition: the frozen processes, cut links and late appends that an attempt meets add up to less. */
+export const siteCancellations: CancellationsOptions = {keepMs: 120_000, maxIds: 20_000};
+
 /** Wall clocks of hosts differ by less. */
 const maxClockErrorMs = 30_000;
 /** A cancellation is due to be written again after this share of the store's retention. */
--- a/src/workflows/fold.ts
+++ b/src/workflows/fold.ts
@@ -2,7 +2,7 @@
 State of the jobs, derived by replaying (folding) the records of the jobs stream. Every entry folds the same records in the
 same order, so all derive the same state.
 */
-import {Cancellations} from '../core/cancellations.ts';
+import {Cancellations, siteCancellations} from '../core/cancellations.ts';
 import {
 	parseTaskId, RunEnd, WorkflowState, type EndedRun, type Workflow,
 } from '../types/workflows.ts';
@@ -28,10 +28,6 @@
 	onGap: () => void;
 };
 
-/** The frozen processes, cut links and late appends that an attempt to submit a job meets add up to less. */
-const cancellationKeepMs = 120_000;
-const maxCancelledIds = 20_000;
-
 /** Folded state of one partition. */
 export class WorkflowFold {
 	readonly workflows = new Map<string, FoldedWorkflow>();
@@ -40,7 +36,7 @@
 	interferencePairs: InterferencePair[] = [];
 	/** The newest owner's forecasts, and refused jobs. */
 	readonly admission = new AdmissionRecords();
-	readonly cancellations = new Cancellations({keepMs: cancellationKeepMs, maxIds: maxCancelledIds});
+	readonly cancellations = new Cancellations(siteCancellations);
 	/** Agents that owners have declared lost. */
 	readonly losses = new SessionRecords();
 	/** Agents whose departure an owner has read. */
--- a/test/cancellations.test.ts
+++ b/test/cancellations.test.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {Cancellations} from '../src/core/cancellations.ts';
+import {Cancellations, siteCancellations} from '../src/core/cancellations.ts';
 import {WorkflowState, type Workflow} from '../src/types/workflows.ts';
 import {WorkflowFold} from '../src/workflows/fold.ts';
 import {createFolded} from '../src/workflows/folded-workflow.ts';
@@ -88,7 +88,7 @@
 describe('cancellations', () => {
 	/** Guards against a time in which the store retains no record of a cancellation that still matters. */
 	it('are written again before the store drops their records, until no attempt can be on its way', () => {
-		const cancellations = new Cancellations({keepMs: 120_000, maxIds: 20_000});
+		const cancellations = new Cancellations(siteCancellations);
 		cancellations.add([jobId, startMs]);
 		let writtenAtMs = startMs;
 		let lastWrittenAtMs = startMs;
@@ -107,7 +107,7 @@
 
 	/** Guards against a call to the store for each cancelled job and third of the retention, each of which wakes all readers. */
 	it('that come one after the other are written again together', () => {
-		const cancellations = new Cancellations({keepMs: 120_000, maxIds: 20_000});
+		const cancellations = new Cancellations(siteCancellations);
 		let records = 0;
 		let rows = 0;
 		for (let nowMs = startMs; nowMs < startMs + 100_000; nowMs += 50) {
@@ -125,7 +125,7 @@
 	});
 
 	it('of the most that are kept are written again in time, in records far below the limit of the store', () => {
-		const cancellations = new Cancellations({keepMs: 120_000, maxIds: 20_000});
+		const cancellations = new Cancellations(siteCancellations);
 		for (let index = 0; index < 20_000; index++) {
 			cancellations.add([index.toString(16).padStart(16, '0'), startMs]);
 		}
